--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,16 @@
+//! Identifiers, collections, clock and randomness shared by all crates.
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use, rust_2018_idioms, future_incompatible)]
+
+mod clock;
+mod collections;
+mod key_hash;
+mod name;
+mod name_error;
+
+pub use crate::{
+    clock::Clock,
+    collections::{HashMap, HashSet},
+    key_hash::KeyHash,
+    name::{AccountName, DomainName, ModelName, ServiceName, VersionName, VmId},
+    name_error::NameError,
+};
--- /dev/null
+++ b/crates/base/src/name.rs
@@ -0,0 +1,93 @@
+//! Checked names of the entities that operators and the platform define.
+
+use crate::name_error::NameError;
+use serde::{Deserialize, Serialize};
+use std::fmt::{Display, Formatter, Result as FmtResult};
+
+/// Longest accepted name.
+const NAME_SIZE_BYTES: usize = 64;
+
+fn check(raw: &str) -> Result<(), NameError> {
+    if raw.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if raw.len() > NAME_SIZE_BYTES {
+        return Err(NameError::TooLong(raw.len()));
+    }
+    let is_allowed = |c: &char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    match raw.chars().find(|c| !is_allowed(c)) {
+        Some(character) => Err(NameError::Character(character)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.into()
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(raw: &str) -> Result<Self, NameError> {
+                check(raw)?;
+                Ok(Self(raw.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(raw: String) -> Result<Self, NameError> {
+                check(&raw)?;
+                Ok(Self(raw.into_boxed_str()))
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a client account.
+    AccountName
+);
+name_type!(
+    /// Name of a failure domain.
+    DomainName
+);
+name_type!(
+    /// Name of a model.
+    ModelName
+);
+name_type!(
+    /// Name of a service.
+    ServiceName
+);
+name_type!(
+    /// Name of a model version.
+    VersionName
+);
+name_type!(
+    /// Identifier of a VM in the platform's list.
+    VmId
+);
--- /dev/null
+++ b/crates/web/src/body.rs
@@ -0,0 +1,114 @@
+//! Request and response bodies.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{
+    Response, StatusCode,
+    body::{Body, Frame, SizeHint},
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use quick_error::quick_error;
+use serde::Serialize;
+use std::{
+    convert::Infallible,
+    fmt::Display,
+    pin::Pin,
+    task::{Context, Poll},
+};
+use tokio::sync::mpsc;
+
+/// Body of every response that a server here sends.
+pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+
+quick_error! {
+    /// Why a body could not be read.
+    #[derive(Debug)]
+    pub enum ReadBodyError {
+        /// The body is larger than the limit.
+        TooLarge(limit_bytes: usize) {
+            display("the body is larger than {limit_bytes} bytes")
+        }
+        /// The connection failed while the body was read.
+        Transport(cause: Box<str>) {
+            display("the body ended early: {cause}")
+        }
+    }
+}
+
+/// Body whose data arrives over a channel. It ends when the sender is dropped.
+#[derive(Debug)]
+pub struct ChannelBody {
+    receiver: mpsc::Receiver<Bytes>,
+}
+
+impl ChannelBody {
+    /// Creates a body and the sender that feeds it; the channel holds `capacity` chunks.
+    pub fn new(capacity: usize) -> (mpsc::Sender<Bytes>, Self) {
+        let (sender, receiver) = mpsc::channel(capacity);
+        (sender, Self { receiver })
+    }
+}
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.receiver.poll_recv(cx).map(|chunk| chunk.map(|data| Ok(Frame::data(data))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
+
+/// Body with the given content.
+pub fn full(content: impl Into<Bytes>) -> ResponseBody {
+    Full::new(content.into()).boxed_unsync()
+}
+
+/// Body without content.
+pub fn empty() -> ResponseBody {
+    full(Bytes::new())
+}
+
+/// Response with a JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<ResponseBody> {
+    let (status, content) = match serde_json::to_vec(value) {
+        Ok(content) => (status, content),
+        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, b"{}".to_vec()),
+    };
+    let mut response = Response::new(full(content));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+///
+/// `TooLarge` as soon as the limit is passed, `Transport` if the connection fails.
+pub async fn read_body<B>(mut body: B, limit_bytes: usize) -> Result<Bytes, ReadBodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Display,
+{
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(ReadBodyError::TooLarge(limit_bytes));
+    }
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| ReadBodyError::Transport(err.to_string().into()))?;
+        if let Ok(data) = frame.into_data() {
+            if content.len() + data.len() > limit_bytes {
+                return Err(ReadBodyError::TooLarge(limit_bytes));
+            }
+            content.extend_from_slice(&data);
+        }
+    }
+    Ok(content.freeze())
+}
--- /dev/null
+++ b/crates/web/src/client.rs
@@ -0,0 +1,124 @@
+//! One-shot HTTP/1.1 client: one connection for each request, and no retry.
+
+use crate::{body::read_body, client_error::ClientError};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method, Request, StatusCode,
+    client::conn::http1,
+    header::{AUTHORIZATION, CONTENT_TYPE, HOST},
+};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{net::SocketAddr, time::Duration};
+use tokio::net::TcpStream;
+
+/// Largest accepted answer.
+const ANSWER_SIZE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Client of one HTTP server.
+#[derive(Clone, Debug)]
+pub struct Client {
+    addr: SocketAddr,
+    bearer_key: Option<Box<str>>,
+    timeout_ms: u64,
+}
+
+/// Answer to a request.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Decodes the body.
+    ///
+    /// # Errors
+    ///
+    /// `Json` if the body has another shape.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
+        Ok(serde_json::from_slice(&self.body)?)
+    }
+}
+
+impl Client {
+    /// Client of the server at `addr`; a request takes at most `timeout_ms`.
+    pub fn new(addr: SocketAddr, timeout_ms: u64) -> Self {
+        Self { addr, bearer_key: None, timeout_ms }
+    }
+
+    /// Sends `key` as bearer key with each request.
+    pub fn with_bearer_key(mut self, key: &str) -> Self {
+        self.bearer_key = Some(key.into());
+        self
+    }
+
+    /// Sends a request without body.
+    ///
+    /// # Errors
+    ///
+    /// `Connect` if nothing was sent; any other error leaves open whether the server acted.
+    pub async fn send(&self, method: Method, path: &str) -> Result<Reply, ClientError> {
+        self.exchange(method, path, Bytes::new()).await
+    }
+
+    /// Sends a request with a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// As for `send`.
+    pub async fn send_json(
+        &self,
+        method: Method,
+        path: &str,
+        value: &impl Serialize,
+    ) -> Result<Reply, ClientError> {
+        self.exchange(method, path, serde_json::to_vec(value)?.into()).await
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Reply, ClientError> {
+        let wait = Duration::from_millis(self.timeout_ms);
+        match tokio::time::timeout(wait, self.exchange_untimed(method, path, body)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(ClientError::Timeout(self.timeout_ms)),
+        }
+    }
+
+    async fn exchange_untimed(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply, ClientError> {
+        let stream = TcpStream::connect(self.addr).await.map_err(ClientError::Connect)?;
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(ClientError::Transport)?;
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.addr.to_string())
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(key) = &self.bearer_key {
+            request = request.header(AUTHORIZATION, format!("Bearer {key}"));
+        }
+        let request = request.body(Full::new(body))?;
+        let exchange = async {
+            let response = sender.send_request(request).await.map_err(ClientError::Transport)?;
+            let status = response.status();
+            let body = read_body(response.into_body(), ANSWER_SIZE_BYTES).await?;
+            Ok(Reply { status, body })
+        };
+        // The connection is driven here and not in a task, so that it closes when the caller gives up.
+        tokio::pin!(connection);
+        tokio::pin!(exchange);
+        tokio::select! {
+            biased;
+            outcome = &mut exchange => outcome,
+            _ = &mut connection => exchange.await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/web/src/client_error.rs
@@ -0,0 +1,42 @@
+//! Errors of the one-shot HTTP client.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a request got no answer.
+    #[derive(Debug)]
+    pub enum ClientError {
+        /// No connection could be opened, so nothing was sent.
+        Connect(cause: std::io::Error) {
+            display("no connection: {cause}")
+            source(cause)
+        }
+        /// The connection failed after the request may have been sent.
+        Transport(cause: hyper::Error) {
+            display("the connection failed: {cause}")
+            source(cause)
+        }
+        /// No answer came in time.
+        Timeout(wait_ms: u64) {
+            display("no answer within {wait_ms} ms")
+        }
+        /// The request could not be built.
+        Request(cause: hyper::http::Error) {
+            display("the request is not valid: {cause}")
+            source(cause)
+            from()
+        }
+        /// The body of the answer could not be read.
+        Body(cause: crate::body::ReadBodyError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The answer is not the expected JSON.
+        Json(cause: serde_json::Error) {
+            display("the answer is not the expected JSON: {cause}")
+            source(cause)
+            from()
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/openai/chunk.rs
@@ -0,0 +1,132 @@
+//! Answers and chunks of streamed answers.
+
+use serde::{Deserialize, Serialize};
+
+/// Token counts of an answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer.
+    pub completion_tokens: u32,
+    /// Sum of both.
+    pub total_tokens: u32,
+}
+
+/// Choice of a plain completion or of one of its chunks.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Choice {
+    /// Always 0.
+    pub index: u32,
+    /// Text.
+    pub text: String,
+    /// Always null.
+    pub logprobs: Option<()>,
+    /// `stop` or `length` at the end.
+    pub finish_reason: Option<String>,
+}
+
+/// Answer of `/v1/completions`, whole or as a chunk.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Completion {
+    /// Identifier of the answer.
+    pub id: String,
+    /// Always `text_completion`.
+    pub object: String,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// Model name.
+    pub model: String,
+    /// Pinned model version.
+    pub system_fingerprint: String,
+    /// Choices; empty in the chunk that carries the usage.
+    pub choices: Vec<Choice>,
+    /// Token counts, in a whole answer and in the last chunk.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+/// Message of a whole chat answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ChatReply {
+    /// Always `assistant`.
+    pub role: String,
+    /// Text.
+    pub content: String,
+}
+
+/// Choice of a whole chat answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ChatChoice {
+    /// Always 0.
+    pub index: u32,
+    /// Message.
+    pub message: ChatReply,
+    /// Always null.
+    pub logprobs: Option<()>,
+    /// `stop` or `length`.
+    pub finish_reason: Option<String>,
+}
+
+/// Whole answer of `/v1/chat/completions`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ChatCompletion {
+    /// Identifier of the answer.
+    pub id: String,
+    /// Always `chat.completion`.
+    pub object: String,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// Model name.
+    pub model: String,
+    /// Pinned model version.
+    pub system_fingerprint: String,
+    /// The only choice.
+    pub choices: Vec<ChatChoice>,
+    /// Token counts.
+    pub usage: Usage,
+}
+
+/// New part of a chat answer.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ChatDelta {
+    /// `assistant`, in the first chunk only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<String>,
+    /// Text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<String>,
+}
+
+/// Choice of a chunk of a chat answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ChatChunkChoice {
+    /// Always 0.
+    pub index: u32,
+    /// New part.
+    pub delta: ChatDelta,
+    /// Always null.
+    pub logprobs: Option<()>,
+    /// `stop` or `length` at the end.
+    pub finish_reason: Option<String>,
+}
+
+/// Chunk of a streamed chat answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ChatChunk {
+    /// Identifier of the answer.
+    pub id: String,
+    /// Always `chat.completion.chunk`.
+    pub object: String,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// Model name.
+    pub model: String,
+    /// Pinned model version.
+    pub system_fingerprint: String,
+    /// Choices; empty in the chunk that carries the usage.
+    pub choices: Vec<ChatChunkChoice>,
+    /// Token counts, in the last chunk.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
--- /dev/null
+++ b/crates/wire/src/openai/completion.rs
@@ -0,0 +1,42 @@
+//! Body of `POST /v1/completions`.
+
+use serde::Deserialize;
+
+/// Prompt as one text or as a list with one text.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(untagged)]
+pub enum Prompt {
+    /// One text.
+    Text(String),
+    /// A list of texts; only a list of one is accepted.
+    List(Vec<String>),
+}
+
+/// Options of a streamed answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+pub struct StreamOptions {
+    /// Accepted for compatibility: the usage is always sent.
+    #[serde(default)]
+    pub include_usage: bool,
+}
+
+/// Body of `POST /v1/completions`. Unknown fields are ignored, as callers' libraries send many.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct CompletionRequest {
+    /// Model name, or `model:adapter`.
+    pub model: String,
+    /// Prompt.
+    pub prompt: Prompt,
+    /// Largest number of tokens in the answer.
+    pub max_tokens: Option<u32>,
+    /// Sampling temperature.
+    pub temperature: Option<f64>,
+    /// Nucleus sampling bound.
+    pub top_p: Option<f64>,
+    /// Number of answers; only 1 is accepted.
+    pub n: Option<u32>,
+    /// Whether the answer is streamed.
+    pub stream: Option<bool>,
+    /// Options of a streamed answer.
+    pub stream_options: Option<StreamOptions>,
+}
