--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,5 +1,11 @@
 //! Identifiers, collections, clock and randomness shared by all crates.
-#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use, rust_2018_idioms, future_incompatible)]
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
 
 mod clock;
 mod collections;
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -2,7 +2,10 @@
 
 use crate::name_error::NameError;
 use serde::{Deserialize, Serialize};
-use std::fmt::{Display, Formatter, Result as FmtResult};
+use std::{
+    fmt::{Display, Formatter, Result as FmtResult},
+    str::FromStr,
+};
 
 /// Longest accepted name.
 const NAME_SIZE_BYTES: usize = 64;
@@ -47,6 +50,14 @@
             }
         }
 
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(raw: &str) -> Result<Self, NameError> {
+                Self::try_from(raw)
+            }
+        }
+
         impl TryFrom<&str> for $name {
             type Error = NameError;
 
--- /dev/null
+++ b/crates/bench/src/bench_error.rs
@@ -0,0 +1,58 @@
+//! Errors of experiments.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why an experiment could not run or did not pass.
+    #[derive(Debug)]
+    pub enum BenchError {
+        /// A process or file could not be handled.
+        Io(cause: std::io::Error) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// A process did not say that it is ready.
+        NotReady(role: String) {
+            display("the process {role} did not become ready")
+        }
+        /// A server of a test process did not answer.
+        Client(cause: web::ClientError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// A name is not valid.
+        Name(cause: base::NameError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The configuration document is not valid.
+        Document(cause: fleet::DocumentError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The daemon failed.
+        Daemon(cause: geraniumroad::RunError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// JSON could not be read or written.
+        Json(cause: serde_json::Error) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// There is no such experiment.
+        UnknownExperiment(name: String) {
+            display("there is no experiment {name:?}; see --list")
+        }
+        /// The experiment showed a broken promise.
+        Failed(what: String) {
+            display("the experiment failed: {what}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/cluster/mod.rs
@@ -0,0 +1,7 @@
+//! Cluster of real processes on this machine.
+
+mod layout;
+mod node;
+mod process;
+
+pub use self::{layout::Layout, node::Cluster, process::Process};
--- /dev/null
+++ b/crates/bench/src/cluster/process.rs
@@ -0,0 +1,103 @@
+//! Process of a cluster.
+
+use crate::bench_error::BenchError;
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::Path,
+    process::{Child, Command, Stdio},
+};
+
+/// Running process. It is killed when the value is dropped, so that a failed test leaves nothing behind.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    ready_line: String,
+}
+
+impl Process {
+    /// Starts `program role ARGS…` and waits for its line `ready …`.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot start, or it ended without that line.
+    pub fn start(program: &Path, args: &[&str]) -> Result<Self, BenchError> {
+        let mut child = Command::new(program)
+            .arg("role")
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let mut ready_line = String::new();
+        if let Some(stdout) = child.stdout.take() {
+            BufReader::new(stdout).read_line(&mut ready_line)?;
+        }
+        let process = Self { child, ready_line };
+        if process.ready_line.starts_with("ready ") {
+            Ok(process)
+        } else {
+            Err(BenchError::NotReady(args.join(" ")))
+        }
+    }
+
+    /// Address that the process named under `key` in its ready line, for example `addr`.
+    ///
+    /// # Errors
+    ///
+    /// The line holds no such address.
+    pub fn addr(&self, key: &str) -> Result<SocketAddr, BenchError> {
+        self.ready_line
+            .split_whitespace()
+            .filter_map(|word| word.split_once('='))
+            .find_map(|(name, value)| (name == key).then(|| value.parse().ok())?)
+            .ok_or_else(|| BenchError::NotReady(self.ready_line.clone()))
+    }
+
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops the process without notice, as a paused VM.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to shut down.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process; whether it succeeded.
+    ///
+    /// # Errors
+    ///
+    /// The error of `wait`.
+    pub fn wait(mut self) -> Result<bool, BenchError> {
+        Ok(self.child.wait()?.success())
+    }
+
+    /// Kills the process.
+    pub fn kill(self) {
+        drop(self);
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,17 @@
+//! Load generator and experiments on real processes.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod bench_error;
+pub mod caller;
+pub mod cluster;
+pub mod experiment;
+mod percentile;
+pub mod role;
+
+pub use crate::{bench_error::BenchError, percentile::percentile};
--- /dev/null
+++ b/crates/bench/tests/processes.rs
@@ -0,0 +1,48 @@
+//! Guards against answers that break when an engine process dies in the middle of a stream.
+
+use bench::{
+    caller::{AnswerEnd, Caller, Question},
+    cluster::{Cluster, Layout},
+};
+use std::{path::PathBuf, time::Duration};
+
+/// The experiment program, which cargo builds next to the tests.
+fn program() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.parent().unwrap().parent().unwrap().join("examples/experiment")
+}
+
+fn question(max_tokens: u32) -> Question {
+    Question { model: Layout::MODEL.to_owned(), prompt: "a peal plan".to_owned(), max_tokens }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_after_its_engine_died() {
+    let layout = Layout { engines_per_domain: 1, token_gap_ms: 20, ..Layout::default() };
+    let mut cluster = Cluster::start(&program(), layout).await.unwrap();
+    let addr = cluster.entry_addrs()[0];
+    let asking = tokio::spawn(async move {
+        let caller = Caller::new(Layout::KEY);
+        caller.ask(addr, &question(100)).await
+    });
+    for position in 0..cluster.engine_count() {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        cluster.kill_engine(position);
+        cluster.restart_engine(position).unwrap();
+    }
+    let answer = asking.await.unwrap();
+    assert_eq!(answer.end, AnswerEnd::Done);
+    assert!(answer.is_whole(Layout::MODEL, "", "a peal plan"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wrong_key_and_an_unknown_model_are_refused() {
+    let layout = Layout { engines_per_domain: 1, ..Layout::default() };
+    let cluster = Cluster::start(&program(), layout).await.unwrap();
+    let addr = cluster.entry_addrs()[0];
+    let answer = Caller::new("wrong").ask(addr, &question(1)).await;
+    assert_eq!(answer.end, AnswerEnd::Refused(401, "invalid_api_key".to_owned()));
+    let unknown = Question { model: "unknown".to_owned(), ..question(1) };
+    let answer = Caller::new(Layout::KEY).ask(addr, &unknown).await;
+    assert_eq!(answer.end, AnswerEnd::Refused(404, "model_not_found".to_owned()));
+}
--- /dev/null
+++ b/crates/conf/src/section.rs
@@ -0,0 +1,168 @@
+//! Reader of one section of a settings file that collects every mistake.
+
+use crate::problem::Problem;
+use std::{fmt::Display, ops::RangeInclusive, str::FromStr};
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+/// File that is being read, with the mistakes found so far.
+#[derive(Debug)]
+pub(crate) struct Source<'i> {
+    pub text: &'i str,
+    pub problems: Vec<Problem>,
+}
+
+impl Source<'_> {
+    /// Line of a byte offset, from 1.
+    pub fn line(&self, offset: usize) -> usize {
+        let end = offset.min(self.text.len());
+        self.text.as_bytes()[..end].iter().filter(|&&byte| byte == b'\n').count() + 1
+    }
+}
+
+/// Section whose known keys are taken one by one; what remains at `close` is unknown.
+#[derive(Debug)]
+pub(crate) struct Section<'i> {
+    name: &'static str,
+    line: usize,
+    table: DeTable<'i>,
+    known: Vec<&'static str>,
+}
+
+impl<'i> Section<'i> {
+    /// Takes the section `name` out of the root table. A missing section is read as an empty one.
+    pub fn open(name: &'static str, root: &mut DeTable<'i>, source: &mut Source<'_>) -> Self {
+        let mut section = Self { name, line: 1, table: DeTable::new(), known: Vec::new() };
+        let Some(value) = root.remove(name) else { return section };
+        section.line = source.line(value.span().start);
+        match value.into_inner() {
+            DeValue::Table(table) => section.table = table,
+            other => source.problems.push(Problem {
+                line: section.line,
+                key: name.to_owned(),
+                message: format!("is a {}", other.type_str()),
+                allowed: format!("a section [{name}]"),
+            }),
+        }
+        section
+    }
+
+    /// Takes a key whose text must parse as `T`; a missing key gives `default`.
+    pub fn parsed<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        default: T,
+        source: &mut Source<'_>,
+    ) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.optional(key, allowed, source) {
+            Some(value) => value,
+            None => default,
+        }
+    }
+
+    /// Takes a key whose text must parse as `T`; a missing key is a mistake and gives `None`.
+    pub fn required<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        source: &mut Source<'_>,
+    ) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        if !self.table.contains_key(key) {
+            self.report(key, self.line, "is missing", allowed, source);
+        }
+        self.optional(key, allowed, source)
+    }
+
+    /// Takes a key whose text must parse as `T`, if it is there.
+    pub fn optional<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        source: &mut Source<'_>,
+    ) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let (line, value) = self.take(key, source)?;
+        let DeValue::String(text) = value else {
+            self.report(key, line, &format!("is a {}", value.type_str()), allowed, source);
+            return None;
+        };
+        match text.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(err) => {
+                self.report(key, line, &format!("{text:?} is not valid: {err}"), allowed, source);
+                None
+            }
+        }
+    }
+
+    /// Takes a whole number within `range`; a missing key gives `default`.
+    pub fn integer(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+        source: &mut Source<'_>,
+    ) -> u64 {
+        let Some((line, value)) = self.take(key, source) else { return default };
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let number = match &value {
+            DeValue::Integer(digits) => u64::from_str_radix(digits.as_str(), digits.radix()).ok(),
+            other => {
+                self.report(key, line, &format!("is a {}", other.type_str()), &allowed, source);
+                return default;
+            }
+        };
+        match number {
+            Some(number) if range.contains(&number) => number,
+            _ => {
+                self.report(key, line, "is out of range", &allowed, source);
+                default
+            }
+        }
+    }
+
+    /// Reports the keys that nobody took.
+    pub fn close(self, source: &mut Source<'_>) {
+        for (key, value) in &self.table {
+            let line = source.line(value.span().start);
+            let allowed = self.known.join(", ");
+            self.report(key.get_ref(), line, "is not known", &allowed, source);
+        }
+    }
+
+    fn take(&mut self, key: &'static str, source: &Source<'_>) -> Option<(usize, DeValue<'i>)> {
+        self.known.push(key);
+        let value: Spanned<DeValue<'i>> = self.table.remove(key)?;
+        Some((source.line(value.span().start), value.into_inner()))
+    }
+
+    fn report(
+        &self,
+        key: &str,
+        line: usize,
+        message: &str,
+        allowed: &str,
+        source: &mut Source<'_>,
+    ) {
+        source.problems.push(Problem {
+            line,
+            key: format!("{}.{key}", self.name),
+            message: message.to_owned(),
+            allowed: allowed.to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,52 @@
+//! Guards against a settings file whose mistakes are found one at a time, or not at all.
+
+use conf::{LogFormat, Problems, Settings};
+
+const GOOD: &str = r#"
+[entry]
+vm_id = "entry-1"
+domain = "lothian"
+listen = "127.0.0.1:8080"
+
+[platform]
+addr = "127.0.0.1:9000"
+
+[log]
+format = "json"
+"#;
+
+#[test]
+fn a_good_file_is_read() {
+    let settings = Settings::try_from(GOOD).unwrap();
+    assert_eq!(settings.entry.domain.as_str(), "lothian");
+    assert_eq!(settings.log.format, LogFormat::Json);
+    assert_eq!(settings.platform.timeout_ms, 1_000);
+}
+
+#[test]
+fn every_mistake_is_reported_with_key_and_line() {
+    let text = "[entry]\nvm_id = \"a b\"\nlisten = 8080\nport = 1\n[platform]\n\
+                addr = \"127.0.0.1:9\"\ntimeout_ms = 0\n[log]\nlevel = \"loud\"\n[extra]\n";
+    let Problems(problems) = Settings::try_from(text).unwrap_err();
+    let found: Vec<(usize, &str)> =
+        problems.iter().map(|problem| (problem.line, problem.key.as_str())).collect();
+    assert_eq!(
+        found,
+        [
+            (1, "entry.domain"),
+            (2, "entry.vm_id"),
+            (3, "entry.listen"),
+            (4, "entry.port"),
+            (7, "platform.timeout_ms"),
+            (9, "log.level"),
+            (10, "extra"),
+        ]
+    );
+    assert!(problems.iter().all(|problem| !problem.allowed.is_empty()));
+}
+
+#[test]
+fn a_mistake_of_syntax_names_its_line() {
+    let Problems(problems) = Settings::try_from("[entry]\nvm_id = \n").unwrap_err();
+    assert!(problems.iter().any(|problem| problem.line == 2 && problem.key.is_empty()));
+}
--- /dev/null
+++ b/crates/entry/src/authenticate.rs
@@ -0,0 +1,20 @@
+//! Authentication of callers.
+
+use crate::{api_error::ApiError, config::Config};
+use base::KeyHash;
+use fleet::Account;
+use hyper::header::{AUTHORIZATION, HeaderMap};
+
+/// Finds the client account of a request by its bearer key.
+///
+/// # Errors
+///
+/// `Key` if the key is missing or unknown.
+pub(crate) fn authenticate<'c>(
+    headers: &HeaderMap,
+    config: &'c Config,
+) -> Result<&'c Account, ApiError> {
+    let header = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = header.and_then(|text| text.strip_prefix("Bearer ")).ok_or(ApiError::Key)?;
+    config.document.account_by_key(&KeyHash::of(key)).ok_or(ApiError::Key)
+}
--- /dev/null
+++ b/crates/entry/src/config.rs
@@ -0,0 +1,12 @@
+//! Configuration in force.
+
+use fleet::Document;
+
+/// Configuration document with the revision at which the platform holds it.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Revision; 0 before the first document was read.
+    pub revision: u64,
+    /// Document.
+    pub document: Document,
+}
--- /dev/null
+++ b/crates/entry/src/config_actor.rs
@@ -0,0 +1,88 @@
+//! Actor that keeps the configuration up to date.
+
+use crate::config::Config;
+use fleet::Document;
+use plat::Platform;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::watch;
+use wire::platform::KvEntry;
+
+/// Key of the configuration document.
+const CONFIG_KEY: &str = "config/current";
+
+/// Longest wait of one watch.
+const WATCH_WAIT_MS: u64 = 30_000;
+
+/// Pause after the platform gave no answer.
+const RETRY_PAUSE_MS: u64 = 500;
+
+/// Actor that watches the configuration document.
+#[derive(Debug)]
+pub(crate) struct ConfigActor;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct ConfigArguments {
+    pub platform: Platform,
+    pub sender: watch::Sender<Arc<Config>>,
+}
+
+/// Message of the actor.
+#[derive(Debug)]
+pub(crate) enum ConfigMessage {
+    /// Ask the platform for the next change.
+    Poll,
+}
+
+impl Actor for ConfigActor {
+    type Msg = ConfigMessage;
+    type State = ConfigArguments;
+    type Arguments = ConfigArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<ConfigMessage>,
+        arguments: ConfigArguments,
+    ) -> Result<ConfigArguments, ActorProcessingErr> {
+        myself.cast(ConfigMessage::Poll)?;
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<ConfigMessage>,
+        message: ConfigMessage,
+        state: &mut ConfigArguments,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            ConfigMessage::Poll => {
+                let revision = state.sender.borrow().revision;
+                let changes = state.platform.watch(CONFIG_KEY, revision, WATCH_WAIT_MS).await;
+                match changes {
+                    Ok(list) => list.entries.iter().for_each(|entry| apply(entry, &state.sender)),
+                    Err(err) => {
+                        log::warn!("config: the platform cannot be watched: {err}");
+                        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                    }
+                }
+                myself.cast(ConfigMessage::Poll)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Puts a document into force if it is valid and newer than the present one.
+fn apply(entry: &KvEntry, sender: &watch::Sender<Arc<Config>>) {
+    if entry.key != CONFIG_KEY || entry.revision <= sender.borrow().revision {
+        return;
+    }
+    match Document::decode(&entry.value) {
+        Ok(document) => {
+            log::info!("config: revision {} is in force", entry.revision);
+            sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
+        }
+        Err(err) => log::error!("config: revision {} is not valid: {err}", entry.revision),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/render.rs
@@ -0,0 +1,139 @@
+//! Rendering of answers and of the events of a streamed answer.
+
+use crate::{
+    api_error::ApiError,
+    job::{AnswerKind, Job},
+};
+use bytes::Bytes;
+use hyper::Response;
+use serde_json::{json, to_writer};
+use web::{ResponseBody, StatusCode};
+use wire::{
+    engine::FinishReason,
+    openai::{ChatChoice, ChatCompletion, ChatReply, Choice, Completion, Usage},
+    sse,
+};
+
+/// Renders the events of one streamed answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Renderer {
+    id_prefix: String,
+    head: String,
+    kind: AnswerKind,
+}
+
+impl Renderer {
+    /// Renderer whose event identifiers start with `id_prefix`, to which the number of sent tokens is appended.
+    pub fn new(job: &Job, id_prefix: String) -> Self {
+        let object = match job.kind {
+            AnswerKind::Chat => "chat.completion.chunk",
+            AnswerKind::Text => "text_completion",
+        };
+        let mut head = json!({
+            "id": job.generation_id,
+            "object": object,
+            "created": job.created_s,
+            "model": job.model_label,
+            "system_fingerprint": job.request.version,
+        })
+        .to_string();
+        head.pop();
+        head.push_str(",\"choices\":[");
+        Self { id_prefix, head, kind: job.kind }
+    }
+
+    /// Appends the event of the token at `index`.
+    pub fn token(&self, index: u32, text: &str, out: &mut Vec<u8>) {
+        self.open(index + 1, out);
+        let start: &[u8] = match self.kind {
+            AnswerKind::Chat if index == 0 => {
+                b"{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":"
+            }
+            AnswerKind::Chat => b"{\"index\":0,\"delta\":{\"content\":",
+            AnswerKind::Text => b"{\"index\":0,\"text\":",
+        };
+        out.extend_from_slice(start);
+        // Writing into memory does not fail.
+        let _ = to_writer(&mut *out, text);
+        let end: &[u8] = match self.kind {
+            AnswerKind::Chat => b"},\"logprobs\":null,\"finish_reason\":null}]}\n\n",
+            AnswerKind::Text => b",\"logprobs\":null,\"finish_reason\":null}]}\n\n",
+        };
+        out.extend_from_slice(end);
+    }
+
+    /// Appends the events that end an answer of `count` tokens.
+    pub fn finish(&self, count: u32, reason: FinishReason, usage: Usage, out: &mut Vec<u8>) {
+        self.open(count, out);
+        let part = match self.kind {
+            AnswerKind::Chat => "\"delta\":{}",
+            AnswerKind::Text => "\"text\":\"\"",
+        };
+        let reason = reason.as_str();
+        let choice = format!(
+            "{{\"index\":0,{part},\"logprobs\":null,\"finish_reason\":\"{reason}\"}}]}}\n\n"
+        );
+        out.extend_from_slice(choice.as_bytes());
+        self.open(count, out);
+        out.extend_from_slice(b"],\"usage\":");
+        let _ = to_writer(&mut *out, &usage);
+        out.extend_from_slice(b"}\n\n");
+        out.extend_from_slice(sse::DONE);
+    }
+
+    /// Event of an error that ends the stream.
+    pub fn error(error: &ApiError) -> Bytes {
+        sse::encode(None, &serde_json::to_vec(&error.body()).unwrap_or_default())
+    }
+
+    fn open(&self, count: u32, out: &mut Vec<u8>) {
+        out.extend_from_slice(b"id: ");
+        out.extend_from_slice(self.id_prefix.as_bytes());
+        out.extend_from_slice(count.to_string().as_bytes());
+        out.extend_from_slice(b"\ndata: ");
+        out.extend_from_slice(self.head.as_bytes());
+    }
+}
+
+/// Token counts as callers see them.
+pub(crate) fn usage(prompt_tokens: u32, completion_tokens: u32) -> Usage {
+    Usage { prompt_tokens, completion_tokens, total_tokens: prompt_tokens + completion_tokens }
+}
+
+/// Response with a whole answer.
+pub(crate) fn whole(
+    job: &Job,
+    text: &str,
+    reason: FinishReason,
+    usage: Usage,
+) -> Response<ResponseBody> {
+    let finish_reason = Some(reason.as_str().to_owned());
+    match job.kind {
+        AnswerKind::Chat => {
+            let message = ChatReply { role: "assistant".to_owned(), content: text.to_owned() };
+            let answer = ChatCompletion {
+                id: job.generation_id.clone(),
+                object: "chat.completion".to_owned(),
+                created: job.created_s,
+                model: job.model_label.clone(),
+                system_fingerprint: job.request.version.clone(),
+                choices: vec![ChatChoice { index: 0, message, logprobs: None, finish_reason }],
+                usage,
+            };
+            web::json(StatusCode::OK, &answer)
+        }
+        AnswerKind::Text => {
+            let choice = Choice { index: 0, text: text.to_owned(), logprobs: None, finish_reason };
+            let answer = Completion {
+                id: job.generation_id.clone(),
+                object: "text_completion".to_owned(),
+                created: job.created_s,
+                model: job.model_label.clone(),
+                system_fingerprint: job.request.version.clone(),
+                choices: vec![choice],
+                usage: Some(usage),
+            };
+            web::json(StatusCode::OK, &answer)
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,45 @@
+//! State that all requests of an entry share.
+
+use crate::{config::Config, upstreams::Upstreams};
+use base::{Clock, VmId};
+use conf::LimitSettings;
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+use tokio::sync::watch;
+use upstream::EnginePool;
+
+/// State that all requests of an entry share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub vm_id: VmId,
+    pub clock: Clock,
+    pub limits: LimitSettings,
+    pub config: watch::Receiver<Arc<Config>>,
+    pub upstreams: Arc<Upstreams>,
+    pub engines: EnginePool,
+    pub metrics: Option<PrometheusHandle>,
+    pub is_draining: AtomicBool,
+    pub process_nonce: u64,
+    pub last_generation: AtomicU64,
+}
+
+impl Shared {
+    /// Configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.config.borrow())
+    }
+
+    /// Identifier for a new generation, unique over all entries.
+    pub fn new_generation_id(&self) -> String {
+        let number = self.last_generation.fetch_add(1, Ordering::Relaxed);
+        format!("gen-{:016x}{number:08x}", self.process_nonce)
+    }
+
+    /// Whether new requests may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining.load(Ordering::Relaxed) && self.config.borrow().revision > 0
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream_guard.rs
@@ -0,0 +1,36 @@
+//! Request in flight at an upstream.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+/// Counts one request at an upstream for as long as it lives.
+///
+/// The count is released on drop and not by a `close` method, because a request also ends when its task is cancelled.
+#[derive(Debug)]
+pub(crate) struct UpstreamGuard {
+    addr: SocketAddr,
+    in_flight: Arc<AtomicU32>,
+}
+
+impl UpstreamGuard {
+    pub fn new(addr: SocketAddr, in_flight: Arc<AtomicU32>) -> Self {
+        in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { addr, in_flight }
+    }
+
+    /// Address of the upstream.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for UpstreamGuard {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/vm_list_actor.rs
@@ -0,0 +1,59 @@
+//! Actor that keeps the table of upstreams up to date.
+
+use crate::upstreams::Upstreams;
+use plat::Platform;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::{sync::Arc, time::Duration};
+
+/// Actor that reads the platform's list of VMs.
+#[derive(Debug)]
+pub(crate) struct VmListActor;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct VmListArguments {
+    pub platform: Platform,
+    pub upstreams: Arc<Upstreams>,
+    pub interval_ms: u64,
+}
+
+/// Message of the actor.
+#[derive(Debug)]
+pub(crate) enum VmListMessage {
+    /// Read the list.
+    Poll,
+}
+
+impl Actor for VmListActor {
+    type Msg = VmListMessage;
+    type State = VmListArguments;
+    type Arguments = VmListArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<VmListMessage>,
+        arguments: VmListArguments,
+    ) -> Result<VmListArguments, ActorProcessingErr> {
+        myself.cast(VmListMessage::Poll)?;
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<VmListMessage>,
+        message: VmListMessage,
+        state: &mut VmListArguments,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            VmListMessage::Poll => {
+                match state.platform.vms().await {
+                    Ok(list) => state.upstreams.update(list.vms),
+                    Err(err) => log::warn!("vms: the platform's list cannot be read: {err}"),
+                }
+                let interval = Duration::from_millis(state.interval_ms);
+                drop(myself.send_after(interval, || VmListMessage::Poll));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/document.rs
@@ -0,0 +1,99 @@
+//! The whole configuration.
+
+use crate::{
+    account::Account,
+    document_error::DocumentError,
+    model::Model,
+    service::{Service, ServiceKind},
+};
+use base::{AccountName, HashSet, KeyHash, ModelName, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// Everything that operators define, as one value in the platform.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Document {
+    /// Client accounts.
+    #[serde(default)]
+    pub accounts: Vec<Account>,
+    /// Services.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Models.
+    #[serde(default)]
+    pub models: Vec<Model>,
+}
+
+impl Document {
+    /// Checks that names are unique and references lead somewhere.
+    ///
+    /// # Errors
+    ///
+    /// The first fault that was found.
+    pub fn check(&self) -> Result<(), DocumentError> {
+        let mut accounts = HashSet::default();
+        for account in &self.accounts {
+            if !accounts.insert(&account.name) {
+                return Err(DocumentError::DuplicateAccount(account.name.clone()));
+            }
+        }
+        let mut services = HashSet::default();
+        for service in &self.services {
+            if !services.insert(&service.name) {
+                return Err(DocumentError::DuplicateService(service.name.clone()));
+            }
+        }
+        let mut models = HashSet::default();
+        for model in &self.models {
+            if !models.insert(&model.name) {
+                return Err(DocumentError::DuplicateModel(model.name.clone()));
+            }
+            let is_generation = self
+                .service(&model.service)
+                .is_some_and(|service| service.kind == ServiceKind::Generation);
+            if !is_generation {
+                return Err(DocumentError::ModelService(model.name.clone(), model.service.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    /// The account that a key belongs to.
+    pub fn account_by_key(&self, key_hash: &KeyHash) -> Option<&Account> {
+        self.accounts.iter().find(|account| account.key_hashes.contains(key_hash))
+    }
+
+    /// The account with a name.
+    pub fn account(&self, name: &AccountName) -> Option<&Account> {
+        self.accounts.iter().find(|account| account.name == *name)
+    }
+
+    /// The service with a name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == *name)
+    }
+
+    /// The model with a name.
+    pub fn model(&self, name: &ModelName) -> Option<&Model> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+
+    /// Decodes and checks a document.
+    ///
+    /// # Errors
+    ///
+    /// `Json`, or the fault that `check` finds.
+    pub fn decode(text: &str) -> Result<Self, DocumentError> {
+        let document: Self = serde_json::from_str(text)?;
+        document.check()?;
+        Ok(document)
+    }
+
+    /// Encodes the document.
+    ///
+    /// # Errors
+    ///
+    /// `Json`; does not happen for values of this type.
+    pub fn encode(&self) -> Result<String, DocumentError> {
+        Ok(serde_json::to_string(self)?)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/service.rs
@@ -0,0 +1,37 @@
+//! Service that requests are routed to.
+
+use base::ServiceName;
+use serde::{Deserialize, Serialize};
+
+/// Kind of upstreams behind a service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceKind {
+    /// Model engines.
+    Generation,
+    /// Plain HTTP servers.
+    Plain,
+}
+
+/// Preset of the recovery policy.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Preset {
+    /// Little extra engine work.
+    Economy,
+    /// Low resume latency.
+    #[default]
+    Latency,
+}
+
+/// A service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceName,
+    /// Kind of its upstreams.
+    pub kind: ServiceKind,
+    /// Recovery preset of its generations.
+    #[serde(default)]
+    pub preset: Preset,
+}
--- /dev/null
+++ b/crates/geraniumroad/src/lib.rs
@@ -0,0 +1,33 @@
+//! Commands of the daemon.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod cli;
+mod dev;
+mod dev_report;
+mod logging;
+mod run;
+mod run_error;
+
+pub use crate::{
+    cli::{CheckOptions, Cli, Command, DevOptions, RunOptions},
+    run_error::RunError,
+};
+
+/// Runs a command to its end.
+///
+/// # Errors
+///
+/// The command failed.
+pub fn execute(command: &Command) -> Result<(), RunError> {
+    match command {
+        Command::Check(options) => run::check(&options.settings),
+        Command::Dev(options) => dev::dev(options),
+        Command::Run(options) => run::run(&options.settings),
+    }
+}
--- /dev/null
+++ b/crates/geraniumroad/src/run.rs
@@ -0,0 +1,54 @@
+//! Commands `run` and `check`.
+
+use crate::{logging, run_error::RunError};
+use conf::Settings;
+use entry::Entry;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use std::path::Path;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+};
+
+/// Checks a settings file.
+///
+/// # Errors
+///
+/// The file cannot be read, or every mistake in it.
+pub fn check(path: &Path) -> Result<(), RunError> {
+    load(path)?;
+    println!("{} is valid", path.display());
+    Ok(())
+}
+
+/// Serves until SIGINT or SIGTERM.
+///
+/// # Errors
+///
+/// The settings are not valid, or the entry cannot start.
+pub fn run(path: &Path) -> Result<(), RunError> {
+    let settings = load(path)?;
+    logging::install(&settings.log)?;
+    let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
+    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let entry = Entry::start(&settings, Some(metrics)).await?;
+        println!("ready addr={}", entry.addr());
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        log::info!("entry: shutdown begins");
+        entry.close().await;
+        Ok(())
+    })
+}
+
+fn load(path: &Path) -> Result<Settings, RunError> {
+    let name = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|cause| RunError::Read(name.clone(), cause))?;
+    Settings::try_from(text.as_str()).map_err(|problems| RunError::Settings(name, problems))
+}
--- /dev/null
+++ b/crates/recovery/src/attempt.rs
@@ -0,0 +1,13 @@
+//! Attempt at an engine.
+
+/// Number of an attempt within its generation, from 1.
+pub type AttemptId = u32;
+
+/// Live attempt as the state machine sees it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub id: AttemptId,
+    pub last_event_ms: u64,
+    pub has_token: bool,
+    pub is_suspected: bool,
+}
--- /dev/null
+++ b/crates/recovery/src/generation.rs
@@ -0,0 +1,265 @@
+//! State machine of one generation.
+
+use crate::{
+    action::Action,
+    attempt::{Attempt, AttemptId},
+    fail_cause::FailCause,
+    input::Input,
+    journal::Journal,
+    loss_cause::LossCause,
+    policy::Policy,
+    stats::Stats,
+};
+
+/// One generation: its journal and its attempts.
+///
+/// A token is accepted only from a live attempt and only at the next index. All times are milliseconds of one
+/// monotonic clock.
+#[derive(Clone, Debug)]
+pub struct Generation {
+    policy: Policy,
+    journal: Journal,
+    attempts: Vec<Attempt>,
+    last_attempt: AttemptId,
+    fruitless_attempts: u32,
+    retry_at_ms: Option<u64>,
+    no_upstream_since_ms: Option<u64>,
+    is_done: bool,
+    stats: Stats,
+}
+
+impl Generation {
+    /// Generation that continues after the tokens of `journal`, which is empty for a new one.
+    pub fn new(policy: Policy, journal: Journal) -> Self {
+        Self {
+            policy,
+            journal,
+            attempts: Vec::new(),
+            last_attempt: 0,
+            fruitless_attempts: 0,
+            retry_at_ms: None,
+            no_upstream_since_ms: None,
+            is_done: false,
+            stats: Stats::default(),
+        }
+    }
+
+    /// Accepted tokens.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Whether the generation has finished or failed.
+    pub fn is_done(&self) -> bool {
+        self.is_done
+    }
+
+    /// Demands the first attempt.
+    pub fn start(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        self.start_attempt(now_ms, actions);
+    }
+
+    /// Takes an input and appends the actions that it leads to. `usual_gap_ms` is the usual time between tokens.
+    pub fn on(
+        &mut self,
+        input: Input<'_>,
+        now_ms: u64,
+        usual_gap_ms: f64,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_done {
+            if matches!(input, Input::Token { .. }) {
+                self.stats.dropped_tokens += 1;
+            }
+            return;
+        }
+        match input {
+            Input::Token { attempt, index, token_id, text } => {
+                self.on_token(attempt, index, token_id, text, now_ms, actions);
+            }
+            Input::Finished { attempt, token_count } => {
+                self.on_finished(attempt, token_count, now_ms, actions);
+            }
+            Input::Lost { attempt, cause } => self.on_lost(attempt, cause, now_ms, actions),
+            Input::NoUpstream { attempt } => self.on_no_upstream(attempt, now_ms, actions),
+            Input::Tick => self.on_tick(now_ms, usual_gap_ms, actions),
+        }
+    }
+
+    /// The time of the next `Tick` that matters.
+    pub fn deadline_ms(&self, usual_gap_ms: f64) -> Option<u64> {
+        if self.is_done {
+            return None;
+        }
+        let silence = self
+            .attempts
+            .iter()
+            .filter(|attempt| !attempt.is_suspected)
+            .map(|attempt| self.silent_at_ms(attempt, usual_gap_ms));
+        silence.chain(self.retry_at_ms).min()
+    }
+
+    fn silent_at_ms(&self, attempt: &Attempt, usual_gap_ms: f64) -> u64 {
+        let wait_ms = if attempt.has_token {
+            self.policy.silence_ms(usual_gap_ms)
+        } else {
+            self.policy.first_token_wait_ms
+        };
+        attempt.last_event_ms.saturating_add(wait_ms)
+    }
+
+    fn position(&self, id: AttemptId) -> Option<usize> {
+        self.attempts.iter().position(|attempt| attempt.id == id)
+    }
+
+    fn start_attempt(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        if self.fruitless_attempts >= self.policy.max_fruitless_attempts {
+            self.fail(FailCause::Attempts, actions);
+            return;
+        }
+        self.retry_at_ms = None;
+        self.last_attempt += 1;
+        self.fruitless_attempts += 1;
+        self.stats.attempts += 1;
+        self.attempts.push(Attempt {
+            id: self.last_attempt,
+            last_event_ms: now_ms,
+            has_token: false,
+            is_suspected: false,
+        });
+        let is_recovery = self.last_attempt > 1 || !self.journal.is_empty();
+        actions.push(Action::Start { attempt: self.last_attempt, is_recovery });
+    }
+
+    fn on_token(
+        &mut self,
+        id: AttemptId,
+        index: u32,
+        token_id: u32,
+        text: &str,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(position) = self.position(id) else {
+            self.stats.dropped_tokens += 1;
+            return;
+        };
+        if index != self.journal.len() {
+            // A gap or a repeat means that the engine does not continue from the accepted tokens.
+            self.stats.dropped_tokens += 1;
+            actions.push(Action::Cancel { attempt: id });
+            self.on_lost(id, LossCause::Malformed, now_ms, actions);
+            return;
+        }
+        let attempt = &mut self.attempts[position];
+        attempt.last_event_ms = now_ms;
+        attempt.has_token = true;
+        attempt.is_suspected = false;
+        self.journal.push(token_id, text);
+        self.fruitless_attempts = 0;
+        self.no_upstream_since_ms = None;
+        self.retry_at_ms = None;
+        self.cancel_others(id, actions);
+        actions.push(Action::Release { index });
+    }
+
+    fn on_finished(
+        &mut self,
+        id: AttemptId,
+        token_count: u32,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.position(id).is_none() {
+            return;
+        }
+        if token_count != self.journal.len() {
+            actions.push(Action::Cancel { attempt: id });
+            self.on_lost(id, LossCause::Malformed, now_ms, actions);
+            return;
+        }
+        self.cancel_others(id, actions);
+        self.attempts.clear();
+        self.is_done = true;
+        actions.push(Action::Finish);
+    }
+
+    fn on_lost(
+        &mut self,
+        id: AttemptId,
+        _cause: LossCause,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(position) = self.position(id) else { return };
+        self.attempts.remove(position);
+        self.stats.losses += 1;
+        if self.attempts.is_empty() && self.retry_at_ms.is_none() {
+            self.start_attempt(now_ms, actions);
+        }
+    }
+
+    fn on_no_upstream(&mut self, id: AttemptId, now_ms: u64, actions: &mut Vec<Action>) {
+        let Some(position) = self.position(id) else { return };
+        self.attempts.remove(position);
+        // The attempt never reached an engine, so it says nothing about the engines' state.
+        self.fruitless_attempts = self.fruitless_attempts.saturating_sub(1);
+        self.stats.attempts = self.stats.attempts.saturating_sub(1);
+        let since_ms = *self.no_upstream_since_ms.get_or_insert(now_ms);
+        let waited_ms = now_ms.saturating_sub(since_ms);
+        if self.attempts.is_empty() && waited_ms >= self.policy.no_upstream_limit_ms {
+            self.fail(FailCause::NoUpstream, actions);
+            return;
+        }
+        self.retry_at_ms = Some(now_ms.saturating_add(self.policy.no_upstream_pause_ms));
+    }
+
+    fn on_tick(&mut self, now_ms: u64, usual_gap_ms: f64, actions: &mut Vec<Action>) {
+        if self.retry_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+            self.start_attempt(now_ms, actions);
+            return;
+        }
+        let overdue = self
+            .attempts
+            .iter()
+            .position(|a| !a.is_suspected && now_ms >= self.silent_at_ms(a, usual_gap_ms));
+        let Some(position) = overdue else { return };
+        self.stats.suspicions += 1;
+        let has_other = self.attempts.len() > 1 || self.retry_at_ms.is_some();
+        let keeps_suspect = self.policy.keeps_suspect && !has_other;
+        if keeps_suspect {
+            self.attempts[position].is_suspected = true;
+        } else {
+            let suspect = self.attempts.remove(position);
+            self.stats.losses += 1;
+            actions.push(Action::Cancel { attempt: suspect.id });
+        }
+        let has_unsuspected = self.attempts.iter().any(|attempt| !attempt.is_suspected);
+        if !has_unsuspected && self.retry_at_ms.is_none() {
+            self.start_attempt(now_ms, actions);
+        }
+    }
+
+    fn cancel_others(&mut self, id: AttemptId, actions: &mut Vec<Action>) {
+        if self.attempts.len() == 1 {
+            return;
+        }
+        for attempt in self.attempts.iter().filter(|attempt| attempt.id != id) {
+            actions.push(Action::Cancel { attempt: attempt.id });
+        }
+        self.attempts.retain(|attempt| attempt.id == id);
+    }
+
+    fn fail(&mut self, cause: FailCause, actions: &mut Vec<Action>) {
+        for attempt in self.attempts.drain(..) {
+            actions.push(Action::Cancel { attempt: attempt.id });
+        }
+        self.is_done = true;
+        actions.push(Action::Fail(cause));
+    }
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -79,7 +79,26 @@
         self.exchange(method, path, serde_json::to_vec(value)?.into()).await
     }
 
-    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Reply, ClientError> {
+    /// Sends a request with the given body.
+    ///
+    /// # Errors
+    ///
+    /// As for `send`.
+    pub async fn send_bytes(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply, ClientError> {
+        self.exchange(method, path, body).await
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply, ClientError> {
         let wait = Duration::from_millis(self.timeout_ms);
         match tokio::time::timeout(wait, self.exchange_untimed(method, path, body)).await {
             Ok(outcome) => outcome,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,11 +1,19 @@
 //! HTTP/1.1 server and client plumbing over `hyper`.
-#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use, rust_2018_idioms, future_incompatible)]
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
 
 mod body;
 mod client;
 mod client_error;
 mod server;
 
+pub use hyper::{Method, StatusCode};
+
 pub use crate::{
     body::{ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
     client::{Client, Reply},
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,19 +1,10 @@
 //! HTTP/1.1 server with graceful shutdown.
 
 use crate::body::ResponseBody;
-use hyper::{
-    Request, Response,
-    body::Incoming,
-    server::conn::http1,
-    service::service_fn,
-};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
-    convert::Infallible,
-    future::Future,
-    io::Result as IoResult,
-    net::SocketAddr,
-    sync::Arc,
+    convert::Infallible, future::Future, io::Result as IoResult, net::SocketAddr, sync::Arc,
     time::Duration,
 };
 use tokio::{
@@ -69,16 +60,17 @@
     /// flight has been answered.
     pub async fn run<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
         let mut connections = JoinSet::new();
+        let connection_stop = stop.clone();
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
                     Ok((stream, _)) => {
-                        connections.spawn(serve(stream, Arc::clone(&handler), stop.clone()));
+                        connections.spawn(serve(stream, Arc::clone(&handler), connection_stop.clone()));
                     }
                     Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await,
                 },
                 Some(_) = connections.join_next() => {}
-                _ = stop.wait_for(|&is_stopped| is_stopped) => break,
+                () = stopped(&mut stop) => break,
             }
         }
         drop(self.listener);
@@ -101,7 +93,12 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stop.wait_for(|&is_stopped| is_stopped) => connection.as_mut().graceful_shutdown(),
+        () = stopped(&mut stop) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
+
+/// Waits until `stop` becomes true or its sender is gone.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|&is_stopped| is_stopped).await;
+}
--- a/crates/wire/src/engine/event.rs
+++ b/crates/wire/src/engine/event.rs
@@ -1,45 +1,88 @@
-//! Events of a completion stream.
+//! Checked event of a completion stream.
 
-use serde::{Deserialize, Serialize};
+use crate::engine::raw_event::{RawEngineEvent, Usage};
+use quick_error::quick_error;
 
-/// Token counts of a finished answer.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Usage {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens of the whole answer.
-    pub completion_tokens: u32,
+/// Why an answer ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FinishReason {
+    /// The limit of tokens was reached.
+    Length,
+    /// The model ended the answer.
+    Stop,
 }
 
-/// One event of an engine's stream: a token, or the finish.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(untagged)]
+impl FinishReason {
+    /// The name on the wire.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Stop => "stop",
+        }
+    }
+}
+
+/// One event of an engine's stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EngineEvent {
     /// A token.
     Token {
-        /// Identifier of the request.
-        request_id: String,
         /// Position of the token in the whole answer, from 0.
         index: u32,
         /// Token identifier.
         token_id: u32,
         /// Text of the token.
-        text: String,
+        text: Box<str>,
     },
     /// The end of the answer.
     Finish {
-        /// Identifier of the request.
-        request_id: String,
-        /// `stop` or `length`.
-        finish_reason: String,
+        /// Why it ended.
+        reason: FinishReason,
         /// Token counts.
         usage: Usage,
     },
-    /// The engine could not go on.
+    /// The engine cannot go on.
     Error {
-        /// Identifier of the request.
-        request_id: String,
-        /// What went wrong.
-        error: String,
+        /// The engine's message.
+        message: Box<str>,
     },
 }
+
+quick_error! {
+    /// Why an event is not valid.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum EventError {
+        /// The event is neither a token, nor the finish, nor an error.
+        Shape {
+            display("the event is neither a token nor a finish")
+        }
+        /// The finish reason is unknown.
+        Reason(reason: Box<str>) {
+            display("unknown finish reason {reason:?}")
+        }
+    }
+}
+
+impl TryFrom<RawEngineEvent<'_>> for EngineEvent {
+    type Error = EventError;
+
+    fn try_from(raw: RawEngineEvent<'_>) -> Result<Self, EventError> {
+        if let Some(message) = raw.error {
+            return Ok(Self::Error { message: message.into() });
+        }
+        match (raw.index, raw.token_id, raw.text, raw.finish_reason, raw.usage) {
+            (Some(index), Some(token_id), Some(text), None, _) => {
+                Ok(Self::Token { index, token_id, text: text.into() })
+            }
+            (None, None, None, Some(reason), Some(usage)) => {
+                let reason = match reason.as_ref() {
+                    "length" => FinishReason::Length,
+                    "stop" => FinishReason::Stop,
+                    other => return Err(EventError::Reason(other.into())),
+                };
+                Ok(Self::Finish { reason, usage })
+            }
+            _ => Err(EventError::Shape),
+        }
+    }
+}
--- a/crates/wire/src/engine/mod.rs
+++ b/crates/wire/src/engine/mod.rs
@@ -1,9 +1,11 @@
 //! Messages between the daemon and an engine.
 
 mod event;
+mod raw_event;
 mod request;
 
 pub use self::{
-    event::{EngineEvent, Usage},
+    event::{EngineEvent, EventError, FinishReason},
+    raw_event::{RawEngineEvent, Usage},
     request::{EngineRequest, Message},
 };
--- /dev/null
+++ b/crates/wire/src/engine/raw_event.rs
@@ -0,0 +1,39 @@
+//! Event of a completion stream as it stands on the wire.
+
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+
+/// Token counts of a finished answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the whole answer.
+    pub completion_tokens: u32,
+}
+
+/// Unchecked event: which fields are present decides its kind.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RawEngineEvent<'a> {
+    /// Identifier of the request.
+    #[serde(borrow)]
+    pub request_id: Cow<'a, str>,
+    /// Position of the token in the whole answer, from 0.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub index: Option<u32>,
+    /// Token identifier.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_id: Option<u32>,
+    /// Text of the token.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<Cow<'a, str>>,
+    /// `stop` or `length`, in the last event.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    pub finish_reason: Option<Cow<'a, str>>,
+    /// Token counts, in the last event.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+    /// Message of an engine that cannot go on.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    pub error: Option<Cow<'a, str>>,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,11 @@
 //! Message shapes of callers, engines and the platform, and the SSE codec.
-#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use, rust_2018_idioms, future_incompatible)]
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
 
 pub mod engine;
 pub mod openai;
