--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,257 @@
+//! Link to one peer: its connection and the batches of appends.
+
+use crate::{
+    connection::Connection,
+    decode, encode,
+    link_call::{AppendCall, LinkCall},
+    peer_capnp::peer,
+    peer_error::PeerError,
+    peer_options::PeerOptions,
+    peer_service::{ConfigRevision, FoundJournal},
+};
+use base::{AccountName, VmId};
+use recovery::{AppendStatus, ClaimError, Cursor, Replica};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    sync::{Mutex, mpsc},
+    task::{JoinHandle, spawn_local},
+    time::{Instant, timeout},
+};
+
+/// Connections that a call is tried on: the one in use, and a new one in its place.
+const TRIES: usize = 2;
+
+/// Most appends in one call, so that a message stays well below the reader's limit of 64 MiB.
+const BATCH_LEN: usize = 1_024;
+
+/// Time without a call after which a link ends.
+const IDLE_MS: u64 = 60_000;
+
+/// Link to one peer.
+#[derive(Debug)]
+pub(crate) struct Link {
+    addr: SocketAddr,
+    options: PeerOptions,
+    current: RefCell<Option<Rc<Connection>>>,
+    opening: Mutex<()>,
+}
+
+impl Link {
+    pub fn new(addr: SocketAddr, options: PeerOptions) -> Rc<Self> {
+        Rc::new(Self { addr, options, current: RefCell::default(), opening: Mutex::default() })
+    }
+
+    /// Carries calls until the handle is dropped or no call came for a minute.
+    ///
+    /// One call with appends is in flight at a time; those that arrive meanwhile go together into the next one.
+    pub async fn run(self: Rc<Self>, mut calls: mpsc::Receiver<LinkCall>) {
+        let mut waiting: Vec<AppendCall> = Vec::new();
+        let mut batch: Option<JoinHandle<()>> = None;
+        let mut last_call = Instant::now();
+        let ping_interval = Duration::from_millis(self.options.ping_interval_ms);
+        let mut pings = tokio::time::interval_at(last_call + ping_interval, ping_interval);
+        loop {
+            if batch.is_none() && !waiting.is_empty() {
+                let rest = waiting.split_off(waiting.len().min(BATCH_LEN));
+                let appends = std::mem::replace(&mut waiting, rest);
+                batch = Some(spawn_local(Rc::clone(&self).append(appends)));
+            }
+            tokio::select! {
+                call = calls.recv() => {
+                    let Some(call) = call else { break };
+                    last_call = Instant::now();
+                    match call {
+                        LinkCall::Append(append) => waiting.push(append),
+                        other => drop(spawn_local(Rc::clone(&self).answer(other))),
+                    }
+                    // A batch takes everything that waits already.
+                    while let Ok(call) = calls.try_recv() {
+                        match call {
+                            LinkCall::Append(append) => waiting.push(append),
+                            other => drop(spawn_local(Rc::clone(&self).answer(other))),
+                        }
+                    }
+                }
+                () = finished(&mut batch) => batch = None,
+                _ = pings.tick() => {
+                    if last_call.elapsed() > Duration::from_millis(IDLE_MS) {
+                        break;
+                    }
+                    if self.current.borrow().is_some() {
+                        drop(spawn_local(Rc::clone(&self).ping()));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn append(self: Rc<Self>, appends: Vec<AppendCall>) {
+        match self.send_appends(&appends).await {
+            Ok(statuses) => {
+                for (call, status) in appends.into_iter().zip(statuses) {
+                    let _ = call.reply.send(Ok(status));
+                }
+            }
+            Err(err) => {
+                log::info!("peer: {} took no append: {err}", self.addr);
+                for call in appends {
+                    let _ = call.reply.send(Err(PeerError::Timeout));
+                }
+            }
+        }
+    }
+
+    async fn send_appends(&self, appends: &[AppendCall]) -> Result<Vec<AppendStatus>, PeerError> {
+        self.call(async |client| {
+            let mut request = client.append_request();
+            let mut entries = request.get().init_entries(appends.len() as u32);
+            for (index, call) in appends.iter().enumerate() {
+                encode::append(&call.append, entries.reborrow().get(index as u32));
+            }
+            let response = request.send().promise.await?;
+            let statuses = response.get()?.get_statuses()?;
+            let statuses = statuses.iter().map(|raw| Ok(decode::append_status(raw?)));
+            statuses.collect::<Result<_, PeerError>>()
+        })
+        .await
+    }
+
+    async fn answer(self: Rc<Self>, call: LinkCall) {
+        // A failed send means that nobody waits for the answer any more.
+        match call {
+            LinkCall::Append(call) => self.append(vec![call]).await,
+            LinkCall::Claim { cursor, account, owner, nonce, reply } => {
+                let _ = reply.send(self.claim(&cursor, &account, &owner, nonce).await);
+            }
+            LinkCall::Config { after_revision, reply } => {
+                let _ = reply.send(self.config(after_revision).await);
+            }
+            LinkCall::Fetch { cursor, account, reply } => {
+                let _ = reply.send(self.fetch(&cursor, &account).await);
+            }
+            LinkCall::Heartbeat { body, reply } => {
+                let _ = reply.send(self.heartbeat(&body).await);
+            }
+        }
+    }
+
+    async fn claim(
+        &self,
+        cursor: &Cursor,
+        account: &AccountName,
+        owner: &VmId,
+        nonce: u32,
+    ) -> Result<Result<Replica, ClaimError>, PeerError> {
+        self.call(async |client| {
+            let mut request = client.claim_request();
+            let mut params = request.get();
+            params.set_cursor(cursor.to_string());
+            params.set_account(account.as_str());
+            params.set_owner(owner.as_str());
+            params.set_nonce(nonce);
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            if let Err(err) = decode::claim_status(answer.get_status()?) {
+                return Ok(Err(err));
+            }
+            decode::replica(answer.get_journal()?).map(Ok)
+        })
+        .await
+    }
+
+    async fn fetch(
+        &self,
+        cursor: &Cursor,
+        account: &AccountName,
+    ) -> Result<Result<FoundJournal, ClaimError>, PeerError> {
+        self.call(async |client| {
+            let mut request = client.fetch_request();
+            let mut params = request.get();
+            params.set_cursor(cursor.to_string());
+            params.set_account(account.as_str());
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            let found = FoundJournal {
+                view_number: answer.get_view_number(),
+                token_count: answer.get_length(),
+            };
+            Ok(decode::claim_status(answer.get_status()?).map(|()| found))
+        })
+        .await
+    }
+
+    async fn heartbeat(&self, body: &[u8]) -> Result<Vec<u8>, PeerError> {
+        self.call(async |client| {
+            let mut request = client.heartbeat_request();
+            request.get().set_body(body);
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_body()?.to_vec())
+        })
+        .await
+    }
+
+    async fn config(&self, after_revision: u64) -> Result<Option<ConfigRevision>, PeerError> {
+        self.call(async |client| {
+            let mut request = client.config_request();
+            request.get().set_after_revision(after_revision);
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            let revision = answer.get_revision();
+            let document = answer.get_document()?.into();
+            Ok((revision > 0).then_some(ConfigRevision { revision, document }))
+        })
+        .await
+    }
+
+    async fn ping(self: Rc<Self>) {
+        if let Err(err) = self.heartbeat(&[]).await {
+            log::info!("peer: {} did not answer a ping: {err}", self.addr);
+        }
+    }
+
+    /// Makes a call, and repeats it once on a new connection. All calls are idempotent.
+    async fn call<T>(
+        &self,
+        send: impl AsyncFn(&peer::Client) -> Result<T, PeerError>,
+    ) -> Result<T, PeerError> {
+        let mut failure = PeerError::Timeout;
+        for _ in 0..TRIES {
+            let connection = self.connection().await?;
+            let wait = Duration::from_millis(self.options.timeout_ms);
+            failure = match timeout(wait, send(&connection.client.0)).await {
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(err)) => err,
+                Err(_) => PeerError::Timeout,
+            };
+            self.discard(&connection);
+        }
+        Err(failure)
+    }
+
+    async fn connection(&self) -> Result<Rc<Connection>, PeerError> {
+        let _guard = self.opening.lock().await;
+        if let Some(connection) = &*self.current.borrow() {
+            return Ok(Rc::clone(connection));
+        }
+        let wait = Duration::from_millis(self.options.timeout_ms);
+        let opened = timeout(wait, Connection::open(self.addr)).await;
+        let connection = Rc::new(opened.map_err(|_| PeerError::Timeout)??);
+        *self.current.borrow_mut() = Some(Rc::clone(&connection));
+        Ok(connection)
+    }
+
+    /// Gives up a connection that failed a call, unless another has taken its place.
+    fn discard(&self, failed: &Rc<Connection>) {
+        let mut current = self.current.borrow_mut();
+        if current.as_ref().is_some_and(|connection| Rc::ptr_eq(connection, failed)) {
+            *current = None;
+        }
+    }
+}
+
+async fn finished(batch: &mut Option<JoinHandle<()>>) {
+    match batch {
+        Some(task) => drop(task.await),
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,169 @@
+//! Server towards peers.
+
+use crate::{decode, encode, peer_capnp::peer, peer_error::PeerError, peer_service::PeerService};
+use base::{AccountName, VmId};
+use capnp::{Error, capability::Rc};
+use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::io::{BufReader, BufWriter};
+use recovery::{Append, AppendStatus, Cursor};
+use std::{cell::Cell, rc::Rc as StdRc, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::spawn_local,
+    time::Instant,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Time without a call after which a connection is closed. Peers ping more often than that.
+const SILENCE_MS: u64 = 120_000;
+
+/// Pause after a failed `accept`, so that a lack of file descriptors does not become a busy loop.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Serves peers until `stop` becomes true.
+pub(crate) async fn run(
+    listener: TcpListener,
+    service: Arc<dyn PeerService>,
+    mut stop: watch::Receiver<bool>,
+) {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => drop(spawn_local(serve(stream, Arc::clone(&service)))),
+                Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await,
+            },
+            _ = stop.wait_for(|&is_stopped| is_stopped) => return,
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, service: Arc<dyn PeerService>) {
+    // An acknowledgement is a small write that a token waits for.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        BufReader::new(reader.compat()),
+        BufWriter::new(writer.compat_write()),
+        Side::Server,
+        Default::default(),
+    );
+    let last_call = StdRc::new(Cell::new(Instant::now()));
+    let server = PeerServer { service, last_call: StdRc::clone(&last_call) };
+    let client: peer::Client = new_client(server);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    tokio::select! {
+        _ = system => {}
+        () = silence(&last_call) => {}
+    }
+}
+
+async fn silence(last_call: &Cell<Instant>) {
+    let limit = Duration::from_millis(SILENCE_MS);
+    while last_call.get().elapsed() < limit {
+        tokio::time::sleep_until(last_call.get() + limit).await;
+    }
+}
+
+/// Answers the calls on one connection.
+struct PeerServer {
+    service: Arc<dyn PeerService>,
+    last_call: StdRc<Cell<Instant>>,
+}
+
+impl peer::Server for PeerServer {
+    async fn append(
+        self: Rc<Self>,
+        params: peer::AppendParams,
+        mut results: peer::AppendResults,
+    ) -> Result<(), Error> {
+        self.last_call.set(Instant::now());
+        let entries = params.get()?.get_entries()?;
+        let appends: Vec<Append> =
+            entries.iter().map(decode::append).collect::<Result<_, PeerError>>().map_err(failed)?;
+        let statuses: Vec<AppendStatus> =
+            appends.iter().map(|append| self.service.append(append)).collect();
+        let mut out = results.get().init_statuses(statuses.len() as u32);
+        for (index, &status) in statuses.iter().enumerate() {
+            out.set(index as u32, encode::append_status(status));
+        }
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: peer::ClaimParams,
+        mut results: peer::ClaimResults,
+    ) -> Result<(), Error> {
+        self.last_call.set(Instant::now());
+        let params = params.get()?;
+        let cursor = cursor(params.get_cursor()?.to_str()?)?;
+        let account = account(params.get_account()?.to_str()?)?;
+        let owner = VmId::try_from(params.get_owner()?.to_str()?).map_err(failed)?;
+        let outcome = self.service.claim(&cursor, &account, &owner, params.get_nonce());
+        let mut out = results.get();
+        out.set_status(encode::claim_status(&outcome));
+        if let Ok(replica) = &outcome {
+            encode::replica(replica, out.init_journal());
+        }
+        Ok(())
+    }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: peer::FetchParams,
+        mut results: peer::FetchResults,
+    ) -> Result<(), Error> {
+        self.last_call.set(Instant::now());
+        let params = params.get()?;
+        let cursor = cursor(params.get_cursor()?.to_str()?)?;
+        let account = account(params.get_account()?.to_str()?)?;
+        let outcome = self.service.fetch(&cursor, &account);
+        let mut out = results.get();
+        out.set_status(encode::claim_status(&outcome));
+        if let Ok(found) = outcome {
+            out.set_view_number(found.view_number);
+            out.set_length(found.token_count);
+        }
+        Ok(())
+    }
+
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: peer::HeartbeatParams,
+        mut results: peer::HeartbeatResults,
+    ) -> Result<(), Error> {
+        self.last_call.set(Instant::now());
+        let body = params.get()?.get_body()?;
+        if !body.is_empty() {
+            results.get().set_body(&self.service.heartbeat(body));
+        }
+        Ok(())
+    }
+
+    async fn config(
+        self: Rc<Self>,
+        params: peer::ConfigParams,
+        mut results: peer::ConfigResults,
+    ) -> Result<(), Error> {
+        self.last_call.set(Instant::now());
+        if let Some(config) = self.service.config(params.get()?.get_after_revision()) {
+            let mut out = results.get();
+            out.set_revision(config.revision);
+            out.set_document(&config.document);
+        }
+        Ok(())
+    }
+}
+
+fn cursor(raw: &str) -> Result<Cursor, Error> {
+    Cursor::try_from(raw).map_err(failed)
+}
+
+fn account(raw: &str) -> Result<AccountName, Error> {
+    AccountName::try_from(raw).map_err(failed)
+}
+
+fn failed(err: impl std::fmt::Display) -> Error {
+    Error::failed(err.to_string())
+}
--- /dev/null
+++ b/crates/peer/tests/transport.rs
@@ -0,0 +1,162 @@
+//! Guards against calls between daemons that are lost, mixed up or wait without end.
+
+use base::{AccountName, VmId};
+use peer::{
+    ConfigRevision, FoundJournal, PeerError, PeerHandle, PeerNode, PeerOptions, PeerService,
+};
+use recovery::{
+    Append, AppendStatus, ClaimError, Cursor, Install, Journal, Replica, ReplicaLimits,
+    ReplicaStore, View, ViewId,
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+use tokio::net::{TcpListener, TcpStream};
+
+struct Holder(Mutex<ReplicaStore>);
+
+impl PeerService for Holder {
+    fn append(&self, append: &Append) -> AppendStatus {
+        self.0.lock().unwrap().append(append, 0)
+    }
+
+    fn claim(
+        &self,
+        cursor: &Cursor,
+        account: &AccountName,
+        owner: &VmId,
+        nonce: u32,
+    ) -> Result<Replica, ClaimError> {
+        self.0.lock().unwrap().claim(cursor, account, owner, nonce, 0).cloned()
+    }
+
+    fn fetch(&self, cursor: &Cursor, account: &AccountName) -> Result<FoundJournal, ClaimError> {
+        let store = self.0.lock().unwrap();
+        let replica = store.check(cursor, account)?;
+        let view_number = replica.view().map_or(0, |id| id.number);
+        Ok(FoundJournal { view_number, token_count: replica.tokens().len() })
+    }
+
+    fn heartbeat(&self, body: &[u8]) -> Vec<u8> {
+        body.iter().rev().copied().collect()
+    }
+
+    fn config(&self, after_revision: u64) -> Option<ConfigRevision> {
+        (after_revision < 7)
+            .then(|| ConfigRevision { revision: 7, document: b"doc".as_slice().into() })
+    }
+}
+
+fn start() -> PeerNode {
+    let store = ReplicaStore::new(ReplicaLimits::default());
+    let service = Arc::new(Holder(Mutex::new(store)));
+    PeerNode::start(([127, 0, 0, 1], 0).into(), PeerOptions::default(), service).unwrap()
+}
+
+fn view() -> ViewId {
+    ViewId { number: 1, nonce: 9, owner: VmId::try_from("entry-1").unwrap() }
+}
+
+fn account() -> AccountName {
+    AccountName::try_from("guild").unwrap()
+}
+
+fn append(generation: &str, first_index: u32, texts: &[&str]) -> Append {
+    let mut tokens = Journal::default();
+    for (index, text) in texts.iter().enumerate() {
+        tokens.push(first_index + index as u32, text);
+    }
+    let views = vec![View { id: view(), first_index: 0 }];
+    let install = (first_index == 0).then(|| Install {
+        account: account(),
+        head: b"{}".as_slice().into(),
+        views,
+    });
+    Append {
+        generation: generation.into(),
+        view: view(),
+        first_index,
+        tokens,
+        install,
+        finish: None,
+    }
+}
+
+fn cursor(index: u32) -> Cursor {
+    Cursor { generation: "gen-1".into(), view: view(), holder: None, index }
+}
+
+#[tokio::test]
+async fn every_call_brings_its_own_answer() {
+    let (node, other) = (start(), start());
+    let (peer, addr) = (other.handle(), node.addr());
+    let status = peer.append(addr, append("gen-1", 0, &["än ", "bell"])).await.unwrap();
+    assert_eq!(status, AppendStatus::Accepted);
+    assert_eq!(peer.append(addr, append("gen-2", 4, &["x"])).await.unwrap(), AppendStatus::Unknown);
+    let found = peer.fetch(addr, cursor(2), account()).await.unwrap();
+    assert_eq!(found, Ok(FoundJournal { view_number: 1, token_count: 2 }));
+    let owner = VmId::try_from("entry-2").unwrap();
+    let replica = peer.claim(addr, cursor(1), account(), owner.clone(), 3).await.unwrap().unwrap();
+    assert_eq!(replica.tokens().text(), "än bell");
+    assert_eq!(replica.tokens().text_at(1), "bell");
+    assert_eq!(replica.view(), Some(&ViewId { number: 2, nonce: 3, owner }));
+    assert_eq!(
+        peer.append(addr, append("gen-1", 2, &["x"])).await.unwrap(),
+        AppendStatus::Superseded
+    );
+    let stranger = AccountName::try_from("other").unwrap();
+    assert_eq!(peer.fetch(addr, cursor(0), stranger).await.unwrap(), Err(ClaimError::Account));
+    assert_eq!(peer.heartbeat(addr, b"abc".to_vec()).await.unwrap(), b"cba");
+    assert_eq!(peer.config(addr, 6).await.unwrap().unwrap().revision, 7);
+    assert_eq!(peer.config(addr, 7).await.unwrap(), None);
+    other.close().await;
+    node.close().await;
+}
+
+#[tokio::test]
+async fn appends_of_many_generations_are_answered_in_one_order() {
+    let (node, other) = (start(), start());
+    let (peer, addr) = (other.handle(), node.addr());
+    let calls = (0..500).map(|number| {
+        let peer: PeerHandle = peer.clone();
+        async move { peer.append(addr, append(&format!("gen-{number}"), number % 2, &["a"])).await }
+    });
+    let statuses = futures::future::join_all(calls).await;
+    for (number, status) in statuses.into_iter().enumerate() {
+        let expected = if number % 2 == 0 { AppendStatus::Accepted } else { AppendStatus::Unknown };
+        assert_eq!(status.unwrap(), expected);
+    }
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_replaced() {
+    let (node, other) = (start(), start());
+    let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (relay_addr, node_addr) = (relay.local_addr().unwrap(), node.addr());
+    tokio::spawn(async move {
+        // The first connection stays open and delivers nothing.
+        let _silent = relay.accept().await.unwrap();
+        loop {
+            let (mut near, _) = relay.accept().await.unwrap();
+            let mut far = TcpStream::connect(node_addr).await.unwrap();
+            tokio::spawn(async move {
+                let _ = tokio::io::copy_bidirectional(&mut near, &mut far).await;
+            });
+        }
+    });
+    let status = other.handle().append(relay_addr, append("gen-1", 0, &["a"])).await.unwrap();
+    assert_eq!(status, AppendStatus::Accepted);
+}
+
+#[tokio::test]
+async fn a_peer_that_never_answers_ends_the_wait() {
+    let other = start();
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr: SocketAddr = silent.local_addr().unwrap();
+    let outcome = other.handle().heartbeat(addr, vec![1]).await;
+    assert!(matches!(outcome, Err(PeerError::Timeout)));
+    drop(silent);
+    let outcome = other.handle().heartbeat(addr, vec![1]).await;
+    assert!(outcome.is_err());
+}
