Survive the loss of an entry in the middle of a stream

Cause: a stream broke for good when its entry died, because events carried a cursor that nobody could continue. Ruled out: waiting for the acknowledgement inside the relay, because engine events would wait as well; the gate is a task of its own between relay and caller, with one append in flight for each generation.

--- a/crates/bench/src/caller/answer.rs
+++ b/crates/bench/src/caller/answer.rs
@@ -35,6 +35,33 @@
 }
 
 impl Answer {
+    /// Answer of which nothing was received yet.
+    pub fn empty() -> Self {
+        Self {
+            text: String::new(),
+            version: String::new(),
+            last_event_id: None,
+            longest_gap_ms: 0,
+            first_token_ms: None,
+            usage_tokens: None,
+            end: AnswerEnd::Cut,
+        }
+    }
+
+    /// Tokens that the last event's identifier counts.
+    pub fn token_count(&self) -> u32 {
+        self.id_part(4).and_then(|index| index.parse().ok()).unwrap_or(0)
+    }
+
+    /// Holder that the last event's identifier names.
+    pub fn holder(&self) -> Option<&str> {
+        self.id_part(3)
+    }
+
+    fn id_part(&self, position: usize) -> Option<&str> {
+        self.last_event_id.as_ref()?.split('/').nth(position)
+    }
+
     /// Whether the answer is whole and unmixed: it ended, its chain holds from the start, and the count of tokens
     /// agrees with the usage.
     pub fn is_whole(&self, model: &str, adapter: &str, prompt: &str) -> bool {
--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Instant};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::watch};
 use wire::sse::{Decoder, Event};
 
 /// Largest event that is accepted.
@@ -33,25 +33,24 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     key: String,
+    progress: Option<watch::Sender<Answer>>,
 }
 
 impl Caller {
     /// Caller with a bearer key.
     pub fn new(key: &str) -> Self {
-        Self { key: key.to_owned() }
+        Self { key: key.to_owned(), progress: None }
+    }
+
+    /// Shows the answer so far after each event.
+    pub fn with_progress(mut self, progress: watch::Sender<Answer>) -> Self {
+        self.progress = Some(progress);
+        self
     }
 
     /// Asks the entry at `addr` and reads the stream to its end.
     pub async fn ask(&self, addr: SocketAddr, question: &Question) -> Answer {
-        let mut answer = Answer {
-            text: String::new(),
-            version: String::new(),
-            last_event_id: None,
-            longest_gap_ms: 0,
-            first_token_ms: None,
-            usage_tokens: None,
-            end: AnswerEnd::Cut,
-        };
+        let mut answer = Answer::empty();
         self.resume(addr, question, &mut answer).await;
         answer
     }
@@ -96,11 +95,15 @@
             answer.end = AnswerEnd::Refused(status.as_u16(), code(&value));
             return None;
         }
-        read(response.into_body(), answer).await
+        read(response.into_body(), answer, self.progress.as_ref()).await
     }
 }
 
-async fn read(mut body: Incoming, answer: &mut Answer) -> Option<()> {
+async fn read(
+    mut body: Incoming,
+    answer: &mut Answer,
+    progress: Option<&watch::Sender<Answer>>,
+) -> Option<()> {
     let mut decoder = Decoder::new(EVENT_SIZE_BYTES);
     let mut last_token = Instant::now();
     let mut is_finished = false;
@@ -114,6 +117,9 @@
                 return Some(());
             }
             is_finished |= take_event(event, answer, &mut last_token)?;
+            if let Some(progress) = progress {
+                progress.send_replace(answer.clone());
+            }
         }
     }
     None
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -13,6 +13,8 @@
     pub entries_per_domain: usize,
     /// Engines in each failure domain.
     pub engines_per_domain: usize,
+    /// Whether daemons exchange journal copies.
+    pub has_peers: bool,
     /// Time between tokens.
     pub token_gap_ms: u64,
     /// Recovery preset.
@@ -27,6 +29,7 @@
             domains: ["lothian", "clyde", "tayside"].map(str::to_owned).to_vec(),
             entries_per_domain: 1,
             engines_per_domain: 2,
+            has_peers: true,
             token_gap_ms: 41,
             preset: Preset::Latency,
             seed: 1,
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -86,6 +86,21 @@
         running.map(|entry| entry.vm.addr).collect()
     }
 
+    /// Address of an entry, whether it is running or not.
+    pub fn entry_addr(&self, position: usize) -> SocketAddr {
+        self.entries[position].vm.addr
+    }
+
+    /// Position of the entry with an identifier.
+    pub fn entry_position(&self, id: &str) -> Option<usize> {
+        self.entries.iter().position(|entry| entry.vm.id.as_str() == id)
+    }
+
+    /// Number of entries.
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Number of engines.
     pub fn engine_count(&self) -> usize {
         self.engines.len()
@@ -190,25 +205,33 @@
         let id = VmId::try_from(format!("entry-{domain}-{number}"))?;
         let settings = self._files.path().join(format!("{id}.toml"));
         let platform = self.platform_addr()?;
-        let text = |listen: SocketAddr| {
+        let has_peers = self.layout.has_peers;
+        let text = |listen: SocketAddr, peer_listen: SocketAddr| {
+            let peer = if has_peers {
+                format!("[peer]\nlisten = \"{peer_listen}\"\n")
+            } else {
+                String::new()
+            };
             format!(
                 "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
-                 [log]\nlevel = \"error\"\n"
+                 [log]\nlevel = \"error\"\n\n{peer}"
             )
         };
-        std::fs::write(&settings, text(SocketAddr::from(([127, 0, 0, 1], 0))))?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        std::fs::write(&settings, text(any, any))?;
         let process = start_entry(&self.program, &settings)?;
         let addr = process.addr("addr")?;
-        // A restart takes the same address.
-        std::fs::write(&settings, text(addr))?;
+        let peer_addr = if has_peers { Some(process.addr("peer")?) } else { None };
+        // A restart takes the same addresses.
+        std::fs::write(&settings, text(addr, peer_addr.unwrap_or(any)))?;
         let vm = Vm {
             id,
             role: VmRole::Entry,
             service: None,
             domain: DomainName::try_from(domain)?,
             addr,
-            peer_addr: None,
+            peer_addr,
             state: VmState::Live,
         };
         self.entries.push(EntryNode { vm, settings, process: Some(process) });
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry_settings;
 mod limit_settings;
 mod log_settings;
+mod peer_settings;
 mod platform_settings;
 mod problem;
 mod section;
@@ -19,6 +20,7 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::{LogFormat, LogSettings},
+    peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     settings::Settings,
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -4,6 +4,7 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::LogSettings,
+    peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     section::Source,
@@ -11,7 +12,7 @@
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[entry], [limits], [log], [platform]";
+const SECTIONS: &str = "[entry], [limits], [log], [peer], [platform]";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,6 +23,8 @@
     pub limits: LimitSettings,
     /// Logs.
     pub log: LogSettings,
+    /// Messages between daemons, if there are any.
+    pub peer: Option<PeerSettings>,
     /// Access to the platform.
     pub platform: PlatformSettings,
 }
@@ -51,6 +54,7 @@
         let entry = EntrySettings::read(&mut root, &mut source);
         let limits = LimitSettings::read(&mut root, &mut source);
         let log = LogSettings::read(&mut root, &mut source);
+        let peer = PeerSettings::read(&mut root, &mut source);
         let platform = PlatformSettings::read(&mut root, &mut source);
         for (key, value) in &root {
             let line = source.line(value.span().start);
@@ -64,7 +68,7 @@
         source.problems.sort_by_key(|problem| problem.line);
         match (entry, platform) {
             (Some(entry), Some(platform)) if source.problems.is_empty() => {
-                Ok(Self { entry, limits, log, platform })
+                Ok(Self { entry, limits, log, peer, platform })
             }
             _ => Err(Problems(source.problems)),
         }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -13,6 +13,9 @@
 
 [log]
 format = "json"
+
+[peer]
+listen = "127.0.0.1:8081"
 "#;
 
 #[test]
@@ -21,6 +24,7 @@
     assert_eq!(settings.entry.domain.as_str(), "lothian");
     assert_eq!(settings.log.format, LogFormat::Json);
     assert_eq!(settings.platform.timeout_ms, 1_000);
+    assert_eq!(settings.peer.unwrap().ping_interval_ms, 1_000);
 }
 
 #[test]
@@ -50,3 +54,13 @@
     let Problems(problems) = Settings::try_from("[entry]\nvm_id = \n").unwrap_err();
     assert!(problems.iter().any(|problem| problem.line == 2 && problem.key.is_empty()));
 }
+
+#[test]
+fn the_section_for_peers_is_optional_but_complete() {
+    let (alone, _) = GOOD.split_once("[peer]").unwrap();
+    assert_eq!(Settings::try_from(alone).unwrap().peer, None);
+    let text = format!("{alone}[peer]\ntimeout_ms = 1\n");
+    let Problems(problems) = Settings::try_from(text.as_str()).unwrap_err();
+    let found: Vec<&str> = problems.iter().map(|problem| problem.key.as_str()).collect();
+    assert_eq!(found, ["peer.listen", "peer.timeout_ms"]);
+}
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -5,7 +5,7 @@
     header::{ALLOW, HeaderValue, RETRY_AFTER},
 };
 use quick_error::quick_error;
-use recovery::FailCause;
+use recovery::{CursorError, FailCause};
 use web::{ResponseBody, StatusCode};
 use wire::openai::{ErrorBody, ErrorDetail};
 
@@ -67,6 +67,28 @@
             display("the answer could not be finished: {cause}")
             from()
         }
+        /// `Last-Event-ID` is not a cursor.
+        Cursor(cause: CursorError) {
+            display("Last-Event-ID is not valid: {cause}")
+            source(cause)
+            from()
+        }
+        /// No daemon has the journal any more.
+        Lost {
+            display("the answer is no longer known; send the request again without Last-Event-ID")
+        }
+        /// No copy of the journal has the position of the cursor.
+        Conflict {
+            display("the answer cannot be continued from here; send the request again without Last-Event-ID")
+        }
+        /// The request differs from the one that the answer belongs to.
+        OtherRequest {
+            display("Last-Event-ID belongs to another request")
+        }
+        /// A daemon that may have the journal did not answer.
+        HoldersUnreachable {
+            display("the daemons that may have the answer did not respond")
+        }
         /// The entry failed.
         Internal {
             display("the entry failed to serve the request")
@@ -79,11 +101,16 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::Key => StatusCode::UNAUTHORIZED,
-            Self::Route | Self::Model(_) | Self::Service(_) => StatusCode::NOT_FOUND,
+            Self::Route | Self::Model(_) | Self::Service(_) | Self::Lost => StatusCode::NOT_FOUND,
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Body | Self::Json(_) | Self::Field(..) => StatusCode::BAD_REQUEST,
-            Self::NoUpstream | Self::Generation(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Body | Self::Cursor(_) | Self::Json(_) | Self::Field(..) => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::Conflict | Self::OtherRequest => StatusCode::CONFLICT,
+            Self::HoldersUnreachable | Self::NoUpstream | Self::Generation(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::UnknownOutcome => StatusCode::BAD_GATEWAY,
             Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
@@ -104,6 +131,11 @@
             Self::NoUpstream => "not_run",
             Self::UnknownOutcome => "outcome_unknown",
             Self::Generation(_) => "generation_failed",
+            Self::Cursor(_) => "invalid_cursor",
+            Self::Lost => "generation_not_found",
+            Self::Conflict => "cursor_conflict",
+            Self::OtherRequest => "request_mismatch",
+            Self::HoldersUnreachable => "holders_unreachable",
             Self::Internal => "internal_error",
         }
     }
--- /dev/null
+++ b/crates/entry/src/claim.rs
@@ -0,0 +1,115 @@
+//! Claim of a journal for a caller that reconnects.
+
+use crate::{api_error::ApiError, claimed::Claimed, holder::Holder, shared::Shared};
+use base::{AccountName, VmId};
+use futures::future::join_all;
+use recovery::{ClaimError, Cursor};
+
+/// Claims the journal of `cursor`: at the old entry, else at its holder, else at the peer with the newest copy.
+///
+/// # Errors
+///
+/// `Lost` if no daemon has the journal, `Conflict` if no copy has the position of the cursor, `HoldersUnreachable` if a
+/// daemon that may have it did not answer.
+pub(crate) async fn claim(
+    shared: &Shared,
+    cursor: &Cursor,
+    account: &AccountName,
+) -> Result<Claimed, ApiError> {
+    let mut search = Search { shared, cursor, account, has_conflict: false, has_silence: false };
+    let named = [Some(&cursor.view.owner), cursor.holder.as_ref()];
+    for id in named.into_iter().flatten() {
+        if let Some(claimed) = search.claim_by_id(id).await? {
+            return Ok(claimed);
+        }
+    }
+    search.claim_newest().await?.ok_or_else(|| search.failure())
+}
+
+/// Search for a copy that fits the cursor.
+struct Search<'s> {
+    shared: &'s Shared,
+    cursor: &'s Cursor,
+    account: &'s AccountName,
+    has_conflict: bool,
+    has_silence: bool,
+}
+
+impl Search<'_> {
+    async fn claim_by_id(&mut self, id: &VmId) -> Result<Option<Claimed>, ApiError> {
+        if id == self.shared.peers.own_id() {
+            return self.claim_here();
+        }
+        match self.shared.peers.find(id) {
+            Some(site) => self.claim_at(site).await,
+            None => Ok(None),
+        }
+    }
+
+    fn claim_here(&mut self) -> Result<Option<Claimed>, ApiError> {
+        let owner = self.shared.peers.own_id();
+        let nonce = rand::random();
+        match self.shared.journals.claim(self.cursor, self.account, owner, nonce) {
+            Ok(replica) => Ok(Some(Claimed { replica, site: None })),
+            Err(err) => self.note(err),
+        }
+    }
+
+    async fn claim_at(&mut self, site: Holder) -> Result<Option<Claimed>, ApiError> {
+        let Some(peers) = self.shared.peers.handle() else { return Ok(None) };
+        let (cursor, account) = (self.cursor.clone(), self.account.clone());
+        let owner = self.shared.peers.own_id().clone();
+        match peers.claim(site.addr, cursor, account, owner, rand::random()).await {
+            Ok(Ok(replica)) => Ok(Some(Claimed { replica, site: Some(site) })),
+            Ok(Err(err)) => self.note(err),
+            Err(err) => {
+                log::info!("claim: {} gave no answer: {err}", site.id);
+                self.has_silence = true;
+                Ok(None)
+            }
+        }
+    }
+
+    async fn claim_newest(&mut self) -> Result<Option<Claimed>, ApiError> {
+        if let Some(claimed) = self.claim_here()? {
+            return Ok(Some(claimed));
+        }
+        let Some(peers) = self.shared.peers.handle() else { return Ok(None) };
+        let asked = self.shared.peers.all().into_iter().map(|site| async {
+            let answer = peers.fetch(site.addr, self.cursor.clone(), self.account.clone()).await;
+            (site, answer)
+        });
+        let mut found = Vec::new();
+        for (site, answer) in join_all(asked).await {
+            match answer {
+                Ok(Ok(journal)) => found.push((journal, site)),
+                Ok(Err(err)) => drop(self.note(err)?),
+                Err(_) => self.has_silence = true,
+            }
+        }
+        match found.into_iter().max_by_key(|(journal, _)| *journal) {
+            Some((_, site)) => self.claim_at(site).await,
+            None => Ok(None),
+        }
+    }
+
+    /// Notes why a copy does not fit. A journal of another account ends the search as one that does not exist.
+    fn note(&mut self, err: ClaimError) -> Result<Option<Claimed>, ApiError> {
+        match err {
+            ClaimError::Account => return Err(ApiError::Lost),
+            ClaimError::Cursor => self.has_conflict = true,
+            ClaimError::Unknown => {}
+        }
+        Ok(None)
+    }
+
+    fn failure(&self) -> ApiError {
+        if self.has_silence {
+            ApiError::HoldersUnreachable
+        } else if self.has_conflict {
+            ApiError::Conflict
+        } else {
+            ApiError::Lost
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/claimed.rs
@@ -0,0 +1,12 @@
+//! Journal that a reconnecting caller's entry has taken over.
+
+use crate::holder::Holder;
+use recovery::Replica;
+
+/// Journal that this entry has claimed.
+#[derive(Clone, Debug)]
+pub(crate) struct Claimed {
+    pub replica: Replica,
+    /// Peer where it was claimed; none if it was this entry.
+    pub site: Option<Holder>,
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,9 @@
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
     handler::CallerHandler,
+    journals::Journals,
+    peer_answers::PeerAnswers,
+    peers::Peers,
     shared::Shared,
     upstreams::Upstreams,
     vm_list_actor::{VmListActor, VmListArguments},
@@ -12,6 +15,7 @@
 use base::Clock;
 use conf::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
+use peer::{PeerNode, PeerOptions};
 use plat::Platform;
 use ractor::{Actor, ActorCell};
 use std::{
@@ -20,11 +24,19 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 use tokio::{sync::watch, task::JoinHandle};
 use upstream::EnginePool;
 use web::Server;
 
+/// Time between two looks for journals whose time is over.
+const EXPIRE_INTERVAL_MS: u64 = 1_000;
+
+/// Time between the failure of readiness and the end of accepting connections, so that the load balancer learns of the
+/// shutdown before a caller does.
+const DRAIN_NOTICE_MS: u64 = 1_000;
+
 /// Running entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -33,6 +45,8 @@
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
     actors: Vec<ActorCell>,
+    expiry: JoinHandle<()>,
+    peer_node: Option<PeerNode>,
 }
 
 impl Entry {
@@ -50,20 +64,33 @@
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
         let upstreams = Arc::new(Upstreams::new(&settings.entry.domain, rand::random()));
         let (config_sender, config) = watch::channel(Arc::new(Config::default()));
+        let clock = Clock::start();
+        let journals = Arc::new(Journals::new(clock));
+        let answers = PeerAnswers { journals: Arc::clone(&journals), config: config.clone() };
+        let peer_node = start_peers(settings, answers)?;
+        let peers = Arc::new(Peers::new(
+            settings.entry.vm_id.clone(),
+            settings.entry.domain.clone(),
+            clock,
+            peer_node.as_ref().map(PeerNode::handle),
+        ));
         let config_arguments =
             ConfigArguments { platform: platform.clone(), sender: config_sender };
         let (config_actor, _) = Actor::spawn(None, ConfigActor, config_arguments).await?;
         let vm_list_arguments = VmListArguments {
             platform,
+            peers: Arc::clone(&peers),
             upstreams: Arc::clone(&upstreams),
             interval_ms: settings.platform.vm_list_interval_ms,
         };
         let (vm_list_actor, _) = Actor::spawn(None, VmListActor, vm_list_arguments).await?;
         let shared = Arc::new(Shared {
             vm_id: settings.entry.vm_id.clone(),
-            clock: Clock::start(),
+            clock,
             limits: settings.limits,
             config,
+            journals: Arc::clone(&journals),
+            peers,
             upstreams,
             engines: EnginePool::default(),
             metrics,
@@ -76,7 +103,8 @@
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
         let actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
-        Ok(Self { addr, shared, stop, server, actors })
+        let expiry = tokio::spawn(expire(journals));
+        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node })
     }
 
     /// Address that callers connect to.
@@ -84,19 +112,45 @@
         self.addr
     }
 
+    /// Address that other daemons connect to, if the settings name one.
+    pub fn peer_addr(&self) -> Option<SocketAddr> {
+        self.peer_node.as_ref().map(PeerNode::addr)
+    }
+
     /// Whether the entry has a configuration and takes requests.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
     }
 
-    /// Shuts down: readiness fails at once, requests in flight are answered to their end.
+    /// Shuts down: readiness fails at once, connections are accepted for a second more, and requests in flight are
+    /// answered to their end. Peers can reach the journals until then.
     pub async fn close(self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(DRAIN_NOTICE_MS)).await;
         self.stop.send_replace(true);
         let _ = self.server.await;
         for actor in self.actors {
             actor.stop(None);
         }
+        self.expiry.abort();
+        if let Some(node) = self.peer_node {
+            node.close().await;
+        }
         log::info!("entry: {} has stopped", self.shared.vm_id);
     }
 }
+
+fn start_peers(settings: &Settings, answers: PeerAnswers) -> Result<Option<PeerNode>, EntryError> {
+    let Some(peer) = settings.peer else { return Ok(None) };
+    let options =
+        PeerOptions { timeout_ms: peer.timeout_ms, ping_interval_ms: peer.ping_interval_ms };
+    Ok(Some(PeerNode::start(peer.listen, options, Arc::new(answers))?))
+}
+
+async fn expire(journals: Arc<Journals>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(EXPIRE_INTERVAL_MS));
+    loop {
+        ticks.tick().await;
+        journals.expire();
+    }
+}
--- a/crates/entry/src/entry_error.rs
+++ b/crates/entry/src/entry_error.rs
@@ -12,6 +12,12 @@
             source(cause)
             from()
         }
+        /// The messages between daemons could not start.
+        Peer(cause: peer::PeerError) {
+            display("the server towards peers cannot start: {cause}")
+            source(cause)
+            from()
+        }
         /// An actor could not start.
         Spawn(cause: ractor::SpawnErr) {
             display("an actor could not start: {cause}")
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -8,22 +8,22 @@
     models::models,
     output::Output,
     relay::{Relay, RelayError},
-    render::{self, Renderer},
-    service,
+    render, service,
     shared::Shared,
+    stream,
 };
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
     body::Incoming,
-    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+    header::{CONTENT_TYPE, HeaderValue},
 };
+use recovery::{CursorError, Journal};
 use std::sync::Arc;
-use web::{ChannelBody, Handler, Method, ReadBodyError, ResponseBody, StatusCode};
+use web::{Handler, Method, ReadBodyError, ResponseBody, StatusCode};
 
-/// Chunks that may wait for a slow caller.
-const PENDING_CHUNKS: usize = 32;
+/// Header with the cursor of a caller that reconnects.
+const LAST_EVENT_ID: &str = "last-event-id";
 
 /// Handler of the server towards callers.
 #[derive(Debug)]
@@ -75,32 +75,29 @@
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
         let account = authenticate(request.headers(), &config)?;
+        let last_event_id = request.headers().get(LAST_EVENT_ID).cloned();
         let body = self.read_body(request).await?;
         let job = if path == "/v1/completions" {
             text_job(&body, account, &config, &self.shared)?
         } else {
             chat_job(&body, account, &config, &self.shared)?
         };
+        if job.is_stream
+            && let Some(id) = last_event_id
+        {
+            let id = id.to_str().map_err(|_| ApiError::Cursor(CursorError::Shape))?;
+            return stream::resume(&self.shared, &job, id).await;
+        }
         metrics::counter!("generations_total").increment(1);
-        if job.is_stream { Ok(self.stream(job)) } else { self.whole(job).await }
-    }
-
-    fn stream(&self, job: Job) -> Response<ResponseBody> {
-        let (sender, body) = ChannelBody::new(PENDING_CHUNKS);
-        let id_prefix = format!("{}/1/{}/-/", job.generation_id, self.shared.vm_id);
-        let renderer = Renderer::new(&job, id_prefix);
-        let output = Output::Stream { renderer, sender, pending: Vec::new() };
-        let relay = Relay::new(Arc::clone(&self.shared), job, output);
-        tokio::spawn(relay.run());
-        let mut response = Response::new(body.boxed_unsync());
-        let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-        response
+        if job.is_stream {
+            return Ok(stream::begin(&self.shared, job));
+        }
+        self.whole(job).await
     }
 
     async fn whole(&self, job: Job) -> Result<Response<ResponseBody>, ApiError> {
-        let relay = Relay::new(Arc::clone(&self.shared), job.clone(), Output::Whole);
+        let relay =
+            Relay::new(Arc::clone(&self.shared), job.clone(), Journal::default(), Output::Whole);
         match relay.run().await {
             Ok(answer) => {
                 Ok(render::whole(&job, answer.journal.text(), answer.reason, answer.usage))
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -2,10 +2,12 @@
 
 use base::{AccountName, ServiceName};
 use fleet::Preset;
+use serde::{Deserialize, Serialize};
 use wire::engine::EngineRequest;
 
 /// Shape of the answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub(crate) enum AnswerKind {
     /// Chat completion.
     Chat,
@@ -13,8 +15,8 @@
     Text,
 }
 
-/// A generation with everything that is pinned for its life.
-#[derive(Clone, Debug)]
+/// A generation with everything that is pinned for its life. It is the head of a journal copy.
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Job {
     pub generation_id: String,
     pub account: AccountName,
@@ -28,3 +30,15 @@
     /// Request to engines, without the accepted tokens.
     pub request: EngineRequest,
 }
+
+impl Job {
+    /// Whether `other` asks for the same answer; identifiers and the pinned version may differ.
+    pub fn is_same_request(&self, other: &Self) -> bool {
+        let (own, others) = (&self.request, &other.request);
+        self.kind == other.kind
+            && self.model_label == other.model_label
+            && own.prompt == others.prompt
+            && own.messages == others.messages
+            && own.max_tokens == others.max_tokens
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,21 +7,31 @@
     future_incompatible
 )]
 
+mod accepted;
 mod api_error;
 mod authenticate;
+mod claim;
+mod claimed;
 mod config;
 mod config_actor;
 mod entry;
 mod entry_error;
+mod finish;
+mod gate;
 mod handler;
+mod holder;
 mod job;
 mod job_request;
+mod journals;
 mod models;
 mod output;
+mod peer_answers;
+mod peers;
 mod relay;
 mod render;
 mod service;
 mod shared;
+mod stream;
 mod upstream_guard;
 mod upstreams;
 mod vm_list_actor;
--- a/crates/entry/src/output.rs
+++ b/crates/entry/src/output.rs
@@ -1,7 +1,6 @@
 //! Where the tokens of a generation go.
 
-use crate::render::Renderer;
-use bytes::Bytes;
+use crate::{accepted::Accepted, api_error::ApiError, finish::Finish};
 use recovery::Journal;
 use tokio::sync::mpsc;
 use wire::{engine::FinishReason, openai::Usage};
@@ -9,35 +8,46 @@
 /// Where the tokens of a generation go.
 #[derive(Debug)]
 pub(crate) enum Output {
-    /// To the caller, token by token.
+    /// To the release gate, token by token.
     Stream {
-        /// Renders the events.
-        renderer: Renderer,
-        /// Feeds the body of the response.
-        sender: mpsc::Sender<Bytes>,
-        /// Rendered events that were not sent yet.
-        pending: Vec<u8>,
+        /// Feeds the gate.
+        sender: mpsc::Sender<Accepted>,
+        /// What was not sent yet.
+        pending: Accepted,
     },
     /// Nowhere: the answer is taken from the journal at the end.
     Whole,
 }
 
-/// The caller has gone.
+/// The caller has gone, or another entry has claimed the generation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct CallerGone;
 
 impl Output {
+    /// Output into a release gate.
+    pub fn stream(sender: mpsc::Sender<Accepted>) -> Self {
+        Self::Stream { sender, pending: Accepted::default() }
+    }
+
     /// Adds the token at `index`.
     pub fn token(&mut self, index: u32, journal: &Journal) {
-        if let Self::Stream { renderer, pending, .. } = self {
-            renderer.token(index, journal.text_at(index), pending);
+        if let Self::Stream { pending, .. } = self {
+            let token_id = journal.token_ids()[index as usize];
+            pending.tokens.push(token_id, journal.text_at(index));
         }
     }
 
     /// Adds the end of the answer.
-    pub fn finish(&mut self, count: u32, reason: FinishReason, usage: Usage) {
-        if let Self::Stream { renderer, pending, .. } = self {
-            renderer.finish(count, reason, usage, pending);
+    pub fn finish(&mut self, reason: FinishReason, usage: Usage) {
+        if let Self::Stream { pending, .. } = self {
+            pending.finish = Some(Finish { reason, usage });
+        }
+    }
+
+    /// Adds the error that ends the stream.
+    pub fn error(&mut self, error: ApiError) {
+        if let Self::Stream { pending, .. } = self {
+            pending.error = Some(error);
         }
     }
 
@@ -48,9 +58,8 @@
     /// The caller has gone.
     pub async fn flush(&mut self) -> Result<(), CallerGone> {
         match self {
-            Self::Stream { sender, pending, .. } if !pending.is_empty() => {
-                let events = std::mem::take(pending);
-                sender.send(events.into()).await.map_err(|_| CallerGone)
+            Self::Stream { sender, pending } if !pending.is_empty() => {
+                sender.send(std::mem::take(pending)).await.map_err(|_| CallerGone)
             }
             _ => Ok(()),
         }
--- /dev/null
+++ b/crates/entry/src/peer_answers.rs
@@ -0,0 +1,49 @@
+//! What this entry answers to its peers.
+
+use crate::{config::Config, journals::Journals};
+use base::{AccountName, VmId};
+use peer::{ConfigRevision, FoundJournal, PeerService};
+use recovery::{Append, AppendStatus, ClaimError, Cursor, Replica};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// What this entry answers to its peers.
+#[derive(Debug)]
+pub(crate) struct PeerAnswers {
+    pub journals: Arc<Journals>,
+    pub config: watch::Receiver<Arc<Config>>,
+}
+
+impl PeerService for PeerAnswers {
+    fn append(&self, append: &Append) -> AppendStatus {
+        self.journals.append(append)
+    }
+
+    fn claim(
+        &self,
+        cursor: &Cursor,
+        account: &AccountName,
+        owner: &VmId,
+        nonce: u32,
+    ) -> Result<Replica, ClaimError> {
+        self.journals.claim(cursor, account, owner, nonce)
+    }
+
+    fn fetch(&self, cursor: &Cursor, account: &AccountName) -> Result<FoundJournal, ClaimError> {
+        let (view_number, token_count) = self.journals.find(cursor, account)?;
+        Ok(FoundJournal { view_number, token_count })
+    }
+
+    fn heartbeat(&self, _body: &[u8]) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn config(&self, after_revision: u64) -> Option<ConfigRevision> {
+        let config = Arc::clone(&self.config.borrow());
+        if config.revision <= after_revision {
+            return None;
+        }
+        let document = config.document.encode().ok()?.into_bytes().into();
+        Some(ConfigRevision { revision: config.revision, document })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,99 @@
+//! Table of the other daemons.
+
+use crate::holder::Holder;
+use base::{Clock, DomainName, HashMap, VmId};
+use peer::PeerHandle;
+use std::{
+    cmp::Reverse,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+use wire::platform::{Vm, VmRole, VmState};
+
+/// Time for which a daemon that failed an append is not chosen as a holder.
+const FAILED_MS: u64 = 2_000;
+
+#[derive(Debug, Default)]
+struct Inner {
+    vms: Vec<Vm>,
+    failed_at_ms: HashMap<VmId, u64>,
+}
+
+/// Other daemons from the platform's list of VMs.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    id: VmId,
+    domain: DomainName,
+    clock: Clock,
+    handle: Option<PeerHandle>,
+    inner: Mutex<Inner>,
+}
+
+impl Peers {
+    pub fn new(id: VmId, domain: DomainName, clock: Clock, handle: Option<PeerHandle>) -> Self {
+        Self { id, domain, clock, handle, inner: Mutex::default() }
+    }
+
+    /// Identifier of this daemon.
+    pub fn own_id(&self) -> &VmId {
+        &self.id
+    }
+
+    /// Handle for calls; none if this daemon has no peers by its settings.
+    pub fn handle(&self) -> Option<&PeerHandle> {
+        self.handle.as_ref()
+    }
+
+    /// Takes over a new list of VMs.
+    pub fn update(&self, vms: &[Vm]) {
+        let is_peer =
+            |vm: &&Vm| vm.role == VmRole::Entry && vm.peer_addr.is_some() && vm.id != self.id;
+        self.lock().vms = vms.iter().filter(is_peer).cloned().collect();
+    }
+
+    /// Daemon with an identifier.
+    pub fn find(&self, id: &VmId) -> Option<Holder> {
+        let inner = self.lock();
+        inner.vms.iter().find(|vm| vm.id == *id).and_then(holder)
+    }
+
+    /// All other daemons.
+    pub fn all(&self) -> Vec<Holder> {
+        self.lock().vms.iter().filter_map(holder).collect()
+    }
+
+    /// Chooses a holder by rendezvous hash over the live daemons, if possible in another failure domain.
+    pub fn choose_holder(&self, generation: &str) -> Option<Holder> {
+        self.handle.as_ref()?;
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        inner.failed_at_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FAILED_MS);
+        let live = inner
+            .vms
+            .iter()
+            .filter(|vm| vm.state == VmState::Live && !inner.failed_at_ms.contains_key(&vm.id));
+        live.min_by_key(|vm| (vm.domain == self.domain, Reverse(score(generation, &vm.id))))
+            .and_then(holder)
+    }
+
+    /// Notes that a daemon failed an append.
+    pub fn mark_failed(&self, id: &VmId) {
+        let now_ms = self.clock.now_ms();
+        self.lock().failed_at_ms.insert(id.clone(), now_ms);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn holder(vm: &Vm) -> Option<Holder> {
+    Some(Holder { id: vm.id.clone(), addr: vm.peer_addr? })
+}
+
+fn score(generation: &str, id: &VmId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    generation.hash(&mut hasher);
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -68,7 +68,8 @@
 }
 
 impl Relay {
-    pub fn new(shared: Arc<Shared>, job: Job, output: Output) -> Self {
+    /// Relay that continues after the tokens of `journal`, which is empty for a new generation.
+    pub fn new(shared: Arc<Shared>, job: Job, journal: Journal, output: Output) -> Self {
         let policy = match job.preset {
             Preset::Economy => Policy::ECONOMY,
             Preset::Latency => Policy::LATENCY,
@@ -76,7 +77,7 @@
         Self {
             shared,
             job,
-            generation: Generation::new(policy, Journal::default()),
+            generation: Generation::new(policy, journal),
             running: Vec::new(),
             actions: Vec::new(),
             failed_addrs: Vec::new(),
@@ -104,9 +105,8 @@
                 self.job.generation_id,
                 self.job.account
             );
-            if let Output::Stream { sender, .. } = &self.output {
-                let _ = sender.send(render::Renderer::error(&ApiError::from(cause))).await;
-            }
+            self.output.error(ApiError::from(cause));
+            let _ = self.output.flush().await;
         }
         let (reason, usage) = outcome?;
         let journal = self.generation.journal().clone();
@@ -233,8 +233,7 @@
             Action::Release { index } => self.output.token(index, self.generation.journal()),
             Action::Finish => {
                 if let Some((reason, usage)) = self.finish {
-                    let count = self.generation.journal().len();
-                    self.output.finish(count, reason, usage);
+                    self.output.finish(reason, usage);
                 }
             }
             Action::Fail(cause) => self.failure = Some(cause),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that all requests of an entry share.
 
-use crate::{config::Config, upstreams::Upstreams};
+use crate::{config::Config, journals::Journals, peers::Peers, upstreams::Upstreams};
 use base::{Clock, VmId};
 use conf::LimitSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -18,6 +18,8 @@
     pub clock: Clock,
     pub limits: LimitSettings,
     pub config: watch::Receiver<Arc<Config>>,
+    pub journals: Arc<Journals>,
+    pub peers: Arc<Peers>,
     pub upstreams: Arc<Upstreams>,
     pub engines: EnginePool,
     pub metrics: Option<PrometheusHandle>,
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,102 @@
+//! Streamed answers, new ones and those that a reconnecting caller goes on with.
+
+use crate::{
+    api_error::ApiError, claim::claim, claimed::Claimed, finish::Finish, gate::Gate, job::Job,
+    output::Output, relay::Relay, render::Renderer, shared::Shared,
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Response,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+};
+use recovery::{AppendStatus, Cursor, Journal, ViewId};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use web::{ChannelBody, ResponseBody};
+
+/// Chunks that may wait for a slow caller.
+const PENDING_CHUNKS: usize = 32;
+
+/// Begins a generation.
+pub(crate) fn begin(shared: &Arc<Shared>, job: Job) -> Response<ResponseBody> {
+    let (sender, response) = channel();
+    let gate = Gate::new(Arc::clone(shared), job.clone(), sender);
+    spawn(shared, job, Journal::default(), gate, Journal::default());
+    response
+}
+
+/// Goes on with the answer that `last_event_id` names, after the tokens that the caller has.
+///
+/// # Errors
+///
+/// `Cursor`, `Lost`, `Conflict`, `OtherRequest` or `HoldersUnreachable`.
+pub(crate) async fn resume(
+    shared: &Arc<Shared>,
+    asked: &Job,
+    last_event_id: &str,
+) -> Result<Response<ResponseBody>, ApiError> {
+    let cursor = Cursor::try_from(last_event_id)?;
+    let Claimed { replica, site } = claim(shared, &cursor, &asked.account).await?;
+    let job: Job = serde_json::from_slice(&replica.install().head).map_err(|_| ApiError::Lost)?;
+    if !job.is_same_request(asked) {
+        return Err(ApiError::OtherRequest);
+    }
+    metrics::counter!("generations_resumed_total").increment(1);
+    let (sender, response) = channel();
+    let tokens = replica.tokens().clone();
+    let backlog = after(&tokens, cursor.index);
+    let view = replica.view().cloned().ok_or(ApiError::Lost)?;
+    if let Some(finish) = replica.finish() {
+        let finish: Finish = serde_json::from_slice(finish).map_err(|_| ApiError::Lost)?;
+        let events = finished(&job, &cursor, view, &backlog, finish);
+        tokio::spawn(async move { sender.send(events).await });
+        return Ok(response);
+    }
+    // The journal that was claimed here is in the store already.
+    if site.is_some() && shared.journals.open(&job.generation_id, replica) != AppendStatus::Accepted
+    {
+        return Err(ApiError::Conflict);
+    }
+    log::info!("recovery: {} goes on after {} tokens", job.generation_id, tokens.len());
+    let gate = Gate::resumed(Arc::clone(shared), job.clone(), view, site, cursor.index, sender);
+    spawn(shared, job, tokens, gate, backlog);
+    Ok(response)
+}
+
+fn spawn(shared: &Arc<Shared>, job: Job, journal: Journal, gate: Gate, backlog: Journal) {
+    let (sender, accepted) = Gate::channel();
+    let relay = Relay::new(Arc::clone(shared), job, journal, Output::stream(sender));
+    tokio::spawn(relay.run());
+    tokio::spawn(gate.run(backlog, accepted));
+}
+
+fn channel() -> (mpsc::Sender<Bytes>, Response<ResponseBody>) {
+    let (sender, body) = ChannelBody::new(PENDING_CHUNKS);
+    let mut response = Response::new(body.boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    (sender, response)
+}
+
+fn after(tokens: &Journal, index: u32) -> Journal {
+    let mut rest = Journal::default();
+    for index in index..tokens.len() {
+        rest.push(tokens.token_ids()[index as usize], tokens.text_at(index));
+    }
+    rest
+}
+
+/// Events of a finished answer after the cursor.
+fn finished(job: &Job, cursor: &Cursor, view: ViewId, rest: &Journal, finish: Finish) -> Bytes {
+    let prefix = Cursor { view, ..cursor.clone() }.prefix();
+    let renderer = Renderer::new(job, prefix);
+    let mut events = Vec::new();
+    for index in 0..rest.len() {
+        renderer.token(cursor.index + index, rest.text_at(index), &mut events);
+    }
+    let count = cursor.index + rest.len();
+    renderer.finish(count, finish.reason, finish.usage, &mut events);
+    events.into()
+}
--- a/crates/entry/src/vm_list_actor.rs
+++ b/crates/entry/src/vm_list_actor.rs
@@ -1,6 +1,6 @@
-//! Actor that keeps the table of upstreams up to date.
+//! Actor that keeps the table of upstreams and peers up to date.
 
-use crate::upstreams::Upstreams;
+use crate::{peers::Peers, upstreams::Upstreams};
 use plat::Platform;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{sync::Arc, time::Duration};
@@ -13,6 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct VmListArguments {
     pub platform: Platform,
+    pub peers: Arc<Peers>,
     pub upstreams: Arc<Upstreams>,
     pub interval_ms: u64,
 }
@@ -47,7 +48,10 @@
         match message {
             VmListMessage::Poll => {
                 match state.platform.vms().await {
-                    Ok(list) => state.upstreams.update(list.vms),
+                    Ok(list) => {
+                        state.peers.update(&list.vms);
+                        state.upstreams.update(list.vms);
+                    }
                     Err(err) => log::warn!("vms: the platform's list cannot be read: {err}"),
                 }
                 let interval = Duration::from_millis(state.interval_ms);
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -87,6 +87,7 @@
             },
             limits: LimitSettings::default(),
             log: LogSettings::default(),
+            peer: None,
             platform: PlatformSettings {
                 addr: platform.addr(),
                 timeout_ms: 1_000,
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -33,7 +33,10 @@
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         let entry = Entry::start(&settings, Some(metrics)).await?;
-        println!("ready addr={}", entry.addr());
+        match entry.peer_addr() {
+            Some(peer_addr) => println!("ready addr={} peer={peer_addr}", entry.addr()),
+            None => println!("ready addr={}", entry.addr()),
+        }
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
--- a/crates/recovery/src/cursor.rs
+++ b/crates/recovery/src/cursor.rs
@@ -26,11 +26,18 @@
     pub index: u32,
 }
 
-impl Display for Cursor {
-    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+impl Cursor {
+    /// The text without the index, which all cursors of the view and holder have in common.
+    pub fn prefix(&self) -> String {
         let ViewId { number, nonce, owner } = &self.view;
         let holder = self.holder.as_ref().map_or(NO_HOLDER, VmId::as_str);
-        write!(f, "{}/{number}-{nonce:x}/{owner}/{holder}/{}", self.generation, self.index)
+        format!("{}/{number}-{nonce:x}/{owner}/{holder}/", self.generation)
+    }
+}
+
+impl Display for Cursor {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        write!(f, "{}{}", self.prefix(), self.index)
     }
 }
 
--- a/crates/recovery/src/replica.rs
+++ b/crates/recovery/src/replica.rs
@@ -93,12 +93,15 @@
         self.install.views.push(View { id, first_index: self.tokens.len() });
     }
 
+    /// Whether a copy that begins with `install` descends from this one.
+    pub fn is_ancestor(&self, install: &Install) -> bool {
+        self.install.views.last().is_some_and(|last| install.views.contains(last))
+    }
+
     /// Takes an append of the owner. A copy that begins anew replaces this one only if it descends from it.
     pub fn append(&mut self, append: &Append) -> AppendStatus {
         if let Some(install) = &append.install {
-            let is_descendant =
-                self.install.views.last().is_some_and(|last| install.views.contains(last));
-            if !is_descendant {
+            if !self.is_ancestor(install) {
                 return AppendStatus::Superseded;
             }
             if install.views.len() > self.install.views.len()
--- a/crates/recovery/src/replica_store.rs
+++ b/crates/recovery/src/replica_store.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     append::Append, append_status::AppendStatus, claim_error::ClaimError, cursor::Cursor,
-    replica::Replica, replica_limits::ReplicaLimits,
+    replica::Replica, replica_limits::ReplicaLimits, view_id::ViewId,
 };
 use base::{AccountName, HashMap, VmId};
 
@@ -72,6 +72,34 @@
         AppendStatus::Accepted
     }
 
+    /// Adds a journal that this daemon owns. The memory bound does not apply, because its request was admitted already.
+    pub fn open(&mut self, generation: &str, replica: Replica, now_ms: u64) -> AppendStatus {
+        if let Some(slot) = self.slots.get(generation) {
+            let has_descendant = slot.replica.is_ancestor(replica.install());
+            if !has_descendant {
+                return AppendStatus::Superseded;
+            }
+            self.size_bytes -= slot.size_bytes;
+        }
+        let size_bytes = replica.size_bytes();
+        self.size_bytes += size_bytes;
+        self.slots.insert(generation.into(), Slot { replica, changed_at_ms: now_ms, size_bytes });
+        AppendStatus::Accepted
+    }
+
+    /// Begins another view of the owner of `current`; `None` if that view has been superseded.
+    pub fn renew(&mut self, generation: &str, current: &ViewId, nonce: u32) -> Option<ViewId> {
+        let slot = self.slots.get_mut(generation)?;
+        if slot.replica.view() != Some(current) {
+            return None;
+        }
+        slot.replica.claim(&current.owner, nonce);
+        let size_bytes = slot.replica.size_bytes();
+        self.size_bytes = self.size_bytes + size_bytes - slot.size_bytes;
+        slot.size_bytes = size_bytes;
+        slot.replica.view().cloned()
+    }
+
     /// Says what a claim would find.
     ///
     /// # Errors
--- a/crates/wire/src/engine/event.rs
+++ b/crates/wire/src/engine/event.rs
@@ -2,9 +2,11 @@
 
 use crate::engine::raw_event::{RawEngineEvent, Usage};
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 
 /// Why an answer ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum FinishReason {
     /// The limit of tokens was reached.
     Length,
