--- a/crates/recovery/src/replica.rs
+++ b/crates/recovery/src/replica.rs
@@ -88,7 +88,12 @@
         if self.finish.is_some() || is_repeated {
             return;
         }
-        let number = last.map_or(0, |id| id.number) + 1;
+        self.begin_view(owner, nonce);
+    }
+
+    /// Begins a view of `owner` after all tokens.
+    pub fn begin_view(&mut self, owner: &VmId, nonce: u32) {
+        let number = self.view().map_or(0, |id| id.number) + 1;
         let id = ViewId { number, nonce, owner: owner.clone() };
         self.install.views.push(View { id, first_index: self.tokens.len() });
     }
--- a/crates/recovery/src/replica_store.rs
+++ b/crates/recovery/src/replica_store.rs
@@ -93,7 +93,7 @@
         if slot.replica.view() != Some(current) {
             return None;
         }
-        slot.replica.claim(&current.owner, nonce);
+        slot.replica.begin_view(&current.owner, nonce);
         let size_bytes = slot.replica.size_bytes();
         self.size_bytes = self.size_bytes + size_bytes - slot.size_bytes;
         slot.size_bytes = size_bytes;
