--- a/crates/bench/src/caller/answer.rs
+++ b/crates/bench/src/caller/answer.rs
@@ -1,6 +1,7 @@
 //! What a caller received.
 
 use stand::Chain;
+use std::time::Instant;
 
 /// How a stream ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,7 +25,9 @@
     pub version: String,
     /// Identifier of the last event.
     pub last_event_id: Option<String>,
-    /// Longest time between two tokens.
+    /// Time of the last token, or of the question.
+    pub last_token_at: Instant,
+    /// Longest time between two tokens, over reconnects as well.
     pub longest_gap_ms: u64,
     /// Time to the first token.
     pub first_token_ms: Option<u64>,
@@ -41,6 +44,7 @@
             text: String::new(),
             version: String::new(),
             last_event_id: None,
+            last_token_at: Instant::now(),
             longest_gap_ms: 0,
             first_token_ms: None,
             usage_tokens: None,
--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -105,7 +105,6 @@
     progress: Option<&watch::Sender<Answer>>,
 ) -> Option<()> {
     let mut decoder = Decoder::new(EVENT_SIZE_BYTES);
-    let mut last_token = Instant::now();
     let mut is_finished = false;
     while let Some(frame) = body.frame().await {
         let frame = frame.ok()?;
@@ -116,7 +115,7 @@
                 answer.end = if is_finished { AnswerEnd::Done } else { AnswerEnd::Cut };
                 return Some(());
             }
-            is_finished |= take_event(event, answer, &mut last_token)?;
+            is_finished |= take_event(event, answer)?;
             if let Some(progress) = progress {
                 progress.send_replace(answer.clone());
             }
@@ -126,7 +125,7 @@
 }
 
 /// Takes one event; whether it carried the finish reason.
-fn take_event(event: Event, answer: &mut Answer, last_token: &mut Instant) -> Option<bool> {
+fn take_event(event: Event, answer: &mut Answer) -> Option<bool> {
     let value: Value = serde_json::from_str(&event.data).ok()?;
     if value.get("error").is_some() {
         answer.end = AnswerEnd::Error(code(&value));
@@ -145,8 +144,8 @@
     let text = choice["text"].as_str().unwrap_or_default();
     if !text.is_empty() {
         answer.text.push_str(text);
-        let gap_ms = last_token.elapsed().as_millis() as u64;
-        *last_token = Instant::now();
+        let gap_ms = answer.last_token_at.elapsed().as_millis() as u64;
+        answer.last_token_at = Instant::now();
         match answer.first_token_ms {
             Some(_) => answer.longest_gap_ms = answer.longest_gap_ms.max(gap_ms),
             None => answer.first_token_ms = Some(gap_ms),
--- /dev/null
+++ b/crates/bench/src/experiment/entry_deaths.rs
@@ -0,0 +1,127 @@
+//! Experiment `entry-deaths`: answers stay whole while entries die, sometimes together with engines.
+
+use crate::{
+    bench_error::BenchError,
+    caller::{Answer, AnswerEnd, Caller, Question},
+    cluster::{Cluster, Layout},
+    experiment::options::ExperimentOptions,
+    percentile::percentile,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use std::{net::SocketAddr, path::Path, time::Duration};
+use tokio::{task::JoinSet, time::Instant};
+
+/// Callers at a time.
+const CALLERS: usize = 32;
+
+/// Tokens of each answer.
+const TOKENS: u32 = 100;
+
+/// Time between two deaths.
+const DEATH_INTERVAL_MS: u64 = 500;
+
+/// One in so many entries dies together with an engine.
+const ENGINE_SHARE: u32 = 3;
+
+/// Connections that a caller tries for one answer.
+const TRIES: usize = 100;
+
+/// Pause of a caller after a connection that brought no token.
+const RETRY_PAUSE_MS: u64 = 20;
+
+/// Answer with what it took to read it.
+struct Outcome {
+    answer: Answer,
+    is_whole: bool,
+    reconnects: u64,
+}
+
+pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
+    let layout = Layout { entries_per_domain: 2, seed: options.seed, ..Layout::default() };
+    let mut cluster = Cluster::start(program, layout).await?;
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    let end = Instant::now() + Duration::from_secs(options.duration_s);
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        callers.spawn(ask_until(cluster.entry_addrs(), number, end));
+    }
+    let (mut deaths, mut engine_deaths) = (0, 0);
+    while Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(DEATH_INTERVAL_MS)).await;
+        let entry = rng.random_range(0..cluster.entry_count());
+        let engine = rng.random_range(0..cluster.engine_count());
+        let has_engine = rng.random_range(0..ENGINE_SHARE) == 0;
+        if has_engine {
+            cluster.kill_engine(engine);
+            engine_deaths += 1;
+        }
+        cluster.kill_entry(entry);
+        deaths += 1;
+        cluster.restart_entry(entry)?;
+        if has_engine {
+            cluster.restart_engine(engine)?;
+        }
+    }
+    let outcomes: Vec<Outcome> = callers.join_all().await.into_iter().flatten().collect();
+    let whole = outcomes.iter().filter(|outcome| outcome.is_whole).count();
+    let resumed = outcomes.iter().filter(|outcome| outcome.reconnects > 0);
+    let mut resumes: Vec<u64> = resumed.map(|outcome| outcome.answer.longest_gap_ms).collect();
+    let report = json!({
+        "generations": outcomes.len(),
+        "whole": whole,
+        "deaths": deaths,
+        "engine_deaths": engine_deaths,
+        "resumed": resumes.len(),
+        "reconnects": outcomes.iter().map(|outcome| outcome.reconnects).sum::<u64>(),
+        "resume_p50_ms": percentile(&mut resumes, 50),
+        "resume_p95_ms": percentile(&mut resumes, 95),
+        "resume_max_ms": resumes.last().copied().unwrap_or(0),
+    });
+    for outcome in outcomes.iter().filter(|outcome| !outcome.is_whole) {
+        eprintln!("not whole: {:?} {:?}", outcome.answer.last_event_id, outcome.answer.end);
+    }
+    println!("{report}");
+    if whole == outcomes.len() && !resumes.is_empty() {
+        Ok(())
+    } else {
+        Err(BenchError::Failed(format!("{whole} of {} answers are whole", outcomes.len())))
+    }
+}
+
+/// Asks one question after another until `end`.
+async fn ask_until(addrs: Vec<SocketAddr>, number: usize, end: Instant) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    while Instant::now() < end {
+        let question = Question {
+            model: Layout::MODEL.to_owned(),
+            prompt: format!("caller {number} question {}", outcomes.len()),
+            max_tokens: TOKENS,
+        };
+        outcomes.push(ask(&addrs, number + outcomes.len(), &question).await);
+    }
+    outcomes
+}
+
+/// Reads one answer, over another entry after each connection that was cut.
+async fn ask(addrs: &[SocketAddr], first: usize, question: &Question) -> Outcome {
+    let caller = Caller::new(Layout::KEY);
+    let mut answer = Answer::empty();
+    let mut reconnects = 0;
+    for attempt in 0..TRIES {
+        let count = answer.token_count();
+        caller.resume(addrs[(first + attempt) % addrs.len()], question, &mut answer).await;
+        match &answer.end {
+            AnswerEnd::Done => break,
+            // The entry has no configuration or no holder in reach yet; another one may.
+            AnswerEnd::Cut | AnswerEnd::Refused(401 | 503, _) => {}
+            AnswerEnd::Error(_) | AnswerEnd::Refused(..) => break,
+        }
+        reconnects += u64::from(answer.last_event_id.is_some());
+        if answer.token_count() == count {
+            tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        }
+    }
+    let is_whole = answer.is_whole(&question.model, "", &question.prompt);
+    Outcome { answer, is_whole, reconnects }
+}
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,8 @@
 //! Experiments by name.
 
 mod engine_deaths;
+mod entry_deaths;
+mod journal_copies;
 mod options;
 
 pub use self::options::ExperimentOptions;
@@ -8,8 +10,11 @@
 use std::path::Path;
 
 /// Names of all experiments with what they show.
-pub const EXPERIMENTS: [(&str, &str); 1] =
-    [("engine-deaths", "answers stay whole while engines die")];
+pub const EXPERIMENTS: [(&str, &str); 3] = [
+    ("engine-deaths", "answers stay whole while engines die"),
+    ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
+    ("journal-copies", "delay and cost of journal copies for each token"),
+];
 
 /// Runs an experiment with `program` as the executable of its processes.
 ///
@@ -23,6 +28,8 @@
 ) -> Result<(), BenchError> {
     match name {
         "engine-deaths" => engine_deaths::run(program, options).await,
+        "entry-deaths" => entry_deaths::run(program, options).await,
+        "journal-copies" => journal_copies::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
 }
