--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -135,6 +135,35 @@
         }
     }
 
+    /// Takes a table whose keys are free and whose values must parse as `T`; a missing table is empty.
+    pub fn map<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        source: &mut Source<'_>,
+    ) -> Vec<(String, T)>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some((line, value)) = self.take(key, source) else { return Vec::new() };
+        let DeValue::Table(table) = value else {
+            self.report(key, line, &format!("is a {}", value.type_str()), "a table", source);
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for (name, value) in table {
+            let line = source.line(value.span().start);
+            let path = format!("{key}.{}", name.get_ref());
+            let outcome = value.get_ref().as_str().and_then(|text| text.parse().ok());
+            match outcome {
+                Some(value) => parsed.push((name.into_inner().into_owned(), value)),
+                None => self.report(&path, line, "is not valid", allowed, source),
+            }
+        }
+        parsed
+    }
+
     /// Reports the keys that nobody took.
     pub fn close(self, source: &mut Source<'_>) {
         for (key, value) in &self.table {
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -13,6 +13,7 @@
 
 [log]
 format = "json"
+parts = { recovery = "debug" }
 "#;
 
 #[test]
@@ -20,13 +21,14 @@
     let settings = Settings::try_from(GOOD).unwrap();
     assert_eq!(settings.entry.domain.as_str(), "lothian");
     assert_eq!(settings.log.format, LogFormat::Json);
+    assert_eq!(settings.log.part_levels, [("recovery".to_owned(), log::LevelFilter::Debug)]);
     assert_eq!(settings.platform.timeout_ms, 1_000);
 }
 
 #[test]
 fn every_mistake_is_reported_with_key_and_line() {
     let text = "[entry]\nvm_id = \"a b\"\nlisten = 8080\nport = 1\n[platform]\n\
-                addr = \"127.0.0.1:9\"\ntimeout_ms = 0\n[log]\nlevel = \"loud\"\n[extra]\n";
+                addr = \"127.0.0.1:9\"\ntimeout_ms = 0\n[log]\nlevel = \"loud\"\nparts = { entry = 1 }\n[extra]\n";
     let Problems(problems) = Settings::try_from(text).unwrap_err();
     let found: Vec<(usize, &str)> =
         problems.iter().map(|problem| (problem.line, problem.key.as_str())).collect();
@@ -39,7 +41,8 @@
             (4, "entry.port"),
             (7, "platform.timeout_ms"),
             (9, "log.level"),
-            (10, "extra"),
+            (10, "log.parts.entry"),
+            (11, "extra"),
         ]
     );
     assert!(problems.iter().all(|problem| !problem.allowed.is_empty()));
--- /dev/null
+++ b/crates/entry/tests/bad_input.rs
@@ -0,0 +1,182 @@
+//! Guards against bad input that gets an untyped error, a wrong status, or harms another caller's answer.
+
+use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
+use conf::Settings;
+use entry::Entry;
+use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use serde_json::{Value, json};
+use stand::{Chain, Engine, EngineSettings, Platform, PlatformSettings};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use web::{Client, Method, Reply};
+use wire::platform::{Vm, VmRole, VmState};
+
+const KEY: &str = "test-key";
+const MODEL: &str = "composer";
+const VERSION: &str = "v1";
+
+struct Fixture {
+    platform: Platform,
+    engine: Engine,
+    entry: Entry,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let platform = Platform::start(PlatformSettings::default()).await.unwrap();
+        let engine = Engine::start(EngineSettings { token_gap_ms: 1, ..EngineSettings::default() });
+        let engine = engine.await.unwrap();
+        platform.put("config/current", &document().encode().unwrap());
+        platform.set_vms(vec![Vm {
+            id: VmId::try_from("engine-1").unwrap(),
+            role: VmRole::Engine,
+            service: Some(ServiceName::try_from(MODEL).unwrap()),
+            domain: DomainName::try_from("lothian").unwrap(),
+            addr: engine.addr(),
+            peer_addr: None,
+            state: VmState::Live,
+        }]);
+        let text = format!(
+            "[entry]\nvm_id = \"entry-1\"\ndomain = \"lothian\"\nlisten = \"127.0.0.1:0\"\n\
+             [limits]\nbody_bytes = 65536\nmax_tokens = 1000\n\
+             [platform]\naddr = \"{}\"\nvm_list_interval_ms = 100\n",
+            platform.addr()
+        );
+        let settings = Settings::try_from(text.as_str()).unwrap();
+        let entry = Entry::start(&settings, None).await.unwrap();
+        let fixture = Self { platform, engine, entry };
+        fixture.wait_ready().await;
+        fixture
+    }
+
+    /// Waits until an answer is whole, which needs the configuration and the list of VMs.
+    async fn wait_ready(&self) {
+        while !self.is_serving().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn is_serving(&self) -> bool {
+        let body = json!({"model": MODEL, "prompt": "p", "max_tokens": 3});
+        let Ok(reply) = self.client().send_json(Method::POST, "/v1/completions", &body).await
+        else {
+            return false;
+        };
+        let value: Value = serde_json::from_slice(&reply.body).unwrap();
+        let text = value["choices"][0]["text"].as_str().unwrap_or_default();
+        Chain::new(MODEL, VERSION, "", "p").verify(text) == Ok(3)
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.entry.addr()
+    }
+
+    fn client(&self) -> Client {
+        Client::new(self.addr(), 20_000).with_bearer_key(KEY)
+    }
+
+    async fn post(&self, body: &str) -> Reply {
+        let path = "/v1/completions";
+        self.client().send_bytes(Method::POST, path, body.to_owned().into()).await.unwrap()
+    }
+
+    async fn close(self) {
+        self.entry.close().await;
+        self.engine.kill().await;
+        self.platform.close().await;
+    }
+}
+
+fn document() -> Document {
+    let service = ServiceName::try_from(MODEL).unwrap();
+    Document {
+        accounts: vec![Account {
+            name: AccountName::try_from("test").unwrap(),
+            key_hashes: vec![KeyHash::of(KEY)],
+            requests_per_s: 1_000,
+        }],
+        services: vec![Service {
+            name: service.clone(),
+            kind: ServiceKind::Generation,
+            preset: Preset::Latency,
+        }],
+        models: vec![Model {
+            name: ModelName::try_from(MODEL).unwrap(),
+            service,
+            version: VersionName::try_from(VERSION).unwrap(),
+            adapters: vec!["kirk".to_owned()],
+        }],
+    }
+}
+
+/// Status and code of an error reply, which must have the usual body.
+fn error(reply: &Reply) -> (u16, String) {
+    let value: Value = serde_json::from_slice(&reply.body).unwrap();
+    let error = &value["error"];
+    assert!(error["message"].is_string() && error["type"].is_string(), "{value}");
+    (reply.status.as_u16(), error["code"].as_str().unwrap().to_owned())
+}
+
+#[tokio::test]
+async fn bad_bodies_get_typed_errors() {
+    let fixture = Fixture::start().await;
+    let cases = [
+        ("{", 400, "invalid_body"),
+        ("[]", 400, "invalid_body"),
+        ("{\"model\":\"composer\"}", 400, "invalid_body"),
+        ("{\"model\":\"unknown\",\"prompt\":\"p\"}", 404, "model_not_found"),
+        ("{\"model\":\"composer:other\",\"prompt\":\"p\"}", 404, "model_not_found"),
+        ("{\"model\":\"composer\",\"prompt\":[\"a\",\"b\"]}", 400, "invalid_value"),
+        ("{\"model\":\"composer\",\"prompt\":\"p\",\"max_tokens\":0}", 400, "invalid_value"),
+        ("{\"model\":\"composer\",\"prompt\":\"p\",\"max_tokens\":1001}", 400, "invalid_value"),
+        ("{\"model\":\"composer\",\"prompt\":\"p\",\"max_tokens\":-1}", 400, "invalid_body"),
+        ("{\"model\":\"composer\",\"prompt\":\"p\",\"temperature\":9}", 400, "invalid_value"),
+        ("{\"model\":\"composer\",\"prompt\":\"p\",\"n\":3}", 400, "invalid_value"),
+    ];
+    for (body, status, code) in cases {
+        assert_eq!(error(&fixture.post(body).await), (status, code.to_owned()), "{body}");
+    }
+    let large = format!("{{\"model\":\"composer\",\"prompt\":\"{}\"}}", "x".repeat(70_000));
+    assert_eq!(error(&fixture.post(&large).await), (413, "body_too_large".to_owned()));
+    assert!(fixture.is_serving().await);
+    fixture.close().await;
+}
+
+#[tokio::test]
+async fn wrong_routes_methods_and_keys_get_typed_errors() {
+    let fixture = Fixture::start().await;
+    let client = fixture.client();
+    let reply = client.send(Method::GET, "/v2/unknown").await.unwrap();
+    assert_eq!(error(&reply), (404, "unknown_route".to_owned()));
+    let reply = client.send(Method::GET, "/v1/completions").await.unwrap();
+    assert_eq!(error(&reply), (405, "method_not_allowed".to_owned()));
+    let reply = client.send(Method::POST, "/v1/models").await.unwrap();
+    assert_eq!(error(&reply), (405, "method_not_allowed".to_owned()));
+    let reply = client.send(Method::GET, "/services/unknown/status").await.unwrap();
+    assert_eq!(error(&reply), (404, "service_not_found".to_owned()));
+    for client in [
+        Client::new(fixture.addr(), 5_000),
+        Client::new(fixture.addr(), 5_000).with_bearer_key("wrong"),
+    ] {
+        let reply = client.send(Method::GET, "/v1/models").await.unwrap();
+        assert_eq!(error(&reply), (401, "invalid_api_key".to_owned()));
+    }
+    fixture.close().await;
+}
+
+#[tokio::test]
+async fn bytes_that_are_not_http_harm_nobody() {
+    let fixture = Fixture::start().await;
+    for bytes in [&b"\x00\x01\x02\x03\r\n\r\n"[..], b"GET / HTTP/9.9\r\n\r\n", b"POST /v1/comp"] {
+        let mut stream = TcpStream::connect(fixture.addr()).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+    }
+    assert!(fixture.is_serving().await);
+    fixture.close().await;
+}
