Add the relay experiment: cost and added delay of a relayed token

The engine's tokens carry their time of sending, so the same caller measures its delay directly at the engine and through the daemon.

--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -86,6 +86,18 @@
         running.map(|entry| entry.vm.addr).collect()
     }
 
+    /// Adds an engine that this process runs itself; `publish_vms` makes it known.
+    ///
+    /// # Errors
+    ///
+    /// The name is not valid.
+    pub fn add_external_engine(&mut self, name: &str, addr: SocketAddr) -> Result<(), BenchError> {
+        let domain = &self.layout.domains[0];
+        let vm = engine_vm(name, domain, addr)?;
+        self.engines.push(EngineNode { vm, seed: 0, process: None });
+        Ok(())
+    }
+
     /// Number of engines.
     pub fn engine_count(&self) -> usize {
         self.engines.len()
@@ -173,15 +185,7 @@
         let seed = self.layout.seed * 100 + self.engines.len() as u64;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let process = start_engine(&self.program, any, seed, self.layout.token_gap_ms)?;
-        let vm = Vm {
-            id: VmId::try_from(format!("engine-{domain}-{number}"))?,
-            role: VmRole::Engine,
-            service: Some(ServiceName::try_from(Layout::MODEL)?),
-            domain: DomainName::try_from(domain)?,
-            addr: process.addr("addr")?,
-            peer_addr: None,
-            state: VmState::Live,
-        };
+        let vm = engine_vm(&format!("engine-{domain}-{number}"), domain, process.addr("addr")?)?;
         self.engines.push(EngineNode { vm, seed, process: Some(process) });
         Ok(())
     }
@@ -234,6 +238,18 @@
     }
 }
 
+fn engine_vm(name: &str, domain: &str, addr: SocketAddr) -> Result<Vm, BenchError> {
+    Ok(Vm {
+        id: VmId::try_from(name)?,
+        role: VmRole::Engine,
+        service: Some(ServiceName::try_from(Layout::MODEL)?),
+        domain: DomainName::try_from(domain)?,
+        addr,
+        peer_addr: None,
+        state: VmState::Live,
+    })
+}
+
 fn start_engine(
     program: &Path,
     listen: SocketAddr,
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -2,14 +2,17 @@
 
 mod engine_deaths;
 mod options;
+mod relay;
 
 pub use self::options::ExperimentOptions;
 use crate::bench_error::BenchError;
 use std::path::Path;
 
 /// Names of all experiments with what they show.
-pub const EXPERIMENTS: [(&str, &str); 1] =
-    [("engine-deaths", "answers stay whole while engines die")];
+pub const EXPERIMENTS: &[(&str, &str)] = &[
+    ("engine-deaths", "answers stay whole while engines die"),
+    ("relay", "cost and added delay of a relayed token"),
+];
 
 /// Runs an experiment with `program` as the executable of its processes.
 ///
@@ -23,6 +26,7 @@
 ) -> Result<(), BenchError> {
     match name {
         "engine-deaths" => engine_deaths::run(program, options).await,
+        "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cluster;
 pub mod experiment;
 mod percentile;
+mod process_usage;
 pub mod role;
 
 pub use crate::{bench_error::BenchError, percentile::percentile};
--- a/crates/conf/src/entry_settings.rs
+++ b/crates/conf/src/entry_settings.rs
@@ -8,6 +8,9 @@
 /// Address that the daemon listens on unless the settings name another.
 const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
 
+/// Threads that serve requests unless the settings say otherwise: entry VMs are small.
+const DEFAULT_WORKER_THREADS: u64 = 4;
+
 /// Server towards callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EntrySettings {
@@ -17,6 +20,8 @@
     pub domain: DomainName,
     /// Address of the server towards callers.
     pub listen: SocketAddr,
+    /// Threads that serve requests.
+    pub worker_threads: u64,
 }
 
 impl EntrySettings {
@@ -26,7 +31,9 @@
         let vm_id = section.required("vm_id", name, source);
         let domain = section.required("domain", name, source);
         let listen = section.parsed("listen", "IP address and port", DEFAULT_LISTEN, source);
+        let worker_threads =
+            section.integer("worker_threads", 1..=1_024, DEFAULT_WORKER_THREADS, source);
         section.close(source);
-        Some(Self { vm_id: vm_id?, domain: domain?, listen })
+        Some(Self { vm_id: vm_id?, domain: domain?, listen, worker_threads })
     }
 }
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -84,6 +84,7 @@
                 vm_id: VmId::try_from("entry-1")?,
                 domain: DomainName::try_from(DOMAINS[0])?,
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                worker_threads: 4,
             },
             limits: LimitSettings::default(),
             log: LogSettings::default(),
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -30,7 +30,9 @@
     let settings = load(path)?;
     logging::install(&settings.log)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
-    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    let worker_threads = usize::try_from(settings.entry.worker_threads).unwrap_or(1);
+    let runtime =
+        Builder::new_multi_thread().worker_threads(worker_threads).enable_all().build()?;
     runtime.block_on(async {
         let entry = Entry::start(&settings, Some(metrics)).await?;
         println!("ready addr={}", entry.addr());
