--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Source<'i> {
     pub text: &'i str,
     pub problems: Vec<Problem>,
+    /// Every key that was asked for, with its section.
+    pub keys: Vec<String>,
 }
 
 impl Source<'_> {
@@ -173,8 +175,9 @@
         }
     }
 
-    fn take(&mut self, key: &'static str, source: &Source<'_>) -> Option<(usize, DeValue<'i>)> {
+    fn take(&mut self, key: &'static str, source: &mut Source<'_>) -> Option<(usize, DeValue<'i>)> {
         self.known.push(key);
+        source.keys.push(format!("{}.{key}", self.name));
         let value: Spanned<DeValue<'i>> = self.table.remove(key)?;
         Some((source.line(value.span().start), value.into_inner()))
     }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -35,7 +35,7 @@
     ///
     /// Every mistake in the file.
     fn try_from(text: &str) -> Result<Self, Problems> {
-        let mut source = Source { text, problems: Vec::new() };
+        let mut source = Source { text, problems: Vec::new(), keys: Vec::new() };
         let (root, errors) = DeTable::parse_recoverable(text);
         for error in errors {
             let offset = error.span().map_or(0, |span| span.start);
@@ -48,10 +48,7 @@
             });
         }
         let mut root = root.into_inner();
-        let entry = EntrySettings::read(&mut root, &mut source);
-        let limits = LimitSettings::read(&mut root, &mut source);
-        let log = LogSettings::read(&mut root, &mut source);
-        let platform = PlatformSettings::read(&mut root, &mut source);
+        let settings = Self::read(&mut root, &mut source);
         for (key, value) in &root {
             let line = source.line(value.span().start);
             source.problems.push(Problem {
@@ -62,11 +59,26 @@
             });
         }
         source.problems.sort_by_key(|problem| problem.line);
-        match (entry, platform) {
-            (Some(entry), Some(platform)) if source.problems.is_empty() => {
-                Ok(Self { entry, limits, log, platform })
-            }
+        match settings {
+            Some(settings) if source.problems.is_empty() => Ok(settings),
             _ => Err(Problems(source.problems)),
         }
     }
 }
+
+impl Settings {
+    /// Every key that a settings file may have, with its section, for example `entry.listen`.
+    pub fn keys() -> Vec<String> {
+        let mut source = Source { text: "", problems: Vec::new(), keys: Vec::new() };
+        Self::read(&mut DeTable::new(), &mut source);
+        source.keys
+    }
+
+    fn read(root: &mut DeTable<'_>, source: &mut Source<'_>) -> Option<Self> {
+        let entry = EntrySettings::read(root, source);
+        let limits = LimitSettings::read(root, source);
+        let log = LogSettings::read(root, source);
+        let platform = PlatformSettings::read(root, source);
+        Some(Self { entry: entry?, limits, log, platform: platform? })
+    }
+}
