--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -22,6 +22,10 @@
             source(cause)
             from()
         }
+        /// A stand-in refused a control message.
+        Control(status: u16) {
+            display("a stand-in answered a control message with status {status}")
+        }
         /// A name is not valid.
         Name(cause: base::NameError) {
             display("{cause}")
--- /dev/null
+++ b/crates/bench/src/cluster/control.rs
@@ -0,0 +1,101 @@
+//! Control of the stand-ins of a cluster.
+
+use crate::{bench_error::BenchError, cluster::node::Cluster};
+use base::VmId;
+use stand::{EngineFault, PlatformCounts, PlatformFault, VmChange};
+use std::net::SocketAddr;
+use web::{Client, Method, Reply};
+use wire::{
+    engine::{EngineCounters, EngineState},
+    platform::VmState,
+};
+
+/// Longest wait for an answer to a control message.
+const CONTROL_WAIT_MS: u64 = 2_000;
+
+impl Cluster {
+    /// Applies a fault to an engine.
+    ///
+    /// # Errors
+    ///
+    /// The engine did not answer or does not know the fault.
+    pub async fn engine_fault(
+        &self,
+        position: usize,
+        fault: EngineFault,
+    ) -> Result<(), BenchError> {
+        let client = client(self.engine_addr(position));
+        checked(client.send_json(Method::PUT, "/control/fault", &fault).await?)?;
+        Ok(())
+    }
+
+    /// State of an engine, also while it is frozen or silent by a fault.
+    ///
+    /// # Errors
+    ///
+    /// The engine did not answer.
+    pub async fn engine_state(&self, position: usize) -> Result<EngineState, BenchError> {
+        let client = client(self.engine_addr(position));
+        Ok(checked(client.send(Method::GET, "/control/state").await?)?.json()?)
+    }
+
+    /// Counters of all engines that are running. A killed engine takes its counters with it.
+    ///
+    /// # Errors
+    ///
+    /// An engine did not answer.
+    pub async fn engine_counters(&self) -> Result<Vec<EngineCounters>, BenchError> {
+        let mut counters = Vec::new();
+        for position in 0..self.engine_count() {
+            if self.engine(position).is_some() {
+                counters.push(self.engine_state(position).await?.counters);
+            }
+        }
+        Ok(counters)
+    }
+
+    /// Applies a fault to the platform.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer or does not know the fault.
+    pub async fn platform_fault(&self, fault: PlatformFault) -> Result<(), BenchError> {
+        let client = client(self.platform_addr()?);
+        checked(client.send_json(Method::PUT, "/control/fault", &fault).await?)?;
+        Ok(())
+    }
+
+    /// Counts of the platform's calls.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer.
+    pub async fn platform_counts(&self) -> Result<PlatformCounts, BenchError> {
+        let client = client(self.platform_addr()?);
+        Ok(checked(client.send(Method::GET, "/control/counts").await?)?.json()?)
+    }
+
+    /// Changes the state of a VM in the platform's list, or removes it from there with `None`.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer or does not know the VM.
+    pub async fn set_vm_state(&self, id: &VmId, state: Option<VmState>) -> Result<(), BenchError> {
+        let client = client(self.platform_addr()?);
+        let path = format!("/control/vms/{id}");
+        checked(client.send_json(Method::PUT, &path, &VmChange { state }).await?)?;
+        Ok(())
+    }
+}
+
+fn client(addr: SocketAddr) -> Client {
+    Client::new(addr, CONTROL_WAIT_MS)
+}
+
+fn checked(reply: Reply) -> Result<Reply, BenchError> {
+    if reply.status.is_success() {
+        Ok(reply)
+    } else {
+        Err(BenchError::Control(reply.status.as_u16()))
+    }
+}
--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -1,5 +1,6 @@
 //! Cluster of real processes on this machine.
 
+mod control;
 mod layout;
 mod node;
 mod process;
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -161,6 +161,28 @@
         Ok(())
     }
 
+    /// Address of an engine.
+    pub fn engine_addr(&self, position: usize) -> SocketAddr {
+        self.engines[position].vm.addr
+    }
+
+    /// Identifier of an engine's VM.
+    pub fn engine_id(&self, position: usize) -> &VmId {
+        &self.engines[position].vm.id
+    }
+
+    /// Failure domain of an engine.
+    pub fn engine_domain(&self, position: usize) -> &DomainName {
+        &self.engines[position].vm.domain
+    }
+
+    /// Identifier of an entry's VM.
+    pub fn entry_id(&self, position: usize) -> &VmId {
+        &self.entries[position].vm.id
+    }
+}
+
+impl Cluster {
     async fn write_document(&self) -> Result<(), BenchError> {
         let value = self.layout.document()?.encode()?;
         let write = KvWrite { value, expect_revision: None, lease_id: None };
--- a/crates/bench/src/role.rs
+++ b/crates/bench/src/role.rs
@@ -3,8 +3,8 @@
 use crate::bench_error::BenchError;
 use argh::FromArgs;
 use geraniumroad::{Command, RunOptions};
-use stand::{Engine, EngineSettings, Platform, PlatformSettings};
-use std::{net::SocketAddr, path::PathBuf};
+use stand::cli::{EngineOptions, PlatformOptions};
+use std::{io::Result as IoResult, path::PathBuf};
 use tokio::runtime::Builder;
 
 /// Run one process of a cluster.
@@ -33,30 +33,6 @@
     settings: PathBuf,
 }
 
-/// Engine stand-in.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "engine")]
-struct EngineOptions {
-    /// address to listen on
-    #[argh(option)]
-    listen: SocketAddr,
-    /// seed of the sampling
-    #[argh(option, default = "1")]
-    seed: u64,
-    /// time between tokens in milliseconds
-    #[argh(option, default = "41")]
-    token_gap_ms: u64,
-}
-
-/// Platform stand-in.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "platform")]
-struct PlatformOptions {
-    /// address to listen on
-    #[argh(option)]
-    listen: SocketAddr,
-}
-
 /// Runs a role until the process is ended.
 ///
 /// # Errors
@@ -68,29 +44,11 @@
             let settings = daemon.settings.clone();
             Ok(geraniumroad::execute(&Command::Run(RunOptions { settings }))?)
         }
-        Role::Engine(engine) => {
-            let settings = EngineSettings {
-                listen: engine.listen,
-                seed: engine.seed,
-                token_gap_ms: engine.token_gap_ms,
-            };
-            block_on(async {
-                let engine = Engine::start(settings).await?;
-                println!("ready addr={}", engine.addr());
-                std::future::pending().await
-            })
-        }
-        Role::Platform(platform) => {
-            let settings = PlatformSettings { listen: platform.listen };
-            block_on(async {
-                let platform = Platform::start(settings).await?;
-                println!("ready addr={}", platform.addr());
-                std::future::pending().await
-            })
-        }
+        Role::Engine(engine) => block_on(engine.run()),
+        Role::Platform(platform) => block_on(platform.run()),
     }
 }
 
-fn block_on(role: impl Future<Output = Result<(), BenchError>>) -> Result<(), BenchError> {
-    Builder::new_multi_thread().worker_threads(2).enable_all().build()?.block_on(role)
+fn block_on(role: impl Future<Output = IoResult<()>>) -> Result<(), BenchError> {
+    Ok(Builder::new_multi_thread().worker_threads(2).enable_all().build()?.block_on(role)?)
 }
--- /dev/null
+++ b/crates/stand/src/cli/mod.rs
@@ -0,0 +1,9 @@
+//! Command lines of the stand-ins as processes.
+
+mod engine_options;
+mod engine_role_name;
+mod fencing_name;
+mod platform_options;
+mod version_name;
+
+pub use self::{engine_options::EngineOptions, platform_options::PlatformOptions};
--- /dev/null
+++ b/crates/stand/src/engine/cache_log.rs
@@ -0,0 +1,71 @@
+//! Log of cache events, published late and with gaps.
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::collections::VecDeque;
+use wire::engine::{CacheEvent, CacheEventKind, CacheEventList};
+
+/// Largest number of events that are kept.
+const EVENTS: usize = 8_192;
+
+/// Largest number of events in one answer.
+const LISTED_EVENTS: usize = 1_024;
+
+/// Events of the prefix cache.
+#[derive(Debug)]
+pub(super) struct CacheLog {
+    delay_ms: u64,
+    loss_pct: u32,
+    rng: SmallRng,
+    last_number: u64,
+    events: VecDeque<Entry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    number: u64,
+    publish_at_ms: u64,
+    block: u64,
+    is_stored: bool,
+    is_lost: bool,
+}
+
+impl CacheLog {
+    /// Log that publishes events after `delay_ms` and loses `loss_pct` percent of them.
+    pub fn new(delay_ms: u64, loss_pct: u32, seed: u64) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { delay_ms, loss_pct, rng, last_number: 0, events: VecDeque::new() }
+    }
+
+    /// Adds an event.
+    pub fn push(&mut self, block: u64, is_stored: bool, now_ms: u64) {
+        self.last_number += 1;
+        if self.events.len() == EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(Entry {
+            number: self.last_number,
+            publish_at_ms: now_ms + self.delay_ms,
+            block,
+            is_stored,
+            is_lost: self.rng.random_range(0..100) < self.loss_pct,
+        });
+    }
+
+    /// Published events after a number.
+    pub fn after(&self, number: u64, now_ms: u64) -> CacheEventList {
+        let start = self.events.partition_point(|entry| entry.number <= number);
+        let mut list = CacheEventList { last_number: number, events: Vec::new() };
+        let published =
+            self.events.range(start..).take_while(|entry| entry.publish_at_ms <= now_ms);
+        for entry in published.take(LISTED_EVENTS) {
+            list.last_number = entry.number;
+            if !entry.is_lost {
+                let kind =
+                    if entry.is_stored { CacheEventKind::Stored } else { CacheEventKind::Removed };
+                let block = format!("{:016x}", entry.block);
+                list.events.push(CacheEvent { number: entry.number, kind, block });
+            }
+        }
+        list
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/load_log.rs
@@ -0,0 +1,38 @@
+//! Recent loads, so that an old one can be reported.
+
+use std::collections::VecDeque;
+use wire::engine::EngineLoad;
+
+/// Loads of the last `lag_ms`.
+#[derive(Debug)]
+pub(super) struct LoadLog {
+    lag_ms: u64,
+    loads: VecDeque<(u64, EngineLoad)>,
+}
+
+impl LoadLog {
+    /// Log that reports loads with an age of `lag_ms`.
+    pub fn new(lag_ms: u64, first: EngineLoad) -> Self {
+        Self { lag_ms, loads: VecDeque::from([(0, first)]) }
+    }
+
+    /// Adds the current load.
+    pub fn push(&mut self, load: EngineLoad, now_ms: u64) {
+        self.trim(now_ms);
+        if self.loads.back().is_none_or(|(_, last)| *last != load) {
+            self.loads.push_back((now_ms, load));
+        }
+    }
+
+    /// The load as it was `lag_ms` ago.
+    pub fn lagging(&mut self, now_ms: u64) -> EngineLoad {
+        self.trim(now_ms);
+        self.loads.front().map_or_else(EngineLoad::default, |(_, load)| *load)
+    }
+
+    fn trim(&mut self, now_ms: u64) {
+        while self.loads.get(1).is_some_and(|(at_ms, _)| at_ms + self.lag_ms <= now_ms) {
+            self.loads.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/scheduler.rs
@@ -0,0 +1,186 @@
+//! Continuous batching: one step generates the next tokens of every sequence in the batch.
+
+use crate::engine::{
+    cache_log::CacheLog,
+    context::Context,
+    event_faults::EventFaults,
+    load_log::LoadLog,
+    prefix_cache::PrefixCache,
+    sequence::{Sequence, StepOutcome},
+    settings::EngineSettings,
+};
+use bytes::BytesMut;
+use rand::{SeedableRng, rngs::SmallRng};
+use std::collections::BTreeMap;
+use wire::engine::{EngineCounters, EngineLoad};
+
+/// Memory that is reserved at a time for the events of a step.
+const EVENT_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Free memory below which more is reserved; larger than the events of one sequence in most steps.
+const EVENT_SPACE_BYTES: usize = 1024;
+
+/// Queue, batch and prefix cache.
+#[derive(Debug)]
+pub(super) struct Scheduler {
+    /// Faults of the next token events.
+    pub event_faults: EventFaults,
+    /// Counters.
+    pub counters: EngineCounters,
+    /// Log of the prefix cache.
+    pub cache_log: CacheLog,
+    /// Whether the engine announced that it leaves.
+    pub is_leaving: bool,
+    batch_limit: usize,
+    queue_limit: usize,
+    tokens_per_step: u32,
+    prefill_us_per_token: u64,
+    prefill_free_at_us: u64,
+    /// Ordered by priority, then by arrival.
+    waiting: BTreeMap<(i32, u64), Sequence>,
+    arrivals: u64,
+    running: Vec<Sequence>,
+    cache: PrefixCache,
+    load_log: LoadLog,
+    rng: SmallRng,
+    buffer: BytesMut,
+}
+
+impl Scheduler {
+    pub fn new(settings: &EngineSettings) -> Self {
+        let batch_limit = u32::try_from(settings.batch_limit).unwrap_or(u32::MAX);
+        let first_load = EngineLoad { batch_limit, ..EngineLoad::default() };
+        Self {
+            event_faults: EventFaults::default(),
+            counters: EngineCounters::default(),
+            cache_log: CacheLog::new(
+                settings.cache_event_delay_ms,
+                settings.cache_event_loss_pct,
+                settings.seed,
+            ),
+            is_leaving: false,
+            batch_limit: settings.batch_limit,
+            queue_limit: settings.queue_limit,
+            tokens_per_step: settings.tokens_per_step.max(1),
+            prefill_us_per_token: settings.prefill_us_per_token,
+            prefill_free_at_us: 0,
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+            running: Vec::new(),
+            cache: PrefixCache::new(settings.cache_blocks),
+            load_log: LoadLog::new(settings.load_lag_ms, first_load),
+            rng: SmallRng::seed_from_u64(settings.seed),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Queues a sequence; false if the queue is full.
+    pub fn submit(&mut self, sequence: Sequence, priority: i32, now_us: u64) -> bool {
+        if self.waiting.len() >= self.queue_limit {
+            self.counters.refused += 1;
+            return false;
+        }
+        self.counters.requests += 1;
+        self.counters.requests_while_leaving += u64::from(self.is_leaving);
+        self.arrivals += 1;
+        self.waiting.insert((priority, self.arrivals), sequence);
+        self.record_load(now_us);
+        true
+    }
+
+    /// Whether there is nothing to step.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    /// Runs one step.
+    pub fn step(&mut self, now_us: u64) {
+        self.drop_cancelled();
+        self.admit(now_us);
+        let mut running = std::mem::take(&mut self.running);
+        running.retain_mut(|sequence| {
+            if sequence.ready_at_us > now_us {
+                return true;
+            }
+            if self.buffer.capacity() < EVENT_SPACE_BYTES {
+                self.buffer.reserve(EVENT_BUFFER_BYTES);
+            }
+            let outcome = sequence.step(
+                self.tokens_per_step,
+                &mut self.rng,
+                &mut self.event_faults,
+                &mut self.buffer,
+                &mut self.counters.decoded_tokens,
+            );
+            match outcome {
+                StepOutcome::Running => return true,
+                StepOutcome::Finished => self.counters.finished += 1,
+                StepOutcome::Cancelled => self.counters.cancelled += 1,
+            }
+            false
+        });
+        self.running = running;
+        self.record_load(now_us);
+    }
+
+    /// Current load.
+    pub fn load(&self) -> EngineLoad {
+        EngineLoad {
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            batch_limit: u32::try_from(self.batch_limit).unwrap_or(u32::MAX),
+            is_leaving: self.is_leaving,
+        }
+    }
+
+    /// Load as it was some time ago.
+    pub fn lagging_load(&mut self, now_us: u64) -> EngineLoad {
+        self.record_load(now_us);
+        self.load_log.lagging(now_us / 1_000)
+    }
+
+    fn drop_cancelled(&mut self) {
+        let before = self.waiting.len() + self.running.len();
+        self.waiting.retain(|_, sequence| !sequence.is_cancelled());
+        self.running.retain(|sequence| !sequence.is_cancelled());
+        let after = self.waiting.len() + self.running.len();
+        self.counters.cancelled += (before - after) as u64;
+    }
+
+    fn admit(&mut self, now_us: u64) {
+        while self.running.len() < self.batch_limit {
+            let Some((_, mut sequence)) = self.waiting.pop_first() else { break };
+            let cost_us = self.prefill(&sequence.context, now_us);
+            // Prefills share one accelerator, so each starts when the one before has ended.
+            self.prefill_free_at_us = self.prefill_free_at_us.max(now_us) + cost_us;
+            sequence.ready_at_us = self.prefill_free_at_us;
+            sequence.context.blocks = Vec::new();
+            sequence.context.tokens_at_block = Vec::new();
+            self.running.push(sequence);
+        }
+    }
+
+    /// Looks the context up in the prefix cache, stores it there, and returns the time to compute the rest.
+    fn prefill(&mut self, context: &Context, now_us: u64) -> u64 {
+        let hit_blocks = self.cache.lookup(&context.blocks);
+        let cached = context.tokens_in(hit_blocks);
+        let computed = u64::from(context.tokens - cached);
+        if hit_blocks > 0 {
+            self.counters.cache_hits += 1;
+        } else {
+            self.counters.cache_misses += 1;
+        }
+        self.counters.cached_tokens += u64::from(cached);
+        self.counters.prefilled_tokens += computed;
+        let log = &mut self.cache_log;
+        self.cache.insert(&context.blocks, |block, is_stored| {
+            log.push(block, is_stored, now_us / 1_000);
+        });
+        computed * self.prefill_us_per_token
+    }
+
+    fn record_load(&mut self, now_us: u64) {
+        let load = self.load();
+        self.load_log.push(load, now_us / 1_000);
+    }
+}
--- a/crates/stand/src/engine/server.rs
+++ b/crates/stand/src/engine/server.rs
@@ -1,31 +1,22 @@
-//! HTTP server of the engine stand-in.
+//! Engine stand-in.
 
-use crate::engine::{completion, settings::EngineSettings};
-use hyper::{Request, Response, StatusCode, body::Incoming};
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use std::{
-    io::Result as IoResult,
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+use crate::{
+    engine::{
+        fault::EngineFault, handler::EngineHandler, settings::EngineSettings, shared::Shared,
+    },
+    net::FaultyServer,
 };
-use tokio::{sync::watch, task::JoinHandle};
-use web::{Handler, Method, ResponseBody, Server};
-
-/// Largest accepted request.
-const REQUEST_SIZE_BYTES: usize = 64 * 1024 * 1024;
-
-#[derive(Debug)]
-struct EngineHandler {
-    settings: EngineSettings,
-    rng: Mutex<SmallRng>,
-}
+use std::{io::Result as IoResult, net::SocketAddr, sync::Arc};
+use tokio::task::JoinHandle;
+use wire::engine::EngineState;
 
 /// Running engine stand-in.
 #[derive(Debug)]
 pub struct Engine {
     addr: SocketAddr,
-    task: JoinHandle<()>,
-    _stop: watch::Sender<bool>,
+    shared: Arc<Shared>,
+    serving: JoinHandle<()>,
+    stepping: JoinHandle<()>,
 }
 
 impl Engine {
@@ -35,13 +26,15 @@
     ///
     /// The error of `bind`.
     pub async fn start(settings: EngineSettings) -> IoResult<Self> {
-        let server = Server::bind(settings.listen).await?;
+        let shared = Arc::new(Shared::new(settings));
+        let listen = shared.settings.listen;
+        let server = FaultyServer::bind(listen, Arc::clone(&shared.switch)).await?;
         let addr = server.local_addr()?;
-        let rng = Mutex::new(SmallRng::seed_from_u64(settings.seed));
-        let handler = Arc::new(EngineHandler { settings, rng });
-        let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(server.run(handler, stopped));
-        Ok(Self { addr, task, _stop: stop })
+        let handler = Arc::new(EngineHandler::new(Arc::clone(&shared)));
+        let serving = tokio::spawn(server.run(handler));
+        let stepped = Arc::clone(&shared);
+        let stepping = tokio::spawn(async move { stepped.run_steps().await });
+        Ok(Self { addr, shared, serving, stepping })
     }
 
     /// Address that the engine listens on.
@@ -49,31 +42,21 @@
         self.addr
     }
 
-    /// Kills the engine: all connections are closed in the middle of their answers.
-    pub async fn kill(self) {
-        self.task.abort();
-        let _ = self.task.await;
+    /// Applies a fault.
+    pub fn fault(&self, fault: EngineFault) {
+        self.shared.fault(fault);
     }
-}
 
-impl Handler for EngineHandler {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        if request.method() != Method::POST || request.uri().path() != "/v1/completions" {
-            return status(StatusCode::NOT_FOUND);
-        }
-        let Ok(body) = web::read_body(request.into_body(), REQUEST_SIZE_BYTES).await else {
-            return status(StatusCode::BAD_REQUEST);
-        };
-        let Ok(request) = serde_json::from_slice(&body) else {
-            return status(StatusCode::BAD_REQUEST);
-        };
-        let seed = self.rng.lock().unwrap_or_else(PoisonError::into_inner).random();
-        completion::respond(&self.settings, request, seed)
+    /// Current state.
+    pub fn state(&self) -> EngineState {
+        self.shared.state()
     }
-}
 
-fn status(code: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(web::empty());
-    *response.status_mut() = code;
-    response
+    /// Kills the engine: all connections are closed in the middle of their answers.
+    pub async fn kill(self) {
+        self.serving.abort();
+        self.stepping.abort();
+        let _ = self.serving.await;
+        let _ = self.stepping.await;
+    }
 }
--- a/crates/stand/src/engine/settings.rs
+++ b/crates/stand/src/engine/settings.rs
@@ -1,20 +1,68 @@
 //! Settings of the engine stand-in.
 
+use crate::engine::fencing::FencingPolicy;
 use std::net::{Ipv4Addr, SocketAddr};
+use wire::engine::{EngineRole, LoadedVersion};
 
 /// Settings of one engine.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
     /// Address to listen on.
     pub listen: SocketAddr,
-    /// Seed of the sampling.
+    /// Seed of the sampling and of lost cache events.
     pub seed: u64,
-    /// Time between tokens.
+    /// Time between two steps of the scheduler.
     pub token_gap_ms: u64,
+    /// Tokens of a sequence in one step.
+    pub tokens_per_step: u32,
+    /// Largest number of sequences in the batch.
+    pub batch_limit: usize,
+    /// Largest number of sequences in the queue; a request beyond it is refused.
+    pub queue_limit: usize,
+    /// Time to compute one context token. Prefills run one after another.
+    pub prefill_us_per_token: u64,
+    /// Length of a block of the prefix cache.
+    pub cache_block_bytes: usize,
+    /// Largest number of blocks in the prefix cache.
+    pub cache_blocks: usize,
+    /// Delay until a cache event is published.
+    pub cache_event_delay_ms: u64,
+    /// Share of the cache events that are never published, in percent.
+    pub cache_event_loss_pct: u32,
+    /// Age of the load that `GET /load` reports.
+    pub load_lag_ms: u64,
+    /// Model versions at the start; `None` serves every version.
+    pub loaded: Option<Vec<LoadedVersion>>,
+    /// Role at the start.
+    pub role: EngineRole,
+    /// What happens to an order with an old fencing token.
+    pub fencing: FencingPolicy,
+    /// Bearer key that orders must carry; `None` does not check the sender.
+    pub order_key: Option<String>,
+    /// Weight store that versions are loaded from; `None` loads them at once.
+    pub weight_store: Option<SocketAddr>,
 }
 
 impl Default for EngineSettings {
     fn default() -> Self {
-        Self { listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), seed: 1, token_gap_ms: 41 }
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            seed: 1,
+            token_gap_ms: 41,
+            tokens_per_step: 1,
+            batch_limit: 256,
+            queue_limit: 4_096,
+            prefill_us_per_token: 20,
+            cache_block_bytes: 256,
+            cache_blocks: 4_096,
+            cache_event_delay_ms: 200,
+            cache_event_loss_pct: 5,
+            load_lag_ms: 100,
+            loaded: None,
+            role: EngineRole::General,
+            fencing: FencingPolicy::Reject,
+            order_key: None,
+            weight_store: None,
+        }
     }
 }
--- /dev/null
+++ b/crates/stand/src/engine/shared.rs
@@ -0,0 +1,136 @@
+//! State of an engine that its tasks share.
+
+use crate::{
+    engine::{
+        fault::EngineFault, scheduler::Scheduler, settings::EngineSettings, versions::Versions,
+    },
+    net::Switch,
+};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
+use wire::engine::{EngineRole, EngineState};
+
+/// State of one engine.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub settings: EngineSettings,
+    pub switch: Arc<Switch>,
+    pub work: Notify,
+    origin: Instant,
+    scheduler: Mutex<Scheduler>,
+    ordered: Mutex<Ordered>,
+    is_frozen: watch::Sender<bool>,
+}
+
+/// State that orders change.
+#[derive(Debug)]
+pub(super) struct Ordered {
+    pub versions: Versions,
+    pub role: EngineRole,
+    pub last_fencing_token: u64,
+}
+
+impl Shared {
+    pub fn new(settings: EngineSettings) -> Self {
+        let scheduler = Mutex::new(Scheduler::new(&settings));
+        let ordered = Mutex::new(Ordered {
+            versions: Versions::new(settings.loaded.clone()),
+            role: settings.role,
+            last_fencing_token: 0,
+        });
+        Self {
+            settings,
+            switch: Arc::default(),
+            work: Notify::new(),
+            origin: Instant::now(),
+            scheduler,
+            ordered,
+            is_frozen: watch::Sender::new(false),
+        }
+    }
+
+    pub fn now_us(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    pub fn scheduler(&self) -> MutexGuard<'_, Scheduler> {
+        self.scheduler.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn ordered(&self) -> MutexGuard<'_, Ordered> {
+        self.ordered.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits while the engine is frozen.
+    pub async fn wait_awake(&self) {
+        let _ = self.is_frozen.subscribe().wait_for(|is_frozen| !is_frozen).await;
+    }
+
+    /// Applies a fault.
+    pub fn fault(&self, fault: EngineFault) {
+        match fault {
+            EngineFault::Reset => self.switch.reset(),
+            EngineFault::Refuse => self.switch.refuse(),
+            EngineFault::SilenceExisting => self.switch.silence(),
+            EngineFault::Silence => self.switch.silence_all(),
+            EngineFault::Freeze => {
+                self.is_frozen.send_replace(true);
+            }
+            EngineFault::Wake => {
+                self.is_frozen.send_replace(false);
+            }
+            EngineFault::Malformed { .. }
+            | EngineFault::Duplicate { .. }
+            | EngineFault::Skip { .. }
+            | EngineFault::Cross { .. } => self.scheduler().event_faults.add(fault),
+            EngineFault::Leave => self.scheduler().is_leaving = true,
+            EngineFault::Restore => {
+                self.switch.restore();
+                let mut scheduler = self.scheduler();
+                scheduler.event_faults.add(fault);
+                scheduler.is_leaving = false;
+            }
+        }
+    }
+
+    /// Current state.
+    pub fn state(&self) -> EngineState {
+        let (load, counters) = {
+            let scheduler = self.scheduler();
+            (scheduler.load(), scheduler.counters)
+        };
+        let ordered = self.ordered();
+        EngineState {
+            loaded: ordered.versions.loaded.clone(),
+            loading: ordered.versions.loading.clone(),
+            role: ordered.role,
+            last_fencing_token: ordered.last_fencing_token,
+            load,
+            counters,
+        }
+    }
+
+    /// Steps the scheduler while there is work; never completes.
+    pub async fn run_steps(&self) {
+        let gap = Duration::from_millis(self.settings.token_gap_ms.max(1));
+        let mut next_step = Instant::now();
+        loop {
+            self.wait_awake().await;
+            if self.scheduler().is_idle() {
+                self.work.notified().await;
+                continue;
+            }
+            tokio::time::sleep_until(next_step).await;
+            let now_us = self.now_us();
+            self.scheduler().step(now_us);
+            // A late step shifts the later ones, so that the gap between tokens never shrinks.
+            next_step = Instant::now().max(next_step + gap);
+        }
+    }
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -8,11 +8,14 @@
 )]
 
 mod chain;
+pub mod cli;
 mod engine;
+mod net;
 mod platform;
+mod reply;
 
 pub use crate::{
     chain::{Chain, ChainError, chat_prompt},
-    engine::{Engine, EngineSettings},
-    platform::{Platform, PlatformSettings},
+    engine::{Engine, EngineFault, EngineSettings, FencingPolicy},
+    platform::{Platform, PlatformCounts, PlatformFault, PlatformSettings, VmChange},
 };
--- /dev/null
+++ b/crates/stand/src/net/mod.rs
@@ -0,0 +1,8 @@
+//! HTTP server whose connections can be reset or silenced.
+
+mod connection;
+mod server;
+mod stream;
+mod switch;
+
+pub(crate) use self::{connection::Connection, server::FaultyServer, switch::Switch};
--- /dev/null
+++ b/crates/stand/src/platform/active_faults.rs
@@ -0,0 +1,38 @@
+//! Faults of answers that are active.
+
+use crate::platform::fault::PlatformFault;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+/// Delay and loss of answers.
+#[derive(Debug, Default)]
+pub(super) struct ActiveFaults {
+    /// Delay of each call.
+    pub delay_ms: u64,
+    lost_writes: u32,
+    loss: Option<(f64, SmallRng)>,
+}
+
+impl ActiveFaults {
+    /// Applies a fault; those of connections change nothing here.
+    pub fn apply(&mut self, fault: PlatformFault) {
+        match fault {
+            PlatformFault::Slow { delay_ms } => self.delay_ms = delay_ms,
+            PlatformFault::LoseNextAnswers { writes } => self.lost_writes += writes,
+            PlatformFault::LoseAnswers { probability, seed } => {
+                let probability = probability.clamp(0.0, 1.0);
+                self.loss = Some((probability, SmallRng::seed_from_u64(seed)));
+            }
+            PlatformFault::Restore => *self = Self::default(),
+            PlatformFault::Down | PlatformFault::Silence => {}
+        }
+    }
+
+    /// Whether the answer to the write that has just taken effect is lost.
+    pub fn loses_answer(&mut self) -> bool {
+        if self.lost_writes > 0 {
+            self.lost_writes -= 1;
+            return true;
+        }
+        self.loss.as_mut().is_some_and(|(probability, rng)| rng.random_bool(*probability))
+    }
+}
--- /dev/null
+++ b/crates/stand/src/platform/handler.rs
@@ -0,0 +1,337 @@
+//! Requests to the platform.
+
+use crate::{
+    net::{Connection, Switch},
+    platform::{
+        active_faults::ActiveFaults,
+        counts::PlatformCounts,
+        fault::PlatformFault,
+        settings::PlatformSettings,
+        store::{Store, WriteRefusal},
+        vm_change::VmChange,
+        vm_history::VmHistory,
+        weight_store::WeightStore,
+    },
+    reply,
+};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::RETRY_AFTER};
+use serde::de::DeserializeOwned;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{sync::watch, time::Instant};
+use web::{Handler, Method, ResponseBody};
+use wire::platform::{
+    KvConflict, KvWrite, KvWritten, LeaseRequest, Vm, VmList, VmState, WeightRequest, WeightsSent,
+};
+
+/// Largest accepted value.
+const VALUE_SIZE_BYTES: usize = 1024 * 1024;
+
+/// Largest accepted body: a value whose every byte is escaped with six in JSON.
+const BODY_SIZE_BYTES: usize = 6 * VALUE_SIZE_BYTES + 1024;
+
+/// Time between two searches for ended leases.
+const EXPIRY_INTERVAL_MS: u64 = 10;
+
+/// State of the platform and answers to its calls.
+#[derive(Debug)]
+pub(super) struct PlatformHandler {
+    pub switch: Arc<Switch>,
+    origin: Instant,
+    store: Mutex<Store>,
+    vms: Mutex<VmHistory>,
+    weights: Mutex<WeightStore>,
+    faults: Mutex<ActiveFaults>,
+    counts: Mutex<PlatformCounts>,
+    revisions: watch::Sender<u64>,
+}
+
+impl PlatformHandler {
+    pub fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            switch: Arc::default(),
+            origin: Instant::now(),
+            store: Mutex::default(),
+            vms: Mutex::new(VmHistory::new(settings.vm_list_lag_ms)),
+            weights: Mutex::new(WeightStore::new(
+                settings.weight_size_bytes,
+                settings.weight_rate_bytes_per_s,
+                settings.weight_transfers,
+            )),
+            faults: Mutex::default(),
+            counts: Mutex::default(),
+            revisions: watch::Sender::new(0),
+        }
+    }
+
+    /// Ends leases when their time is over; never completes.
+    pub async fn run_expiry(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
+            let now_ms = self.now_ms();
+            self.change(|store| store.expire(now_ms));
+        }
+    }
+
+    pub fn put(&self, key: &str, write: KvWrite) -> Result<u64, WriteRefusal> {
+        self.change(|store| store.put(key, write))
+    }
+
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        lock(&self.vms).replace(VmList { vms }, self.now_ms());
+    }
+
+    pub fn set_vm(&self, vm: Vm) {
+        lock(&self.vms).set(vm, self.now_ms());
+    }
+
+    pub fn change_vm(&self, id: &str, state: Option<VmState>) -> bool {
+        lock(&self.vms).change(id, state, self.now_ms())
+    }
+
+    pub fn counts(&self) -> PlatformCounts {
+        *lock(&self.counts)
+    }
+
+    pub fn fault(&self, fault: PlatformFault) {
+        match fault {
+            PlatformFault::Down => self.switch.refuse(),
+            PlatformFault::Silence => self.switch.silence_all(),
+            PlatformFault::Restore => self.switch.restore(),
+            _ => {}
+        }
+        lock(&self.faults).apply(fault);
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Changes the store and wakes the watches if that made a new revision.
+    fn change<T>(&self, change: impl FnOnce(&mut Store) -> T) -> T {
+        let mut store = lock(&self.store);
+        let outcome = change(&mut store);
+        let revision = store.revision();
+        self.revisions.send_if_modified(|published| {
+            let is_new = *published != revision;
+            *published = revision;
+            is_new
+        });
+        outcome
+    }
+
+    fn count(&self, count: impl FnOnce(&mut PlatformCounts)) {
+        count(&mut lock(&self.counts));
+    }
+
+    async fn key(
+        &self,
+        key: &str,
+        query: &str,
+        request: Request<Incoming>,
+    ) -> Response<ResponseBody> {
+        match *request.method() {
+            Method::GET => {
+                self.count(|counts| counts.gets += 1);
+                match lock(&self.store).get(key) {
+                    Some(entry) => web::json(StatusCode::OK, &entry),
+                    None => reply::status(StatusCode::NOT_FOUND),
+                }
+            }
+            Method::PUT => {
+                self.count(|counts| counts.puts += 1);
+                match reply::read::<KvWrite>(request, BODY_SIZE_BYTES).await {
+                    Ok(write) if write.value.len() > VALUE_SIZE_BYTES => {
+                        let message = "the value is larger than 1 MB";
+                        reply::error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+                    }
+                    Ok(write) => written(self.put(key, write)),
+                    Err(response) => response,
+                }
+            }
+            Method::DELETE => {
+                self.count(|counts| counts.deletes += 1);
+                let expect_revision = reply::number(query, "expect_revision");
+                written(self.change(|store| store.delete(key, expect_revision)))
+            }
+            _ => reply::status(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    async fn watch(&self, query: &str) -> Response<ResponseBody> {
+        self.count(|counts| counts.watches += 1);
+        let prefix = reply::parameter(query, "prefix").unwrap_or_default();
+        let after = reply::number(query, "after").unwrap_or(0);
+        let wait_ms = reply::number(query, "wait_ms").unwrap_or(0);
+        let mut revisions = self.revisions.subscribe();
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let list = lock(&self.store).changes(prefix, after);
+            if !list.entries.is_empty() {
+                return web::json(StatusCode::OK, &list);
+            }
+            let changed = tokio::time::timeout_at(deadline, revisions.changed()).await;
+            if changed.is_err() {
+                return web::json(StatusCode::OK, &list);
+            }
+        }
+    }
+
+    async fn lease(&self, path: &str, request: Request<Incoming>) -> Response<ResponseBody> {
+        self.count(|counts| counts.leases += 1);
+        let now_ms = self.now_ms();
+        if path.is_empty() {
+            return match reply::read::<LeaseRequest>(request, BODY_SIZE_BYTES).await {
+                Ok(lease) => {
+                    let granted = self.change(|store| store.grant(lease.ttl_ms, now_ms));
+                    web::json(StatusCode::OK, &granted)
+                }
+                Err(response) => response,
+            };
+        }
+        let (id, action) = path.split_once('/').unwrap_or((path, ""));
+        let Ok(lease_id) = id.parse() else { return reply::status(StatusCode::NOT_FOUND) };
+        // A keep-alive must not revive a lease whose end the expiry task has not handled yet.
+        self.change(|store| store.expire(now_ms));
+        match (request.method(), action) {
+            (&Method::POST, "keepalive") => {
+                match self.change(|store| store.keep_alive(lease_id, now_ms)) {
+                    Some(granted) => web::json(StatusCode::OK, &granted),
+                    None => lease_ended(),
+                }
+            }
+            (&Method::DELETE, "") => {
+                if self.change(|store| store.revoke(lease_id)) {
+                    reply::status(StatusCode::NO_CONTENT)
+                } else {
+                    lease_ended()
+                }
+            }
+            _ => reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn send_weights(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        self.count(|counts| counts.weights += 1);
+        if let Err(response) = reply::read::<WeightRequest>(request, BODY_SIZE_BYTES).await {
+            return response;
+        }
+        let now_ms = self.now_ms();
+        let planned = {
+            let mut weights = lock(&self.weights);
+            weights.begin(now_ms).map(|end_ms| (end_ms, weights.size_bytes()))
+        };
+        let Some((end_ms, size_bytes)) = planned else {
+            let message = "too many transfers at a time";
+            let mut response = reply::error(StatusCode::TOO_MANY_REQUESTS, "rate_limited", message);
+            response.headers_mut().insert(RETRY_AFTER, 1.into());
+            return response;
+        };
+        tokio::time::sleep(Duration::from_millis(end_ms - now_ms)).await;
+        web::json(StatusCode::OK, &WeightsSent { size_bytes })
+    }
+
+    async fn control(&self, path: &str, request: Request<Incoming>) -> Response<ResponseBody> {
+        match (request.method(), path) {
+            (&Method::GET, "counts") => web::json(StatusCode::OK, &self.counts()),
+            (&Method::PUT, "fault") => apply(request, |fault| self.fault(fault)).await,
+            (&Method::PUT, "vms") => apply(request, |list: VmList| self.set_vms(list.vms)).await,
+            (&Method::PUT, "vm") => apply(request, |vm| self.set_vm(vm)).await,
+            (&Method::PUT, _) => match path.strip_prefix("vms/").map(str::to_owned) {
+                Some(id) => match reply::read::<VmChange>(request, BODY_SIZE_BYTES).await {
+                    Ok(change) if self.change_vm(&id, change.state) => {
+                        reply::status(StatusCode::NO_CONTENT)
+                    }
+                    Ok(_) => reply::status(StatusCode::NOT_FOUND),
+                    Err(response) => response,
+                },
+                None => reply::status(StatusCode::NOT_FOUND),
+            },
+            _ => reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn call(&self, path: &str, request: Request<Incoming>) -> Response<ResponseBody> {
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        if let Some(key) = path.strip_prefix("/kv/") {
+            return self.key(key, &query, request).await;
+        }
+        if let Some(rest) = path.strip_prefix("/leases") {
+            return self.lease(rest.trim_start_matches('/'), request).await;
+        }
+        match (request.method(), path) {
+            (&Method::GET, "/kv") => {
+                self.count(|counts| counts.lists += 1);
+                let prefix = reply::parameter(&query, "prefix").unwrap_or_default();
+                web::json(StatusCode::OK, &lock(&self.store).list(prefix))
+            }
+            (&Method::GET, "/watch") => self.watch(&query).await,
+            (&Method::GET, "/vms") => {
+                self.count(|counts| counts.vms += 1);
+                let now_ms = self.now_ms();
+                web::json(StatusCode::OK, lock(&self.vms).published(now_ms))
+            }
+            (&Method::POST, "/weights") => self.send_weights(request).await,
+            _ => reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Handler for PlatformHandler {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        let path = request.uri().path().to_owned();
+        if let Some(path) = path.strip_prefix("/control/") {
+            return self.control(path, request).await;
+        }
+        let delay_ms = lock(&self.faults).delay_ms;
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        let connection = request.extensions().get::<Connection>().cloned();
+        let is_write = request.method() != Method::GET && path != "/weights";
+        let response = self.call(&path, request).await;
+        let took_effect = is_write && response.status().is_success();
+        if took_effect && lock(&self.faults).loses_answer() {
+            self.count(|counts| counts.lost_answers += 1);
+            if let Some(connection) = connection {
+                return connection.reset().await;
+            }
+        }
+        response
+    }
+}
+
+/// Answer to a write.
+fn written(outcome: Result<u64, WriteRefusal>) -> Response<ResponseBody> {
+    match outcome {
+        Ok(revision) => web::json(StatusCode::OK, &KvWritten { revision }),
+        Err(WriteRefusal::Conflict(current)) => {
+            web::json(StatusCode::CONFLICT, &KvConflict { current })
+        }
+        Err(WriteRefusal::LeaseEnded) => lease_ended(),
+    }
+}
+
+fn lease_ended() -> Response<ResponseBody> {
+    reply::error(StatusCode::GONE, "lease_ended", "the lease has ended or never existed")
+}
+
+/// Reads a control message and applies it.
+async fn apply<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    action: impl FnOnce(T),
+) -> Response<ResponseBody> {
+    match reply::read(request, BODY_SIZE_BYTES).await {
+        Ok(message) => {
+            action(message);
+            reply::status(StatusCode::NO_CONTENT)
+        }
+        Err(response) => response,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/stand/src/platform/server.rs
+++ b/crates/stand/src/platform/server.rs
@@ -1,34 +1,23 @@
-//! HTTP server of the platform stand-in.
-
-use crate::platform::{settings::PlatformSettings, store::Store};
-use hyper::{Request, Response, StatusCode, body::Incoming};
-use std::{
-    io::Result as IoResult,
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+//! Platform stand-in.
+
+use crate::{
+    net::FaultyServer,
+    platform::{
+        counts::PlatformCounts, fault::PlatformFault, handler::PlatformHandler,
+        settings::PlatformSettings,
+    },
 };
-use tokio::{sync::watch, task::JoinHandle};
-use web::{Handler, Method, ResponseBody, Server};
-use wire::platform::{KvConflict, KvWrite, KvWritten, Vm, VmList};
-
-/// Largest accepted value.
-const VALUE_SIZE_BYTES: usize = 1024 * 1024;
-
-#[derive(Debug)]
-struct PlatformHandler {
-    store: Mutex<Store>,
-    vms: Mutex<VmList>,
-    revisions: watch::Sender<u64>,
-}
+use std::{io::Result as IoResult, net::SocketAddr, sync::Arc};
+use tokio::task::JoinHandle;
+use wire::platform::{KvWrite, Vm, VmState};
 
 /// Running platform stand-in.
 #[derive(Debug)]
 pub struct Platform {
     addr: SocketAddr,
     handler: Arc<PlatformHandler>,
-    task: JoinHandle<()>,
-    _stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    expiring: JoinHandle<()>,
 }
 
 impl Platform {
@@ -38,16 +27,13 @@
     ///
     /// The error of `bind`.
     pub async fn start(settings: PlatformSettings) -> IoResult<Self> {
-        let server = Server::bind(settings.listen).await?;
+        let handler = Arc::new(PlatformHandler::new(&settings));
+        let server = FaultyServer::bind(settings.listen, Arc::clone(&handler.switch)).await?;
         let addr = server.local_addr()?;
-        let handler = Arc::new(PlatformHandler {
-            store: Mutex::default(),
-            vms: Mutex::default(),
-            revisions: watch::Sender::new(0),
-        });
-        let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(server.run(Arc::clone(&handler), stopped));
-        Ok(Self { addr, handler, task, _stop: stop })
+        let serving = tokio::spawn(server.run(Arc::clone(&handler)));
+        let expired = Arc::clone(&handler);
+        let expiring = tokio::spawn(async move { expired.run_expiry().await });
+        Ok(Self { addr, handler, serving, expiring })
     }
 
     /// Address that the platform listens on.
@@ -55,9 +41,14 @@
         self.addr
     }
 
-    /// Replaces the list of VMs.
+    /// Replaces the list of VMs. The first list is published without lag.
     pub fn set_vms(&self, vms: Vec<Vm>) {
-        lock(&self.handler.vms).vms = vms;
+        self.handler.set_vms(vms);
+    }
+
+    /// Changes the state of a VM, or removes it with `None`; false if there is no such VM.
+    pub fn set_vm_state(&self, id: &str, state: Option<VmState>) -> bool {
+        self.handler.change_vm(id, state)
     }
 
     /// Writes a key without conditions.
@@ -66,108 +57,21 @@
         let _ = self.handler.put(key, write);
     }
 
-    /// Stops the platform at once.
-    pub async fn close(self) {
-        self.task.abort();
-        let _ = self.task.await;
-    }
-}
-
-impl PlatformHandler {
-    fn put(&self, key: &str, write: KvWrite) -> Response<ResponseBody> {
-        if write.value.len() > VALUE_SIZE_BYTES {
-            return status(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let outcome = lock(&self.store).put(key, write);
-        match outcome {
-            Ok(revision) => {
-                self.revisions.send_replace(revision);
-                web::json(StatusCode::OK, &KvWritten { revision })
-            }
-            Err(current) => web::json(StatusCode::CONFLICT, &KvConflict { current }),
-        }
+    /// Applies a fault.
+    pub fn fault(&self, fault: PlatformFault) {
+        self.handler.fault(fault);
     }
 
-    /// Replaces the list of VMs; for tests only.
-    async fn replace_vms(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let Ok(body) = web::read_body(request.into_body(), VALUE_SIZE_BYTES).await else {
-            return status(StatusCode::PAYLOAD_TOO_LARGE);
-        };
-        match serde_json::from_slice(&body) {
-            Ok(list) => {
-                *lock(&self.vms) = list;
-                status(StatusCode::OK)
-            }
-            Err(_) => status(StatusCode::BAD_REQUEST),
-        }
+    /// Counts of calls.
+    pub fn counts(&self) -> PlatformCounts {
+        self.handler.counts()
     }
 
-    async fn watch(&self, query: &str) -> Response<ResponseBody> {
-        let prefix = parameter(query, "prefix").unwrap_or_default();
-        let after = parameter(query, "after").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let wait_ms = parameter(query, "wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let mut revisions = self.revisions.subscribe();
-        let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
-        loop {
-            let list = lock(&self.store).changes(prefix, after);
-            if !list.entries.is_empty() {
-                return web::json(StatusCode::OK, &list);
-            }
-            let changed = tokio::time::timeout_at(deadline, revisions.changed()).await;
-            if changed.is_err() {
-                return web::json(StatusCode::OK, &list);
-            }
-        }
-    }
-}
-
-impl Handler for PlatformHandler {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        let method = request.method().clone();
-        let path = request.uri().path().to_owned();
-        let query = request.uri().query().unwrap_or_default().to_owned();
-        match (method, path.as_str()) {
-            (Method::GET, "/vms") => web::json(StatusCode::OK, &*lock(&self.vms)),
-            (Method::GET, "/watch") => self.watch(&query).await,
-            (Method::GET, path) => match path.strip_prefix("/kv/") {
-                Some(key) => match lock(&self.store).get(key) {
-                    Some(entry) => web::json(StatusCode::OK, &entry),
-                    None => status(StatusCode::NOT_FOUND),
-                },
-                None => status(StatusCode::NOT_FOUND),
-            },
-            (Method::PUT, "/control/vms") => self.replace_vms(request).await,
-            (Method::PUT, path) => {
-                let Some(key) = path.strip_prefix("/kv/") else {
-                    return status(StatusCode::NOT_FOUND);
-                };
-                let limit_bytes = 2 * VALUE_SIZE_BYTES;
-                let Ok(body) = web::read_body(request.into_body(), limit_bytes).await else {
-                    return status(StatusCode::PAYLOAD_TOO_LARGE);
-                };
-                match serde_json::from_slice(&body) {
-                    Ok(write) => self.put(key, write),
-                    Err(_) => status(StatusCode::BAD_REQUEST),
-                }
-            }
-            _ => status(StatusCode::METHOD_NOT_ALLOWED),
-        }
+    /// Stops the platform at once.
+    pub async fn close(self) {
+        self.serving.abort();
+        self.expiring.abort();
+        let _ = self.serving.await;
+        let _ = self.expiring.await;
     }
 }
-
-fn parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find_map(|(key, value)| (key == name).then_some(value))
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn status(code: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(web::empty());
-    *response.status_mut() = code;
-    response
-}
--- a/crates/stand/src/platform/settings.rs
+++ b/crates/stand/src/platform/settings.rs
@@ -7,10 +7,24 @@
 pub struct PlatformSettings {
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Delay until a change of a VM is in the list.
+    pub vm_list_lag_ms: u64,
+    /// Size of the weights of each version.
+    pub weight_size_bytes: u64,
+    /// Rate of the weight store, shared by all transfers.
+    pub weight_rate_bytes_per_s: u64,
+    /// Largest number of weight transfers at a time; one beyond it is refused.
+    pub weight_transfers: usize,
 }
 
 impl Default for PlatformSettings {
     fn default() -> Self {
-        Self { listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)) }
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            vm_list_lag_ms: 0,
+            weight_size_bytes: 1_000_000_000,
+            weight_rate_bytes_per_s: 2_000_000_000,
+            weight_transfers: 4,
+        }
     }
 }
--- /dev/null
+++ b/crates/stand/src/platform/vm_change.rs
@@ -0,0 +1,11 @@
+//! Change of a VM in the platform's list.
+
+use serde::{Deserialize, Serialize};
+use wire::platform::VmState;
+
+/// Body of `PUT /control/vms/{id}`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VmChange {
+    /// New state; `null` removes the VM.
+    pub state: Option<VmState>,
+}
--- /dev/null
+++ b/crates/wire/src/engine/counters.rs
@@ -0,0 +1,37 @@
+//! Counters of an engine.
+
+use serde::{Deserialize, Serialize};
+
+/// Work that an engine has done since it started.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct EngineCounters {
+    /// Accepted completion requests.
+    pub requests: u64,
+    /// Accepted completion requests that arrived after the engine announced that it leaves.
+    pub requests_while_leaving: u64,
+    /// Refused completion requests.
+    pub refused: u64,
+    /// Generated tokens.
+    pub decoded_tokens: u64,
+    /// Context tokens that were computed before the first token of an answer.
+    pub prefilled_tokens: u64,
+    /// Context tokens that came from the prefix cache.
+    pub cached_tokens: u64,
+    /// Sequences that found a part of their context in the prefix cache.
+    pub cache_hits: u64,
+    /// Sequences that found nothing in the prefix cache.
+    pub cache_misses: u64,
+    /// Sequences that were generated to their end.
+    pub finished: u64,
+    /// Sequences whose connection closed before their end, waiting ones included.
+    pub cancelled: u64,
+    /// Orders that took effect.
+    pub orders: u64,
+    /// Orders with an old fencing token, whether rejected or not.
+    pub stale_orders: u64,
+    /// Orders whose sender had a wrong key.
+    pub unauthenticated_orders: u64,
+    /// Weight transfers that the weight store refused for its rate limit.
+    pub weight_refusals: u64,
+}
--- /dev/null
+++ b/crates/wire/src/engine/load.rs
@@ -0,0 +1,16 @@
+//! Load of an engine.
+
+use serde::{Deserialize, Serialize};
+
+/// Answer to `GET /load`. It lags behind.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineLoad {
+    /// Sequences in the batch.
+    pub running: u32,
+    /// Sequences in the queue.
+    pub waiting: u32,
+    /// Largest number of sequences in the batch.
+    pub batch_limit: u32,
+    /// Whether the engine announced that it leaves.
+    pub is_leaving: bool,
+}
--- /dev/null
+++ b/crates/wire/src/engine/role.rs
@@ -0,0 +1,16 @@
+//! Role of an engine.
+
+use serde::{Deserialize, Serialize};
+
+/// Work that an engine is meant for.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// All requests.
+    #[default]
+    General,
+    /// Long generations.
+    Long,
+    /// Short requests.
+    Short,
+}
--- /dev/null
+++ b/crates/wire/src/engine/state.rs
@@ -0,0 +1,25 @@
+//! State of an engine.
+
+use crate::engine::{
+    counters::EngineCounters, load::EngineLoad, loaded_version::LoadedVersion, role::EngineRole,
+};
+use serde::{Deserialize, Serialize};
+
+/// Answer to `GET /state`. It does not lag.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineState {
+    /// Model versions that the engine serves; absent if it serves every version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loaded: Option<Vec<LoadedVersion>>,
+    /// Model versions whose weights are being loaded.
+    #[serde(default)]
+    pub loading: Vec<LoadedVersion>,
+    /// Role.
+    pub role: EngineRole,
+    /// Largest fencing token of an order that took effect; 0 before the first one.
+    pub last_fencing_token: u64,
+    /// Current load.
+    pub load: EngineLoad,
+    /// Counters.
+    pub counters: EngineCounters,
+}
