Complete the platform stand-in, add the proxy, its page and tests

Cause: lost answers, leases, silent connections and fencing had no stand-in, and the token chain was described only in code. Adds stand::Proxy and the client methods for lists, removals, leases and weights, options of all stand-ins in one place, proxies in the cluster layout, docs/stand-ins.md with a worked example, and the tests of the stand-ins.

--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -26,6 +26,10 @@
         Control(status: u16) {
             display("a stand-in answered a control message with status {status}")
         }
+        /// The layout of the cluster has no such proxy.
+        NoProxy {
+            display("the layout of the cluster has no such proxy")
+        }
         /// A name is not valid.
         Name(cause: base::NameError) {
             display("{cause}")
--- a/crates/bench/src/cluster/control.rs
+++ b/crates/bench/src/cluster/control.rs
@@ -1,8 +1,11 @@
 //! Control of the stand-ins of a cluster.
 
-use crate::{bench_error::BenchError, cluster::node::Cluster};
+use crate::{
+    bench_error::BenchError,
+    cluster::{node::Cluster, process::Process},
+};
 use base::VmId;
-use stand::{EngineFault, PlatformCounts, PlatformFault, VmChange};
+use stand::{EngineFault, PlatformCounts, PlatformFault, ProxyFault, VmChange};
 use std::net::SocketAddr;
 use web::{Client, Method, Reply};
 use wire::{
@@ -54,6 +57,30 @@
         Ok(counters)
     }
 
+    /// Applies a fault to the proxy of an engine.
+    ///
+    /// # Errors
+    ///
+    /// The layout has no such proxy, or it did not answer.
+    pub async fn engine_proxy_fault(
+        &self,
+        position: usize,
+        fault: ProxyFault,
+    ) -> Result<(), BenchError> {
+        let proxy = self.engine_proxy(position).ok_or(BenchError::NoProxy)?;
+        proxy_fault(proxy, fault).await
+    }
+
+    /// Applies a fault to the proxy of the platform.
+    ///
+    /// # Errors
+    ///
+    /// The layout has no such proxy, or it did not answer.
+    pub async fn platform_proxy_fault(&self, fault: ProxyFault) -> Result<(), BenchError> {
+        let proxy = self.platform_proxy().ok_or(BenchError::NoProxy)?;
+        proxy_fault(proxy, fault).await
+    }
+
     /// Applies a fault to the platform.
     ///
     /// # Errors
@@ -88,6 +115,12 @@
     }
 }
 
+async fn proxy_fault(proxy: &Process, fault: ProxyFault) -> Result<(), BenchError> {
+    let client = client(proxy.addr("control")?);
+    checked(client.send_json(Method::PUT, "/control", &fault).await?)?;
+    Ok(())
+}
+
 fn client(addr: SocketAddr) -> Client {
     Client::new(addr, CONTROL_WAIT_MS)
 }
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -19,6 +19,14 @@
     pub preset: Preset,
     /// Seed of the engines' sampling.
     pub seed: u64,
+    /// Whether the entries reach each engine through a proxy of its own.
+    pub has_engine_proxies: bool,
+    /// Whether the entries reach the platform through a proxy.
+    pub has_platform_proxy: bool,
+    /// More arguments of the engines, for example `--batch-limit`.
+    pub engine_args: Vec<String>,
+    /// More arguments of the platform, for example `--vm-list-lag-ms`.
+    pub platform_args: Vec<String>,
 }
 
 impl Default for Layout {
@@ -30,6 +38,10 @@
             token_gap_ms: 41,
             preset: Preset::Latency,
             seed: 1,
+            has_engine_proxies: false,
+            has_platform_proxy: false,
+            engine_args: Vec::new(),
+            platform_args: Vec::new(),
         }
     }
 }
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -24,7 +24,10 @@
 #[derive(Debug)]
 struct EngineNode {
     vm: Vm,
+    /// Address of the engine itself; that of the VM may be a proxy's.
+    addr: SocketAddr,
     seed: u64,
+    proxy: Option<Process>,
     process: Option<Process>,
 }
 
@@ -44,6 +47,7 @@
     engines: Vec<EngineNode>,
     entries: Vec<EntryNode>,
     platform: Process,
+    platform_proxy: Option<Process>,
     _files: TempDir,
 }
 
@@ -55,13 +59,20 @@
     /// A process did not become ready.
     pub async fn start(program: &Path, layout: Layout) -> Result<Self, BenchError> {
         let files = tempfile::tempdir()?;
-        let platform = Process::start(program, &["platform", "--listen", "127.0.0.1:0"])?;
+        let mut platform_args = vec!["platform", "--listen", "127.0.0.1:0"];
+        platform_args.extend(layout.platform_args.iter().map(String::as_str));
+        let platform = Process::start(program, &platform_args)?;
+        let platform_proxy = match layout.has_platform_proxy {
+            true => Some(start_proxy(program, platform.addr("addr")?)?),
+            false => None,
+        };
         let mut cluster = Self {
             program: program.to_owned(),
             layout,
             engines: Vec::new(),
             entries: Vec::new(),
             platform,
+            platform_proxy,
             _files: files,
         };
         cluster.write_document().await?;
@@ -112,11 +123,10 @@
     ///
     /// The process did not become ready.
     pub fn restart_engine(&mut self, position: usize) -> Result<(), BenchError> {
-        let token_gap_ms = self.layout.token_gap_ms;
         let engine = &mut self.engines[position];
         engine.seed += 1_000;
         engine.process = None;
-        let process = start_engine(&self.program, engine.vm.addr, engine.seed, token_gap_ms)?;
+        let process = start_engine(&self.program, engine.addr, engine.seed, &self.layout)?;
         engine.process = Some(process);
         Ok(())
     }
@@ -161,9 +171,19 @@
         Ok(())
     }
 
-    /// Address of an engine.
+    /// Address of an engine itself, not of its proxy.
     pub fn engine_addr(&self, position: usize) -> SocketAddr {
-        self.engines[position].vm.addr
+        self.engines[position].addr
+    }
+
+    /// Proxy of an engine, if the layout has one.
+    pub fn engine_proxy(&self, position: usize) -> Option<&Process> {
+        self.engines[position].proxy.as_ref()
+    }
+
+    /// Proxy of the platform, if the layout has one.
+    pub fn platform_proxy(&self) -> Option<&Process> {
+        self.platform_proxy.as_ref()
     }
 
     /// Identifier of an engine's VM.
@@ -194,24 +214,36 @@
     fn add_engine(&mut self, domain: &str, number: usize) -> Result<(), BenchError> {
         let seed = self.layout.seed * 100 + self.engines.len() as u64;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let process = start_engine(&self.program, any, seed, self.layout.token_gap_ms)?;
+        let process = start_engine(&self.program, any, seed, &self.layout)?;
+        let addr = process.addr("addr")?;
+        let proxy = match self.layout.has_engine_proxies {
+            true => Some(start_proxy(&self.program, addr)?),
+            false => None,
+        };
+        let public_addr = match &proxy {
+            Some(proxy) => proxy.addr("addr")?,
+            None => addr,
+        };
         let vm = Vm {
             id: VmId::try_from(format!("engine-{domain}-{number}"))?,
             role: VmRole::Engine,
             service: Some(ServiceName::try_from(Layout::MODEL)?),
             domain: DomainName::try_from(domain)?,
-            addr: process.addr("addr")?,
+            addr: public_addr,
             peer_addr: None,
             state: VmState::Live,
         };
-        self.engines.push(EngineNode { vm, seed, process: Some(process) });
+        self.engines.push(EngineNode { vm, addr, seed, proxy, process: Some(process) });
         Ok(())
     }
 
     fn add_entry(&mut self, domain: &str, number: usize) -> Result<(), BenchError> {
         let id = VmId::try_from(format!("entry-{domain}-{number}"))?;
         let settings = self._files.path().join(format!("{id}.toml"));
-        let platform = self.platform_addr()?;
+        let platform = match &self.platform_proxy {
+            Some(proxy) => proxy.addr("addr")?,
+            None => self.platform_addr()?,
+        };
         let text = |listen: SocketAddr| {
             format!(
                 "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
@@ -260,13 +292,22 @@
     program: &Path,
     listen: SocketAddr,
     seed: u64,
-    token_gap_ms: u64,
+    layout: &Layout,
 ) -> Result<Process, BenchError> {
-    let (listen, seed, gap) = (listen.to_string(), seed.to_string(), token_gap_ms.to_string());
-    let args = ["engine", "--listen", &listen, "--seed", &seed, "--token-gap-ms", &gap];
+    let (listen, seed) = (listen.to_string(), seed.to_string());
+    let gap = layout.token_gap_ms.to_string();
+    let loaded = format!("{}:{}", Layout::MODEL, Layout::VERSION);
+    let mut args = vec!["engine", "--listen", &listen, "--seed", &seed, "--token-gap-ms", &gap];
+    args.extend(["--load", &loaded]);
+    args.extend(layout.engine_args.iter().map(String::as_str));
     Process::start(program, &args)
 }
 
+fn start_proxy(program: &Path, target: SocketAddr) -> Result<Process, BenchError> {
+    let target = target.to_string();
+    Process::start(program, &["proxy", "--listen", "127.0.0.1:0", "--target", &target])
+}
+
 fn start_entry(program: &Path, settings: &Path) -> Result<Process, BenchError> {
     let settings = settings.to_string_lossy();
     Process::start(program, &["daemon", "--settings", &settings])
--- a/crates/bench/src/role.rs
+++ b/crates/bench/src/role.rs
@@ -3,7 +3,7 @@
 use crate::bench_error::BenchError;
 use argh::FromArgs;
 use geraniumroad::{Command, RunOptions};
-use stand::cli::{EngineOptions, PlatformOptions};
+use stand::cli::{EngineOptions, PlatformOptions, ProxyOptions};
 use std::{io::Result as IoResult, path::PathBuf};
 use tokio::runtime::Builder;
 
@@ -22,6 +22,7 @@
     Daemon(DaemonOptions),
     Engine(EngineOptions),
     Platform(PlatformOptions),
+    Proxy(ProxyOptions),
 }
 
 /// The daemon.
@@ -46,6 +47,7 @@
         }
         Role::Engine(engine) => block_on(engine.run()),
         Role::Platform(platform) => block_on(platform.run()),
+        Role::Proxy(proxy) => block_on(proxy.run()),
     }
 }
 
--- a/crates/plat/src/platform.rs
+++ b/crates/plat/src/platform.rs
@@ -2,8 +2,11 @@
 
 use crate::platform_error::PlatformError;
 use std::net::SocketAddr;
-use web::{Client, Method};
-use wire::platform::{KvConflict, KvEntry, KvList, KvWrite, KvWritten, VmList};
+use web::{Client, Method, Reply};
+use wire::platform::{
+    KvConflict, KvEntry, KvList, KvWrite, KvWritten, LeaseGranted, LeaseRequest, VmList,
+    WeightRequest, WeightsSent,
+};
 
 /// How much longer than the platform's own wait a watch may take.
 const WATCH_SLACK_MS: u64 = 2_000;
@@ -39,13 +42,95 @@
     ///
     /// # Errors
     ///
-    /// `Conflict` if the key has another revision. After `Unavailable` the write may have taken effect.
+    /// `Conflict` if the key has another revision, `LeaseEnded` if the write names a lease that has ended. After
+    /// `Unavailable` the write may have taken effect.
     pub async fn put(&self, key: &str, write: &KvWrite) -> Result<u64, PlatformError> {
         let path = format!("/kv/{key}");
         let reply = self.client.send_json(Method::PUT, &path, write).await?;
+        written(&reply)
+    }
+
+    /// Removes a key if it has the expected revision, and returns the store's revision. A key that does not exist has
+    /// revision 0.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if the key has another revision. After `Unavailable` the removal may have taken effect.
+    pub async fn delete(
+        &self,
+        key: &str,
+        expect_revision: Option<u64>,
+    ) -> Result<u64, PlatformError> {
+        let path = match expect_revision {
+            Some(revision) => format!("/kv/{key}?expect_revision={revision}"),
+            None => format!("/kv/{key}"),
+        };
+        written(&self.client.send(Method::DELETE, &path).await?)
+    }
+
+    /// Reads all keys that start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` or `Status`.
+    pub async fn list(&self, prefix: &str) -> Result<KvList, PlatformError> {
+        let reply = self.client.send(Method::GET, &format!("/kv?prefix={prefix}")).await?;
+        match reply.status.as_u16() {
+            200 => Ok(reply.json()?),
+            code => Err(PlatformError::Status(code)),
+        }
+    }
+
+    /// Takes a lease that ends `ttl_ms` after its last keep-alive.
+    ///
+    /// # Errors
+    ///
+    /// `Status`, or `Unavailable`, after which a lease may exist that nobody holds; it ends by itself.
+    pub async fn grant_lease(&self, ttl_ms: u64) -> Result<LeaseGranted, PlatformError> {
+        let request = LeaseRequest { ttl_ms };
+        let reply = self.client.send_json(Method::POST, "/leases", &request).await?;
+        granted(&reply)
+    }
+
+    /// Extends a lease to its whole duration from now.
+    ///
+    /// # Errors
+    ///
+    /// `LeaseEnded`, or `Unavailable`, after which the lease may have been extended.
+    pub async fn keep_lease(&self, lease_id: u64) -> Result<LeaseGranted, PlatformError> {
+        let path = format!("/leases/{lease_id}/keepalive");
+        granted(&self.client.send(Method::POST, &path).await?)
+    }
+
+    /// Ends a lease, which removes its keys.
+    ///
+    /// # Errors
+    ///
+    /// `LeaseEnded` if it has ended already, or `Unavailable`, after which it may have ended.
+    pub async fn revoke_lease(&self, lease_id: u64) -> Result<(), PlatformError> {
+        let reply = self.client.send(Method::DELETE, &format!("/leases/{lease_id}")).await?;
+        match reply.status.as_u16() {
+            204 => Ok(()),
+            410 => Err(PlatformError::LeaseEnded),
+            code => Err(PlatformError::Status(code)),
+        }
+    }
+
+    /// Transfers weights from the weight store; takes at most `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// `Busy` if too many transfers are running, `Unavailable` or `Status`.
+    pub async fn fetch_weights(
+        &self,
+        request: &WeightRequest,
+        wait_ms: u64,
+    ) -> Result<WeightsSent, PlatformError> {
+        let client = Client::new(self.addr, wait_ms);
+        let reply = client.send_json(Method::POST, "/weights", request).await?;
         match reply.status.as_u16() {
-            200 => Ok(reply.json::<KvWritten>()?.revision),
-            409 => Err(PlatformError::Conflict(Box::new(reply.json::<KvConflict>()?.current))),
+            200 => Ok(reply.json()?),
+            429 => Err(PlatformError::Busy),
             code => Err(PlatformError::Status(code)),
         }
     }
@@ -83,3 +168,20 @@
         }
     }
 }
+
+fn written(reply: &Reply) -> Result<u64, PlatformError> {
+    match reply.status.as_u16() {
+        200 => Ok(reply.json::<KvWritten>()?.revision),
+        409 => Err(PlatformError::Conflict(Box::new(reply.json::<KvConflict>()?.current))),
+        410 => Err(PlatformError::LeaseEnded),
+        code => Err(PlatformError::Status(code)),
+    }
+}
+
+fn granted(reply: &Reply) -> Result<LeaseGranted, PlatformError> {
+    match reply.status.as_u16() {
+        200 => Ok(reply.json()?),
+        410 => Err(PlatformError::LeaseEnded),
+        code => Err(PlatformError::Status(code)),
+    }
+}
--- a/crates/plat/src/platform_error.rs
+++ b/crates/plat/src/platform_error.rs
@@ -21,5 +21,13 @@
         Conflict(current: Box<KvEntry>) {
             display("{} is at revision {}", current.key, current.revision)
         }
+        /// The lease has ended or never existed.
+        LeaseEnded {
+            display("the lease has ended")
+        }
+        /// The weight store has too many transfers at a time.
+        Busy {
+            display("the weight store is busy")
+        }
     }
 }
--- /dev/null
+++ b/crates/stand/examples/proxy.rs
@@ -0,0 +1,10 @@
+//! Fault-injecting proxy as a process of its own.
+
+use stand::cli::ProxyOptions;
+use std::io::Result as IoResult;
+
+#[tokio::main]
+async fn main() -> IoResult<()> {
+    let options: ProxyOptions = argh::from_env();
+    options.run().await
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins of engines and the platform, for tests, experiments and `geraniumroad dev`.
+//! Stand-ins of engines and the platform, and a fault-injecting proxy, for tests, experiments and `geraniumroad dev`.
 #![deny(
     clippy::all,
     clippy::if_not_else,
@@ -12,10 +12,12 @@
 mod engine;
 mod net;
 mod platform;
+mod proxy;
 mod reply;
 
 pub use crate::{
     chain::{Chain, ChainError, chat_prompt},
     engine::{Engine, EngineFault, EngineSettings, FencingPolicy},
     platform::{Platform, PlatformCounts, PlatformFault, PlatformSettings, VmChange},
+    proxy::{Direction, Proxy, ProxyFault, ProxySettings},
 };
--- /dev/null
+++ b/crates/stand/src/proxy/faults.rs
@@ -0,0 +1,69 @@
+//! Active faults of a proxy.
+
+use crate::proxy::{direction::Direction, fault::ProxyFault};
+
+/// Active faults. Connections are numbered in the order in which they open, so a bound covers either the ones that exist
+/// or, with the largest number, new ones as well.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Faults {
+    /// Number of the next connection.
+    pub next_number: u64,
+    /// Whether new connections are reset.
+    pub is_refusing: bool,
+    /// Delay of all bytes.
+    pub delay_ms: u64,
+    /// Bytes to the client after which a connection is reset.
+    pub cut_after_bytes: Option<u64>,
+    cut_below: u64,
+    silent_below: u64,
+    is_stalled_to_target: bool,
+    is_stalled_to_client: bool,
+}
+
+impl Faults {
+    /// Applies a fault.
+    pub fn apply(&mut self, fault: ProxyFault) {
+        match fault {
+            ProxyFault::Cut => self.cut_below = self.next_number,
+            ProxyFault::Refuse => self.is_refusing = true,
+            ProxyFault::SilenceExisting => {
+                self.silent_below = self.silent_below.max(self.next_number);
+            }
+            ProxyFault::Silence => self.silent_below = u64::MAX,
+            ProxyFault::Delay { delay_ms } => self.delay_ms = delay_ms,
+            ProxyFault::Stall { direction: Direction::ToTarget } => {
+                self.is_stalled_to_target = true;
+            }
+            ProxyFault::Stall { direction: Direction::ToClient } => {
+                self.is_stalled_to_client = true;
+            }
+            ProxyFault::CutAfter { size_bytes } => self.cut_after_bytes = Some(size_bytes),
+            ProxyFault::Restore => {
+                *self = Self {
+                    next_number: self.next_number,
+                    cut_below: self.cut_below,
+                    silent_below: self.silent_below.min(self.next_number),
+                    ..Self::default()
+                };
+            }
+        }
+    }
+
+    /// Whether a connection must be reset.
+    pub fn is_cut(&self, number: u64) -> bool {
+        number < self.cut_below
+    }
+
+    /// Whether the bytes of a connection are dropped.
+    pub fn is_silent(&self, number: u64) -> bool {
+        number < self.silent_below
+    }
+
+    /// Whether nothing is read in a direction.
+    pub fn is_stalled(&self, direction: Direction) -> bool {
+        match direction {
+            Direction::ToTarget => self.is_stalled_to_target,
+            Direction::ToClient => self.is_stalled_to_client,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand/src/proxy/mod.rs
@@ -0,0 +1,12 @@
+//! Fault-injecting TCP proxy.
+
+mod control;
+mod direction;
+mod fault;
+mod faults;
+mod link;
+mod pump;
+mod server;
+mod settings;
+
+pub use self::{direction::Direction, fault::ProxyFault, server::Proxy, settings::ProxySettings};
--- /dev/null
+++ b/crates/stand/src/proxy/server.rs
@@ -0,0 +1,94 @@
+//! Listening proxy.
+
+use crate::proxy::{
+    control::ProxyControl, fault::ProxyFault, faults::Faults, link::Link, settings::ProxySettings,
+};
+use std::{io::Result as IoResult, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+use web::Server;
+
+/// Pause after a failed `accept`, so that a lack of file descriptors does not become a busy loop.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Running proxy.
+#[derive(Debug)]
+pub struct Proxy {
+    addr: SocketAddr,
+    control_addr: Option<SocketAddr>,
+    faults: watch::Sender<Faults>,
+    tasks: Vec<JoinHandle<()>>,
+    _control_stop: watch::Sender<bool>,
+}
+
+impl Proxy {
+    /// Starts a proxy.
+    ///
+    /// # Errors
+    ///
+    /// The error of `bind`.
+    pub async fn start(settings: ProxySettings) -> IoResult<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let addr = listener.local_addr()?;
+        let faults = watch::Sender::new(Faults::default());
+        let (control_stop, control_stopped) = watch::channel(false);
+        let mut tasks = Vec::new();
+        let mut control_addr = None;
+        if let Some(control) = settings.control {
+            let server = Server::bind(control).await?;
+            control_addr = Some(server.local_addr()?);
+            let handler = Arc::new(ProxyControl { faults: faults.clone() });
+            tasks.push(tokio::spawn(server.run(handler, control_stopped)));
+        }
+        tasks.push(tokio::spawn(accept(listener, settings.target, faults.clone())));
+        Ok(Self { addr, control_addr, faults, tasks, _control_stop: control_stop })
+    }
+
+    /// Address that the proxy listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Address of the HTTP control, if there is one.
+    pub fn control_addr(&self) -> Option<SocketAddr> {
+        self.control_addr
+    }
+
+    /// Applies a fault.
+    pub fn fault(&self, fault: ProxyFault) {
+        self.faults.send_modify(|faults| faults.apply(fault));
+    }
+
+    /// Closes the listener and all connections.
+    pub async fn close(self) {
+        for task in self.tasks {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, faults: watch::Sender<Faults>) {
+    let mut links = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((client, _)) => {
+                    let mut number = 0;
+                    // No link waits for a new number, so nobody has to be woken.
+                    faults.send_if_modified(|faults| {
+                        number = faults.next_number;
+                        faults.next_number += 1;
+                        false
+                    });
+                    links.spawn(Link { number, client, target, faults: faults.subscribe() }.run());
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await,
+            },
+            Some(_) = links.join_next() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand/tests/common/mod.rs
@@ -0,0 +1,99 @@
+//! Requests and waits of the stand-ins' tests.
+#![allow(dead_code)]
+
+use base::HashSet;
+use stand::{Chain, Engine, EngineSettings};
+use std::{net::SocketAddr, time::Duration};
+use upstream::{EngineError, EnginePool, EngineStream};
+use wire::engine::{EngineCounters, EngineEvent, EngineRequest};
+
+/// Longest wait for a state that must come; reached only when a test fails.
+const STATE_WAIT: Duration = Duration::from_secs(30);
+
+/// Token of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Token {
+    pub index: u32,
+    pub token_id: u32,
+}
+
+/// Engine that steps as fast as it can.
+pub async fn fast_engine(settings: EngineSettings) -> Engine {
+    let settings = EngineSettings { token_gap_ms: 1, prefill_us_per_token: 0, ..settings };
+    Engine::start(settings).await.unwrap()
+}
+
+/// Request for `max_tokens` tokens.
+pub fn request(prompt: &str, max_tokens: u32) -> EngineRequest {
+    EngineRequest {
+        request_id: format!("request-{prompt}"),
+        model: "composer".to_owned(),
+        version: "v1".to_owned(),
+        prompt: prompt.to_owned(),
+        max_tokens,
+        stream: true,
+        ..EngineRequest::default()
+    }
+}
+
+/// Opens a stream.
+pub async fn open(addr: SocketAddr, request: &EngineRequest) -> EngineStream {
+    EnginePool::default().open(addr, request).await.unwrap()
+}
+
+/// Reads a stream to its finish event; the tokens before an error are kept.
+pub async fn read(stream: &mut EngineStream) -> (Vec<Token>, Result<u32, EngineError>) {
+    let mut tokens = Vec::new();
+    loop {
+        match stream.next().await {
+            Ok(EngineEvent::Token { index, token_id, text }) => {
+                assert_eq!(*text, Chain::text(token_id));
+                tokens.push(Token { index, token_id });
+            }
+            Ok(EngineEvent::Finish { usage, .. }) => return (tokens, Ok(usage.completion_tokens)),
+            Ok(EngineEvent::Error { message }) => panic!("unexpected error event {message}"),
+            Err(err) => return (tokens, Err(err)),
+        }
+    }
+}
+
+/// Asks for a whole answer.
+pub async fn ask(addr: SocketAddr, request: &EngineRequest) -> Vec<Token> {
+    let (tokens, end) = read(&mut open(addr, request).await).await;
+    end.unwrap();
+    tokens
+}
+
+/// Text of tokens.
+pub fn text(tokens: &[Token]) -> String {
+    tokens.iter().map(|token| Chain::text(token.token_id)).collect()
+}
+
+/// Chain at the start of an answer to `request`.
+pub fn chain(request: &EngineRequest) -> Chain {
+    Chain::new(&request.model, &request.version, &request.adapter, &request.prompt)
+}
+
+/// Waits until the counters and the running and waiting sequences of an engine fulfil a condition.
+pub async fn wait_for(engine: &Engine, condition: impl Fn(EngineCounters, u32, u32) -> bool) {
+    let waiting = async {
+        loop {
+            let state = engine.state();
+            if condition(state.counters, state.load.running, state.load.waiting) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(STATE_WAIT, waiting).await.expect("the engine did not reach the state");
+}
+
+/// Result of something that must come; the wait ends only when a test fails.
+pub async fn expect<T>(future: impl Future<Output = T>) -> T {
+    tokio::time::timeout(STATE_WAIT, future).await.expect("nothing came")
+}
+
+/// Whether all values are different.
+pub fn are_distinct(values: &[u64]) -> bool {
+    values.iter().collect::<HashSet<_>>().len() == values.len()
+}
--- /dev/null
+++ b/crates/stand/tests/engine.rs
@@ -0,0 +1,274 @@
+//! Guards against an engine stand-in that does not schedule, cache, fence or cancel as its page says.
+
+mod common;
+
+use common::{are_distinct, ask, chain, expect, fast_engine, open, read, request, text, wait_for};
+use stand::{EngineSettings, FencingPolicy, Platform, PlatformFault, PlatformSettings};
+use std::{net::SocketAddr, time::Duration};
+use upstream::{EngineError, EnginePool};
+use web::{Client, Method, StatusCode};
+use wire::engine::{
+    CacheEventKind, CacheEventList, EngineLoad, EngineOrder, EngineRole, EngineState,
+    LoadedVersion, OrderAction,
+};
+
+/// Tokens of an answer that does not end within a test.
+const ENDLESS: u32 = 1_000_000;
+
+fn client(addr: SocketAddr) -> Client {
+    Client::new(addr, 30_000)
+}
+
+fn version(model: &str, version: &str, adapters: &[&str]) -> LoadedVersion {
+    LoadedVersion {
+        model: model.to_owned(),
+        version: version.to_owned(),
+        adapters: adapters.iter().map(|&adapter| adapter.to_owned()).collect(),
+    }
+}
+
+async fn order(addr: SocketAddr, fencing_token: u64, action: OrderAction) -> StatusCode {
+    let order = EngineOrder { fencing_token, actions: vec![action] };
+    client(addr).send_json(Method::POST, "/orders", &order).await.unwrap().status
+}
+
+#[tokio::test]
+async fn answers_of_a_full_batch_are_whole_and_continue_from_given_tokens() {
+    let settings = EngineSettings { tokens_per_step: 3, ..EngineSettings::default() };
+    let engine = fast_engine(settings).await;
+    let first = request("plan", 100);
+    let tokens = ask(engine.addr(), &first).await;
+    assert_eq!(chain(&first).verify(&text(&tokens)), Ok(100));
+    let mut second = request("plan", 100);
+    second.continue_token_ids = tokens[..40].iter().map(|token| token.token_id).collect();
+    let rest = ask(engine.addr(), &second).await;
+    assert_eq!(rest[0].index, 40);
+    let joined = [&tokens[..40], &rest].concat();
+    assert_eq!(chain(&first).verify(&text(&joined)), Ok(100));
+    assert_eq!(engine.state().counters.decoded_tokens, 160);
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_continuation_that_has_all_tokens_finishes_at_once() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    let mut whole = request("plan", 3);
+    whole.continue_token_ids = vec![1, 2, 3];
+    assert!(ask(engine.addr(), &whole).await.is_empty());
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_request_of_a_lower_priority_number_overtakes_the_queue() {
+    let engine = fast_engine(EngineSettings { batch_limit: 1, ..EngineSettings::default() }).await;
+    let running = open(engine.addr(), &request("running", ENDLESS)).await;
+    wait_for(&engine, |_, running, _| running == 1).await;
+    let mut late = request("late", ENDLESS);
+    late.priority = 5;
+    let _late = open(engine.addr(), &late).await;
+    wait_for(&engine, |_, _, waiting| waiting == 1).await;
+    let mut urgent = open(engine.addr(), &request("urgent", 5)).await;
+    wait_for(&engine, |_, _, waiting| waiting == 2).await;
+    drop(running);
+    // The other request would occupy the batch for good.
+    let (tokens, end) = expect(read(&mut urgent)).await;
+    assert_eq!(tokens.len(), 5);
+    end.unwrap();
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_full_queue_refuses() {
+    let settings = EngineSettings { batch_limit: 1, queue_limit: 1, ..EngineSettings::default() };
+    let engine = fast_engine(settings).await;
+    let _running = open(engine.addr(), &request("running", ENDLESS)).await;
+    wait_for(&engine, |_, running, _| running == 1).await;
+    let _waiting = open(engine.addr(), &request("waiting", ENDLESS)).await;
+    let refused = EnginePool::default().open(engine.addr(), &request("refused", 1)).await;
+    assert!(matches!(refused, Err(EngineError::Refused(429))));
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_closed_connection_stops_the_work_in_batch_and_queue() {
+    let engine = fast_engine(EngineSettings { batch_limit: 1, ..EngineSettings::default() }).await;
+    let running = open(engine.addr(), &request("running", ENDLESS)).await;
+    wait_for(&engine, |counters, running, _| running == 1 && counters.decoded_tokens > 0).await;
+    let waiting = open(engine.addr(), &request("waiting", ENDLESS)).await;
+    wait_for(&engine, |_, _, waiting| waiting == 1).await;
+    drop(waiting);
+    wait_for(&engine, |counters, _, waiting| counters.cancelled == 1 && waiting == 0).await;
+    drop(running);
+    wait_for(&engine, |counters, running, _| counters.cancelled == 2 && running == 0).await;
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_known_prefix_is_not_computed_again() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    let history = "tower 1 ".repeat(64);
+    ask(engine.addr(), &request(&history, 1)).await;
+    assert_eq!(engine.state().counters.prefilled_tokens, 128);
+    ask(engine.addr(), &request(&format!("{history}and a funeral"), 1)).await;
+    let counters = engine.state().counters;
+    assert_eq!((counters.cache_hits, counters.cache_misses), (1, 1));
+    assert_eq!((counters.cached_tokens, counters.prefilled_tokens), (128, 131));
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn the_prefix_cache_is_limited_and_reports_what_it_removes() {
+    let settings = EngineSettings {
+        cache_blocks: 2,
+        cache_event_delay_ms: 0,
+        cache_event_loss_pct: 0,
+        ..EngineSettings::default()
+    };
+    let engine = fast_engine(settings).await;
+    for prompt in ["tower 1 ".repeat(64), "tower 2 ".repeat(64), "tower 1 ".repeat(64)] {
+        ask(engine.addr(), &request(&prompt, 1)).await;
+    }
+    assert_eq!(engine.state().counters.cache_hits, 0);
+    let reply = client(engine.addr()).send(Method::GET, "/cache_events?after=0").await.unwrap();
+    let list: CacheEventList = reply.json().unwrap();
+    let of_kind = |kind| list.events.iter().filter(|event| event.kind == kind).count();
+    assert_eq!(of_kind(CacheEventKind::Stored), 6);
+    assert_eq!(of_kind(CacheEventKind::Removed), 4);
+    let numbers: Vec<u64> = list.events.iter().map(|event| event.number).collect();
+    assert_eq!(numbers, (1..=10).collect::<Vec<u64>>());
+    // The blocks that the page names.
+    let page = include_str!("../../../docs/stand-ins.md");
+    for event in &list.events[..2] {
+        assert!(page.contains(&format!("`{}`", event.block)), "the page lacks {}", event.block);
+    }
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn lost_cache_events_leave_gaps_and_late_ones_are_not_published_yet() {
+    for (cache_event_loss_pct, cache_event_delay_ms, last_number) in
+        [(100, 0, 2), (0, 3_600_000, 0)]
+    {
+        let settings = EngineSettings {
+            cache_event_delay_ms,
+            cache_event_loss_pct,
+            ..EngineSettings::default()
+        };
+        let engine = fast_engine(settings).await;
+        ask(engine.addr(), &request(&"tower 1 ".repeat(64), 1)).await;
+        let reply = client(engine.addr()).send(Method::GET, "/cache_events?after=0").await.unwrap();
+        let list: CacheEventList = reply.json().unwrap();
+        assert_eq!(list, CacheEventList { last_number, events: Vec::new() });
+        engine.kill().await;
+    }
+}
+
+#[tokio::test]
+async fn the_reported_load_lags() {
+    let settings = EngineSettings { load_lag_ms: 3_600_000, ..EngineSettings::default() };
+    let engine = fast_engine(settings).await;
+    let _running = open(engine.addr(), &request("running", ENDLESS)).await;
+    wait_for(&engine, |_, running, _| running == 1).await;
+    let reply = client(engine.addr()).send(Method::GET, "/load").await.unwrap();
+    assert_eq!(reply.json::<EngineLoad>().unwrap().running, 0);
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn an_order_with_an_old_fencing_token_is_rejected_or_ignores_the_token() {
+    for (fencing, status, role) in [
+        (FencingPolicy::Reject, StatusCode::CONFLICT, EngineRole::Long),
+        (FencingPolicy::Ignore, StatusCode::OK, EngineRole::Short),
+    ] {
+        let engine = fast_engine(EngineSettings { fencing, ..EngineSettings::default() }).await;
+        let long = OrderAction::SetRole { role: EngineRole::Long };
+        assert_eq!(order(engine.addr(), 7, long).await, StatusCode::OK);
+        let short = OrderAction::SetRole { role: EngineRole::Short };
+        assert_eq!(order(engine.addr(), 6, short).await, status);
+        let state = engine.state();
+        assert_eq!((state.role, state.last_fencing_token), (role, 7));
+        assert_eq!(state.counters.stale_orders, 1);
+        engine.kill().await;
+    }
+}
+
+#[tokio::test]
+async fn an_order_without_the_senders_key_is_refused_where_it_is_checked() {
+    let settings =
+        EngineSettings { order_key: Some("secret".to_owned()), ..EngineSettings::default() };
+    let engine = fast_engine(settings).await;
+    let action = OrderAction::SetRole { role: EngineRole::Long };
+    assert_eq!(order(engine.addr(), 1, action.clone()).await, StatusCode::UNAUTHORIZED);
+    let body = EngineOrder { fencing_token: 1, actions: vec![action] };
+    let keyed = client(engine.addr()).with_bearer_key("secret");
+    let reply = keyed.send_json(Method::POST, "/orders", &body).await.unwrap();
+    assert_eq!(reply.json::<EngineState>().unwrap().role, EngineRole::Long);
+    assert_eq!(engine.state().counters.unauthenticated_orders, 1);
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn only_loaded_versions_and_adapters_are_served() {
+    let loaded = Some(vec![version("composer", "v1", &[])]);
+    let engine = fast_engine(EngineSettings { loaded, ..EngineSettings::default() }).await;
+    let mut adapted = request("plan", 1);
+    adapted.adapter = "tower".to_owned();
+    let refused = EnginePool::default().open(engine.addr(), &adapted).await;
+    assert!(matches!(refused, Err(EngineError::Refused(404))));
+    order(engine.addr(), 1, OrderAction::Load(version("composer", "v1", &["tower"]))).await;
+    assert_eq!(ask(engine.addr(), &adapted).await.len(), 1);
+    let versions = vec![version("composer", "v2", &[])];
+    order(engine.addr(), 1, OrderAction::SetLoaded { versions: versions.clone() }).await;
+    assert_eq!(engine.state().loaded, Some(versions));
+    let refused = EnginePool::default().open(engine.addr(), &request("plan", 1)).await;
+    assert!(matches!(refused, Err(EngineError::Refused(404))));
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_version_is_served_only_after_its_weights_have_come() {
+    let settings = PlatformSettings {
+        weight_size_bytes: 1_000,
+        weight_rate_bytes_per_s: 1_000_000,
+        ..PlatformSettings::default()
+    };
+    let platform = Platform::start(settings).await.unwrap();
+    platform.fault(PlatformFault::Down);
+    let settings = EngineSettings {
+        loaded: Some(Vec::new()),
+        weight_store: Some(platform.addr()),
+        ..EngineSettings::default()
+    };
+    let engine = fast_engine(settings).await;
+    let wanted = version("composer", "v1", &["tower"]);
+    for _ in 0..2 {
+        // The second order changes nothing, since the first is under way.
+        order(engine.addr(), 1, OrderAction::Load(wanted.clone())).await;
+        assert_eq!(engine.state().loading, vec![wanted.clone()]);
+    }
+    let refused = EnginePool::default().open(engine.addr(), &request("plan", 1)).await;
+    assert!(matches!(refused, Err(EngineError::Refused(404))));
+    platform.fault(PlatformFault::Restore);
+    expect(async {
+        while engine.state().loaded != Some(vec![wanted.clone()]) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    assert!(engine.state().loading.is_empty());
+    assert_eq!(platform.counts().weights, 1);
+    engine.kill().await;
+    platform.close().await;
+}
+
+#[tokio::test]
+async fn two_engines_with_different_seeds_sample_different_answers() {
+    let mut last_tokens = Vec::new();
+    for seed in 1..4 {
+        let engine = fast_engine(EngineSettings { seed, ..EngineSettings::default() }).await;
+        let tokens = ask(engine.addr(), &request("plan", 20)).await;
+        last_tokens.push(u64::from(tokens[19].token_id));
+        engine.kill().await;
+    }
+    assert!(are_distinct(&last_tokens));
+}
--- /dev/null
+++ b/crates/stand/tests/engine_faults.rs
@@ -0,0 +1,140 @@
+//! Guards against engine faults that are not what they say, so that an experiment would test nothing.
+
+mod common;
+
+use common::{ask, chain, expect, fast_engine, open, read, request, text, wait_for};
+use stand::{Engine, EngineFault, EngineSettings};
+use std::time::Duration;
+use upstream::{EngineError, EnginePool, EngineStream};
+use web::{Client, Method, StatusCode};
+use wire::engine::EngineState;
+
+/// Tokens of an answer that does not end within a test.
+const ENDLESS: u32 = 1_000_000;
+
+async fn engine_with_stream() -> (Engine, EngineStream) {
+    let engine = fast_engine(EngineSettings::default()).await;
+    let mut stream = open(engine.addr(), &request("running", ENDLESS)).await;
+    stream.next().await.unwrap();
+    (engine, stream)
+}
+
+async fn is_serving(engine: &Engine) {
+    let whole = request("after", 10);
+    let tokens = expect(ask(engine.addr(), &whole)).await;
+    assert_eq!(chain(&whole).verify(&text(&tokens)), Ok(10));
+}
+
+#[tokio::test]
+async fn reset_ends_streams_with_an_error_and_cancels_them() {
+    let (engine, mut stream) = engine_with_stream().await;
+    engine.fault(EngineFault::Reset);
+    let (_, end) = expect(read(&mut stream)).await;
+    assert!(matches!(end, Err(EngineError::Transport(_))));
+    wait_for(&engine, |counters, running, _| counters.cancelled == 1 && running == 0).await;
+    is_serving(&engine).await;
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_refusing_engine_resets_new_requests_until_it_is_restored() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    engine.fault(EngineFault::Refuse);
+    let refused = EnginePool::default().open(engine.addr(), &request("new", 1)).await;
+    assert!(matches!(refused, Err(EngineError::Transport(_))));
+    engine.fault(EngineFault::Restore);
+    is_serving(&engine).await;
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_silent_connection_delivers_nothing_while_the_engine_generates_and_new_ones_work() {
+    let (engine, mut stream) = engine_with_stream().await;
+    engine.fault(EngineFault::SilenceExisting);
+    let generated = engine.state().counters.decoded_tokens;
+    is_serving(&engine).await;
+    wait_for(&engine, |counters, _, _| counters.decoded_tokens > generated + 500).await;
+    // What was sent before the fault may still arrive, but not what was generated after it.
+    let mut received = 0;
+    while let Ok(event) = tokio::time::timeout(Duration::from_millis(50), stream.next()).await {
+        event.unwrap();
+        received += 1;
+    }
+    assert!(received <= generated + 16, "{received} tokens arrived, {generated} were generated");
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_silent_engine_can_be_controlled_and_restored() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    let client = Client::new(engine.addr(), 30_000);
+    for fault in [EngineFault::Silence, EngineFault::Restore] {
+        let reply = client.send_json(Method::PUT, "/control/fault", &fault).await.unwrap();
+        assert_eq!(reply.status, StatusCode::NO_CONTENT);
+    }
+    is_serving(&engine).await;
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_frozen_engine_goes_on_after_it_wakes() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    let whole = request("frozen", 200);
+    let mut stream = open(engine.addr(), &whole).await;
+    engine.fault(EngineFault::Freeze);
+    let client = Client::new(engine.addr(), 30_000);
+    let frozen_at = client.send(Method::GET, "/control/state").await.unwrap();
+    let frozen_at = frozen_at.json::<EngineState>().unwrap().counters.decoded_tokens;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // A step that was due when the fault came may still run.
+    assert!(engine.state().counters.decoded_tokens <= frozen_at + 1);
+    engine.fault(EngineFault::Wake);
+    let (tokens, end) = expect(read(&mut stream)).await;
+    assert_eq!(end.unwrap(), 200);
+    assert_eq!(chain(&whole).verify(&text(&tokens)), Ok(200));
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_malformed_event_is_not_json() {
+    let (engine, mut stream) = engine_with_stream().await;
+    engine.fault(EngineFault::Malformed { events: 1 });
+    let (_, end) = expect(read(&mut stream)).await;
+    assert!(matches!(end, Err(EngineError::Json(_))));
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn a_crossed_event_belongs_to_another_request() {
+    let (engine, mut stream) = engine_with_stream().await;
+    engine.fault(EngineFault::Cross { events: 1 });
+    let (_, end) = expect(read(&mut stream)).await;
+    assert!(matches!(end, Err(EngineError::Crossed)));
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn duplicate_and_skipped_events_break_the_order_of_the_indexes() {
+    for (fault, expected) in [
+        (EngineFault::Duplicate { events: 2 }, vec![0, 0, 1, 1, 2, 3]),
+        (EngineFault::Skip { events: 2 }, vec![2, 3]),
+    ] {
+        let engine = fast_engine(EngineSettings::default()).await;
+        engine.fault(fault);
+        let tokens = ask(engine.addr(), &request("plan", 4)).await;
+        let indexes: Vec<u32> = tokens.iter().map(|token| token.index).collect();
+        assert_eq!(indexes, expected);
+        engine.kill().await;
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_engine_counts_the_requests_that_still_come() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    engine.fault(EngineFault::Leave);
+    is_serving(&engine).await;
+    let state = engine.state();
+    assert!(state.load.is_leaving);
+    assert_eq!(state.counters.requests_while_leaving, 1);
+    engine.kill().await;
+}
--- /dev/null
+++ b/crates/stand/tests/proxy.rs
@@ -0,0 +1,187 @@
+//! Guards against a proxy whose faults are not those of a network.
+
+mod common;
+
+use common::{ask, chain, expect, fast_engine, open, read, request, text};
+use stand::{Direction, EngineSettings, Proxy, ProxyFault, ProxySettings};
+use std::{
+    io::{ErrorKind, Result as IoResult},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+use upstream::EngineError;
+use web::{Client, Method, StatusCode};
+
+/// Server that sends back what it receives.
+async fn echo() -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                tokio::io::copy(&mut from, &mut to).await
+            });
+        }
+    });
+    (addr, task)
+}
+
+async fn start() -> (Proxy, JoinHandle<()>) {
+    let (addr, task) = echo().await;
+    (Proxy::start(ProxySettings::new(addr)).await.unwrap(), task)
+}
+
+/// Sends five bytes and waits for them to come back.
+async fn round_trip(stream: &mut TcpStream) -> IoResult<[u8; 5]> {
+    stream.write_all(b"hello").await?;
+    let mut answer = [0; 5];
+    expect(stream.read_exact(&mut answer)).await?;
+    Ok(answer)
+}
+
+async fn connected(proxy: &Proxy) -> TcpStream {
+    let mut stream = TcpStream::connect(proxy.addr()).await.unwrap();
+    assert_eq!(&round_trip(&mut stream).await.unwrap(), b"hello");
+    stream
+}
+
+#[tokio::test]
+async fn the_end_of_each_direction_is_passed_on() {
+    let (proxy, echo) = start().await;
+    let mut stream = connected(&proxy).await;
+    stream.write_all(b"last").await.unwrap();
+    stream.shutdown().await.unwrap();
+    let mut rest = String::new();
+    expect(stream.read_to_string(&mut rest)).await.unwrap();
+    assert_eq!(rest, "last");
+    proxy.close().await;
+    echo.abort();
+}
+
+#[tokio::test]
+async fn cut_resets_existing_connections_only() {
+    let (proxy, echo) = start().await;
+    let mut stream = connected(&proxy).await;
+    proxy.fault(ProxyFault::Cut);
+    let err = expect(stream.read_u8()).await.unwrap_err();
+    assert_eq!(err.kind(), ErrorKind::ConnectionReset);
+    connected(&proxy).await;
+    proxy.close().await;
+    echo.abort();
+}
+
+#[tokio::test]
+async fn refuse_resets_new_connections_only() {
+    let (proxy, echo) = start().await;
+    let mut existing = connected(&proxy).await;
+    proxy.fault(ProxyFault::Refuse);
+    let mut refused = TcpStream::connect(proxy.addr()).await.unwrap();
+    assert!(expect(refused.read_u8()).await.is_err());
+    assert_eq!(&round_trip(&mut existing).await.unwrap(), b"hello");
+    proxy.fault(ProxyFault::Restore);
+    connected(&proxy).await;
+    proxy.close().await;
+    echo.abort();
+}
+
+#[tokio::test]
+async fn a_silent_connection_stays_open_and_silent_while_new_ones_work() {
+    let (proxy, echo) = start().await;
+    let mut silent = connected(&proxy).await;
+    proxy.fault(ProxyFault::SilenceExisting);
+    silent.write_all(b"lost").await.unwrap();
+    connected(&proxy).await;
+    proxy.fault(ProxyFault::Restore);
+    silent.write_all(b"lost").await.unwrap();
+    connected(&proxy).await;
+    let read = tokio::time::timeout(Duration::from_millis(50), silent.read_u8()).await;
+    assert!(read.is_err(), "the silent connection gave {read:?}");
+    proxy.close().await;
+    echo.abort();
+}
+
+#[tokio::test]
+async fn a_stalled_direction_delivers_everything_after_its_end() {
+    for direction in [Direction::ToTarget, Direction::ToClient] {
+        let (proxy, echo) = start().await;
+        let mut stream = connected(&proxy).await;
+        proxy.fault(ProxyFault::Stall { direction });
+        stream.write_all(b"held").await.unwrap();
+        let mut answer = [0; 4];
+        let read = tokio::time::timeout(Duration::from_millis(50), stream.read_exact(&mut answer));
+        assert!(read.await.is_err(), "the stalled direction delivered");
+        proxy.fault(ProxyFault::Restore);
+        expect(stream.read_exact(&mut answer)).await.unwrap();
+        assert_eq!(&answer, b"held");
+        proxy.close().await;
+        echo.abort();
+    }
+}
+
+#[tokio::test]
+async fn cut_after_lets_exactly_so_many_bytes_pass() {
+    let (proxy, echo) = start().await;
+    proxy.fault(ProxyFault::CutAfter { size_bytes: 12 });
+    let mut stream = connected(&proxy).await;
+    let mut answer = [0; 7];
+    stream.write_all(&[b'x'; 100]).await.unwrap();
+    // A reset may overtake bytes that were not read yet, so fewer may arrive, but never more.
+    let mut received = 0;
+    while let Ok(size_bytes) = expect(stream.read(&mut answer)).await {
+        assert!(size_bytes > 0, "the connection must end with a reset");
+        received += size_bytes;
+    }
+    assert!(received <= 7);
+    proxy.close().await;
+    echo.abort();
+}
+
+#[tokio::test]
+async fn delayed_bytes_keep_their_order() {
+    let (proxy, echo) = start().await;
+    proxy.fault(ProxyFault::Delay { delay_ms: 5 });
+    let mut stream = TcpStream::connect(proxy.addr()).await.unwrap();
+    for _ in 0..5 {
+        assert_eq!(&round_trip(&mut stream).await.unwrap(), b"hello");
+    }
+    proxy.close().await;
+    echo.abort();
+}
+
+#[tokio::test]
+async fn an_engine_stream_through_the_proxy_is_whole_or_breaks_with_an_error() {
+    let engine = fast_engine(EngineSettings::default()).await;
+    let proxy = Proxy::start(ProxySettings::new(engine.addr())).await.unwrap();
+    let whole = request("plan", 200);
+    let tokens = ask(proxy.addr(), &whole).await;
+    assert_eq!(chain(&whole).verify(&text(&tokens)), Ok(200));
+    let mut stream = open(proxy.addr(), &request("cut", 1_000_000)).await;
+    stream.next().await.unwrap();
+    proxy.fault(ProxyFault::Cut);
+    let (_, end) = expect(read(&mut stream)).await;
+    assert!(matches!(end, Err(EngineError::Transport(_))));
+    common::wait_for(&engine, |counters, _, _| counters.cancelled == 1).await;
+    proxy.close().await;
+    engine.kill().await;
+}
+
+#[tokio::test]
+async fn faults_can_be_set_over_http() {
+    let (addr, echo) = echo().await;
+    let control = Some("127.0.0.1:0".parse().unwrap());
+    let settings = ProxySettings { control, ..ProxySettings::new(addr) };
+    let proxy = Proxy::start(settings).await.unwrap();
+    let mut stream = connected(&proxy).await;
+    let client = Client::new(proxy.control_addr().unwrap(), 30_000);
+    let reply = client.send_json(Method::PUT, "/control", &ProxyFault::Cut).await.unwrap();
+    assert_eq!(reply.status, StatusCode::NO_CONTENT);
+    assert!(expect(stream.read_u8()).await.is_err());
+    proxy.close().await;
+    echo.abort();
+}
