--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -22,6 +22,14 @@
             source(cause)
             from()
         }
+        /// A stand-in refused a control message.
+        Control(status: u16) {
+            display("a stand-in answered a control message with status {status}")
+        }
+        /// The layout of the cluster has no such proxy.
+        NoProxy {
+            display("the layout of the cluster has no such proxy")
+        }
         /// A name is not valid.
         Name(cause: base::NameError) {
             display("{cause}")
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -4,16 +4,18 @@
 mod entry_deaths;
 mod journal_copies;
 mod options;
+mod relay;
 
 pub use self::options::ExperimentOptions;
 use crate::bench_error::BenchError;
 use std::path::Path;
 
 /// Names of all experiments with what they show.
-pub const EXPERIMENTS: [(&str, &str); 3] = [
+pub const EXPERIMENTS: &[(&str, &str)] = &[
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
+    ("relay", "cost and added delay of a relayed token"),
 ];
 
 /// Runs an experiment with `program` as the executable of its processes.
@@ -30,6 +32,7 @@
         "engine-deaths" => engine_deaths::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
+        "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -14,6 +14,9 @@
 /// Sections that a settings file may have.
 const SECTIONS: &str = "[entry], [limits], [log], [peer], [platform]";
 
+/// Sections whose keys are read only if the section is there.
+const OPTIONAL_SECTIONS: &str = "[peer]\n";
+
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -38,7 +41,7 @@
     ///
     /// Every mistake in the file.
     fn try_from(text: &str) -> Result<Self, Problems> {
-        let mut source = Source { text, problems: Vec::new() };
+        let mut source = Source { text, problems: Vec::new(), keys: Vec::new() };
         let (root, errors) = DeTable::parse_recoverable(text);
         for error in errors {
             let offset = error.span().map_or(0, |span| span.start);
@@ -51,11 +54,7 @@
             });
         }
         let mut root = root.into_inner();
-        let entry = EntrySettings::read(&mut root, &mut source);
-        let limits = LimitSettings::read(&mut root, &mut source);
-        let log = LogSettings::read(&mut root, &mut source);
-        let peer = PeerSettings::read(&mut root, &mut source);
-        let platform = PlatformSettings::read(&mut root, &mut source);
+        let settings = Self::read(&mut root, &mut source);
         for (key, value) in &root {
             let line = source.line(value.span().start);
             source.problems.push(Problem {
@@ -66,11 +65,29 @@
             });
         }
         source.problems.sort_by_key(|problem| problem.line);
-        match (entry, platform) {
-            (Some(entry), Some(platform)) if source.problems.is_empty() => {
-                Ok(Self { entry, limits, log, peer, platform })
-            }
+        match settings {
+            Some(settings) if source.problems.is_empty() => Ok(settings),
             _ => Err(Problems(source.problems)),
         }
     }
 }
+
+impl Settings {
+    /// Every key that a settings file may have, with its section, for example `entry.listen`.
+    pub fn keys() -> Vec<String> {
+        let text = OPTIONAL_SECTIONS;
+        let mut source = Source { text, problems: Vec::new(), keys: Vec::new() };
+        let (root, _) = DeTable::parse_recoverable(text);
+        Self::read(&mut root.into_inner(), &mut source);
+        source.keys
+    }
+
+    fn read(root: &mut DeTable<'_>, source: &mut Source<'_>) -> Option<Self> {
+        let entry = EntrySettings::read(root, source);
+        let limits = LimitSettings::read(root, source);
+        let log = LogSettings::read(root, source);
+        let peer = PeerSettings::read(root, source);
+        let platform = PlatformSettings::read(root, source);
+        Some(Self { entry: entry?, limits, log, peer, platform: platform? })
+    }
+}
