--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,8 @@
 //! Experiments by name.
 
 mod engine_deaths;
+mod entry_deaths;
+mod journal_copies;
 mod options;
 mod relay;
 
@@ -11,6 +13,8 @@
 /// Names of all experiments with what they show.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
     ("engine-deaths", "answers stay whole while engines die"),
+    ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
+    ("journal-copies", "delay and cost of journal copies for each token"),
     ("relay", "cost and added delay of a relayed token"),
 ];
 
@@ -26,6 +30,8 @@
 ) -> Result<(), BenchError> {
     match name {
         "engine-deaths" => engine_deaths::run(program, options).await,
+        "entry-deaths" => entry_deaths::run(program, options).await,
+        "journal-copies" => journal_copies::run(program, options).await,
         "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -4,6 +4,7 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::LogSettings,
+    peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     section::Source,
@@ -11,7 +12,10 @@
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[entry], [limits], [log], [platform]";
+const SECTIONS: &str = "[entry], [limits], [log], [peer], [platform]";
+
+/// Sections whose keys are read only if the section is there.
+const OPTIONAL_SECTIONS: &str = "[peer]\n";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,6 +26,8 @@
     pub limits: LimitSettings,
     /// Logs.
     pub log: LogSettings,
+    /// Messages between daemons, if there are any.
+    pub peer: Option<PeerSettings>,
     /// Access to the platform.
     pub platform: PlatformSettings,
 }
@@ -69,8 +75,10 @@
 impl Settings {
     /// Every key that a settings file may have, with its section, for example `entry.listen`.
     pub fn keys() -> Vec<String> {
-        let mut source = Source { text: "", problems: Vec::new(), keys: Vec::new() };
-        Self::read(&mut DeTable::new(), &mut source);
+        let text = OPTIONAL_SECTIONS;
+        let mut source = Source { text, problems: Vec::new(), keys: Vec::new() };
+        let (root, _) = DeTable::parse_recoverable(text);
+        Self::read(&mut root.into_inner(), &mut source);
         source.keys
     }
 
@@ -78,7 +86,8 @@
         let entry = EntrySettings::read(root, source);
         let limits = LimitSettings::read(root, source);
         let log = LogSettings::read(root, source);
+        let peer = PeerSettings::read(root, source);
         let platform = PlatformSettings::read(root, source);
-        Some(Self { entry: entry?, limits, log, platform: platform? })
+        Some(Self { entry: entry?, limits, log, peer, platform: platform? })
     }
 }
