Stop the prefill of a cancelled sequence

A sequence in prefill had no test, and its abandoned prefill kept its place. Before: the new test fails, all 3 context tokens count as computed. After: 1, and the remaining time is given back.

--- a/crates/stand/src/engine/scheduler.rs
+++ b/crates/stand/src/engine/scheduler.rs
@@ -35,7 +35,7 @@
     queue_limit: usize,
     tokens_per_step: u32,
     prefill_us_per_token: u64,
-    prefill_free_at_us: u64,
+    last_step_us: u64,
     /// Ordered by priority, then by arrival.
     waiting: BTreeMap<(i32, u64), Sequence>,
     arrivals: u64,
@@ -63,7 +63,7 @@
             queue_limit: settings.queue_limit,
             tokens_per_step: settings.tokens_per_step.max(1),
             prefill_us_per_token: settings.prefill_us_per_token,
-            prefill_free_at_us: 0,
+            last_step_us: 0,
             waiting: BTreeMap::new(),
             arrivals: 0,
             running: Vec::new(),
@@ -96,10 +96,11 @@
     /// Runs one step.
     pub fn step(&mut self, now_us: u64) {
         self.drop_cancelled();
+        self.advance_prefills(now_us);
         self.admit(now_us);
         let mut running = std::mem::take(&mut self.running);
         running.retain_mut(|sequence| {
-            if sequence.ready_at_us > now_us {
+            if sequence.prefill_left_us > 0 {
                 return true;
             }
             if self.buffer.capacity() < EVENT_SPACE_BYTES {
@@ -139,21 +140,45 @@
         self.load_log.lagging(now_us / 1_000)
     }
 
+    /// Forgets the time since the last step, in which the engine stood still.
+    pub fn skip_to(&mut self, now_us: u64) {
+        self.last_step_us = now_us;
+    }
+
     fn drop_cancelled(&mut self) {
         let before = self.waiting.len() + self.running.len();
         self.waiting.retain(|_, sequence| !sequence.is_cancelled());
-        self.running.retain(|sequence| !sequence.is_cancelled());
+        let mut running = std::mem::take(&mut self.running);
+        running.retain(|sequence| {
+            if !sequence.is_cancelled() {
+                return true;
+            }
+            // The rest of its context is never computed.
+            let left_tokens = sequence.prefill_left_us / self.prefill_us_per_token.max(1);
+            self.counters.prefilled_tokens -= left_tokens;
+            false
+        });
+        self.running = running;
         let after = self.waiting.len() + self.running.len();
         self.counters.cancelled += (before - after) as u64;
     }
 
+    /// Gives the time since the last step to the contexts in the order in which they joined the batch. They share one
+    /// accelerator, so each starts when the one before has ended.
+    fn advance_prefills(&mut self, now_us: u64) {
+        let mut time_us = now_us.saturating_sub(self.last_step_us);
+        self.last_step_us = now_us;
+        for sequence in &mut self.running {
+            let used_us = sequence.prefill_left_us.min(time_us);
+            sequence.prefill_left_us -= used_us;
+            time_us -= used_us;
+        }
+    }
+
     fn admit(&mut self, now_us: u64) {
         while self.running.len() < self.batch_limit {
             let Some((_, mut sequence)) = self.waiting.pop_first() else { break };
-            let cost_us = self.prefill(&sequence.context, now_us);
-            // Prefills share one accelerator, so each starts when the one before has ended.
-            self.prefill_free_at_us = self.prefill_free_at_us.max(now_us) + cost_us;
-            sequence.ready_at_us = self.prefill_free_at_us;
+            sequence.prefill_left_us = self.prefill(&sequence.context, now_us);
             sequence.context.blocks = Vec::new();
             sequence.context.tokens_at_block = Vec::new();
             self.running.push(sequence);
--- a/crates/stand/src/engine/sequence.rs
+++ b/crates/stand/src/engine/sequence.rs
@@ -23,8 +23,8 @@
 pub(super) struct Sequence {
     /// Context; its blocks are needed until the sequence joins the batch.
     pub context: Context,
-    /// Time at which the context is computed, set when the sequence joins the batch.
-    pub ready_at_us: u64,
+    /// Time that the computation of the context still takes, set when the sequence joins the batch.
+    pub prefill_left_us: u64,
     sender: Sender<Bytes>,
     request_id: Box<str>,
     /// Start of each token event up to the index.
@@ -49,7 +49,7 @@
         let id = serde_json::to_string(&request.request_id).unwrap_or_default();
         Self {
             context,
-            ready_at_us: 0,
+            prefill_left_us: 0,
             sender,
             request_id: request.request_id.as_str().into(),
             event_start: event_start(&id),
--- a/crates/stand/src/engine/shared.rs
+++ b/crates/stand/src/engine/shared.rs
@@ -121,7 +121,11 @@
         let gap = Duration::from_millis(self.settings.token_gap_ms.max(1));
         let mut next_step = Instant::now();
         loop {
-            self.wait_awake().await;
+            if *self.is_frozen.borrow() {
+                self.wait_awake().await;
+                let now_us = self.now_us();
+                self.scheduler().skip_to(now_us);
+            }
             if self.scheduler().is_idle() {
                 self.work.notified().await;
                 continue;
--- a/crates/stand/tests/engine.rs
+++ b/crates/stand/tests/engine.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{are_distinct, ask, chain, expect, fast_engine, open, read, request, text, wait_for};
-use stand::{EngineSettings, FencingPolicy, Platform, PlatformFault, PlatformSettings};
+use stand::{Engine, EngineSettings, FencingPolicy, Platform, PlatformFault, PlatformSettings};
 use std::{net::SocketAddr, time::Duration};
 use upstream::{EngineError, EnginePool};
 use web::{Client, Method, StatusCode};
@@ -103,6 +103,23 @@
     engine.kill().await;
 }
 
+#[tokio::test]
+async fn a_closed_connection_stops_the_computation_of_its_context() {
+    let settings = EngineSettings { token_gap_ms: 1, ..EngineSettings::default() };
+    let settings = EngineSettings { prefill_us_per_token: 3_600_000_000, ..settings };
+    let engine = Engine::start(settings).await.unwrap();
+    let abandoned = open(engine.addr(), &request("three words long", ENDLESS)).await;
+    wait_for(&engine, |counters, _, _| counters.prefilled_tokens == 3).await;
+    drop(abandoned);
+    wait_for(&engine, |counters, running, _| counters.cancelled == 1 && running == 0).await;
+    let counters = engine.state().counters;
+    // The token that was being computed counts.
+    assert_eq!((counters.prefilled_tokens, counters.decoded_tokens), (1, 0));
+    // An empty context needs no computation and is not held up by the abandoned one.
+    assert_eq!(expect(ask(engine.addr(), &request("", 1))).await.len(), 1);
+    engine.kill().await;
+}
+
 #[tokio::test]
 async fn a_known_prefix_is_not_computed_again() {
     let engine = fast_engine(EngineSettings::default()).await;
