Correct the expected prefill count of a cancelled sequence

It now demands at most one, which still fails when all three count or when the sequence stays in the batch.

--- a/crates/stand/tests/engine.rs
+++ b/crates/stand/tests/engine.rs
@@ -113,8 +113,9 @@
     drop(abandoned);
     wait_for(&engine, |counters, running, _| counters.cancelled == 1 && running == 0).await;
     let counters = engine.state().counters;
-    // The token that was being computed counts.
-    assert_eq!((counters.prefilled_tokens, counters.decoded_tokens), (1, 0));
+    // The token that was being computed counts if a step came before the close.
+    assert!(counters.prefilled_tokens <= 1, "{} tokens count", counters.prefilled_tokens);
+    assert_eq!(counters.decoded_tokens, 0);
     // An empty context needs no computation and is not held up by the abandoned one.
     assert_eq!(expect(ask(engine.addr(), &request("", 1))).await.len(), 1);
     engine.kill().await;
