--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -4,7 +4,7 @@
     bench_error::BenchError,
     cluster::{layout::Layout, process::Process},
 };
-use base::{DomainName, HashMap, ServiceName, VmId};
+use base::{DomainName, ServiceName, VmId};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -24,17 +24,13 @@
 #[derive(Debug)]
 struct EngineNode {
     vm: Vm,
+    /// Address of the engine itself; that of the VM may be a proxy's.
+    addr: SocketAddr,
     seed: u64,
+    proxy: Option<Process>,
     process: Option<Process>,
 }
 
-/// Proxy in front of an engine.
-#[derive(Debug)]
-struct EngineProxy {
-    process: Process,
-    target: SocketAddr,
-}
-
 /// Daemon of a cluster.
 #[derive(Debug)]
 struct EntryNode {
@@ -49,8 +45,6 @@
     program: PathBuf,
     layout: Layout,
     engines: Vec<EngineNode>,
-    /// Proxies by the position of their engine.
-    engine_proxies: HashMap<usize, EngineProxy>,
     entries: Vec<EntryNode>,
     platform: Process,
     platform_proxy: Option<Process>,
@@ -76,7 +70,6 @@
             program: program.to_owned(),
             layout,
             engines: Vec::new(),
-            engine_proxies: HashMap::default(),
             entries: Vec::new(),
             platform,
             platform_proxy,
@@ -130,11 +123,10 @@
     ///
     /// The process did not become ready.
     pub fn restart_engine(&mut self, position: usize) -> Result<(), BenchError> {
-        let addr = self.engine_addr(position);
         let engine = &mut self.engines[position];
         engine.seed += 1_000;
         engine.process = None;
-        let process = start_engine(&self.program, addr, engine.seed, &self.layout)?;
+        let process = start_engine(&self.program, engine.addr, engine.seed, &self.layout)?;
         engine.process = Some(process);
         Ok(())
     }
@@ -181,13 +173,12 @@
 
     /// Address of an engine itself, not of its proxy.
     pub fn engine_addr(&self, position: usize) -> SocketAddr {
-        let proxy = self.engine_proxies.get(&position);
-        proxy.map_or(self.engines[position].vm.addr, |proxy| proxy.target)
+        self.engines[position].addr
     }
 
     /// Proxy of an engine, if the layout has one.
     pub fn engine_proxy(&self, position: usize) -> Option<&Process> {
-        self.engine_proxies.get(&position).map(|proxy| &proxy.process)
+        self.engines[position].proxy.as_ref()
     }
 
     /// Proxy of the platform, if the layout has one.
@@ -224,14 +215,25 @@
         let seed = self.layout.seed * 100 + self.engines.len() as u64;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let process = start_engine(&self.program, any, seed, &self.layout)?;
-        let mut addr = process.addr("addr")?;
-        if self.layout.has_engine_proxies {
-            let proxy = EngineProxy { process: start_proxy(&self.program, addr)?, target: addr };
-            addr = proxy.process.addr("addr")?;
-            self.engine_proxies.insert(self.engines.len(), proxy);
-        }
-        let vm = engine_vm(&format!("engine-{domain}-{number}"), domain, addr)?;
-        self.engines.push(EngineNode { vm, seed, process: Some(process) });
+        let addr = process.addr("addr")?;
+        let proxy = match self.layout.has_engine_proxies {
+            true => Some(start_proxy(&self.program, addr)?),
+            false => None,
+        };
+        let public_addr = match &proxy {
+            Some(proxy) => proxy.addr("addr")?,
+            None => addr,
+        };
+        let vm = Vm {
+            id: VmId::try_from(format!("engine-{domain}-{number}"))?,
+            role: VmRole::Engine,
+            service: Some(ServiceName::try_from(Layout::MODEL)?),
+            domain: DomainName::try_from(domain)?,
+            addr: public_addr,
+            peer_addr: None,
+            state: VmState::Live,
+        };
+        self.engines.push(EngineNode { vm, addr, seed, proxy, process: Some(process) });
         Ok(())
     }
 
@@ -286,18 +288,6 @@
     }
 }
 
-fn engine_vm(name: &str, domain: &str, addr: SocketAddr) -> Result<Vm, BenchError> {
-    Ok(Vm {
-        id: VmId::try_from(name)?,
-        role: VmRole::Engine,
-        service: Some(ServiceName::try_from(Layout::MODEL)?),
-        domain: DomainName::try_from(domain)?,
-        addr,
-        peer_addr: None,
-        state: VmState::Live,
-    })
-}
-
 fn start_engine(
     program: &Path,
     listen: SocketAddr,
