Plan changes of the fleet configuration as pure functions

Cause: operators had no way to change services, accounts or versions other than writing the document. Intents, plans with their difference and cost, and the succession rule of configurations are added to fleet. Ruled out: succession by revision alone, because a platform that lost writes counts on from an older state and then offers a document without accepted changes under a higher revision; the number of confirmed plans in the document tells them apart.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -17,6 +17,8 @@
     clock::Clock,
     collections::{HashMap, HashSet},
     key_hash::KeyHash,
-    name::{AccountName, DomainName, ModelName, ServiceName, VersionName, VmId},
+    name::{
+        AccountName, DomainName, ModelName, OperatorName, PlanId, ServiceName, VersionName, VmId,
+    },
     name_error::NameError,
 };
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -90,6 +90,14 @@
     /// Name of a model.
     ModelName
 );
+name_type!(
+    /// Name of an operator.
+    OperatorName
+);
+name_type!(
+    /// Identifier of a plan.
+    PlanId
+);
 name_type!(
     /// Name of a service.
     ServiceName
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -2,7 +2,9 @@
 
 use crate::bench_error::BenchError;
 use base::{AccountName, KeyHash, ModelName, ServiceName, VersionName};
-use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use fleet::{
+    Account, Document, Model, Objectives, OrderBehaviour, Preset, QueueLimits, Service, ServiceKind,
+};
 
 /// Shape of a cluster.
 #[derive(Clone, Debug)]
@@ -56,18 +58,26 @@
                 name: AccountName::try_from("bench")?,
                 key_hashes: vec![KeyHash::of(Self::KEY)],
                 requests_per_s: 100_000,
+                tokens_per_s: None,
+                concurrent_generations: None,
             }],
             services: vec![Service {
                 name: service.clone(),
                 kind: ServiceKind::Generation,
                 preset: self.preset,
+                objectives: Objectives::default(),
+                queue: QueueLimits::default(),
+                orders: OrderBehaviour::default(),
             }],
             models: vec![Model {
                 name: ModelName::try_from(Self::MODEL)?,
                 service,
                 version: VersionName::try_from(Self::VERSION)?,
+                older_versions: Vec::new(),
                 adapters: Vec::new(),
+                roles: Vec::new(),
             }],
+            ..Document::default()
         })
     }
 }
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -1,6 +1,6 @@
 //! Configuration in force.
 
-use fleet::Document;
+use fleet::{Document, Succession};
 
 /// Configuration document with the revision at which the platform holds it.
 #[derive(Clone, Debug, Default)]
@@ -10,3 +10,10 @@
     /// Document.
     pub document: Document,
 }
+
+impl Config {
+    /// Position in the order of all configurations.
+    pub fn succession(&self) -> Succession {
+        Succession { revision: self.revision, sequence: self.document.sequence }
+    }
+}
--- a/crates/entry/src/config_actor.rs
+++ b/crates/entry/src/config_actor.rs
@@ -1,7 +1,7 @@
 //! Actor that keeps the configuration up to date.
 
 use crate::config::Config;
-use fleet::Document;
+use fleet::{Document, Succession};
 use plat::Platform;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{sync::Arc, time::Duration};
@@ -73,16 +73,24 @@
     }
 }
 
-/// Puts a document into force if it is valid and newer than the present one.
+/// Puts a document into force if it is valid and may follow the present one.
 fn apply(entry: &KvEntry, sender: &watch::Sender<Arc<Config>>) {
     if entry.key != CONFIG_KEY || entry.revision <= sender.borrow().revision {
         return;
     }
-    match Document::decode(&entry.value) {
-        Ok(document) => {
-            log::info!("config: revision {} is in force", entry.revision);
-            sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
+    let document = match Document::decode(&entry.value) {
+        Ok(document) => document,
+        Err(err) => {
+            log::error!("config: revision {} is not valid: {err}", entry.revision);
+            return;
         }
-        Err(err) => log::error!("config: revision {} is not valid: {err}", entry.revision),
+    };
+    let offered = Succession { revision: entry.revision, sequence: document.sequence };
+    let present = sender.borrow().succession();
+    if present.may_become(&offered) {
+        log::info!("config: revision {} is in force", entry.revision);
+        sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
+    } else {
+        log::error!("config: revision {} lacks accepted changes and is ignored", entry.revision);
     }
 }
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -12,4 +12,10 @@
     pub key_hashes: Vec<KeyHash>,
     /// Requests a second over all entries.
     pub requests_per_s: u32,
+    /// Generated tokens a second over all entries; no limit if missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tokens_per_s: Option<u32>,
+    /// Generations at a time over all entries; no limit if missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub concurrent_generations: Option<u32>,
 }
--- /dev/null
+++ b/crates/fleet/src/apply.rs
@@ -0,0 +1,294 @@
+//! Effect of an intent on a document.
+
+use crate::{
+    account::Account,
+    document::Document,
+    engine_role::{EngineRole, RoleCount},
+    intent::{AccountIntent, Intent, ServiceIntent},
+    intent_error::IntentError,
+    model::Model,
+    objectives::Objectives,
+    operator::Operator,
+    order_behaviour::OrderBehaviour,
+    plan_context::PlanContext,
+    queue_limits::QueueLimits,
+    service::Service,
+};
+use base::{AccountName, KeyHash, ModelName, ServiceName, VersionName};
+
+/// Requests a second of an account whose intent names none.
+const DEFAULT_REQUESTS_PER_S: u32 = 10;
+
+/// Applies one intent. The document is left in an undefined state if it fails.
+///
+/// # Errors
+///
+/// The intent does not fit the document, or it would strand running generations.
+pub(crate) fn apply(
+    document: &mut Document,
+    intent: &Intent,
+    key_hash: Option<&KeyHash>,
+    context: &PlanContext,
+) -> Result<(), IntentError> {
+    match intent {
+        Intent::CreateAccount(wanted) => create_account(document, wanted, key_hash),
+        Intent::ChangeAccount(wanted) => {
+            set_limits(account(document, &wanted.name)?, wanted);
+            Ok(())
+        }
+        Intent::RemoveAccount { name } => {
+            let kept = |account: &Account| account.name != *name;
+            remove(&mut document.accounts, kept, || format!("client account {name}"))
+        }
+        Intent::CreateKey { account: name } => {
+            let key_hash = key_hash.ok_or(IntentError::KeyMissing)?.clone();
+            account(document, name)?.key_hashes.push(key_hash);
+            Ok(())
+        }
+        Intent::RemoveKey { account: name, hash } => {
+            let key_hashes = &mut account(document, name)?.key_hashes;
+            remove(key_hashes, |known| known != hash, || "the key".to_owned())
+        }
+        Intent::CreateService(wanted) => create_service(document, wanted),
+        Intent::ChangeService(wanted) => change_service(document, wanted),
+        Intent::RemoveService { name } => {
+            if document.models.iter().any(|model| model.service == *name) {
+                return Err(IntentError::InUse(format!("service {name}")));
+            }
+            let kept = |service: &Service| service.name != *name;
+            remove(&mut document.services, kept, || format!("service {name}"))
+        }
+        Intent::CreateModel { name, service, version } => {
+            create_model(document, name, service, version)
+        }
+        Intent::RemoveModel { name } => remove_model(document, name, context),
+        Intent::CreateVersion { model: name, version } => {
+            let model = model(document, name)?;
+            if model.has_version(version) {
+                return Err(IntentError::Exists(format!("version {version} of model {name}")));
+            }
+            let older = std::mem::replace(&mut model.version, version.clone());
+            model.older_versions.push(older);
+            Ok(())
+        }
+        Intent::ChangeVersion { model: name, version } => change_version(document, name, version),
+        Intent::RemoveVersion { model: name, version } => {
+            remove_version(document, name, version, context)
+        }
+        Intent::CreateAdapter { model: name, adapter } => {
+            ModelName::try_from(adapter.as_str())?;
+            let adapters = &mut model(document, name)?.adapters;
+            if adapters.contains(adapter) {
+                return Err(IntentError::Exists(format!("adapter {adapter} of model {name}")));
+            }
+            adapters.push(adapter.clone());
+            Ok(())
+        }
+        Intent::RemoveAdapter { model: name, adapter } => {
+            let adapters = &mut model(document, name)?.adapters;
+            remove(adapters, |known| known != adapter, || format!("adapter {adapter}"))
+        }
+        Intent::CreateRole { model: name, role, engines } => {
+            let model = model(document, name)?;
+            if model.roles.iter().any(|known| known.role == *role) {
+                return Err(IntentError::Exists(format!("role {role:?} of model {name}")));
+            }
+            model.roles.push(RoleCount { role: *role, engines: *engines });
+            Ok(())
+        }
+        Intent::ChangeRole { model: name, role, engines } => {
+            change_role(document, name, *role, *engines)
+        }
+        Intent::RemoveRole { model: name, role } => {
+            let roles = &mut model(document, name)?.roles;
+            remove(roles, |known| known.role != *role, || format!("role {role:?}"))
+        }
+        Intent::CreateOperator { name } => {
+            let key_hash = key_hash.ok_or(IntentError::KeyMissing)?.clone();
+            if document.operators.iter().any(|operator| operator.name == *name) {
+                return Err(IntentError::Exists(format!("operator {name}")));
+            }
+            document.operators.push(Operator { name: name.clone(), key_hashes: vec![key_hash] });
+            Ok(())
+        }
+        Intent::RemoveOperator { name } => {
+            let kept = |operator: &Operator| operator.name != *name;
+            remove(&mut document.operators, kept, || format!("operator {name}"))
+        }
+    }
+}
+
+fn create_account(
+    document: &mut Document,
+    wanted: &AccountIntent,
+    key_hash: Option<&KeyHash>,
+) -> Result<(), IntentError> {
+    if document.account(&wanted.name).is_some() {
+        return Err(IntentError::Exists(format!("client account {}", wanted.name)));
+    }
+    let mut account = Account {
+        name: wanted.name.clone(),
+        key_hashes: vec![key_hash.ok_or(IntentError::KeyMissing)?.clone()],
+        requests_per_s: DEFAULT_REQUESTS_PER_S,
+        tokens_per_s: None,
+        concurrent_generations: None,
+    };
+    set_limits(&mut account, wanted);
+    document.accounts.push(account);
+    Ok(())
+}
+
+fn set_limits(account: &mut Account, wanted: &AccountIntent) {
+    account.requests_per_s = wanted.requests_per_s.unwrap_or(account.requests_per_s);
+    account.tokens_per_s = wanted.tokens_per_s.or(account.tokens_per_s);
+    account.concurrent_generations =
+        wanted.concurrent_generations.or(account.concurrent_generations);
+}
+
+fn create_service(document: &mut Document, wanted: &ServiceIntent) -> Result<(), IntentError> {
+    if document.service(&wanted.name).is_some() {
+        return Err(IntentError::Exists(format!("service {}", wanted.name)));
+    }
+    let mut service = Service {
+        name: wanted.name.clone(),
+        kind: wanted.kind.ok_or(IntentError::FieldMissing("kind"))?,
+        preset: wanted.preset.unwrap_or_default(),
+        objectives: Objectives::default(),
+        queue: QueueLimits::default(),
+        orders: OrderBehaviour::default(),
+    };
+    set_fields(&mut service, wanted);
+    document.services.push(service);
+    Ok(())
+}
+
+fn change_service(document: &mut Document, wanted: &ServiceIntent) -> Result<(), IntentError> {
+    let service = document
+        .services
+        .iter_mut()
+        .find(|service| service.name == wanted.name)
+        .ok_or_else(|| IntentError::Missing(format!("service {}", wanted.name)))?;
+    if wanted.kind.is_some_and(|kind| kind != service.kind) {
+        return Err(IntentError::Fixed("kind"));
+    }
+    set_fields(service, wanted);
+    Ok(())
+}
+
+fn set_fields(service: &mut Service, wanted: &ServiceIntent) {
+    service.preset = wanted.preset.unwrap_or(service.preset);
+    let objectives = &mut service.objectives;
+    objectives.availability_millipct =
+        wanted.availability_millipct.or(objectives.availability_millipct);
+    objectives.availability_window_s =
+        wanted.availability_window_s.or(objectives.availability_window_s);
+    objectives.latency_p95_ms = wanted.latency_p95_ms.or(objectives.latency_p95_ms);
+    objectives.latency_window_s = wanted.latency_window_s.or(objectives.latency_window_s);
+    let queue = &mut service.queue;
+    queue.max_requests = wanted.max_requests.unwrap_or(queue.max_requests);
+    queue.max_wait_ms = wanted.max_wait_ms.unwrap_or(queue.max_wait_ms);
+    let orders = &mut service.orders;
+    orders.checks_fencing_token =
+        wanted.checks_fencing_token.unwrap_or(orders.checks_fencing_token);
+    orders.checks_sender = wanted.checks_sender.unwrap_or(orders.checks_sender);
+}
+
+fn create_model(
+    document: &mut Document,
+    name: &ModelName,
+    service: &ServiceName,
+    version: &VersionName,
+) -> Result<(), IntentError> {
+    if document.model(name).is_some() {
+        return Err(IntentError::Exists(format!("model {name}")));
+    }
+    document.models.push(Model {
+        name: name.clone(),
+        service: service.clone(),
+        version: version.clone(),
+        older_versions: Vec::new(),
+        adapters: Vec::new(),
+        roles: Vec::new(),
+    });
+    Ok(())
+}
+
+fn remove_model(
+    document: &mut Document,
+    name: &ModelName,
+    context: &PlanContext,
+) -> Result<(), IntentError> {
+    if let Some((_, version)) = context.pinned.iter().find(|(model, _)| model == name) {
+        return Err(IntentError::Pinned(name.clone(), version.clone()));
+    }
+    remove(&mut document.models, |model| model.name != *name, || format!("model {name}"))
+}
+
+fn change_version(
+    document: &mut Document,
+    name: &ModelName,
+    version: &VersionName,
+) -> Result<(), IntentError> {
+    let model = model(document, name)?;
+    let position =
+        model.older_versions.iter().position(|older| older == version).ok_or_else(|| {
+            IntentError::Missing(format!("older version {version} of model {name}"))
+        })?;
+    std::mem::swap(&mut model.version, &mut model.older_versions[position]);
+    Ok(())
+}
+
+fn remove_version(
+    document: &mut Document,
+    name: &ModelName,
+    version: &VersionName,
+    context: &PlanContext,
+) -> Result<(), IntentError> {
+    let model = model(document, name)?;
+    if context.pinned.contains(&(name.clone(), version.clone())) {
+        return Err(IntentError::Pinned(name.clone(), version.clone()));
+    }
+    if model.version == *version {
+        return Err(IntentError::LastVersion(name.clone(), version.clone()));
+    }
+    let what = || format!("version {version} of model {name}");
+    remove(&mut model.older_versions, |older| older != version, what)
+}
+
+fn change_role(
+    document: &mut Document,
+    name: &ModelName,
+    role: EngineRole,
+    engines: u32,
+) -> Result<(), IntentError> {
+    let count = model(document, name)?
+        .roles
+        .iter_mut()
+        .find(|known| known.role == role)
+        .ok_or_else(|| IntentError::Missing(format!("role {role:?} of model {name}")))?;
+    count.engines = engines;
+    Ok(())
+}
+
+fn account<'d>(
+    document: &'d mut Document,
+    name: &AccountName,
+) -> Result<&'d mut Account, IntentError> {
+    let missing = || IntentError::Missing(format!("client account {name}"));
+    document.accounts.iter_mut().find(|account| account.name == *name).ok_or_else(missing)
+}
+
+fn model<'d>(document: &'d mut Document, name: &ModelName) -> Result<&'d mut Model, IntentError> {
+    let missing = || IntentError::Missing(format!("model {name}"));
+    document.models.iter_mut().find(|model| model.name == *name).ok_or_else(missing)
+}
+
+fn remove<T>(
+    items: &mut Vec<T>,
+    is_kept: impl Fn(&T) -> bool,
+    what: impl Fn() -> String,
+) -> Result<(), IntentError> {
+    let count = items.len();
+    items.retain(is_kept);
+    if items.len() == count { Err(IntentError::Missing(what())) } else { Ok(()) }
+}
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -2,13 +2,18 @@
 
 use crate::{
     account::Account,
+    confirmed_plan::ConfirmedPlan,
     document_error::DocumentError,
     model::Model,
+    operator::Operator,
     service::{Service, ServiceKind},
 };
-use base::{AccountName, HashSet, KeyHash, ModelName, ServiceName};
+use base::{AccountName, HashSet, KeyHash, ModelName, PlanId, ServiceName};
 use serde::{Deserialize, Serialize};
 
+/// Largest value that the platform holds.
+pub const DOCUMENT_SIZE_BYTES: usize = 1_000_000;
+
 /// Everything that operators define, as one value in the platform.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Document {
@@ -21,6 +26,15 @@
     /// Models.
     #[serde(default)]
     pub models: Vec<Model>,
+    /// Operators.
+    #[serde(default)]
+    pub operators: Vec<Operator>,
+    /// Number of plans that were confirmed; 0 in a document that was written without a plan.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Latest confirmed plans, the oldest first; see `RECENT_PLANS`.
+    #[serde(default)]
+    pub recent_plans: Vec<ConfirmedPlan>,
 }
 
 impl Document {
@@ -42,6 +56,12 @@
                 return Err(DocumentError::DuplicateService(service.name.clone()));
             }
         }
+        let mut operators = HashSet::default();
+        for operator in &self.operators {
+            if !operators.insert(&operator.name) {
+                return Err(DocumentError::DuplicateOperator(operator.name.clone()));
+            }
+        }
         let mut models = HashSet::default();
         for model in &self.models {
             if !models.insert(&model.name) {
@@ -53,6 +73,12 @@
             if !is_generation {
                 return Err(DocumentError::ModelService(model.name.clone(), model.service.clone()));
             }
+            if model.older_versions.contains(&model.version) {
+                return Err(DocumentError::DuplicateVersion(
+                    model.name.clone(),
+                    model.version.clone(),
+                ));
+            }
         }
         Ok(())
     }
@@ -67,6 +93,16 @@
         self.accounts.iter().find(|account| account.name == *name)
     }
 
+    /// The operator that a key belongs to.
+    pub fn operator_by_key(&self, key_hash: &KeyHash) -> Option<&Operator> {
+        self.operators.iter().find(|operator| operator.key_hashes.contains(key_hash))
+    }
+
+    /// The latest confirmed plan with an identifier.
+    pub fn confirmed(&self, plan_id: &PlanId) -> Option<&ConfirmedPlan> {
+        self.recent_plans.iter().find(|plan| plan.plan_id == *plan_id)
+    }
+
     /// The service with a name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
@@ -92,8 +128,12 @@
     ///
     /// # Errors
     ///
-    /// `Json`; does not happen for values of this type.
+    /// `TooLarge` if the platform would not hold it.
     pub fn encode(&self) -> Result<String, DocumentError> {
-        Ok(serde_json::to_string(self)?)
+        let text = serde_json::to_string(self)?;
+        if text.len() > DOCUMENT_SIZE_BYTES {
+            return Err(DocumentError::TooLarge(text.len()));
+        }
+        Ok(text)
     }
 }
--- a/crates/fleet/src/document_error.rs
+++ b/crates/fleet/src/document_error.rs
@@ -1,6 +1,6 @@
 //! Errors of the configuration document.
 
-use base::{AccountName, ModelName, ServiceName};
+use base::{AccountName, ModelName, OperatorName, ServiceName, VersionName};
 use quick_error::quick_error;
 
 quick_error! {
@@ -21,6 +21,18 @@
         DuplicateService(name: ServiceName) {
             display("service {name} is defined twice")
         }
+        /// Two operators have the same name.
+        DuplicateOperator(name: OperatorName) {
+            display("operator {name} is defined twice")
+        }
+        /// The version for new generations is listed as an older one, too.
+        DuplicateVersion(model: ModelName, version: VersionName) {
+            display("version {version} of model {model} is defined twice")
+        }
+        /// The document is larger than the platform holds.
+        TooLarge(size_bytes: usize) {
+            display("the document has {size_bytes} bytes, at most 1000000 are allowed")
+        }
         /// Two models have the same name.
         DuplicateModel(name: ModelName) {
             display("model {name} is defined twice")
--- /dev/null
+++ b/crates/fleet/src/intent_text.rs
@@ -0,0 +1,58 @@
+//! Intents as short text, for example `create account borders requests_per_s=10`.
+
+use crate::{intent::Intent, intent_error::IntentError};
+use serde_json::{Map, Value};
+
+/// Fields whose values are names, even if they look like numbers.
+const NAME_FIELDS: [&str; 4] = ["kind", "preset", "service", "version"];
+
+/// Reads an intent from `VERB KIND NAME… FIELD=VALUE…`.
+///
+/// # Errors
+///
+/// `Words` if a word is missing or not expected, `Json` if the fields do not fit the intent.
+pub fn parse_intent(text: &str) -> Result<Intent, IntentError> {
+    let mut words = text.split_whitespace();
+    let (Some(verb), Some(kind)) = (words.next(), words.next()) else {
+        return Err(IntentError::Words(text.to_owned()));
+    };
+    let mut names = positions(verb, kind).iter();
+    let mut fields = Map::new();
+    fields.insert("intent".to_owned(), format!("{verb}_{kind}").into());
+    for word in words {
+        let (name, value) = match word.split_once('=') {
+            Some((name, value)) => (name, field_value(name, value)),
+            None => {
+                let name = names.next().ok_or_else(|| IntentError::Words(text.to_owned()))?;
+                (*name, Value::from(word))
+            }
+        };
+        if fields.insert(name.to_owned(), value).is_some() {
+            return Err(IntentError::Repeated(name.to_owned()));
+        }
+    }
+    Ok(serde_json::from_value(Value::Object(fields))?)
+}
+
+/// Fields that are given by position.
+fn positions(verb: &str, kind: &str) -> &'static [&'static str] {
+    match (verb, kind) {
+        (_, "adapter") => &["model", "adapter"],
+        (_, "role") => &["model", "role"],
+        (_, "version") => &["model", "version"],
+        ("remove", "key") => &["account", "hash"],
+        (_, "key") => &["account"],
+        _ => &["name"],
+    }
+}
+
+fn field_value(name: &str, value: &str) -> Value {
+    if NAME_FIELDS.contains(&name) {
+        return value.into();
+    }
+    match (value.parse::<u32>(), value.parse::<bool>()) {
+        (Ok(number), _) => number.into(),
+        (_, Ok(flag)) => flag.into(),
+        _ => value.into(),
+    }
+}
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -1,5 +1,6 @@
 //! Model in service.
 
+use crate::engine_role::RoleCount;
 use base::{ModelName, ServiceName, VersionName};
 use serde::{Deserialize, Serialize};
 
@@ -12,7 +13,20 @@
     pub service: ServiceName,
     /// Version for new generations.
     pub version: VersionName,
+    /// Versions that stay loaded until the generations pinned to them have ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub older_versions: Vec<VersionName>,
     /// Adapters that callers may ask for as `model:adapter`.
     #[serde(default)]
     pub adapters: Vec<String>,
+    /// Engines for each role; the engines choose by themselves if it is empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub roles: Vec<RoleCount>,
+}
+
+impl Model {
+    /// Whether a version is served, for new generations or for older ones.
+    pub fn has_version(&self, version: &VersionName) -> bool {
+        self.version == *version || self.older_versions.contains(version)
+    }
 }
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,163 @@
+//! Plan of a change.
+
+use crate::{
+    apply::apply,
+    confirmed_plan::{ConfirmedPlan, RECENT_PLANS},
+    diff::diff,
+    diff_line::DiffLine,
+    document::Document,
+    intent_error::IntentError,
+    plan_context::PlanContext,
+    plan_cost::PlanCost,
+    plan_error::PlanError,
+    planned_intent::PlannedIntent,
+};
+use base::{OperatorName, PlanId};
+use serde::{Deserialize, Serialize};
+
+/// Time after which a plan can no longer be confirmed.
+pub const PLAN_LIFE_MS: u64 = 15 * 60 * 1_000;
+
+/// What an operator's intents would change. Nothing changes until the plan is confirmed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Plan {
+    /// Identifier with a random part.
+    pub id: PlanId,
+    /// Operator who made it.
+    pub operator: OperatorName,
+    /// Time of its creation since the Unix epoch.
+    pub created_ms: u64,
+    /// Revision of the document that it was built on, and the only one that it is applied to.
+    pub base_revision: u64,
+    /// `Document::sequence` at that revision.
+    pub base_sequence: u64,
+    /// Intents.
+    pub intents: Vec<PlannedIntent>,
+    /// Difference.
+    pub lines: Vec<DiffLine>,
+    /// Cost.
+    pub cost: PlanCost,
+    /// What the operator should know before the confirmation.
+    pub warnings: Vec<String>,
+}
+
+impl Plan {
+    /// Plans `intents` on the document that the platform holds at `base_revision`.
+    ///
+    /// # Errors
+    ///
+    /// An intent does not fit, or the plan would strand running generations.
+    pub fn build(
+        id: PlanId,
+        operator: OperatorName,
+        now_ms: u64,
+        base_revision: u64,
+        base: &Document,
+        intents: Vec<PlannedIntent>,
+        context: &PlanContext,
+    ) -> Result<Self, IntentError> {
+        let after = apply_all(base, &intents, context)?;
+        let lines = diff(base, &after)?;
+        if lines.is_empty() {
+            return Err(IntentError::Nothing);
+        }
+        Ok(Self {
+            id,
+            operator,
+            created_ms: now_ms,
+            base_revision,
+            base_sequence: base.sequence,
+            intents,
+            lines,
+            cost: PlanCost::of(base, &after, context),
+            warnings: warnings(base, &after, context),
+        })
+    }
+
+    /// The document after the plan, with the record of its confirmation.
+    ///
+    /// # Errors
+    ///
+    /// `Stale` if the document is at another revision, `Intent` if a running generation would be stranded now.
+    pub fn confirm(
+        &self,
+        revision: u64,
+        document: &Document,
+        now_ms: u64,
+        context: &PlanContext,
+    ) -> Result<Document, PlanError> {
+        if revision != self.base_revision {
+            return Err(PlanError::Stale(self.base_revision, revision));
+        }
+        if self.is_expired(now_ms) {
+            return Err(PlanError::Expired);
+        }
+        let mut after = apply_all(document, &self.intents, context)?;
+        after.sequence = document.sequence + 1;
+        let record = ConfirmedPlan {
+            plan_id: self.id.clone(),
+            operator: self.operator.clone(),
+            confirmed_ms: now_ms,
+            base_revision: self.base_revision,
+            sequence: after.sequence,
+            lines: self.lines.clone(),
+            omitted_lines: 0,
+        };
+        after.recent_plans.push(record.shortened());
+        let surplus = after.recent_plans.len().saturating_sub(RECENT_PLANS);
+        after.recent_plans.drain(..surplus);
+        Ok(after)
+    }
+
+    /// Whether the plan can no longer be confirmed at a time since the Unix epoch.
+    pub fn is_expired(&self, now_ms: u64) -> bool {
+        now_ms > self.created_ms.saturating_add(PLAN_LIFE_MS)
+    }
+
+    /// Whether a document that does not list the plan as confirmed proves that it was not applied. After too many
+    /// later changes the record may have been dropped.
+    pub fn is_decided_by(&self, document: &Document) -> bool {
+        document.sequence <= self.base_sequence + RECENT_PLANS as u64
+    }
+}
+
+fn apply_all(
+    base: &Document,
+    intents: &[PlannedIntent],
+    context: &PlanContext,
+) -> Result<Document, IntentError> {
+    let mut after = base.clone();
+    for planned in intents {
+        apply(&mut after, &planned.intent, planned.key_hash.as_ref(), context)?;
+    }
+    after.check()?;
+    after.encode()?;
+    Ok(after)
+}
+
+fn warnings(before: &Document, after: &Document, context: &PlanContext) -> Vec<String> {
+    let mut warnings = Vec::new();
+    for account in &before.accounts {
+        match after.account(&account.name) {
+            None => warnings.push(format!("client account {} loses access", account.name)),
+            Some(new) if new.key_hashes.is_empty() => {
+                warnings.push(format!("client account {} has no key left", account.name));
+            }
+            Some(_) => {}
+        }
+    }
+    for model in &after.models {
+        let engines = context.engines.get(&model.service).copied().unwrap_or(0);
+        if engines == 0 {
+            warnings.push(format!("no engine of service {} is known", model.service));
+        }
+        let wanted: u32 = model.roles.iter().map(|count| count.engines).sum();
+        if wanted > engines {
+            warnings.push(format!("model {} wants {wanted} engines, {engines} exist", model.name));
+        }
+    }
+    if after.operators.is_empty() && !before.operators.is_empty() {
+        warnings.push("no operator is left, only the bootstrap key".to_owned());
+    }
+    warnings
+}
--- /dev/null
+++ b/crates/fleet/src/plan_context.rs
@@ -0,0 +1,14 @@
+//! What a plan is checked against, beside the document.
+
+use base::{HashMap, HashSet, ModelName, ServiceName, VersionName};
+
+/// State of the fleet at the time of a plan.
+#[derive(Clone, Debug, Default)]
+pub struct PlanContext {
+    /// Versions that running generations are pinned to.
+    pub pinned: HashSet<(ModelName, VersionName)>,
+    /// Engines of each service.
+    pub engines: HashMap<ServiceName, u32>,
+    /// Time that the weight store takes for one load.
+    pub weight_load_ms: u64,
+}
--- /dev/null
+++ b/crates/fleet/src/plan_cost.rs
@@ -0,0 +1,59 @@
+//! Cost of a plan.
+
+use crate::{document::Document, plan_context::PlanContext};
+use base::ServiceName;
+use serde::{Deserialize, Serialize};
+use std::fmt::{Display, Formatter, Result as FmtResult};
+
+/// What applying a plan costs on engines and at the weight store.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlanCost {
+    /// Versions and adapters that engines load.
+    pub loads: u32,
+    /// Engines that are drained, because a version or role of theirs changes.
+    pub drains: u32,
+    /// Time at the weight store if one load runs at a time.
+    pub weight_store_ms: u64,
+}
+
+impl PlanCost {
+    /// Cost of the change from `before` to `after`.
+    pub fn of(before: &Document, after: &Document, context: &PlanContext) -> Self {
+        let engines = |name: &ServiceName| context.engines.get(name).copied().unwrap_or(0);
+        let mut cost = Self::default();
+        for model in &after.models {
+            let count = engines(&model.service);
+            let old = before.model(&model.name);
+            let versions = std::iter::once(&model.version).chain(&model.older_versions);
+            let new_versions =
+                versions.filter(|version| !old.is_some_and(|old| old.has_version(version)));
+            let new_adapters = model
+                .adapters
+                .iter()
+                .filter(|adapter| !old.is_some_and(|old| old.adapters.contains(adapter)));
+            let new_items = new_versions.count() + new_adapters.count();
+            cost.loads += count * u32::try_from(new_items).unwrap_or(u32::MAX);
+            if old.is_some_and(|old| old.roles != model.roles) {
+                cost.drains += count;
+            }
+        }
+        for model in &before.models {
+            let is_gone = match after.model(&model.name) {
+                Some(new) => model.older_versions.iter().any(|older| !new.has_version(older)),
+                None => true,
+            };
+            if is_gone {
+                cost.drains += engines(&model.service);
+            }
+        }
+        cost.weight_store_ms = u64::from(cost.loads) * context.weight_load_ms;
+        cost
+    }
+}
+
+impl Display for PlanCost {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        let Self { loads, drains, weight_store_ms } = self;
+        write!(f, "{loads} loads, {drains} drains, {weight_store_ms} ms at the weight store")
+    }
+}
--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -1,5 +1,6 @@
 //! Service that requests are routed to.
 
+use crate::{objectives::Objectives, order_behaviour::OrderBehaviour, queue_limits::QueueLimits};
 use base::ServiceName;
 use serde::{Deserialize, Serialize};
 
@@ -34,4 +35,13 @@
     /// Recovery preset of its generations.
     #[serde(default)]
     pub preset: Preset,
+    /// Service-level objectives.
+    #[serde(default)]
+    pub objectives: Objectives,
+    /// Limits of its queue.
+    #[serde(default)]
+    pub queue: QueueLimits,
+    /// What its upstreams check before they follow an order.
+    #[serde(default)]
+    pub orders: OrderBehaviour,
 }
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -4,7 +4,9 @@
 use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
 use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, Settings};
 use entry::Entry;
-use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use fleet::{
+    Account, Document, Model, Objectives, OrderBehaviour, Preset, QueueLimits, Service, ServiceKind,
+};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use stand::{Chain, Engine, EngineSettings, Platform};
@@ -213,18 +215,26 @@
             name: AccountName::try_from("dev")?,
             key_hashes: vec![KeyHash::of(CLIENT_KEY)],
             requests_per_s: 1_000,
+            tokens_per_s: None,
+            concurrent_generations: None,
         }],
         services: vec![Service {
             name: service.clone(),
             kind: ServiceKind::Generation,
             preset: Preset::Latency,
+            objectives: Objectives::default(),
+            queue: QueueLimits::default(),
+            orders: OrderBehaviour::default(),
         }],
         models: vec![Model {
             name: ModelName::try_from(MODEL)?,
             service,
             version: VersionName::try_from(VERSION)?,
+            older_versions: Vec::new(),
             adapters: Vec::new(),
+            roles: Vec::new(),
         }],
+        ..Document::default()
     })
 }
 
