Serve plans and confirmations to operators

Cause: the configuration could be changed only by writing the key of the platform. plat gains a compare-and-swap that resolves a lost response by reading back, admin serves /admin/v1/ on its own listener, geraniumctl calls it. Ruled out: showing new keys in the answer to the confirmation, because a lost answer would lose the key; the key is shown with the plan and only its hash is stored.

--- /dev/null
+++ b/crates/admin/src/handler.rs
@@ -0,0 +1,168 @@
+//! Routes of the server towards operators.
+
+use crate::{
+    admin_error::AdminError, daemon::Daemon, member::Member, plan_request::PlanRequest,
+    planner::Planner, status::Status, watch_report::WatchReport,
+};
+use base::{Clock, HashMap, KeyHash, OperatorName, PlanId};
+use fleet::PlanContext;
+use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
+use plat::Platform;
+use serde::Serialize;
+use std::sync::Arc;
+use tokio::sync::watch;
+use web::{Handler, Method, ResponseBody, StatusCode};
+use wire::platform::{VmList, VmRole};
+
+/// Largest body of a request.
+const BODY_SIZE_BYTES: usize = 1024 * 1024;
+
+/// Longest wait of one watch.
+const WATCH_WAIT_MS: u64 = 30_000;
+
+/// Records in a history that names no limit.
+const HISTORY_LIMIT: u64 = 32;
+
+/// Most records in one history.
+const MAX_HISTORY_LIMIT: u64 = 256;
+
+/// Time that the weight store is assumed to take for one load.
+const WEIGHT_LOAD_MS: u64 = 20_000;
+
+/// Operator that the bootstrap key stands for.
+const BOOTSTRAP: &str = "bootstrap";
+
+/// Handler of the server towards operators.
+#[derive(Debug)]
+pub(crate) struct AdminHandler<D> {
+    pub bootstrap_key_hash: Option<KeyHash>,
+    pub planner: Planner<Platform>,
+    pub platform: Platform,
+    pub daemon: D,
+    pub stop: watch::Receiver<bool>,
+}
+
+impl<D: Daemon> Handler for AdminHandler<D> {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        match self.route(request).await {
+            Ok(response) => response,
+            Err(error) => error.response(),
+        }
+    }
+}
+
+impl<D: Daemon> AdminHandler<D> {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, AdminError> {
+        let operator = self.authenticate(&request)?;
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let path = path.strip_prefix("/admin/v1/").ok_or(AdminError::Route)?;
+        match (method, path) {
+            (Method::POST, "plans") => self.plan(operator, request).await,
+            (Method::GET, "status") => Ok(ok(&self.status().await)),
+            (Method::GET, "history") => {
+                let limit = optional(&query, "limit")?.unwrap_or(HISTORY_LIMIT);
+                let limit = limit.min(MAX_HISTORY_LIMIT) as usize;
+                Ok(ok(&self.planner.history(limit).await?))
+            }
+            (Method::GET, "diff") => {
+                let from = optional(&query, "from")?.ok_or(AdminError::Parameter("from"))?;
+                let to = optional(&query, "to")?.unwrap_or(u64::MAX);
+                Ok(ok(&self.planner.diff(from, to).await?))
+            }
+            (Method::GET, "watch") => self.watch(&query).await,
+            (Method::POST, path) => {
+                let id = path.strip_prefix("plans/").and_then(|rest| rest.strip_suffix("/confirm"));
+                let id = plan_id(id.ok_or(AdminError::Route)?)?;
+                let context = self.context();
+                Ok(ok(&self.planner.confirm(&id, Clock::unix_ms(), &context).await?))
+            }
+            (Method::GET, path) => {
+                let id = plan_id(path.strip_prefix("plans/").ok_or(AdminError::Route)?)?;
+                Ok(ok(&self.planner.show(&id).await?))
+            }
+            _ => Err(AdminError::Route),
+        }
+    }
+
+    fn authenticate(&self, request: &Request<Incoming>) -> Result<OperatorName, AdminError> {
+        let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let key = header.and_then(|text| text.strip_prefix("Bearer ")).ok_or(AdminError::Key)?;
+        let key_hash = KeyHash::of(key);
+        if self.bootstrap_key_hash.as_ref() == Some(&key_hash) {
+            return OperatorName::try_from(BOOTSTRAP).map_err(|_| AdminError::Key);
+        }
+        self.daemon.operator(&key_hash).ok_or(AdminError::Key)
+    }
+
+    async fn plan(
+        &self,
+        operator: OperatorName,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, AdminError> {
+        let body = web::read_body(request.into_body(), BODY_SIZE_BYTES).await?;
+        let request: PlanRequest = serde_json::from_slice(&body)?;
+        let context = self.context();
+        let now_ms = Clock::unix_ms();
+        let created = self.planner.plan(operator, now_ms, request.all()?, &context).await?;
+        Ok(web::json(StatusCode::CREATED, &created))
+    }
+
+    async fn status(&self) -> Status {
+        let in_force = self.daemon.in_force();
+        let members = |list: VmList| {
+            let entries = list.vms.into_iter().filter(|vm| vm.role == VmRole::Entry);
+            entries.map(|vm| Member { id: vm.id, domain: vm.domain, state: vm.state }).collect()
+        };
+        Status {
+            revision: in_force.revision,
+            sequence: in_force.sequence,
+            upstreams: self.daemon.upstreams(),
+            members: self.platform.vms().await.ok().map(members),
+        }
+    }
+
+    async fn watch(&self, query: &str) -> Result<Response<ResponseBody>, AdminError> {
+        let after = optional(query, "after")?.unwrap_or(0);
+        let wait_ms = optional(query, "wait_ms")?.unwrap_or(WATCH_WAIT_MS).min(WATCH_WAIT_MS);
+        let mut stop = self.stop.clone();
+        // A watch must not hold up the shutdown for as long as it may wait.
+        let revision = tokio::select! {
+            revision = self.daemon.wait_after(after, wait_ms) => revision,
+            _ = stop.wait_for(|&is_stopped| is_stopped) => self.daemon.in_force().revision,
+        };
+        Ok(ok(&WatchReport { revision }))
+    }
+
+    fn context(&self) -> PlanContext {
+        let mut engines = HashMap::default();
+        for vm in self.daemon.upstreams() {
+            if let (VmRole::Engine, Some(service)) = (vm.role, vm.service) {
+                *engines.entry(service).or_default() += 1;
+            }
+        }
+        let pinned = self.daemon.pinned();
+        PlanContext { pinned, engines, weight_load_ms: WEIGHT_LOAD_MS }
+    }
+}
+
+fn ok(value: &impl Serialize) -> Response<ResponseBody> {
+    web::json(StatusCode::OK, value)
+}
+
+fn plan_id(raw: &str) -> Result<PlanId, AdminError> {
+    PlanId::try_from(raw).map_err(|_| AdminError::Route)
+}
+
+/// Number in a query, if the parameter is there.
+fn optional(query: &str, name: &'static str) -> Result<Option<u64>, AdminError> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let Some((_, value)) = pairs.into_iter().find(|(key, _)| *key == name) else {
+        return Ok(None);
+    };
+    value.parse().map(Some).map_err(|_| AdminError::Parameter(name))
+}
--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,42 @@
+//! Administration API: plans, their confirmation, status and history.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod admin;
+mod admin_error;
+mod confirmed;
+mod daemon;
+mod diff_report;
+mod error_body;
+mod handler;
+mod history;
+mod member;
+mod new_key;
+mod plan_created;
+mod plan_request;
+mod plan_slot;
+mod planner;
+mod status;
+mod watch_report;
+
+pub use crate::{
+    admin::Admin,
+    admin_error::AdminError,
+    confirmed::Confirmed,
+    daemon::Daemon,
+    diff_report::DiffReport,
+    error_body::{AdminErrorBody, AdminErrorDetail},
+    history::History,
+    member::Member,
+    new_key::NewKey,
+    plan_created::PlanCreated,
+    plan_request::PlanRequest,
+    planner::Planner,
+    status::Status,
+    watch_report::WatchReport,
+};
--- /dev/null
+++ b/crates/admin/src/planner.rs
@@ -0,0 +1,235 @@
+//! Plans and their confirmation through the platform.
+
+use crate::{
+    admin_error::AdminError, confirmed::Confirmed, diff_report::DiffReport, history::History,
+    new_key::NewKey, plan_created::PlanCreated, plan_slot::PlanSlot,
+};
+use base::{KeyHash, OperatorName, PlanId};
+use fleet::{
+    ConfirmedPlan, Document, Intent, IntentError, Plan, PlanContext, PlanError, PlannedIntent, join,
+};
+use plat::{Kv, PlatformError, Resolved, write_resolved};
+use wire::platform::{KvEntry, KvWrite};
+
+/// Key of the configuration document.
+const CONFIG_KEY: &str = "config/current";
+
+/// Places that are tried for a new plan.
+const SLOT_TRIES: u32 = 8;
+
+/// Records under `history/`. A later record takes the place of an older one.
+const HISTORY_SLOTS: u64 = 512;
+
+/// Plans and confirms. It keeps no state of its own, so any daemon may serve any request.
+#[derive(Clone, Debug)]
+pub struct Planner<K> {
+    kv: K,
+}
+
+impl<K: Kv> Planner<K> {
+    /// Planner on a key-value service.
+    pub fn new(kv: K) -> Self {
+        Self { kv }
+    }
+
+    /// Plans intents on the present configuration and stores the plan: two reads and one write, and a further read
+    /// for each place that is taken.
+    ///
+    /// # Errors
+    ///
+    /// The intents do not fit, the platform does not answer, or too many plans are open.
+    pub async fn plan(
+        &self,
+        operator: OperatorName,
+        now_ms: u64,
+        intents: Vec<Intent>,
+        context: &PlanContext,
+    ) -> Result<PlanCreated, AdminError> {
+        let (revision, document) = self.current().await?;
+        let mut new_keys = Vec::new();
+        let mut planned = Vec::new();
+        for intent in intents {
+            let new_key = intent.key_owner().map(NewKey::generate);
+            let key_hash = new_key.as_ref().map(|new_key| KeyHash::of(&new_key.key));
+            new_keys.extend(new_key);
+            planned.push(PlannedIntent { intent, key_hash });
+        }
+        let mut slot = PlanSlot::random();
+        let id = slot.new_id().map_err(IntentError::from)?;
+        let mut plan = Plan::build(id, operator, now_ms, revision, &document, planned, context)?;
+        for _ in 0..SLOT_TRIES {
+            let present = self.kv.get(&slot.key()).await?;
+            let is_open = present
+                .as_ref()
+                .and_then(|entry| serde_json::from_str::<Plan>(&entry.value).ok())
+                .is_some_and(|open| !open.is_expired(now_ms) && open.base_revision >= revision);
+            if !is_open {
+                plan.id = slot.new_id().map_err(IntentError::from)?;
+                let write = KvWrite {
+                    value: serde_json::to_string(&plan)?,
+                    expect_revision: Some(present.map_or(0, |entry| entry.revision)),
+                    lease_id: None,
+                };
+                match self.kv.put(&slot.key(), &write).await {
+                    Ok(_) => return Ok(PlanCreated { plan, new_keys }),
+                    Err(PlatformError::Conflict(_)) => {}
+                    Err(err) => return Err(err.into()),
+                }
+            }
+            slot = slot.next();
+        }
+        Err(AdminError::TooManyPlans)
+    }
+
+    /// Reads a plan.
+    ///
+    /// # Errors
+    ///
+    /// `NoPlan`, or the platform does not answer.
+    pub async fn show(&self, id: &PlanId) -> Result<Plan, AdminError> {
+        let missing = || AdminError::NoPlan(id.clone());
+        let slot = PlanSlot::of(id).ok_or_else(missing)?;
+        let entry = self.kv.get(&slot.key()).await?.ok_or_else(missing)?;
+        let plan: Plan = serde_json::from_str(&entry.value)?;
+        if plan.id == *id { Ok(plan) } else { Err(missing()) }
+    }
+
+    /// Applies a plan by one compare-and-swap: two reads and two writes. Confirming again is harmless.
+    ///
+    /// # Errors
+    ///
+    /// `OutcomeUnknown` and `PlatformDown` leave open whether this or an earlier request has applied the plan;
+    /// `Undecided` does so for a plan whose record may have been dropped. After any other error it is not applied.
+    pub async fn confirm(
+        &self,
+        id: &PlanId,
+        now_ms: u64,
+        context: &PlanContext,
+    ) -> Result<Confirmed, AdminError> {
+        let (revision, document) = self.current().await?;
+        if let Some(record) = document.confirmed(id) {
+            return Ok(repeated(record, revision));
+        }
+        let plan = self.show(id).await?;
+        let after = match plan.confirm(revision, &document, now_ms, context) {
+            Ok(after) => after,
+            Err(PlanError::Stale(..)) => return Err(stale(&plan, revision, &document)),
+            Err(PlanError::Expired) => return Err(AdminError::Expired(id.clone())),
+            Err(PlanError::Intent(cause)) => return Err(cause.into()),
+        };
+        let is_ours = |entry: &KvEntry| {
+            Document::decode(&entry.value).is_ok_and(|document| document.confirmed(id).is_some())
+        };
+        let value = after.encode()?;
+        match write_resolved(&self.kv, CONFIG_KEY, value, revision, is_ours).await {
+            Resolved::Written(revision) => {
+                log::info!("admin: plan {id} of {} is confirmed at {revision}", plan.operator);
+                self.record(after.confirmed(id)).await;
+                let sequence = after.sequence;
+                let plan_id = id.clone();
+                Ok(Confirmed { plan_id, sequence, revision, was_confirmed_before: false })
+            }
+            Resolved::Found(entry) => {
+                log::info!("admin: plan {id} of {} was found confirmed", plan.operator);
+                self.record(after.confirmed(id)).await;
+                let document = Document::decode(&entry.value)?;
+                let record = document.confirmed(id);
+                let record = record.ok_or_else(|| AdminError::OutcomeUnknown(id.clone()))?;
+                Ok(repeated(record, entry.revision))
+            }
+            Resolved::Refused(entry) => {
+                let document = Document::decode(&entry.value)?;
+                Err(stale(&plan, entry.revision, &document))
+            }
+            Resolved::Unknown(cause) => {
+                log::warn!("admin: the outcome of plan {id} is unknown: {cause}");
+                Err(AdminError::OutcomeUnknown(id.clone()))
+            }
+        }
+    }
+
+    /// Reads up to `limit` confirmed plans: one read, and one for each plan that the document no longer lists.
+    ///
+    /// # Errors
+    ///
+    /// The platform does not answer.
+    pub async fn history(&self, limit: usize) -> Result<History, AdminError> {
+        let (revision, document) = self.current().await?;
+        let mut plans = document.recent_plans;
+        plans.drain(..plans.len().saturating_sub(limit));
+        while plans.len() < limit {
+            let oldest = plans.first().map_or(document.sequence + 1, |plan| plan.sequence);
+            let Some(wanted) = oldest.checked_sub(1).filter(|&wanted| wanted > 0) else { break };
+            let Some(entry) = self.kv.get(&history_key(wanted)).await? else { break };
+            let plan: ConfirmedPlan = serde_json::from_str(&entry.value)?;
+            if plan.sequence != wanted {
+                break;
+            }
+            plans.insert(0, plan);
+        }
+        Ok(History { revision, sequence: document.sequence, plans })
+    }
+
+    /// Difference between two revisions, from the history.
+    ///
+    /// # Errors
+    ///
+    /// The platform does not answer.
+    pub async fn diff(&self, from: u64, to: u64) -> Result<DiffReport, AdminError> {
+        let mut limit = fleet::RECENT_PLANS;
+        let mut history = self.history(limit).await?;
+        while history.plans.len() == limit
+            && limit < HISTORY_SLOTS as usize
+            && history.plans.first().is_some_and(|plan| plan.base_revision > from)
+        {
+            limit *= 2;
+            history = self.history(limit).await?;
+        }
+        let is_within = |plan: &&ConfirmedPlan| (from..to).contains(&plan.base_revision);
+        let plans: Vec<&ConfirmedPlan> = history.plans.iter().filter(is_within).collect();
+        let reaches_back =
+            history.plans.first().map_or(from >= history.revision, |p| p.base_revision <= from);
+        let is_complete = reaches_back && plans.iter().all(|plan| plan.omitted_lines == 0);
+        let lines = join(plans.iter().flat_map(|plan| &plan.lines));
+        Ok(DiffReport { from, to, lines, is_complete })
+    }
+
+    /// Writes the history. A failure leaves a gap in it; the document itself keeps the latest records.
+    async fn record(&self, record: Option<&ConfirmedPlan>) {
+        let Some(record) = record else { return };
+        let Ok(value) = serde_json::to_string(record) else { return };
+        let write = KvWrite { value, expect_revision: None, lease_id: None };
+        if let Err(err) = self.kv.put(&history_key(record.sequence), &write).await {
+            log::warn!("admin: the history of plan {} is not written: {err}", record.plan_id);
+        }
+    }
+
+    async fn current(&self) -> Result<(u64, Document), AdminError> {
+        match self.kv.get(CONFIG_KEY).await? {
+            Some(entry) => Ok((entry.revision, Document::decode(&entry.value)?)),
+            None => Ok((0, Document::default())),
+        }
+    }
+}
+
+fn history_key(sequence: u64) -> String {
+    format!("history/{:03}", sequence % HISTORY_SLOTS)
+}
+
+fn repeated(record: &ConfirmedPlan, revision: u64) -> Confirmed {
+    Confirmed {
+        plan_id: record.plan_id.clone(),
+        sequence: record.sequence,
+        revision,
+        was_confirmed_before: true,
+    }
+}
+
+fn stale(plan: &Plan, revision: u64, document: &Document) -> AdminError {
+    if !plan.is_decided_by(document) {
+        return AdminError::Undecided(plan.id.clone());
+    }
+    let is_later = |record: &&ConfirmedPlan| record.base_revision >= plan.base_revision;
+    let changes = document.recent_plans.iter().filter(is_later).cloned().collect();
+    AdminError::Stale(plan.base_revision, revision, changes)
+}
--- a/crates/base/src/key_hash.rs
+++ b/crates/base/src/key_hash.rs
@@ -1,7 +1,9 @@
 //! Hash under which a bearer key is stored.
 
+use crate::key_hash_error::KeyHashError;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::str::FromStr;
 
 /// SHA-256 of a bearer key in lower-case hexadecimal digits. Keys are random and long, so no salt is needed.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -19,3 +21,16 @@
         &self.0
     }
 }
+
+impl FromStr for KeyHash {
+    type Err = KeyHashError;
+
+    fn from_str(raw: &str) -> Result<Self, KeyHashError> {
+        let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        if raw.len() == 64 && raw.bytes().all(is_digit) {
+            Ok(Self(raw.to_owned()))
+        } else {
+            Err(KeyHashError::Digits)
+        }
+    }
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod collections;
 mod key_hash;
+mod key_hash_error;
 mod name;
 mod name_error;
 
@@ -17,6 +18,7 @@
     clock::Clock,
     collections::{HashMap, HashSet},
     key_hash::KeyHash,
+    key_hash_error::KeyHashError,
     name::{
         AccountName, DomainName, ModelName, OperatorName, PlanId, ServiceName, VersionName, VmId,
     },
--- /dev/null
+++ b/crates/conf/src/admin_settings.rs
@@ -0,0 +1,39 @@
+//! Section `[admin]`.
+
+use crate::section::{Section, Source};
+use base::KeyHash;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use toml::de::DeTable;
+
+/// Address of the server towards operators unless the settings name another.
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8081);
+
+/// Server towards operators. Without the section there is none.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdminSettings {
+    /// Address of the server.
+    pub listen: SocketAddr,
+    /// SHA-256 of a key that is accepted beside those of the operators in the configuration.
+    pub bootstrap_key_hash: Option<KeyHash>,
+}
+
+impl Default for AdminSettings {
+    fn default() -> Self {
+        Self { listen: DEFAULT_LISTEN, bootstrap_key_hash: None }
+    }
+}
+
+impl AdminSettings {
+    pub(crate) fn read(root: &mut DeTable<'_>, source: &mut Source<'_>) -> Option<Self> {
+        if !root.contains_key("admin") {
+            return None;
+        }
+        let default = Self::default();
+        let mut section = Section::open("admin", root, source);
+        let listen = section.parsed("listen", "IP address and port", default.listen, source);
+        let digits = "64 lower-case hexadecimal digits";
+        let bootstrap_key_hash = section.optional("bootstrap_key_hash", digits, source);
+        section.close(source);
+        Some(Self { listen, bootstrap_key_hash })
+    }
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,6 +7,7 @@
     future_incompatible
 )]
 
+mod admin_settings;
 mod entry_settings;
 mod limit_settings;
 mod log_settings;
@@ -16,6 +17,7 @@
 mod settings;
 
 pub use crate::{
+    admin_settings::AdminSettings,
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::{LogFormat, LogSettings},
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,6 +1,7 @@
 //! The whole settings file.
 
 use crate::{
+    admin_settings::AdminSettings,
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::LogSettings,
@@ -11,11 +12,13 @@
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[entry], [limits], [log], [platform]";
+const SECTIONS: &str = "[admin], [entry], [limits], [log], [platform]";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
+    /// Server towards operators, if there is one.
+    pub admin: Option<AdminSettings>,
     /// Server towards callers.
     pub entry: EntrySettings,
     /// Limits on what a caller may send.
@@ -48,6 +51,7 @@
             });
         }
         let mut root = root.into_inner();
+        let admin = AdminSettings::read(&mut root, &mut source);
         let entry = EntrySettings::read(&mut root, &mut source);
         let limits = LimitSettings::read(&mut root, &mut source);
         let log = LogSettings::read(&mut root, &mut source);
@@ -64,7 +68,7 @@
         source.problems.sort_by_key(|problem| problem.line);
         match (entry, platform) {
             (Some(entry), Some(platform)) if source.problems.is_empty() => {
-                Ok(Self { entry, limits, log, platform })
+                Ok(Self { admin, entry, limits, log, platform })
             }
             _ => Err(Problems(source.problems)),
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,6 +4,7 @@
     config::Config,
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
+    entry_view::EntryView,
     handler::CallerHandler,
     shared::Shared,
     upstreams::Upstreams,
@@ -66,6 +67,7 @@
             config,
             upstreams,
             engines: EnginePool::default(),
+            pins: Arc::default(),
             metrics,
             is_draining: AtomicBool::new(false),
             process_nonce: rand::random(),
@@ -84,6 +86,11 @@
         self.addr
     }
 
+    /// Read access for the rest of the daemon.
+    pub fn view(&self) -> EntryView {
+        EntryView::new(Arc::clone(&self.shared))
+    }
+
     /// Whether the entry has a configuration and takes requests.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
--- /dev/null
+++ b/crates/entry/src/pins.rs
@@ -0,0 +1,43 @@
+//! Versions that running generations are pinned to.
+
+use crate::pin_guard::PinGuard;
+use base::{HashMap, HashSet, ModelName, VersionName};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Model with a version.
+pub(crate) type Pin = (ModelName, VersionName);
+
+/// Counts the running generations of each version.
+#[derive(Debug, Default)]
+pub(crate) struct Pins {
+    counts: Mutex<HashMap<Pin, u32>>,
+}
+
+impl Pins {
+    /// Counts a generation until the guard is dropped; `None` if a name is not valid.
+    pub fn pin(self: &Arc<Self>, model: &str, version: &str) -> Option<PinGuard> {
+        let pin = (ModelName::try_from(model).ok()?, VersionName::try_from(version).ok()?);
+        *self.lock().entry(pin.clone()).or_default() += 1;
+        Some(PinGuard::new(Arc::clone(self), pin))
+    }
+
+    /// Releases one generation.
+    pub fn release(&self, pin: &Pin) {
+        let mut counts = self.lock();
+        if let Some(count) = counts.get_mut(pin) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(pin);
+            }
+        }
+    }
+
+    /// Versions with running generations.
+    pub fn pinned(&self) -> HashSet<Pin> {
+        self.lock().keys().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Pin, u32>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,6 +4,7 @@
     api_error::ApiError,
     job::Job,
     output::{CallerGone, Output},
+    pin_guard::PinGuard,
     render,
     shared::Shared,
     upstream_guard::UpstreamGuard,
@@ -65,6 +66,7 @@
     output: Output,
     finish: Option<(FinishReason, Usage)>,
     failure: Option<FailCause>,
+    _pin: Option<PinGuard>,
 }
 
 impl Relay {
@@ -73,7 +75,9 @@
             Preset::Economy => Policy::ECONOMY,
             Preset::Latency => Policy::LATENCY,
         };
+        let pin = shared.pins.pin(&job.request.model, &job.request.version);
         Self {
+            _pin: pin,
             shared,
             job,
             generation: Generation::new(policy, Journal::default()),
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -76,6 +76,15 @@
         Some(UpstreamGuard::new(chosen.vm.addr, Arc::clone(&chosen.in_flight)))
     }
 
+    /// Upstreams in order of their identifiers.
+    pub fn list(&self) -> Vec<Vm> {
+        let inner = self.lock();
+        let mut vms: Vec<Vm> =
+            inner.upstreams.values().map(|upstream| upstream.vm.clone()).collect();
+        vms.sort_by(|a, b| a.id.cmp(&b.id));
+        vms
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/fleet/src/apply.rs
+++ b/crates/fleet/src/apply.rs
@@ -19,6 +19,9 @@
 /// Requests a second of an account whose intent names none.
 const DEFAULT_REQUESTS_PER_S: u32 = 10;
 
+/// Digits of a key's hash that are needed to remove the key.
+const HASH_PREFIX_DIGITS: usize = 8;
+
 /// Applies one intent. The document is left in an undefined state if it fails.
 ///
 /// # Errors
@@ -47,7 +50,10 @@
         }
         Intent::RemoveKey { account: name, hash } => {
             let key_hashes = &mut account(document, name)?.key_hashes;
-            remove(key_hashes, |known| known != hash, || "the key".to_owned())
+            let is_kept = |known: &KeyHash| {
+                hash.len() < HASH_PREFIX_DIGITS || !known.as_str().starts_with(hash.as_str())
+            };
+            remove(key_hashes, is_kept, || format!("key {hash} of client account {name}"))
         }
         Intent::CreateService(wanted) => create_service(document, wanted),
         Intent::ChangeService(wanted) => change_service(document, wanted),
--- a/crates/fleet/src/intent.rs
+++ b/crates/fleet/src/intent.rs
@@ -4,7 +4,7 @@
     engine_role::EngineRole,
     service::{Preset, ServiceKind},
 };
-use base::{AccountName, KeyHash, ModelName, OperatorName, ServiceName, VersionName};
+use base::{AccountName, ModelName, OperatorName, ServiceName, VersionName};
 use serde::{Deserialize, Serialize};
 
 /// Limits of a client account; a missing one stays as it is.
@@ -74,8 +74,8 @@
     RemoveAccount { name: AccountName },
     /// Gives a client account another key.
     CreateKey { account: AccountName },
-    /// Removes a key of a client account.
-    RemoveKey { account: AccountName, hash: KeyHash },
+    /// Removes the keys of a client account whose hash starts with these digits, at least 8.
+    RemoveKey { account: AccountName, hash: String },
     /// Creates a service.
     CreateService(ServiceIntent),
     /// Changes a service.
--- /dev/null
+++ b/crates/geraniumctl/src/access.rs
@@ -0,0 +1,57 @@
+//! Address and key of the administration server.
+
+use crate::{cli::Cli, ctl_error::CtlError};
+use serde::Deserialize;
+use std::{env, fs, net::SocketAddr, path::PathBuf};
+
+/// Environment variable with the server's address.
+const SERVER_VARIABLE: &str = "GERANIUMCTL_SERVER";
+
+/// Environment variable with the operator key.
+const KEY_VARIABLE: &str = "GERANIUMCTL_KEY";
+
+/// Environment variable with the path of the access file.
+const ACCESS_VARIABLE: &str = "GERANIUMCTL_ACCESS";
+
+/// Access file.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AccessFile {
+    server: Option<SocketAddr>,
+    key: Option<String>,
+}
+
+/// Address and key of the administration server.
+pub(crate) struct Access {
+    pub server: SocketAddr,
+    pub key: String,
+}
+
+impl Access {
+    /// Takes each value from the options, else from the environment, else from the access file.
+    ///
+    /// # Errors
+    ///
+    /// A value is missing or not valid, or the file cannot be read.
+    pub fn find(cli: &Cli) -> Result<Self, CtlError> {
+        let path = cli.access.clone().or_else(|| env::var_os(ACCESS_VARIABLE).map(PathBuf::from));
+        let file = match path {
+            Some(path) => {
+                let text =
+                    fs::read_to_string(&path).map_err(|cause| CtlError::Read(path, cause))?;
+                toml::from_str(&text)?
+            }
+            None => AccessFile::default(),
+        };
+        let server = match (cli.server, env::var(SERVER_VARIABLE)) {
+            (Some(server), _) => Some(server),
+            (None, Ok(text)) => Some(text.parse().map_err(|_| CtlError::Address(text))?),
+            (None, Err(_)) => file.server,
+        };
+        let key = cli.key.clone().or_else(|| env::var(KEY_VARIABLE).ok()).or(file.key);
+        Ok(Self {
+            server: server.ok_or(CtlError::Missing("server", SERVER_VARIABLE))?,
+            key: key.ok_or(CtlError::Missing("key", KEY_VARIABLE))?,
+        })
+    }
+}
--- a/crates/geraniumctl/src/cli.rs
+++ b/crates/geraniumctl/src/cli.rs
@@ -1,11 +1,139 @@
 //! Command line of the operators' program.
 
 use argh::FromArgs;
+use std::{net::SocketAddr, path::PathBuf};
 
-/// Operators' program of geraniumroad.
+/// Operators' program of geraniumroad. Exit codes: 0 done, 1 failed, 2 usage, 3 refused as stale, 4 platform
+/// unavailable or outcome unknown.
 #[derive(Debug, FromArgs)]
 pub struct Cli {
     /// print the version
     #[argh(switch)]
     pub version: bool,
+    /// address of a daemon's administration server; else GERANIUMCTL_SERVER, else the access file
+    #[argh(option)]
+    pub server: Option<SocketAddr>,
+    /// operator key; else GERANIUMCTL_KEY, else the access file
+    #[argh(option)]
+    pub key: Option<String>,
+    /// access file in TOML with `server` and `key`; else GERANIUMCTL_ACCESS
+    #[argh(option)]
+    pub access: Option<PathBuf>,
+    #[argh(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// Commands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Confirm(ConfirmOptions),
+    Diff(DiffOptions),
+    History(HistoryOptions),
+    Plan(PlanOptions),
+    Show(ShowOptions),
+    Status(StatusOptions),
+    Watch(WatchOptions),
+}
+
+impl Command {
+    /// Whether the answer is printed as JSON.
+    pub fn is_json(&self) -> bool {
+        match self {
+            Self::Confirm(options) => options.json,
+            Self::Diff(options) => options.json,
+            Self::History(options) => options.json,
+            Self::Plan(options) => options.json,
+            Self::Show(options) => options.json,
+            Self::Status(options) => options.json,
+            Self::Watch(options) => options.json,
+        }
+    }
+}
+
+/// Apply a plan. Confirming twice is harmless.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "confirm")]
+pub struct ConfirmOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// plan
+    #[argh(positional)]
+    pub plan: String,
+}
+
+/// Show the difference between two revisions.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// older revision
+    #[argh(positional)]
+    pub from: u64,
+    /// newer revision; the present one if it is left out
+    #[argh(positional)]
+    pub to: Option<u64>,
+}
+
+/// Show confirmed plans, the oldest first.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct HistoryOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// number of plans
+    #[argh(option, default = "32")]
+    pub limit: u64,
+}
+
+/// Plan a change; nothing changes until the plan is confirmed.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub struct PlanOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// a file in JSON or TOML, or intents such as `create account NAME requests_per_s=10`, separated by `,`
+    #[argh(positional)]
+    pub words: Vec<String>,
+}
+
+/// Show a plan.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// plan
+    #[argh(positional)]
+    pub plan: String,
+}
+
+/// Show the state of the daemon.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Wait until the daemon has a revision above the given one in force.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "watch")]
+pub struct WatchOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// revision to wait beyond; the present one if it is left out
+    #[argh(option)]
+    pub after: Option<u64>,
+    /// longest wait in milliseconds, at most 30000
+    #[argh(option, default = "30000")]
+    pub wait_ms: u64,
 }
--- /dev/null
+++ b/crates/geraniumctl/src/intent_file.rs
@@ -0,0 +1,23 @@
+//! Intents from a file.
+
+use crate::ctl_error::CtlError;
+use admin::PlanRequest;
+use fleet::Intent;
+use std::{fs, path::Path};
+
+/// Reads a request from a file in TOML (`*.toml`) or JSON; JSON may be the bare list of intents.
+///
+/// # Errors
+///
+/// The file cannot be read or holds no intents.
+pub(crate) fn read(path: &Path) -> Result<PlanRequest, CtlError> {
+    let text = fs::read_to_string(path).map_err(|cause| CtlError::Read(path.to_owned(), cause))?;
+    if path.extension().is_some_and(|extension| extension == "toml") {
+        return Ok(toml::from_str(&text)?);
+    }
+    if text.trim_start().starts_with('[') {
+        let intents: Vec<Intent> = serde_json::from_str(&text)?;
+        return Ok(PlanRequest { intents, texts: Vec::new() });
+    }
+    Ok(serde_json::from_str(&text)?)
+}
--- /dev/null
+++ b/crates/geraniumctl/src/lib.rs
@@ -0,0 +1,61 @@
+//! Commands of the operators' program.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod access;
+mod cli;
+mod commands;
+mod ctl_error;
+mod intent_file;
+mod render;
+
+pub use crate::{
+    cli::{Cli, Command},
+    commands::execute,
+    ctl_error::CtlError,
+};
+
+use argh::FromArgs;
+use tokio::runtime::Builder;
+
+/// Exit code of a usage error.
+const USAGE: u8 = 2;
+
+/// Runs the program with its arguments, without the program's name, and returns the exit code.
+pub fn run(args: &[&str]) -> u8 {
+    let cli = match Cli::from_args(&["geraniumctl"], args) {
+        Ok(cli) => cli,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return 0;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return USAGE;
+        }
+    };
+    if cli.version {
+        println!("geraniumctl {}", env!("CARGO_PKG_VERSION"));
+        return 0;
+    }
+    let outcome = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(CtlError::from)
+        .and_then(|runtime| runtime.block_on(execute(&cli)));
+    match outcome {
+        Ok(text) => {
+            println!("{text}");
+            0
+        }
+        Err(err) => {
+            eprintln!("{err}");
+            err.exit_code()
+        }
+    }
+}
--- a/crates/geraniumctl/src/main.rs
+++ b/crates/geraniumctl/src/main.rs
@@ -7,17 +7,10 @@
     future_incompatible
 )]
 
-mod cli;
-
-use crate::cli::Cli;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let cli: Cli = argh::from_env();
-    if cli.version {
-        println!("geraniumctl {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    eprintln!("a command is needed; see geraniumctl --help");
-    ExitCode::from(2)
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    ExitCode::from(geraniumctl::run(&args))
 }
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -82,6 +82,7 @@
             }
         }
         let settings = Settings {
+            admin: None,
             entry: EntrySettings {
                 vm_id: VmId::try_from("entry-1")?,
                 domain: DomainName::try_from(DOMAINS[0])?,
--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -7,6 +7,7 @@
     future_incompatible
 )]
 
+mod admin_view;
 mod cli;
 mod dev;
 mod dev_report;
--- a/crates/geraniumroad/src/logging.rs
+++ b/crates/geraniumroad/src/logging.rs
@@ -15,6 +15,7 @@
     let format = settings.format;
     Dispatch::new()
         .level(log::LevelFilter::Warn)
+        .level_for("admin", settings.level)
         .level_for("entry", settings.level)
         .level_for("geraniumroad", settings.level)
         .format(move |out, message, record| {
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -1,9 +1,11 @@
 //! Commands `run` and `check`.
 
-use crate::{logging, run_error::RunError};
+use crate::{admin_view::AdminView, logging, run_error::RunError};
+use admin::Admin;
 use conf::Settings;
 use entry::Entry;
 use metrics_exporter_prometheus::PrometheusBuilder;
+use plat::Platform;
 use std::path::Path;
 use tokio::{
     runtime::Builder,
@@ -33,7 +35,17 @@
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         let entry = Entry::start(&settings, Some(metrics)).await?;
-        println!("ready addr={}", entry.addr());
+        let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
+        let admin = match &settings.admin {
+            Some(settings) => {
+                Some(Admin::start(settings, platform, AdminView(entry.view())).await?)
+            }
+            None => None,
+        };
+        match &admin {
+            Some(admin) => println!("ready addr={} admin={}", entry.addr(), admin.addr()),
+            None => println!("ready addr={}", entry.addr()),
+        }
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
@@ -41,6 +53,9 @@
             _ = terminate.recv() => {}
         }
         log::info!("entry: shutdown begins");
+        if let Some(admin) = admin {
+            admin.close().await;
+        }
         entry.close().await;
         Ok(())
     })
--- /dev/null
+++ b/crates/plat/src/kv.rs
@@ -0,0 +1,28 @@
+//! Key-value access, so that tests can replace the platform.
+
+use crate::{platform::Platform, platform_error::PlatformError};
+use wire::platform::{KvEntry, KvWrite};
+
+/// Reads and conditional writes of the platform's key-value service.
+pub trait Kv: Send + Sync {
+    /// Reads a key; `None` if it does not exist.
+    fn get(&self, key: &str)
+    -> impl Future<Output = Result<Option<KvEntry>, PlatformError>> + Send;
+
+    /// Writes a key if it has the expected revision and returns the new one.
+    fn put(
+        &self,
+        key: &str,
+        write: &KvWrite,
+    ) -> impl Future<Output = Result<u64, PlatformError>> + Send;
+}
+
+impl Kv for Platform {
+    async fn get(&self, key: &str) -> Result<Option<KvEntry>, PlatformError> {
+        Platform::get(self, key).await
+    }
+
+    async fn put(&self, key: &str, write: &KvWrite) -> Result<u64, PlatformError> {
+        Platform::put(self, key, write).await
+    }
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -7,7 +7,13 @@
     future_incompatible
 )]
 
+mod kv;
 mod platform;
 mod platform_error;
+mod resolved;
+mod write_resolved;
 
-pub use crate::{platform::Platform, platform_error::PlatformError};
+pub use crate::{
+    kv::Kv, platform::Platform, platform_error::PlatformError, resolved::Resolved,
+    write_resolved::write_resolved,
+};
