Run operators against real processes: tests and operator-races

The platform stand-in gets a count of writes whose answer is lost (status 504 after the effect). Ruled out: a geraniumctl process for each request of the experiment, which would measure process starts.

--- a/crates/bench/examples/experiment.rs
+++ b/crates/bench/examples/experiment.rs
@@ -73,6 +73,7 @@
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
+        Err(BenchError::Exit(code)) => ExitCode::from(code),
         Err(err) => {
             eprintln!("{err}");
             ExitCode::FAILURE
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -46,6 +46,10 @@
             source(cause)
             from()
         }
+        /// The operators' program ended with an exit code other than 0.
+        Exit(code: u8) {
+            display("exit code {code}")
+        }
         /// There is no such experiment.
         UnknownExperiment(name: String) {
             display("there is no experiment {name:?}; see --list")
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -40,6 +40,9 @@
     /// Key of the client account.
     pub const KEY: &str = "bench-key";
 
+    /// Bootstrap key of operators.
+    pub const OPERATOR_KEY: &str = "bench-operator-key";
+
     /// Model, and the service whose engines run it.
     pub const MODEL: &str = "composer";
 
--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -1,7 +1,8 @@
 //! Cluster of real processes on this machine.
 
+mod ctl;
 mod layout;
 mod node;
 mod process;
 
-pub use self::{layout::Layout, node::Cluster, process::Process};
+pub use self::{ctl::CtlOutcome, layout::Layout, node::Cluster, process::Process};
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -4,7 +4,7 @@
     bench_error::BenchError,
     cluster::{layout::Layout, process::Process},
 };
-use base::{DomainName, ServiceName, VmId};
+use base::{DomainName, KeyHash, ServiceName, VmId};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -86,6 +86,21 @@
         running.map(|entry| entry.vm.addr).collect()
     }
 
+    /// Addresses of the administration servers that are running.
+    ///
+    /// # Errors
+    ///
+    /// A daemon named none.
+    pub fn admin_addrs(&self) -> Result<Vec<SocketAddr>, BenchError> {
+        let running = self.entries.iter().filter_map(|entry| entry.process.as_ref());
+        running.map(|process| process.addr("admin")).collect()
+    }
+
+    /// Process of the platform.
+    pub fn platform(&self) -> &Process {
+        &self.platform
+    }
+
     /// Number of engines.
     pub fn engine_count(&self) -> usize {
         self.engines.len()
@@ -190,10 +205,14 @@
         let id = VmId::try_from(format!("entry-{domain}-{number}"))?;
         let settings = self._files.path().join(format!("{id}.toml"));
         let platform = self.platform_addr()?;
+        let operator_key = KeyHash::of(Layout::OPERATOR_KEY);
+        let operator_key = operator_key.as_str();
         let text = |listen: SocketAddr| {
             format!(
                 "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
+                 [admin]\nlisten = \"127.0.0.1:0\"\n\
+                 bootstrap_key_hash = \"{operator_key}\"\n\n\
                  [log]\nlevel = \"error\"\n"
             )
         };
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments by name.
 
 mod engine_deaths;
+mod operator_races;
 mod options;
 
 pub use self::options::ExperimentOptions;
@@ -8,8 +9,10 @@
 use std::path::Path;
 
 /// Names of all experiments with what they show.
-pub const EXPERIMENTS: [(&str, &str); 1] =
-    [("engine-deaths", "answers stay whole while engines die")];
+pub const EXPERIMENTS: [(&str, &str); 2] = [
+    ("engine-deaths", "answers stay whole while engines die"),
+    ("operator-races", "each confirmed plan is applied exactly once"),
+];
 
 /// Runs an experiment with `program` as the executable of its processes.
 ///
@@ -23,6 +26,7 @@
 ) -> Result<(), BenchError> {
     match name {
         "engine-deaths" => engine_deaths::run(program, options).await,
+        "operator-races" => operator_races::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
 }
--- a/crates/bench/src/role.rs
+++ b/crates/bench/src/role.rs
@@ -19,11 +19,21 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Role {
+    Ctl(CtlOptions),
     Daemon(DaemonOptions),
     Engine(EngineOptions),
     Platform(PlatformOptions),
 }
 
+/// Operators' program; address and key come from the environment.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ctl")]
+struct CtlOptions {
+    /// command and its arguments
+    #[argh(positional, greedy)]
+    args: Vec<String>,
+}
+
 /// The daemon.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "daemon")]
@@ -64,6 +74,13 @@
 /// The role could not start.
 pub fn run(options: &RoleOptions) -> Result<(), BenchError> {
     match &options.role {
+        Role::Ctl(ctl) => {
+            let args: Vec<&str> = ctl.args.iter().map(String::as_str).collect();
+            match geraniumctl::run(&args) {
+                0 => Ok(()),
+                code => Err(BenchError::Exit(code)),
+            }
+        }
         Role::Daemon(daemon) => {
             let settings = daemon.settings.clone();
             Ok(geraniumroad::execute(&Command::Run(RunOptions { settings }))?)
--- a/crates/stand/src/platform/server.rs
+++ b/crates/stand/src/platform/server.rs
@@ -5,7 +5,10 @@
 use std::{
     io::Result as IoResult,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 use tokio::{sync::watch, task::JoinHandle};
@@ -20,6 +23,7 @@
     store: Mutex<Store>,
     vms: Mutex<VmList>,
     revisions: watch::Sender<u64>,
+    lost_answers: AtomicU32,
 }
 
 /// Running platform stand-in.
@@ -44,6 +48,7 @@
             store: Mutex::default(),
             vms: Mutex::default(),
             revisions: watch::Sender::new(0),
+            lost_answers: AtomicU32::new(0),
         });
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(server.run(Arc::clone(&handler), stopped));
@@ -102,6 +107,26 @@
         }
     }
 
+    /// Sets how many of the next writes take effect without a usable answer; for tests only.
+    async fn lose_answers(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let Ok(body) = web::read_body(request.into_body(), VALUE_SIZE_BYTES).await else {
+            return status(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        match serde_json::from_slice(&body) {
+            Ok(count) => {
+                self.lost_answers.store(count, Ordering::Relaxed);
+                status(StatusCode::OK)
+            }
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        }
+    }
+
+    /// Whether the answer to this write is to be lost.
+    fn is_answer_lost(&self) -> bool {
+        let take_one = |count: u32| count.checked_sub(1);
+        self.lost_answers.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take_one).is_ok()
+    }
+
     async fn watch(&self, query: &str) -> Response<ResponseBody> {
         let prefix = parameter(query, "prefix").unwrap_or_default();
         let after = parameter(query, "after").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -136,6 +161,7 @@
                 },
                 None => status(StatusCode::NOT_FOUND),
             },
+            (Method::PUT, "/control/lost_answers") => self.lose_answers(request).await,
             (Method::PUT, "/control/vms") => self.replace_vms(request).await,
             (Method::PUT, path) => {
                 let Some(key) = path.strip_prefix("/kv/") else {
@@ -146,7 +172,13 @@
                     return status(StatusCode::PAYLOAD_TOO_LARGE);
                 };
                 match serde_json::from_slice(&body) {
-                    Ok(write) => self.put(key, write),
+                    Ok(write) => {
+                        let response = self.put(key, write);
+                        if self.is_answer_lost() {
+                            return status(StatusCode::GATEWAY_TIMEOUT);
+                        }
+                        response
+                    }
                     Err(_) => status(StatusCode::BAD_REQUEST),
                 }
             }
