Refuse any configuration that lacks an accepted change

Cause: revision and number of changes let a fork pass, when the platform falls back and two changes are made to the older state. The rule now asks for the record of the plan that was confirmed last; planning on a document that lacks it is refused with 503.

--- a/crates/admin/src/admin_error.rs
+++ b/crates/admin/src/admin_error.rs
@@ -77,6 +77,10 @@
         Undecided(id: PlanId) {
             display("plan {id} is too old to tell whether it was applied; see the history")
         }
+        /// The platform holds a document that lacks changes which are in force at this daemon.
+        PlatformBehind(revision: u64, sequence: u64) {
+            display("the platform's revision {revision} lacks accepted changes up to change {sequence}")
+        }
         /// The platform holds a document that cannot be read.
         Document(cause: fleet::DocumentError) {
             display("{cause}")
@@ -98,6 +102,7 @@
             Self::Json(_) | Self::Intent(_) => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TooManyPlans
             | Self::PlatformDown(_)
+            | Self::PlatformBehind(..)
             | Self::OutcomeUnknown(_)
             | Self::Undecided(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Document(_) => StatusCode::INTERNAL_SERVER_ERROR,
@@ -118,6 +123,7 @@
             Self::Stale(..) => "plan_stale",
             Self::TooManyPlans => "too_many_plans",
             Self::PlatformDown(_) => "platform_unavailable",
+            Self::PlatformBehind(..) => "platform_behind",
             Self::OutcomeUnknown(_) | Self::Undecided(_) => "outcome_unknown",
             Self::Document(_) => "document_invalid",
         }
--- a/crates/admin/src/handler.rs
+++ b/crates/admin/src/handler.rs
@@ -146,7 +146,12 @@
             }
         }
         let pinned = self.daemon.pinned();
-        PlanContext { pinned, engines, weight_load_ms: WEIGHT_LOAD_MS }
+        PlanContext {
+            in_force: self.daemon.in_force(),
+            pinned,
+            engines,
+            weight_load_ms: WEIGHT_LOAD_MS,
+        }
     }
 }
 
--- a/crates/admin/src/planner.rs
+++ b/crates/admin/src/planner.rs
@@ -48,7 +48,7 @@
         intents: Vec<Intent>,
         context: &PlanContext,
     ) -> Result<PlanCreated, AdminError> {
-        let (revision, document) = self.current().await?;
+        let (revision, document) = self.base(context).await?;
         let mut new_keys = Vec::new();
         let mut planned = Vec::new();
         for intent in intents {
@@ -109,7 +109,7 @@
         now_ms: u64,
         context: &PlanContext,
     ) -> Result<Confirmed, AdminError> {
-        let (revision, document) = self.current().await?;
+        let (revision, document) = self.base(context).await?;
         if let Some(record) = document.confirmed(id) {
             return Ok(repeated(record, revision));
         }
@@ -211,6 +211,16 @@
         self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The present document, if it contains everything that is in force here. A change to any other would revert what
+    /// was accepted.
+    async fn base(&self, context: &PlanContext) -> Result<(u64, Document), AdminError> {
+        let (revision, document) = self.current().await?;
+        if context.in_force.is_contained_in(&document) {
+            return Ok((revision, document));
+        }
+        Err(AdminError::PlatformBehind(revision, context.in_force.sequence))
+    }
+
     async fn current(&self) -> Result<(u64, Document), AdminError> {
         match self.kv.get(CONFIG_KEY).await? {
             Some(entry) => Ok((entry.revision, Document::decode(&entry.value)?)),
--- a/crates/bench/src/cluster/process.rs
+++ b/crates/bench/src/cluster/process.rs
@@ -1,7 +1,7 @@
 //! Process of a cluster.
 
 use crate::bench_error::BenchError;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -59,9 +59,13 @@
         self.child.id()
     }
 
-    /// Stops the process without notice, as a paused VM.
+    /// Stops the process without notice, as a paused VM, and waits until all its threads have stopped: on a busy
+    /// machine it answers for some time after the signal.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = waitid(WaitId::Pid(pid), WaitIdOptions::STOPPED);
+        }
     }
 
     /// Lets a frozen process go on.
--- a/crates/bench/tests/operators.rs
+++ b/crates/bench/tests/operators.rs
@@ -67,7 +67,7 @@
     // Nothing changes before the confirmation.
     let answer = Caller::new(&key).ask(cluster.entry_addrs()[2], &question(1)).await;
     assert_eq!(answer.end, AnswerEnd::Refused(401, "invalid_api_key".to_owned()));
-    let revision = confirm(&cluster, 1, &first);
+    confirm(&cluster, 1, &first);
     for addr in cluster.entry_addrs() {
         assert_eq!(Caller::new(&key).ask(addr, &question(1)).await.end, AnswerEnd::Done);
     }
@@ -78,9 +78,8 @@
     assert!(stale.stderr.contains("+ accounts.borders.requests_per_s: 10"), "{}", stale.stderr);
     let history = ctl(&cluster, 0, &["history"]);
     assert!(history.stdout.contains(&first) && !history.stdout.contains(&second));
-    let from = (revision - 1).to_string();
     let diff = ctl(&cluster, 0, &["diff", "0"]);
-    assert!(diff.stdout.contains("accounts.borders"), "{} {from}", diff.stdout);
+    assert!(diff.stdout.contains("accounts.borders"), "{}", diff.stdout);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -125,6 +124,8 @@
     let write = KvWrite { value: older.value, expect_revision: None, lease_id: None };
     platform.send_json(Method::PUT, "/kv/config/current", &write).await.unwrap();
     tokio::time::sleep(Duration::from_millis(500)).await;
+    // A change to the older document would revert the accepted one.
+    assert_eq!(ctl(&cluster, 0, &["plan", "create", "account", "tweed"]).code, 4);
     for (entry, addr) in cluster.entry_addrs().into_iter().enumerate() {
         assert_eq!(Caller::new(&key).ask(addr, &question(1)).await.end, AnswerEnd::Done);
         let status = json(&ctl(&cluster, entry, &["status", "--json"]));
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -14,6 +14,6 @@
 impl Config {
     /// Position in the order of all configurations.
     pub fn succession(&self) -> Succession {
-        Succession { revision: self.revision, sequence: self.document.sequence }
+        Succession::of(self.revision, &self.document)
     }
 }
--- a/crates/entry/src/config_actor.rs
+++ b/crates/entry/src/config_actor.rs
@@ -1,7 +1,7 @@
 //! Actor that keeps the configuration up to date.
 
 use crate::config::Config;
-use fleet::{Document, Succession};
+use fleet::Document;
 use plat::Platform;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{sync::Arc, time::Duration};
@@ -28,6 +28,16 @@
     pub sender: watch::Sender<Arc<Config>>,
 }
 
+/// State of the actor.
+#[derive(Debug)]
+pub(crate) struct ConfigState {
+    platform: Platform,
+    sender: watch::Sender<Arc<Config>>,
+    /// Latest revision that the platform showed. A watch goes on from here and not from the revision in force, because
+    /// the platform would show a document that was ignored again and again.
+    seen_revision: u64,
+}
+
 /// Message of the actor.
 #[derive(Debug)]
 pub(crate) enum ConfigMessage {
@@ -37,30 +47,36 @@
 
 impl Actor for ConfigActor {
     type Msg = ConfigMessage;
-    type State = ConfigArguments;
+    type State = ConfigState;
     type Arguments = ConfigArguments;
 
     async fn pre_start(
         &self,
         myself: ActorRef<ConfigMessage>,
         arguments: ConfigArguments,
-    ) -> Result<ConfigArguments, ActorProcessingErr> {
+    ) -> Result<ConfigState, ActorProcessingErr> {
         myself.cast(ConfigMessage::Poll)?;
-        Ok(arguments)
+        let ConfigArguments { platform, sender } = arguments;
+        Ok(ConfigState { platform, sender, seen_revision: 0 })
     }
 
     async fn handle(
         &self,
         myself: ActorRef<ConfigMessage>,
         message: ConfigMessage,
-        state: &mut ConfigArguments,
+        state: &mut ConfigState,
     ) -> Result<(), ActorProcessingErr> {
         match message {
             ConfigMessage::Poll => {
-                let revision = state.sender.borrow().revision;
-                let changes = state.platform.watch(CONFIG_KEY, revision, WATCH_WAIT_MS).await;
+                let seen_revision = state.seen_revision;
+                let changes = state.platform.watch(CONFIG_KEY, seen_revision, WATCH_WAIT_MS).await;
                 match changes {
-                    Ok(list) => list.entries.iter().for_each(|entry| apply(entry, &state.sender)),
+                    Ok(list) => {
+                        for entry in &list.entries {
+                            apply(entry, &state.sender);
+                            state.seen_revision = state.seen_revision.max(entry.revision);
+                        }
+                    }
                     Err(err) => {
                         log::warn!("config: the platform cannot be watched: {err}");
                         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
@@ -85,9 +101,8 @@
             return;
         }
     };
-    let offered = Succession { revision: entry.revision, sequence: document.sequence };
     let present = sender.borrow().succession();
-    if present.may_become(&offered) {
+    if present.may_become(entry.revision, &document) {
         log::info!("config: revision {} is in force", entry.revision);
         sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
     } else {
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -1,22 +1,41 @@
 //! Which configuration may replace the one in force.
 
+use crate::{confirmed_plan::RECENT_PLANS, document::Document};
+use base::PlanId;
+
 /// Position of a configuration in the order of all configurations.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Succession {
     /// Revision at which the platform holds the document.
     pub revision: u64,
     /// `Document::sequence`.
     pub sequence: u64,
+    /// Plan that was confirmed last; none in a document that was written without a plan.
+    pub last_plan: Option<PlanId>,
 }
 
 impl Succession {
-    /// Whether `offered` may take the place of this one, so that no accepted change is reverted.
+    /// Position of a document that the platform holds at `revision`.
+    pub fn of(revision: u64, document: &Document) -> Self {
+        let last_plan = document.recent_plans.last().map(|plan| plan.plan_id.clone());
+        Self { revision, sequence: document.sequence, last_plan }
+    }
+
+    /// Whether a document that is offered at `revision` may take the place of this one, so that no accepted change is
+    /// reverted.
     ///
     /// The revision alone is not enough: a platform that lost writes in an outage counts on from an older state, and
-    /// a document without the accepted changes can then get a higher revision. The number of confirmed plans tells
-    /// the two apart. It stays 0 for documents that are written without plans.
-    pub fn may_become(&self, offered: &Self) -> bool {
-        let is_unplanned = self.sequence == 0 && offered.sequence == 0;
-        offered.revision > self.revision && (offered.sequence > self.sequence || is_unplanned)
+    /// a document without the accepted changes can then get a higher revision.
+    pub fn may_become(&self, revision: u64, document: &Document) -> bool {
+        revision > self.revision && self.is_contained_in(document)
+    }
+
+    /// Whether a document contains all changes up to this position. Beyond the records that a document keeps, the
+    /// number of changes decides.
+    pub fn is_contained_in(&self, document: &Document) -> bool {
+        let Some(last_plan) = &self.last_plan else { return true };
+        let is_record_kept = document.sequence < self.sequence + RECENT_PLANS as u64;
+        document.sequence >= self.sequence
+            && (!is_record_kept || document.confirmed(last_plan).is_some())
     }
 }
--- a/crates/fleet/tests/plans.rs
+++ b/crates/fleet/tests/plans.rs
@@ -164,15 +164,34 @@
 /// Guards against a daemon that goes back to an older state, which a platform may offer after an outage.
 #[test]
 fn a_configuration_never_reverts() {
-    let present = Succession { revision: 10, sequence: 4 };
-    let offered = |revision, sequence| Succession { revision, sequence };
-    assert!(present.may_become(&offered(11, 5)));
-    assert!(!present.may_become(&offered(10, 4)));
-    assert!(!present.may_become(&offered(9, 3)));
-    assert!(!present.may_become(&offered(0, 0)));
-    // The platform lost writes and has counted on beyond the revision in force.
-    assert!(!present.may_become(&offered(12, 3)));
-    assert!(!present.may_become(&offered(12, 4)));
+    let base = composer();
+    let accepted = changed(2, &base, &["change account borders requests_per_s=20"]);
+    let present = Succession::of(10, &accepted);
+    let newer = changed(10, &accepted, &["remove account borders"]);
+    assert!(present.may_become(11, &newer));
+    assert!(!present.may_become(9, &newer));
+    assert!(!present.may_become(10, &accepted));
+    assert!(!present.may_become(0, &Document::default()));
+    // The platform lost the change and has counted on beyond the revision in force.
+    assert!(!present.may_become(12, &base));
+    let fork = changed(11, &base, &["change account borders requests_per_s=30"]);
+    assert!(!present.may_become(12, &fork));
+    let longer_fork = changed(12, &fork, &["change account borders requests_per_s=40"]);
+    assert!(!present.may_become(13, &longer_fork));
     // Documents that are written without plans replace each other.
-    assert!(offered(1, 0).may_become(&offered(2, 0)));
+    let unplanned = Succession::of(1, &Document::default());
+    assert!(unplanned.may_become(2, &Document::default()));
+}
+
+/// Guards against a daemon that accepts nothing any more after it missed more changes than a document lists.
+#[test]
+fn a_configuration_far_ahead_is_accepted() {
+    let mut document = composer();
+    let present = Succession::of(1, &document);
+    for revision in 1..100 {
+        let text = format!("create account a{revision}");
+        document = changed(revision, &document, &[&text]);
+    }
+    assert_eq!(document.recent_plans.len(), RECENT_PLANS);
+    assert!(present.may_become(100, &document));
 }
