--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -50,3 +50,17 @@
     let Problems(problems) = Settings::try_from("[entry]\nvm_id = \n").unwrap_err();
     assert!(problems.iter().any(|problem| problem.line == 2 && problem.key.is_empty()));
 }
+
+#[test]
+fn the_admin_section_is_optional_and_checks_its_hash() {
+    assert_eq!(Settings::try_from(GOOD).unwrap().admin, None);
+    let hash = "0123456789abcdef".repeat(4);
+    let good = format!("{GOOD}\n[admin]\nbootstrap_key_hash = \"{hash}\"\n");
+    let admin = Settings::try_from(good.as_str()).unwrap().admin.unwrap();
+    assert_eq!(admin.bootstrap_key_hash.unwrap().as_str(), hash);
+    // A key in place of its hash would be a secret in a file.
+    let bad = format!("{GOOD}\n[admin]\nbootstrap_key_hash = \"first-key\"\n");
+    let Problems(problems) = Settings::try_from(bad.as_str()).unwrap_err();
+    assert_eq!(problems[0].key, "admin.bootstrap_key_hash");
+    assert!(problems[0].allowed.contains("64"));
+}
