Refuse plans that the platform cannot hold, and guard the watch of the configuration

Cause: a plan of more than 1 MB would be refused by the platform with a status that was reported as an outage; it is now refused as too large (422). A test with a platform that fell back guards the succession of configurations in a running entry and the watch that goes on after an ignored document. Ruled out: counting log lines of real processes.

--- a/crates/admin/src/admin_error.rs
+++ b/crates/admin/src/admin_error.rs
@@ -51,6 +51,10 @@
             source(cause)
             from()
         }
+        /// The plan is larger than the platform holds.
+        PlanTooLarge(size_bytes: usize) {
+            display("the plan has {size_bytes} bytes, at most 1000000 are allowed; split it")
+        }
         /// The plan is too old; it was not applied.
         Expired(id: PlanId) {
             display("plan {id} has expired and was not applied")
@@ -99,7 +103,9 @@
             Self::Stale(..) | Self::Expired(_) => StatusCode::CONFLICT,
             Self::Body(web::ReadBodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Body(_) | Self::Parameter(_) => StatusCode::BAD_REQUEST,
-            Self::Json(_) | Self::Intent(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Json(_) | Self::Intent(_) | Self::PlanTooLarge(_) => {
+                StatusCode::UNPROCESSABLE_ENTITY
+            }
             Self::TooManyPlans
             | Self::PlatformDown(_)
             | Self::PlatformBehind(..)
@@ -119,6 +125,7 @@
             Self::Parameter(_) => "invalid_parameter",
             Self::NoPlan(_) => "plan_not_found",
             Self::Intent(_) => "intent_refused",
+            Self::PlanTooLarge(_) => "plan_too_large",
             Self::Expired(_) => "plan_expired",
             Self::Stale(..) => "plan_stale",
             Self::TooManyPlans => "too_many_plans",
--- a/crates/admin/src/planner.rs
+++ b/crates/admin/src/planner.rs
@@ -6,7 +6,8 @@
 };
 use base::{KeyHash, OperatorName, PlanId};
 use fleet::{
-    ConfirmedPlan, Document, Intent, IntentError, Plan, PlanContext, PlanError, PlannedIntent, join,
+    ConfirmedPlan, DOCUMENT_SIZE_BYTES, Document, Intent, IntentError, Plan, PlanContext,
+    PlanError, PlannedIntent, join,
 };
 use plat::{Kv, PlatformError, Resolved, write_resolved};
 use rand::{SeedableRng, rngs::StdRng};
@@ -68,8 +69,13 @@
                 .is_some_and(|open| !open.is_expired(now_ms) && open.base_revision >= revision);
             if !is_open {
                 plan.id = slot.new_id(&mut *self.rng()).map_err(IntentError::from)?;
+                let value = serde_json::to_string(&plan)?;
+                // The platform would refuse the value with a status that looks like an outage.
+                if value.len() > DOCUMENT_SIZE_BYTES {
+                    return Err(AdminError::PlanTooLarge(value.len()));
+                }
                 let write = KvWrite {
-                    value: serde_json::to_string(&plan)?,
+                    value,
                     expect_revision: Some(present.map_or(0, |entry| entry.revision)),
                     lease_id: None,
                 };
--- a/crates/admin/tests/confirm.rs
+++ b/crates/admin/tests/confirm.rs
@@ -197,3 +197,15 @@
     assert!(confirmed.was_confirmed_before);
     assert_eq!(confirmed.sequence, 1);
 }
+
+/// Guards against a plan that the platform refuses for its size and that is reported as an outage.
+#[tokio::test]
+async fn a_plan_that_the_platform_cannot_hold_is_refused_as_too_large() {
+    let run = Run::new();
+    let intents = (0..4_500)
+        .map(|number| parse_intent(&format!("create account a{number} tokens_per_s=1")).unwrap())
+        .collect();
+    let operator = OperatorName::try_from("ann").unwrap();
+    let outcome = run.planners[0].plan(operator, 0, intents, &PlanContext::default()).await;
+    assert!(matches!(outcome, Err(AdminError::PlanTooLarge(_))), "{outcome:?}");
+}
--- /dev/null
+++ b/crates/entry/tests/config_watch.rs
@@ -0,0 +1,93 @@
+//! Guards against a daemon that takes over a document without an accepted change, and against one that asks for a
+//! document that it ignored again and again.
+
+use base::{DomainName, KeyHash, OperatorName, PlanId, VmId};
+use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, Settings};
+use entry::Entry;
+use fleet::{Document, Plan, PlanContext, PlannedIntent, parse_intent};
+use hyper::{Request, Response, body::Incoming};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{Notify, watch};
+use web::{Handler, ResponseBody, Server, StatusCode};
+use wire::platform::{KvEntry, KvList, VmList};
+
+/// Revision of the document with the accepted change.
+const ACCEPTED: u64 = 5;
+
+/// Revision of the document without it.
+const FALLEN_BACK: u64 = 6;
+
+/// Platform that fell back to an older state and counted on.
+struct FallenBack {
+    accepted: String,
+    repeated_watches: AtomicU32,
+    waits: Notify,
+}
+
+impl Handler for FallenBack {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        if request.uri().path() != "/watch" {
+            return web::json(StatusCode::OK, &VmList::default());
+        }
+        let query = request.uri().query().unwrap_or_default();
+        let (revision, value) = if query.contains("after=0&") {
+            (ACCEPTED, self.accepted.clone())
+        } else if query.contains("after=5&") {
+            self.repeated_watches.fetch_add(1, Ordering::Relaxed);
+            (FALLEN_BACK, Document::default().encode().unwrap())
+        } else {
+            self.waits.notify_one();
+            std::future::pending().await
+        };
+        let entries = vec![KvEntry { key: "config/current".to_owned(), value, revision }];
+        web::json(StatusCode::OK, &KvList { revision, entries })
+    }
+}
+
+fn accepted() -> String {
+    let base = Document::default();
+    let intent = parse_intent("create account borders").unwrap();
+    let intents = vec![PlannedIntent { intent, key_hash: Some(KeyHash::of("key")) }];
+    let id = PlanId::try_from("p00-1").unwrap();
+    let operator = OperatorName::try_from("ann").unwrap();
+    let context = PlanContext::default();
+    let plan = Plan::build(id, operator, 0, 1, &base, intents, &context).unwrap();
+    plan.confirm(1, &base, 0, &context).unwrap().encode().unwrap()
+}
+
+#[tokio::test]
+async fn a_document_without_an_accepted_change_is_ignored_once() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any).await.unwrap();
+    let addr = server.local_addr().unwrap();
+    let platform = Arc::new(FallenBack {
+        accepted: accepted(),
+        repeated_watches: AtomicU32::new(0),
+        waits: Notify::new(),
+    });
+    let (_stop, stopped) = watch::channel(false);
+    let _server = tokio::spawn(server.run(Arc::clone(&platform), stopped));
+    let settings = Settings {
+        admin: None,
+        entry: EntrySettings {
+            vm_id: VmId::try_from("entry-1").unwrap(),
+            domain: DomainName::try_from("lothian").unwrap(),
+            listen: any,
+        },
+        limits: LimitSettings::default(),
+        log: LogSettings::default(),
+        platform: PlatformSettings { addr, timeout_ms: 1_000, vm_list_interval_ms: 1_000 },
+    };
+    let entry = Entry::start(&settings, None).await.unwrap();
+    let waits = tokio::time::timeout(Duration::from_secs(10), platform.waits.notified()).await;
+    assert!(waits.is_ok(), "the daemon does not go on from the revision that it ignored");
+    assert_eq!(entry.view().config().revision, ACCEPTED);
+    assert_eq!(platform.repeated_watches.load(Ordering::Relaxed), 1);
+}
