Warn of unchecked generations, and finish a confirmation without its operator

Cause: only the generations of the daemon that plans are known to the check of pinned versions, and a plan did not say so; a connection lost during a confirmation left a gap in the history. Ruled out: asking the other daemons, which needs the peers' protocol.

--- a/crates/admin/src/admin.rs
+++ b/crates/admin/src/admin.rs
@@ -31,7 +31,7 @@
         let (stop, stopped) = watch::channel(false);
         let handler = Arc::new(AdminHandler {
             bootstrap_key_hash: settings.bootstrap_key_hash.clone(),
-            planner: Planner::new(platform.clone(), rand::random()),
+            planner: Arc::new(Planner::new(platform.clone(), rand::random())),
             platform,
             daemon,
             stop: stopped.clone(),
--- a/crates/admin/src/handler.rs
+++ b/crates/admin/src/handler.rs
@@ -1,8 +1,8 @@
 //! Routes of the server towards operators.
 
 use crate::{
-    admin_error::AdminError, daemon::Daemon, member::Member, plan_request::PlanRequest,
-    planner::Planner, status::Status, watch_report::WatchReport,
+    admin_error::AdminError, confirmed::Confirmed, daemon::Daemon, member::Member,
+    plan_request::PlanRequest, planner::Planner, status::Status, watch_report::WatchReport,
 };
 use base::{Clock, HashMap, KeyHash, OperatorName, PlanId};
 use fleet::PlanContext;
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub(crate) struct AdminHandler<D> {
     pub bootstrap_key_hash: Option<KeyHash>,
-    pub planner: Planner<Platform>,
+    pub planner: Arc<Planner<Platform>>,
     pub platform: Platform,
     pub daemon: D,
     pub stop: watch::Receiver<bool>,
@@ -78,8 +78,7 @@
             (Method::POST, path) => {
                 let id = path.strip_prefix("plans/").and_then(|rest| rest.strip_suffix("/confirm"));
                 let id = plan_id(id.ok_or(AdminError::Route)?)?;
-                let context = self.context();
-                Ok(ok(&self.planner.confirm(&id, Clock::unix_ms(), &context).await?))
+                Ok(ok(&self.confirm(id).await?))
             }
             (Method::GET, path) => {
                 let id = plan_id(path.strip_prefix("plans/").ok_or(AdminError::Route)?)?;
@@ -112,6 +111,16 @@
         Ok(web::json(StatusCode::CREATED, &created))
     }
 
+    /// Confirms in a task of its own, so that the history is also written if the operator's connection is lost.
+    async fn confirm(&self, id: PlanId) -> Result<Confirmed, AdminError> {
+        let planner = Arc::clone(&self.planner);
+        let context = self.context();
+        let plan_id = id.clone();
+        let confirming =
+            tokio::spawn(async move { planner.confirm(&id, Clock::unix_ms(), &context).await });
+        confirming.await.unwrap_or(Err(AdminError::OutcomeUnknown(plan_id)))
+    }
+
     async fn status(&self) -> Status {
         let in_force = self.daemon.in_force();
         let members = |list: VmList| {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -146,6 +146,16 @@
             Some(_) => {}
         }
     }
+    for model in &before.models {
+        let versions = std::iter::once(&model.version).chain(&model.older_versions);
+        let new = after.model(&model.name);
+        for version in versions.filter(|version| !new.is_some_and(|new| new.has_version(version))) {
+            warnings.push(format!(
+                "version {version} of model {} goes; generations at other daemons are not checked",
+                model.name
+            ));
+        }
+    }
     for model in &after.models {
         let engines = context.engines.get(&model.service).copied().unwrap_or(0);
         if engines == 0 {
--- a/crates/fleet/tests/plans.rs
+++ b/crates/fleet/tests/plans.rs
@@ -85,6 +85,7 @@
     let mut context = PlanContext::default();
     let texts = ["remove version composer v1".to_owned()];
     let plan = plan_at(1, &document, &texts, &context).unwrap();
+    assert!(plan.warnings.iter().any(|warning| warning.contains("version v1")));
     context.pinned.insert((model, v1));
     let pinned = |err: &IntentError| matches!(err, IntentError::Pinned(..));
     assert!(pinned(&refusal(&document, "remove version composer v1", &context)));
