--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Instant};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::watch};
 use wire::sse::{Decoder, Event};
 
 /// Largest event that is accepted.
@@ -33,25 +33,24 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     key: String,
+    progress: Option<watch::Sender<Answer>>,
 }
 
 impl Caller {
     /// Caller with a bearer key.
     pub fn new(key: &str) -> Self {
-        Self { key: key.to_owned() }
+        Self { key: key.to_owned(), progress: None }
+    }
+
+    /// Shows the answer so far after each event.
+    pub fn with_progress(mut self, progress: watch::Sender<Answer>) -> Self {
+        self.progress = Some(progress);
+        self
     }
 
     /// Asks the entry at `addr` and reads the stream to its end.
     pub async fn ask(&self, addr: SocketAddr, question: &Question) -> Answer {
-        let mut answer = Answer {
-            text: String::new(),
-            version: String::new(),
-            last_event_id: None,
-            longest_gap_ms: 0,
-            first_token_ms: None,
-            usage_tokens: None,
-            end: AnswerEnd::Cut,
-        };
+        let mut answer = Answer::empty();
         self.resume(addr, question, &mut answer).await;
         answer
     }
@@ -96,13 +95,16 @@
             answer.end = AnswerEnd::Refused(status.as_u16(), code(&value));
             return None;
         }
-        read(response.into_body(), answer).await
+        read(response.into_body(), answer, self.progress.as_ref()).await
     }
 }
 
-async fn read(mut body: Incoming, answer: &mut Answer) -> Option<()> {
+async fn read(
+    mut body: Incoming,
+    answer: &mut Answer,
+    progress: Option<&watch::Sender<Answer>>,
+) -> Option<()> {
     let mut decoder = Decoder::new(EVENT_SIZE_BYTES);
-    let mut last_token = Instant::now();
     let mut is_finished = false;
     while let Some(frame) = body.frame().await {
         let frame = frame.ok()?;
@@ -113,14 +115,17 @@
                 answer.end = if is_finished { AnswerEnd::Done } else { AnswerEnd::Cut };
                 return Some(());
             }
-            is_finished |= take_event(event, answer, &mut last_token)?;
+            is_finished |= take_event(event, answer)?;
+            if let Some(progress) = progress {
+                progress.send_replace(answer.clone());
+            }
         }
     }
     None
 }
 
 /// Takes one event; whether it carried the finish reason.
-fn take_event(event: Event, answer: &mut Answer, last_token: &mut Instant) -> Option<bool> {
+fn take_event(event: Event, answer: &mut Answer) -> Option<bool> {
     let value: Value = serde_json::from_str(&event.data).ok()?;
     if value.get("error").is_some() {
         answer.end = AnswerEnd::Error(code(&value));
@@ -139,8 +144,8 @@
     let text = choice["text"].as_str().unwrap_or_default();
     if !text.is_empty() {
         answer.text.push_str(text);
-        let gap_ms = last_token.elapsed().as_millis() as u64;
-        *last_token = Instant::now();
+        let gap_ms = answer.last_token_at.elapsed().as_millis() as u64;
+        answer.last_token_at = Instant::now();
         match answer.first_token_ms {
             Some(_) => answer.longest_gap_ms = answer.longest_gap_ms.max(gap_ms),
             None => answer.first_token_ms = Some(gap_ms),
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -2,9 +2,7 @@
 
 use crate::bench_error::BenchError;
 use base::{AccountName, KeyHash, ModelName, ServiceName, VersionName};
-use fleet::{
-    Account, Document, Model, Objectives, OrderBehaviour, Preset, QueueLimits, Service, ServiceKind,
-};
+use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
 
 /// Shape of a cluster.
 #[derive(Clone, Debug)]
@@ -15,12 +13,22 @@
     pub entries_per_domain: usize,
     /// Engines in each failure domain.
     pub engines_per_domain: usize,
+    /// Whether daemons exchange journal copies.
+    pub has_peers: bool,
     /// Time between tokens.
     pub token_gap_ms: u64,
     /// Recovery preset.
     pub preset: Preset,
     /// Seed of the engines' sampling.
     pub seed: u64,
+    /// Whether the entries reach each engine through a proxy of its own.
+    pub has_engine_proxies: bool,
+    /// Whether the entries reach the platform through a proxy.
+    pub has_platform_proxy: bool,
+    /// More arguments of the engines, for example `--batch-limit`.
+    pub engine_args: Vec<String>,
+    /// More arguments of the platform, for example `--vm-list-lag-ms`.
+    pub platform_args: Vec<String>,
 }
 
 impl Default for Layout {
@@ -29,9 +37,14 @@
             domains: ["lothian", "clyde", "tayside"].map(str::to_owned).to_vec(),
             entries_per_domain: 1,
             engines_per_domain: 2,
+            has_peers: true,
             token_gap_ms: 41,
             preset: Preset::Latency,
             seed: 1,
+            has_engine_proxies: false,
+            has_platform_proxy: false,
+            engine_args: Vec::new(),
+            platform_args: Vec::new(),
         }
     }
 }
@@ -56,30 +69,15 @@
     /// A name is not valid.
     pub fn document(&self) -> Result<Document, BenchError> {
         let service = ServiceName::try_from(Self::MODEL)?;
+        let account = AccountName::try_from("bench")?;
+        let model = ModelName::try_from(Self::MODEL)?;
+        let version = VersionName::try_from(Self::VERSION)?;
+        let mut composer = Service::new(&service, ServiceKind::Generation);
+        composer.preset = self.preset;
         Ok(Document {
-            accounts: vec![Account {
-                name: AccountName::try_from("bench")?,
-                key_hashes: vec![KeyHash::of(Self::KEY)],
-                requests_per_s: 100_000,
-                tokens_per_s: None,
-                concurrent_generations: None,
-            }],
-            services: vec![Service {
-                name: service.clone(),
-                kind: ServiceKind::Generation,
-                preset: self.preset,
-                objectives: Objectives::default(),
-                queue: QueueLimits::default(),
-                orders: OrderBehaviour::default(),
-            }],
-            models: vec![Model {
-                name: ModelName::try_from(Self::MODEL)?,
-                service,
-                version: VersionName::try_from(Self::VERSION)?,
-                older_versions: Vec::new(),
-                adapters: Vec::new(),
-                roles: Vec::new(),
-            }],
+            accounts: vec![Account::new(&account, KeyHash::of(Self::KEY), 100_000)],
+            services: vec![composer],
+            models: vec![Model::new(&model, &service, &version)],
             ..Document::default()
         })
     }
--- a/crates/bench/src/experiment/operator_races.rs
+++ b/crates/bench/src/experiment/operator_races.rs
@@ -10,6 +10,7 @@
 use fleet::Document;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
+use stand::PlatformFault;
 use std::{net::SocketAddr, path::Path, time::Duration};
 use tokio::{task::JoinSet, time::Instant};
 use web::{Client, ClientError, Method, Reply};
@@ -69,11 +70,11 @@
             outages += 1;
         } else {
             let count: u32 = rng.random_range(1..6);
-            platform.send_json(Method::PUT, "/control/lost_answers", &count).await?;
+            cluster.platform_fault(PlatformFault::LoseNextAnswers { writes: count }).await?;
             lost_answers += count;
         }
     }
-    platform.send_json(Method::PUT, "/control/lost_answers", &0).await?;
+    cluster.platform_fault(PlatformFault::Restore).await?;
     let mut told = Vec::new();
     for plans in operators.join_all().await {
         told.extend(plans?);
--- a/crates/bench/tests/operators.rs
+++ b/crates/bench/tests/operators.rs
@@ -5,6 +5,7 @@
     cluster::{Cluster, CtlOutcome, Layout},
 };
 use serde_json::Value;
+use stand::PlatformFault;
 use std::{path::PathBuf, time::Duration};
 use web::{Client, Method};
 use wire::platform::{KvEntry, KvWrite};
@@ -105,8 +106,7 @@
 async fn a_lost_answer_to_a_confirmation_is_resolved() {
     let cluster = cluster().await;
     let (_, id) = plan(&cluster, 0, "create account borders");
-    let platform = Client::new(cluster.platform_addr().unwrap(), 2_000);
-    platform.send_json(Method::PUT, "/control/lost_answers", &1).await.unwrap();
+    cluster.platform_fault(PlatformFault::LoseNextAnswers { writes: 1 }).await.unwrap();
     assert_eq!(ctl(&cluster, 0, &["confirm", &id]).code, 0);
     let again = json(&ctl(&cluster, 1, &["confirm", "--json", &id]));
     assert_eq!(again["sequence"], 1);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry_settings;
 mod limit_settings;
 mod log_settings;
+mod peer_settings;
 mod platform_settings;
 mod problem;
 mod section;
@@ -21,6 +22,7 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::{LogFormat, LogSettings},
+    peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     settings::Settings,
--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Source<'i> {
     pub text: &'i str,
     pub problems: Vec<Problem>,
+    /// Every key that was asked for, with its section.
+    pub keys: Vec<String>,
 }
 
 impl Source<'_> {
@@ -135,6 +137,35 @@
         }
     }
 
+    /// Takes a table whose keys are free and whose values must parse as `T`; a missing table is empty.
+    pub fn map<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        source: &mut Source<'_>,
+    ) -> Vec<(String, T)>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some((line, value)) = self.take(key, source) else { return Vec::new() };
+        let DeValue::Table(table) = value else {
+            self.report(key, line, &format!("is a {}", value.type_str()), "a table", source);
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for (name, value) in table {
+            let line = source.line(value.span().start);
+            let path = format!("{key}.{}", name.get_ref());
+            let outcome = value.get_ref().as_str().and_then(|text| text.parse().ok());
+            match outcome {
+                Some(value) => parsed.push((name.into_inner().into_owned(), value)),
+                None => self.report(&path, line, "is not valid", allowed, source),
+            }
+        }
+        parsed
+    }
+
     /// Reports the keys that nobody took.
     pub fn close(self, source: &mut Source<'_>) {
         for (key, value) in &self.table {
@@ -144,8 +175,9 @@
         }
     }
 
-    fn take(&mut self, key: &'static str, source: &Source<'_>) -> Option<(usize, DeValue<'i>)> {
+    fn take(&mut self, key: &'static str, source: &mut Source<'_>) -> Option<(usize, DeValue<'i>)> {
         self.known.push(key);
+        source.keys.push(format!("{}.{key}", self.name));
         let value: Spanned<DeValue<'i>> = self.table.remove(key)?;
         Some((source.line(value.span().start), value.into_inner()))
     }
--- a/crates/entry/tests/config_watch.rs
+++ b/crates/entry/tests/config_watch.rs
@@ -80,9 +80,11 @@
             vm_id: VmId::try_from("entry-1").unwrap(),
             domain: DomainName::try_from("lothian").unwrap(),
             listen: any,
+            worker_threads: 1,
         },
         limits: LimitSettings::default(),
         log: LogSettings::default(),
+        peer: None,
         platform: PlatformSettings { addr, timeout_ms: 1_000, vm_list_interval_ms: 1_000 },
     };
     let entry = Entry::start(&settings, None).await.unwrap();
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -19,3 +19,16 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub concurrent_generations: Option<u32>,
 }
+
+impl Account {
+    /// Account with one key and no limits but that of its requests.
+    pub fn new(name: &AccountName, key_hash: KeyHash, requests_per_s: u32) -> Self {
+        Self {
+            name: name.clone(),
+            key_hashes: vec![key_hash],
+            requests_per_s,
+            tokens_per_s: None,
+            concurrent_generations: None,
+        }
+    }
+}
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -25,6 +25,18 @@
 }
 
 impl Model {
+    /// Model with one version, without adapters and roles.
+    pub fn new(name: &ModelName, service: &ServiceName, version: &VersionName) -> Self {
+        Self {
+            name: name.clone(),
+            service: service.clone(),
+            version: version.clone(),
+            older_versions: Vec::new(),
+            adapters: Vec::new(),
+            roles: Vec::new(),
+        }
+    }
+
     /// Whether a version is served, for new generations or for older ones.
     pub fn has_version(&self, version: &VersionName) -> bool {
         self.version == *version || self.older_versions.contains(version)
--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -45,3 +45,17 @@
     #[serde(default)]
     pub orders: OrderBehaviour,
 }
+
+impl Service {
+    /// Service with default settings.
+    pub fn new(name: &ServiceName, kind: ServiceKind) -> Self {
+        Self {
+            name: name.clone(),
+            kind,
+            preset: Preset::default(),
+            objectives: Objectives::default(),
+            queue: QueueLimits::default(),
+            orders: OrderBehaviour::default(),
+        }
+    }
+}
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -4,9 +4,7 @@
 use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
 use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, Settings};
 use entry::Entry;
-use fleet::{
-    Account, Document, Model, Objectives, OrderBehaviour, Preset, QueueLimits, Service, ServiceKind,
-};
+use fleet::{Account, Document, Model, Service, ServiceKind};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use stand::{Chain, Engine, EngineSettings, Platform};
@@ -87,9 +85,11 @@
                 vm_id: VmId::try_from("entry-1")?,
                 domain: DomainName::try_from(DOMAINS[0])?,
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                worker_threads: 4,
             },
             limits: LimitSettings::default(),
             log: LogSettings::default(),
+            peer: None,
             platform: PlatformSettings {
                 addr: platform.addr(),
                 timeout_ms: 1_000,
@@ -211,30 +211,13 @@
 
 fn document() -> Result<Document, RunError> {
     let service = ServiceName::try_from(MODEL)?;
+    let account = AccountName::try_from("dev")?;
+    let model = ModelName::try_from(MODEL)?;
+    let version = VersionName::try_from(VERSION)?;
     Ok(Document {
-        accounts: vec![Account {
-            name: AccountName::try_from("dev")?,
-            key_hashes: vec![KeyHash::of(CLIENT_KEY)],
-            requests_per_s: 1_000,
-            tokens_per_s: None,
-            concurrent_generations: None,
-        }],
-        services: vec![Service {
-            name: service.clone(),
-            kind: ServiceKind::Generation,
-            preset: Preset::Latency,
-            objectives: Objectives::default(),
-            queue: QueueLimits::default(),
-            orders: OrderBehaviour::default(),
-        }],
-        models: vec![Model {
-            name: ModelName::try_from(MODEL)?,
-            service,
-            version: VersionName::try_from(VERSION)?,
-            older_versions: Vec::new(),
-            adapters: Vec::new(),
-            roles: Vec::new(),
-        }],
+        accounts: vec![Account::new(&account, KeyHash::of(CLIENT_KEY), 1_000)],
+        services: vec![Service::new(&service, ServiceKind::Generation)],
+        models: vec![Model::new(&model, &service, &version)],
         ..Document::default()
     })
 }
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -32,7 +32,9 @@
     let settings = load(path)?;
     logging::install(&settings.log)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
-    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    let worker_threads = usize::try_from(settings.entry.worker_threads).unwrap_or(1);
+    let runtime =
+        Builder::new_multi_thread().worker_threads(worker_threads).enable_all().build()?;
     runtime.block_on(async {
         let entry = Entry::start(&settings, Some(metrics)).await?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
@@ -42,10 +44,14 @@
             }
             None => None,
         };
-        match &admin {
-            Some(admin) => println!("ready addr={} admin={}", entry.addr(), admin.addr()),
-            None => println!("ready addr={}", entry.addr()),
+        let mut ready = format!("ready addr={}", entry.addr());
+        if let Some(peer_addr) = entry.peer_addr() {
+            ready.push_str(&format!(" peer={peer_addr}"));
         }
+        if let Some(admin) = &admin {
+            ready.push_str(&format!(" admin={}", admin.addr()));
+        }
+        println!("{ready}");
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
