--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -53,6 +53,9 @@
     /// Key of the client account.
     pub const KEY: &str = "bench-key";
 
+    /// Bootstrap key of operators.
+    pub const OPERATOR_KEY: &str = "bench-operator-key";
+
     /// Model, and the service whose engines run it.
     pub const MODEL: &str = "composer";
 
@@ -66,23 +69,16 @@
     /// A name is not valid.
     pub fn document(&self) -> Result<Document, BenchError> {
         let service = ServiceName::try_from(Self::MODEL)?;
+        let account = AccountName::try_from("bench")?;
+        let model = ModelName::try_from(Self::MODEL)?;
+        let version = VersionName::try_from(Self::VERSION)?;
+        let mut composer = Service::new(&service, ServiceKind::Generation);
+        composer.preset = self.preset;
         Ok(Document {
-            accounts: vec![Account {
-                name: AccountName::try_from("bench")?,
-                key_hashes: vec![KeyHash::of(Self::KEY)],
-                requests_per_s: 100_000,
-            }],
-            services: vec![Service {
-                name: service.clone(),
-                kind: ServiceKind::Generation,
-                preset: self.preset,
-            }],
-            models: vec![Model {
-                name: ModelName::try_from(Self::MODEL)?,
-                service,
-                version: VersionName::try_from(Self::VERSION)?,
-                adapters: Vec::new(),
-            }],
+            accounts: vec![Account::new(&account, KeyHash::of(Self::KEY), 100_000)],
+            services: vec![composer],
+            models: vec![Model::new(&model, &service, &version)],
+            ..Document::default()
         })
     }
 }
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -4,7 +4,7 @@
     bench_error::BenchError,
     cluster::{layout::Layout, process::Process},
 };
-use base::{DomainName, ServiceName, VmId};
+use base::{DomainName, KeyHash, ServiceName, VmId};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -97,6 +97,21 @@
         running.map(|entry| entry.vm.addr).collect()
     }
 
+    /// Addresses of the administration servers that are running.
+    ///
+    /// # Errors
+    ///
+    /// A daemon named none.
+    pub fn admin_addrs(&self) -> Result<Vec<SocketAddr>, BenchError> {
+        let running = self.entries.iter().filter_map(|entry| entry.process.as_ref());
+        running.map(|process| process.addr("admin")).collect()
+    }
+
+    /// Process of the platform.
+    pub fn platform(&self) -> &Process {
+        &self.platform
+    }
+
     /// Address of an entry, whether it is running or not.
     pub fn entry_addr(&self, position: usize) -> SocketAddr {
         self.entries[position].vm.addr
@@ -263,6 +278,8 @@
             Some(proxy) => proxy.addr("addr")?,
             None => self.platform_addr()?,
         };
+        let operator_key = KeyHash::of(Layout::OPERATOR_KEY);
+        let operator_key = operator_key.as_str();
         let has_peers = self.layout.has_peers;
         let text = |listen: SocketAddr, peer_listen: SocketAddr| {
             let peer = if has_peers {
@@ -273,6 +290,8 @@
             format!(
                 "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
+                 [admin]\nlisten = \"127.0.0.1:0\"\n\
+                 bootstrap_key_hash = \"{operator_key}\"\n\n\
                  [log]\nlevel = \"error\"\n\n{peer}"
             )
         };
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod engine_deaths;
 mod entry_deaths;
 mod journal_copies;
+mod operator_races;
 mod options;
 mod relay;
 
@@ -16,6 +17,7 @@
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
     ("relay", "cost and added delay of a relayed token"),
+    ("operator-races", "each confirmed plan is applied exactly once"),
 ];
 
 /// Runs an experiment with `program` as the executable of its processes.
@@ -30,6 +32,7 @@
 ) -> Result<(), BenchError> {
     match name {
         "engine-deaths" => engine_deaths::run(program, options).await,
+        "operator-races" => operator_races::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
         "relay" => relay::run(program, options).await,
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,6 +1,7 @@
 //! The whole settings file.
 
 use crate::{
+    admin_settings::AdminSettings,
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::LogSettings,
@@ -12,14 +13,16 @@
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[entry], [limits], [log], [peer], [platform]";
+const SECTIONS: &str = "[admin], [entry], [limits], [log], [peer], [platform]";
 
 /// Sections whose keys are read only if the section is there.
-const OPTIONAL_SECTIONS: &str = "[peer]\n";
+const OPTIONAL_SECTIONS: &str = "[admin]\n[peer]\n";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
+    /// Server towards operators, if there is one.
+    pub admin: Option<AdminSettings>,
     /// Server towards callers.
     pub entry: EntrySettings,
     /// Limits on what a caller may send.
@@ -83,11 +86,12 @@
     }
 
     fn read(root: &mut DeTable<'_>, source: &mut Source<'_>) -> Option<Self> {
+        let admin = AdminSettings::read(root, source);
         let entry = EntrySettings::read(root, source);
         let limits = LimitSettings::read(root, source);
         let log = LogSettings::read(root, source);
         let peer = PeerSettings::read(root, source);
         let platform = PlatformSettings::read(root, source);
-        Some(Self { entry: entry?, limits, log, peer, platform: platform? })
+        Some(Self { admin, entry: entry?, limits, log, peer, platform: platform? })
     }
 }
--- a/crates/entry/src/config_actor.rs
+++ b/crates/entry/src/config_actor.rs
@@ -28,6 +28,16 @@
     pub sender: watch::Sender<Arc<Config>>,
 }
 
+/// State of the actor.
+#[derive(Debug)]
+pub(crate) struct ConfigState {
+    platform: Platform,
+    sender: watch::Sender<Arc<Config>>,
+    /// Latest revision that the platform showed. A watch goes on from here and not from the revision in force, because
+    /// the platform would show a document that was ignored again and again.
+    seen_revision: u64,
+}
+
 /// Message of the actor.
 #[derive(Debug)]
 pub(crate) enum ConfigMessage {
@@ -37,30 +47,36 @@
 
 impl Actor for ConfigActor {
     type Msg = ConfigMessage;
-    type State = ConfigArguments;
+    type State = ConfigState;
     type Arguments = ConfigArguments;
 
     async fn pre_start(
         &self,
         myself: ActorRef<ConfigMessage>,
         arguments: ConfigArguments,
-    ) -> Result<ConfigArguments, ActorProcessingErr> {
+    ) -> Result<ConfigState, ActorProcessingErr> {
         myself.cast(ConfigMessage::Poll)?;
-        Ok(arguments)
+        let ConfigArguments { platform, sender } = arguments;
+        Ok(ConfigState { platform, sender, seen_revision: 0 })
     }
 
     async fn handle(
         &self,
         myself: ActorRef<ConfigMessage>,
         message: ConfigMessage,
-        state: &mut ConfigArguments,
+        state: &mut ConfigState,
     ) -> Result<(), ActorProcessingErr> {
         match message {
             ConfigMessage::Poll => {
-                let revision = state.sender.borrow().revision;
-                let changes = state.platform.watch(CONFIG_KEY, revision, WATCH_WAIT_MS).await;
+                let seen_revision = state.seen_revision;
+                let changes = state.platform.watch(CONFIG_KEY, seen_revision, WATCH_WAIT_MS).await;
                 match changes {
-                    Ok(list) => list.entries.iter().for_each(|entry| apply(entry, &state.sender)),
+                    Ok(list) => {
+                        for entry in &list.entries {
+                            apply(entry, &state.sender);
+                            state.seen_revision = state.seen_revision.max(entry.revision);
+                        }
+                    }
                     Err(err) => {
                         log::warn!("config: the platform cannot be watched: {err}");
                         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
@@ -73,16 +89,23 @@
     }
 }
 
-/// Puts a document into force if it is valid and newer than the present one.
+/// Puts a document into force if it is valid and may follow the present one.
 fn apply(entry: &KvEntry, sender: &watch::Sender<Arc<Config>>) {
     if entry.key != CONFIG_KEY || entry.revision <= sender.borrow().revision {
         return;
     }
-    match Document::decode(&entry.value) {
-        Ok(document) => {
-            log::info!("config: revision {} is in force", entry.revision);
-            sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
+    let document = match Document::decode(&entry.value) {
+        Ok(document) => document,
+        Err(err) => {
+            log::error!("config: revision {} is not valid: {err}", entry.revision);
+            return;
         }
-        Err(err) => log::error!("config: revision {} is not valid: {err}", entry.revision),
+    };
+    let present = sender.borrow().succession();
+    if present.may_become(entry.revision, &document) {
+        log::info!("config: revision {} is in force", entry.revision);
+        sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
+    } else {
+        log::error!("config: revision {} lacks accepted changes and is ignored", entry.revision);
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,6 +4,7 @@
     config::Config,
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
+    entry_view::EntryView,
     handler::CallerHandler,
     journals::Journals,
     peer_answers::PeerAnswers,
@@ -93,6 +94,7 @@
             peers,
             upstreams,
             engines: EnginePool::default(),
+            pins: Arc::default(),
             metrics,
             is_draining: AtomicBool::new(false),
             process_nonce: rand::random(),
@@ -112,6 +114,11 @@
         self.addr
     }
 
+    /// Read access for the rest of the daemon.
+    pub fn view(&self) -> EntryView {
+        EntryView::new(Arc::clone(&self.shared))
+    }
+
     /// Address that other daemons connect to, if the settings name one.
     pub fn peer_addr(&self) -> Option<SocketAddr> {
         self.peer_node.as_ref().map(PeerNode::addr)
--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -3,7 +3,7 @@
 use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
 use conf::Settings;
 use entry::Entry;
-use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use fleet::{Account, Document, Model, Service, ServiceKind};
 use serde_json::{Value, json};
 use stand::{Chain, Engine, EngineSettings, Platform, PlatformSettings};
 use std::{net::SocketAddr, time::Duration};
@@ -92,23 +92,16 @@
 
 fn document() -> Document {
     let service = ServiceName::try_from(MODEL).unwrap();
+    let account = AccountName::try_from("test").unwrap();
+    let model = ModelName::try_from(MODEL).unwrap();
+    let version = VersionName::try_from(VERSION).unwrap();
+    let mut composer = Model::new(&model, &service, &version);
+    composer.adapters = vec!["kirk".to_owned()];
     Document {
-        accounts: vec![Account {
-            name: AccountName::try_from("test").unwrap(),
-            key_hashes: vec![KeyHash::of(KEY)],
-            requests_per_s: 1_000,
-        }],
-        services: vec![Service {
-            name: service.clone(),
-            kind: ServiceKind::Generation,
-            preset: Preset::Latency,
-        }],
-        models: vec![Model {
-            name: ModelName::try_from(MODEL).unwrap(),
-            service,
-            version: VersionName::try_from(VERSION).unwrap(),
-            adapters: vec!["kirk".to_owned()],
-        }],
+        accounts: vec![Account::new(&account, KeyHash::of(KEY), 1_000)],
+        services: vec![Service::new(&service, ServiceKind::Generation)],
+        models: vec![composer],
+        ..Document::default()
     }
 }
 
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -1,9 +1,11 @@
 //! Commands `run` and `check`.
 
-use crate::{logging, run_error::RunError};
+use crate::{admin_view::AdminView, logging, run_error::RunError};
+use admin::Admin;
 use conf::Settings;
 use entry::Entry;
 use metrics_exporter_prometheus::PrometheusBuilder;
+use plat::Platform;
 use std::path::Path;
 use tokio::{
     runtime::Builder,
@@ -35,10 +37,21 @@
         Builder::new_multi_thread().worker_threads(worker_threads).enable_all().build()?;
     runtime.block_on(async {
         let entry = Entry::start(&settings, Some(metrics)).await?;
-        match entry.peer_addr() {
-            Some(peer_addr) => println!("ready addr={} peer={peer_addr}", entry.addr()),
-            None => println!("ready addr={}", entry.addr()),
+        let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
+        let admin = match &settings.admin {
+            Some(settings) => {
+                Some(Admin::start(settings, platform, AdminView(entry.view())).await?)
+            }
+            None => None,
+        };
+        let mut ready = format!("ready addr={}", entry.addr());
+        if let Some(peer_addr) = entry.peer_addr() {
+            ready.push_str(&format!(" peer={peer_addr}"));
         }
+        if let Some(admin) = &admin {
+            ready.push_str(&format!(" admin={}", admin.addr()));
+        }
+        println!("{ready}");
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
@@ -46,6 +59,9 @@
             _ = terminate.recv() => {}
         }
         log::info!("entry: shutdown begins");
+        if let Some(admin) = admin {
+            admin.close().await;
+        }
         entry.close().await;
         Ok(())
     })
