Bound a claim at a silent entry, and measure silence and two rates

Cause: the claim at a frozen entry would have waited two call timeouts (500 ms) before the holder was asked. Ruled out: a shorter call timeout for all calls, because it would make appends give up live holders under load. The wait of two call timeouts was not measured before.

--- a/crates/bench/src/caller/answer.rs
+++ b/crates/bench/src/caller/answer.rs
@@ -14,6 +14,8 @@
     Refused(u16, String),
     /// The connection ended early.
     Cut,
+    /// The connection delivered nothing for longer than the caller waits.
+    Silent,
 }
 
 /// Streamed answer as a caller received it, possibly over several connections.
--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -11,13 +11,19 @@
 };
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use std::{net::SocketAddr, time::Instant};
-use tokio::{net::TcpStream, sync::watch};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpStream, sync::watch, time::timeout};
 use wire::sse::{Decoder, Event};
 
 /// Largest event that is accepted.
 const EVENT_SIZE_BYTES: usize = 1024 * 1024;
 
+/// Longest wait for the next part of an answer unless the caller says otherwise.
+const PATIENCE_MS: u64 = 60_000;
+
 /// What a caller asks for.
 #[derive(Clone, Debug)]
 pub struct Question {
@@ -34,12 +40,19 @@
 pub struct Caller {
     key: String,
     progress: Option<watch::Sender<Answer>>,
+    patience_ms: u64,
 }
 
 impl Caller {
     /// Caller with a bearer key.
     pub fn new(key: &str) -> Self {
-        Self { key: key.to_owned(), progress: None }
+        Self { key: key.to_owned(), progress: None, patience_ms: PATIENCE_MS }
+    }
+
+    /// Gives up a connection that delivers nothing for `patience_ms`.
+    pub fn with_patience_ms(mut self, patience_ms: u64) -> Self {
+        self.patience_ms = patience_ms;
+        self
     }
 
     /// Shows the answer so far after each event.
@@ -87,7 +100,12 @@
             request = request.header("last-event-id", id);
         }
         let request = request.body(Full::new(Bytes::from(body.to_string()))).ok()?;
-        let response = sender.send_request(request).await.ok()?;
+        let patience = Duration::from_millis(self.patience_ms);
+        let Ok(response) = timeout(patience, sender.send_request(request)).await else {
+            answer.end = AnswerEnd::Silent;
+            return None;
+        };
+        let response = response.ok()?;
         let status = response.status();
         if !status.is_success() {
             let body = response.into_body().collect().await.ok()?.to_bytes();
@@ -95,33 +113,33 @@
             answer.end = AnswerEnd::Refused(status.as_u16(), code(&value));
             return None;
         }
-        read(response.into_body(), answer, self.progress.as_ref()).await
+        self.read(response.into_body(), answer).await
     }
-}
 
-async fn read(
-    mut body: Incoming,
-    answer: &mut Answer,
-    progress: Option<&watch::Sender<Answer>>,
-) -> Option<()> {
-    let mut decoder = Decoder::new(EVENT_SIZE_BYTES);
-    let mut is_finished = false;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.ok()?;
-        let Some(data) = frame.data_ref() else { continue };
-        decoder.feed(data).ok()?;
-        while let Some(event) = decoder.next_event().ok()? {
-            if event.data == "[DONE]" {
-                answer.end = if is_finished { AnswerEnd::Done } else { AnswerEnd::Cut };
-                return Some(());
-            }
-            is_finished |= take_event(event, answer)?;
-            if let Some(progress) = progress {
-                progress.send_replace(answer.clone());
+    async fn read(&self, mut body: Incoming, answer: &mut Answer) -> Option<()> {
+        let mut decoder = Decoder::new(EVENT_SIZE_BYTES);
+        let patience = Duration::from_millis(self.patience_ms);
+        let mut is_finished = false;
+        loop {
+            let Ok(frame) = timeout(patience, body.frame()).await else {
+                answer.end = AnswerEnd::Silent;
+                return None;
+            };
+            let frame = frame?.ok()?;
+            let Some(data) = frame.data_ref() else { continue };
+            decoder.feed(data).ok()?;
+            while let Some(event) = decoder.next_event().ok()? {
+                if event.data == "[DONE]" {
+                    answer.end = if is_finished { AnswerEnd::Done } else { AnswerEnd::Cut };
+                    return Some(());
+                }
+                is_finished |= take_event(event, answer)?;
+                if let Some(progress) = &self.progress {
+                    progress.send_replace(answer.clone());
+                }
             }
         }
     }
-    None
 }
 
 /// Takes one event; whether it carried the finish reason.
--- a/crates/bench/src/experiment/entry_deaths.rs
+++ b/crates/bench/src/experiment/entry_deaths.rs
@@ -24,6 +24,15 @@
 /// One in so many entries dies together with an engine.
 const ENGINE_SHARE: u32 = 3;
 
+/// One in so many entries is frozen and woken instead of killed.
+const FREEZE_SHARE: u32 = 4;
+
+/// Time for which an entry is frozen.
+const FREEZE_MS: u64 = 1_500;
+
+/// Wait of a caller for the next token before it gives a connection up.
+const PATIENCE_MS: u64 = 500;
+
 /// Connections that a caller tries for one answer.
 const TRIES: usize = 100;
 
@@ -35,6 +44,7 @@
     answer: Answer,
     is_whole: bool,
     reconnects: u64,
+    was_silent: bool,
 }
 
 pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
@@ -46,11 +56,16 @@
     for number in 0..CALLERS {
         callers.spawn(ask_until(cluster.entry_addrs(), number, end));
     }
-    let (mut deaths, mut engine_deaths) = (0, 0);
+    let (mut deaths, mut engine_deaths, mut freezes) = (0, 0, 0);
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(DEATH_INTERVAL_MS)).await;
         let entry = rng.random_range(0..cluster.entry_count());
         let engine = rng.random_range(0..cluster.engine_count());
+        if rng.random_range(0..FREEZE_SHARE) == 0 {
+            freeze(&cluster, entry).await;
+            freezes += 1;
+            continue;
+        }
         let has_engine = rng.random_range(0..ENGINE_SHARE) == 0;
         if has_engine {
             cluster.kill_engine(engine);
@@ -65,18 +80,27 @@
     }
     let outcomes: Vec<Outcome> = callers.join_all().await.into_iter().flatten().collect();
     let whole = outcomes.iter().filter(|outcome| outcome.is_whole).count();
-    let resumed = outcomes.iter().filter(|outcome| outcome.reconnects > 0);
-    let mut resumes: Vec<u64> = resumed.map(|outcome| outcome.answer.longest_gap_ms).collect();
+    let gaps = |was_silent: bool| -> Vec<u64> {
+        let resumed = outcomes.iter().filter(|outcome| outcome.reconnects > 0);
+        let of_kind = resumed.filter(|outcome| outcome.was_silent == was_silent);
+        of_kind.map(|outcome| outcome.answer.longest_gap_ms).collect()
+    };
+    let (mut resumes, mut silent) = (gaps(false), gaps(true));
     let report = json!({
         "generations": outcomes.len(),
         "whole": whole,
         "deaths": deaths,
         "engine_deaths": engine_deaths,
-        "resumed": resumes.len(),
+        "freezes": freezes,
+        "resumed": resumes.len() + silent.len(),
         "reconnects": outcomes.iter().map(|outcome| outcome.reconnects).sum::<u64>(),
         "resume_p50_ms": percentile(&mut resumes, 50),
         "resume_p95_ms": percentile(&mut resumes, 95),
         "resume_max_ms": resumes.last().copied().unwrap_or(0),
+        "silent": silent.len(),
+        "silent_p50_ms": percentile(&mut silent, 50),
+        "silent_p95_ms": percentile(&mut silent, 95),
+        "silent_max_ms": silent.last().copied().unwrap_or(0),
     });
     for outcome in outcomes.iter().filter(|outcome| !outcome.is_whole) {
         eprintln!("not whole: {:?} {:?}", outcome.answer.last_event_id, outcome.answer.end);
@@ -89,6 +113,15 @@
     }
 }
 
+/// Freezes an entry and wakes it.
+async fn freeze(cluster: &Cluster, position: usize) {
+    if let Some(process) = cluster.entry(position) {
+        process.freeze();
+        tokio::time::sleep(Duration::from_millis(FREEZE_MS)).await;
+        process.thaw();
+    }
+}
+
 /// Asks one question after another until `end`.
 async fn ask_until(addrs: Vec<SocketAddr>, number: usize, end: Instant) -> Vec<Outcome> {
     let mut outcomes = Vec::new();
@@ -105,9 +138,9 @@
 
 /// Reads one answer, over another entry after each connection that was cut.
 async fn ask(addrs: &[SocketAddr], first: usize, question: &Question) -> Outcome {
-    let caller = Caller::new(Layout::KEY);
+    let caller = Caller::new(Layout::KEY).with_patience_ms(PATIENCE_MS);
     let mut answer = Answer::empty();
-    let mut reconnects = 0;
+    let (mut reconnects, mut was_silent) = (0, false);
     for attempt in 0..TRIES {
         let count = answer.token_count();
         caller.resume(addrs[(first + attempt) % addrs.len()], question, &mut answer).await;
@@ -115,6 +148,7 @@
             AnswerEnd::Done => break,
             // The entry has no configuration or no holder in reach yet; another one may.
             AnswerEnd::Cut | AnswerEnd::Refused(401 | 503, _) => {}
+            AnswerEnd::Silent => was_silent = true,
             AnswerEnd::Error(_) | AnswerEnd::Refused(..) => break,
         }
         reconnects += u64::from(answer.last_event_id.is_some());
@@ -123,5 +157,5 @@
         }
     }
     let is_whole = answer.is_whole(&question.model, "", &question.prompt);
-    Outcome { answer, is_whole, reconnects }
+    Outcome { answer, is_whole, reconnects, was_silent }
 }
--- a/crates/bench/src/experiment/journal_copies.rs
+++ b/crates/bench/src/experiment/journal_copies.rs
@@ -17,8 +17,8 @@
 /// Tokens of each answer.
 const TOKENS: u32 = 200;
 
-/// Time between the tokens of one engine stream.
-const TOKEN_GAP_MS: u64 = 20;
+/// Times between the tokens of one engine stream: a low rate, where batches hold one token, and a high one.
+const TOKEN_GAPS_MS: [u64; 2] = [20, 2];
 
 /// Clock ticks a second in `/proc/{pid}/stat`.
 const TICKS_PER_S: f64 = 100.0;
@@ -27,19 +27,23 @@
 const METRICS_WAIT_MS: u64 = 2_000;
 
 pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
-    let without = measure(program, options, false).await?;
-    let with = measure(program, options, true).await?;
-    println!("{}", json!({ "without_copies": without, "with_copies": with }));
+    let mut rows = Vec::new();
+    for token_gap_ms in TOKEN_GAPS_MS {
+        for has_peers in [false, true] {
+            rows.push(measure(program, options, token_gap_ms, has_peers).await?);
+        }
+    }
+    println!("{}", json!({ "rows": rows }));
     Ok(())
 }
 
 async fn measure(
     program: &Path,
     options: &ExperimentOptions,
+    token_gap_ms: u64,
     has_peers: bool,
 ) -> Result<Value, BenchError> {
-    let layout =
-        Layout { has_peers, token_gap_ms: TOKEN_GAP_MS, seed: options.seed, ..Layout::default() };
+    let layout = Layout { has_peers, token_gap_ms, seed: options.seed, ..Layout::default() };
     let cluster = Cluster::start(program, layout).await?;
     let end = Instant::now() + Duration::from_secs(options.duration_s);
     let mut callers = JoinSet::new();
@@ -59,6 +63,8 @@
         return Err(BenchError::Failed("an answer is not whole".to_owned()));
     }
     Ok(json!({
+        "token_gap_ms": token_gap_ms,
+        "has_copies": has_peers,
         "tokens": tokens,
         "cpu_us_per_token": cpu_s * 1e6 / tokens as f64,
         "release_wait_p50_ms": quantile_ms(&metrics, "0.5"),
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -4,6 +4,13 @@
 use base::{AccountName, VmId};
 use futures::future::join_all;
 use recovery::{ClaimError, Cursor};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest wait for a claim at the old entry or the holder before the next daemon is asked. It is far above a round trip
+/// and far below the time that a silent connection costs. A claim that takes effect later supersedes
+/// the old view, and its response is ignored.
+const CLAIM_WAIT_MS: u64 = 100;
 
 /// Claims the journal of `cursor`: at the old entry, else at its holder, else at the peer with the newest copy.
 ///
@@ -41,7 +48,16 @@
             return self.claim_here();
         }
         match self.shared.peers.find(id) {
-            Some(site) => self.claim_at(site).await,
+            Some(site) => {
+                let wait = Duration::from_millis(CLAIM_WAIT_MS);
+                match timeout(wait, self.claim_at(site)).await {
+                    Ok(outcome) => outcome,
+                    Err(_) => {
+                        self.has_silence = true;
+                        Ok(None)
+                    }
+                }
+            }
             None => Ok(None),
         }
     }
