Give every malformed peer message a typed error

Cause: names and texts of a message that were not valid became plain text in an RPC error. Ruled out: one variant for all, because it hides which part of a message was wrong. Conclusion: each cause has a variant of PeerError.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -8,8 +8,8 @@
 use tokio::time::timeout;
 
 /// Longest wait for a claim at the old entry or the holder before the next daemon is asked. It is far above a round trip
-/// and far below the time that a silent connection costs. A claim that takes effect later supersedes
-/// the old view, and its response is ignored.
+/// and far below the call timeout, which a silent daemon would cost twice. A claim that takes effect later supersedes the
+/// old view, and its response is ignored.
 const CLAIM_WAIT_MS: u64 = 100;
 
 /// Claims the journal of `cursor`: at the old entry, else at its holder, else at the peer with the newest copy.
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -3,7 +3,10 @@
 use crate::{peer_capnp::peer, peer_error::PeerError};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::io::{BufReader, BufWriter};
-use std::net::SocketAddr;
+use std::{
+    fmt::{Debug, Formatter, Result as FmtResult},
+    net::SocketAddr,
+};
 use tokio::{
     net::TcpStream,
     task::{AbortHandle, spawn_local},
@@ -20,8 +23,8 @@
 /// Client of the peer's interface.
 pub(crate) struct ClientHandle(pub peer::Client);
 
-impl std::fmt::Debug for ClientHandle {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl Debug for ClientHandle {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
         f.write_str("ClientHandle")
     }
 }
--- a/crates/peer/src/decode.rs
+++ b/crates/peer/src/decode.rs
@@ -15,7 +15,7 @@
     let mut start = 0;
     for (token_id, end) in raw.get_ids()?.iter().zip(raw.get_ends()?.iter()) {
         let end = end as usize;
-        let piece = text.get(start..end).ok_or_else(|| malformed("the end of a token"))?;
+        let piece = text.get(start..end).ok_or(PeerError::TokenEnd(end))?;
         journal.push(token_id, piece);
         start = end;
     }
@@ -74,7 +74,3 @@
 fn finish(raw: &[u8]) -> Option<Box<[u8]>> {
     (!raw.is_empty()).then(|| raw.into())
 }
-
-fn malformed(what: &str) -> PeerError {
-    PeerError::Rpc(capnp::Error::failed(format!("{what} is out of range")))
-}
--- a/crates/peer/src/peer_error.rs
+++ b/crates/peer/src/peer_error.rs
@@ -16,7 +16,29 @@
         Timeout {
             display("the peer did not answer in time")
         }
-        /// The call failed, or a message was malformed.
+        /// A name in a message is not valid.
+        Name(cause: base::NameError) {
+            display("a message holds a name that is not valid: {cause}")
+            source(cause)
+            from()
+        }
+        /// A text in a message is not UTF-8.
+        Text(cause: std::str::Utf8Error) {
+            display("a message holds a text that is not valid: {cause}")
+            source(cause)
+            from()
+        }
+        /// A message holds a value that the schema lacks.
+        Value(cause: capnp::NotInSchema) {
+            display("a message holds an unknown value: {cause}")
+            source(cause)
+            from()
+        }
+        /// The end of a token is not within the text of its message.
+        TokenEnd(end: usize) {
+            display("a token ends at byte {end}, which its text lacks")
+        }
+        /// The call failed, or a message is malformed.
         Rpc(cause: capnp::Error) {
             display("{cause}")
             source(cause)
@@ -32,21 +54,3 @@
         }
     }
 }
-
-impl From<std::str::Utf8Error> for PeerError {
-    fn from(cause: std::str::Utf8Error) -> Self {
-        Self::Rpc(cause.into())
-    }
-}
-
-impl From<capnp::NotInSchema> for PeerError {
-    fn from(cause: capnp::NotInSchema) -> Self {
-        Self::Rpc(cause.into())
-    }
-}
-
-impl From<base::NameError> for PeerError {
-    fn from(cause: base::NameError) -> Self {
-        Self::Rpc(capnp::Error::failed(cause.to_string()))
-    }
-}
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -6,7 +6,7 @@
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::io::{BufReader, BufWriter};
 use recovery::{Append, AppendStatus, Cursor};
-use std::{cell::Cell, rc::Rc as StdRc, sync::Arc, time::Duration};
+use std::{cell::Cell, fmt::Display, rc::Rc as StdRc, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -164,6 +164,6 @@
     AccountName::try_from(raw).map_err(failed)
 }
 
-fn failed(err: impl std::fmt::Display) -> Error {
+fn failed(err: impl Display) -> Error {
     Error::failed(err.to_string())
 }
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -160,3 +160,15 @@
     let outcome = other.handle().heartbeat(addr, vec![1]).await;
     assert!(outcome.is_err());
 }
+
+#[tokio::test]
+async fn a_closed_node_frees_its_address_and_ends_calls() {
+    let (node, other) = (start(), start());
+    let addr = node.addr();
+    assert!(other.handle().heartbeat(addr, vec![1]).await.is_ok());
+    let handle = node.handle();
+    node.close().await;
+    assert!(other.handle().heartbeat(addr, vec![1]).await.is_err());
+    assert!(matches!(handle.heartbeat(addr, vec![1]).await, Err(PeerError::Stopped)));
+    assert!(std::net::TcpListener::bind(addr).is_ok());
+}
