Make the oracle of holder copies exact about crashes

The holder acknowledged a token, crashed, took a repeated older install, and the acknowledgement arrived after that. The oracle exempted only a holder without a copy.

--- a/crates/recovery/tests/views/server.rs
+++ b/crates/recovery/tests/views/server.rs
@@ -16,6 +16,8 @@
     pub daemon: usize,
     pub view: ViewId,
     pub holder: Option<usize>,
+    /// Crashes of the holder when it took the view.
+    pub holder_crashes: u32,
     pub is_installed: bool,
     pub is_waiting: bool,
     pub is_live: bool,
