Add the call crate: life cycle by typestate and claims of idempotency keys

Cause: whether a call may be repeated was decided nowhere, and two entries could run the same idempotency key.

A claim is one compare-and-swap with a nonce; a lost answer is resolved by reading back. Ruled out: taking over an open claim of a dead owner, since a paused owner looks the same and may still send; a third write that marks "about to send", since platform writes are the scarce resource.

--- /dev/null
+++ b/crates/call/src/claim.rs
@@ -0,0 +1,77 @@
+//! Claiming of an idempotency key by compare-and-swap.
+
+use crate::{
+    claim_outcome::ClaimOutcome, claim_record::ClaimRecord, claim_state::ClaimState,
+    kv_input::KvInput, kv_step::KvStep,
+};
+
+/// Calls to the platform for one claim. Two writes and two reads resolve one lost answer of each kind.
+const PLATFORM_CALLS: u32 = 5;
+
+/// Machine that claims a key. It ends with `Owned` only if the platform holds its own record.
+#[derive(Debug)]
+pub struct Claim {
+    record: ClaimRecord,
+    calls_left: u32,
+}
+
+impl Claim {
+    /// A claim that writes `record`, whose state must be `Open` and whose nonce no other claim has.
+    pub fn new(record: ClaimRecord) -> Self {
+        Self { record, calls_left: PLATFORM_CALLS }
+    }
+
+    /// The first step.
+    pub fn start(&mut self) -> KvStep<ClaimOutcome> {
+        self.write(0)
+    }
+
+    /// The step after the platform's result.
+    pub fn on(&mut self, input: KvInput) -> KvStep<ClaimOutcome> {
+        match input {
+            KvInput::Written { revision } => KvStep::Done(ClaimOutcome::Owned { revision }),
+            KvInput::Found { record, revision } => self.judge(record, revision),
+            KvInput::Absent => self.write(0),
+            KvInput::Lost => self.charge(KvStep::Read),
+        }
+    }
+
+    /// The record that the claim writes.
+    pub fn record(&self) -> &ClaimRecord {
+        &self.record
+    }
+
+    fn judge(&mut self, record: ClaimRecord, revision: u64) -> KvStep<ClaimOutcome> {
+        if record.nonce == self.record.nonce {
+            return KvStep::Done(ClaimOutcome::Owned { revision });
+        }
+        if record.state == ClaimState::NotRun {
+            return self.write(revision);
+        }
+        if record.digest != self.record.digest {
+            return KvStep::Done(ClaimOutcome::OtherRequest);
+        }
+        KvStep::Done(match record.state {
+            ClaimState::Answered(answer) => ClaimOutcome::Stored(answer),
+            ClaimState::Unknown => ClaimOutcome::Unknown,
+            ClaimState::NotRun | ClaimState::Open => {
+                ClaimOutcome::Busy { revision, created_unix_ms: record.created_unix_ms }
+            }
+        })
+    }
+
+    fn write(&mut self, expect_revision: u64) -> KvStep<ClaimOutcome> {
+        let record = self.record.clone();
+        self.charge(KvStep::Write { record, expect_revision })
+    }
+
+    fn charge(&mut self, step: KvStep<ClaimOutcome>) -> KvStep<ClaimOutcome> {
+        match self.calls_left.checked_sub(1) {
+            Some(calls_left) => {
+                self.calls_left = calls_left;
+                step
+            }
+            None => KvStep::Done(ClaimOutcome::Unavailable),
+        }
+    }
+}
--- /dev/null
+++ b/crates/call/src/claim_record.rs
@@ -0,0 +1,40 @@
+//! Value of a claimed key.
+
+use crate::{body_digest::BodyDigest, claim_state::ClaimState, record_error::RecordError};
+use base::VmId;
+use serde::{Deserialize, Serialize};
+
+/// Value of `calls/{account}/{key}`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimRecord {
+    /// Random number of the call that wrote the claim.
+    pub nonce: u64,
+    /// Entry that owns the claim.
+    pub owner: VmId,
+    /// Digest of the request.
+    pub digest: BodyDigest,
+    /// Time of the claim by the owner's wall clock, in milliseconds since the Unix epoch.
+    pub created_unix_ms: u64,
+    /// State.
+    pub state: ClaimState,
+}
+
+impl ClaimRecord {
+    /// Decodes a platform value.
+    ///
+    /// # Errors
+    ///
+    /// `Json` if the value has another shape.
+    pub fn decode(text: &str) -> Result<Self, RecordError> {
+        Ok(serde_json::from_str(text)?)
+    }
+
+    /// Encodes the record as a platform value.
+    ///
+    /// # Errors
+    ///
+    /// `Json`; does not happen for values of this type.
+    pub fn encode(&self) -> Result<String, RecordError> {
+        Ok(serde_json::to_string(self)?)
+    }
+}
--- /dev/null
+++ b/crates/call/src/repeat.rs
@@ -0,0 +1,10 @@
+//! Whether a call may be repeated.
+
+/// Whether a call may run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// It runs at most once.
+    AtMostOnce,
+    /// It may be sent again after a failure.
+    Idempotent,
+}
--- /dev/null
+++ b/crates/call/tests/rules.rs
@@ -0,0 +1,65 @@
+//! Guards against repeats of calls that are not idempotent, unsafe keys and early removal of claims.
+
+use base::{AccountName, VmId};
+use call::{
+    BodyDigest, Call, ClaimRecord, ClaimState, IdempotencyKey, Lost, RETENTION_MS, Repeat,
+    RepeatRules, STORED_BODY_BYTES, StoredAnswer, expired,
+};
+
+#[test]
+fn a_sent_call_is_repeated_only_if_it_is_idempotent_and_a_retry_is_left() {
+    assert!(matches!(Call::new(Repeat::AtMostOnce, 5).send().lost(), Lost::Unknown(_)));
+    assert!(matches!(Call::new(Repeat::Idempotent, 0).send().lost(), Lost::Unknown(_)));
+    assert!(matches!(Call::new(Repeat::Idempotent, 1).send().lost(), Lost::Retry(_)));
+    assert!(Call::new(Repeat::AtMostOnce, 1).retry().unwrap().retry().is_err());
+}
+
+#[test]
+fn a_key_or_a_rule_of_the_service_overrides_the_method() {
+    let rules = RepeatRules::default();
+    for method in ["POST", "PATCH", "get", "BOOK"] {
+        assert_eq!(rules.decide(method, false), Repeat::AtMostOnce, "{method}");
+    }
+    assert_eq!(rules.decide("PUT", false), Repeat::Idempotent);
+    assert_eq!(rules.decide("PUT", true), Repeat::AtMostOnce);
+    let listed = ["PUT".to_owned()];
+    let rules = RepeatRules { idempotent: &listed, at_most_once: &listed };
+    assert_eq!(rules.decide("PUT", false), Repeat::AtMostOnce);
+    let search = ["POST".to_owned()];
+    let rules = RepeatRules { idempotent: &search, at_most_once: &[] };
+    assert_eq!(rules.decide("POST", false), Repeat::Idempotent);
+}
+
+#[test]
+fn a_key_cannot_leave_its_account() {
+    let account = AccountName::try_from("alba").unwrap();
+    let key = IdempotencyKey::try_from("9f:1_a.b-c").unwrap();
+    assert_eq!(key.kv_key(&account), "calls/alba/9f:1_a.b-c");
+    for raw in ["", "..", "../x", "a/b", "a b", "ä", "a?b", "a%2f"] {
+        assert!(IdempotencyKey::try_from(raw).is_err(), "{raw}");
+    }
+    assert!(IdempotencyKey::try_from("a".repeat(129).as_str()).is_err());
+}
+
+#[test]
+fn an_answer_over_the_limit_is_stored_without_its_body() {
+    let whole = vec![0xff; STORED_BODY_BYTES];
+    assert_eq!(StoredAnswer::new(200, Vec::new(), &whole).body(), Some(whole));
+    let answer = StoredAnswer::new(201, Vec::new(), &vec![0; STORED_BODY_BYTES + 1]);
+    assert_eq!((answer.status, answer.body()), (201, None));
+}
+
+#[test]
+fn only_claims_older_than_a_day_are_removed_and_only_so_many_at_a_time() {
+    let record = |created_unix_ms| ClaimRecord {
+        nonce: 1,
+        owner: VmId::try_from("entry").unwrap(),
+        digest: BodyDigest::of(&[b"x"]),
+        created_unix_ms,
+        state: ClaimState::Open,
+    };
+    let (old, new) = (record(0), record(2));
+    let claims = [("a", &old, 1), ("b", &new, 2), ("c", &old, 3), ("d", &old, 4)];
+    let now_ms = RETENTION_MS + 1;
+    assert_eq!(expired(claims, now_ms, 2), [("a", 1), ("c", 3)]);
+}
