--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -2,7 +2,10 @@
 
 use crate::bench_error::BenchError;
 use base::{AccountName, KeyHash, ModelName, ServiceName, VersionName};
-use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use fleet::{Account, CallRules, Document, Model, Preset, Service, ServiceKind};
+
+/// Longest wait for the answer of a plain service.
+const SERVICE_WAIT_MS: u64 = 2_000;
 
 /// Shape of a cluster.
 #[derive(Clone, Debug)]
@@ -17,6 +20,10 @@
     pub token_gap_ms: u64,
     /// Recovery preset.
     pub preset: Preset,
+    /// Plain services.
+    pub services: Vec<String>,
+    /// Instances of each plain service, spread over the failure domains.
+    pub service_instances: usize,
     /// Seed of the engines' sampling.
     pub seed: u64,
 }
@@ -29,6 +36,8 @@
             engines_per_domain: 2,
             token_gap_ms: 41,
             preset: Preset::Latency,
+            services: Vec::new(),
+            service_instances: 2,
             seed: 1,
         }
     }
@@ -51,17 +60,27 @@
     /// A name is not valid.
     pub fn document(&self) -> Result<Document, BenchError> {
         let service = ServiceName::try_from(Self::MODEL)?;
+        let mut services = vec![Service {
+            name: service.clone(),
+            kind: ServiceKind::Generation,
+            preset: self.preset,
+            calls: CallRules::default(),
+        }];
+        for name in &self.services {
+            services.push(Service {
+                name: ServiceName::try_from(name.as_str())?,
+                kind: ServiceKind::Plain,
+                preset: Preset::default(),
+                calls: CallRules { answer_wait_ms: SERVICE_WAIT_MS, ..CallRules::default() },
+            });
+        }
         Ok(Document {
             accounts: vec![Account {
                 name: AccountName::try_from("bench")?,
                 key_hashes: vec![KeyHash::of(Self::KEY)],
                 requests_per_s: 100_000,
             }],
-            services: vec![Service {
-                name: service.clone(),
-                kind: ServiceKind::Generation,
-                preset: self.preset,
-            }],
+            services,
             models: vec![Model {
                 name: ModelName::try_from(Self::MODEL)?,
                 service,
--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -3,5 +3,6 @@
 mod layout;
 mod node;
 mod process;
+mod services;
 
 pub use self::{layout::Layout, node::Cluster, process::Process};
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     bench_error::BenchError,
-    cluster::{layout::Layout, process::Process},
+    cluster::{layout::Layout, process::Process, services::ServiceNode},
 };
 use base::{DomainName, ServiceName, VmId};
 use std::{
@@ -30,21 +30,22 @@
 
 /// Daemon of a cluster.
 #[derive(Debug)]
-struct EntryNode {
+pub(super) struct EntryNode {
     vm: Vm,
     settings: PathBuf,
-    process: Option<Process>,
+    pub process: Option<Process>,
 }
 
 /// Cluster of a platform, engines and daemons, each a process.
 #[derive(Debug)]
 pub struct Cluster {
-    program: PathBuf,
-    layout: Layout,
+    pub(super) program: PathBuf,
+    pub(super) layout: Layout,
     engines: Vec<EngineNode>,
-    entries: Vec<EntryNode>,
-    platform: Process,
-    _files: TempDir,
+    pub(super) entries: Vec<EntryNode>,
+    pub(super) platform: Process,
+    pub(super) services: Vec<ServiceNode>,
+    pub(super) files: TempDir,
 }
 
 impl Cluster {
@@ -62,7 +63,8 @@
             engines: Vec::new(),
             entries: Vec::new(),
             platform,
-            _files: files,
+            services: Vec::new(),
+            files,
         };
         cluster.write_document().await?;
         for domain in cluster.layout.domains.clone() {
@@ -75,6 +77,7 @@
                 cluster.add_entry(&domain, number)?;
             }
         }
+        cluster.add_services()?;
         cluster.publish_vms().await?;
         cluster.wait_ready().await?;
         Ok(cluster)
@@ -167,7 +170,8 @@
     pub async fn publish_vms(&self) -> Result<(), BenchError> {
         let engines = self.engines.iter().map(|engine| engine.vm.clone());
         let entries = self.entries.iter().map(|entry| entry.vm.clone());
-        let list = VmList { vms: engines.chain(entries).collect() };
+        let services = self.services.iter().map(|service| service.vm.clone());
+        let list = VmList { vms: engines.chain(entries).chain(services).collect() };
         let client = Client::new(self.platform_addr()?, PLATFORM_WAIT_MS);
         client.send_json(Method::PUT, "/control/vms", &list).await?;
         Ok(())
@@ -192,11 +196,12 @@
 
     fn add_entry(&mut self, domain: &str, number: usize) -> Result<(), BenchError> {
         let id = VmId::try_from(format!("entry-{domain}-{number}"))?;
-        let settings = self._files.path().join(format!("{id}.toml"));
+        let settings = self.files.path().join(format!("{id}.toml"));
         let platform = self.platform_addr()?;
         let text = |listen: SocketAddr| {
             format!(
-                "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
+                "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\
+                 shutdown_wait_ms = 200\n\n\
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
                  [log]\nlevel = \"error\"\n"
             )
--- a/crates/bench/src/role.rs
+++ b/crates/bench/src/role.rs
@@ -3,7 +3,7 @@
 use crate::bench_error::BenchError;
 use argh::FromArgs;
 use geraniumroad::{Command, RunOptions};
-use stand::{Engine, EngineSettings, Platform, PlatformSettings};
+use stand::{Engine, EngineSettings, Platform, PlatformSettings, ServiceOptions};
 use std::{net::SocketAddr, path::PathBuf};
 use tokio::runtime::Builder;
 
@@ -22,6 +22,7 @@
     Daemon(DaemonOptions),
     Engine(EngineOptions),
     Platform(PlatformOptions),
+    Service(ServiceOptions),
 }
 
 /// The daemon.
@@ -80,6 +81,7 @@
                 std::future::pending().await
             })
         }
+        Role::Service(service) => block_on(async { Ok(service.run().await?) }),
         Role::Platform(platform) => {
             let settings = PlatformSettings { listen: platform.listen };
             block_on(async {
--- /dev/null
+++ b/crates/bench/tests/calls.rs
@@ -0,0 +1,247 @@
+//! Guards against double runs, false "not run" answers, work for leaving upstreams and requests cut off by a shutdown,
+//! with real processes.
+
+use bench::{
+    caller::{CallOutcome, ServiceCall},
+    cluster::{Cluster, Layout},
+};
+use stand::{FaultKind, Run, RunReport, ServiceFault};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use tokio::task::JoinHandle;
+
+/// Booking service of the tests.
+const SERVICE: &str = "belfry-desk";
+
+/// The experiment program, which cargo builds next to the tests.
+fn program() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.parent().unwrap().parent().unwrap().join("examples/experiment")
+}
+
+async fn cluster(service_instances: usize) -> Cluster {
+    let layout = Layout {
+        engines_per_domain: 0,
+        services: vec![SERVICE.to_owned()],
+        service_instances,
+        ..Layout::default()
+    };
+    let cluster = Cluster::start(&program(), layout).await.unwrap();
+    // The list of VMs is read apart from the configuration on which readiness depends.
+    for addr in cluster.entry_addrs() {
+        let call = ServiceCall { method: "GET".to_owned(), ..call(None, "warm-up") };
+        while !matches!(call.send(addr).await, CallOutcome::Answer(..)) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    cluster
+}
+
+fn call(key: Option<&str>, request_id: &str) -> ServiceCall {
+    ServiceCall {
+        bearer_key: Layout::KEY.to_owned(),
+        method: "POST".to_owned(),
+        path: format!("/services/{SERVICE}/bookings?tower=st-giles"),
+        key: key.map(str::to_owned),
+        request_id: request_id.to_owned(),
+        body: "{}".to_owned(),
+    }
+}
+
+fn send(call: ServiceCall, addr: SocketAddr) -> JoinHandle<CallOutcome> {
+    tokio::spawn(async move { call.send(addr).await })
+}
+
+async fn fault_everywhere(cluster: &Cluster, kind: FaultKind, wait_ms: u64) {
+    for position in 0..cluster.service_count() {
+        let fault = ServiceFault { kind, count: 1, wait_ms };
+        cluster.service_fault(position, fault).await.unwrap();
+    }
+}
+
+fn run_of(outcome: &CallOutcome) -> Run {
+    match outcome {
+        CallOutcome::Answer(200, body) => serde_json::from_slice(body).unwrap(),
+        other => panic!("no answer: {other:?}"),
+    }
+}
+
+fn key_runs(report: &RunReport, key: &str) -> u64 {
+    report.by_key.get(&format!("{SERVICE}/{key}")).copied().unwrap_or(0)
+}
+
+/// Guards against two entries that both run a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_key_at_two_entries_at_once_runs_once() {
+    let cluster = cluster(2).await;
+    let addrs = cluster.entry_addrs();
+    fault_everywhere(&cluster, FaultKind::AnswerLate, 200).await;
+    let sends: Vec<_> = (0..6)
+        .map(|number| send(call(Some("twin"), &format!("twin-{number}")), addrs[number % 3]))
+        .collect();
+    let mut runs = Vec::new();
+    for sent in sends {
+        runs.push(run_of(&sent.await.unwrap()));
+    }
+    assert!(runs.iter().all(|run| *run == runs[0]), "{runs:?}");
+    assert_eq!(key_runs(&cluster.runs().unwrap(), "twin"), 1);
+    let other = ServiceCall { body: "other".to_owned(), ..call(Some("twin"), "other") };
+    let refused = CallOutcome::Refused(422, "idempotency_key_reused".to_owned());
+    assert_eq!(other.send(addrs[0]).await, refused);
+}
+
+/// Guards against a bearer key that leaks to an upstream, and against lost paths and ids.
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_pass_without_the_bearer_key() {
+    let cluster = cluster(1).await;
+    let run = run_of(&call(Some("headers"), "id-1").send(cluster.entry_addrs()[0]).await);
+    assert_eq!(run.path, "/bookings?tower=st-giles");
+    assert_eq!((run.key.as_str(), run.request_id.as_str()), ("headers", "id-1"));
+    assert!(!run.header_names.contains(&"authorization".to_owned()), "{run:?}");
+}
+
+/// Guards against a second run after an entry died between the write and the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_entry_died_is_not_run_again() {
+    let mut cluster = cluster(1).await;
+    let addrs = cluster.entry_addrs();
+    fault_everywhere(&cluster, FaultKind::AnswerLate, 1_500).await;
+    let first = send(call(Some("orphan"), "orphan-1"), addrs[0]);
+    while key_runs(&cluster.runs().unwrap(), "orphan") == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    cluster.kill_entry(0);
+    assert_eq!(first.await.unwrap(), CallOutcome::CutOff);
+    for number in 0..2 {
+        let again = call(Some("orphan"), &format!("orphan-again-{number}"));
+        assert_eq!(again.send(addrs[1 + number]).await, CallOutcome::Unknown);
+    }
+    assert_eq!(key_runs(&cluster.runs().unwrap(), "orphan"), 1);
+}
+
+/// Guards against a repeat at another upstream after the effect, with and without a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_fails_after_the_effect_gives_an_unknown_outcome() {
+    let mut cluster = cluster(2).await;
+    let addr = cluster.entry_addrs()[0];
+    for (number, kind) in [FaultKind::CloseAfterRun, FaultKind::Crossed, FaultKind::DieAfterRun]
+        .into_iter()
+        .enumerate()
+    {
+        fault_everywhere(&cluster, kind, 0).await;
+        let key = format!("effect-{number}");
+        let first = call(Some(&key), &format!("{key}-1"));
+        assert_eq!(first.send(addr).await, CallOutcome::Unknown, "{kind:?}");
+        let again = call(Some(&key), &format!("{key}-2"));
+        assert_eq!(again.send(addr).await, CallOutcome::Unknown, "{kind:?}");
+        assert_eq!(key_runs(&cluster.runs().unwrap(), &key), 1, "{kind:?}");
+    }
+    for position in 0..cluster.service_count() {
+        cluster.restart_service(position, false).unwrap();
+    }
+    fault_everywhere(&cluster, FaultKind::CloseAfterRun, 0).await;
+    assert_eq!(call(None, "plain").send(addr).await, CallOutcome::Unknown);
+    assert_eq!(cluster.runs().unwrap().by_request_id["plain"], 1);
+}
+
+/// Guards against a run after the entry gave up, which the entry must not report as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_runs_late_gives_an_unknown_outcome() {
+    let cluster = cluster(1).await;
+    fault_everywhere(&cluster, FaultKind::RunLate, 2_500).await;
+    let late = call(None, "late");
+    assert_eq!(late.send(cluster.entry_addrs()[0]).await, CallOutcome::Unknown);
+    while !cluster.runs().unwrap().by_request_id.contains_key("late") {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against an idempotent call that fails although another upstream could serve it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_is_repeated_elsewhere() {
+    let cluster = cluster(3).await;
+    let fault = ServiceFault { kind: FaultKind::CloseAfterRun, count: 1, wait_ms: 0 };
+    for position in 0..2 {
+        cluster.service_fault(position, fault).await.unwrap();
+    }
+    let get = ServiceCall { method: "GET".to_owned(), ..call(None, "get") };
+    assert!(matches!(get.send(cluster.entry_addrs()[0]).await, CallOutcome::Answer(200, _)));
+}
+
+/// Guards against a "not run" that runs after all, and against a refusal of calls that need no claim.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_platform_keyed_calls_are_refused_and_others_served() {
+    let cluster = cluster(1).await;
+    let addr = cluster.entry_addrs()[0];
+    cluster.platform().freeze();
+    assert_eq!(call(Some("outage"), "outage-1").send(addr).await, CallOutcome::NotRun);
+    assert!(matches!(call(None, "outage-2").send(addr).await, CallOutcome::Answer(200, _)));
+    let get = ServiceCall { method: "GET".to_owned(), ..call(None, "outage-3") };
+    assert!(matches!(get.send(addr).await, CallOutcome::Answer(200, _)));
+    // The frozen platform applies the waiting writes now, which must not lead to a run.
+    cluster.platform().thaw();
+    let mut attempts = 0;
+    let run = loop {
+        attempts += 1;
+        let again = call(Some("outage"), &format!("outage-again-{attempts}"));
+        match again.send(addr).await {
+            outcome @ CallOutcome::Answer(..) => break run_of(&outcome),
+            CallOutcome::Unknown | CallOutcome::NotRun if attempts < 200 => {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            other => panic!("the abandoned claim was not released: {other:?}"),
+        }
+    };
+    let report = cluster.runs().unwrap();
+    assert!(!report.by_request_id.contains_key("outage-1"));
+    assert_eq!(run.request_id, format!("outage-again-{attempts}"));
+    assert_eq!(key_runs(&report, "outage"), 1);
+}
+
+/// Guards against new work for an upstream that announced that it leaves, although the list still shows it as live.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_upstream_gets_no_new_work() {
+    for is_announced in [true, false] {
+        let mut cluster = cluster(2).await;
+        let addr = cluster.entry_addrs()[0];
+        cluster.leave_service(0, is_announced).await.unwrap();
+        let own = cluster.service_addr(0);
+        let client = web::Client::new(own, 2_000);
+        let runs = || async {
+            let reply = client.send(web::Method::GET, "/control/runs").await.unwrap();
+            reply.json::<RunReport>().unwrap().total
+        };
+        // The entry learns an announcement from an answer, and the list by polling.
+        for round in 0.. {
+            let before = runs().await;
+            for number in 0..40 {
+                let outcome = call(None, &format!("{round}-{number}")).send(addr).await;
+                assert!(matches!(outcome, CallOutcome::Answer(200, _)), "{outcome:?}");
+            }
+            if runs().await == before {
+                break;
+            }
+            assert!(round < 50, "the upstream still gets work; announced: {is_announced}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+/// Guards against a shutdown that cuts off requests in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_finishes_the_requests_in_flight() {
+    let mut cluster = cluster(1).await;
+    let addr = cluster.entry_addrs()[0];
+    let fault = ServiceFault { kind: FaultKind::AnswerLate, count: 8, wait_ms: 1_000 };
+    cluster.service_fault(0, fault).await.unwrap();
+    let sends: Vec<_> = (0..8).map(|n| send(call(None, &format!("slow-{n}")), addr)).collect();
+    while !(0..8).all(|n| cluster.runs().unwrap().by_request_id.contains_key(&format!("slow-{n}")))
+    {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let process = cluster.terminate_entry(0).unwrap();
+    for sent in sends {
+        assert!(matches!(sent.await.unwrap(), CallOutcome::Answer(200, _)));
+    }
+    assert!(tokio::task::spawn_blocking(|| process.wait()).await.unwrap().unwrap());
+    assert_eq!(call(None, "closed").send(addr).await, CallOutcome::NotConnected);
+}
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -11,6 +11,7 @@
 pub struct Call<S> {
     repeat: Repeat,
     retries_left: u32,
+    was_sent: bool,
     state: S,
 }
 
@@ -26,49 +27,52 @@
 impl Call<Unsent> {
     /// A new call that may be retried `retries_left` times where that is safe.
     pub fn new(repeat: Repeat, retries_left: u32) -> Self {
-        Self { repeat, retries_left, state: Unsent }
+        Self { repeat, retries_left, was_sent: false, state: Unsent }
     }
 
     /// Marks the call as sent. This must precede the first write to a connection.
     pub fn send(self) -> Call<Sent> {
-        Call { repeat: self.repeat, retries_left: self.retries_left, state: Sent }
+        Call { was_sent: true, ..self.into_state(Sent) }
     }
 
     /// Charges a retry at another upstream after this one could not be reached.
     ///
     /// # Errors
     ///
-    /// The proof that the call was not run, if no retry is left.
-    pub fn retry(self) -> Result<Self, NotRun> {
+    /// The call itself, if no retry is left.
+    pub fn retry(self) -> Result<Self, Self> {
         match self.retries_left.checked_sub(1) {
             Some(retries_left) => Ok(Self { retries_left, ..self }),
-            None => Err(NotRun::new()),
+            None => Err(self),
         }
     }
 
     /// Gives the call up.
-    pub fn close(self) -> NotRun {
-        NotRun::new()
+    ///
+    /// # Errors
+    ///
+    /// The unknown outcome, if an earlier attempt of an idempotent call was sent.
+    pub fn close(self) -> Result<NotRun, Call<Unknown>> {
+        if self.was_sent {
+            return Err(self.into_state(Unknown));
+        }
+        Ok(NotRun::new())
     }
 }
 
 impl Call<Sent> {
     /// The answer has arrived.
     pub fn answered(self) -> Call<Answered> {
-        Call { repeat: self.repeat, retries_left: self.retries_left, state: Answered }
+        self.into_state(Answered)
     }
 
     /// The connection failed, or no valid answer came in time.
     pub fn lost(self) -> Lost {
         match (self.repeat, self.retries_left.checked_sub(1)) {
             (Repeat::Idempotent, Some(retries_left)) => {
-                Lost::Retry(Call { repeat: self.repeat, retries_left, state: Unsent })
+                Lost::Retry(Call { retries_left, ..self.into_state(Unsent) })
             }
-            _ => Lost::Unknown(Call {
-                repeat: self.repeat,
-                retries_left: self.retries_left,
-                state: Unknown,
-            }),
+            _ => Lost::Unknown(self.into_state(Unknown)),
         }
     }
 }
@@ -83,4 +87,9 @@
     pub fn state(&self) -> &S {
         &self.state
     }
+
+    fn into_state<T>(self, state: T) -> Call<T> {
+        let Self { repeat, retries_left, was_sent, state: _ } = self;
+        Call { repeat, retries_left, was_sent, state }
+    }
 }
--- a/crates/call/src/claim.rs
+++ b/crates/call/src/claim.rs
@@ -5,8 +5,9 @@
     kv_input::KvInput, kv_step::KvStep,
 };
 
-/// Calls to the platform for one claim. Two writes and two reads resolve one lost answer of each kind.
-const PLATFORM_CALLS: u32 = 5;
+/// Calls to the platform for one claim: two writes and two reads resolve one lost answer of each kind, and a caller
+/// waits at most four times the platform's timeout.
+const PLATFORM_CALLS: u32 = 4;
 
 /// Machine that claims a key. It ends with `Owned` only if the platform holds its own record.
 #[derive(Debug)]
--- a/crates/call/tests/claims.rs
+++ b/crates/call/tests/claims.rs
@@ -142,7 +142,7 @@
                 }
                 ClaimOutcome::Stored(answer) => *told = Some(Told::Answer(answer)),
                 ClaimOutcome::Unavailable => {
-                    let _proof = unsent.close();
+                    let _proof = unsent.close().unwrap();
                     *told = Some(Told::NotRun);
                 }
                 _ => *told = Some(Told::Unknown),
@@ -151,7 +151,7 @@
         }
         Phase::Sending(record, revision, unsent) => {
             let state = if matches!(event, Event::StepDelayed(_)) {
-                let _proof = unsent.close();
+                let _proof = unsent.close().unwrap();
                 *told = Some(Told::NotRun);
                 ClaimState::NotRun
             } else {
--- a/crates/call/tests/rules.rs
+++ b/crates/call/tests/rules.rs
@@ -14,6 +14,15 @@
     assert!(Call::new(Repeat::AtMostOnce, 1).retry().unwrap().retry().is_err());
 }
 
+#[test]
+fn a_repeated_call_that_was_sent_once_is_not_reported_as_not_run() {
+    assert!(Call::new(Repeat::Idempotent, 1).close().is_ok());
+    let Lost::Retry(call) = Call::new(Repeat::Idempotent, 1).send().lost() else {
+        panic!("the call may be repeated")
+    };
+    assert!(call.close().is_err());
+}
+
 #[test]
 fn a_key_or_a_rule_of_the_service_overrides_the_method() {
     let rules = RepeatRules::default();
--- a/crates/conf/src/entry_settings.rs
+++ b/crates/conf/src/entry_settings.rs
@@ -11,6 +11,9 @@
 /// Threads that serve requests unless the settings say otherwise: entry VMs are small.
 const DEFAULT_WORKER_THREADS: u64 = 4;
 
+/// Wait between failing readiness and closing the listener, so that the balancer turns away first.
+const DEFAULT_SHUTDOWN_WAIT_MS: u64 = 1_000;
+
 /// Server towards callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EntrySettings {
@@ -22,6 +25,8 @@
     pub listen: SocketAddr,
     /// Threads that serve requests.
     pub worker_threads: u64,
+    /// Wait between failing readiness and closing the listener.
+    pub shutdown_wait_ms: u64,
 }
 
 impl EntrySettings {
@@ -33,7 +38,9 @@
         let listen = section.parsed("listen", "IP address and port", DEFAULT_LISTEN, source);
         let worker_threads =
             section.integer("worker_threads", 1..=1_024, DEFAULT_WORKER_THREADS, source);
+        let shutdown_wait_ms =
+            section.integer("shutdown_wait_ms", 0..=60_000, DEFAULT_SHUTDOWN_WAIT_MS, source);
         section.close(source);
-        Some(Self { vm_id: vm_id?, domain: domain?, listen, worker_threads })
+        Some(Self { vm_id: vm_id?, domain: domain?, listen, worker_threads, shutdown_wait_ms })
     }
 }
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -58,9 +58,33 @@
         NoUpstream {
             display("no upstream is available; the request was not run")
         }
+        /// The platform is not available, so the key could not be claimed; the request was not run.
+        PlatformDown {
+            display("the idempotency key cannot be claimed now; the request was not run")
+        }
         /// An upstream failed after the request may have reached it.
         UnknownOutcome {
-            display("the upstream failed; whether the request was run is unknown")
+            display(
+                "the outcome of the request is unknown; ask again with the same Idempotency-Key, or check its effect if it had none"
+            )
+        }
+        /// An upstream that may have received the request did not answer in time.
+        AnswerTimeout(wait_ms: u64) {
+            display(
+                "no answer within {wait_ms} ms, and the outcome of the request is unknown; ask again with the same Idempotency-Key, or check its effect if it had none"
+            )
+        }
+        /// The idempotency key belongs to another request.
+        KeyReused {
+            display("this Idempotency-Key was used for another request")
+        }
+        /// The request ran, but its answer was too large to keep.
+        AnswerNotStored(code: u16) {
+            display("the request was run and answered with status {code}; the answer was too large to keep")
+        }
+        /// The body did not arrive in time.
+        BodyTimeout(wait_ms: u64) {
+            display("the body did not arrive within {wait_ms} ms")
         }
         /// The generation could not be finished.
         Generation(cause: FailCause) {
@@ -83,8 +107,14 @@
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Body | Self::Json(_) | Self::Field(..) => StatusCode::BAD_REQUEST,
-            Self::NoUpstream | Self::Generation(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoUpstream | Self::PlatformDown | Self::Generation(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::UnknownOutcome => StatusCode::BAD_GATEWAY,
+            Self::AnswerTimeout(_) => StatusCode::GATEWAY_TIMEOUT,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::AnswerNotStored(_) => StatusCode::CONFLICT,
+            Self::BodyTimeout(_) => StatusCode::REQUEST_TIMEOUT,
             Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
@@ -101,8 +131,11 @@
             Self::Field(..) => "invalid_value",
             Self::Model(_) => "model_not_found",
             Self::Service(_) => "service_not_found",
-            Self::NoUpstream => "not_run",
-            Self::UnknownOutcome => "outcome_unknown",
+            Self::NoUpstream | Self::PlatformDown => "not_run",
+            Self::KeyReused => "idempotency_key_reused",
+            Self::AnswerNotStored(_) => "answer_not_stored",
+            Self::BodyTimeout(_) => "body_timeout",
+            Self::UnknownOutcome | Self::AnswerTimeout(_) => "outcome_unknown",
             Self::Generation(_) => "generation_failed",
             Self::Internal => "internal_error",
         }
--- /dev/null
+++ b/crates/entry/src/call_tasks.rs
@@ -0,0 +1,45 @@
+//! Calls that go on although their caller has gone.
+
+use std::future::Future;
+use tokio::{sync::watch, task::JoinHandle};
+
+/// Counter of running calls. A call runs in a task of its own, since hyper drops the handler of a caller that
+/// disconnects, and the end of the call must still be written to its claim.
+#[derive(Clone, Debug)]
+pub(crate) struct CallTasks {
+    running: watch::Sender<usize>,
+}
+
+/// Counts one call for as long as it lives, also if its task panics.
+#[derive(Debug)]
+struct Running(watch::Sender<usize>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.send_modify(|running| *running -= 1);
+    }
+}
+
+impl CallTasks {
+    pub fn new() -> Self {
+        Self { running: watch::Sender::new(0) }
+    }
+
+    /// Starts a call.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        call: impl Future<Output = T> + Send + 'static,
+    ) -> JoinHandle<T> {
+        self.running.send_modify(|running| *running += 1);
+        let running = Running(self.running.clone());
+        tokio::spawn(async move {
+            let _running = running;
+            call.await
+        })
+    }
+
+    /// Waits until no call runs. Each call has bounds on all of its waits.
+    pub async fn finished(&self) {
+        let _ = self.running.subscribe().wait_for(|&running| running == 0).await;
+    }
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,8 @@
 //! Running entry.
 
 use crate::{
+    call_tasks::CallTasks,
+    claim_store::ClaimStore,
     config::Config,
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
@@ -20,6 +22,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 use tokio::{sync::watch, task::JoinHandle};
 use upstream::EnginePool;
@@ -33,6 +36,7 @@
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
     actors: Vec<ActorCell>,
+    shutdown_wait_ms: u64,
 }
 
 impl Entry {
@@ -53,6 +57,7 @@
         let config_arguments =
             ConfigArguments { platform: platform.clone(), sender: config_sender };
         let (config_actor, _) = Actor::spawn(None, ConfigActor, config_arguments).await?;
+        let claims = ClaimStore::new(platform.clone());
         let vm_list_arguments = VmListArguments {
             platform,
             upstreams: Arc::clone(&upstreams),
@@ -65,6 +70,8 @@
             limits: settings.limits,
             config,
             upstreams,
+            claims,
+            calls: CallTasks::new(),
             engines: EnginePool::default(),
             metrics,
             is_draining: AtomicBool::new(false),
@@ -76,7 +83,8 @@
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
         let actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
-        Ok(Self { addr, shared, stop, server, actors })
+        let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
+        Ok(Self { addr, shared, stop, server, actors, shutdown_wait_ms })
     }
 
     /// Address that callers connect to.
@@ -89,11 +97,14 @@
         self.shared.is_ready()
     }
 
-    /// Shuts down: readiness fails at once, requests in flight are answered to their end.
+    /// Shuts down: readiness fails at once, the listener closes after the wait of the settings, and requests in flight
+    /// are answered to their end.
     pub async fn close(self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(self.shutdown_wait_ms)).await;
         self.stop.send_replace(true);
         let _ = self.server.await;
+        self.shared.calls.finished().await;
         for actor in self.actors {
             actor.stop(None);
         }
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -3,6 +3,7 @@
 use crate::{
     api_error::ApiError,
     authenticate::authenticate,
+    call_request::{CallRequest, idempotency_key, request_id},
     job::Job,
     job_request::{chat_job, text_job},
     models::models,
@@ -17,11 +18,17 @@
 use hyper::{
     Request, Response,
     body::Incoming,
-    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+    header::{CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderValue},
+};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
 };
-use std::sync::Arc;
 use web::{ChannelBody, Handler, Method, ReadBodyError, ResponseBody, StatusCode};
 
+/// Longest wait for the body of a request.
+const BODY_WAIT_MS: u64 = 30_000;
+
 /// Chunks that may wait for a slow caller.
 const PENDING_CHUNKS: usize = 32;
 
@@ -33,13 +40,15 @@
 
 impl Handler for CallerHandler {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        match self.route(request).await {
-            Ok(response) => response,
-            Err(error) => {
-                metrics::counter!("caller_errors_total", "code" => error.code()).increment(1);
-                error.response()
-            }
+        let mut response = self.route(request).await.unwrap_or_else(|error| {
+            metrics::counter!("caller_errors_total", "code" => error.code()).increment(1);
+            error.response()
+        });
+        // Callers with open connections turn away before the listener closes.
+        if self.shared.is_draining.load(Ordering::Relaxed) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 }
 
@@ -117,19 +126,29 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
-        authenticate(request.headers(), &config)?;
+        let account = authenticate(request.headers(), &config)?.name.clone();
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
         let path = match request.uri().query() {
             Some(query) => format!("/{path}?{query}"),
             None => format!("/{path}"),
         };
+        let (service, rules) = service::plain_service(&self.shared, name)?;
+        let key = idempotency_key(request.headers())?;
+        let request_id = request_id(request.headers())?;
+        let headers = request.headers().clone();
         let body = self.read_body(request).await?;
-        service::forward(&self.shared, name, method, &path, body).await
+        let request =
+            CallRequest { account, service, method, path, headers, body, request_id, key };
+        let shared = Arc::clone(&self.shared);
+        let task = self.shared.calls.spawn(service::forward(shared, request, rules));
+        task.await.map_err(|_| ApiError::UnknownOutcome)?
     }
 
     async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, ApiError> {
         let limit_bytes = usize::try_from(self.shared.limits.body_bytes).unwrap_or(usize::MAX);
-        web::read_body(request.into_body(), limit_bytes).await.map_err(|err| match err {
+        let wait = Duration::from_millis(BODY_WAIT_MS);
+        let body = tokio::time::timeout(wait, web::read_body(request.into_body(), limit_bytes));
+        body.await.map_err(|_| ApiError::BodyTimeout(BODY_WAIT_MS))?.map_err(|err| match err {
             ReadBodyError::TooLarge(limit_bytes) => ApiError::TooLarge(limit_bytes),
             ReadBodyError::Transport(_) => ApiError::Body,
         })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,9 @@
 
 mod api_error;
 mod authenticate;
+mod call_request;
+mod call_tasks;
+mod claim_store;
 mod config;
 mod config_actor;
 mod entry;
@@ -18,6 +21,7 @@
 mod job_request;
 mod models;
 mod output;
+mod pass_headers;
 mod relay;
 mod render;
 mod service;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that all requests of an entry share.
 
-use crate::{config::Config, upstreams::Upstreams};
+use crate::{call_tasks::CallTasks, claim_store::ClaimStore, config::Config, upstreams::Upstreams};
 use base::{Clock, VmId};
 use conf::LimitSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -19,6 +19,8 @@
     pub limits: LimitSettings,
     pub config: watch::Receiver<Arc<Config>>,
     pub upstreams: Arc<Upstreams>,
+    pub claims: ClaimStore,
+    pub calls: CallTasks,
     pub engines: EnginePool,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -1,7 +1,7 @@
 //! Table of upstreams with this entry's in-flight counts.
 
 use crate::upstream_guard::UpstreamGuard;
-use base::{DomainName, HashMap, ServiceName, VmId};
+use base::{Clock, DomainName, HashMap, ServiceName, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
 use route::Candidate;
 use std::{
@@ -13,11 +13,17 @@
 };
 use wire::platform::{Vm, VmRole, VmState};
 
+/// How long an upstream's announcement holds. A VM that leaves is gone from the list by then; a service that restarted
+/// on the same VM and stays gets work again.
+const LEAVING_HOLD_MS: u64 = 600_000;
+
 /// Upstream as this entry knows it.
 #[derive(Clone, Debug)]
 struct Upstream {
     vm: Vm,
     in_flight: Arc<AtomicU32>,
+    /// Until when the upstream's own announcement holds against a list that still shows it as live.
+    leaving_until_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -30,13 +36,14 @@
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     domain: DomainName,
+    clock: Clock,
     inner: Mutex<Inner>,
 }
 
 impl Upstreams {
     pub fn new(domain: &DomainName, seed: u64) -> Self {
         let inner = Inner { upstreams: HashMap::default(), rng: SmallRng::seed_from_u64(seed) };
-        Self { domain: domain.clone(), inner: Mutex::new(inner) }
+        Self { domain: domain.clone(), clock: Clock::start(), inner: Mutex::new(inner) }
     }
 
     /// Takes over a new list of VMs; counts of upstreams that stay are kept.
@@ -44,23 +51,25 @@
         let mut inner = self.lock();
         let mut upstreams = HashMap::default();
         for vm in vms.into_iter().filter(|vm| vm.role != VmRole::Entry) {
-            let in_flight = match inner.upstreams.remove(&vm.id) {
-                Some(known) => known.in_flight,
-                None => Arc::default(),
+            let upstream = match inner.upstreams.remove(&vm.id) {
+                Some(known) => Upstream { vm, ..known },
+                None => Upstream { vm, in_flight: Arc::default(), leaving_until_ms: None },
             };
-            upstreams.insert(vm.id.clone(), Upstream { vm, in_flight });
+            upstreams.insert(upstream.vm.id.clone(), upstream);
         }
         inner.upstreams = upstreams;
     }
 
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
     pub fn choose(&self, service: &ServiceName, avoid: &[SocketAddr]) -> Option<UpstreamGuard> {
+        let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
         let Inner { upstreams, rng } = &mut *inner;
         let mut usable: Vec<&Upstream> = upstreams
             .values()
             .filter(|upstream| upstream.vm.service.as_ref() == Some(service))
             .filter(|upstream| upstream.vm.state == VmState::Live)
+            .filter(|upstream| upstream.leaving_until_ms.is_none_or(|until| until < now_ms))
             .collect();
         if usable.iter().any(|upstream| !avoid.contains(&upstream.vm.addr)) {
             usable.retain(|upstream| !avoid.contains(&upstream.vm.addr));
@@ -76,6 +85,18 @@
         Some(UpstreamGuard::new(chosen.vm.addr, Arc::clone(&chosen.in_flight)))
     }
 
+    /// Sends no new work to the upstream at `addr`, which has announced that it leaves.
+    pub fn mark_leaving(&self, addr: SocketAddr) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        for upstream in inner.upstreams.values_mut().filter(|upstream| upstream.vm.addr == addr) {
+            if upstream.leaving_until_ms.is_none() {
+                log::info!("upstreams: {} announced that it leaves", upstream.vm.id);
+            }
+            upstream.leaving_until_ms = Some(now_ms + LEAVING_HOLD_MS);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 )]
 
 mod account;
+mod call_rules;
 mod document;
 mod document_error;
 mod model;
@@ -15,6 +16,7 @@
 
 pub use crate::{
     account::Account,
+    call_rules::CallRules,
     document::Document,
     document_error::DocumentError,
     model::Model,
--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -1,5 +1,6 @@
 //! Service that requests are routed to.
 
+use crate::call_rules::CallRules;
 use base::ServiceName;
 use serde::{Deserialize, Serialize};
 
@@ -34,4 +35,7 @@
     /// Recovery preset of its generations.
     #[serde(default)]
     pub preset: Preset,
+    /// Rules for its calls; plain services only.
+    #[serde(default)]
+    pub calls: CallRules,
 }
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -4,7 +4,7 @@
 use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
 use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, Settings};
 use entry::Entry;
-use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use fleet::{Account, CallRules, Document, Model, Preset, Service, ServiceKind};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use stand::{Chain, Engine, EngineSettings, Platform};
@@ -85,6 +85,7 @@
                 domain: DomainName::try_from(DOMAINS[0])?,
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
                 worker_threads: 4,
+                shutdown_wait_ms: 0,
             },
             limits: LimitSettings::default(),
             log: LogSettings::default(),
@@ -219,6 +220,7 @@
             name: service.clone(),
             kind: ServiceKind::Generation,
             preset: Preset::Latency,
+            calls: CallRules::default(),
         }],
         models: vec![Model {
             name: ModelName::try_from(MODEL)?,
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -10,9 +10,11 @@
 mod chain;
 mod engine;
 mod platform;
+mod service;
 
 pub use crate::{
     chain::{Chain, ChainError, chat_prompt},
     engine::{Engine, EngineSettings},
     platform::{Platform, PlatformSettings},
+    service::{FaultKind, Run, RunReport, Service, ServiceFault, ServiceOptions, ServiceSettings},
 };
--- /dev/null
+++ b/crates/stand/src/service/handler.rs
@@ -0,0 +1,176 @@
+//! Requests of the plain service stand-in.
+
+use crate::service::{
+    fault::{FaultKind, ServiceFault},
+    ledger::Ledger,
+    run::Run,
+    settings::ServiceSettings,
+};
+use base::Clock;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderMap, HeaderValue},
+};
+use serde::Deserialize;
+use std::{
+    io::{Error as IoError, ErrorKind, Result as IoResult},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use web::{Method, ResponseBody, StatusCode};
+
+/// Largest accepted request.
+const REQUEST_SIZE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time after the begin of leaving from which a request is late.
+const LATE_AFTER_MS: u64 = 3_000;
+
+/// Exit status of a process that dies by a fault.
+const DEATH_STATUS: i32 = 70;
+
+/// Body of `PUT /control/leaving`.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct Leaving {
+    /// Whether answers announce it; otherwise only the platform's list tells.
+    is_announced: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: Option<ServiceFault>,
+    leaving_since_ms: Option<u64>,
+    is_announced: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct ServiceHandler {
+    settings: ServiceSettings,
+    clock: Clock,
+    ledger: Ledger,
+    state: Mutex<State>,
+}
+
+impl ServiceHandler {
+    pub fn new(settings: ServiceSettings) -> IoResult<Self> {
+        let ledger = Ledger::open(settings.ledger.as_deref())?;
+        Ok(Self { settings, clock: Clock::start(), ledger, state: Mutex::default() })
+    }
+
+    /// Answers a request; an error closes the connection.
+    pub async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> IoResult<Response<ResponseBody>> {
+        match request.uri().path() {
+            "/control/runs" => Ok(web::json(StatusCode::OK, &self.ledger.report())),
+            "/control/fault" => {
+                let fault = control(request).await?;
+                self.state().fault = Some(fault);
+                Ok(Response::new(web::empty()))
+            }
+            "/control/leaving" => {
+                let leaving: Leaving = control(request).await?;
+                let mut state = self.state();
+                state.leaving_since_ms = Some(self.clock.now_ms());
+                state.is_announced = leaving.is_announced;
+                Ok(Response::new(web::empty()))
+            }
+            _ => self.serve(request).await,
+        }
+    }
+
+    async fn serve(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> IoResult<Response<ResponseBody>> {
+        let (parts, body) = request.into_parts();
+        web::read_body(body, REQUEST_SIZE_BYTES).await.map_err(IoError::other)?;
+        let path = parts.uri.path_and_query().map(|path| path.as_str().to_owned());
+        let run = Run {
+            service: self.settings.name.clone(),
+            method: parts.method.as_str().to_owned(),
+            path: path.unwrap_or_default(),
+            key: text(&parts.headers, "idempotency-key"),
+            request_id: text(&parts.headers, "x-request-id"),
+            is_late: self.is_late(),
+            header_names: parts.headers.keys().map(|name| name.as_str().to_owned()).collect(),
+        };
+        let fault = self.take_fault();
+        let wait = Duration::from_millis(fault.map_or(0, |fault| fault.wait_ms));
+        match fault.map(|fault| fault.kind) {
+            Some(FaultKind::RunLate) => {
+                let (handler, run) = (Arc::clone(&self), run.clone());
+                // A task of its own runs also if the connection has been closed.
+                tokio::spawn(async move {
+                    tokio::time::sleep(wait).await;
+                    handler.ledger.add(&run)
+                })
+                .await??;
+            }
+            Some(FaultKind::AnswerLate) => {
+                self.ledger.add(&run)?;
+                tokio::time::sleep(wait).await;
+            }
+            Some(FaultKind::CloseBeforeRun) => return Err(ErrorKind::ConnectionReset.into()),
+            Some(FaultKind::CloseAfterRun) => {
+                self.ledger.add(&run)?;
+                return Err(ErrorKind::ConnectionReset.into());
+            }
+            Some(FaultKind::DieBeforeRun) => std::process::exit(DEATH_STATUS),
+            Some(FaultKind::DieAfterRun) => {
+                self.ledger.add(&run)?;
+                std::process::exit(DEATH_STATUS)
+            }
+            Some(FaultKind::Crossed) | None => self.ledger.add(&run)?,
+        }
+        let is_crossed = fault.is_some_and(|fault| fault.kind == FaultKind::Crossed);
+        Ok(self.answer(&run, is_crossed))
+    }
+
+    fn answer(&self, run: &Run, is_crossed: bool) -> Response<ResponseBody> {
+        let mut response = web::json(StatusCode::OK, run);
+        let headers = response.headers_mut();
+        let echo = if is_crossed { "crossed" } else { run.request_id.as_str() };
+        if let Ok(echo) = HeaderValue::from_str(echo) {
+            headers.insert("x-request-id", echo);
+        }
+        if self.state().is_announced {
+            headers.insert("x-leaving", HeaderValue::from_static("true"));
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn take_fault(&self) -> Option<ServiceFault> {
+        let mut state = self.state();
+        let fault = state.fault.as_mut()?;
+        fault.count = fault.count.checked_sub(1)?;
+        Some(*fault)
+    }
+
+    fn is_late(&self) -> bool {
+        let since_ms = self.state().leaving_since_ms;
+        since_ms.is_some_and(|since_ms| self.clock.now_ms() - since_ms > LATE_AFTER_MS)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn control<T>(request: Request<Incoming>) -> IoResult<T>
+where
+    T: for<'d> Deserialize<'d>,
+{
+    if request.method() != Method::PUT {
+        return Err(ErrorKind::InvalidInput.into());
+    }
+    let body = web::read_body(request.into_body(), REQUEST_SIZE_BYTES).await;
+    Ok(serde_json::from_slice(&body.map_err(IoError::other)?)?)
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/stand/src/service/server.rs
@@ -0,0 +1,58 @@
+//! Server of the plain service stand-in.
+
+use crate::service::{handler::ServiceHandler, settings::ServiceSettings};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use std::{io::Result as IoResult, net::SocketAddr, sync::Arc};
+use tokio::{
+    net::TcpListener,
+    task::{JoinHandle, JoinSet},
+};
+
+/// Running plain service stand-in.
+#[derive(Debug)]
+pub struct Service {
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Service {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound, or the ledger cannot be opened.
+    pub async fn start(settings: ServiceSettings) -> IoResult<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let addr = listener.local_addr()?;
+        let handler = Arc::new(ServiceHandler::new(settings)?);
+        let task = tokio::spawn(serve(listener, handler));
+        Ok(Self { addr, task })
+    }
+
+    /// Address that the instance listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops the instance at once.
+    pub async fn close(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+/// This loop is not `web::Server`, whose handlers cannot close a connection without an answer.
+async fn serve(listener: TcpListener, handler: Arc<ServiceHandler>) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let handler = Arc::clone(&handler);
+        let service = service_fn(move |request| Arc::clone(&handler).handle(request));
+        connections.spawn(async move {
+            // A failed connection is one of the faults.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
--- a/crates/upstream/src/engine_pool.rs
+++ b/crates/upstream/src/engine_pool.rs
@@ -11,24 +11,38 @@
 };
 use hyper_util::rt::TokioIo;
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
 };
 use tokio::net::TcpStream;
 use wire::engine::EngineRequest;
 
+/// Longest age of an idle connection. An engine or a device on the path may have forgotten an older one silently.
+const IDLE_AGE_MS: u64 = 10_000;
+
+/// Longest wait for a connection.
+const CONNECT_WAIT_MS: u64 = 1_000;
+
 /// Idle connections kept for each engine.
 const IDLE_CONNECTIONS: usize = 64;
 
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
+#[derive(Debug)]
+struct IdleConnection {
+    sender: Sender,
+    idle_since: Instant,
+}
+
 /// Pool of idle connections to engines.
 ///
 /// A connection carries one request at a time and returns to the pool only after the whole answer was read. A
 /// connection whose answer was abandoned is closed.
 #[derive(Clone, Debug, Default)]
 pub struct EnginePool {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
 impl EnginePool {
@@ -61,8 +75,13 @@
 
     fn take(&self, addr: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let senders = idle.get_mut(&addr)?;
-        while let Some(sender) = senders.pop() {
+        let connections = idle.get_mut(&addr)?;
+        // The newest is at the end, so all others are too old as well if it is.
+        while let Some(IdleConnection { sender, idle_since }) = connections.pop() {
+            if is_too_old(idle_since) {
+                idle.remove(&addr);
+                return None;
+            }
             if sender.is_ready() {
                 return Some(sender);
             }
@@ -72,16 +91,29 @@
 
     pub(crate) fn put(&self, addr: SocketAddr, sender: Sender) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let senders = idle.entry(addr).or_default();
-        if senders.len() < IDLE_CONNECTIONS {
-            senders.push(sender);
+        idle.retain(|_, connections| {
+            connections.retain(|connection| !is_too_old(connection.idle_since));
+            !connections.is_empty()
+        });
+        let connections = idle.entry(addr).or_default();
+        if connections.len() < IDLE_CONNECTIONS {
+            connections.push(IdleConnection { sender, idle_since: Instant::now() });
         }
     }
 }
 
+fn is_too_old(idle_since: Instant) -> bool {
+    idle_since.elapsed() > Duration::from_millis(IDLE_AGE_MS)
+}
+
 async fn connect(addr: SocketAddr) -> Result<Sender, EngineError> {
-    let stream = TcpStream::connect(addr).await.map_err(EngineError::Connect)?;
+    let wait = Duration::from_millis(CONNECT_WAIT_MS);
+    let stream = tokio::time::timeout(wait, TcpStream::connect(addr))
+        .await
+        .map_err(|_| EngineError::Connect(ErrorKind::TimedOut.into()))?
+        .map_err(EngineError::Connect)?;
     let _ = stream.set_nodelay(true);
+    web::keep_alive(&stream);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(EngineError::Transport)?;
     tokio::spawn(async move {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,5 +10,10 @@
 mod engine_error;
 mod engine_pool;
 mod engine_stream;
+mod service_connection;
+mod service_error;
 
-pub use crate::{engine_error::EngineError, engine_pool::EnginePool, engine_stream::EngineStream};
+pub use crate::{
+    engine_error::EngineError, engine_pool::EnginePool, engine_stream::EngineStream,
+    service_connection::ServiceConnection, service_error::ServiceError,
+};
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod client;
 mod client_error;
+mod keep_alive;
 mod server;
 
 pub use hyper::{Method, StatusCode};
@@ -18,5 +19,6 @@
     body::{ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
     client::{Client, Reply},
     client_error::ClientError,
+    keep_alive::keep_alive,
     server::{Handler, Server},
 };
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server with graceful shutdown.
 
-use crate::body::ResponseBody;
+use crate::{body::ResponseBody, keep_alive::keep_alive};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
@@ -73,6 +73,12 @@
                 () = stopped(&mut stop) => break,
             }
         }
+        // Connections that the kernel has accepted already would be reset with the listener.
+        while let Ok(Ok((stream, _))) =
+            tokio::time::timeout(Duration::ZERO, self.listener.accept()).await
+        {
+            connections.spawn(serve(stream, Arc::clone(&handler), connection_stop.clone()));
+        }
         drop(self.listener);
         while connections.join_next().await.is_some() {}
     }
@@ -81,6 +87,7 @@
 async fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
     // Tokens are small writes that must not wait for an acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
+    keep_alive(&stream);
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
