--- /dev/null
+++ b/crates/bench/src/experiment/drain.rs
@@ -0,0 +1,111 @@
+//! Experiment `drain`: no work for leaving upstreams, and no request cut off by a shutdown.
+
+use crate::{
+    bench_error::BenchError,
+    caller::{CallOutcome, ServiceCall},
+    cluster::{Cluster, Layout},
+    experiment::options::ExperimentOptions,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use stand::{FaultKind, ServiceFault};
+use std::{net::SocketAddr, path::Path, time::Duration};
+use tokio::{task::JoinSet, time::Instant};
+
+/// Time in which every entry reads the list of VMs.
+const LIST_WAIT_MS: u64 = 500;
+
+/// Callers at a time.
+const CALLERS: usize = 24;
+
+/// Pause of a caller between two calls.
+const CALL_PAUSE_MS: u64 = 10;
+
+/// Time that an instance spends leaving. Requests after 3 s of it are late.
+const LEAVING_MS: u64 = 4_500;
+
+/// Delay of answers, so that a shutdown finds requests in flight.
+const ANSWER_DELAY_MS: u64 = 300;
+
+/// Answers that are delayed at each instance.
+const DELAYED_ANSWERS: u32 = 40;
+
+pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
+    let layout = Layout {
+        engines_per_domain: 0,
+        services: vec!["belfry-desk".to_owned()],
+        service_instances: 4,
+        seed: options.seed,
+        ..Layout::default()
+    };
+    let mut cluster = Cluster::start(program, layout).await?;
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    // Entries that started before the list was complete read it again within this time.
+    tokio::time::sleep(Duration::from_millis(LIST_WAIT_MS)).await;
+    let end = Instant::now() + Duration::from_secs(options.duration_s);
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        callers.spawn(call_until(cluster.entry_addrs(), number, end));
+    }
+    let (mut departures, mut shutdowns) = (0, 0);
+    while Instant::now() < end {
+        let leaving = rng.random_range(0..cluster.service_count());
+        cluster.leave_service(leaving, rng.random_bool(0.5)).await?;
+        departures += 1;
+        for position in 0..cluster.service_count() {
+            let kind = FaultKind::AnswerLate;
+            let fault = ServiceFault { kind, count: DELAYED_ANSWERS, wait_ms: ANSWER_DELAY_MS };
+            cluster.service_fault(position, fault).await?;
+        }
+        let position = rng.random_range(0..cluster.entry_addrs().len());
+        if let Some(process) = cluster.terminate_entry(position) {
+            // A wait here would stop the callers that share this thread.
+            let ended = tokio::task::spawn_blocking(|| process.wait()).await;
+            if !matches!(ended, Ok(Ok(true))) {
+                return Err(BenchError::Failed("an entry did not shut down".to_owned()));
+            }
+            shutdowns += 1;
+        }
+        cluster.restart_entry(position)?;
+        tokio::time::sleep(Duration::from_millis(LEAVING_MS)).await;
+        cluster.restart_service(leaving, true)?;
+        cluster.publish_vms().await?;
+    }
+    let outcomes: Vec<CallOutcome> = callers.join_all().await.into_iter().flatten().collect();
+    let count = |wanted: &CallOutcome| outcomes.iter().filter(|&got| got == wanted).count();
+    let cut_off = count(&CallOutcome::CutOff);
+    let late_requests = cluster.runs()?.late;
+    let report = json!({
+        "calls": outcomes.len(),
+        "departures": departures,
+        "shutdowns": shutdowns,
+        "late_requests": late_requests,
+        "cut_off": cut_off,
+        "turned_away": count(&CallOutcome::NotConnected),
+        "not_run": count(&CallOutcome::NotRun),
+        "unknown": count(&CallOutcome::Unknown),
+    });
+    println!("{report}");
+    if late_requests == 0 && cut_off == 0 && departures > 0 && shutdowns > 0 {
+        Ok(())
+    } else {
+        Err(BenchError::Failed(format!("{late_requests} late requests, {cut_off} cut off")))
+    }
+}
+
+async fn call_until(addrs: Vec<SocketAddr>, number: usize, end: Instant) -> Vec<CallOutcome> {
+    let mut outcomes = Vec::new();
+    while Instant::now() < end {
+        let call = ServiceCall {
+            bearer_key: Layout::KEY.to_owned(),
+            method: "POST".to_owned(),
+            path: "/services/belfry-desk/bookings".to_owned(),
+            key: None,
+            request_id: format!("{number}-{}", outcomes.len()),
+            body: "{}".to_owned(),
+        };
+        outcomes.push(call.send(addrs[(number + outcomes.len()) % addrs.len()]).await);
+        tokio::time::sleep(Duration::from_millis(CALL_PAUSE_MS)).await;
+    }
+    outcomes
+}
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments by name.
 
+mod at_most_once;
+mod drain;
 mod engine_deaths;
 mod options;
 mod relay;
@@ -10,6 +12,8 @@
 
 /// Names of all experiments with what they show.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
+    ("at-most-once", "no call runs twice, and none that was reported as not run has run"),
+    ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("relay", "cost and added delay of a relayed token"),
 ];
@@ -25,6 +29,8 @@
     options: &ExperimentOptions,
 ) -> Result<(), BenchError> {
     match name {
+        "at-most-once" => at_most_once::run(program, options).await,
+        "drain" => drain::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
         "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -6,6 +6,7 @@
     call_request::{CallRequest, idempotency_key, request_id},
     job::Job,
     job_request::{chat_job, text_job},
+    keyed_call::{KeyedCall, RunError},
     models::models,
     output::Output,
     relay::{Relay, RelayError},
@@ -14,6 +15,7 @@
     shared::Shared,
 };
 use bytes::Bytes;
+use call::BodyDigest;
 use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
@@ -26,6 +28,9 @@
 };
 use web::{ChannelBody, Handler, Method, ReadBodyError, ResponseBody, StatusCode};
 
+/// Longest time for which a repeated call waits for a generation with the same key.
+const GENERATION_RUN_MS: u64 = 600_000;
+
 /// Longest wait for the body of a request.
 const BODY_WAIT_MS: u64 = 30_000;
 
@@ -84,14 +89,44 @@
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
         let account = authenticate(request.headers(), &config)?;
+        let key = idempotency_key(request.headers())?;
         let body = self.read_body(request).await?;
+        let digest = BodyDigest::of(&[path.as_bytes(), &body]);
         let job = if path == "/v1/completions" {
             text_job(&body, account, &config, &self.shared)?
         } else {
             chat_job(&body, account, &config, &self.shared)?
         };
         metrics::counter!("generations_total").increment(1);
-        if job.is_stream { Ok(self.stream(job)) } else { self.whole(job).await }
+        match (job.is_stream, key) {
+            (true, _) => Ok(self.stream(job)),
+            (false, None) => self.whole(job).await,
+            (false, Some(key)) => {
+                let account = job.account.clone();
+                let call = KeyedCall { account, key, digest, run_ms: GENERATION_RUN_MS };
+                self.whole_once(job, call).await
+            }
+        }
+    }
+
+    /// Generates a whole answer at most once for its key. The task goes on if the caller disconnects, so that the answer
+    /// is kept for a repeated call.
+    async fn whole_once(
+        &self,
+        job: Job,
+        call: KeyedCall,
+    ) -> Result<Response<ResponseBody>, ApiError> {
+        let handler = Self { shared: Arc::clone(&self.shared) };
+        let task = self.shared.calls.spawn(async move {
+            let generate = || async {
+                let response = handler.whole(job).await.map_err(RunError::Unknown)?;
+                let (parts, body) = response.into_parts();
+                let Ok(body) = body.collect().await;
+                Ok(Response::from_parts(parts, body.to_bytes()))
+            };
+            call.run(&handler.shared, generate).await
+        });
+        task.await.map_err(|_| ApiError::UnknownOutcome)?
     }
 
     fn stream(&self, job: Job) -> Response<ResponseBody> {
--- /dev/null
+++ b/crates/entry/src/keyed_call.rs
@@ -0,0 +1,167 @@
+//! Calls with an idempotency key.
+
+use crate::{api_error::ApiError, claim_store::age_ms, shared::Shared};
+use base::{AccountName, Clock};
+use bytes::Bytes;
+use call::{
+    BodyDigest, ClaimOutcome, ClaimRecord, ClaimState, IdempotencyKey, NotRun, StoredAnswer,
+};
+use hyper::{
+    Response,
+    header::{HeaderName, HeaderValue},
+};
+use rand::random;
+use std::{future::Future, time::Duration};
+use web::{ResponseBody, StatusCode};
+
+/// Age after which a claim is not used any more. A process that was paused for long must not send a call whose caller
+/// and claim may have gone.
+const CLAIM_USE_MS: u64 = 30_000;
+
+/// Longest time by which the write of an answer into its claim delays the answer.
+const STORE_WAIT_MS: u64 = 1_000;
+
+/// Longest wait for the end of another call with the same key.
+const BUSY_WAIT_MS: u64 = 30_000;
+
+/// Header of an answer that comes from a claim.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
+
+/// Call that runs at most once over all entries.
+#[derive(Debug)]
+pub(crate) struct KeyedCall {
+    pub account: AccountName,
+    pub key: IdempotencyKey,
+    pub digest: BodyDigest,
+    /// Longest time that the call may run. An open claim that is older is not waited for.
+    pub run_ms: u64,
+}
+
+/// Failure of the call itself.
+#[derive(Debug)]
+pub(crate) enum RunError {
+    /// It was not run.
+    NotRun(NotRun),
+    /// It may have run.
+    Unknown(ApiError),
+}
+
+impl KeyedCall {
+    /// Claims the key and runs the call, or gives the answer of the call that owns the key.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` or `PlatformDown` if the call was not run and never will be; `KeyReused`; `AnswerNotStored`;
+    /// otherwise the outcome is unknown.
+    pub async fn run<R, F>(
+        self,
+        shared: &Shared,
+        run: R,
+    ) -> Result<Response<ResponseBody>, ApiError>
+    where
+        R: FnOnce() -> F,
+        F: Future<Output = Result<Response<Bytes>, RunError>>,
+    {
+        let kv_key = self.key.kv_key(&self.account);
+        let claimed_ms = shared.clock.now_ms();
+        let record = ClaimRecord {
+            nonce: random(),
+            owner: shared.vm_id.clone(),
+            digest: self.digest,
+            created_unix_ms: Clock::unix_ms(),
+            state: ClaimState::Open,
+        };
+        let revision = match shared.claims.claim(&kv_key, record.clone()).await {
+            ClaimOutcome::Owned { revision } => revision,
+            ClaimOutcome::Stored(answer) => return replay(&answer),
+            ClaimOutcome::Busy { revision, created_unix_ms } => {
+                let left_ms = self.run_ms.saturating_sub(age_ms(created_unix_ms));
+                return busy(shared, &kv_key, revision, left_ms.min(BUSY_WAIT_MS)).await;
+            }
+            ClaimOutcome::Unknown => return Err(ApiError::UnknownOutcome),
+            ClaimOutcome::OtherRequest => return Err(ApiError::KeyReused),
+            ClaimOutcome::Unavailable => return Err(ApiError::PlatformDown),
+        };
+        if shared.clock.now_ms() - claimed_ms > CLAIM_USE_MS {
+            close(shared, kv_key, record, revision, ClaimState::NotRun).await;
+            return Err(ApiError::PlatformDown);
+        }
+        let outcome = run().await;
+        let state = match &outcome {
+            Ok(answer) => ClaimState::Answered(stored(answer)),
+            Err(RunError::NotRun(_)) => ClaimState::NotRun,
+            Err(RunError::Unknown(_)) => ClaimState::Unknown,
+        };
+        close(shared, kv_key, record, revision, state).await;
+        Ok(outcome?.map(web::full))
+    }
+}
+
+impl From<RunError> for ApiError {
+    fn from(error: RunError) -> Self {
+        match error {
+            RunError::NotRun(_) => Self::NoUpstream,
+            RunError::Unknown(error) => error,
+        }
+    }
+}
+
+/// Writes the end of a call. A slow platform does not hold the answer back for long; the write then goes on.
+async fn close(
+    shared: &Shared,
+    kv_key: String,
+    record: ClaimRecord,
+    revision: u64,
+    state: ClaimState,
+) {
+    let claims = shared.claims.clone();
+    let closing =
+        shared.calls.spawn(async move { claims.close(&kv_key, record, revision, state).await });
+    let stored = tokio::time::timeout(Duration::from_millis(STORE_WAIT_MS), closing).await;
+    if !matches!(stored, Ok(Ok(true))) {
+        log::warn!("calls: the end of a call is not stored yet");
+    }
+}
+
+/// Waits for the end of another call with the same key.
+async fn busy(
+    shared: &Shared,
+    kv_key: &str,
+    revision: u64,
+    wait_ms: u64,
+) -> Result<Response<ResponseBody>, ApiError> {
+    if wait_ms == 0 {
+        return Err(ApiError::UnknownOutcome);
+    }
+    match shared.claims.ended(kv_key, revision, wait_ms).await.map(|record| record.state) {
+        Some(ClaimState::Answered(answer)) => replay(&answer),
+        // The other call was not run, and this one was not sent.
+        Some(ClaimState::NotRun) => Err(ApiError::NoUpstream),
+        Some(ClaimState::Open | ClaimState::Unknown) | None => Err(ApiError::UnknownOutcome),
+    }
+}
+
+fn stored(answer: &Response<Bytes>) -> StoredAnswer {
+    let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
+    let headers = answer
+        .headers()
+        .iter()
+        .filter_map(|(name, value)| Some((name.as_str().to_owned(), text(value)?)))
+        .collect();
+    StoredAnswer::new(answer.status().as_u16(), headers, answer.body())
+}
+
+fn replay(answer: &StoredAnswer) -> Result<Response<ResponseBody>, ApiError> {
+    let body = answer.body().ok_or(ApiError::AnswerNotStored(answer.status))?;
+    let mut response = Response::new(web::full(body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).map_err(|_| ApiError::Internal)?;
+    for (name, value) in &answer.headers {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::try_from(name.as_str()), HeaderValue::try_from(value.as_str()))
+        {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    Ok(response)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod handler;
 mod job;
 mod job_request;
+mod keyed_call;
 mod models;
 mod output;
 mod pass_headers;
--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -3,7 +3,7 @@
 use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
 use conf::Settings;
 use entry::Entry;
-use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
+use fleet::{Account, CallRules, Document, Model, Preset, Service, ServiceKind};
 use serde_json::{Value, json};
 use stand::{Chain, Engine, EngineSettings, Platform, PlatformSettings};
 use std::{net::SocketAddr, time::Duration};
@@ -102,6 +102,7 @@
             name: service.clone(),
             kind: ServiceKind::Generation,
             preset: Preset::Latency,
+            calls: CallRules::default(),
         }],
         models: vec![Model {
             name: ModelName::try_from(MODEL).unwrap(),
--- a/crates/upstream/src/engine_pool.rs
+++ b/crates/upstream/src/engine_pool.rs
@@ -14,9 +14,9 @@
     io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::Instant};
 use wire::engine::EngineRequest;
 
 /// Longest age of an idle connection. An engine or a device on the path may have forgotten an older one silently.
