Limit repeats by a budget, refuse as not run without a configuration

Cause: each failing idempotent call could triple the load of a failing service; an entry that started during an outage of the platform called every key invalid (401) instead of saying that it is not ready; the outage in the experiment was shorter than the calls of one claim, so no claim failed.

Ruled out: charging connections that could not be opened to the budget, since they cost the upstream nothing and a booking would be refused without need.

Conclusion: repeats are at most a tenth of the calls after the first ten.

--- a/crates/bench/src/experiment/at_most_once.rs
+++ b/crates/bench/src/experiment/at_most_once.rs
@@ -27,8 +27,14 @@
 /// Time between two faults.
 const FAULT_INTERVAL_MS: u64 = 150;
 
-/// Length of an outage of the platform.
-const OUTAGE_MS: u64 = 2_500;
+/// Length of an outage of the platform. It is longer than all platform calls of one claim, so that claims fail.
+const OUTAGE_MS: u64 = 5_000;
+
+/// Faults after which an outage begins, and then each time again.
+const FAULTS_PER_OUTAGE: u32 = 60;
+
+/// Faults before the first outage.
+const FAULTS_BEFORE_OUTAGE: u32 = 10;
 
 /// Time after the load in which late runs can still happen.
 const SETTLE_MS: u64 = 4_000;
@@ -82,6 +88,8 @@
         not_run.iter().filter(|sent| runs.by_request_id.contains_key(&sent.request_id)).count();
     let wrong_answers = sent.iter().filter(|sent| !is_own(sent)).count();
     let count = |wanted: &CallOutcome| sent.iter().filter(|sent| sent.outcome == *wanted).count();
+    let refused =
+        sent.iter().filter(|sent| matches!(sent.outcome, CallOutcome::Refused(..))).count();
     let answered =
         sent.iter().filter(|sent| matches!(sent.outcome, CallOutcome::Answer(..))).count();
     let report = json!({
@@ -93,6 +101,7 @@
         "not_run_but_ran": not_run_but_ran,
         "unknown": count(&CallOutcome::Unknown),
         "cut_off": count(&CallOutcome::CutOff),
+        "refused": refused,
         "wrong_answers": wrong_answers,
         "faults": faults,
     });
@@ -174,16 +183,20 @@
 /// Injects faults until `end`; their number.
 async fn inject(cluster: &mut Cluster, mut rng: SmallRng, end: Instant) -> Result<u32, BenchError> {
     let mut faults = 0;
+    let mut outage_end = None;
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(FAULT_INTERVAL_MS)).await;
         faults += 1;
+        if faults % FAULTS_PER_OUTAGE == FAULTS_BEFORE_OUTAGE {
+            cluster.platform().freeze();
+            outage_end = Some(Instant::now() + Duration::from_millis(OUTAGE_MS));
+        }
+        if outage_end.is_some_and(|outage_end| Instant::now() > outage_end) {
+            cluster.platform().thaw();
+            outage_end = None;
+        }
         match rng.random_range(0..20) {
-            0 => {
-                cluster.platform().freeze();
-                tokio::time::sleep(Duration::from_millis(OUTAGE_MS)).await;
-                cluster.platform().thaw();
-            }
-            1..=3 => {
+            0..=2 => {
                 let position = rng.random_range(0..cluster.entry_addrs().len());
                 cluster.kill_entry(position);
                 cluster.restart_entry(position)?;
@@ -200,5 +213,6 @@
             }
         }
     }
+    cluster.platform().thaw();
     Ok(faults)
 }
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -22,6 +22,7 @@
 mod record_error;
 mod repeat;
 mod repeat_rules;
+mod retry_budget;
 mod state;
 mod stored_answer;
 
@@ -41,6 +42,7 @@
     record_error::RecordError,
     repeat::Repeat,
     repeat_rules::RepeatRules,
+    retry_budget::RetryBudget,
     state::{Answered, Sent, Unknown, Unsent},
     stored_answer::{STORED_BODY_BYTES, StoredAnswer},
 };
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -58,6 +58,10 @@
         NoUpstream {
             display("no upstream is available; the request was not run")
         }
+        /// The entry has no configuration yet; the request was not run.
+        NotReady {
+            display("this entry has no configuration yet; the request was not run")
+        }
         /// The platform is not available, so the key could not be claimed; the request was not run.
         PlatformDown {
             display("the idempotency key cannot be claimed now; the request was not run")
@@ -107,7 +111,7 @@
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Body | Self::Json(_) | Self::Field(..) => StatusCode::BAD_REQUEST,
-            Self::NoUpstream | Self::PlatformDown | Self::Generation(_) => {
+            Self::NoUpstream | Self::NotReady | Self::PlatformDown | Self::Generation(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::UnknownOutcome => StatusCode::BAD_GATEWAY,
@@ -131,7 +135,7 @@
             Self::Field(..) => "invalid_value",
             Self::Model(_) => "model_not_found",
             Self::Service(_) => "service_not_found",
-            Self::NoUpstream | Self::PlatformDown => "not_run",
+            Self::NoUpstream | Self::NotReady | Self::PlatformDown => "not_run",
             Self::KeyReused => "idempotency_key_reused",
             Self::AnswerNotStored(_) => "answer_not_stored",
             Self::BodyTimeout(_) => "body_timeout",
--- a/crates/entry/src/authenticate.rs
+++ b/crates/entry/src/authenticate.rs
@@ -9,11 +9,15 @@
 ///
 /// # Errors
 ///
-/// `Key` if the key is missing or unknown.
+/// `Key` if the key is missing or unknown, `NotReady` if there is no configuration yet.
 pub(crate) fn authenticate<'c>(
     headers: &HeaderMap,
     config: &'c Config,
 ) -> Result<&'c Account, ApiError> {
+    // Without a configuration every key would be called invalid.
+    if config.revision == 0 {
+        return Err(ApiError::NotReady);
+    }
     let header = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let key = header.and_then(|text| text.strip_prefix("Bearer ")).ok_or(ApiError::Key)?;
     config.document.account_by_key(&KeyHash::of(key)).ok_or(ApiError::Key)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod pass_headers;
 mod relay;
 mod render;
+mod retry_budgets;
 mod service;
 mod shared;
 mod upstream_guard;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -85,6 +85,7 @@
     repeat: Repeat,
     rules: &CallRules,
 ) -> Result<Response<Bytes>, RunError> {
+    shared.retries.deposit(&request.service);
     let mut call = Call::new(repeat, RETRIES);
     let mut failed_addrs: Vec<SocketAddr> = Vec::new();
     loop {
@@ -116,7 +117,10 @@
                 log::warn!("calls: {addr} gave no answer: {err}");
                 failed_addrs.push(addr);
                 match sent.lost() {
-                    Lost::Retry(unsent) => call = unsent,
+                    Lost::Retry(unsent) if shared.retries.withdraw(&request.service) => {
+                        call = unsent;
+                    }
+                    Lost::Retry(unsent) => return Err(give_up(unsent)),
                     Lost::Unknown(_) => return Err(unknown(&err)),
                 }
             }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,9 @@
 //! State that all requests of an entry share.
 
-use crate::{call_tasks::CallTasks, claim_store::ClaimStore, config::Config, upstreams::Upstreams};
+use crate::{
+    call_tasks::CallTasks, claim_store::ClaimStore, config::Config, retry_budgets::RetryBudgets,
+    upstreams::Upstreams,
+};
 use base::{Clock, VmId};
 use conf::LimitSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -21,6 +24,7 @@
     pub upstreams: Arc<Upstreams>,
     pub claims: ClaimStore,
     pub calls: CallTasks,
+    pub retries: RetryBudgets,
     pub engines: EnginePool,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
