Bound the release of abandoned claims

Cause: after an outage of the platform every refused keyed call looked for its claim in a task of its own, 15 reads in 30 s. At 100 keyed calls a second that is 1,500 reads a second, three quarters of what the platform handles, at the moment when it recovers. One task for each entry now reads at most 20 a second from a queue of 10,000.

Ruled out: a semaphore of a few tasks, since the claims beyond it would stay open for 24 h although their callers were told to send the call again.

--- a/crates/entry/src/claim_store.rs
+++ b/crates/entry/src/claim_store.rs
@@ -1,28 +1,44 @@
 //! Claims in the platform's key-value service.
 
+use crate::abandoned_claim::AbandonedClaim;
 use base::Clock;
 use call::{
     Claim, ClaimOutcome, ClaimRecord, ClaimState, CloseClaim, KvInput, KvStep, RecordError,
 };
 use plat::{Platform, PlatformError};
 use std::time::Duration;
+use tokio::{sync::mpsc, time::Instant};
 use wire::platform::{KvEntry, KvWrite};
 
-/// Time between two reads that look for an abandoned claim.
+/// Pause before an abandoned claim is read, since its write may still be under way, and after a failed read.
 const ABANDON_PAUSE_MS: u64 = 2_000;
 
-/// Reads that look for an abandoned claim.
-const ABANDON_READS: u32 = 15;
+/// Time between two reads of abandoned claims: at most 20 a second for each entry, so that the end of an outage does not
+/// bring a burst of reads.
+const ABANDON_READ_INTERVAL_MS: u64 = 50;
+
+/// Reads of an abandoned claim that does not exist.
+const ABANDON_READS: u32 = 2;
+
+/// Abandoned claims that may wait. Further ones stay open, and calls with their keys are answered as unknown.
+const ABANDONED_CLAIMS: usize = 10_000;
 
 /// Claims in the platform's key-value service.
 #[derive(Clone, Debug)]
 pub(crate) struct ClaimStore {
     platform: Platform,
+    /// None in the task that releases abandoned claims, so that it ends with the entry.
+    abandoned: Option<mpsc::Sender<AbandonedClaim>>,
 }
 
 impl ClaimStore {
+    /// Claims in `platform`, with a task that releases abandoned ones.
     pub fn new(platform: Platform) -> Self {
-        Self { platform }
+        let (sender, receiver) = mpsc::channel(ABANDONED_CLAIMS);
+        let store = Self { platform: platform.clone(), abandoned: None };
+        let requeue = sender.downgrade();
+        tokio::spawn(async move { store.release_abandoned(receiver, requeue).await });
+        Self { platform, abandoned: Some(sender) }
     }
 
     /// Claims a key.
@@ -70,23 +86,53 @@
         ClaimRecord::decode(&entry.value).ok()
     }
 
-    /// Looks for a claim whose writes were lost and marks it as not run, since its call was refused as not run.
-    /// Without this, a claim that was written would answer later calls with the key as unknown.
+    /// Remembers a claim whose writes were lost and whose call was refused as not run. Without its release, a claim that
+    /// was written would answer later calls with the key as unknown.
     fn abandon(&self, kv_key: &str, record: &ClaimRecord) {
-        let (store, kv_key, record) = (self.clone(), kv_key.to_owned(), record.clone());
-        tokio::spawn(async move {
-            for _ in 0..ABANDON_READS {
-                tokio::time::sleep(Duration::from_millis(ABANDON_PAUSE_MS)).await;
-                match store.perform(&kv_key, &KvStep::<()>::Read).await {
-                    KvInput::Found { record: found, revision } if found == record => {
-                        store.close(&kv_key, record, revision, ClaimState::NotRun).await;
-                        return;
-                    }
-                    KvInput::Found { .. } => return,
-                    _ => {}
-                }
+        let claim = AbandonedClaim {
+            kv_key: kv_key.to_owned(),
+            record: record.clone(),
+            read_at: Instant::now() + Duration::from_millis(ABANDON_PAUSE_MS),
+            reads_left: ABANDON_READS,
+        };
+        if self.abandoned.as_ref().is_some_and(|sender| sender.try_send(claim).is_err()) {
+            log::warn!("calls: too many abandoned claims; one stays open");
+        }
+    }
+
+    async fn release_abandoned(
+        &self,
+        mut claims: mpsc::Receiver<AbandonedClaim>,
+        requeue: mpsc::WeakSender<AbandonedClaim>,
+    ) {
+        let pause = Duration::from_millis(ABANDON_PAUSE_MS);
+        while let Some(mut claim) = claims.recv().await {
+            tokio::time::sleep_until(claim.read_at).await;
+            while !self.release(&claim).await {
+                tokio::time::sleep(pause).await;
+            }
+            claim.reads_left -= 1;
+            claim.read_at = Instant::now() + pause;
+            // A write that is still under way is found by the next read.
+            if claim.reads_left > 0
+                && let Some(sender) = requeue.upgrade()
+            {
+                let _ = sender.try_send(claim);
             }
-        });
+            tokio::time::sleep(Duration::from_millis(ABANDON_READ_INTERVAL_MS)).await;
+        }
+    }
+
+    /// Marks an abandoned claim as not run if it exists; whether the platform answered.
+    async fn release(&self, claim: &AbandonedClaim) -> bool {
+        let AbandonedClaim { kv_key, record, .. } = claim;
+        match self.perform(kv_key, &KvStep::<()>::Read).await {
+            KvInput::Found { record: found, revision } if found == *record => {
+                self.close(kv_key, record.clone(), revision, ClaimState::NotRun).await
+            }
+            KvInput::Lost => false,
+            _ => true,
+        }
     }
 
     async fn perform<T>(&self, kv_key: &str, step: &KvStep<T>) -> KvInput {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
     future_incompatible
 )]
 
+mod abandoned_claim;
 mod api_error;
 mod authenticate;
 mod call_request;
