--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -4,6 +4,9 @@
 use base::{AccountName, KeyHash, ModelName, ServiceName, VersionName};
 use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
 
+/// Longest wait for the answer of a plain service.
+const SERVICE_WAIT_MS: u64 = 2_000;
+
 /// Shape of a cluster.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -19,6 +22,10 @@
     pub token_gap_ms: u64,
     /// Recovery preset.
     pub preset: Preset,
+    /// Plain services.
+    pub services: Vec<String>,
+    /// Instances of each plain service, spread over the failure domains.
+    pub service_instances: usize,
     /// Seed of the engines' sampling.
     pub seed: u64,
     /// Whether the entries reach each engine through a proxy of its own.
@@ -40,6 +47,8 @@
             has_peers: true,
             token_gap_ms: 41,
             preset: Preset::Latency,
+            services: Vec::new(),
+            service_instances: 2,
             seed: 1,
             has_engine_proxies: false,
             has_platform_proxy: false,
@@ -74,9 +83,16 @@
         let version = VersionName::try_from(Self::VERSION)?;
         let mut composer = Service::new(&service, ServiceKind::Generation);
         composer.preset = self.preset;
+        let mut services = vec![composer];
+        for name in &self.services {
+            let mut plain =
+                Service::new(&ServiceName::try_from(name.as_str())?, ServiceKind::Plain);
+            plain.calls.answer_wait_ms = SERVICE_WAIT_MS;
+            services.push(plain);
+        }
         Ok(Document {
             accounts: vec![Account::new(&account, KeyHash::of(Self::KEY), 100_000)],
-            services: vec![composer],
+            services,
             models: vec![Model::new(&model, &service, &version)],
             ..Document::default()
         })
--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -5,5 +5,6 @@
 mod layout;
 mod node;
 mod process;
+mod services;
 
 pub use self::{ctl::CtlOutcome, layout::Layout, node::Cluster, process::Process};
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments by name.
 
+mod at_most_once;
+mod drain;
 mod engine_deaths;
 mod entry_deaths;
 mod journal_copies;
@@ -13,6 +15,8 @@
 
 /// Names of all experiments with what they show.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
+    ("at-most-once", "no call runs twice, and none that was reported as not run has run"),
+    ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
@@ -31,6 +35,8 @@
     options: &ExperimentOptions,
 ) -> Result<(), BenchError> {
     match name {
+        "at-most-once" => at_most_once::run(program, options).await,
+        "drain" => drain::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
         "operator-races" => operator_races::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
--- a/crates/bench/src/role.rs
+++ b/crates/bench/src/role.rs
@@ -3,7 +3,10 @@
 use crate::bench_error::BenchError;
 use argh::FromArgs;
 use geraniumroad::{Command, RunOptions};
-use stand::cli::{EngineOptions, PlatformOptions, ProxyOptions};
+use stand::{
+    ServiceOptions,
+    cli::{EngineOptions, PlatformOptions, ProxyOptions},
+};
 use std::{io::Result as IoResult, path::PathBuf};
 use tokio::runtime::Builder;
 
@@ -24,6 +27,7 @@
     Engine(EngineOptions),
     Platform(PlatformOptions),
     Proxy(ProxyOptions),
+    Service(ServiceOptions),
 }
 
 /// Operators' program; address and key come from the environment.
@@ -65,6 +69,7 @@
         Role::Engine(engine) => block_on(engine.run()),
         Role::Platform(platform) => block_on(platform.run()),
         Role::Proxy(proxy) => block_on(proxy.run()),
+        Role::Service(service) => block_on(service.run()),
     }
 }
 
--- /dev/null
+++ b/crates/call/src/call.rs
@@ -0,0 +1,95 @@
+//! Call with its state as a type.
+
+use crate::{
+    not_run::NotRun,
+    repeat::Repeat,
+    state::{Answered, Sent, Unknown, Unsent},
+};
+
+/// Call in state `S`. Each transition consumes it, so a sent call cannot be sent or reported as not run.
+#[derive(Debug)]
+pub struct Call<S> {
+    repeat: Repeat,
+    retries_left: u32,
+    was_sent: bool,
+    state: S,
+}
+
+/// What remains of a sent call that got no answer.
+#[derive(Debug)]
+pub enum Lost {
+    /// The call is idempotent and may be sent again.
+    Retry(Call<Unsent>),
+    /// The outcome is unknown.
+    Unknown(Call<Unknown>),
+}
+
+impl Call<Unsent> {
+    /// A new call that may be retried `retries_left` times where that is safe.
+    pub fn new(repeat: Repeat, retries_left: u32) -> Self {
+        Self { repeat, retries_left, was_sent: false, state: Unsent }
+    }
+
+    /// Marks the call as sent. This must precede the first write to a connection.
+    pub fn send(self) -> Call<Sent> {
+        Call { was_sent: true, ..self.into_state(Sent) }
+    }
+
+    /// Charges a retry at another upstream after this one could not be reached.
+    ///
+    /// # Errors
+    ///
+    /// The call itself, if no retry is left.
+    pub fn retry(self) -> Result<Self, Self> {
+        match self.retries_left.checked_sub(1) {
+            Some(retries_left) => Ok(Self { retries_left, ..self }),
+            None => Err(self),
+        }
+    }
+
+    /// Gives the call up.
+    ///
+    /// # Errors
+    ///
+    /// The unknown outcome, if an earlier attempt of an idempotent call was sent.
+    pub fn close(self) -> Result<NotRun, Call<Unknown>> {
+        if self.was_sent {
+            return Err(self.into_state(Unknown));
+        }
+        Ok(NotRun::new())
+    }
+}
+
+impl Call<Sent> {
+    /// The answer has arrived.
+    pub fn answered(self) -> Call<Answered> {
+        self.into_state(Answered)
+    }
+
+    /// The connection failed, or no valid answer came in time.
+    pub fn lost(self) -> Lost {
+        match (self.repeat, self.retries_left.checked_sub(1)) {
+            (Repeat::Idempotent, Some(retries_left)) => {
+                Lost::Retry(Call { retries_left, ..self.into_state(Unsent) })
+            }
+            _ => Lost::Unknown(self.into_state(Unknown)),
+        }
+    }
+}
+
+impl<S> Call<S> {
+    /// Whether the call may be repeated.
+    pub fn repeat(&self) -> Repeat {
+        self.repeat
+    }
+
+    /// State of the call.
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    fn into_state<T>(self, state: T) -> Call<T> {
+        let Self { repeat, retries_left, was_sent, state: _ } = self;
+        Call { repeat, retries_left, was_sent, state }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/claim_store.rs
@@ -0,0 +1,184 @@
+//! Claims in the platform's key-value service.
+
+use crate::abandoned_claim::AbandonedClaim;
+use base::Clock;
+use call::{
+    Claim, ClaimOutcome, ClaimRecord, ClaimState, CloseClaim, KvInput, KvStep, RecordError,
+};
+use plat::{Platform, PlatformError};
+use std::time::Duration;
+use tokio::{sync::mpsc, time::Instant};
+use wire::platform::{KvEntry, KvWrite};
+
+/// Pause before an abandoned claim is read, since its write may still be under way, and after a failed read.
+const ABANDON_PAUSE_MS: u64 = 2_000;
+
+/// Time between two reads of abandoned claims: at most 20 a second for each entry, so that the end of an outage does not
+/// bring a burst of reads.
+const ABANDON_READ_INTERVAL_MS: u64 = 50;
+
+/// Reads of an abandoned claim that does not exist.
+const ABANDON_READS: u32 = 2;
+
+/// Abandoned claims that may wait. Further ones stay open, and calls with their keys are answered as unknown.
+const ABANDONED_CLAIMS: usize = 10_000;
+
+/// Claims in the platform's key-value service.
+#[derive(Clone, Debug)]
+pub(crate) struct ClaimStore {
+    platform: Platform,
+    /// None in the task that releases abandoned claims, so that it ends with the entry.
+    abandoned: Option<mpsc::Sender<AbandonedClaim>>,
+}
+
+impl ClaimStore {
+    /// Claims in `platform`, with a task that releases abandoned ones.
+    pub fn new(platform: Platform) -> Self {
+        let (sender, receiver) = mpsc::channel(ABANDONED_CLAIMS);
+        let store = Self { platform: platform.clone(), abandoned: None };
+        let requeue = sender.downgrade();
+        tokio::spawn(async move { store.release_abandoned(receiver, requeue).await });
+        Self { platform, abandoned: Some(sender) }
+    }
+
+    /// Claims a key.
+    pub async fn claim(&self, kv_key: &str, record: ClaimRecord) -> ClaimOutcome {
+        let mut claim = Claim::new(record);
+        let mut was_lost = false;
+        let mut step = claim.start();
+        loop {
+            let input = match step {
+                KvStep::Done(outcome) => {
+                    if outcome == ClaimOutcome::Unavailable && was_lost {
+                        self.abandon(kv_key, claim.record());
+                    }
+                    return outcome;
+                }
+                step => self.perform(kv_key, &step).await,
+            };
+            was_lost |= input == KvInput::Lost;
+            step = claim.on(input);
+        }
+    }
+
+    /// Writes the end of a call; whether the platform holds it.
+    pub async fn close(
+        &self,
+        kv_key: &str,
+        record: ClaimRecord,
+        revision: u64,
+        state: ClaimState,
+    ) -> bool {
+        let mut close = CloseClaim::new(record, revision, state);
+        let mut step = close.start();
+        loop {
+            step = match step {
+                KvStep::Done(is_closed) => return is_closed,
+                step => close.on(self.perform(kv_key, &step).await),
+            };
+        }
+    }
+
+    /// Waits up to `wait_ms` until the owner of a busy claim ends it; the record that ended it.
+    pub async fn ended(&self, kv_key: &str, revision: u64, wait_ms: u64) -> Option<ClaimRecord> {
+        let list = self.platform.watch(kv_key, revision, wait_ms).await.ok()?;
+        let entry = list.entries.iter().find(|entry| entry.key == kv_key)?;
+        ClaimRecord::decode(&entry.value).ok()
+    }
+
+    /// Remembers a claim whose writes were lost and whose call was refused as not run. Without its release, a claim that
+    /// was written would answer later calls with the key as unknown.
+    fn abandon(&self, kv_key: &str, record: &ClaimRecord) {
+        let claim = AbandonedClaim {
+            kv_key: kv_key.to_owned(),
+            record: record.clone(),
+            read_at: Instant::now() + Duration::from_millis(ABANDON_PAUSE_MS),
+            reads_left: ABANDON_READS,
+        };
+        if self.abandoned.as_ref().is_some_and(|sender| sender.try_send(claim).is_err()) {
+            log::warn!("calls: too many abandoned claims; one stays open");
+        }
+    }
+
+    async fn release_abandoned(
+        &self,
+        mut claims: mpsc::Receiver<AbandonedClaim>,
+        requeue: mpsc::WeakSender<AbandonedClaim>,
+    ) {
+        let pause = Duration::from_millis(ABANDON_PAUSE_MS);
+        while let Some(mut claim) = claims.recv().await {
+            tokio::time::sleep_until(claim.read_at).await;
+            while !self.release(&claim).await {
+                tokio::time::sleep(pause).await;
+            }
+            claim.reads_left -= 1;
+            claim.read_at = Instant::now() + pause;
+            // A write that is still under way is found by the next read.
+            if claim.reads_left > 0
+                && let Some(sender) = requeue.upgrade()
+            {
+                let _ = sender.try_send(claim);
+            }
+            tokio::time::sleep(Duration::from_millis(ABANDON_READ_INTERVAL_MS)).await;
+        }
+    }
+
+    /// Marks an abandoned claim as not run if it exists; whether the platform answered.
+    async fn release(&self, claim: &AbandonedClaim) -> bool {
+        let AbandonedClaim { kv_key, record, .. } = claim;
+        match self.perform(kv_key, &KvStep::<()>::Read).await {
+            KvInput::Found { record: found, revision } if found == *record => {
+                self.close(kv_key, record.clone(), revision, ClaimState::NotRun).await
+            }
+            KvInput::Lost => false,
+            _ => true,
+        }
+    }
+
+    async fn perform<T>(&self, kv_key: &str, step: &KvStep<T>) -> KvInput {
+        let outcome = match step {
+            KvStep::Write { record, expect_revision } => {
+                self.write(kv_key, record, *expect_revision).await
+            }
+            KvStep::Read | KvStep::Done(_) => self.read(kv_key).await,
+        };
+        outcome.unwrap_or_else(|err| {
+            log::warn!("calls: the claim cannot be read: {err}");
+            KvInput::Lost
+        })
+    }
+
+    async fn read(&self, kv_key: &str) -> Result<KvInput, RecordError> {
+        match self.platform.get(kv_key).await {
+            Ok(Some(entry)) => found(&entry),
+            Ok(None) => Ok(KvInput::Absent),
+            Err(_) => Ok(KvInput::Lost),
+        }
+    }
+
+    async fn write(
+        &self,
+        kv_key: &str,
+        record: &ClaimRecord,
+        expect_revision: u64,
+    ) -> Result<KvInput, RecordError> {
+        let value = record.encode()?;
+        let write = KvWrite { value, expect_revision: Some(expect_revision), lease_id: None };
+        match self.platform.put(kv_key, &write).await {
+            Ok(revision) => Ok(KvInput::Written { revision }),
+            Err(PlatformError::Conflict(current)) if current.revision == 0 => Ok(KvInput::Absent),
+            Err(PlatformError::Conflict(current)) => found(&current),
+            Err(_) => Ok(KvInput::Lost),
+        }
+    }
+}
+
+fn found(entry: &KvEntry) -> Result<KvInput, RecordError> {
+    let record = ClaimRecord::decode(&entry.value)?;
+    Ok(KvInput::Found { record, revision: entry.revision })
+}
+
+/// Age of a claim by this entry's wall clock.
+pub(crate) fn age_ms(created_unix_ms: u64) -> u64 {
+    Clock::unix_ms().saturating_sub(created_unix_ms)
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,8 @@
 //! Running entry.
 
 use crate::{
+    call_tasks::CallTasks,
+    claim_store::ClaimStore,
     config::Config,
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
@@ -9,6 +11,7 @@
     journals::Journals,
     peer_answers::PeerAnswers,
     peers::Peers,
+    retry_budgets::RetryBudgets,
     shared::Shared,
     upstreams::Upstreams,
     vm_list_actor::{VmListActor, VmListArguments},
@@ -34,10 +37,6 @@
 /// Time between two looks for journals whose time is over.
 const EXPIRE_INTERVAL_MS: u64 = 1_000;
 
-/// Time between the failure of readiness and the end of accepting connections, so that the load balancer learns of the
-/// shutdown before a caller does.
-const DRAIN_NOTICE_MS: u64 = 1_000;
-
 /// Running entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -48,6 +47,7 @@
     actors: Vec<ActorCell>,
     expiry: JoinHandle<()>,
     peer_node: Option<PeerNode>,
+    shutdown_wait_ms: u64,
 }
 
 impl Entry {
@@ -78,6 +78,7 @@
         let config_arguments =
             ConfigArguments { platform: platform.clone(), sender: config_sender };
         let (config_actor, _) = Actor::spawn(None, ConfigActor, config_arguments).await?;
+        let claims = ClaimStore::new(platform.clone());
         let vm_list_arguments = VmListArguments {
             platform,
             peers: Arc::clone(&peers),
@@ -93,6 +94,9 @@
             journals: Arc::clone(&journals),
             peers,
             upstreams,
+            claims,
+            calls: CallTasks::new(),
+            retries: RetryBudgets::default(),
             engines: EnginePool::default(),
             pins: Arc::default(),
             metrics,
@@ -106,7 +110,8 @@
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
         let actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
         let expiry = tokio::spawn(expire(journals));
-        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node })
+        let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
+        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, shutdown_wait_ms })
     }
 
     /// Address that callers connect to.
@@ -129,13 +134,14 @@
         self.shared.is_ready()
     }
 
-    /// Shuts down: readiness fails at once, connections are accepted for a second more, and requests in flight are
-    /// answered to their end. Peers can reach the journals until then.
+    /// Shuts down: readiness fails at once, the listener closes after the wait of the settings, and requests in flight
+    /// are answered to their end. Peers can reach the journals until then.
     pub async fn close(self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
-        tokio::time::sleep(Duration::from_millis(DRAIN_NOTICE_MS)).await;
+        tokio::time::sleep(Duration::from_millis(self.shutdown_wait_ms)).await;
         self.stop.send_replace(true);
         let _ = self.server.await;
+        self.shared.calls.finished().await;
         for actor in self.actors {
             actor.stop(None);
         }
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -3,8 +3,10 @@
 use crate::{
     api_error::ApiError,
     authenticate::authenticate,
+    call_request::{CallRequest, idempotency_key, request_id},
     job::Job,
     job_request::{chat_job, text_job},
+    keyed_call::{KeyedCall, RunError},
     models::models,
     output::Output,
     relay::{Relay, RelayError},
@@ -13,18 +15,29 @@
     stream,
 };
 use bytes::Bytes;
+use call::BodyDigest;
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
     body::Incoming,
-    header::{CONTENT_TYPE, HeaderValue},
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue},
 };
 use recovery::{CursorError, Journal};
-use std::sync::Arc;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use web::{Handler, Method, ReadBodyError, ResponseBody, StatusCode};
 
 /// Header with the cursor of a caller that reconnects.
 const LAST_EVENT_ID: &str = "last-event-id";
 
+/// Longest time for which a repeated call waits for a generation with the same key.
+const GENERATION_RUN_MS: u64 = 600_000;
+
+/// Longest wait for the body of a request.
+const BODY_WAIT_MS: u64 = 30_000;
+
 /// Handler of the server towards callers.
 #[derive(Debug)]
 pub(crate) struct CallerHandler {
@@ -33,13 +46,15 @@
 
 impl Handler for CallerHandler {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        match self.route(request).await {
-            Ok(response) => response,
-            Err(error) => {
-                metrics::counter!("caller_errors_total", "code" => error.code()).increment(1);
-                error.response()
-            }
+        let mut response = self.route(request).await.unwrap_or_else(|error| {
+            metrics::counter!("caller_errors_total", "code" => error.code()).increment(1);
+            error.response()
+        });
+        // Callers with open connections turn away before the listener closes.
+        if self.shared.is_draining.load(Ordering::Relaxed) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 }
 
@@ -76,7 +91,9 @@
         let config = self.shared.config();
         let account = authenticate(request.headers(), &config)?;
         let last_event_id = request.headers().get(LAST_EVENT_ID).cloned();
+        let key = idempotency_key(request.headers())?;
         let body = self.read_body(request).await?;
+        let digest = BodyDigest::of(&[path.as_bytes(), &body]);
         let job = if path == "/v1/completions" {
             text_job(&body, account, &config, &self.shared)?
         } else {
@@ -89,10 +106,35 @@
             return stream::resume(&self.shared, &job, id).await;
         }
         metrics::counter!("generations_total").increment(1);
-        if job.is_stream {
-            return Ok(stream::begin(&self.shared, job));
+        match (job.is_stream, key) {
+            (true, _) => Ok(stream::begin(&self.shared, job)),
+            (false, None) => self.whole(job).await,
+            (false, Some(key)) => {
+                let account = job.account.clone();
+                let call = KeyedCall { account, key, digest, run_ms: GENERATION_RUN_MS };
+                self.whole_once(job, call).await
+            }
         }
-        self.whole(job).await
+    }
+
+    /// Generates a whole answer at most once for its key. The task goes on if the caller disconnects, so that the answer
+    /// is kept for a repeated call.
+    async fn whole_once(
+        &self,
+        job: Job,
+        call: KeyedCall,
+    ) -> Result<Response<ResponseBody>, ApiError> {
+        let handler = Self { shared: Arc::clone(&self.shared) };
+        let task = self.shared.calls.spawn(async move {
+            let generate = || async {
+                let response = handler.whole(job).await.map_err(RunError::Unknown)?;
+                let (parts, body) = response.into_parts();
+                let Ok(body) = body.collect().await;
+                Ok(Response::from_parts(parts, body.to_bytes()))
+            };
+            call.run(&handler.shared, generate).await
+        });
+        task.await.map_err(|_| ApiError::UnknownOutcome)?
     }
 
     async fn whole(&self, job: Job) -> Result<Response<ResponseBody>, ApiError> {
@@ -114,19 +156,29 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
-        authenticate(request.headers(), &config)?;
+        let account = authenticate(request.headers(), &config)?.name.clone();
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
         let path = match request.uri().query() {
             Some(query) => format!("/{path}?{query}"),
             None => format!("/{path}"),
         };
+        let (service, rules) = service::plain_service(&self.shared, name)?;
+        let key = idempotency_key(request.headers())?;
+        let request_id = request_id(request.headers())?;
+        let headers = request.headers().clone();
         let body = self.read_body(request).await?;
-        service::forward(&self.shared, name, method, &path, body).await
+        let request =
+            CallRequest { account, service, method, path, headers, body, request_id, key };
+        let shared = Arc::clone(&self.shared);
+        let task = self.shared.calls.spawn(service::forward(shared, request, rules));
+        task.await.map_err(|_| ApiError::UnknownOutcome)?
     }
 
     async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, ApiError> {
         let limit_bytes = usize::try_from(self.shared.limits.body_bytes).unwrap_or(usize::MAX);
-        web::read_body(request.into_body(), limit_bytes).await.map_err(|err| match err {
+        let wait = Duration::from_millis(BODY_WAIT_MS);
+        let body = tokio::time::timeout(wait, web::read_body(request.into_body(), limit_bytes));
+        body.await.map_err(|_| ApiError::BodyTimeout(BODY_WAIT_MS))?.map_err(|err| match err {
             ReadBodyError::TooLarge(limit_bytes) => ApiError::TooLarge(limit_bytes),
             ReadBodyError::Transport(_) => ApiError::Body,
         })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,10 +7,14 @@
     future_incompatible
 )]
 
+mod abandoned_claim;
 mod accepted;
 mod api_error;
 mod authenticate;
+mod call_request;
+mod call_tasks;
 mod claim;
+mod claim_store;
 mod claimed;
 mod config;
 mod config_actor;
@@ -24,14 +28,17 @@
 mod job;
 mod job_request;
 mod journals;
+mod keyed_call;
 mod models;
 mod output;
+mod pass_headers;
 mod peer_answers;
 mod peers;
 mod pin_guard;
 mod pins;
 mod relay;
 mod render;
+mod retry_budgets;
 mod service;
 mod shared;
 mod stream;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,42 +1,166 @@
-//! Requests to plain services.
+//! Calls to plain services.
 
-use crate::{api_error::ApiError, shared::Shared};
+use crate::{
+    api_error::ApiError,
+    call_request::{CallRequest, REQUEST_ID},
+    keyed_call::{KeyedCall, RunError},
+    pass_headers::{is_leaving, request_headers, response_headers},
+    shared::Shared,
+};
 use base::ServiceName;
 use bytes::Bytes;
-use fleet::ServiceKind;
-use hyper::Response;
-use web::{Client, ClientError, Method, ResponseBody};
+use call::{Call, Lost, Repeat, RepeatRules, Unsent};
+use fleet::{CallRules, ServiceKind};
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    header::{HOST, HeaderValue},
+};
+use std::{net::SocketAddr, sync::Arc};
+use upstream::{ServiceConnection, ServiceError};
+use web::ResponseBody;
 
-/// Longest wait for the answer of a plain service.
-const ANSWER_WAIT_MS: u64 = 10_000;
+/// Longest wait for a connection. Inside the site a connection takes less than 1 ms.
+const CONNECT_WAIT_MS: u64 = 500;
 
-/// Sends a request to an upstream of a plain service and returns its answer.
+/// Other upstreams that a call may try.
+const RETRIES: u32 = 2;
+
+/// Rules of a plain service.
 ///
 /// # Errors
 ///
-/// `Service`; `NoUpstream` if nothing was sent; `UnknownOutcome` if the upstream may have run it.
-pub(crate) async fn forward(
+/// `Service` if there is no such plain service.
+pub(crate) fn plain_service(
     shared: &Shared,
     name: &str,
-    method: Method,
-    path: &str,
-    body: Bytes,
-) -> Result<Response<ResponseBody>, ApiError> {
+) -> Result<(ServiceName, CallRules), ApiError> {
     let unknown = || ApiError::Service(name.chars().take(100).collect::<String>().into());
-    let service = ServiceName::try_from(name).map_err(|_| unknown())?;
+    let name = ServiceName::try_from(name).map_err(|_| unknown())?;
     let config = shared.config();
-    let is_plain =
-        config.document.service(&service).is_some_and(|service| service.kind == ServiceKind::Plain);
-    if !is_plain {
-        return Err(unknown());
+    let service = config.document.service(&name).ok_or_else(unknown)?;
+    match service.kind {
+        ServiceKind::Plain => Ok((name, service.calls.clone())),
+        ServiceKind::Generation => Err(unknown()),
     }
-    let guard = shared.upstreams.choose(&service, &[]).ok_or(ApiError::NoUpstream)?;
-    let client = Client::new(guard.addr(), ANSWER_WAIT_MS);
-    let reply = client.send_bytes(method, path, body).await.map_err(|err| match err {
-        ClientError::Connect(_) => ApiError::NoUpstream,
-        _ => ApiError::UnknownOutcome,
-    })?;
-    let mut response = Response::new(web::full(reply.body));
-    *response.status_mut() = reply.status;
+}
+
+/// Sends a call to an upstream of a plain service and returns its answer.
+///
+/// # Errors
+///
+/// `NoUpstream` or `PlatformDown` if the call was not run and never will be; `UnknownOutcome` or `AnswerTimeout` if
+/// the upstream may have run it; `KeyReused` and `AnswerNotStored` for a repeated key.
+pub(crate) async fn forward(
+    shared: Arc<Shared>,
+    request: CallRequest,
+    rules: CallRules,
+) -> Result<Response<ResponseBody>, ApiError> {
+    let repeat_rules = RepeatRules {
+        idempotent: &rules.idempotent_methods,
+        at_most_once: &rules.at_most_once_methods,
+    };
+    let repeat = repeat_rules.decide(request.method.as_str(), request.key.is_some());
+    let answer = match request.key.clone() {
+        Some(key) => {
+            let account = request.account.clone();
+            let run_ms = rules.answer_wait_ms;
+            let call = KeyedCall { account, key, digest: request.digest(), run_ms };
+            call.run(&shared, || attempt(&shared, &request, repeat, &rules)).await
+        }
+        None => {
+            let outcome = attempt(&shared, &request, repeat, &rules).await;
+            outcome.map(|answer| answer.map(web::full)).map_err(ApiError::from)
+        }
+    };
+    let mut response = answer?;
+    response.headers_mut().insert(REQUEST_ID, request.request_id.clone());
     Ok(response)
 }
+
+/// Sends the call, and sends it again where that is safe.
+async fn attempt(
+    shared: &Shared,
+    request: &CallRequest,
+    repeat: Repeat,
+    rules: &CallRules,
+) -> Result<Response<Bytes>, RunError> {
+    shared.retries.deposit(&request.service);
+    let mut call = Call::new(repeat, RETRIES);
+    let mut failed_addrs: Vec<SocketAddr> = Vec::new();
+    loop {
+        let Some(guard) = shared.upstreams.choose(&request.service, &failed_addrs) else {
+            return Err(give_up(call));
+        };
+        let addr = guard.addr();
+        let opened = ServiceConnection::open(addr, CONNECT_WAIT_MS).await;
+        let http_request = build(request, addr).map_err(RunError::Unknown)?;
+        let connection = match opened {
+            Ok(connection) => connection,
+            Err(err) => {
+                log::info!("calls: {addr} cannot be reached: {err}");
+                failed_addrs.push(addr);
+                call = call.retry().map_err(give_up)?;
+                continue;
+            }
+        };
+        let sent = call.send();
+        match connection.send(http_request, rules.answer_wait_ms).await {
+            Ok(answer) => {
+                sent.answered();
+                if is_leaving(answer.headers()) {
+                    shared.upstreams.mark_leaving(addr);
+                }
+                return Ok(answer_for(request, answer));
+            }
+            Err(err) => {
+                log::warn!("calls: {addr} gave no answer: {err}");
+                failed_addrs.push(addr);
+                match sent.lost() {
+                    Lost::Retry(unsent) if shared.retries.withdraw(&request.service) => {
+                        call = unsent;
+                    }
+                    Lost::Retry(unsent) => return Err(give_up(unsent)),
+                    Lost::Unknown(_) => return Err(unknown(&err)),
+                }
+            }
+        }
+    }
+}
+
+fn give_up(call: Call<Unsent>) -> RunError {
+    match call.close() {
+        Ok(not_run) => RunError::NotRun(not_run),
+        Err(_unknown) => RunError::Unknown(ApiError::UnknownOutcome),
+    }
+}
+
+fn unknown(error: &ServiceError) -> RunError {
+    RunError::Unknown(match error {
+        ServiceError::Timeout(wait_ms) => ApiError::AnswerTimeout(*wait_ms),
+        _ => ApiError::UnknownOutcome,
+    })
+}
+
+fn build(request: &CallRequest, addr: SocketAddr) -> Result<Request<Full<Bytes>>, ApiError> {
+    let mut http_request = Request::builder()
+        .method(request.method.clone())
+        .uri(&request.path)
+        .body(Full::new(request.body.clone()))
+        .map_err(|_| ApiError::Route)?;
+    let headers = http_request.headers_mut();
+    *headers = request_headers(&request.headers);
+    let host = HeaderValue::try_from(addr.to_string()).map_err(|_| ApiError::Internal)?;
+    headers.insert(HOST, host);
+    headers.insert(REQUEST_ID, request.request_id.clone());
+    Ok(http_request)
+}
+
+fn answer_for(request: &CallRequest, answer: Response<Bytes>) -> Response<Bytes> {
+    let (mut parts, body) = answer.into_parts();
+    parts.headers = response_headers(&parts.headers, &request.method);
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = parts.headers;
+    response
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,9 @@
 //! State that all requests of an entry share.
 
-use crate::{config::Config, journals::Journals, peers::Peers, pins::Pins, upstreams::Upstreams};
+use crate::{
+    call_tasks::CallTasks, claim_store::ClaimStore, config::Config, journals::Journals,
+    peers::Peers, pins::Pins, retry_budgets::RetryBudgets, upstreams::Upstreams,
+};
 use base::{Clock, VmId};
 use conf::LimitSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -21,6 +24,9 @@
     pub journals: Arc<Journals>,
     pub peers: Arc<Peers>,
     pub upstreams: Arc<Upstreams>,
+    pub claims: ClaimStore,
+    pub calls: CallTasks,
+    pub retries: RetryBudgets,
     pub engines: EnginePool,
     pub pins: Arc<Pins>,
     pub metrics: Option<PrometheusHandle>,
--- a/crates/entry/tests/config_watch.rs
+++ b/crates/entry/tests/config_watch.rs
@@ -1,8 +1,8 @@
 //! Guards against a daemon that takes over a document without an accepted change, and against one that asks for a
 //! document that it ignored again and again.
 
-use base::{DomainName, KeyHash, OperatorName, PlanId, VmId};
-use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, Settings};
+use base::{KeyHash, OperatorName, PlanId};
+use conf::Settings;
 use entry::Entry;
 use fleet::{Document, Plan, PlanContext, PlannedIntent, parse_intent};
 use hyper::{Request, Response, body::Incoming};
@@ -74,19 +74,11 @@
     });
     let (_stop, stopped) = watch::channel(false);
     let _server = tokio::spawn(server.run(Arc::clone(&platform), stopped));
-    let settings = Settings {
-        admin: None,
-        entry: EntrySettings {
-            vm_id: VmId::try_from("entry-1").unwrap(),
-            domain: DomainName::try_from("lothian").unwrap(),
-            listen: any,
-            worker_threads: 1,
-        },
-        limits: LimitSettings::default(),
-        log: LogSettings::default(),
-        peer: None,
-        platform: PlatformSettings { addr, timeout_ms: 1_000, vm_list_interval_ms: 1_000 },
-    };
+    let text = format!(
+        "[entry]\nvm_id = \"entry-1\"\ndomain = \"lothian\"\nlisten = \"{any}\"\n\
+         [platform]\naddr = \"{addr}\"\n"
+    );
+    let settings = Settings::try_from(text.as_str()).unwrap();
     let entry = Entry::start(&settings, None).await.unwrap();
     let waits = tokio::time::timeout(Duration::from_secs(10), platform.waits.notified()).await;
     assert!(waits.is_ok(), "the daemon does not go on from the revision that it ignored");
--- a/crates/fleet/src/apply.rs
+++ b/crates/fleet/src/apply.rs
@@ -7,11 +7,8 @@
     intent::{AccountIntent, Intent, ServiceIntent},
     intent_error::IntentError,
     model::Model,
-    objectives::Objectives,
     operator::Operator,
-    order_behaviour::OrderBehaviour,
     plan_context::PlanContext,
-    queue_limits::QueueLimits,
     service::Service,
 };
 use base::{AccountName, KeyHash, ModelName, ServiceName, VersionName};
@@ -132,13 +129,8 @@
     if document.account(&wanted.name).is_some() {
         return Err(IntentError::Exists(format!("client account {}", wanted.name)));
     }
-    let mut account = Account {
-        name: wanted.name.clone(),
-        key_hashes: vec![key_hash.ok_or(IntentError::KeyMissing)?.clone()],
-        requests_per_s: DEFAULT_REQUESTS_PER_S,
-        tokens_per_s: None,
-        concurrent_generations: None,
-    };
+    let key_hash = key_hash.ok_or(IntentError::KeyMissing)?;
+    let mut account = Account::new(&wanted.name, key_hash.clone(), DEFAULT_REQUESTS_PER_S);
     set_limits(&mut account, wanted);
     document.accounts.push(account);
     Ok(())
@@ -155,14 +147,8 @@
     if document.service(&wanted.name).is_some() {
         return Err(IntentError::Exists(format!("service {}", wanted.name)));
     }
-    let mut service = Service {
-        name: wanted.name.clone(),
-        kind: wanted.kind.ok_or(IntentError::FieldMissing("kind"))?,
-        preset: wanted.preset.unwrap_or_default(),
-        objectives: Objectives::default(),
-        queue: QueueLimits::default(),
-        orders: OrderBehaviour::default(),
-    };
+    let kind = wanted.kind.ok_or(IntentError::FieldMissing("kind"))?;
+    let mut service = Service::new(&wanted.name, kind);
     set_fields(&mut service, wanted);
     document.services.push(service);
     Ok(())
@@ -208,14 +194,7 @@
     if document.model(name).is_some() {
         return Err(IntentError::Exists(format!("model {name}")));
     }
-    document.models.push(Model {
-        name: name.clone(),
-        service: service.clone(),
-        version: version.clone(),
-        older_versions: Vec::new(),
-        adapters: Vec::new(),
-        roles: Vec::new(),
-    });
+    document.models.push(Model::new(name, service, version));
     Ok(())
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod account;
 mod apply;
+mod call_rules;
 mod confirmed_plan;
 mod diff;
 mod diff_line;
@@ -33,6 +34,7 @@
 
 pub use crate::{
     account::Account,
+    call_rules::CallRules,
     confirmed_plan::{ConfirmedPlan, RECENT_PLANS},
     diff::{diff, join},
     diff_line::DiffLine,
--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -1,6 +1,9 @@
 //! Service that requests are routed to.
 
-use crate::{objectives::Objectives, order_behaviour::OrderBehaviour, queue_limits::QueueLimits};
+use crate::{
+    call_rules::CallRules, objectives::Objectives, order_behaviour::OrderBehaviour,
+    queue_limits::QueueLimits,
+};
 use base::ServiceName;
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +47,9 @@
     /// What its upstreams check before they follow an order.
     #[serde(default)]
     pub orders: OrderBehaviour,
+    /// Rules for its calls; plain services only.
+    #[serde(default)]
+    pub calls: CallRules,
 }
 
 impl Service {
@@ -56,6 +62,7 @@
             objectives: Objectives::default(),
             queue: QueueLimits::default(),
             orders: OrderBehaviour::default(),
+            calls: CallRules::default(),
         }
     }
 }
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -86,6 +86,7 @@
                 domain: DomainName::try_from(DOMAINS[0])?,
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
                 worker_threads: 4,
+                shutdown_wait_ms: 0,
             },
             limits: LimitSettings::default(),
             log: LogSettings::default(),
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -14,10 +14,12 @@
 mod platform;
 mod proxy;
 mod reply;
+mod service;
 
 pub use crate::{
     chain::{Chain, ChainError, chat_prompt},
     engine::{Engine, EngineFault, EngineSettings, FencingPolicy},
     platform::{Platform, PlatformCounts, PlatformFault, PlatformSettings, VmChange},
     proxy::{Direction, Proxy, ProxyFault, ProxySettings},
+    service::{FaultKind, Run, RunReport, Service, ServiceFault, ServiceOptions, ServiceSettings},
 };
