Learn silence timeouts, pace recovery and fuzz the generation state machine

Cause: the silence timeout assumed one gap for every model, recovery attempts were not limited, and the state machine was tested through processes only. Fixed: when the second attempt was lost while the suspect stayed silent, no deadline was left and the generation waited for ever. Engines that refuse at once no longer use up all attempts within milliseconds; the pause between attempts grows. Ruled out: learning from the silence before a recovery, since failures would then lengthen the timeout; ending an attempt because of the VM list alone, since the list lags and tokens that arrive are better evidence.

--- a/crates/recovery/src/attempt.rs
+++ b/crates/recovery/src/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempt at an engine.
 
+use crate::vm_sign::VmSign;
+
 /// Number of an attempt within its generation, from 1.
 pub type AttemptId = u32;
 
@@ -8,6 +10,8 @@
 pub(crate) struct Attempt {
     pub id: AttemptId,
     pub last_event_ms: u64,
+    pub is_sent: bool,
     pub has_token: bool,
     pub is_suspected: bool,
+    pub sign: Option<VmSign>,
 }
--- a/crates/recovery/src/fail_cause.rs
+++ b/crates/recovery/src/fail_cause.rs
@@ -14,5 +14,9 @@
         Attempts {
             display("too many attempts failed without a new token")
         }
+        /// The rate limit of recovery attempts did not admit an attempt in time.
+        Paced {
+            display("no recovery attempt was admitted in time")
+        }
     }
 }
--- a/crates/recovery/src/generation.rs
+++ b/crates/recovery/src/generation.rs
@@ -8,7 +8,10 @@
     journal::Journal,
     loss_cause::LossCause,
     policy::Policy,
+    sample::Sample,
     stats::Stats,
+    timing::Timing,
+    vm_sign::VmSign,
 };
 
 /// One generation: its journal and its attempts.
@@ -25,6 +28,7 @@
     retry_at_ms: Option<u64>,
     no_upstream_since_ms: Option<u64>,
     is_done: bool,
+    sample: Option<Sample>,
     stats: Stats,
 }
 
@@ -40,6 +44,7 @@
             retry_at_ms: None,
             no_upstream_since_ms: None,
             is_done: false,
+            sample: None,
             stats: Stats::default(),
         }
     }
@@ -54,6 +59,11 @@
         self.stats
     }
 
+    /// Takes the time that the last accepted token showed, if there is a new one.
+    pub fn take_sample(&mut self) -> Option<Sample> {
+        self.sample.take()
+    }
+
     /// Whether the generation has finished or failed.
     pub fn is_done(&self) -> bool {
         self.is_done
@@ -64,14 +74,8 @@
         self.start_attempt(now_ms, actions);
     }
 
-    /// Takes an input and appends the actions that it leads to. `usual_gap_ms` is the usual time between tokens.
-    pub fn on(
-        &mut self,
-        input: Input<'_>,
-        now_ms: u64,
-        usual_gap_ms: f64,
-        actions: &mut Vec<Action>,
-    ) {
+    /// Takes an input and appends the actions that it leads to. `timing` holds the usual times of the model.
+    pub fn on(&mut self, input: Input<'_>, now_ms: u64, timing: Timing, actions: &mut Vec<Action>) {
         if self.is_done {
             if matches!(input, Input::Token { .. }) {
                 self.stats.dropped_tokens += 1;
@@ -87,12 +91,14 @@
             }
             Input::Lost { attempt, cause } => self.on_lost(attempt, cause, now_ms, actions),
             Input::NoUpstream { attempt } => self.on_no_upstream(attempt, now_ms, actions),
-            Input::Tick => self.on_tick(now_ms, usual_gap_ms, actions),
+            Input::Sent { attempt } => self.on_sent(attempt, now_ms),
+            Input::Listed { attempt, sign } => self.on_listed(attempt, sign),
+            Input::Tick => self.on_tick(now_ms, timing, actions),
         }
     }
 
     /// The time of the next `Tick` that matters.
-    pub fn deadline_ms(&self, usual_gap_ms: f64) -> Option<u64> {
+    pub fn deadline_ms(&self, timing: Timing) -> Option<u64> {
         if self.is_done {
             return None;
         }
@@ -100,15 +106,21 @@
             .attempts
             .iter()
             .filter(|attempt| !attempt.is_suspected)
-            .map(|attempt| self.silent_at_ms(attempt, usual_gap_ms));
+            .map(|attempt| self.silent_at_ms(attempt, timing));
         silence.chain(self.retry_at_ms).min()
     }
 
-    fn silent_at_ms(&self, attempt: &Attempt, usual_gap_ms: f64) -> u64 {
-        let wait_ms = if attempt.has_token {
-            self.policy.silence_ms(usual_gap_ms)
+    fn silent_at_ms(&self, attempt: &Attempt, timing: Timing) -> u64 {
+        let wait_ms = if !attempt.is_sent {
+            self.policy.no_upstream_limit_ms
         } else {
-            self.policy.first_token_wait_ms
+            let usual_ms = if attempt.has_token {
+                self.policy.silence_ms(timing)
+            } else {
+                self.policy.first_token_ms(timing)
+            };
+            let signed_ms = self.policy.signed_wait_ms(usual_ms, attempt.sign, timing);
+            self.policy.backed_off_ms(signed_ms, self.fruitless_attempts)
         };
         attempt.last_event_ms.saturating_add(wait_ms)
     }
@@ -129,9 +141,14 @@
         self.attempts.push(Attempt {
             id: self.last_attempt,
             last_event_ms: now_ms,
+            is_sent: false,
             has_token: false,
             is_suspected: false,
+            sign: None,
         });
+        if self.attempts.len() > 1 {
+            self.stats.hedges += 1;
+        }
         let is_recovery = self.last_attempt > 1 || !self.journal.is_empty();
         actions.push(Action::Start { attempt: self.last_attempt, is_recovery });
     }
@@ -157,7 +174,13 @@
             return;
         }
         let attempt = &mut self.attempts[position];
+        let waited_ms = now_ms.saturating_sub(attempt.last_event_ms);
+        self.sample = Some(match attempt.has_token {
+            true => Sample::Gap(waited_ms),
+            false => Sample::FirstToken(waited_ms),
+        });
         attempt.last_event_ms = now_ms;
+        attempt.is_sent = true;
         attempt.has_token = true;
         attempt.is_suspected = false;
         self.journal.push(token_id, text);
@@ -199,8 +222,27 @@
         let Some(position) = self.position(id) else { return };
         self.attempts.remove(position);
         self.stats.losses += 1;
-        if self.attempts.is_empty() && self.retry_at_ms.is_none() {
-            self.start_attempt(now_ms, actions);
+        let has_unsuspected = self.attempts.iter().any(|attempt| !attempt.is_suspected);
+        if has_unsuspected || self.retry_at_ms.is_some() {
+            return;
+        }
+        match self.policy.pause_ms(self.fruitless_attempts) {
+            0 => self.start_attempt(now_ms, actions),
+            pause_ms => self.retry_at_ms = Some(now_ms.saturating_add(pause_ms)),
+        }
+    }
+
+    fn on_sent(&mut self, id: AttemptId, now_ms: u64) {
+        if let Some(position) = self.position(id) {
+            let attempt = &mut self.attempts[position];
+            attempt.is_sent = true;
+            attempt.last_event_ms = now_ms;
+        }
+    }
+
+    fn on_listed(&mut self, id: AttemptId, sign: Option<VmSign>) {
+        if let Some(position) = self.position(id) {
+            self.attempts[position].sign = sign;
         }
     }
 
@@ -212,14 +254,15 @@
         self.stats.attempts = self.stats.attempts.saturating_sub(1);
         let since_ms = *self.no_upstream_since_ms.get_or_insert(now_ms);
         let waited_ms = now_ms.saturating_sub(since_ms);
-        if self.attempts.is_empty() && waited_ms >= self.policy.no_upstream_limit_ms {
+        let has_unsuspected = self.attempts.iter().any(|attempt| !attempt.is_suspected);
+        if !has_unsuspected && waited_ms >= self.policy.no_upstream_limit_ms {
             self.fail(FailCause::NoUpstream, actions);
             return;
         }
         self.retry_at_ms = Some(now_ms.saturating_add(self.policy.no_upstream_pause_ms));
     }
 
-    fn on_tick(&mut self, now_ms: u64, usual_gap_ms: f64, actions: &mut Vec<Action>) {
+    fn on_tick(&mut self, now_ms: u64, timing: Timing, actions: &mut Vec<Action>) {
         if self.retry_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
             self.start_attempt(now_ms, actions);
             return;
@@ -227,8 +270,12 @@
         let overdue = self
             .attempts
             .iter()
-            .position(|a| !a.is_suspected && now_ms >= self.silent_at_ms(a, usual_gap_ms));
+            .position(|a| !a.is_suspected && now_ms >= self.silent_at_ms(a, timing));
         let Some(position) = overdue else { return };
+        if !self.attempts[position].is_sent {
+            self.on_not_admitted(position, actions);
+            return;
+        }
         self.stats.suspicions += 1;
         let has_other = self.attempts.len() > 1 || self.retry_at_ms.is_some();
         let keeps_suspect = self.policy.keeps_suspect && !has_other;
@@ -245,6 +292,13 @@
         }
     }
 
+    /// Gives up the generation, because its only attempt that is not suspected was not admitted in time.
+    fn on_not_admitted(&mut self, position: usize, actions: &mut Vec<Action>) {
+        let waiting = self.attempts.remove(position);
+        actions.push(Action::Cancel { attempt: waiting.id });
+        self.fail(FailCause::Paced, actions);
+    }
+
     fn cancel_others(&mut self, id: AttemptId, actions: &mut Vec<Action>) {
         if self.attempts.len() == 1 {
             return;
--- a/crates/recovery/src/input.rs
+++ b/crates/recovery/src/input.rs
@@ -1,6 +1,6 @@
 //! Inputs of the state machine of a generation.
 
-use crate::{attempt::AttemptId, loss_cause::LossCause};
+use crate::{attempt::AttemptId, loss_cause::LossCause, vm_sign::VmSign};
 
 /// Something that happened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,6 +35,18 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// The request of an attempt was sent; until then it waits for admission.
+    Sent {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The list of VMs says something about the engine of an attempt.
+    Listed {
+        /// The attempt.
+        attempt: AttemptId,
+        /// What it says; none if the engine is listed as live.
+        sign: Option<VmSign>,
+    },
     /// Time passed.
     Tick,
 }
--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -1,5 +1,16 @@
 //! Recovery policy.
 
+use crate::{restart_mode::RestartMode, timing::Timing, vm_sign::VmSign};
+
+/// Shortest silence that is suspicious of an engine that is not listed any more.
+const REMOVED_FLOOR_MS: u64 = 100;
+
+/// Doublings of the silence timeout at most, one for each attempt without a new token.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Doublings of the pause between attempts at most.
+const MAX_PAUSE_DOUBLINGS: u32 = 4;
+
 /// When a second attempt starts and when a generation is given up.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
@@ -7,15 +18,23 @@
     pub silence_floor_ms: u64,
     /// Silence is suspicious after this many times the usual gap.
     pub silence_factor: f64,
-    /// Longest usual wait for the first token of an attempt.
+    /// Silence is always suspicious after this time, unless attempts before brought no token.
+    pub silence_cap_ms: u64,
+    /// Wait for the first token of an attempt below which it is never suspicious.
+    pub first_token_floor_ms: u64,
+    /// Wait for the first token is suspicious after this many times the usual one.
+    pub first_token_factor: f64,
+    /// Longest wait for the first token of an attempt; also the wait until the usual one is known.
     pub first_token_wait_ms: u64,
     /// Whether a suspected attempt goes on beside the second one.
     pub keeps_suspect: bool,
+    /// Where new attempts start.
+    pub restart: RestartMode,
     /// Consecutive attempts without a new token before the generation fails.
     pub max_fruitless_attempts: u32,
-    /// Pause before the next try when no engine was available.
+    /// Pause before the next try when no engine was available; doubled for each attempt that failed at once.
     pub no_upstream_pause_ms: u64,
-    /// Time without any engine after which the generation fails.
+    /// Time without any engine, or without admission, after which the generation fails.
     pub no_upstream_limit_ms: u64,
 }
 
@@ -24,9 +43,13 @@
     pub const LATENCY: Self = Self {
         silence_floor_ms: 400,
         silence_factor: 8.0,
+        silence_cap_ms: 1_200,
+        first_token_floor_ms: 600,
+        first_token_factor: 2.0,
         first_token_wait_ms: 2_500,
         keeps_suspect: true,
-        max_fruitless_attempts: 8,
+        restart: RestartMode::Continue,
+        max_fruitless_attempts: 12,
         no_upstream_pause_ms: 50,
         no_upstream_limit_ms: 10_000,
     };
@@ -35,16 +58,74 @@
     pub const ECONOMY: Self = Self {
         silence_floor_ms: 1_200,
         silence_factor: 24.0,
+        silence_cap_ms: 2_500,
+        first_token_floor_ms: 1_500,
+        first_token_factor: 4.0,
         first_token_wait_ms: 8_000,
         keeps_suspect: false,
-        max_fruitless_attempts: 8,
-        no_upstream_pause_ms: 200,
+        restart: RestartMode::Continue,
+        max_fruitless_attempts: 12,
+        no_upstream_pause_ms: 100,
         no_upstream_limit_ms: 10_000,
     };
 
-    /// Silence after which an attempt is suspected, for a usual gap in milliseconds.
-    pub fn silence_ms(&self, usual_gap_ms: f64) -> u64 {
-        let scaled_ms = usual_gap_ms * self.silence_factor;
-        self.silence_floor_ms.max(scaled_ms as u64)
+    /// Baseline: resume after a fixed timeout, whatever the usual times are.
+    pub const FIXED_TIMEOUT: Self = Self {
+        silence_floor_ms: 2_000,
+        silence_factor: 0.0,
+        silence_cap_ms: 2_000,
+        first_token_floor_ms: 2_000,
+        first_token_factor: 0.0,
+        first_token_wait_ms: 2_000,
+        ..Self::ECONOMY
+    };
+
+    /// Baseline: restart from nothing.
+    pub const RESTART: Self = Self {
+        // The tokens that are decoded again precede the first one, so its wait says nothing.
+        first_token_floor_ms: 60_000,
+        first_token_wait_ms: 60_000,
+        restart: RestartMode::Repeat,
+        ..Self::FIXED_TIMEOUT
+    };
+
+    /// Silence after which an attempt that brought tokens is suspected.
+    pub fn silence_ms(&self, timing: Timing) -> u64 {
+        let scaled_ms = (timing.gap_ms * self.silence_factor) as u64;
+        scaled_ms.min(self.silence_cap_ms).max(self.silence_floor_ms)
+    }
+
+    /// Wait for the first token after which an attempt is suspected.
+    pub fn first_token_ms(&self, timing: Timing) -> u64 {
+        let Some(usual_ms) = timing.first_token_ms else { return self.first_token_wait_ms };
+        let scaled_ms = (usual_ms * self.first_token_factor) as u64;
+        scaled_ms.min(self.first_token_wait_ms).max(self.first_token_floor_ms)
+    }
+
+    /// Wait that is left of `wait_ms` if the list of VMs gives a sign.
+    pub(crate) fn signed_wait_ms(&self, wait_ms: u64, sign: Option<VmSign>, timing: Timing) -> u64 {
+        match sign {
+            None => wait_ms,
+            Some(VmSign::Leaving) => wait_ms / 2,
+            Some(VmSign::Removed) => {
+                let short_ms = REMOVED_FLOOR_MS.max((2.0 * timing.gap_ms) as u64);
+                wait_ms.min(short_ms)
+            }
+        }
+    }
+
+    /// Wait after some attempts without a new token. It grows, so that engines that all became slow are not cancelled
+    /// again and again before their next token.
+    pub(crate) fn backed_off_ms(&self, wait_ms: u64, fruitless_attempts: u32) -> u64 {
+        let doublings = fruitless_attempts.saturating_sub(2).min(MAX_DOUBLINGS);
+        wait_ms << doublings
+    }
+
+    /// Pause before the next attempt after some that failed. The first recovery starts at once.
+    pub(crate) fn pause_ms(&self, fruitless_attempts: u32) -> u64 {
+        match fruitless_attempts {
+            0 | 1 => 0,
+            count => self.no_upstream_pause_ms << (count - 2).min(MAX_PAUSE_DOUBLINGS),
+        }
     }
 }
--- a/crates/recovery/src/stats.rs
+++ b/crates/recovery/src/stats.rs
@@ -9,6 +9,8 @@
     pub losses: u32,
     /// Attempts that were suspected of silence.
     pub suspicions: u32,
-    /// Tokens that arrived and were not accepted.
+    /// Second attempts that ran beside a suspected one.
+    pub hedges: u32,
+    /// Tokens that arrived and were not accepted: extra decoded tokens.
     pub dropped_tokens: u32,
 }
--- /dev/null
+++ b/crates/recovery/src/timing.rs
@@ -0,0 +1,17 @@
+//! Usual times of a model.
+
+/// Usual times of a model, as its timing tracker learned them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// 99th percentile of the gap between two tokens of an attempt.
+    pub gap_ms: f64,
+    /// 99th percentile of the wait for the first token of an attempt; none until it is known.
+    pub first_token_ms: Option<f64>,
+}
+
+impl Default for Timing {
+    /// Times that are assumed until enough were observed.
+    fn default() -> Self {
+        Self { gap_ms: 41.0, first_token_ms: None }
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/timing_tracker.rs
@@ -0,0 +1,54 @@
+//! Learns the usual times of a model.
+
+use crate::{histogram::Histogram, timing::Timing};
+
+/// Samples before an observed percentile replaces the assumed time.
+const MIN_SAMPLES: u32 = 200;
+
+/// Samples between two computations of the percentiles.
+const REFRESH_SAMPLES: u32 = 64;
+
+/// Usual times of one model, shared by all generations of an entry.
+///
+/// Only times between tokens of one attempt are observed. The silence before a recovery is not a gap, so failures do
+/// not teach the tracker longer waits.
+#[derive(Clone, Debug, Default)]
+pub struct TimingTracker {
+    gaps: Histogram,
+    first_tokens: Histogram,
+    unread_samples: u32,
+    timing: Timing,
+}
+
+impl TimingTracker {
+    /// Adds the gap between two tokens of an attempt.
+    pub fn observe_gap(&mut self, gap_ms: u64) {
+        self.gaps.add(gap_ms);
+        self.refresh();
+    }
+
+    /// Adds the wait for the first token of an attempt.
+    pub fn observe_first_token(&mut self, wait_ms: u64) {
+        self.first_tokens.add(wait_ms);
+        self.refresh();
+    }
+
+    /// Usual times as far as they are known.
+    pub fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    fn refresh(&mut self) {
+        self.unread_samples += 1;
+        if self.unread_samples < REFRESH_SAMPLES {
+            return;
+        }
+        self.unread_samples = 0;
+        if self.gaps.total() >= MIN_SAMPLES {
+            self.timing.gap_ms = self.gaps.p99_ms();
+        }
+        if self.first_tokens.total() >= MIN_SAMPLES {
+            self.timing.first_token_ms = Some(self.first_tokens.p99_ms());
+        }
+    }
+}
--- /dev/null
+++ b/crates/recovery/tests/fuzz/step.rs
@@ -0,0 +1,51 @@
+//! Random steps.
+
+use quickcheck::{Arbitrary, Gen};
+use recovery::{LossCause, VmSign};
+
+const CAUSES: [LossCause; 6] = [
+    LossCause::Closed,
+    LossCause::Connect,
+    LossCause::Malformed,
+    LossCause::Refused,
+    LossCause::Reset,
+    LossCause::Silent,
+];
+
+const SIGNS: [Option<VmSign>; 3] = [None, Some(VmSign::Leaving), Some(VmSign::Removed)];
+
+/// Something that happens to a generation. `pick` chooses one of all attempts so far, also of those that are over,
+/// counted from the newest.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    Token { pick: u8, nonce: u16 },
+    Repeat { pick: u8, nonce: u16 },
+    Gap { pick: u8, nonce: u16 },
+    Finish { pick: u8, extra_tokens: u8 },
+    Lost { pick: u8, cause: LossCause },
+    NoUpstream { pick: u8 },
+    Sent { pick: u8 },
+    Listed { pick: u8, sign: Option<VmSign> },
+    Wait { wait_ms: u16 },
+    Silence,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        // Most picks are among the newest attempts, which are the live ones.
+        let pick = [0, 0, 0, 1, 1, 2, 3][usize::arbitrary(g) % 7];
+        let nonce = u16::arbitrary(g);
+        match u8::arbitrary(g) % 40 {
+            0..=14 => Self::Token { pick, nonce },
+            15..=16 => Self::Repeat { pick, nonce },
+            17..=18 => Self::Gap { pick, nonce },
+            19 => Self::Finish { pick, extra_tokens: u8::arbitrary(g) % 2 },
+            20..=23 => Self::Lost { pick, cause: CAUSES[usize::arbitrary(g) % CAUSES.len()] },
+            24 => Self::NoUpstream { pick },
+            25..=29 => Self::Sent { pick },
+            30..=31 => Self::Listed { pick, sign: SIGNS[usize::arbitrary(g) % SIGNS.len()] },
+            32..=34 => Self::Wait { wait_ms: u16::arbitrary(g) % 600 },
+            _ => Self::Silence,
+        }
+    }
+}
--- /dev/null
+++ b/crates/recovery/tests/timing.rs
@@ -0,0 +1,32 @@
+//! Guards against silence timeouts that do not follow the model's usual gap.
+
+use recovery::{Policy, Timing, TimingTracker};
+
+#[test]
+fn the_usual_gap_is_assumed_until_enough_was_observed() {
+    let mut tracker = TimingTracker::default();
+    (0..100).for_each(|_| tracker.observe_gap(500));
+    assert_eq!(tracker.timing(), Timing::default());
+}
+
+#[test]
+fn the_p99_gap_is_learned_within_the_error_of_a_bucket() {
+    let mut tracker = TimingTracker::default();
+    (0..6_400).for_each(|number| tracker.observe_gap(if number % 50 == 0 { 300 } else { 40 }));
+    let gap_ms = tracker.timing().gap_ms;
+    assert!((300.0..330.0).contains(&gap_ms), "{gap_ms}");
+}
+
+#[test]
+fn a_faster_model_replaces_old_gaps() {
+    let mut tracker = TimingTracker::default();
+    (0..20_000).for_each(|_| tracker.observe_gap(400));
+    (0..200_000).for_each(|_| tracker.observe_gap(40));
+    assert!(tracker.timing().gap_ms < 50.0);
+}
+
+#[test]
+fn the_silence_timeout_stays_between_floor_and_cap() {
+    let silence_ms = |gap_ms| Policy::LATENCY.silence_ms(Timing { gap_ms, first_token_ms: None });
+    assert_eq!([silence_ms(10.0), silence_ms(100.0), silence_ms(9_000.0)], [400, 800, 1_200]);
+}
