Use learned timeouts, pacing and signs of the VM list in the entry

Cause: the relay assumed a gap of 41 ms, a hedged attempt could go to the suspected engine again, and nothing limited the recovery attempts of a service. The relay now learns gaps and first-token waits for each model, waits for admission before each recovery attempt, avoids engines that failed any generation in the last second, and counts tokens that had arrived on a cancelled attempt. Ruled out: observing gaps behind a slow caller (they are the caller's); ending an attempt on the VM list alone. Tests with processes: killed, frozen and woken (both presets), both engines of a hedge killed, silent and removed from the list, leaving. The stand-in answers GET /state with decoded tokens, prefills and active requests.

--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -17,6 +17,8 @@
     pub token_gap_ms: u64,
     /// Recovery preset.
     pub preset: Preset,
+    /// Lines of the section `[recovery]` of the daemons' settings.
+    pub recovery: String,
     /// Seed of the engines' sampling.
     pub seed: u64,
 }
@@ -29,6 +31,7 @@
             engines_per_domain: 2,
             token_gap_ms: 41,
             preset: Preset::Latency,
+            recovery: String::new(),
             seed: 1,
         }
     }
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -5,6 +5,7 @@
     cluster::{layout::Layout, process::Process},
 };
 use base::{DomainName, ServiceName, VmId};
+use stand::EngineState;
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -17,6 +18,9 @@
 /// Longest wait for an entry to become ready.
 const READY_WAIT_MS: u64 = 10_000;
 
+/// Longest wait for the state of an engine.
+const ENGINE_WAIT_MS: u64 = 2_000;
+
 /// Longest wait for an answer of the platform stand-in.
 const PLATFORM_WAIT_MS: u64 = 2_000;
 
@@ -25,6 +29,7 @@
 struct EngineNode {
     vm: Vm,
     seed: u64,
+    is_listed: bool,
     process: Option<Process>,
 }
 
@@ -121,6 +126,51 @@
         Ok(())
     }
 
+    /// Stops an engine without notice.
+    pub fn freeze_engine(&self, position: usize) {
+        if let Some(process) = self.engine(position) {
+            process.freeze();
+        }
+    }
+
+    /// Lets a frozen engine go on.
+    pub fn thaw_engine(&self, position: usize) {
+        if let Some(process) = self.engine(position) {
+            process.thaw();
+        }
+    }
+
+    /// Takes an engine off the list of VMs.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer.
+    pub async fn remove_engine(&mut self, position: usize) -> Result<(), BenchError> {
+        self.engines[position].is_listed = false;
+        self.publish_vms().await
+    }
+
+    /// Lists an engine as leaving.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer.
+    pub async fn leave_engine(&mut self, position: usize) -> Result<(), BenchError> {
+        self.engines[position].vm.state = VmState::Leaving;
+        self.publish_vms().await
+    }
+
+    /// What an engine has done and does.
+    ///
+    /// # Errors
+    ///
+    /// The engine did not answer.
+    pub async fn engine_state(&self, position: usize) -> Result<EngineState, BenchError> {
+        let client = Client::new(self.engines[position].vm.addr, ENGINE_WAIT_MS);
+        let reply = client.send(Method::GET, "/state").await?;
+        Ok(reply.json()?)
+    }
+
     /// Kills an entry.
     pub fn kill_entry(&mut self, position: usize) {
         self.entries[position].process = None;
@@ -153,7 +203,8 @@
     ///
     /// The platform did not answer.
     pub async fn publish_vms(&self) -> Result<(), BenchError> {
-        let engines = self.engines.iter().map(|engine| engine.vm.clone());
+        let listed = self.engines.iter().filter(|engine| engine.is_listed);
+        let engines = listed.map(|engine| engine.vm.clone());
         let entries = self.entries.iter().map(|entry| entry.vm.clone());
         let list = VmList { vms: engines.chain(entries).collect() };
         let client = Client::new(self.platform_addr()?, PLATFORM_WAIT_MS);
@@ -182,7 +233,7 @@
             peer_addr: None,
             state: VmState::Live,
         };
-        self.engines.push(EngineNode { vm, seed, process: Some(process) });
+        self.engines.push(EngineNode { vm, seed, is_listed: true, process: Some(process) });
         Ok(())
     }
 
@@ -190,11 +241,12 @@
         let id = VmId::try_from(format!("entry-{domain}-{number}"))?;
         let settings = self._files.path().join(format!("{id}.toml"));
         let platform = self.platform_addr()?;
+        let recovery = self.layout.recovery.clone();
         let text = |listen: SocketAddr| {
             format!(
                 "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
-                 [log]\nlevel = \"error\"\n"
+                 [recovery]\n{recovery}\n[log]\nlevel = \"error\"\n"
             )
         };
         std::fs::write(&settings, text(SocketAddr::from(([127, 0, 0, 1], 0))))?;
--- /dev/null
+++ b/crates/bench/tests/engine_failures.rs
@@ -0,0 +1,145 @@
+//! Guards against answers that break when an engine fails, for each kind of failure of an engine process.
+//!
+//! Every answer is checked with the token chain. Each wait is for a state of a process and is bounded.
+
+use bench::{
+    caller::{Answer, Caller, Question},
+    cluster::{Cluster, Layout},
+};
+use fleet::Preset;
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use tokio::task::JoinHandle;
+use web::{Client, Method};
+
+/// Prompt of all questions.
+const PROMPT: &str = "a peal plan";
+
+/// Tries, 20 ms apart, until a state that has to come is given up.
+const MAX_TRIES: usize = 1_500;
+
+/// Tokens that an attempt has decoded when it counts as running.
+const RUNNING_TOKENS: u64 = 10;
+
+/// The experiment program, which cargo builds next to the tests.
+fn program() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.parent().unwrap().parent().unwrap().join("examples/experiment")
+}
+
+async fn start(engines: usize, preset: Preset) -> Cluster {
+    let layout = Layout {
+        domains: vec!["lothian".to_owned()],
+        engines_per_domain: engines,
+        token_gap_ms: 20,
+        preset,
+        ..Layout::default()
+    };
+    Cluster::start(&program(), layout).await.unwrap()
+}
+
+fn ask(cluster: &Cluster, max_tokens: u32) -> JoinHandle<Answer> {
+    let addr: SocketAddr = cluster.entry_addrs()[0];
+    let question =
+        Question { model: Layout::MODEL.to_owned(), prompt: PROMPT.to_owned(), max_tokens };
+    tokio::spawn(async move { Caller::new(Layout::KEY).ask(addr, &question).await })
+}
+
+/// Checks the answer and returns the number of its tokens.
+async fn check_whole(asking: JoinHandle<Answer>) -> u64 {
+    let answer = asking.await.unwrap();
+    assert!(answer.is_whole(Layout::MODEL, "", PROMPT), "{answer:?}");
+    answer.usage_tokens.map(u64::from).unwrap()
+}
+
+async fn pause() {
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+/// Waits until an engine other than those in `except` has decoded tokens of a request in flight.
+async fn serving(cluster: &Cluster, except: &[usize]) -> usize {
+    for _ in 0..MAX_TRIES {
+        for position in (0..cluster.engine_count()).filter(|position| !except.contains(position)) {
+            let state = cluster.engine_state(position).await.unwrap();
+            if !state.active.is_empty() && state.decoded_tokens >= RUNNING_TOKENS {
+                return position;
+            }
+        }
+        pause().await;
+    }
+    panic!("no engine serves the request");
+}
+
+/// Waits until the entry has started a second attempt beside a suspected one.
+async fn hedged(cluster: &Cluster) {
+    let client = Client::new(cluster.entry_addrs()[0], 2_000);
+    for _ in 0..MAX_TRIES {
+        let reply = client.send(Method::GET, "/metrics").await.unwrap();
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        let hedges = text.lines().find_map(|line| line.strip_prefix("generation_hedges_total "));
+        if hedges.is_some_and(|count| count.trim() != "0") {
+            return;
+        }
+        pause().await;
+    }
+    panic!("no hedged attempt started");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_after_its_engine_was_killed() {
+    let mut cluster = start(2, Preset::Economy).await;
+    let asking = ask(&cluster, 150);
+    let victim = serving(&cluster, &[]).await;
+    cluster.kill_engine(victim);
+    check_whole(asking).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_after_its_engine_was_frozen_and_woken() {
+    for preset in [Preset::Latency, Preset::Economy] {
+        let cluster = start(2, preset).await;
+        let asking = ask(&cluster, 250);
+        let victim = serving(&cluster, &[]).await;
+        cluster.freeze_engine(victim);
+        let successor = serving(&cluster, &[victim]).await;
+        // The woken engine goes on with its old attempt while the new one runs.
+        cluster.thaw_engine(victim);
+        assert_ne!(victim, successor);
+        check_whole(asking).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_after_both_engines_of_a_hedge_were_killed() {
+    let mut cluster = start(2, Preset::Latency).await;
+    let asking = ask(&cluster, 150);
+    serving(&cluster, &[]).await;
+    // Both engines are silent, so that neither attempt can win before they are killed.
+    (0..2).for_each(|position| cluster.freeze_engine(position));
+    hedged(&cluster).await;
+    for position in 0..2 {
+        cluster.kill_engine(position);
+        cluster.restart_engine(position).unwrap();
+    }
+    check_whole(asking).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_after_its_silent_engine_was_taken_off_the_list() {
+    let mut cluster = start(2, Preset::Economy).await;
+    let asking = ask(&cluster, 150);
+    let victim = serving(&cluster, &[]).await;
+    cluster.freeze_engine(victim);
+    cluster.remove_engine(victim).await.unwrap();
+    check_whole(asking).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_finishes_its_answer_and_no_other_engine_repeats_its_work() {
+    let mut cluster = start(2, Preset::Latency).await;
+    let asking = ask(&cluster, 150);
+    let leaver = serving(&cluster, &[]).await;
+    cluster.leave_engine(leaver).await.unwrap();
+    let tokens = check_whole(asking).await;
+    assert_eq!(cluster.engine_state(leaver).await.unwrap().decoded_tokens, tokens);
+    assert_eq!(cluster.engine_state(1 - leaver).await.unwrap().prefills, 0);
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -6,12 +6,13 @@
     log_settings::LogSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
+    recovery_settings::RecoverySettings,
     section::Source,
 };
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[entry], [limits], [log], [platform]";
+const SECTIONS: &str = "[entry], [limits], [log], [platform], [recovery]";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,6 +25,8 @@
     pub log: LogSettings,
     /// Access to the platform.
     pub platform: PlatformSettings,
+    /// Recovery of generations.
+    pub recovery: RecoverySettings,
 }
 
 impl TryFrom<&str> for Settings {
@@ -52,6 +55,7 @@
         let limits = LimitSettings::read(&mut root, &mut source);
         let log = LogSettings::read(&mut root, &mut source);
         let platform = PlatformSettings::read(&mut root, &mut source);
+        let recovery = RecoverySettings::read(&mut root, &mut source);
         for (key, value) in &root {
             let line = source.line(value.span().start);
             source.problems.push(Problem {
@@ -64,7 +68,7 @@
         source.problems.sort_by_key(|problem| problem.line);
         match (entry, platform) {
             (Some(entry), Some(platform)) if source.problems.is_empty() => {
-                Ok(Self { entry, limits, log, platform })
+                Ok(Self { entry, limits, log, platform, recovery })
             }
             _ => Err(Problems(source.problems)),
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,7 @@
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
     handler::CallerHandler,
+    recovery_state::RecoveryState,
     shared::Shared,
     upstreams::Upstreams,
     vm_list_actor::{VmListActor, VmListArguments},
@@ -59,13 +60,15 @@
             interval_ms: settings.platform.vm_list_interval_ms,
         };
         let (vm_list_actor, _) = Actor::spawn(None, VmListActor, vm_list_arguments).await?;
+        let clock = Clock::start();
         let shared = Arc::new(Shared {
             vm_id: settings.entry.vm_id.clone(),
-            clock: Clock::start(),
+            clock,
             limits: settings.limits,
             config,
             upstreams,
             engines: EnginePool::default(),
+            recovery: RecoveryState::new(settings.recovery, clock),
             metrics,
             is_draining: AtomicBool::new(false),
             process_nonce: rand::random(),
--- /dev/null
+++ b/crates/entry/src/recovery_state.rs
@@ -0,0 +1,99 @@
+//! What the generations of an entry share for their recovery.
+
+use crate::service_pacer::ServicePacer;
+use base::{Clock, HashMap, ServiceName};
+use conf::{RecoveryPolicy, RecoverySettings};
+use fleet::Preset;
+use recovery::{Pace, Policy, TimingTracker};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// Time for which other generations avoid an engine that failed one.
+const SUSPECT_MS: u64 = 1_000;
+
+/// What the generations of an entry share for their recovery.
+#[derive(Debug)]
+pub(crate) struct RecoveryState {
+    clock: Clock,
+    settings: RecoverySettings,
+    trackers: Mutex<HashMap<String, Arc<Mutex<TimingTracker>>>>,
+    pacers: Mutex<HashMap<ServiceName, Arc<ServicePacer>>>,
+    suspects: Mutex<HashMap<SocketAddr, u64>>,
+}
+
+impl RecoveryState {
+    pub fn new(settings: RecoverySettings, clock: Clock) -> Self {
+        Self {
+            clock,
+            settings,
+            trackers: Mutex::default(),
+            pacers: Mutex::default(),
+            suspects: Mutex::default(),
+        }
+    }
+
+    /// Policy for generations of a service with `preset`.
+    pub fn policy(&self, preset: Preset) -> Policy {
+        let mut policy = match (self.settings.policy, preset) {
+            (RecoveryPolicy::FixedTimeout, _) => Policy::FIXED_TIMEOUT,
+            (RecoveryPolicy::Restart, _) => Policy::RESTART,
+            (RecoveryPolicy::Preset, Preset::Economy) => Policy::ECONOMY,
+            (RecoveryPolicy::Preset, Preset::Latency) => Policy::LATENCY,
+        };
+        if self.settings.silence_floor_ms > 0 {
+            policy.silence_floor_ms = self.settings.silence_floor_ms;
+        }
+        if self.settings.silence_factor > 0 {
+            policy.silence_factor = self.settings.silence_factor as f64;
+        }
+        policy
+    }
+
+    /// Usual times of a model.
+    pub fn tracker(&self, model: &str) -> Arc<Mutex<TimingTracker>> {
+        let mut trackers = lock(&self.trackers);
+        if let Some(tracker) = trackers.get(model) {
+            return Arc::clone(tracker);
+        }
+        let tracker = Arc::<Mutex<TimingTracker>>::default();
+        trackers.insert(model.to_owned(), Arc::clone(&tracker));
+        tracker
+    }
+
+    /// Admission of the recovery attempts of a service.
+    pub fn pacer(&self, service: &ServiceName) -> Arc<ServicePacer> {
+        let mut pacers = lock(&self.pacers);
+        if let Some(pacer) = pacers.get(service) {
+            return Arc::clone(pacer);
+        }
+        let pace = Pace {
+            attempts_per_s: self.settings.attempts_per_s as u32,
+            burst: self.settings.burst as u32,
+            max_concurrent: self.settings.max_concurrent as u32,
+        };
+        let pacer = Arc::new(ServicePacer::new(pace, self.clock));
+        pacers.insert(service.clone(), Arc::clone(&pacer));
+        pacer
+    }
+
+    /// Lets new attempts avoid an engine for a while.
+    pub fn suspect(&self, addr: SocketAddr) {
+        let until_ms = self.clock.now_ms() + SUSPECT_MS;
+        lock(&self.suspects).insert(addr, until_ms);
+    }
+
+    /// Adds the engines that new attempts should avoid to `addrs`.
+    pub fn add_suspects(&self, addrs: &mut Vec<SocketAddr>) {
+        let now_ms = self.clock.now_ms();
+        let mut suspects = lock(&self.suspects);
+        suspects.retain(|_, &mut until_ms| until_ms > now_ms);
+        addrs.extend(suspects.keys());
+    }
+}
+
+/// Locks shared state; a panic of another task does not leave it half changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,32 +4,37 @@
     api_error::ApiError,
     job::Job,
     output::{CallerGone, Output},
+    recovery_state::lock,
     render,
+    running::{Progress, Running, admission, first_event, next_event},
+    service_pacer::Permit,
     shared::Shared,
-    upstream_guard::UpstreamGuard,
 };
-use fleet::Preset;
-use futures::{FutureExt, future::BoxFuture};
-use recovery::{Action, AttemptId, FailCause, Generation, Input, Journal, LossCause, Policy};
-use std::{future::poll_fn, net::SocketAddr, sync::Arc, task::Poll};
+use futures::FutureExt;
+use recovery::{
+    Action, AttemptId, FailCause, Generation, Input, Journal, LossCause, Policy, Sample, Stats,
+    Timing, TimingTracker,
+};
+use std::{
+    future::poll_fn,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    task::Poll,
+};
+use tokio::{sync::watch, time::Instant};
 use upstream::{EngineError, EngineStream};
 use wire::{
     engine::{EngineEvent, FinishReason},
     openai::Usage,
 };
 
-/// Gap between tokens that is assumed for a model.
-const USUAL_GAP_MS: f64 = 41.0;
+/// Longest write to the caller after which gaps are still observed. Behind a slow caller, tokens are read late and
+/// their gaps are the caller's.
+const QUICK_WRITE_MS: u64 = 5;
 
-/// Future that yields the next event of an attempt, with the stream to go on with.
-type NextEvent = BoxFuture<'static, Result<(EngineStream, EngineEvent), EngineError>>;
-
-/// Attempt that is running.
-struct Running {
-    id: AttemptId,
-    guard: UpstreamGuard,
-    next: NextEvent,
-}
+/// What the priority of recovery attempts is raised by. A lower number runs first at an engine, so recovery yields to
+/// short requests.
+const RECOVERY_PRIORITY: i32 = 10;
 
 /// How a generation ended.
 #[derive(Debug)]
@@ -62,6 +67,12 @@
     running: Vec<Running>,
     actions: Vec<Action>,
     failed_addrs: Vec<SocketAddr>,
+    policy: Policy,
+    tracker: Arc<Mutex<TimingTracker>>,
+    vm_changes: watch::Receiver<()>,
+    last_release_ms: u64,
+    is_interrupted: bool,
+    is_caller_slow: bool,
     output: Output,
     finish: Option<(FinishReason, Usage)>,
     failure: Option<FailCause>,
@@ -69,10 +80,9 @@
 
 impl Relay {
     pub fn new(shared: Arc<Shared>, job: Job, output: Output) -> Self {
-        let policy = match job.preset {
-            Preset::Economy => Policy::ECONOMY,
-            Preset::Latency => Policy::LATENCY,
-        };
+        let policy = shared.recovery.policy(job.preset);
+        let tracker = shared.recovery.tracker(&job.request.model);
+        let vm_changes = shared.upstreams.changes();
         Self {
             shared,
             job,
@@ -80,6 +90,12 @@
             running: Vec::new(),
             actions: Vec::new(),
             failed_addrs: Vec::new(),
+            policy,
+            tracker,
+            vm_changes,
+            last_release_ms: 0,
+            is_interrupted: false,
+            is_caller_slow: false,
             output,
             finish: None,
             failure: None,
@@ -95,8 +111,7 @@
         let outcome = self.drive().await;
         let stats = self.generation.stats();
         metrics::counter!("generation_attempts_total").increment(u64::from(stats.attempts));
-        metrics::counter!("generation_losses_total").increment(u64::from(stats.losses));
-        metrics::counter!("generation_dropped_tokens_total")
+        metrics::counter!("generation_extra_tokens_total")
             .increment(u64::from(stats.dropped_tokens));
         if let Err(RelayError::Failed(cause)) = outcome {
             log::warn!(
@@ -117,7 +132,7 @@
         self.generation.start(self.shared.clock.now_ms(), &mut self.actions);
         loop {
             self.perform();
-            self.output.flush().await?;
+            self.flush().await?;
             if let Some(cause) = self.failure {
                 return Err(RelayError::Failed(cause));
             }
@@ -130,13 +145,19 @@
         }
     }
 
+    async fn flush(&mut self) -> Result<(), CallerGone> {
+        let start_ms = self.shared.clock.now_ms();
+        self.output.flush().await?;
+        self.is_caller_slow = self.shared.clock.now_ms() - start_ms > QUICK_WRITE_MS;
+        Ok(())
+    }
+
     /// Waits for the next event of an attempt or for the next deadline.
     async fn wait(&mut self) -> Result<(), RelayError> {
-        let deadline_ms = self.generation.deadline_ms(USUAL_GAP_MS).unwrap_or(u64::MAX / 2);
+        let deadline_ms = self.generation.deadline_ms(self.timing()).unwrap_or(u64::MAX / 2);
         let clock = self.shared.clock;
-        let deadline = tokio::time::Instant::from_std(
-            clock.instant_at(deadline_ms.min(clock.now_ms() + 60_000)),
-        );
+        let deadline =
+            Instant::from_std(clock.instant_at(deadline_ms.min(clock.now_ms() + 60_000)));
         let running = &mut self.running;
         let event = poll_fn(|cx| {
             for (position, attempt) in running.iter_mut().enumerate() {
@@ -150,33 +171,47 @@
             biased;
             (position, outcome) = event => self.on_event(position, outcome),
             () = tokio::time::sleep_until(deadline) => self.input(Input::Tick),
+            Ok(()) = self.vm_changes.changed() => self.on_vm_change(),
             () = self.output.gone() => return Err(RelayError::CallerGone),
         }
         Ok(())
     }
 
-    fn on_event(
-        &mut self,
-        position: usize,
-        outcome: Result<(EngineStream, EngineEvent), EngineError>,
-    ) {
+    fn on_event(&mut self, position: usize, outcome: Result<Progress, EngineError>) {
         let id = self.running[position].id;
         match outcome {
-            Ok((stream, event)) => self.on_engine_event(position, stream, event),
+            Ok(Progress::Admitted(permit)) => self.on_admitted(position, permit),
+            Ok(Progress::Event(stream, event)) => self.on_engine_event(position, stream, event),
             Err(err) => {
                 let lost = self.running.swap_remove(position);
                 let cause = loss_cause(&err);
-                log::info!(
-                    "recovery: {} lost attempt {id} at {}: {err}",
-                    self.job.generation_id,
-                    lost.guard.addr()
-                );
-                self.failed_addrs.push(lost.guard.addr());
+                if let Some(addr) = lost.addr() {
+                    log::info!(
+                        "recovery: {} lost attempt {id} at {addr}: {err}",
+                        self.job.generation_id
+                    );
+                    self.avoid(addr);
+                }
                 self.input(Input::Lost { attempt: id, cause });
             }
         }
     }
 
+    fn on_vm_change(&mut self) {
+        let upstreams = Arc::clone(&self.shared.upstreams);
+        let listed: Vec<(AttemptId, SocketAddr)> =
+            self.running.iter().filter_map(|running| Some((running.id, running.addr()?))).collect();
+        for (attempt, addr) in listed {
+            self.input(Input::Listed { attempt, sign: upstreams.sign(addr) });
+        }
+    }
+
+    /// Lets this generation, and for a while all others, avoid an engine.
+    fn avoid(&mut self, addr: SocketAddr) {
+        self.failed_addrs.push(addr);
+        self.shared.recovery.suspect(addr);
+    }
+
     fn on_engine_event(&mut self, position: usize, mut stream: EngineStream, event: EngineEvent) {
         let id = self.running[position].id;
         let mut event = event;
@@ -215,7 +250,52 @@
 
     fn input(&mut self, input: Input<'_>) {
         let now_ms = self.shared.clock.now_ms();
-        self.generation.on(input, now_ms, USUAL_GAP_MS, &mut self.actions);
+        let before = self.generation.stats();
+        self.generation.on(input, now_ms, self.timing(), &mut self.actions);
+        self.observe_sample();
+        let stats = self.generation.stats();
+        if stats != before {
+            self.observe_stats(input, before, stats);
+        }
+    }
+
+    fn timing(&self) -> Timing {
+        lock(&self.tracker).timing()
+    }
+
+    fn observe_sample(&mut self) {
+        let Some(sample) = self.generation.take_sample() else { return };
+        if self.is_caller_slow {
+            return;
+        }
+        let mut tracker = lock(&self.tracker);
+        match sample {
+            Sample::Gap(gap_ms) => tracker.observe_gap(gap_ms),
+            Sample::FirstToken(wait_ms) => tracker.observe_first_token(wait_ms),
+        }
+    }
+
+    fn observe_stats(&mut self, input: Input<'_>, before: Stats, stats: Stats) {
+        let cause = match input {
+            Input::Lost { cause, .. } => cause,
+            Input::Tick => LossCause::Silent,
+            _ => LossCause::Malformed,
+        };
+        let losses = u64::from(stats.losses - before.losses);
+        if losses > 0 {
+            metrics::counter!("generation_losses_total", "cause" => cause.as_str())
+                .increment(losses);
+        }
+        if stats.suspicions > before.suspicions {
+            log::info!("recovery: {} is silent", self.job.generation_id);
+            let addrs: Vec<SocketAddr> = self.running.iter().filter_map(Running::addr).collect();
+            addrs.into_iter().for_each(|addr| self.avoid(addr));
+        }
+        metrics::counter!("generation_suspicions_total")
+            .increment(u64::from(stats.suspicions - before.suspicions));
+        metrics::counter!("generation_hedges_total")
+            .increment(u64::from(stats.hedges - before.hedges));
+        self.is_interrupted |= losses > 0 || stats.suspicions > before.suspicions;
     }
 
     fn perform(&mut self) {
@@ -229,8 +309,8 @@
     fn perform_one(&mut self, action: Action) {
         match action {
             Action::Start { attempt, is_recovery } => self.start(attempt, is_recovery),
-            Action::Cancel { attempt } => self.running.retain(|running| running.id != attempt),
-            Action::Release { index } => self.output.token(index, self.generation.journal()),
+            Action::Cancel { attempt } => self.cancel(attempt),
+            Action::Release { index } => self.release(index),
             Action::Finish => {
                 if let Some((reason, usage)) = self.finish {
                     let count = self.generation.journal().len();
@@ -241,40 +321,84 @@
         }
     }
 
+    fn release(&mut self, index: u32) {
+        self.output.token(index, self.generation.journal());
+        let now_ms = self.shared.clock.now_ms();
+        if self.is_interrupted {
+            self.is_interrupted = false;
+            let resume_ms = now_ms - self.last_release_ms;
+            metrics::histogram!("generation_resume_ms").record(resume_ms as f64);
+            log::info!(
+                "recovery: {} resumed at token {index} after {resume_ms} ms",
+                self.job.generation_id
+            );
+        }
+        self.last_release_ms = now_ms;
+        for running in &mut self.running {
+            running.permit = None;
+        }
+    }
+
+    /// Closes the connection of an attempt and counts the tokens that had arrived on it.
+    fn cancel(&mut self, id: AttemptId) {
+        let Some(position) = self.running.iter().position(|running| running.id == id) else {
+            return;
+        };
+        let cancelled = self.running.swap_remove(position);
+        let Some(Ok(Progress::Event(mut stream, event))) = cancelled.next.now_or_never() else {
+            return;
+        };
+        let mut next = Some(event);
+        while let Some(event) = next {
+            if let EngineEvent::Token { index, token_id, text } = event {
+                self.input(Input::Token { attempt: id, index, token_id, text: &text });
+            }
+            next = stream.buffered().ok().flatten();
+        }
+    }
+
     fn start(&mut self, attempt: AttemptId, is_recovery: bool) {
-        let chosen = self.shared.upstreams.choose(&self.job.service, &self.failed_addrs);
-        let Some(guard) = chosen else {
+        let next = admission(self.shared.recovery.pacer(&self.job.service));
+        self.running.push(Running { id: attempt, guard: None, permit: None, next });
+        if !is_recovery {
+            self.send(self.running.len() - 1, false);
+        }
+    }
+
+    fn on_admitted(&mut self, position: usize, permit: Permit) {
+        self.running[position].permit = Some(permit);
+        self.send(position, true);
+    }
+
+    /// Chooses an engine for an attempt and sends the request.
+    fn send(&mut self, position: usize, is_recovery: bool) {
+        let attempt = self.running[position].id;
+        let mut avoid = self.failed_addrs.clone();
+        avoid.extend(self.running.iter().filter_map(Running::addr));
+        self.shared.recovery.add_suspects(&mut avoid);
+        let Some(guard) = self.shared.upstreams.choose(&self.job.service, &avoid) else {
+            self.running.swap_remove(position);
             self.input(Input::NoUpstream { attempt });
             return;
         };
+        let addr = guard.addr();
+        let mut request = self.job.request.clone();
+        request.request_id = format!("{}/{attempt}", self.job.generation_id);
+        request.continue_token_ids = self.generation.journal().token_ids().to_vec();
         if is_recovery {
+            request.priority = request.priority.saturating_add(RECOVERY_PRIORITY);
             log::info!(
-                "recovery: {} starts attempt {attempt} at {} after {} tokens",
+                "recovery: {} starts attempt {attempt} at {addr} after {} tokens",
                 self.job.generation_id,
-                guard.addr(),
                 self.generation.journal().len()
             );
         }
-        let mut request = self.job.request.clone();
-        request.request_id = format!("{}/{attempt}", self.job.generation_id);
-        request.continue_token_ids = self.generation.journal().token_ids().to_vec();
         let engines = self.shared.engines.clone();
-        let addr = guard.addr();
-        let next = async move {
-            let mut stream = engines.open(addr, &request).await?;
-            let event = stream.next().await?;
-            Ok((stream, event))
-        };
-        self.running.push(Running { id: attempt, guard, next: next.boxed() });
-    }
-}
-
-fn next_event(mut stream: EngineStream) -> NextEvent {
-    async move {
-        let event = stream.next().await?;
-        Ok((stream, event))
+        let running = &mut self.running[position];
+        running.guard = Some(guard);
+        running.next = first_event(engines, addr, request, self.policy.restart);
+        self.input(Input::Sent { attempt });
     }
-    .boxed()
 }
 
 fn loss_cause(error: &EngineError) -> LossCause {
--- /dev/null
+++ b/crates/entry/src/service_pacer.rs
@@ -0,0 +1,99 @@
+//! Admission of the recovery attempts of one service.
+
+use base::{Clock, HashMap};
+use recovery::{Pace, Pacer, Ticket};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{sync::oneshot, time::Instant};
+
+/// Pause before the bucket is looked at again by an attempt that waits for others to end.
+const RECHECK_MS: u64 = 100;
+
+#[derive(Debug)]
+struct Inner {
+    pacer: Pacer,
+    senders: HashMap<Ticket, oneshot::Sender<()>>,
+}
+
+/// Admission of the recovery attempts of one service.
+#[derive(Debug)]
+pub(crate) struct ServicePacer {
+    clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+impl ServicePacer {
+    pub fn new(pace: Pace, clock: Clock) -> Self {
+        let inner = Inner { pacer: Pacer::new(pace), senders: HashMap::default() };
+        Self { clock, inner: Mutex::new(inner) }
+    }
+
+    /// Waits until an attempt may start. A dropped wait gives its place up.
+    pub async fn admit(self: Arc<Self>) -> Permit {
+        let (sender, mut admitted) = oneshot::channel();
+        let ticket = {
+            let mut inner = self.lock();
+            let ticket = inner.pacer.request();
+            inner.senders.insert(ticket, sender);
+            ticket
+        };
+        let permit = Permit { pacer: Arc::clone(&self), ticket };
+        loop {
+            let wait_ms = self.pump(ticket);
+            let recheck = Instant::now() + Duration::from_millis(wait_ms);
+            tokio::select! {
+                biased;
+                _ = &mut admitted => return permit,
+                () = tokio::time::sleep_until(recheck) => {}
+            }
+        }
+    }
+
+    /// Admits what the bounds allow and returns the time until `ticket` can pass at the earliest.
+    fn pump(&self, ticket: Ticket) -> u64 {
+        let mut inner = self.lock();
+        let now_ms = self.clock.now_ms();
+        inner.admit(now_ms);
+        match inner.pacer.earliest_ms(ticket, now_ms) {
+            Some(earliest_ms) if earliest_ms > now_ms => earliest_ms - now_ms,
+            _ => RECHECK_MS,
+        }
+    }
+
+    fn release(&self, ticket: Ticket) {
+        let mut inner = self.lock();
+        inner.pacer.release(ticket);
+        inner.senders.remove(&ticket);
+        inner.admit(self.clock.now_ms());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn admit(&mut self, now_ms: u64) {
+        while let Some(ticket) = self.pacer.admit(now_ms) {
+            if let Some(sender) = self.senders.remove(&ticket) {
+                // A receiver that has gone releases its ticket itself.
+                let _ = sender.send(());
+            }
+        }
+    }
+}
+
+/// Admission of one attempt, given back on drop, because an attempt also ends when its task is cancelled.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    pacer: Arc<ServicePacer>,
+    ticket: Ticket,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.pacer.release(self.ticket);
+    }
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that all requests of an entry share.
 
-use crate::{config::Config, upstreams::Upstreams};
+use crate::{config::Config, recovery_state::RecoveryState, upstreams::Upstreams};
 use base::{Clock, VmId};
 use conf::LimitSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -20,6 +20,7 @@
     pub config: watch::Receiver<Arc<Config>>,
     pub upstreams: Arc<Upstreams>,
     pub engines: EnginePool,
+    pub recovery: RecoveryState,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
     pub process_nonce: u64,
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -3,6 +3,7 @@
 use crate::upstream_guard::UpstreamGuard;
 use base::{DomainName, HashMap, ServiceName, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
+use recovery::VmSign;
 use route::Candidate;
 use std::{
     net::SocketAddr,
@@ -11,6 +12,7 @@
         atomic::{AtomicU32, Ordering},
     },
 };
+use tokio::sync::watch;
 use wire::platform::{Vm, VmRole, VmState};
 
 /// Upstream as this entry knows it.
@@ -31,18 +33,20 @@
 pub(crate) struct Upstreams {
     domain: DomainName,
     inner: Mutex<Inner>,
+    changes: watch::Sender<()>,
 }
 
 impl Upstreams {
     pub fn new(domain: &DomainName, seed: u64) -> Self {
         let inner = Inner { upstreams: HashMap::default(), rng: SmallRng::seed_from_u64(seed) };
-        Self { domain: domain.clone(), inner: Mutex::new(inner) }
+        Self { domain: domain.clone(), inner: Mutex::new(inner), changes: watch::Sender::new(()) }
     }
 
     /// Takes over a new list of VMs; counts of upstreams that stay are kept.
     pub fn update(&self, vms: Vec<Vm>) {
         let mut inner = self.lock();
         let mut upstreams = HashMap::default();
+        let before = inner.upstreams.clone();
         for vm in vms.into_iter().filter(|vm| vm.role != VmRole::Entry) {
             let in_flight = match inner.upstreams.remove(&vm.id) {
                 Some(known) => known.in_flight,
@@ -50,7 +54,28 @@
             };
             upstreams.insert(vm.id.clone(), Upstream { vm, in_flight });
         }
+        let is_same = before.len() == upstreams.len()
+            && upstreams.iter().all(|(id, new)| before.get(id).is_some_and(|old| old.vm == new.vm));
         inner.upstreams = upstreams;
+        drop(inner);
+        if !is_same {
+            self.changes.send_replace(());
+        }
+    }
+
+    /// Tells of each change of the list.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// What the list says about the engine at `addr`; none if it is live.
+    pub fn sign(&self, addr: SocketAddr) -> Option<VmSign> {
+        let inner = self.lock();
+        match inner.upstreams.values().find(|upstream| upstream.vm.addr == addr) {
+            Some(upstream) if upstream.vm.state == VmState::Live => None,
+            Some(_) => Some(VmSign::Leaving),
+            None => Some(VmSign::Removed),
+        }
     }
 
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
--- a/crates/stand/src/engine/completion.rs
+++ b/crates/stand/src/engine/completion.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     chain::{Chain, chat_prompt},
-    engine::settings::EngineSettings,
+    engine::{
+        settings::EngineSettings,
+        work::{ActiveRequest, Work},
+    },
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -11,7 +14,7 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time::MissedTickBehavior};
 use web::{ChannelBody, ResponseBody};
 use wire::{
@@ -29,12 +32,14 @@
     settings: &EngineSettings,
     request: EngineRequest,
     seed: u64,
+    work: &Arc<Work>,
 ) -> Response<ResponseBody> {
     let (sender, body) = ChannelBody::new(PENDING_EVENTS);
     let token_gap_ms = settings.token_gap_ms;
+    let active = work.begin(&request.request_id);
     tokio::spawn(async move {
         // A failed send means that the reader has gone, which cancels the request.
-        let _ = generate(&request, token_gap_ms, seed, &sender).await;
+        let _ = generate(&request, token_gap_ms, seed, &active, &sender).await;
     });
     let mut response = Response::new(body.boxed_unsync());
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -45,6 +50,7 @@
     request: &EngineRequest,
     token_gap_ms: u64,
     seed: u64,
+    active: &ActiveRequest,
     sender: &mpsc::Sender<Bytes>,
 ) -> Result<(), mpsc::error::SendError<Bytes>> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -66,6 +72,7 @@
         let nonce: u16 = rng.random();
         let token_id = chain.token(nonce);
         chain.advance(token_id);
+        active.count_token();
         let text = Chain::text(token_id);
         let event = RawEngineEvent {
             request_id: request.request_id.as_str().into(),
--- a/crates/stand/src/engine/mod.rs
+++ b/crates/stand/src/engine/mod.rs
@@ -3,5 +3,7 @@
 mod completion;
 mod server;
 mod settings;
+mod state;
+mod work;
 
-pub use self::{server::Engine, settings::EngineSettings};
+pub use self::{server::Engine, settings::EngineSettings, state::EngineState};
--- a/crates/stand/src/engine/server.rs
+++ b/crates/stand/src/engine/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server of the engine stand-in.
 
-use crate::engine::{completion, settings::EngineSettings};
+use crate::engine::{completion, settings::EngineSettings, work::Work};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
@@ -18,6 +18,7 @@
 struct EngineHandler {
     settings: EngineSettings,
     rng: Mutex<SmallRng>,
+    work: Arc<Work>,
 }
 
 /// Running engine stand-in.
@@ -38,7 +39,7 @@
         let server = Server::bind(settings.listen).await?;
         let addr = server.local_addr()?;
         let rng = Mutex::new(SmallRng::seed_from_u64(settings.seed));
-        let handler = Arc::new(EngineHandler { settings, rng });
+        let handler = Arc::new(EngineHandler { settings, rng, work: Arc::default() });
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(server.run(handler, stopped));
         Ok(Self { addr, task, _stop: stop })
@@ -58,6 +59,9 @@
 
 impl Handler for EngineHandler {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        if request.method() == Method::GET && request.uri().path() == "/state" {
+            return web::json(StatusCode::OK, &self.work.state());
+        }
         if request.method() != Method::POST || request.uri().path() != "/v1/completions" {
             return status(StatusCode::NOT_FOUND);
         }
@@ -68,7 +72,7 @@
             return status(StatusCode::BAD_REQUEST);
         };
         let seed = self.rng.lock().unwrap_or_else(PoisonError::into_inner).random();
-        completion::respond(&self.settings, request, seed)
+        completion::respond(&self.settings, request, seed, &self.work)
     }
 }
 
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use crate::{
     chain::{Chain, ChainError, chat_prompt},
-    engine::{Engine, EngineSettings},
+    engine::{Engine, EngineSettings, EngineState},
     platform::{Platform, PlatformSettings},
 };
