Add a storm of kills and freezes to engine-deaths, and the frontier experiment

Cause: engine-deaths killed engines only and took the longest gap of a caller for the resume latency. Kinds of failure alternate, engines are chosen from the seed, and the latency counts from the failure to the next token of each stream that the engine was answering. extra_tokens_pct compares decoded with delivered tokens. Ruled out: retries after refused connections as the cause (logs show a first attempt at a frozen engine).

--- a/crates/bench/examples/experiment.rs
+++ b/crates/bench/examples/experiment.rs
@@ -6,6 +6,7 @@
     experiment::{self, EXPERIMENTS, ExperimentOptions},
     role::{self, RoleOptions},
 };
+use fleet::Preset;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
 
@@ -39,6 +40,18 @@
     /// length of the load in seconds
     #[argh(option, default = "20")]
     seconds: u64,
+    /// recovery preset: latency or economy
+    #[argh(option, default = "Preset::Latency", from_str_fn(preset))]
+    preset: Preset,
+    /// recovery policy: preset, fixed-timeout or restart
+    #[argh(option, default = "String::from(\"preset\")", from_str_fn(policy))]
+    policy: String,
+    /// generations after which the load ends early; 0 for no bound
+    #[argh(option, default = "0")]
+    generations: u64,
+    /// failures after which no other follows; 0 for no bound
+    #[argh(option, default = "0")]
+    failures: u64,
     /// print the JSON line only
     #[argh(switch)]
     json: bool,
@@ -80,9 +93,32 @@
     }
 }
 
+fn preset(text: &str) -> Result<Preset, String> {
+    match text {
+        "economy" => Ok(Preset::Economy),
+        "latency" => Ok(Preset::Latency),
+        _ => Err("the presets are latency and economy".to_owned()),
+    }
+}
+
+fn policy(text: &str) -> Result<String, String> {
+    match text {
+        "preset" | "fixed-timeout" | "restart" => Ok(text.to_owned()),
+        _ => Err("the policies are preset, fixed-timeout and restart".to_owned()),
+    }
+}
+
 fn start(run: &RunOptions) -> Result<(), BenchError> {
     let program = std::env::current_exe()?;
-    let options = ExperimentOptions { seed: run.seed, duration_s: run.seconds, is_json: run.json };
+    let options = ExperimentOptions {
+        seed: run.seed,
+        duration_s: run.seconds,
+        is_json: run.json,
+        preset: run.preset,
+        policy: run.policy.clone(),
+        generations: run.generations,
+        failures: run.failures,
+    };
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(experiment::run(&run.name, &program, &options))
 }
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -46,6 +46,10 @@
             source(cause)
             from()
         }
+        /// A plot could not be written.
+        Plot(cause: String) {
+            display("the plot cannot be written: {cause}")
+        }
         /// There is no such experiment.
         UnknownExperiment(name: String) {
             display("there is no experiment {name:?}; see --list")
--- a/crates/bench/src/caller/answer.rs
+++ b/crates/bench/src/caller/answer.rs
@@ -1,6 +1,7 @@
 //! What a caller received.
 
 use stand::Chain;
+use std::time::Instant;
 
 /// How a stream ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -28,6 +29,8 @@
     pub longest_gap_ms: u64,
     /// Time to the first token.
     pub first_token_ms: Option<u64>,
+    /// When each token arrived.
+    pub token_times: Vec<Instant>,
     /// Number of completion tokens in the usage.
     pub usage_tokens: Option<u32>,
     /// How the last connection ended.
@@ -35,6 +38,11 @@
 }
 
 impl Answer {
+    /// Identifier of the generation, which the event ids begin with.
+    pub fn generation_id(&self) -> Option<&str> {
+        self.last_event_id.as_deref()?.split('/').next()
+    }
+
     /// Whether the answer is whole and unmixed: it ended, its chain holds from the start, and the count of tokens
     /// agrees with the usage.
     pub fn is_whole(&self, model: &str, adapter: &str, prompt: &str) -> bool {
--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -49,6 +49,7 @@
             last_event_id: None,
             longest_gap_ms: 0,
             first_token_ms: None,
+            token_times: Vec::new(),
             usage_tokens: None,
             end: AnswerEnd::Cut,
         };
@@ -141,6 +142,7 @@
         answer.text.push_str(text);
         let gap_ms = last_token.elapsed().as_millis() as u64;
         *last_token = Instant::now();
+        answer.token_times.push(*last_token);
         match answer.first_token_ms {
             Some(_) => answer.longest_gap_ms = answer.longest_gap_ms.max(gap_ms),
             None => answer.first_token_ms = Some(gap_ms),
--- /dev/null
+++ b/crates/bench/src/experiment/frontier/mod.rs
@@ -0,0 +1,55 @@
+//! Experiment `frontier`: resume latency against extra engine work.
+
+mod plot;
+mod point;
+
+use crate::{
+    bench_error::BenchError,
+    experiment::{
+        frontier::point::{POINTS, Point},
+        options::ExperimentOptions,
+        storm::{self, StormSettings},
+    },
+};
+use serde_json::json;
+use std::path::Path;
+
+/// Directory of the plot, if the program runs at the root of the repository.
+const PLOT_DIRECTORY: &str = "docs";
+
+/// Measures each point for the length of the load, one after another.
+pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
+    let mut points = Vec::new();
+    for settings in POINTS {
+        let storm = StormSettings {
+            seed: options.seed,
+            duration_s: options.duration_s,
+            generations: options.generations,
+            failures: options.failures,
+            preset: settings.preset,
+            recovery: settings.recovery.to_owned(),
+            callers: 100,
+            engines_per_domain: 8,
+            tokens: 100,
+            token_gap_ms: 41,
+            failure_interval_ms: 250,
+        };
+        let report = storm::run(program, &storm).await?;
+        if !options.is_json {
+            println!("{}: {}", settings.name, serde_json::to_string(&report)?);
+        }
+        let (name, is_baseline) = (settings.name, settings.is_baseline);
+        points.push(Point { name, is_baseline, report });
+    }
+    let directory = Path::new(PLOT_DIRECTORY);
+    if directory.is_dir() {
+        plot::draw(&directory.join("recovery-frontier.svg"), &points)?;
+    }
+    println!("{}", json!({ "points": points }));
+    match points.iter().find(|point| !point.report.holds()) {
+        None => Ok(()),
+        Some(point) => {
+            Err(BenchError::Failed(format!("{}: not every answer is whole", point.name)))
+        }
+    }
+}
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,15 +1,19 @@
 //! Experiments by name.
 
 mod engine_deaths;
+mod frontier;
 mod options;
+mod storm;
 
 pub use self::options::ExperimentOptions;
 use crate::bench_error::BenchError;
 use std::path::Path;
 
 /// Names of all experiments with what they show.
-pub const EXPERIMENTS: [(&str, &str); 1] =
-    [("engine-deaths", "answers stay whole while engines die")];
+pub const EXPERIMENTS: [(&str, &str); 2] = [
+    ("engine-deaths", "answers stay whole while engines die"),
+    ("frontier", "resume latency against extra engine work, with baselines"),
+];
 
 /// Runs an experiment with `program` as the executable of its processes.
 ///
@@ -23,6 +27,7 @@
 ) -> Result<(), BenchError> {
     match name {
         "engine-deaths" => engine_deaths::run(program, options).await,
+        "frontier" => frontier::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
 }
--- a/crates/bench/src/experiment/options.rs
+++ b/crates/bench/src/experiment/options.rs
@@ -1,7 +1,9 @@
 //! Options that all experiments share.
 
+use fleet::Preset;
+
 /// Options of an experiment.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ExperimentOptions {
     /// Seed of the faults and of the stand-ins.
     pub seed: u64,
@@ -9,4 +11,12 @@
     pub duration_s: u64,
     /// Whether only the JSON line is printed.
     pub is_json: bool,
+    /// Recovery preset of the service.
+    pub preset: Preset,
+    /// Recovery policy of the daemons, as in their settings.
+    pub policy: String,
+    /// Generations after which the load ends early; 0 for no bound.
+    pub generations: u64,
+    /// Failures after which no other follows; 0 for no bound.
+    pub failures: u64,
 }
--- /dev/null
+++ b/crates/bench/src/experiment/storm/load.rs
@@ -0,0 +1,53 @@
+//! Callers of a storm.
+
+use crate::{
+    caller::{Answer, Caller, Question},
+    cluster::Layout,
+    experiment::storm::settings::StormSettings,
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+/// Answer with the outcome of its check.
+#[derive(Debug)]
+pub(super) struct Checked {
+    pub answer: Answer,
+    pub is_whole: bool,
+}
+
+/// Asks one question after another until `end`, or until all callers together asked as many as the settings say.
+pub(super) async fn ask_until(
+    addrs: Vec<SocketAddr>,
+    number: usize,
+    end: Instant,
+    asked: Arc<AtomicU64>,
+    settings: StormSettings,
+) -> Vec<Checked> {
+    let caller = Caller::new(Layout::KEY);
+    let mut answers = Vec::new();
+    while Instant::now() < end {
+        let count = asked.fetch_add(1, Ordering::Relaxed);
+        if settings.generations > 0 && count >= settings.generations {
+            break;
+        }
+        let question = Question {
+            model: Layout::MODEL.to_owned(),
+            prompt: format!("caller {number} question {}", answers.len()),
+            max_tokens: settings.tokens,
+        };
+        let addr = addrs[(number + answers.len()) % addrs.len()];
+        let answer = caller.ask(addr, &question).await;
+        let is_whole = answer.is_whole(&question.model, "", &question.prompt);
+        if !is_whole {
+            eprintln!("not whole: {:?} after {} tokens", answer.end, answer.token_times.len());
+        }
+        answers.push(Checked { answer, is_whole });
+    }
+    answers
+}
--- /dev/null
+++ b/crates/bench/src/experiment/storm/runner.rs
@@ -0,0 +1,152 @@
+//! Runs a storm.
+
+use crate::{
+    bench_error::BenchError,
+    cluster::{Cluster, Layout},
+    experiment::storm::{
+        failure::{Failure, FailureKind},
+        load::{Checked, ask_until},
+        report::StormReport,
+        settings::StormSettings,
+        work_count::WorkCount,
+    },
+};
+use base::HashMap;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::{
+    ops::Range,
+    path::Path,
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
+use tokio::task::JoinSet;
+
+/// Time that a frozen engine stays frozen. It begins below the silence timeout of `latency`, so that engines also wake
+/// before they are suspected and while a hedged attempt runs.
+const FREEZE_MS: Range<u64> = 300..1_800;
+
+/// Share of the engines that may be frozen at a time, so that capacity is left.
+const FROZEN_SHARE: usize = 3;
+
+struct Storm {
+    cluster: Cluster,
+    rng: SmallRng,
+    frozen: HashMap<usize, Instant>,
+    failures: Vec<Failure>,
+    work: WorkCount,
+}
+
+/// Runs a storm with `program` as the executable of its processes.
+///
+/// # Errors
+///
+/// A process could not start or did not answer.
+pub async fn run(program: &Path, settings: &StormSettings) -> Result<StormReport, BenchError> {
+    let layout = Layout {
+        engines_per_domain: settings.engines_per_domain,
+        token_gap_ms: settings.token_gap_ms,
+        preset: settings.preset,
+        recovery: settings.recovery.clone(),
+        seed: settings.seed,
+        ..Layout::default()
+    };
+    let mut storm = Storm {
+        cluster: Cluster::start(program, layout).await?,
+        rng: SmallRng::seed_from_u64(settings.seed),
+        frozen: HashMap::default(),
+        failures: Vec::new(),
+        work: WorkCount::default(),
+    };
+    let end = Instant::now() + Duration::from_secs(settings.duration_s);
+    let asked = Arc::new(AtomicU64::new(0));
+    let mut callers = JoinSet::new();
+    for number in 0..settings.callers {
+        let addrs = storm.cluster.entry_addrs();
+        callers.spawn(ask_until(addrs, number, end, Arc::clone(&asked), settings.clone()));
+    }
+    let mut answers: Vec<Checked> = Vec::new();
+    let mut ticks = tokio::time::interval(Duration::from_millis(settings.failure_interval_ms));
+    loop {
+        tokio::select! {
+            finished = callers.join_next() => match finished {
+                Some(outcome) => answers.extend(outcome.unwrap_or_default()),
+                None => break,
+            },
+            _ = ticks.tick() => {
+                storm.thaw_due();
+                let has_failures_left =
+                    settings.failures == 0 || (storm.failures.len() as u64) < settings.failures;
+                if Instant::now() < end && has_failures_left {
+                    storm.fail().await?;
+                }
+            }
+        }
+    }
+    storm.close(&answers, settings).await
+}
+
+impl Storm {
+    /// Lets an engine that is not frozen fail; kinds alternate.
+    async fn fail(&mut self) -> Result<(), BenchError> {
+        let position = self.rng.random_range(0..self.cluster.engine_count());
+        let has_capacity = self.frozen.len() * FROZEN_SHARE < self.cluster.engine_count();
+        if self.frozen.contains_key(&position) || !has_capacity {
+            return Ok(());
+        }
+        let state = self.cluster.engine_state(position).await?;
+        let generation_ids = state
+            .active
+            .iter()
+            .filter_map(|request_id| request_id.split('/').next())
+            .map(str::to_owned)
+            .collect();
+        let kind = match self.failures.len() % 2 {
+            0 => FailureKind::Kill,
+            _ => FailureKind::Freeze,
+        };
+        let at = Instant::now();
+        match kind {
+            FailureKind::Kill => {
+                self.cluster.kill_engine(position);
+                self.work += &state;
+                self.cluster.restart_engine(position)?;
+            }
+            FailureKind::Freeze => {
+                self.cluster.freeze_engine(position);
+                let wait_ms = self.rng.random_range(FREEZE_MS);
+                self.frozen.insert(position, at + Duration::from_millis(wait_ms));
+            }
+        }
+        self.failures.push(Failure { kind, at, generation_ids });
+        Ok(())
+    }
+
+    /// Wakes the engines whose time has come.
+    fn thaw_due(&mut self) {
+        let now = Instant::now();
+        let cluster = &self.cluster;
+        self.frozen.retain(|&position, &mut until| {
+            let is_frozen = now < until;
+            if !is_frozen {
+                cluster.thaw_engine(position);
+            }
+            is_frozen
+        });
+    }
+
+    async fn close(
+        mut self,
+        answers: &[Checked],
+        settings: &StormSettings,
+    ) -> Result<StormReport, BenchError> {
+        for &position in self.frozen.keys() {
+            self.cluster.thaw_engine(position);
+        }
+        for position in 0..self.cluster.engine_count() {
+            let state = self.cluster.engine_state(position).await?;
+            self.work += &state;
+        }
+        let in_flight = Duration::from_millis(settings.token_gap_ms / 2);
+        Ok(StormReport::new(answers, &self.failures, self.work, in_flight))
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/storm/work_count.rs
@@ -0,0 +1,21 @@
+//! Work of engines.
+
+use stand::EngineState;
+use std::ops::AddAssign;
+
+/// Work of engines. What a killed engine decoded in the few milliseconds between the reading of its state and its end is
+/// not counted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WorkCount {
+    /// Tokens decoded.
+    pub decoded_tokens: u64,
+    /// Requests whose prompt was processed.
+    pub prefills: u64,
+}
+
+impl AddAssign<&EngineState> for WorkCount {
+    fn add_assign(&mut self, state: &EngineState) {
+        self.decoded_tokens += state.decoded_tokens;
+        self.prefills += state.prefills;
+    }
+}
--- a/crates/entry/src/recovery_state.rs
+++ b/crates/entry/src/recovery_state.rs
@@ -4,15 +4,12 @@
 use base::{Clock, HashMap, ServiceName};
 use conf::{RecoveryPolicy, RecoverySettings};
 use fleet::Preset;
-use recovery::{Pace, Policy, TimingTracker};
+use recovery::{Pace, Policy, Suspect, TimingTracker};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-/// Time for which other generations avoid an engine that failed one.
-const SUSPECT_MS: u64 = 1_000;
-
 /// What the generations of an entry share for their recovery.
 #[derive(Debug)]
 pub(crate) struct RecoveryState {
@@ -20,7 +17,7 @@
     settings: RecoverySettings,
     trackers: Mutex<HashMap<String, Arc<Mutex<TimingTracker>>>>,
     pacers: Mutex<HashMap<ServiceName, Arc<ServicePacer>>>,
-    suspects: Mutex<HashMap<SocketAddr, u64>>,
+    suspects: Mutex<HashMap<SocketAddr, Suspect>>,
 }
 
 impl RecoveryState {
@@ -80,16 +77,21 @@
 
     /// Lets new attempts avoid an engine for a while.
     pub fn suspect(&self, addr: SocketAddr) {
-        let until_ms = self.clock.now_ms() + SUSPECT_MS;
-        lock(&self.suspects).insert(addr, until_ms);
+        let now_ms = self.clock.now_ms();
+        let mut suspects = lock(&self.suspects);
+        match suspects.get_mut(&addr) {
+            Some(suspect) => suspect.fail(now_ms),
+            None => drop(suspects.insert(addr, Suspect::new(now_ms))),
+        }
     }
 
     /// Adds the engines that new attempts should avoid to `addrs`.
     pub fn add_suspects(&self, addrs: &mut Vec<SocketAddr>) {
         let now_ms = self.clock.now_ms();
         let mut suspects = lock(&self.suspects);
-        suspects.retain(|_, &mut until_ms| until_ms > now_ms);
-        addrs.extend(suspects.keys());
+        suspects.retain(|_, suspect| !suspect.is_over(now_ms));
+        let avoided = suspects.iter().filter(|(_, suspect)| suspect.is_avoided(now_ms));
+        addrs.extend(avoided.map(|(addr, _)| addr));
     }
 }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -32,6 +32,13 @@
 /// their gaps are the caller's.
 const QUICK_WRITE_MS: u64 = 5;
 
+/// Usual gaps without anything from an engine that is answering, after which new attempts prefer other engines. It is
+/// less than what makes an attempt suspect, since preferring another engine costs nothing.
+const QUIET_FACTOR: f64 = 3.0;
+
+/// Shortest time for the same.
+const QUIET_FLOOR_MS: u64 = 100;
+
 /// What the priority of recovery attempts is raised by. A lower number runs first at an engine, so recovery yields to
 /// short requests.
 const RECOVERY_PRIORITY: i32 = 10;
@@ -214,6 +221,9 @@
 
     fn on_engine_event(&mut self, position: usize, mut stream: EngineStream, event: EngineEvent) {
         let id = self.running[position].id;
+        if let Some(guard) = &self.running[position].guard {
+            guard.hear(self.shared.clock.now_ms());
+        }
         let mut event = event;
         loop {
             match event {
@@ -376,6 +386,9 @@
         let mut avoid = self.failed_addrs.clone();
         avoid.extend(self.running.iter().filter_map(Running::addr));
         self.shared.recovery.add_suspects(&mut avoid);
+        let now_ms = self.shared.clock.now_ms();
+        let quiet_ms = QUIET_FLOOR_MS.max((QUIET_FACTOR * self.timing().gap_ms) as u64);
+        self.shared.upstreams.add_quiet(now_ms.saturating_sub(quiet_ms), &mut avoid);
         let Some(guard) = self.shared.upstreams.choose(&self.job.service, &avoid) else {
             self.running.swap_remove(position);
             self.input(Input::NoUpstream { attempt });
@@ -393,6 +406,7 @@
                 self.generation.journal().len()
             );
         }
+        guard.hear(now_ms);
         let engines = self.shared.engines.clone();
         let running = &mut self.running[position];
         running.guard = Some(guard);
--- a/crates/entry/src/upstream_guard.rs
+++ b/crates/entry/src/upstream_guard.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
 
@@ -15,12 +15,18 @@
 pub(crate) struct UpstreamGuard {
     addr: SocketAddr,
     in_flight: Arc<AtomicU32>,
+    heard_ms: Arc<AtomicU64>,
 }
 
 impl UpstreamGuard {
-    pub fn new(addr: SocketAddr, in_flight: Arc<AtomicU32>) -> Self {
+    pub fn new(addr: SocketAddr, in_flight: Arc<AtomicU32>, heard_ms: Arc<AtomicU64>) -> Self {
         in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { addr, in_flight }
+        Self { addr, in_flight, heard_ms }
+    }
+
+    /// Notes that the upstream sent something at `now_ms`.
+    pub fn hear(&self, now_ms: u64) {
+        self.heard_ms.store(now_ms, Ordering::Relaxed);
     }
 
     /// Address of the upstream.
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -9,7 +9,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
 use tokio::sync::watch;
@@ -20,6 +20,7 @@
 struct Upstream {
     vm: Vm,
     in_flight: Arc<AtomicU32>,
+    heard_ms: Arc<AtomicU64>,
 }
 
 #[derive(Debug)]
@@ -48,11 +49,11 @@
         let mut upstreams = HashMap::default();
         let before = inner.upstreams.clone();
         for vm in vms.into_iter().filter(|vm| vm.role != VmRole::Entry) {
-            let in_flight = match inner.upstreams.remove(&vm.id) {
-                Some(known) => known.in_flight,
-                None => Arc::default(),
+            let (in_flight, heard_ms) = match inner.upstreams.remove(&vm.id) {
+                Some(known) => (known.in_flight, known.heard_ms),
+                None => Default::default(),
             };
-            upstreams.insert(vm.id.clone(), Upstream { vm, in_flight });
+            upstreams.insert(vm.id.clone(), Upstream { vm, in_flight, heard_ms });
         }
         let is_same = before.len() == upstreams.len()
             && upstreams.iter().all(|(id, new)| before.get(id).is_some_and(|old| old.vm == new.vm));
@@ -63,6 +64,16 @@
         }
     }
 
+    /// Adds the upstreams to `addrs` that have requests of this entry and sent nothing since `since_ms`.
+    pub fn add_quiet(&self, since_ms: u64, addrs: &mut Vec<SocketAddr>) {
+        let inner = self.lock();
+        let quiet = inner.upstreams.values().filter(|upstream| {
+            upstream.in_flight.load(Ordering::Relaxed) > 0
+                && upstream.heard_ms.load(Ordering::Relaxed) < since_ms
+        });
+        addrs.extend(quiet.map(|upstream| upstream.vm.addr));
+    }
+
     /// Tells of each change of the list.
     pub fn changes(&self) -> watch::Receiver<()> {
         self.changes.subscribe()
@@ -98,7 +109,11 @@
             })
             .collect();
         let chosen = usable[route::choose(&candidates, rng)?];
-        Some(UpstreamGuard::new(chosen.vm.addr, Arc::clone(&chosen.in_flight)))
+        Some(UpstreamGuard::new(
+            chosen.vm.addr,
+            Arc::clone(&chosen.in_flight),
+            Arc::clone(&chosen.heard_ms),
+        ))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/recovery/src/histogram.rs
+++ b/crates/recovery/src/histogram.rs
@@ -37,9 +37,9 @@
         }
     }
 
-    /// Upper end of the bucket that holds the 99th percentile; 0 without samples.
-    pub fn p99_ms(&self) -> f64 {
-        let rank = (u64::from(self.total) * 99).div_ceil(100);
+    /// Upper end of the bucket that holds a percentile; 0 without samples.
+    pub fn percentile_ms(&self, percent: u64) -> f64 {
+        let rank = (u64::from(self.total) * percent).div_ceil(100);
         let mut seen = 0;
         for (index, &count) in self.counts.iter().enumerate() {
             seen += u64::from(count);
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -21,6 +21,7 @@
 mod restart_mode;
 mod sample;
 mod stats;
+mod suspect;
 mod timing;
 mod timing_tracker;
 mod vm_sign;
@@ -39,6 +40,7 @@
     restart_mode::RestartMode,
     sample::Sample,
     stats::Stats,
+    suspect::Suspect,
     timing::Timing,
     timing_tracker::TimingTracker,
     vm_sign::VmSign,
--- a/crates/recovery/src/timing.rs
+++ b/crates/recovery/src/timing.rs
@@ -5,7 +5,7 @@
 pub struct Timing {
     /// 99th percentile of the gap between two tokens of an attempt.
     pub gap_ms: f64,
-    /// 99th percentile of the wait for the first token of an attempt; none until it is known.
+    /// 90th percentile of the wait for the first token of an attempt; none until it is known.
     pub first_token_ms: Option<f64>,
 }
 
--- a/crates/recovery/src/timing_tracker.rs
+++ b/crates/recovery/src/timing_tracker.rs
@@ -8,6 +8,13 @@
 /// Samples between two computations of the percentiles.
 const REFRESH_SAMPLES: u32 = 64;
 
+/// Percentile of the gaps.
+const GAP_PERCENT: u64 = 99;
+
+/// Percentile of the first-token waits. While engines freeze, several in 100 first tokens come late from engines that
+/// were woken; a higher percentile would learn the length of the freezes.
+const FIRST_TOKEN_PERCENT: u64 = 90;
+
 /// Usual times of one model, shared by all generations of an entry.
 ///
 /// Only times between tokens of one attempt are observed. The silence before a recovery is not a gap, so failures do
@@ -45,10 +52,10 @@
         }
         self.unread_samples = 0;
         if self.gaps.total() >= MIN_SAMPLES {
-            self.timing.gap_ms = self.gaps.p99_ms();
+            self.timing.gap_ms = self.gaps.percentile_ms(GAP_PERCENT);
         }
         if self.first_tokens.total() >= MIN_SAMPLES {
-            self.timing.first_token_ms = Some(self.first_tokens.p99_ms());
+            self.timing.first_token_ms = Some(self.first_tokens.percentile_ms(FIRST_TOKEN_PERCENT));
         }
     }
 }
