Check the recovery section of the settings and keep the resume histogram to streams that had begun

Cause: a generation that lost its engine before the first token recorded the time since the start of the process. Ruled out: nothing else writes that histogram. Conclusion: the histogram holds interrupted streams only.

--- a/crates/bench/src/experiment/options.rs
+++ b/crates/bench/src/experiment/options.rs
@@ -15,7 +15,7 @@
     pub preset: Preset,
     /// Recovery policy of the daemons, as in their settings.
     pub policy: String,
-    /// Generations after which the load ends early; 0 for no bound.
+    /// Generations after which the load ends early, once all failures have happened; 0 for no bound.
     pub generations: u64,
     /// Failures after which no other follows; 0 for no bound.
     pub failures: u64,
--- a/crates/bench/src/experiment/storm/load.rs
+++ b/crates/bench/src/experiment/storm/load.rs
@@ -3,14 +3,11 @@
 use crate::{
     caller::{Answer, Caller, Question},
     cluster::Layout,
-    experiment::storm::settings::StormSettings,
+    experiment::storm::{load_counts::LoadCounts, settings::StormSettings},
 };
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Instant,
 };
 
@@ -21,21 +18,22 @@
     pub is_whole: bool,
 }
 
-/// Asks one question after another until `end`, or until all callers together asked as many as the settings say.
+/// Asks one question after another until `end`, or until all callers together asked as many as the settings say and as many
+/// engines failed.
 pub(super) async fn ask_until(
     addrs: Vec<SocketAddr>,
     number: usize,
     end: Instant,
-    asked: Arc<AtomicU64>,
+    counts: Arc<LoadCounts>,
     settings: StormSettings,
 ) -> Vec<Checked> {
     let caller = Caller::new(Layout::KEY);
     let mut answers = Vec::new();
     while Instant::now() < end {
-        let count = asked.fetch_add(1, Ordering::Relaxed);
-        if settings.generations > 0 && count >= settings.generations {
+        if counts.is_enough(&settings) {
             break;
         }
+        counts.asked.fetch_add(1, Ordering::Relaxed);
         let question = Question {
             model: Layout::MODEL.to_owned(),
             prompt: format!("caller {number} question {}", answers.len()),
--- a/crates/bench/src/experiment/storm/mod.rs
+++ b/crates/bench/src/experiment/storm/mod.rs
@@ -2,6 +2,7 @@
 
 mod failure;
 mod load;
+mod load_counts;
 mod report;
 mod runner;
 mod settings;
--- a/crates/bench/src/experiment/storm/runner.rs
+++ b/crates/bench/src/experiment/storm/runner.rs
@@ -6,6 +6,7 @@
     experiment::storm::{
         failure::{Failure, FailureKind},
         load::{Checked, ask_until},
+        load_counts::LoadCounts,
         report::StormReport,
         settings::StormSettings,
         work_count::WorkCount,
@@ -16,7 +17,7 @@
 use std::{
     ops::Range,
     path::Path,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 use tokio::task::JoinSet;
@@ -58,11 +59,11 @@
         work: WorkCount::default(),
     };
     let end = Instant::now() + Duration::from_secs(settings.duration_s);
-    let asked = Arc::new(AtomicU64::new(0));
+    let counts = Arc::new(LoadCounts::default());
     let mut callers = JoinSet::new();
     for number in 0..settings.callers {
         let addrs = storm.cluster.entry_addrs();
-        callers.spawn(ask_until(addrs, number, end, Arc::clone(&asked), settings.clone()));
+        callers.spawn(ask_until(addrs, number, end, Arc::clone(&counts), settings.clone()));
     }
     let mut answers: Vec<Checked> = Vec::new();
     let mut ticks = tokio::time::interval(Duration::from_millis(settings.failure_interval_ms));
@@ -78,6 +79,7 @@
                     settings.failures == 0 || (storm.failures.len() as u64) < settings.failures;
                 if Instant::now() < end && has_failures_left {
                     storm.fail().await?;
+                    counts.failures.store(storm.failures.len() as u64, Ordering::Relaxed);
                 }
             }
         }
--- a/crates/bench/src/experiment/storm/settings.rs
+++ b/crates/bench/src/experiment/storm/settings.rs
@@ -9,7 +9,7 @@
     pub seed: u64,
     /// Length of the load.
     pub duration_s: u64,
-    /// Generations after which the load ends early; 0 for no bound.
+    /// Generations after which the load ends early, once all failures have happened; 0 for no bound.
     pub generations: u64,
     /// Failures after which no other follows; 0 for no bound.
     pub failures: u64,
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Guards against a settings file whose mistakes are found one at a time, or not at all.
 
-use conf::{LogFormat, Problems, Settings};
+use conf::{LogFormat, Problems, RecoveryPolicy, RecoverySettings, Settings};
 
 const GOOD: &str = r#"
 [entry]
@@ -45,6 +45,21 @@
     assert!(problems.iter().all(|problem| !problem.allowed.is_empty()));
 }
 
+#[test]
+fn the_recovery_section_is_read_and_checked() {
+    let good = format!("{GOOD}\n[recovery]\npolicy = \"restart\"\nsilence_factor = 12\n");
+    let expected = RecoverySettings {
+        policy: RecoveryPolicy::Restart,
+        silence_factor: 12,
+        ..RecoverySettings::default()
+    };
+    assert_eq!(Settings::try_from(good.as_str()).unwrap().recovery, expected);
+    let bad = format!("{GOOD}\n[recovery]\npolicy = \"none\"\nburst = 0\n");
+    let Problems(problems) = Settings::try_from(bad.as_str()).unwrap_err();
+    let keys: Vec<&str> = problems.iter().map(|problem| problem.key.as_str()).collect();
+    assert_eq!(keys, ["recovery.policy", "recovery.burst"]);
+}
+
 #[test]
 fn a_mistake_of_syntax_names_its_line() {
     let Problems(problems) = Settings::try_from("[entry]\nvm_id = \n").unwrap_err();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -77,7 +77,7 @@
     policy: Policy,
     tracker: Arc<Mutex<TimingTracker>>,
     vm_changes: watch::Receiver<()>,
-    last_release_ms: u64,
+    last_release_ms: Option<u64>,
     is_interrupted: bool,
     is_caller_slow: bool,
     output: Output,
@@ -100,7 +100,7 @@
             policy,
             tracker,
             vm_changes,
-            last_release_ms: 0,
+            last_release_ms: None,
             is_interrupted: false,
             is_caller_slow: false,
             output,
@@ -297,8 +297,8 @@
                 .increment(losses);
         }
         if stats.suspicions > before.suspicions {
-            log::info!("recovery: {} is silent", self.job.generation_id);
             let addrs: Vec<SocketAddr> = self.running.iter().filter_map(Running::addr).collect();
+            log::info!("recovery: {} suspects one of {addrs:?}", self.job.generation_id);
             addrs.into_iter().for_each(|addr| self.avoid(addr));
         }
         metrics::counter!("generation_suspicions_total")
@@ -334,16 +334,18 @@
     fn release(&mut self, index: u32) {
         self.output.token(index, self.generation.journal());
         let now_ms = self.shared.clock.now_ms();
-        if self.is_interrupted {
-            self.is_interrupted = false;
-            let resume_ms = now_ms - self.last_release_ms;
+        let was_interrupted = std::mem::take(&mut self.is_interrupted);
+        if let Some(last_ms) = self.last_release_ms
+            && was_interrupted
+        {
+            let resume_ms = now_ms - last_ms;
             metrics::histogram!("generation_resume_ms").record(resume_ms as f64);
             log::info!(
                 "recovery: {} resumed at token {index} after {resume_ms} ms",
                 self.job.generation_id
             );
         }
-        self.last_release_ms = now_ms;
+        self.last_release_ms = Some(now_ms);
         for running in &mut self.running {
             running.permit = None;
         }
--- a/crates/recovery/src/generation.rs
+++ b/crates/recovery/src/generation.rs
@@ -111,9 +111,7 @@
     }
 
     fn silent_at_ms(&self, attempt: &Attempt, timing: Timing) -> u64 {
-        let wait_ms = if !attempt.is_sent {
-            self.policy.no_upstream_limit_ms
-        } else {
+        let wait_ms = if attempt.is_sent {
             let usual_ms = if attempt.has_token {
                 self.policy.silence_ms(timing)
             } else {
@@ -121,6 +119,8 @@
             };
             let signed_ms = self.policy.signed_wait_ms(usual_ms, attempt.sign, timing);
             self.policy.backed_off_ms(signed_ms, self.fruitless_attempts)
+        } else {
+            self.policy.no_upstream_limit_ms
         };
         attempt.last_event_ms.saturating_add(wait_ms)
     }
--- a/crates/recovery/tests/fuzz/world.rs
+++ b/crates/recovery/tests/fuzz/world.rs
@@ -66,7 +66,7 @@
                 self.input(Input::Tick);
             }
             Step::Silence => {
-                self.to_deadline();
+                self.pass_deadline();
             }
         }
     }
@@ -80,7 +80,7 @@
             }
             let newest = self.pick(0).id;
             if !self.oracle.live().contains(&newest) {
-                self.to_deadline();
+                self.pass_deadline();
                 continue;
             }
             self.input(Input::Sent { attempt: newest });
@@ -99,12 +99,12 @@
                 return;
             }
             self.input(Input::Sent { attempt: self.pick(0).id });
-            self.to_deadline();
+            self.pass_deadline();
         }
         panic!("the generation waits for ever");
     }
 
-    fn to_deadline(&mut self) {
+    fn pass_deadline(&mut self) {
         match self.generation.deadline_ms(Timing::default()) {
             Some(deadline_ms) => {
                 self.now_ms = self.now_ms.max(deadline_ms);
