--- a/crates/bench/tests/engine_failures.rs
+++ b/crates/bench/tests/engine_failures.rs
@@ -27,11 +27,16 @@
 }
 
 async fn start(engines: usize, preset: Preset) -> Cluster {
+    start_with(engines, preset, "").await
+}
+
+async fn start_with(engines: usize, preset: Preset, recovery: &str) -> Cluster {
     let layout = Layout {
         domains: vec!["lothian".to_owned()],
         engines_per_domain: engines,
         token_gap_ms: 20,
         preset,
+        recovery: recovery.to_owned(),
         ..Layout::default()
     };
     Cluster::start(&program(), layout).await.unwrap()
@@ -143,3 +148,16 @@
     assert_eq!(cluster.engine_state(leaver).await.unwrap().decoded_tokens, tokens);
     assert_eq!(cluster.engine_state(1 - leaver).await.unwrap().prefills, 0);
 }
+
+/// One recovery at a time must not leave any of many interrupted answers behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_answers_are_whole_when_recoveries_wait_for_admission() {
+    let recovery = "attempts_per_s = 20\nburst = 1\nmax_concurrent = 1\n";
+    let mut cluster = start_with(2, Preset::Latency, recovery).await;
+    let asking: Vec<_> = (0..12).map(|_| ask(&cluster, 150)).collect();
+    let victim = serving(&cluster, &[]).await;
+    cluster.kill_engine(victim);
+    for answer in asking {
+        check_whole(answer).await;
+    }
+}
