--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -44,7 +44,7 @@
         silence_floor_ms: 400,
         silence_factor: 8.0,
         silence_cap_ms: 1_200,
-        first_token_floor_ms: 250,
+        first_token_floor_ms: 200,
         first_token_factor: 3.0,
         first_token_wait_ms: 2_500,
         keeps_suspect: true,
