Name the engine in the error of an experiment that cannot reach it

Ruled out: a restart at a port that was taken, which gives another error. Conclusion: a repetition will name the engine.

--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -22,6 +22,11 @@
             source(cause)
             from()
         }
+        /// An engine did not answer.
+        Engine(id: base::VmId, cause: web::ClientError) {
+            display("{id}: {cause}")
+            source(cause)
+        }
         /// A name is not valid.
         Name(cause: base::NameError) {
             display("{cause}")
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -166,9 +166,10 @@
     ///
     /// The engine did not answer.
     pub async fn engine_state(&self, position: usize) -> Result<EngineState, BenchError> {
-        let client = Client::new(self.engines[position].vm.addr, ENGINE_WAIT_MS);
-        let reply = client.send(Method::GET, "/state").await?;
-        Ok(reply.json()?)
+        let vm = &self.engines[position].vm;
+        let client = Client::new(vm.addr, ENGINE_WAIT_MS);
+        let state = client.send(Method::GET, "/state").await.and_then(|reply| reply.json());
+        state.map_err(|cause| BenchError::Engine(vm.id.clone(), cause))
     }
 
     /// Kills an entry.
