--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -30,6 +30,11 @@
         NoProxy {
             display("the layout of the cluster has no such proxy")
         }
+        /// An engine did not answer.
+        Engine(id: base::VmId, cause: web::ClientError) {
+            display("{id}: {cause}")
+            source(cause)
+        }
         /// A name is not valid.
         Name(cause: base::NameError) {
             display("{cause}")
@@ -58,6 +63,10 @@
         Exit(code: u8) {
             display("exit code {code}")
         }
+        /// A plot could not be written.
+        Plot(cause: String) {
+            display("the plot cannot be written: {cause}")
+        }
         /// There is no such experiment.
         UnknownExperiment(name: String) {
             display("there is no experiment {name:?}; see --list")
--- a/crates/bench/src/caller/answer.rs
+++ b/crates/bench/src/caller/answer.rs
@@ -33,6 +33,8 @@
     pub longest_gap_ms: u64,
     /// Time to the first token.
     pub first_token_ms: Option<u64>,
+    /// When each token arrived.
+    pub token_times: Vec<Instant>,
     /// Number of completion tokens in the usage.
     pub usage_tokens: Option<u32>,
     /// How the last connection ended.
@@ -49,6 +51,7 @@
             last_token_at: Instant::now(),
             longest_gap_ms: 0,
             first_token_ms: None,
+            token_times: Vec::new(),
             usage_tokens: None,
             end: AnswerEnd::Cut,
         }
@@ -68,6 +71,11 @@
         self.last_event_id.as_ref()?.split('/').nth(position)
     }
 
+    /// Identifier of the generation, which the event ids begin with.
+    pub fn generation_id(&self) -> Option<&str> {
+        self.id_part(0)
+    }
+
     /// Whether the answer is whole and unmixed: it ended, its chain holds from the start, and the count of tokens
     /// agrees with the usage.
     pub fn is_whole(&self, model: &str, adapter: &str, prompt: &str) -> bool {
--- a/crates/bench/src/caller/stream.rs
+++ b/crates/bench/src/caller/stream.rs
@@ -164,6 +164,7 @@
         answer.text.push_str(text);
         let gap_ms = answer.last_token_at.elapsed().as_millis() as u64;
         answer.last_token_at = Instant::now();
+        answer.token_times.push(answer.last_token_at);
         match answer.first_token_ms {
             Some(_) => answer.longest_gap_ms = answer.longest_gap_ms.max(gap_ms),
             None => answer.first_token_ms = Some(gap_ms),
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -26,6 +26,8 @@
     pub services: Vec<String>,
     /// Instances of each plain service, spread over the failure domains.
     pub service_instances: usize,
+    /// Lines of the section `[recovery]` of the daemons' settings.
+    pub recovery: String,
     /// Seed of the engines' sampling.
     pub seed: u64,
     /// Whether the entries reach each engine through a proxy of its own.
@@ -49,6 +51,7 @@
             preset: Preset::Latency,
             services: Vec::new(),
             service_instances: 2,
+            recovery: String::new(),
             seed: 1,
             has_engine_proxies: false,
             has_platform_proxy: false,
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -28,6 +28,7 @@
     addr: SocketAddr,
     seed: u64,
     proxy: Option<Process>,
+    is_listed: bool,
     process: Option<Process>,
 }
 
@@ -138,7 +139,14 @@
     pub fn add_external_engine(&mut self, name: &str, addr: SocketAddr) -> Result<(), BenchError> {
         let domain = &self.layout.domains[0];
         let vm = engine_vm(name, domain, addr)?;
-        self.engines.push(EngineNode { vm, addr, seed: 0, proxy: None, process: None });
+        self.engines.push(EngineNode {
+            vm,
+            addr,
+            seed: 0,
+            proxy: None,
+            is_listed: true,
+            process: None,
+        });
         Ok(())
     }
 
@@ -176,6 +184,40 @@
         Ok(())
     }
 
+    /// Stops an engine without notice.
+    pub fn freeze_engine(&self, position: usize) {
+        if let Some(process) = self.engine(position) {
+            process.freeze();
+        }
+    }
+
+    /// Lets a frozen engine go on.
+    pub fn thaw_engine(&self, position: usize) {
+        if let Some(process) = self.engine(position) {
+            process.thaw();
+        }
+    }
+
+    /// Takes an engine off the list of VMs.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer.
+    pub async fn remove_engine(&mut self, position: usize) -> Result<(), BenchError> {
+        self.engines[position].is_listed = false;
+        self.publish_vms().await
+    }
+
+    /// Lists an engine as leaving.
+    ///
+    /// # Errors
+    ///
+    /// The platform did not answer.
+    pub async fn leave_engine(&mut self, position: usize) -> Result<(), BenchError> {
+        self.engines[position].vm.state = VmState::Leaving;
+        self.publish_vms().await
+    }
+
     /// Kills an entry.
     pub fn kill_entry(&mut self, position: usize) {
         self.entries[position].process = None;
@@ -208,7 +250,8 @@
     ///
     /// The platform did not answer.
     pub async fn publish_vms(&self) -> Result<(), BenchError> {
-        let engines = self.engines.iter().map(|engine| engine.vm.clone());
+        let listed = self.engines.iter().filter(|engine| engine.is_listed);
+        let engines = listed.map(|engine| engine.vm.clone());
         let entries = self.entries.iter().map(|entry| entry.vm.clone());
         let services = self.services.iter().map(|service| service.vm.clone());
         let list = VmList { vms: engines.chain(entries).chain(services).collect() };
@@ -271,7 +314,14 @@
             None => addr,
         };
         let vm = engine_vm(&format!("engine-{domain}-{number}"), domain, public_addr)?;
-        self.engines.push(EngineNode { vm, addr, seed, proxy, process: Some(process) });
+        self.engines.push(EngineNode {
+            vm,
+            addr,
+            seed,
+            proxy,
+            is_listed: true,
+            process: Some(process),
+        });
         Ok(())
     }
 
@@ -285,6 +335,7 @@
         let operator_key = KeyHash::of(Layout::OPERATOR_KEY);
         let operator_key = operator_key.as_str();
         let has_peers = self.layout.has_peers;
+        let recovery = self.layout.recovery.clone();
         let text = |listen: SocketAddr, peer_listen: SocketAddr| {
             let peer = if has_peers {
                 format!("[peer]\nlisten = \"{peer_listen}\"\n")
@@ -297,7 +348,7 @@
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
                  [admin]\nlisten = \"127.0.0.1:0\"\n\
                  bootstrap_key_hash = \"{operator_key}\"\n\n\
-                 [log]\nlevel = \"error\"\n\n{peer}"
+                 [recovery]\n{recovery}\n[log]\nlevel = \"error\"\n\n{peer}"
             )
         };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -4,10 +4,12 @@
 mod drain;
 mod engine_deaths;
 mod entry_deaths;
+mod frontier;
 mod journal_copies;
 mod operator_races;
 mod options;
 mod relay;
+mod storm;
 
 pub use self::options::ExperimentOptions;
 use crate::bench_error::BenchError;
@@ -19,9 +21,10 @@
     ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
+    ("frontier", "resume latency against extra engine work, with baselines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
-    ("relay", "cost and added delay of a relayed token"),
     ("operator-races", "each confirmed plan is applied exactly once"),
+    ("relay", "cost and added delay of a relayed token"),
 ];
 
 /// Runs an experiment with `program` as the executable of its processes.
@@ -38,9 +41,10 @@
         "at-most-once" => at_most_once::run(program, options).await,
         "drain" => drain::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
-        "operator-races" => operator_races::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
+        "frontier" => frontier::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
+        "operator-races" => operator_races::run(program, options).await,
         "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_settings;
 mod platform_settings;
 mod problem;
+mod recovery_settings;
 mod section;
 mod settings;
 
@@ -25,5 +26,6 @@
     peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
+    recovery_settings::{RecoveryPolicy, RecoverySettings},
     settings::Settings,
 };
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -8,12 +8,13 @@
     peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
+    recovery_settings::RecoverySettings,
     section::Source,
 };
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[admin], [entry], [limits], [log], [peer], [platform]";
+const SECTIONS: &str = "[admin], [entry], [limits], [log], [peer], [platform], [recovery]";
 
 /// Sections whose keys are read only if the section is there.
 const OPTIONAL_SECTIONS: &str = "[admin]\n[peer]\n";
@@ -33,6 +34,8 @@
     pub peer: Option<PeerSettings>,
     /// Access to the platform.
     pub platform: PlatformSettings,
+    /// Recovery of generations.
+    pub recovery: RecoverySettings,
 }
 
 impl TryFrom<&str> for Settings {
@@ -92,6 +95,7 @@
         let log = LogSettings::read(root, source);
         let peer = PeerSettings::read(root, source);
         let platform = PlatformSettings::read(root, source);
-        Some(Self { admin, entry: entry?, limits, log, peer, platform: platform? })
+        let recovery = RecoverySettings::read(root, source);
+        Some(Self { admin, entry: entry?, limits, log, peer, platform: platform?, recovery })
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -11,6 +11,7 @@
     journals::Journals,
     peer_answers::PeerAnswers,
     peers::Peers,
+    recovery_state::RecoveryState,
     retry_budgets::RetryBudgets,
     shared::Shared,
     upstreams::Upstreams,
@@ -86,6 +87,7 @@
             interval_ms: settings.platform.vm_list_interval_ms,
         };
         let (vm_list_actor, _) = Actor::spawn(None, VmListActor, vm_list_arguments).await?;
+        let clock = Clock::start();
         let shared = Arc::new(Shared {
             vm_id: settings.entry.vm_id.clone(),
             clock,
@@ -99,6 +101,7 @@
             retries: RetryBudgets::default(),
             engines: EnginePool::default(),
             pins: Arc::default(),
+            recovery: RecoveryState::new(settings.recovery, clock),
             metrics,
             is_draining: AtomicBool::new(false),
             process_nonce: rand::random(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     call_tasks::CallTasks, claim_store::ClaimStore, config::Config, journals::Journals,
-    peers::Peers, pins::Pins, retry_budgets::RetryBudgets, upstreams::Upstreams,
+    peers::Peers, pins::Pins, recovery_state::RecoveryState, retry_budgets::RetryBudgets,
+    upstreams::Upstreams,
 };
 use base::{Clock, VmId};
 use conf::LimitSettings;
@@ -29,6 +30,7 @@
     pub retries: RetryBudgets,
     pub engines: EnginePool,
     pub pins: Arc<Pins>,
+    pub recovery: RecoveryState,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
     pub process_nonce: u64,
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -3,14 +3,16 @@
 use crate::upstream_guard::UpstreamGuard;
 use base::{Clock, DomainName, HashMap, ServiceName, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
+use recovery::VmSign;
 use route::Candidate;
 use std::{
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
+use tokio::sync::watch;
 use wire::platform::{Vm, VmRole, VmState};
 
 /// How long an upstream's announcement holds. A VM that leaves is gone from the list by then; a service that restarted
@@ -24,6 +26,7 @@
     in_flight: Arc<AtomicU32>,
     /// Until when the upstream's own announcement holds against a list that still shows it as live.
     leaving_until_ms: Option<u64>,
+    heard_ms: Arc<AtomicU64>,
 }
 
 #[derive(Debug)]
@@ -38,26 +41,69 @@
     domain: DomainName,
     clock: Clock,
     inner: Mutex<Inner>,
+    changes: watch::Sender<()>,
 }
 
 impl Upstreams {
     pub fn new(domain: &DomainName, seed: u64) -> Self {
         let inner = Inner { upstreams: HashMap::default(), rng: SmallRng::seed_from_u64(seed) };
-        Self { domain: domain.clone(), clock: Clock::start(), inner: Mutex::new(inner) }
+        Self {
+            domain: domain.clone(),
+            clock: Clock::start(),
+            inner: Mutex::new(inner),
+            changes: watch::Sender::new(()),
+        }
     }
 
     /// Takes over a new list of VMs; counts of upstreams that stay are kept.
     pub fn update(&self, vms: Vec<Vm>) {
         let mut inner = self.lock();
         let mut upstreams = HashMap::default();
+        let before = inner.upstreams.clone();
         for vm in vms.into_iter().filter(|vm| vm.role != VmRole::Entry) {
             let upstream = match inner.upstreams.remove(&vm.id) {
                 Some(known) => Upstream { vm, ..known },
-                None => Upstream { vm, in_flight: Arc::default(), leaving_until_ms: None },
+                None => Upstream {
+                    vm,
+                    in_flight: Arc::default(),
+                    leaving_until_ms: None,
+                    heard_ms: Arc::default(),
+                },
             };
             upstreams.insert(upstream.vm.id.clone(), upstream);
         }
+        let is_same = before.len() == upstreams.len()
+            && upstreams.iter().all(|(id, new)| before.get(id).is_some_and(|old| old.vm == new.vm));
         inner.upstreams = upstreams;
+        drop(inner);
+        if !is_same {
+            self.changes.send_replace(());
+        }
+    }
+
+    /// Adds the upstreams to `addrs` that have requests of this entry and sent nothing since `since_ms`.
+    pub fn add_quiet(&self, since_ms: u64, addrs: &mut Vec<SocketAddr>) {
+        let inner = self.lock();
+        let quiet = inner.upstreams.values().filter(|upstream| {
+            upstream.in_flight.load(Ordering::Relaxed) > 0
+                && upstream.heard_ms.load(Ordering::Relaxed) < since_ms
+        });
+        addrs.extend(quiet.map(|upstream| upstream.vm.addr));
+    }
+
+    /// Tells of each change of the list.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// What the list says about the engine at `addr`; none if it is live.
+    pub fn sign(&self, addr: SocketAddr) -> Option<VmSign> {
+        let inner = self.lock();
+        match inner.upstreams.values().find(|upstream| upstream.vm.addr == addr) {
+            Some(upstream) if upstream.vm.state == VmState::Live => None,
+            Some(_) => Some(VmSign::Leaving),
+            None => Some(VmSign::Removed),
+        }
     }
 
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
@@ -82,7 +128,11 @@
             })
             .collect();
         let chosen = usable[route::choose(&candidates, rng)?];
-        Some(UpstreamGuard::new(chosen.vm.addr, Arc::clone(&chosen.in_flight)))
+        Some(UpstreamGuard::new(
+            chosen.vm.addr,
+            Arc::clone(&chosen.in_flight),
+            Arc::clone(&chosen.heard_ms),
+        ))
     }
 
     /// Upstreams in order of their identifiers.
--- a/crates/stand/src/engine/scheduler.rs
+++ b/crates/stand/src/engine/scheduler.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Identifiers of the requests in the batch.
+    pub fn active(&self) -> Vec<String> {
+        self.running.iter().map(|sequence| sequence.request_id().to_owned()).collect()
+    }
+
     /// Load as it was some time ago.
     pub fn lagging_load(&mut self, now_us: u64) -> EngineLoad {
         self.record_load(now_us);
--- a/crates/stand/src/engine/sequence.rs
+++ b/crates/stand/src/engine/sequence.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Identifier of the request.
+    pub fn request_id(&self) -> &str {
+        &self.request_id
+    }
+
     /// Whether the reader has closed its connection.
     pub fn is_cancelled(&self) -> bool {
         self.sender.is_closed()
--- a/crates/stand/src/engine/shared.rs
+++ b/crates/stand/src/engine/shared.rs
@@ -101,9 +101,9 @@
 
     /// Current state.
     pub fn state(&self) -> EngineState {
-        let (load, counters) = {
+        let (load, active, counters) = {
             let scheduler = self.scheduler();
-            (scheduler.load(), scheduler.counters)
+            (scheduler.load(), scheduler.active(), scheduler.counters)
         };
         let ordered = self.ordered();
         EngineState {
@@ -112,6 +112,7 @@
             role: ordered.role,
             last_fencing_token: ordered.last_fencing_token,
             load,
+            active,
             counters,
         }
     }
--- a/crates/wire/src/engine/state.rs
+++ b/crates/wire/src/engine/state.rs
@@ -20,6 +20,9 @@
     pub last_fencing_token: u64,
     /// Current load.
     pub load: EngineLoad,
+    /// Identifiers of the requests in the batch.
+    #[serde(default)]
+    pub active: Vec<String>,
     /// Counters.
     pub counters: EngineCounters,
 }
