--- a/crates/bench/src/caller/mod.rs
+++ b/crates/bench/src/caller/mod.rs
@@ -1,11 +1,6 @@
-//! Caller that reads streamed answers and checks them.
+//! Callers that check their answers.
 
-mod answer;
 mod service_call;
-mod stream;
 
-pub use self::{
-    answer::{Answer, AnswerEnd},
-    service_call::{CallOutcome, ServiceCall},
-    stream::{Caller, Question},
-};
+pub use self::service_call::{CallOutcome, ServiceCall};
+pub use stand::caller::{Answer, AnswerEnd, Caller, Question};
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod bench_error;
 pub mod caller;
+
 pub mod cluster;
 pub mod experiment;
 mod percentile;
--- /dev/null
+++ b/crates/geraniumroad/src/dev/fleet.rs
@@ -0,0 +1,174 @@
+//! Platform, engines and an entry in this process.
+
+use crate::{dev::death::Death, run_error::RunError};
+use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
+use conf::Settings;
+use entry::Entry;
+use fleet::{Account, Document, Model, Service, ServiceKind};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use stand::{Engine, EngineSettings, Platform, PlatformSettings};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use wire::platform::{Vm, VmRole, VmState};
+
+/// Version of the model.
+const VERSION: &str = "v1";
+
+/// Failure domains, each with some engines.
+const DOMAINS: [&str; 3] = ["lothian", "clyde", "tayside"];
+
+/// Engines in each failure domain.
+const ENGINES_PER_DOMAIN: usize = 2;
+
+/// Time between tokens.
+const TOKEN_GAP_MS: u64 = 20;
+
+/// Requests a second of the client account.
+const REQUESTS_PER_S: u32 = 1_000;
+
+/// Engine with its place.
+struct DevEngine {
+    id: VmId,
+    domain: DomainName,
+    engine: Engine,
+}
+
+/// Running parts.
+pub struct DevFleet {
+    platform: Platform,
+    engines: Vec<DevEngine>,
+    entry: Entry,
+    rng: SmallRng,
+    dead_engines_tokens: u64,
+}
+
+impl DevFleet {
+    /// Key of the client account.
+    pub const KEY: &str = "dev-key";
+
+    /// Model, and the service whose engines run it.
+    pub const MODEL: &str = "composer";
+
+    /// Starts all parts and waits until the entry is ready.
+    ///
+    /// # Errors
+    ///
+    /// A part could not start.
+    pub async fn start(seed: u64) -> Result<Self, RunError> {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let platform = Platform::start(PlatformSettings::default()).await?;
+        let engines = start_engines(&mut rng).await?;
+        platform.set_vms(engines.iter().map(vm).collect::<Result<_, _>>()?);
+        platform.put("config/current", &document()?.encode()?);
+        let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
+        let entry = Entry::start(&settings(platform.addr())?, Some(metrics)).await?;
+        while !entry.is_ready() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // The list of VMs is read at the same time as the configuration.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        Ok(Self { platform, engines, entry, rng, dead_engines_tokens: 0 })
+    }
+
+    /// Address that callers connect to.
+    pub fn addr(&self) -> SocketAddr {
+        self.entry.addr()
+    }
+
+    /// Tokens that all engines have decoded, those that died included.
+    pub fn decoded_tokens(&self) -> u64 {
+        let alive = self.engines.iter().map(|node| node.engine.state().counters.decoded_tokens);
+        self.dead_engines_tokens + alive.sum::<u64>()
+    }
+
+    /// Kills a random engine and starts a new one at the same address.
+    ///
+    /// # Errors
+    ///
+    /// The new engine could not start.
+    pub async fn kill_engine(&mut self) -> Result<Death, RunError> {
+        let position = self.rng.random_range(0..self.engines.len());
+        let seed = self.rng.random();
+        let node = self.engines.swap_remove(position);
+        let addr = node.engine.addr();
+        let state = node.engine.state();
+        let at = Instant::now();
+        node.engine.kill().await;
+        self.dead_engines_tokens += state.counters.decoded_tokens;
+        let engine = start_engine(seed, Some(addr)).await?;
+        let id = node.id.clone();
+        self.engines.push(DevEngine { id: node.id, domain: node.domain, engine });
+        let ids = state.active.iter().filter_map(|request_id| request_id.split('/').next());
+        Ok(Death { engine: id, at, generation_ids: ids.map(str::to_owned).collect() })
+    }
+
+    /// Stops all parts.
+    pub async fn close(self) {
+        self.entry.close().await;
+        for node in self.engines {
+            node.engine.kill().await;
+        }
+        self.platform.close().await;
+    }
+}
+
+async fn start_engines(rng: &mut SmallRng) -> Result<Vec<DevEngine>, RunError> {
+    let mut engines = Vec::new();
+    for domain in DOMAINS {
+        for number in 0..ENGINES_PER_DOMAIN {
+            let id = VmId::try_from(format!("engine-{domain}-{number}"))?;
+            let domain = DomainName::try_from(domain)?;
+            let engine = start_engine(rng.random(), None).await?;
+            engines.push(DevEngine { id, domain, engine });
+        }
+    }
+    Ok(engines)
+}
+
+async fn start_engine(seed: u64, addr: Option<SocketAddr>) -> Result<Engine, RunError> {
+    let mut settings =
+        EngineSettings { seed, token_gap_ms: TOKEN_GAP_MS, ..EngineSettings::default() };
+    if let Some(addr) = addr {
+        settings.listen = addr;
+    }
+    Ok(Engine::start(settings).await?)
+}
+
+fn settings(platform: SocketAddr) -> Result<Settings, RunError> {
+    let domain = DOMAINS[0];
+    let text = format!(
+        "[entry]\nvm_id = \"entry-1\"\ndomain = \"{domain}\"\nlisten = \"127.0.0.1:0\"\n\
+         shutdown_wait_ms = 0\n\
+         [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n"
+    );
+    let problem = |problems| RunError::Settings("the settings of dev".to_owned(), problems);
+    Settings::try_from(text.as_str()).map_err(problem)
+}
+
+fn vm(node: &DevEngine) -> Result<Vm, RunError> {
+    Ok(Vm {
+        id: node.id.clone(),
+        role: VmRole::Engine,
+        service: Some(ServiceName::try_from(DevFleet::MODEL)?),
+        domain: node.domain.clone(),
+        addr: node.engine.addr(),
+        peer_addr: None,
+        state: VmState::Live,
+    })
+}
+
+fn document() -> Result<Document, RunError> {
+    let service = ServiceName::try_from(DevFleet::MODEL)?;
+    let account = AccountName::try_from("dev")?;
+    let model = ModelName::try_from(DevFleet::MODEL)?;
+    let version = VersionName::try_from(VERSION)?;
+    Ok(Document {
+        accounts: vec![Account::new(&account, KeyHash::of(DevFleet::KEY), REQUESTS_PER_S)],
+        services: vec![Service::new(&service, ServiceKind::Generation)],
+        models: vec![Model::new(&model, &service, &version)],
+        ..Document::default()
+    })
+}
--- /dev/null
+++ b/crates/geraniumroad/src/dev/mod.rs
@@ -0,0 +1,56 @@
+//! Command `dev`: platform, engines and an entry in one process.
+
+mod death;
+mod fleet;
+mod once;
+mod report;
+
+use self::fleet::DevFleet;
+use crate::{cli::DevOptions, logging, run_error::RunError};
+use conf::LogSettings;
+use std::time::Duration;
+use tokio::runtime::Builder;
+
+/// Time between two deaths while `dev` serves.
+const DEATH_INTERVAL_MS: u64 = 2_000;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// A part could not start, or with `--once` an answer was not whole or no engine died.
+pub fn dev(options: &DevOptions) -> Result<(), RunError> {
+    let level = if options.once { log::LevelFilter::Error } else { log::LevelFilter::Info };
+    logging::install(&LogSettings { level, ..LogSettings::default() })?;
+    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let fleet = DevFleet::start(options.seed).await?;
+        if options.once { once::run(fleet, options.json).await } else { serve(fleet).await }
+    })
+}
+
+/// Serves until Ctrl-C, while engines die at intervals.
+async fn serve(mut fleet: DevFleet) -> Result<(), RunError> {
+    let addr = fleet.addr();
+    let key = DevFleet::KEY;
+    let model = DevFleet::MODEL;
+    println!("address:    http://{addr}");
+    println!("client key: {key}");
+    println!(
+        "curl -N http://{addr}/v1/completions -H 'Authorization: Bearer {key}' \
+         -H 'Content-Type: application/json' \
+         -d '{{\"model\":\"{model}\",\"prompt\":\"a peal plan\",\"max_tokens\":200,\"stream\":true}}'"
+    );
+    let interval = Duration::from_millis(DEATH_INTERVAL_MS);
+    loop {
+        tokio::select! {
+            _ = tokio::signal::ctrl_c() => break,
+            () = tokio::time::sleep(interval) => {
+                let id = fleet.kill_engine().await?.engine;
+                log::info!("dev: {id} has died and was replaced");
+            }
+        }
+    }
+    fleet.close().await;
+    Ok(())
+}
--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -10,7 +10,7 @@
 mod admin_view;
 mod cli;
 mod dev;
-mod dev_report;
+
 mod logging;
 mod run;
 mod run_error;
--- a/crates/bench/src/caller/answer.rs
+++ b/crates/stand/src/caller/answer.rs
@@ -1,6 +1,6 @@
 //! What a caller received.
 
-use stand::Chain;
+use crate::chain::Chain;
 use std::time::Instant;
 
 /// How a stream ended.
@@ -76,6 +76,12 @@
         self.id_part(0)
     }
 
+    /// Time from `at` to the next token that arrived; `None` if there was none.
+    pub fn resume_ms(&self, at: Instant) -> Option<u64> {
+        let next = self.token_times.iter().find(|&&time| time > at)?;
+        u64::try_from(next.duration_since(at).as_millis()).ok()
+    }
+
     /// Whether the answer is whole and unmixed: it ended, its chain holds from the start, and the count of tokens
     /// agrees with the usage.
     pub fn is_whole(&self, model: &str, adapter: &str, prompt: &str) -> bool {
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins of engines and the platform, and a fault-injecting proxy, for tests, experiments and `geraniumroad dev`.
+//! Stand-ins of engines, plain services and the platform, a fault-injecting proxy, and a caller that checks answers.
 #![deny(
     clippy::all,
     clippy::if_not_else,
@@ -7,6 +7,7 @@
     future_incompatible
 )]
 
+pub mod caller;
 mod chain;
 pub mod cli;
 mod engine;
