Add membership and versioned texts as pure state machines

Cause: the platform's VM list lags, so a daemon cannot tell from it which other daemons are in reach, and every daemon watched the platform itself. Ruled out: a full mesh of heartbeats (its bytes grow with the fleet) and whole configuration documents for each change (see docs/design.md 1.8).

--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,36 @@
+//! Membership of daemons and spread of versioned texts: state machines without sockets or clocks.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod heartbeat;
+mod incarnation;
+mod member;
+mod member_state;
+mod membership;
+mod message;
+mod message_error;
+mod options;
+mod patch;
+mod patch_error;
+mod rank;
+mod read_filter;
+mod record;
+mod replica_text;
+mod stats;
+mod target;
+mod topic;
+mod update;
+mod version;
+
+pub use crate::{
+    heartbeat::Heartbeat, incarnation::Incarnation, member::Member, member_state::MemberState,
+    membership::Membership, message::Message, message_error::MessageError, options::Options,
+    patch::Patch, patch_error::PatchError, rank::readers, read_filter::ReadFilter,
+    replica_text::ReplicaText, stats::Stats, target::Target, topic::Topic, update::Update,
+    version::Version,
+};
