Use the membership for peers, configuration and the VM list

Cause: each daemon watched the configuration key and read the VM list, so platform calls grew with the number of daemons. Now two daemons of each failure domain read; the others learn versions from heartbeats and fetch patches from the peer. Links that carry heartbeats only end after 2 s and send no pings, because 60 s of pings on each of 180 links would cost more bytes than the heartbeats. An invalid document no longer makes the watch return at once again and again. Ruled out: one lock for the reader's role (needs the platform, which may be down); a choice by rank costs at most a few more calls while views differ.

--- a/crates/conf/src/peer_settings.rs
+++ b/crates/conf/src/peer_settings.rs
@@ -11,14 +11,20 @@
 const DEFAULT_PING_INTERVAL_MS: u64 = 1_000;
 
 /// Messages between daemons. Without this section a daemon has no peers and serves without journal copies.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PeerSettings {
     /// Address of the server towards peers.
     pub listen: SocketAddr,
+    /// Address under which other daemons reach this one; the listening address if there is none.
+    pub advertise: Option<SocketAddr>,
     /// Longest wait for a connection to a peer and for an answer on it.
     pub timeout_ms: u64,
     /// Time between two pings of a connection.
     pub ping_interval_ms: u64,
+    /// Addresses of other daemons that are asked first, for a start while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// Addresses to connect to in place of advertised ones, where addresses are translated between failure domains.
+    pub via: Vec<(SocketAddr, SocketAddr)>,
 }
 
 impl PeerSettings {
@@ -29,10 +35,22 @@
         }
         let mut section = Section::open("peer", root, source);
         let listen = section.required("listen", "IP address and port", source);
+        let advertise = section.optional("advertise", "IP address and port", source);
         let timeout_ms = section.integer("timeout_ms", 10..=10_000, DEFAULT_TIMEOUT_MS, source);
         let ping_interval_ms =
             section.integer("ping_interval_ms", 50..=30_000, DEFAULT_PING_INTERVAL_MS, source);
+        let seeds = section.list("seeds", "an array of IP addresses and ports", source);
+        let translations = section.map("via", "IP address and port", source);
+        let mut via = Vec::new();
+        for (from, to) in translations {
+            match from.parse() {
+                Ok(from) => via.push((from, to)),
+                Err(_) => {
+                    section.reject("via", "a table from IP address and port to another", source)
+                }
+            }
+        }
         section.close(source);
-        Some(Self { listen: listen?, timeout_ms, ping_interval_ms })
+        Some(Self { listen: listen?, advertise, timeout_ms, ping_interval_ms, seeds, via })
     }
 }
--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -166,6 +166,34 @@
         parsed
     }
 
+    /// Takes an array whose texts must parse as `T`; a missing array is empty.
+    pub fn list<T: FromStr>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        source: &mut Source<'_>,
+    ) -> Vec<T> {
+        let Some((line, value)) = self.take(key, source) else { return Vec::new() };
+        let DeValue::Array(items) = value else {
+            self.report(key, line, &format!("is a {}", value.type_str()), allowed, source);
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for item in items {
+            let line = source.line(item.span().start);
+            match item.get_ref().as_str().and_then(|text| text.parse().ok()) {
+                Some(value) => parsed.push(value),
+                None => self.report(key, line, "holds an entry that is not valid", allowed, source),
+            }
+        }
+        parsed
+    }
+
+    /// Reports that a key does not hold what is allowed.
+    pub fn reject(&self, key: &str, allowed: &str, source: &mut Source<'_>) {
+        self.report(key, self.line, "is not valid", allowed, source);
+    }
+
     /// Reports the keys that nobody took.
     pub fn close(self, source: &mut Source<'_>) {
         for (key, value) in &self.table {
--- a/crates/entry/src/config_actor.rs
+++ b/crates/entry/src/config_actor.rs
@@ -1,12 +1,9 @@
 //! Actor that keeps the configuration up to date.
 
-use crate::config::Config;
-use fleet::Document;
-use plat::Platform;
+use crate::spread::Spread;
+use plat::{Platform, PlatformError};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{sync::Arc, time::Duration};
-use tokio::sync::watch;
-use wire::platform::KvEntry;
 
 /// Key of the configuration document.
 const CONFIG_KEY: &str = "config/current";
@@ -17,6 +14,9 @@
 /// Pause after the platform gave no answer.
 const RETRY_PAUSE_MS: u64 = 500;
 
+/// Pause of a daemon that leaves the watch to others, until it checks its part again.
+const READER_CHECK_MS: u64 = 250;
+
 /// Actor that watches the configuration document.
 #[derive(Debug)]
 pub(crate) struct ConfigActor;
@@ -25,7 +25,9 @@
 #[derive(Debug)]
 pub(crate) struct ConfigArguments {
     pub platform: Platform,
-    pub sender: watch::Sender<Arc<Config>>,
+    pub spread: Arc<Spread>,
+    /// Newest revision that the platform has shown, valid or not.
+    pub seen_revision: u64,
 }
 
 /// Message of the actor.
@@ -56,11 +58,9 @@
         state: &mut ConfigArguments,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            ConfigMessage::Poll => {
-                let revision = state.sender.borrow().revision;
-                let changes = state.platform.watch(CONFIG_KEY, revision, WATCH_WAIT_MS).await;
-                match changes {
-                    Ok(list) => list.entries.iter().for_each(|entry| apply(entry, &state.sender)),
+            ConfigMessage::Poll if state.spread.is_reader() => {
+                match state.watch().await {
+                    Ok(()) => {}
                     Err(err) => {
                         log::warn!("config: the platform cannot be watched: {err}");
                         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
@@ -68,21 +68,24 @@
                 }
                 myself.cast(ConfigMessage::Poll)?;
             }
+            ConfigMessage::Poll => {
+                let pause = Duration::from_millis(READER_CHECK_MS);
+                drop(myself.send_after(pause, || ConfigMessage::Poll));
+            }
         }
         Ok(())
     }
 }
 
-/// Puts a document into force if it is valid and newer than the present one.
-fn apply(entry: &KvEntry, sender: &watch::Sender<Arc<Config>>) {
-    if entry.key != CONFIG_KEY || entry.revision <= sender.borrow().revision {
-        return;
-    }
-    match Document::decode(&entry.value) {
-        Ok(document) => {
-            log::info!("config: revision {} is in force", entry.revision);
-            sender.send_replace(Arc::new(Config { revision: entry.revision, document }));
+impl ConfigArguments {
+    /// Waits for the next change and offers it.
+    async fn watch(&mut self) -> Result<(), PlatformError> {
+        let after = self.seen_revision.max(self.spread.config_revision());
+        let changes = self.platform.watch(CONFIG_KEY, after, WATCH_WAIT_MS).await?;
+        for entry in changes.entries.iter().filter(|entry| entry.key == CONFIG_KEY) {
+            self.seen_revision = self.seen_revision.max(entry.revision);
+            self.spread.offer_config(entry.revision, &entry.value);
         }
-        Err(err) => log::error!("config: revision {} is not valid: {err}", entry.revision),
+        Ok(())
     }
 }
--- /dev/null
+++ b/crates/entry/src/config_offer.rs
@@ -0,0 +1,41 @@
+//! Decision whether a document comes into force, whichever source offers it.
+
+use crate::config::Config;
+use fleet::Document;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Puts documents into force, whichever source offers them.
+#[derive(Debug)]
+pub(crate) struct ConfigOffer {
+    pub sender: watch::Sender<Arc<Config>>,
+}
+
+impl ConfigOffer {
+    /// Puts a document into force if it is valid and newer than the present one; whether it did.
+    pub fn offer(&self, revision: u64, text: &str) -> bool {
+        if revision <= self.sender.borrow().revision {
+            return false;
+        }
+        let document = match Document::decode(text) {
+            Ok(document) => document,
+            Err(err) => {
+                log::error!("config: revision {revision} is not valid: {err}");
+                return false;
+            }
+        };
+        let config = Arc::new(Config { revision, document });
+        let is_newer = self.sender.send_if_modified(|current| {
+            let is_newer = revision > current.revision;
+            if is_newer {
+                *current = Arc::clone(&config);
+            }
+            is_newer
+        });
+        if is_newer {
+            log::info!("config: revision {revision} is in force");
+            metrics::gauge!("config_revision").set(revision as f64);
+        }
+        is_newer
+    }
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,25 +3,29 @@
 use crate::{
     config::Config,
     config_actor::{ConfigActor, ConfigArguments},
+    config_offer::ConfigOffer,
     entry_error::EntryError,
     handler::CallerHandler,
     journals::Journals,
+    member_actor::{MemberActor, MemberArguments},
     peer_answers::PeerAnswers,
     peers::Peers,
     shared::Shared,
+    spread::Spread,
     upstreams::Upstreams,
     vm_list_actor::{VmListActor, VmListArguments},
 };
 use base::Clock;
 use conf::Settings;
+use member::{Incarnation, Member, MemberState, Membership, Options};
 use metrics_exporter_prometheus::PrometheusHandle;
-use peer::{PeerNode, PeerOptions};
+use peer::{PeerHandle, PeerNode, PeerOptions};
 use plat::Platform;
 use ractor::{Actor, ActorCell};
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -47,6 +51,7 @@
     actors: Vec<ActorCell>,
     expiry: JoinHandle<()>,
     peer_node: Option<PeerNode>,
+    member: Option<MemberArguments>,
 }
 
 impl Entry {
@@ -66,21 +71,39 @@
         let (config_sender, config) = watch::channel(Arc::new(Config::default()));
         let clock = Clock::start();
         let journals = Arc::new(Journals::new(clock));
-        let answers = PeerAnswers { journals: Arc::clone(&journals), config: config.clone() };
+        let late_spread = Arc::new(OnceLock::new());
+        let answers = PeerAnswers {
+            journals: Arc::clone(&journals),
+            config: config.clone(),
+            spread: Arc::clone(&late_spread),
+        };
         let peer_node = start_peers(settings, answers)?;
+        let handle = peer_node.as_ref().map(|node| peer_handle(settings, node));
         let peers = Arc::new(Peers::new(
             settings.entry.vm_id.clone(),
             settings.entry.domain.clone(),
             clock,
-            peer_node.as_ref().map(PeerNode::handle),
+            handle.clone(),
+        ));
+        let spread = Arc::new(Spread::new(
+            Membership::new(own(settings, peer_node.as_ref(), addr), Options::default(), 0),
+            settings.peer.as_ref().map(|peer| peer.seeds.clone()).unwrap_or_default(),
+            clock,
+            ConfigOffer { sender: config_sender },
+            Arc::clone(&peers),
+            Arc::clone(&upstreams),
         ));
-        let config_arguments =
-            ConfigArguments { platform: platform.clone(), sender: config_sender };
+        // Nothing else sets it.
+        let _ = late_spread.set(Arc::clone(&spread));
+        let config_arguments = ConfigArguments {
+            platform: platform.clone(),
+            spread: Arc::clone(&spread),
+            seen_revision: 0,
+        };
         let (config_actor, _) = Actor::spawn(None, ConfigActor, config_arguments).await?;
         let vm_list_arguments = VmListArguments {
             platform,
-            peers: Arc::clone(&peers),
-            upstreams: Arc::clone(&upstreams),
+            spread: Arc::clone(&spread),
             interval_ms: settings.platform.vm_list_interval_ms,
         };
         let (vm_list_actor, _) = Actor::spawn(None, VmListActor, vm_list_arguments).await?;
@@ -102,9 +125,13 @@
         let handler = Arc::new(CallerHandler { shared: Arc::clone(&shared) });
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
-        let actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
+        let mut actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
+        let member = handle.map(|handle| MemberArguments { spread, handle });
+        if let Some(arguments) = member.clone() {
+            actors.push(Actor::spawn(None, MemberActor, arguments).await?.0.get_cell());
+        }
         let expiry = tokio::spawn(expire(journals));
-        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node })
+        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, member })
     }
 
     /// Address that callers connect to.
@@ -133,6 +160,9 @@
             actor.stop(None);
         }
         self.expiry.abort();
+        if let Some(member) = self.member {
+            member.leave().await;
+        }
         if let Some(node) = self.peer_node {
             node.close().await;
         }
@@ -141,12 +171,29 @@
 }
 
 fn start_peers(settings: &Settings, answers: PeerAnswers) -> Result<Option<PeerNode>, EntryError> {
-    let Some(peer) = settings.peer else { return Ok(None) };
+    let Some(peer) = &settings.peer else { return Ok(None) };
     let options =
         PeerOptions { timeout_ms: peer.timeout_ms, ping_interval_ms: peer.ping_interval_ms };
     Ok(Some(PeerNode::start(peer.listen, options, Arc::new(answers))?))
 }
 
+fn peer_handle(settings: &Settings, node: &PeerNode) -> PeerHandle {
+    let via = settings.peer.iter().flat_map(|peer| peer.via.iter().copied()).collect();
+    node.handle().with_via(via)
+}
+
+/// This daemon as a member. The wall clock gives a restarted daemon a higher incarnation than before.
+fn own(settings: &Settings, node: Option<&PeerNode>, addr: SocketAddr) -> Member {
+    let advertised = settings.peer.as_ref().and_then(|peer| peer.advertise);
+    Member {
+        id: settings.entry.vm_id.clone(),
+        domain: settings.entry.domain.clone(),
+        addr: advertised.or(node.map(PeerNode::addr)).unwrap_or(addr),
+        incarnation: Incarnation(Clock::unix_ms()),
+        state: MemberState::Alive,
+    }
+}
+
 async fn expire(journals: Arc<Journals>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(EXPIRE_INTERVAL_MS));
     loop {
--- a/crates/entry/src/peer_answers.rs
+++ b/crates/entry/src/peer_answers.rs
@@ -1,10 +1,10 @@
 //! What this entry answers to its peers.
 
-use crate::{config::Config, journals::Journals};
+use crate::{config::Config, journals::Journals, spread::Spread};
 use base::{AccountName, VmId};
 use peer::{ConfigRevision, FoundJournal, PeerService};
 use recovery::{Append, AppendStatus, ClaimError, Cursor, Replica};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use tokio::sync::watch;
 
 /// What this entry answers to its peers.
@@ -12,6 +12,8 @@
 pub(crate) struct PeerAnswers {
     pub journals: Arc<Journals>,
     pub config: watch::Receiver<Arc<Config>>,
+    /// Set as soon as the address of the server towards peers is known.
+    pub spread: Arc<OnceLock<Arc<Spread>>>,
 }
 
 impl PeerService for PeerAnswers {
@@ -34,8 +36,8 @@
         Ok(FoundJournal { view_number, token_count })
     }
 
-    fn heartbeat(&self, _body: &[u8]) -> Vec<u8> {
-        Vec::new()
+    fn heartbeat(&self, body: &[u8]) -> Vec<u8> {
+        self.spread.get().map(|spread| spread.answer(body)).unwrap_or_default()
     }
 
     fn config(&self, after_revision: u64) -> Option<ConfigRevision> {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::holder::Holder;
 use base::{Clock, DomainName, HashMap, VmId};
+use member::{Member, MemberState};
 use peer::PeerHandle;
 use std::{
     cmp::Reverse,
@@ -16,10 +17,11 @@
 #[derive(Debug, Default)]
 struct Inner {
     vms: Vec<Vm>,
+    live: Vec<Member>,
     failed_at_ms: HashMap<VmId, u64>,
 }
 
-/// Other daemons from the platform's list of VMs.
+/// Other daemons: the live set of the membership, or the platform's list of VMs until there is one.
 #[derive(Debug)]
 pub(crate) struct Peers {
     id: VmId,
@@ -51,15 +53,26 @@
         self.lock().vms = vms.iter().filter(is_peer).cloned().collect();
     }
 
-    /// Daemon with an identifier.
+    /// Takes over the live set of the membership.
+    pub fn set_live(&self, live: Vec<Member>) {
+        self.lock().live = live;
+    }
+
+    /// Daemon with an identifier. One that is not live may still be in reach, so the platform's list is used as well.
     pub fn find(&self, id: &VmId) -> Option<Holder> {
         let inner = self.lock();
-        inner.vms.iter().find(|vm| vm.id == *id).and_then(holder)
+        let live = inner.live.iter().find(|member| member.id == *id).map(live_holder);
+        live.or_else(|| inner.vms.iter().find(|vm| vm.id == *id).and_then(holder))
     }
 
     /// All other daemons.
     pub fn all(&self) -> Vec<Holder> {
-        self.lock().vms.iter().filter_map(holder).collect()
+        let inner = self.lock();
+        if inner.live.is_empty() {
+            inner.vms.iter().filter_map(holder).collect()
+        } else {
+            inner.live.iter().map(live_holder).collect()
+        }
     }
 
     /// Chooses a holder by rendezvous hash over the live daemons, if possible in another failure domain.
@@ -68,12 +81,20 @@
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
         inner.failed_at_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FAILED_MS);
-        let live = inner
-            .vms
-            .iter()
-            .filter(|vm| vm.state == VmState::Live && !inner.failed_at_ms.contains_key(&vm.id));
-        live.min_by_key(|vm| (vm.domain == self.domain, Reverse(score(generation, &vm.id))))
-            .and_then(holder)
+        let rank = |id: &VmId, domain: &DomainName| {
+            (*domain == self.domain, Reverse(score(generation, id)))
+        };
+        let is_usable = |id: &VmId| {
+            let is_leaving = |vm: &Vm| vm.id == *id && vm.state == VmState::Leaving;
+            !inner.failed_at_ms.contains_key(id) && !inner.vms.iter().any(is_leaving)
+        };
+        if inner.live.is_empty() {
+            let usable = inner.vms.iter().filter(|vm| is_usable(&vm.id));
+            return usable.min_by_key(|vm| rank(&vm.id, &vm.domain)).and_then(holder);
+        }
+        let alive = inner.live.iter().filter(|member| member.state == MemberState::Alive);
+        let usable = alive.filter(|member| is_usable(&member.id));
+        usable.min_by_key(|member| rank(&member.id, &member.domain)).map(live_holder)
     }
 
     /// Notes that a daemon failed an append.
@@ -91,6 +112,10 @@
     Some(Holder { id: vm.id.clone(), addr: vm.peer_addr? })
 }
 
+fn live_holder(member: &Member) -> Holder {
+    Holder { id: member.id.clone(), addr: member.addr }
+}
+
 fn score(generation: &str, id: &VmId) -> u64 {
     let mut hasher = DefaultHasher::new();
     generation.hash(&mut hasher);
--- /dev/null
+++ b/crates/entry/src/spread.rs
@@ -0,0 +1,342 @@
+//! Membership and copies of the shared texts, used by the actor and by the thread for peers.
+
+use crate::{
+    config_offer::ConfigOffer, digest_hook::DigestHook, member_message::MemberMessage,
+    peers::Peers, upstreams::Upstreams,
+};
+use base::{Clock, VmId};
+use member::{
+    Heartbeat, Member, MemberState, Membership, Message, PatchError, ReadFilter, ReplicaText,
+    Target, Topic, Update, Version, readers,
+};
+use ractor::ActorRef;
+use rand::{SeedableRng, rngs::SmallRng};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+};
+use wire::platform::{VmList, VmRole};
+
+/// Daemons in each failure domain that read the platform. The second one covers the time until a loss is noticed.
+const READERS: usize = 2;
+
+struct Inner {
+    membership: Membership,
+    config: ReplicaText,
+    vms: ReplicaText,
+    filter: ReadFilter,
+    rng: SmallRng,
+    is_fetching: [bool; 2],
+}
+
+/// Membership and copies of the shared texts.
+pub(crate) struct Spread {
+    clock: Clock,
+    seeds: Vec<SocketAddr>,
+    config: ConfigOffer,
+    peers: Arc<Peers>,
+    upstreams: Arc<Upstreams>,
+    actor: OnceLock<ActorRef<MemberMessage>>,
+    digests: OnceLock<Arc<dyn DigestHook>>,
+    inner: Mutex<Inner>,
+}
+
+impl Spread {
+    pub fn new(
+        membership: Membership,
+        seeds: Vec<SocketAddr>,
+        clock: Clock,
+        config: ConfigOffer,
+        peers: Arc<Peers>,
+        upstreams: Arc<Upstreams>,
+    ) -> Self {
+        let inner = Inner {
+            membership,
+            config: ReplicaText::default(),
+            vms: ReplicaText::default(),
+            filter: ReadFilter::default(),
+            rng: SmallRng::seed_from_u64(rand::random()),
+            is_fetching: [false; 2],
+        };
+        let spread = Self {
+            clock,
+            seeds,
+            config,
+            peers,
+            upstreams,
+            actor: OnceLock::new(),
+            digests: OnceLock::new(),
+            inner: Mutex::new(inner),
+        };
+        let hints = spread.hints(&VmList::default());
+        spread.lock().membership.set_hints(hints);
+        spread
+    }
+
+    /// Names the actor that fetches what peers have newer.
+    pub fn set_actor(&self, actor: ActorRef<MemberMessage>) {
+        // Set once at the start; a second actor does not exist.
+        let _ = self.actor.set(actor);
+    }
+
+    /// Names the source and receiver of opaque bytes in heartbeats.
+    #[expect(dead_code, reason = "the usage of client accounts is to travel this way")]
+    pub fn set_digests(&self, digests: Arc<dyn DigestHook>) {
+        let _ = self.digests.set(digests);
+    }
+
+    /// Whether this daemon reads the platform for its failure domain.
+    pub fn is_reader(&self) -> bool {
+        let inner = self.lock();
+        let own = inner.membership.own();
+        let others = inner.membership.live().filter(|member| member.state == MemberState::Alive);
+        let live: Vec<Member> = others.cloned().chain([own.clone()]).collect();
+        readers(&live, &own.domain, READERS).contains(&&own.id)
+    }
+
+    /// Revision of the configuration in force.
+    pub fn config_revision(&self) -> u64 {
+        self.lock().config.version().number
+    }
+
+    /// Advances the membership and returns the receivers of heartbeats.
+    pub fn tick(&self) -> Vec<Target> {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        let Inner { membership, rng, .. } = &mut *inner;
+        let targets = membership.tick(now_ms, rng);
+        self.peers.set_live(membership.live().cloned().collect());
+        report(membership);
+        targets
+    }
+
+    /// Receivers of a notice of a new version.
+    pub fn notice_targets(&self) -> Vec<Target> {
+        let mut inner = self.lock();
+        let Inner { membership, rng, .. } = &mut *inner;
+        membership.notice_targets(rng)
+    }
+
+    /// Encoded heartbeat to a daemon.
+    pub fn heartbeat(&self, to: Option<&VmId>) -> Option<Vec<u8>> {
+        let from = self.lock().membership.own().clone();
+        encode(&Message::Heartbeat(self.compose(from, to)))
+    }
+
+    /// Encoded heartbeat that says that this daemon leaves.
+    pub fn farewell(&self, to: Option<&VmId>) -> Option<Vec<u8>> {
+        let from = self.lock().membership.leave();
+        encode(&Message::Heartbeat(self.compose(from, to)))
+    }
+
+    /// Answers a message of a peer. An empty answer says that the message was not understood.
+    pub fn answer(&self, body: &[u8]) -> Vec<u8> {
+        let answer = match Message::decode(body) {
+            Ok(Message::Heartbeat(heartbeat)) => {
+                let to = heartbeat.from.id.clone();
+                self.receive(&heartbeat);
+                self.heartbeat(Some(&to))
+            }
+            Ok(Message::Fetch(topic, version)) => {
+                let update = self.lock().text(topic).update_since(version);
+                encode(&Message::Update(update))
+            }
+            Ok(Message::Update(_)) => None,
+            Err(err) => {
+                log::warn!("member: a message is malformed: {err}");
+                None
+            }
+        };
+        answer.unwrap_or_default()
+    }
+
+    /// Takes the answer to a heartbeat.
+    pub fn receive_answer(&self, body: &[u8]) {
+        match Message::decode(body) {
+            Ok(Message::Heartbeat(heartbeat)) => self.receive(&heartbeat),
+            Ok(_) => log::warn!("member: an answer is not a heartbeat"),
+            Err(err) => log::warn!("member: an answer is malformed: {err}"),
+        }
+    }
+
+    /// Notes that a daemon did not answer a heartbeat.
+    pub fn fail(&self, id: &VmId) {
+        let now_ms = self.clock.now_ms();
+        self.lock().membership.fail(now_ms, id);
+    }
+
+    /// Begins a fetch and returns its encoded question, unless one of the topic is under way.
+    pub fn begin_fetch(&self, topic: Topic) -> Option<Vec<u8>> {
+        let mut inner = self.lock();
+        if std::mem::replace(&mut inner.is_fetching[topic as usize], true) {
+            return None;
+        }
+        let version = inner.text(topic).version();
+        encode(&Message::Fetch(topic, version))
+    }
+
+    /// Ends a fetch.
+    pub fn end_fetch(&self, topic: Topic) {
+        self.lock().is_fetching[topic as usize] = false;
+    }
+
+    /// Takes the answer to a fetch; whether it brought a newer version.
+    ///
+    /// # Errors
+    ///
+    /// The answer does not lead to a newer version; the whole text may.
+    pub fn receive_update(&self, topic: Topic, body: &[u8]) -> Result<bool, PatchError> {
+        let Ok(Message::Update(update)) = Message::decode(body) else { return Ok(false) };
+        let kind = match &update {
+            Update::None => "none",
+            Update::Patches(_) => "patches",
+            Update::Whole(..) => "whole",
+        };
+        metrics::counter!("spread_updates_total", "kind" => kind).increment(1);
+        let resolved = self.lock().text(topic).resolve(&update)?;
+        Ok(resolved.is_some_and(|(version, text)| self.take(topic, version, &text)))
+    }
+
+    /// Takes a configuration document from the platform.
+    pub fn offer_config(&self, revision: u64, text: &str) {
+        if self.take(Topic::Config, Version::of(revision, text), text) {
+            self.notify();
+        }
+    }
+
+    /// Takes a list of VMs from the platform.
+    pub fn offer_vms(&self, mut list: VmList) {
+        list.vms.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        let Ok(text) = serde_json::to_string(&list) else { return };
+        let mut inner = self.lock();
+        let held = inner.vms.version();
+        let version = Version::of(held.number.saturating_add(1), &text);
+        if !inner.filter.accept(held.hash, version.hash) {
+            return;
+        }
+        drop(inner);
+        if self.take(Topic::Vms, version, &text) {
+            self.notify();
+        }
+    }
+
+    fn compose(&self, from: Member, to: Option<&VmId>) -> Heartbeat {
+        let mut digest = self.digests.get().map(|hook| hook.digest()).unwrap_or_default();
+        if digest.len() > Heartbeat::DIGEST_BYTES {
+            log::error!("member: a digest of {} bytes is not sent", digest.len());
+            digest.clear();
+        }
+        let mut inner = self.lock();
+        let versions = Topic::ALL.map(|topic| inner.text(topic).version());
+        let Inner { membership, rng, .. } = &mut *inner;
+        Heartbeat {
+            from,
+            is_trusted: membership.is_trusted(),
+            versions,
+            records: membership.records_for(to, rng),
+            digest: digest.into(),
+        }
+    }
+
+    fn receive(&self, heartbeat: &Heartbeat) {
+        let Heartbeat { from, is_trusted, versions, records, digest } = heartbeat;
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        inner.membership.receive(now_ms, from, *is_trusted, records);
+        let held = Topic::ALL.map(|topic| inner.text(topic).version());
+        drop(inner);
+        if let Some(hook) = self.digests.get().filter(|_| *is_trusted && !digest.is_empty()) {
+            hook.receive(&from.id, digest);
+        }
+        for (topic, (held, offered)) in Topic::ALL.into_iter().zip(held.iter().zip(versions)) {
+            if offered > held
+                && let Some(actor) = self.actor.get()
+            {
+                // An error means that the daemon shuts down.
+                let _ = actor.cast(MemberMessage::Fetch(topic, from.addr));
+            }
+        }
+    }
+
+    /// Takes a text if it is newer, and puts it into force.
+    fn take(&self, topic: Topic, version: Version, text: &str) -> bool {
+        let mut inner = self.lock();
+        if version <= inner.text(topic).version() {
+            return false;
+        }
+        match topic {
+            Topic::Config => {
+                self.config.offer(version.number, text) && inner.config.offer(version, text)
+            }
+            Topic::Vms => {
+                let Ok(list) = serde_json::from_str::<VmList>(text) else { return false };
+                let is_newer = inner.vms.offer(version, text);
+                let hints = self.hints(&list);
+                inner.membership.set_hints(hints);
+                self.peers.update(&list.vms);
+                self.upstreams.update(list.vms);
+                metrics::gauge!("vm_list_version").set(version.number as f64);
+                is_newer
+            }
+        }
+    }
+
+    fn notify(&self) {
+        if let Some(actor) = self.actor.get() {
+            // An error means that the daemon shuts down.
+            let _ = actor.cast(MemberMessage::Notify);
+        }
+    }
+
+    fn hints(&self, list: &VmList) -> Vec<Target> {
+        let entries = list.vms.iter().filter(|vm| vm.role == VmRole::Entry);
+        let listed = entries.filter_map(|vm| {
+            let addr = vm.peer_addr?;
+            Some(Target { id: Some(vm.id.clone()), addr })
+        });
+        let seeds = self.seeds.iter().map(|&addr| Target { id: None, addr });
+        listed.chain(seeds).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn text(&self, topic: Topic) -> &ReplicaText {
+        match topic {
+            Topic::Config => &self.config,
+            Topic::Vms => &self.vms,
+        }
+    }
+}
+
+impl std::fmt::Debug for Spread {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Spread")
+            .field("membership", &self.lock().membership)
+            .finish_non_exhaustive()
+    }
+}
+
+fn encode(message: &Message) -> Option<Vec<u8>> {
+    match message.encode() {
+        Ok(body) => Some(body),
+        Err(err) => {
+            log::error!("member: a message cannot be written: {err}");
+            None
+        }
+    }
+}
+
+fn report(membership: &Membership) {
+    let stats = membership.stats();
+    metrics::gauge!("member_live").set(membership.live().count() as f64);
+    metrics::gauge!("member_incarnation").set(membership.own().incarnation.0 as f64);
+    metrics::counter!("member_suspicions_total").absolute(stats.suspicions);
+    metrics::counter!("member_refuted_total").absolute(stats.refuted);
+    metrics::counter!("member_removals_total").absolute(stats.removals);
+    metrics::counter!("member_returns_total").absolute(stats.returns);
+    metrics::counter!("member_pauses_total").absolute(stats.pauses);
+}
--- a/crates/entry/src/vm_list_actor.rs
+++ b/crates/entry/src/vm_list_actor.rs
@@ -1,6 +1,6 @@
-//! Actor that keeps the table of upstreams and peers up to date.
+//! Actor that reads the platform's list of VMs.
 
-use crate::{peers::Peers, upstreams::Upstreams};
+use crate::spread::Spread;
 use plat::Platform;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{sync::Arc, time::Duration};
@@ -13,8 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct VmListArguments {
     pub platform: Platform,
-    pub peers: Arc<Peers>,
-    pub upstreams: Arc<Upstreams>,
+    pub spread: Arc<Spread>,
     pub interval_ms: u64,
 }
 
@@ -47,12 +46,11 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             VmListMessage::Poll => {
-                match state.platform.vms().await {
-                    Ok(list) => {
-                        state.peers.update(&list.vms);
-                        state.upstreams.update(list.vms);
+                if state.spread.is_reader() {
+                    match state.platform.vms().await {
+                        Ok(list) => state.spread.offer_vms(list),
+                        Err(err) => log::warn!("vms: the platform's list cannot be read: {err}"),
                     }
-                    Err(err) => log::warn!("vms: the platform's list cannot be read: {err}"),
                 }
                 let interval = Duration::from_millis(state.interval_ms);
                 drop(myself.send_after(interval, || VmListMessage::Poll));
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connection to a peer.
 
-use crate::{peer_capnp::peer, peer_error::PeerError};
+use crate::{counted::Counted, peer_capnp::peer, peer_error::PeerError};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::io::{BufReader, BufWriter};
 use std::net::SocketAddr;
@@ -38,8 +38,8 @@
         stream.set_nodelay(true)?;
         let (reader, writer) = stream.into_split();
         let network = VatNetwork::new(
-            BufReader::new(reader.compat()),
-            BufWriter::new(writer.compat_write()),
+            BufReader::new(Counted::new(reader.compat())),
+            BufWriter::new(Counted::new(writer.compat_write())),
             Side::Client,
             Default::default(),
         );
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 )]
 
 mod connection;
+mod counted;
 mod decode;
 mod encode;
 mod link;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -24,9 +24,13 @@
 /// Most appends in one call, so that a message stays well below the reader's limit of 64 MiB.
 const BATCH_LEN: usize = 1_024;
 
-/// Time without a call after which a link ends.
+/// Time without an append or a claim after which a link ends.
 const IDLE_MS: u64 = 60_000;
 
+/// Time without a call after which a link ends that carries heartbeats only. Each heartbeat goes to another peer, so
+/// such links would otherwise add up and spend more bytes on pings than on heartbeats.
+const HEARTBEAT_IDLE_MS: u64 = 2_000;
+
 /// Link to one peer.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -48,6 +52,7 @@
         let mut waiting: Vec<AppendCall> = Vec::new();
         let mut batch: Option<JoinHandle<()>> = None;
         let mut last_call = Instant::now();
+        let mut last_journal_call: Option<Instant> = None;
         let ping_interval = Duration::from_millis(self.options.ping_interval_ms);
         let mut pings = tokio::time::interval_at(last_call + ping_interval, ping_interval);
         loop {
@@ -60,12 +65,18 @@
                 call = calls.recv() => {
                     let Some(call) = call else { break };
                     last_call = Instant::now();
+                    if !matches!(call, LinkCall::Heartbeat { .. } | LinkCall::Config { .. }) {
+                        last_journal_call = Some(last_call);
+                    }
                     match call {
                         LinkCall::Append(append) => waiting.push(append),
                         other => drop(spawn_local(Rc::clone(&self).answer(other))),
                     }
                     // A batch takes everything that waits already.
                     while let Ok(call) = calls.try_recv() {
+                        if !matches!(call, LinkCall::Heartbeat { .. } | LinkCall::Config { .. }) {
+                            last_journal_call = Some(last_call);
+                        }
                         match call {
                             LinkCall::Append(append) => waiting.push(append),
                             other => drop(spawn_local(Rc::clone(&self).answer(other))),
@@ -74,10 +85,13 @@
                 }
                 () = finished(&mut batch) => batch = None,
                 _ = pings.tick() => {
-                    if last_call.elapsed() > Duration::from_millis(IDLE_MS) {
+                    let idle = Duration::from_millis(IDLE_MS);
+                    let has_journals = last_journal_call.is_some_and(|at| at.elapsed() <= idle);
+                    let heartbeat_idle = Duration::from_millis(HEARTBEAT_IDLE_MS);
+                    if !has_journals && last_call.elapsed() > heartbeat_idle {
                         break;
                     }
-                    if self.current.borrow().is_some() {
+                    if has_journals && self.current.borrow().is_some() {
                         drop(spawn_local(Rc::clone(&self).ping()));
                     }
                 }
--- a/crates/peer/src/peer_handle.rs
+++ b/crates/peer/src/peer_handle.rs
@@ -27,11 +27,17 @@
 pub struct PeerHandle {
     new_links: mpsc::UnboundedSender<NewLink>,
     links: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<LinkCall>>>>,
+    via: Arc<HashMap<SocketAddr, SocketAddr>>,
 }
 
 impl PeerHandle {
     pub(crate) fn new(new_links: mpsc::UnboundedSender<NewLink>) -> Self {
-        Self { new_links, links: Arc::default() }
+        Self { new_links, links: Arc::default(), via: Arc::default() }
+    }
+
+    /// Handle that connects to other addresses in place of the keys of `via`.
+    pub fn with_via(self, via: HashMap<SocketAddr, SocketAddr>) -> Self {
+        Self { via: Arc::new(via), ..self }
     }
 
     /// Gives tokens of a journal to the holder at `addr`.
@@ -105,6 +111,7 @@
         call: impl FnOnce(Reply<T>) -> LinkCall,
     ) -> Result<T, PeerError> {
         let (reply, answer) = oneshot::channel();
+        let addr = self.via.get(&addr).copied().unwrap_or(addr);
         self.send(addr, call(reply))?;
         answer.await.map_err(|_| PeerError::Stopped)?
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,9 @@
 //! Server towards peers.
 
-use crate::{decode, encode, peer_capnp::peer, peer_error::PeerError, peer_service::PeerService};
+use crate::{
+    counted::Counted, decode, encode, peer_capnp::peer, peer_error::PeerError,
+    peer_service::PeerService,
+};
 use base::{AccountName, VmId};
 use capnp::{Error, capability::Rc};
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
@@ -43,8 +46,8 @@
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
     let network = VatNetwork::new(
-        BufReader::new(reader.compat()),
-        BufWriter::new(writer.compat_write()),
+        BufReader::new(Counted::new(reader.compat())),
+        BufWriter::new(Counted::new(writer.compat_write())),
         Side::Server,
         Default::default(),
     );
