--- /dev/null
+++ b/crates/bench/src/cluster/daemon_settings.rs
@@ -0,0 +1,39 @@
+//! Settings file of a daemon of a cluster.
+
+use std::net::SocketAddr;
+
+/// What the settings file of a daemon of a cluster says.
+#[derive(Debug)]
+pub(super) struct DaemonSettings<'s> {
+    pub id: &'s str,
+    pub domain: &'s str,
+    pub listen: SocketAddr,
+    /// Address of the server towards peers; none without peers.
+    pub peer_listen: Option<SocketAddr>,
+    pub platform: SocketAddr,
+    pub worker_threads: u64,
+    pub vm_list_interval_ms: u64,
+    pub seeds: &'s [SocketAddr],
+    pub via: &'s [(SocketAddr, SocketAddr)],
+}
+
+impl DaemonSettings<'_> {
+    /// Text of the file in TOML.
+    pub fn text(&self) -> String {
+        let Self { id, domain, listen, platform, worker_threads, vm_list_interval_ms, .. } = self;
+        let peer = self.peer_listen.map(|listen| {
+            let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+            let via: Vec<String> =
+                self.via.iter().map(|(from, to)| format!("\"{from}\" = \"{to}\"")).collect();
+            let (seeds, via) = (seeds.join(", "), via.join(", "));
+            format!("[peer]\nlisten = \"{listen}\"\nseeds = [{seeds}]\nvia = {{ {via} }}\n")
+        });
+        format!(
+            "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\
+             worker_threads = {worker_threads}\n\n\
+             [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = {vm_list_interval_ms}\n\n\
+             [log]\nlevel = \"error\"\n\n{}",
+            peer.unwrap_or_default()
+        )
+    }
+}
--- /dev/null
+++ b/crates/bench/src/cluster/network.rs
@@ -0,0 +1,69 @@
+//! Proxies between the failure domains of a cluster.
+
+use crate::bench_error::BenchError;
+use stand::{Proxy, ProxyFault, ProxySettings};
+use std::net::SocketAddr;
+
+/// Proxy between the daemons of one failure domain and one address outside of it.
+#[derive(Debug)]
+struct Route {
+    from: String,
+    /// Failure domain of the target; none for the platform.
+    to: Option<String>,
+    target: SocketAddr,
+    proxy: Proxy,
+}
+
+/// Proxies between the failure domains of a cluster, and from each of them to the platform. They run in this process.
+#[derive(Debug, Default)]
+pub struct Network {
+    routes: Vec<Route>,
+}
+
+impl Network {
+    /// Adds the proxy from a failure domain to an address; `to` is the target's domain, none for the platform.
+    ///
+    /// # Errors
+    ///
+    /// No address is free.
+    pub async fn add(
+        &mut self,
+        from: &str,
+        to: Option<&str>,
+        target: SocketAddr,
+    ) -> Result<(), BenchError> {
+        let proxy = Proxy::start(ProxySettings::new(target)).await?;
+        let to = to.map(str::to_owned);
+        self.routes.push(Route { from: from.to_owned(), to, target, proxy });
+        Ok(())
+    }
+
+    /// Addresses that a failure domain uses in place of other daemons' own.
+    pub fn via(&self, from: &str) -> Vec<(SocketAddr, SocketAddr)> {
+        let routes = self.routes.iter().filter(|route| route.from == from && route.to.is_some());
+        routes.map(|route| (route.target, route.proxy.addr())).collect()
+    }
+
+    /// Address of the platform for a failure domain.
+    pub fn platform(&self, from: &str) -> Option<SocketAddr> {
+        let route = self.routes.iter().find(|route| route.from == from && route.to.is_none());
+        route.map(|route| route.proxy.addr())
+    }
+
+    /// Applies a fault to all proxies between two failure domains, in both directions.
+    pub fn fault_between(&self, a: &str, b: &str, fault: ProxyFault) {
+        for route in &self.routes {
+            let to = route.to.as_deref();
+            if (route.from == a && to == Some(b)) || (route.from == b && to == Some(a)) {
+                route.proxy.fault(fault);
+            }
+        }
+    }
+
+    /// Applies a fault to the proxies from a failure domain to the platform.
+    pub fn fault_platform(&self, from: &str, fault: ProxyFault) {
+        for route in self.routes.iter().filter(|route| route.from == from && route.to.is_none()) {
+            route.proxy.fault(fault);
+        }
+    }
+}
--- a/crates/bench/src/cluster/process.rs
+++ b/crates/bench/src/cluster/process.rs
@@ -88,6 +88,12 @@
         drop(self);
     }
 
+    /// Kills the process and waits for its end, so that its address is free.
+    pub fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
             let _ = kill_process(pid, signal);
@@ -97,7 +103,6 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 }
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,9 +1,13 @@
 //! Experiments by name.
 
+mod config_spread;
 mod engine_deaths;
 mod entry_deaths;
 mod journal_copies;
+mod membership;
+mod metrics;
 mod options;
+mod partition;
 mod relay;
 
 pub use self::options::ExperimentOptions;
@@ -12,9 +16,12 @@
 
 /// Names of all experiments with what they show.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
+    ("config-spread", "time until a configuration change is in force everywhere"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
+    ("membership", "cost of the membership, detection of a lost daemon, false suspicions"),
+    ("partition", "failure domains serve while they are cut from each other and from the platform"),
     ("relay", "cost and added delay of a relayed token"),
 ];
 
@@ -29,9 +36,12 @@
     options: &ExperimentOptions,
 ) -> Result<(), BenchError> {
     match name {
+        "config-spread" => config_spread::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
+        "membership" => membership::run(program, options).await,
+        "partition" => partition::run(program, options).await,
         "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
