--- a/crates/bench/src/experiment/config_spread.rs
+++ b/crates/bench/src/experiment/config_spread.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
-use wire::platform::KvWrite;
+use wire::platform::{KvWrite, VmState};
 
 /// Failure domains and daemons in each, with the time within which a change must be in force.
 const SIZES: [(usize, usize, u64); 2] = [(3, 7, 2_000), (7, 15, 6_000)];
@@ -28,6 +28,12 @@
 /// Pause between two looks at a daemon's revision, which bounds the error of the figures.
 const LOOK_PAUSE_MS: u64 = 25;
 
+/// Changes of a VM's state in the platform's list.
+const LEAVING_ROUNDS: usize = 6;
+
+/// Time within which such a change must have reached every daemon, the lag of the list included.
+const LEAVING_MS: u64 = 3_000;
+
 /// Longest wait for a call of the platform.
 const PLATFORM_WAIT_MS: u64 = 2_000;
 
@@ -49,6 +55,7 @@
         let number = |key: &str| row[key].as_f64().unwrap_or(f64::MAX);
         if number("max_ms") > limit_ms as f64
             || number("reverts") > 0.0
+            || number("leaving_max_ms") > LEAVING_MS as f64
             || number("not_in_force") > 0.0
             || number("bytes_per_s_at_3700_a_day") > BYTES_PER_S
         {
@@ -113,6 +120,11 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     stop.send_replace(true);
     let outcomes = looks.join_all().await;
+    let mut leaving = Vec::new();
+    for round in 0..LEAVING_ROUNDS {
+        let state = if round % 2 == 0 { VmState::Leaving } else { VmState::Live };
+        leaving.push(leave(&cluster, state).await?);
+    }
     let reverts: u64 = outcomes.iter().map(|(_, reverts)| reverts).sum();
     let expected = newest.borrow().len() * outcomes.len();
     let mut times: Vec<u64> = outcomes.into_iter().flat_map(|(times, _)| times).collect();
@@ -127,6 +139,7 @@
         "p99_ms": percentile(&mut times, 99),
         "max_ms": times.last().copied().unwrap_or(u64::MAX),
         "reverts": reverts,
+        "leaving_max_ms": percentile(&mut leaving, 100),
         "not_in_force": expected - times.len(),
         "quiet_bytes_per_s": quiet_bytes_per_s / daemons,
         "bytes_per_change": bytes_per_change,
@@ -145,6 +158,26 @@
     Ok(sum)
 }
 
+/// Changes the state of a VM; the time until all daemons have a newer list. The looks go one after another, which can
+/// only lengthen it.
+async fn leave(cluster: &Cluster, state: VmState) -> Result<u64, BenchError> {
+    let mut before = Vec::new();
+    for addr in cluster.entry_addrs() {
+        before.push((addr, Metrics::read(addr).await?.value("vm_list_version")));
+    }
+    let start = Instant::now();
+    cluster.set_vm_state(cluster.entry_id(0), Some(state)).await?;
+    for (addr, version) in before {
+        while Metrics::read(addr).await?.value("vm_list_version") <= version {
+            if start.elapsed() > Duration::from_millis(2 * LEAVING_MS) {
+                return Ok(u64::MAX);
+            }
+            tokio::time::sleep(Duration::from_millis(LOOK_PAUSE_MS)).await;
+        }
+    }
+    Ok(start.elapsed().as_millis() as u64)
+}
+
 /// Follows the revision of a daemon; the time until each change was in force there, and the steps back.
 async fn look(addr: SocketAddr, newest: Newest, stop: watch::Receiver<bool>) -> (Vec<u64>, u64) {
     let (mut times, mut reverts, mut held, mut next) = (Vec::new(), 0, 0.0, 0);
--- a/crates/member/src/replica_text.rs
+++ b/crates/member/src/replica_text.rs
@@ -28,9 +28,9 @@
         &self.text
     }
 
-    /// Takes a text if its version is newer.
+    /// Takes a text if its version is newer. Number 0 stands for no text and is refused.
     pub fn offer(&mut self, version: Version, text: &str) -> bool {
-        if version <= self.version {
+        if version.number == 0 || version <= self.version {
             return false;
         }
         if self.version.number > 0 {
@@ -85,7 +85,7 @@
         if Version::of(version.number, &text) != version {
             return Err(PatchError::Hash);
         }
-        Ok((version > self.version).then_some((version, text)))
+        Ok((version.number > 0 && version > self.version).then_some((version, text)))
     }
 
     fn patches_bytes(&self) -> usize {
