--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -6,6 +6,8 @@
 
 /// Longest wait for the answer of a plain service.
 const SERVICE_WAIT_MS: u64 = 2_000;
+/// Keys of each further client account, so that 450 of them make a document of several hundred KB.
+const KEYS_PER_ACCOUNT: usize = 8;
 
 /// Shape of a cluster.
 #[derive(Clone, Debug)]
@@ -34,6 +36,16 @@
     pub has_engine_proxies: bool,
     /// Whether the entries reach the platform through a proxy.
     pub has_platform_proxy: bool,
+    /// Whether daemons reach other failure domains and the platform through the proxies of a `Network`.
+    pub has_network: bool,
+    /// Threads of each daemon.
+    pub worker_threads: u64,
+    /// Time between two reads of the VM list by one daemon.
+    pub vm_list_interval_ms: u64,
+    /// Client accounts besides the one that asks.
+    pub accounts: usize,
+    /// Models besides the one that is served.
+    pub models: usize,
     /// More arguments of the engines, for example `--batch-limit`.
     pub engine_args: Vec<String>,
     /// More arguments of the platform, for example `--vm-list-lag-ms`.
@@ -55,6 +67,11 @@
             seed: 1,
             has_engine_proxies: false,
             has_platform_proxy: false,
+            has_network: false,
+            worker_threads: 4,
+            vm_list_interval_ms: 200,
+            accounts: 0,
+            models: 0,
             engine_args: Vec::new(),
             platform_args: Vec::new(),
         }
@@ -93,11 +110,25 @@
             plain.calls.answer_wait_ms = SERVICE_WAIT_MS;
             services.push(plain);
         }
-        Ok(Document {
+        let mut document = Document {
             accounts: vec![Account::new(&account, KeyHash::of(Self::KEY), 100_000)],
             services,
             models: vec![Model::new(&model, &service, &version)],
             ..Document::default()
-        })
+        };
+        for number in 0..self.accounts {
+            let name = AccountName::try_from(format!("account-{number:04}"))?;
+            let mut account = Account::new(&name, KeyHash::of(&format!("key-{number}-0")), 100);
+            let more = (1..KEYS_PER_ACCOUNT).map(|key| KeyHash::of(&format!("key-{number}-{key}")));
+            account.key_hashes.extend(more);
+            document.accounts.push(account);
+        }
+        for number in 0..self.models {
+            let name = ModelName::try_from(format!("model-{number}"))?;
+            let mut model = Model::new(&name, &service, &version);
+            model.adapters = (0..8).map(|adapter| format!("adapter-{adapter}")).collect();
+            document.models.push(model);
+        }
+        Ok(document)
     }
 }
--- a/crates/bench/src/cluster/mod.rs
+++ b/crates/bench/src/cluster/mod.rs
@@ -2,9 +2,13 @@
 
 mod control;
 mod ctl;
+mod daemon_settings;
 mod layout;
+mod network;
 mod node;
 mod process;
 mod services;
 
-pub use self::{ctl::CtlOutcome, layout::Layout, node::Cluster, process::Process};
+pub use self::{
+    ctl::CtlOutcome, layout::Layout, network::Network, node::Cluster, process::Process,
+};
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,13 +1,17 @@
 //! Experiments by name.
 
 mod at_most_once;
+mod config_spread;
 mod drain;
 mod engine_deaths;
 mod entry_deaths;
 mod frontier;
 mod journal_copies;
+mod membership;
+mod metrics;
 mod operator_races;
 mod options;
+mod partition;
 mod relay;
 mod storm;
 
@@ -18,12 +22,15 @@
 /// Names of all experiments with what they show.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
     ("at-most-once", "no call runs twice, and none that was reported as not run has run"),
+    ("config-spread", "time until a configuration change is in force everywhere"),
     ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
     ("frontier", "resume latency against extra engine work, with baselines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
+    ("membership", "cost of the membership, detection of a lost daemon, false suspicions"),
     ("operator-races", "each confirmed plan is applied exactly once"),
+    ("partition", "failure domains serve while they are cut from each other and from the platform"),
     ("relay", "cost and added delay of a relayed token"),
 ];
 
@@ -39,12 +46,15 @@
 ) -> Result<(), BenchError> {
     match name {
         "at-most-once" => at_most_once::run(program, options).await,
+        "config-spread" => config_spread::run(program, options).await,
         "drain" => drain::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
         "frontier" => frontier::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
+        "membership" => membership::run(program, options).await,
         "operator-races" => operator_races::run(program, options).await,
+        "partition" => partition::run(program, options).await,
         "relay" => relay::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,8 @@
 mod claimed;
 mod config;
 mod config_actor;
+mod config_offer;
+mod digest_hook;
 mod entry;
 mod entry_error;
 mod entry_view;
@@ -29,6 +31,8 @@
 mod job_request;
 mod journals;
 mod keyed_call;
+mod member_actor;
+mod member_message;
 mod models;
 mod output;
 mod pass_headers;
@@ -44,9 +48,13 @@
 mod service;
 mod service_pacer;
 mod shared;
+mod spread;
 mod stream;
 mod upstream_guard;
 mod upstreams;
 mod vm_list_actor;
 
-pub use crate::{config::Config, entry::Entry, entry_error::EntryError, entry_view::EntryView};
+pub use crate::{
+    config::Config, digest_hook::DigestHook, entry::Entry, entry_error::EntryError,
+    entry_view::EntryView,
+};
