--- a/crates/entry/src/spread.rs
+++ b/crates/entry/src/spread.rs
@@ -38,6 +38,8 @@
     upstreams: Arc<Upstreams>,
     actor: OnceLock<ActorRef<MemberMessage>>,
     digests: OnceLock<Arc<dyn DigestHook>>,
+    /// Held while a text is put into force, so that an older one cannot overtake a newer one.
+    taking: Mutex<()>,
     inner: Mutex<Inner>,
 }
 
@@ -66,6 +68,7 @@
             upstreams,
             actor: OnceLock::new(),
             digests: OnceLock::new(),
+            taking: Mutex::default(),
             inner: Mutex::new(inner),
         };
         let hints = spread.hints(&VmList::default());
@@ -193,7 +196,8 @@
             Update::Whole(..) => "whole",
         };
         metrics::counter!("spread_updates_total", "kind" => kind).increment(1);
-        let resolved = self.lock().text(topic).resolve(&update)?;
+        let held = self.lock().text(topic).clone();
+        let resolved = held.resolve(&update)?;
         Ok(resolved.is_some_and(|(version, text)| self.take(topic, version, &text)))
     }
 
@@ -260,23 +264,24 @@
 
     /// Takes a text if it is newer, and puts it into force.
     fn take(&self, topic: Topic, version: Version, text: &str) -> bool {
-        let mut inner = self.lock();
-        if version <= inner.text(topic).version() {
+        // Texts are decoded outside of the main lock, which the thread for peers needs for each heartbeat.
+        let _taking = self.taking.lock().unwrap_or_else(PoisonError::into_inner);
+        if version <= self.lock().text(topic).version() {
             return false;
         }
         match topic {
             Topic::Config => {
-                self.config.offer(version.number, text) && inner.config.offer(version, text)
+                self.config.offer(version.number, text) && self.lock().config.offer(version, text)
             }
             Topic::Vms => {
                 let Ok(list) = serde_json::from_str::<VmList>(text) else { return false };
-                let is_newer = inner.vms.offer(version, text);
                 let hints = self.hints(&list);
-                inner.membership.set_hints(hints);
                 self.peers.update(&list.vms);
                 self.upstreams.update(list.vms);
                 metrics::gauge!("vm_list_version").set(version.number as f64);
-                is_newer
+                let mut inner = self.lock();
+                inner.membership.set_hints(hints);
+                inner.vms.offer(version, text)
             }
         }
     }
