Add the lease and the reconciliation of orders to engines

Cause: nothing sends orders to engines yet. One holder for each service is chosen by a lease; its own monotonic clock bounds the use of the fencing token, counted from when a grant or keep-alive was sent.

Ruled out: the holder's key alone. A candidate with an older lease could follow a holder with a newer one, so tokens could fall; the fence, a key without a lease that is raised by compare-and-swap, prevents it.

Nothing runs it in the daemon yet.

--- /dev/null
+++ b/crates/orders/src/lease_driver.rs
@@ -0,0 +1,107 @@
+//! Carries the steps of a lease to the platform.
+
+use crate::{
+    fence_record::FenceRecord, lease::Lease, lease_input::LeaseInput, lease_step::LeaseStep,
+};
+use base::{Clock, ServiceName};
+use plat::{Platform, PlatformError};
+use wire::platform::KvWrite;
+
+/// Carries the steps of one service's lease to the platform.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseDriver {
+    platform: Platform,
+    holder_key: String,
+    fence_key: String,
+    ttl_ms: u64,
+}
+
+impl LeaseDriver {
+    pub fn new(platform: Platform, service: &ServiceName, ttl_ms: u64) -> Self {
+        Self {
+            platform,
+            holder_key: format!("orders/{service}/holder"),
+            fence_key: format!("orders/{service}/fence"),
+            ttl_ms,
+        }
+    }
+
+    /// Performs the next step, if there is one, and returns until when there is none.
+    pub async fn advance(&self, lease: &mut Lease, clock: &Clock) -> Option<u64> {
+        let step = lease.next(clock.now_ms());
+        if let LeaseStep::Wait(until_ms) = step {
+            return Some(until_ms);
+        }
+        let input = self.perform(&step).await;
+        lease.on(input, clock.now_ms());
+        None
+    }
+
+    /// Ends a lease at shutdown. If the answer is lost, the lease ends by itself.
+    pub async fn revoke(&self, lease_id: u64) {
+        if let Err(err) = self.platform.revoke_lease(lease_id).await {
+            log::info!("orders: the lease {lease_id} could not be revoked: {err}");
+        }
+    }
+
+    async fn perform(&self, step: &LeaseStep) -> LeaseInput {
+        let outcome = match step {
+            LeaseStep::Wait(_) => return LeaseInput::Lost,
+            LeaseStep::ReadHolder => self.read_holder().await,
+            LeaseStep::ReadFence => self.read_fence().await,
+            LeaseStep::Grant => self.platform.grant_lease(self.ttl_ms).await.map(granted),
+            LeaseStep::Keep(lease_id) => self.platform.keep_lease(*lease_id).await.map(granted),
+            LeaseStep::WriteHolder(lease_id) => {
+                let write = KvWrite {
+                    value: lease_id.to_string(),
+                    expect_revision: Some(0),
+                    lease_id: Some(*lease_id),
+                };
+                self.write(&self.holder_key, &write).await
+            }
+            LeaseStep::WriteFence(record, revision) => self.write_fence(record, *revision).await,
+        };
+        match outcome {
+            Ok(input) => input,
+            Err(PlatformError::Conflict(_)) => LeaseInput::Conflict,
+            Err(PlatformError::LeaseEnded) => LeaseInput::Ended,
+            Err(err) => {
+                log::debug!("orders: {}: {err}", self.holder_key);
+                LeaseInput::Lost
+            }
+        }
+    }
+
+    async fn read_holder(&self) -> Result<LeaseInput, PlatformError> {
+        let entry = self.platform.get(&self.holder_key).await?;
+        // A value that is not a number names a lease that is not ours.
+        let lease_id = entry.map(|entry| entry.value.parse().unwrap_or(0));
+        Ok(LeaseInput::Holder(lease_id))
+    }
+
+    async fn read_fence(&self) -> Result<LeaseInput, PlatformError> {
+        let entry = self.platform.get(&self.fence_key).await?;
+        let revision = entry.as_ref().map_or(0, |entry| entry.revision);
+        let record = entry.and_then(|entry| serde_json::from_str::<FenceRecord>(&entry.value).ok());
+        Ok(LeaseInput::Fence(record, revision))
+    }
+
+    async fn write_fence(
+        &self,
+        record: &FenceRecord,
+        revision: u64,
+    ) -> Result<LeaseInput, PlatformError> {
+        let Ok(value) = serde_json::to_string(record) else { return Ok(LeaseInput::Conflict) };
+        let write = KvWrite { value, expect_revision: Some(revision), lease_id: None };
+        self.write(&self.fence_key, &write).await
+    }
+
+    async fn write(&self, key: &str, write: &KvWrite) -> Result<LeaseInput, PlatformError> {
+        self.platform.put(key, write).await?;
+        Ok(LeaseInput::Written)
+    }
+}
+
+fn granted(granted: wire::platform::LeaseGranted) -> LeaseInput {
+    LeaseInput::Granted { lease_id: granted.lease_id, fencing_token: granted.fencing_token }
+}
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,44 @@
+//! Orders to engines: one holder for each service by lease, reconciliation with the configuration, and roll-out of
+//! versions.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod engine_command;
+mod engine_view;
+mod fence_record;
+mod lease;
+mod lease_driver;
+mod lease_input;
+mod lease_step;
+mod lease_timing;
+mod order_rules;
+mod orders_actor;
+mod orders_options;
+mod orders_view;
+mod pacing;
+mod reconciler;
+mod roles;
+mod service_orders;
+mod serving_record;
+mod versions;
+
+pub use crate::{
+    engine_command::EngineCommand,
+    fence_record::FenceRecord,
+    lease::Lease,
+    lease_input::LeaseInput,
+    lease_step::LeaseStep,
+    lease_timing::LeaseTiming,
+    order_rules::OrderRules,
+    orders_actor::{OrdersActor, OrdersArguments},
+    orders_options::OrdersOptions,
+    orders_view::{OrdersView, PinnedVersions},
+    pacing::Pacing,
+    reconciler::Reconciler,
+    serving_record::{SERVING_PREFIX, ServingRecord, serving_key},
+};
--- /dev/null
+++ b/crates/orders/src/orders_options.rs
@@ -0,0 +1,16 @@
+//! Options of the orders of a daemon.
+
+use crate::{lease_timing::LeaseTiming, pacing::Pacing};
+
+/// Options of the orders of a daemon.
+#[derive(Clone, Debug)]
+pub struct OrdersOptions {
+    /// Durations of the lease.
+    pub timing: LeaseTiming,
+    /// Bounds on loads.
+    pub pacing: Pacing,
+    /// Time between two reads of engines under the stricter rules.
+    pub interval_ms: u64,
+    /// Key that authenticates orders, where the upstreams check it.
+    pub sender_key: Option<Box<str>>,
+}
--- /dev/null
+++ b/crates/orders/src/reconciler.rs
@@ -0,0 +1,256 @@
+//! From the configuration and the engines' states to orders.
+
+use crate::{
+    engine_command::EngineCommand,
+    engine_view::{EngineView, PendingLoad},
+    orders_view::PinnedVersions,
+    pacing::Pacing,
+    roles::wanted_roles,
+    serving_record::ServingRecord,
+    versions::{Versions, listed, present, serves},
+};
+use base::{HashMap, ModelName, ServiceName, VersionName, VmId};
+use fleet::{Document, Model};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::engine::{EngineRole, EngineState, OrderAction};
+
+/// Reconciliation of one service during one holdership. It starts without knowledge of the engines, so a new holder
+/// reads every engine, or waits, before it orders a load.
+#[derive(Clone, Debug)]
+pub struct Reconciler {
+    service: ServiceName,
+    pacing: Pacing,
+    engines: BTreeMap<VmId, EngineView>,
+    serving: BTreeMap<ModelName, VersionName>,
+    unpinned_since_ms: HashMap<(ModelName, VersionName), u64>,
+    next_load_ms: u64,
+}
+
+impl Reconciler {
+    /// Reconciliation that goes on from what the predecessor decided about new generations.
+    pub fn new(
+        service: &ServiceName,
+        pacing: Pacing,
+        record: Option<&ServingRecord>,
+        now_ms: u64,
+    ) -> Self {
+        Self {
+            service: service.clone(),
+            pacing,
+            engines: BTreeMap::new(),
+            serving: record
+                .map(|record| record.models.iter().cloned().collect())
+                .unwrap_or_default(),
+            unpinned_since_ms: HashMap::default(),
+            next_load_ms: now_ms,
+        }
+    }
+
+    /// Takes over the list of the service's engines. An engine that has no state yet counts as a load for a while.
+    pub fn set_engines(&mut self, engines: &[VmId], now_ms: u64) {
+        self.engines.retain(|engine, _| engines.contains(engine));
+        for engine in engines {
+            let unknown_until_ms = now_ms + self.pacing.unknown_ms;
+            self.engines
+                .entry(engine.clone())
+                .or_insert_with(|| EngineView::unknown(unknown_until_ms));
+        }
+    }
+
+    /// Takes over the answer to `GET /state`; `None` if there was none.
+    pub fn observe(&mut self, engine: &VmId, state: Option<EngineState>, now_ms: u64) {
+        let Some(view) = self.engines.get_mut(engine) else { return };
+        match state {
+            Some(state) => view.observe(state, now_ms),
+            None => view.lose(now_ms + self.pacing.unknown_ms),
+        }
+    }
+
+    /// Orders that bring the engines closer to the wanted state. Each load is counted as soon as it is returned.
+    pub fn commands(
+        &mut self,
+        document: &Document,
+        pinned: &PinnedVersions,
+        now_ms: u64,
+    ) -> Vec<EngineCommand> {
+        self.decide_serving(document);
+        self.note_pins(document, pinned, now_ms);
+        let known: Vec<(VmId, EngineRole)> = self
+            .engines
+            .iter()
+            .filter_map(|(id, view)| Some((id.clone(), view.state.as_ref()?.role)))
+            .collect();
+        let roles = wanted_roles(document, &self.service, &known);
+        let mut commands = Vec::new();
+        for (engine, role) in known {
+            let mut actions = Vec::new();
+            if let Some(versions) = self.order_versions(&engine, document, pinned, now_ms) {
+                actions.push(OrderAction::SetLoaded { versions: listed(&versions) });
+            }
+            if let Some(&wanted) = roles.get(&engine).filter(|&&wanted| wanted != role) {
+                actions.push(OrderAction::SetRole { role: wanted });
+            }
+            if !actions.is_empty() {
+                commands.push(EngineCommand { engine, actions });
+            }
+        }
+        commands
+    }
+
+    /// Versions that new generations use.
+    pub fn serving(&self, fencing_token: u64) -> ServingRecord {
+        let models = self.serving.iter().map(|(model, version)| (model.clone(), version.clone()));
+        ServingRecord { fencing_token, models: models.collect() }
+    }
+
+    /// End state to order for the versions of an engine, if it differs from the present one and pacing allows it.
+    fn order_versions(
+        &mut self,
+        engine: &VmId,
+        document: &Document,
+        pinned: &PinnedVersions,
+        now_ms: u64,
+    ) -> Option<Versions> {
+        let view = self.engines.get(engine)?;
+        if view.pending.as_ref().is_some_and(|pending| now_ms < pending.until_ms) {
+            return None;
+        }
+        let has = present(view.state.as_ref()?)?;
+        let target = self.target(document, pinned, &has, now_ms);
+        // Without loads: what the engine has and keeps.
+        let mut order: Versions = Versions::new();
+        for (key, adapters) in &has {
+            if let Some(wanted) = target.get(key) {
+                let kept = adapters.intersection(wanted).cloned().collect();
+                order.insert(key.clone(), kept);
+            }
+        }
+        let missing = target.iter().find(|(key, adapters)| order.get(*key) != Some(adapters));
+        let is_free = !view.may_load(now_ms) && now_ms >= self.next_load_ms;
+        if let Some((key, adapters)) = missing
+            && is_free
+            && self.load_count(now_ms) < self.pacing.max_loads
+        {
+            order.insert(key.clone(), adapters.clone());
+            self.next_load_ms = now_ms + self.pacing.load_interval_ms;
+            let until_ms = now_ms + self.pacing.pending_ms;
+            let pending = PendingLoad { target: order.clone(), until_ms };
+            self.engines.get_mut(engine)?.pending = Some(pending);
+        }
+        (order != has).then_some(order)
+    }
+
+    fn load_count(&self, now_ms: u64) -> usize {
+        self.engines.values().filter(|view| view.may_load(now_ms)).count()
+    }
+
+    /// Versions that an engine with the versions `has` should have.
+    fn target(
+        &self,
+        document: &Document,
+        pinned: &PinnedVersions,
+        has: &Versions,
+        now_ms: u64,
+    ) -> Versions {
+        let mut target = Versions::new();
+        for model in self.models(document) {
+            let adapters: BTreeSet<String> = model.adapters.iter().cloned().collect();
+            let serving = self.serving.get(&model.name);
+            for version in std::iter::once(&model.version).chain(&model.older_versions) {
+                let key = (model.name.to_string(), version.to_string());
+                let pin = (model.name.clone(), version.clone());
+                let is_pinned = pinned.as_ref().is_some_and(|pinned| pinned.contains(&pin));
+                let is_used = *version == model.version || serving == Some(version) || is_pinned;
+                if is_used || (has.contains_key(&key) && self.is_kept(&pin, now_ms)) {
+                    target.insert(key, adapters.clone());
+                }
+            }
+        }
+        for (key, adapters) in has {
+            let name = ModelName::try_from(key.0.as_str());
+            let (Ok(model), Ok(version)) = (name, VersionName::try_from(key.1.as_str())) else {
+                continue;
+            };
+            if self.is_kept(&(model, version), now_ms) {
+                target.entry(key.clone()).or_insert_with(|| adapters.clone());
+            }
+        }
+        target
+    }
+
+    /// Whether generations may still need a version.
+    fn is_kept(&self, pin: &(ModelName, VersionName), now_ms: u64) -> bool {
+        let since_ms = self.unpinned_since_ms.get(pin);
+        since_ms.is_none_or(|since_ms| now_ms < since_ms + self.pacing.unload_delay_ms)
+    }
+
+    /// Notes since when versions have had no pinned generations. A moment in which the pins are unknown, or in which
+    /// new generations use the version, starts the time again.
+    fn note_pins(&mut self, document: &Document, pinned: &PinnedVersions, now_ms: u64) {
+        let Some(pinned) = pinned else {
+            self.unpinned_since_ms.clear();
+            return;
+        };
+        let mut unused = HashMap::default();
+        for pin in self.known_versions(document) {
+            let is_serving = self.serving.get(&pin.0) == Some(&pin.1)
+                && document.model(&pin.0).is_some_and(|model| model.has_version(&pin.1));
+            if !is_serving && !pinned.contains(&pin) {
+                let since_ms = self.unpinned_since_ms.get(&pin).copied().unwrap_or(now_ms);
+                unused.insert(pin, since_ms);
+            }
+        }
+        self.unpinned_since_ms = unused;
+    }
+
+    fn known_versions(&self, document: &Document) -> BTreeSet<(ModelName, VersionName)> {
+        let mut versions = BTreeSet::new();
+        for model in self.models(document) {
+            versions.extend(model.older_versions.iter().map(|v| (model.name.clone(), v.clone())));
+        }
+        for state in self.engines.values().filter_map(|view| view.state.as_ref()) {
+            for (model, version) in present(state).unwrap_or_default().into_keys() {
+                if let (Ok(model), Ok(version)) =
+                    (ModelName::try_from(model), VersionName::try_from(version))
+                {
+                    versions.insert((model, version));
+                }
+            }
+        }
+        versions
+    }
+
+    /// Shifts new generations to the configured version when enough engines have it.
+    fn decide_serving(&mut self, document: &Document) {
+        let mut serving = BTreeMap::new();
+        for model in self.models(document) {
+            let before = self.serving.get(&model.name).filter(|version| model.has_version(version));
+            let version = if self.is_widespread(model, &model.version) {
+                &model.version
+            } else {
+                let mut older = model.older_versions.iter().rev();
+                let widespread = || older.find(|version| self.is_widespread(model, version));
+                before.or_else(widespread).unwrap_or(&model.version)
+            };
+            serving.insert(model.name.clone(), version.clone());
+        }
+        self.serving = serving;
+    }
+
+    /// Whether enough engines serve a version. At least half of the engines must be readable.
+    fn is_widespread(&self, model: &Model, version: &VersionName) -> bool {
+        let known: Vec<_> = self.engines.values().filter_map(|view| view.state.as_ref()).collect();
+        let serving = known
+            .iter()
+            .filter(|state| serves(state, model.name.as_str(), version.as_str()))
+            .count();
+        serving > 0
+            && known.len() * 2 >= self.engines.len()
+            && serving * 100 >= known.len() * self.pacing.shift_pct
+    }
+
+    fn models<'d>(&self, document: &'d Document) -> impl Iterator<Item = &'d Model> {
+        let service = self.service.clone();
+        document.models.iter().filter(move |model| model.service == service)
+    }
+}
