Send orders from the daemon and follow the roll-out of versions

A confirmed new version sent new generations at once to engines that had not loaded it.

Ruled out: entries that decide the shift by themselves, since each would need the state of all engines; the holder writes the version for new generations to the platform and entries watch that key. Unloading by the pins of one entry: the pins of the others are unknown, so nothing is unloaded until they are.

--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -18,6 +18,8 @@
     pub engines_per_domain: usize,
     /// Whether daemons exchange journal copies.
     pub has_peers: bool,
+    /// Lines of the section `[orders]` of the daemons; none without it.
+    pub orders: Option<String>,
     /// Time between tokens.
     pub token_gap_ms: u64,
     /// Recovery preset.
@@ -32,6 +34,8 @@
     pub has_engine_proxies: bool,
     /// Whether the entries reach the platform through a proxy.
     pub has_platform_proxy: bool,
+    /// Whether the engines load versions from the platform's weight store.
+    pub has_weight_store: bool,
     /// More arguments of the engines, for example `--batch-limit`.
     pub engine_args: Vec<String>,
     /// More arguments of the platform, for example `--vm-list-lag-ms`.
@@ -45,6 +49,7 @@
             entries_per_domain: 1,
             engines_per_domain: 2,
             has_peers: true,
+            orders: None,
             token_gap_ms: 41,
             preset: Preset::Latency,
             services: Vec::new(),
@@ -52,6 +57,7 @@
             seed: 1,
             has_engine_proxies: false,
             has_platform_proxy: false,
+            has_weight_store: false,
             engine_args: Vec::new(),
             platform_args: Vec::new(),
         }
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -58,11 +58,15 @@
     /// # Errors
     ///
     /// A process did not become ready.
-    pub async fn start(program: &Path, layout: Layout) -> Result<Self, BenchError> {
+    pub async fn start(program: &Path, mut layout: Layout) -> Result<Self, BenchError> {
         let files = tempfile::tempdir()?;
         let mut platform_args = vec!["platform", "--listen", "127.0.0.1:0"];
         platform_args.extend(layout.platform_args.iter().map(String::as_str));
         let platform = Process::start(program, &platform_args)?;
+        if layout.has_weight_store {
+            let store = platform.addr("addr")?.to_string();
+            layout.engine_args.extend(["--weight-store".to_owned(), store]);
+        }
         let platform_proxy = match layout.has_platform_proxy {
             true => Some(start_proxy(program, platform.addr("addr")?)?),
             false => None,
@@ -285,6 +289,8 @@
         let operator_key = KeyHash::of(Layout::OPERATOR_KEY);
         let operator_key = operator_key.as_str();
         let has_peers = self.layout.has_peers;
+        let orders = self.layout.orders.as_ref();
+        let orders = orders.map(|lines| format!("[orders]\n{lines}\n")).unwrap_or_default();
         let text = |listen: SocketAddr, peer_listen: SocketAddr| {
             let peer = if has_peers {
                 format!("[peer]\nlisten = \"{peer_listen}\"\n")
@@ -297,7 +303,7 @@
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
                  [admin]\nlisten = \"127.0.0.1:0\"\n\
                  bootstrap_key_hash = \"{operator_key}\"\n\n\
-                 [log]\nlevel = \"error\"\n\n{peer}"
+                 [log]\nlevel = \"error\"\n\n{orders}{peer}"
             )
         };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -11,9 +11,11 @@
 mod entry_settings;
 mod limit_settings;
 mod log_settings;
+mod orders_settings;
 mod peer_settings;
 mod platform_settings;
 mod problem;
+mod secret;
 mod section;
 mod settings;
 
@@ -22,8 +24,10 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::{LogFormat, LogSettings},
+    orders_settings::OrdersSettings,
     peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
+    secret::Secret,
     settings::Settings,
 };
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -5,6 +5,7 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::LogSettings,
+    orders_settings::OrdersSettings,
     peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
@@ -13,10 +14,10 @@
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[admin], [entry], [limits], [log], [peer], [platform]";
+const SECTIONS: &str = "[admin], [entry], [limits], [log], [orders], [peer], [platform]";
 
 /// Sections whose keys are read only if the section is there.
-const OPTIONAL_SECTIONS: &str = "[admin]\n[peer]\n";
+const OPTIONAL_SECTIONS: &str = "[admin]\n[orders]\n[peer]\n";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,6 +30,8 @@
     pub limits: LimitSettings,
     /// Logs.
     pub log: LogSettings,
+    /// Orders to engines, if this daemon takes part in them.
+    pub orders: Option<OrdersSettings>,
     /// Messages between daemons, if there are any.
     pub peer: Option<PeerSettings>,
     /// Access to the platform.
@@ -90,8 +93,9 @@
         let entry = EntrySettings::read(root, source);
         let limits = LimitSettings::read(root, source);
         let log = LogSettings::read(root, source);
+        let orders = OrdersSettings::read(root, source);
         let peer = PeerSettings::read(root, source);
         let platform = PlatformSettings::read(root, source);
-        Some(Self { admin, entry: entry?, limits, log, peer, platform: platform? })
+        Some(Self { admin, entry: entry?, limits, log, orders, peer, platform: platform? })
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -12,6 +12,8 @@
     peer_answers::PeerAnswers,
     peers::Peers,
     retry_budgets::RetryBudgets,
+    serving::Serving,
+    serving_actor::{ServingActor, ServingArguments},
     shared::Shared,
     upstreams::Upstreams,
     vm_list_actor::{VmListActor, VmListArguments},
@@ -79,6 +81,14 @@
             ConfigArguments { platform: platform.clone(), sender: config_sender };
         let (config_actor, _) = Actor::spawn(None, ConfigActor, config_arguments).await?;
         let claims = ClaimStore::new(platform.clone());
+        let serving: Arc<Serving> = Arc::default();
+        let mut actors = vec![config_actor.get_cell()];
+        if settings.orders.is_some() {
+            let arguments =
+                ServingArguments { platform: platform.clone(), serving: Arc::clone(&serving) };
+            let (serving_actor, _) = Actor::spawn(None, ServingActor, arguments).await?;
+            actors.push(serving_actor.get_cell());
+        }
         let vm_list_arguments = VmListArguments {
             platform,
             peers: Arc::clone(&peers),
@@ -99,6 +109,7 @@
             retries: RetryBudgets::default(),
             engines: EnginePool::default(),
             pins: Arc::default(),
+            serving,
             metrics,
             is_draining: AtomicBool::new(false),
             process_nonce: rand::random(),
@@ -108,7 +119,7 @@
         let handler = Arc::new(CallerHandler { shared: Arc::clone(&shared) });
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
-        let actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
+        actors.push(vm_list_actor.get_cell());
         let expiry = tokio::spawn(expire(journals));
         let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
         Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, shutdown_wait_ms })
--- a/crates/entry/src/job_request.rs
+++ b/crates/entry/src/job_request.rs
@@ -123,7 +123,7 @@
     let request = EngineRequest {
         request_id: String::new(),
         model: model.name.to_string(),
-        version: model.version.to_string(),
+        version: shared.serving.version(model).into(),
         adapter: adapter.to_owned(),
         max_tokens,
         temperature: common.temperature,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -40,6 +40,8 @@
 mod render;
 mod retry_budgets;
 mod service;
+mod serving;
+mod serving_actor;
 mod shared;
 mod stream;
 mod upstream_guard;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     call_tasks::CallTasks, claim_store::ClaimStore, config::Config, journals::Journals,
-    peers::Peers, pins::Pins, retry_budgets::RetryBudgets, upstreams::Upstreams,
+    peers::Peers, pins::Pins, retry_budgets::RetryBudgets, serving::Serving, upstreams::Upstreams,
 };
 use base::{Clock, VmId};
 use conf::LimitSettings;
@@ -29,6 +29,7 @@
     pub retries: RetryBudgets,
     pub engines: EnginePool,
     pub pins: Arc<Pins>,
+    pub serving: Arc<Serving>,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
     pub process_nonce: u64,
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -90,6 +90,7 @@
             },
             limits: LimitSettings::default(),
             log: LogSettings::default(),
+            orders: None,
             peer: None,
             platform: PlatformSettings {
                 addr: platform.addr(),
--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -12,6 +12,7 @@
 mod dev;
 mod dev_report;
 mod logging;
+mod orders_link;
 mod run;
 mod run_error;
 
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -1,6 +1,6 @@
 //! Commands `run` and `check`.
 
-use crate::{admin_view::AdminView, logging, run_error::RunError};
+use crate::{admin_view::AdminView, logging, orders_link, run_error::RunError};
 use admin::Admin;
 use conf::Settings;
 use entry::Entry;
@@ -38,6 +38,13 @@
     runtime.block_on(async {
         let entry = Entry::start(&settings, Some(metrics)).await?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
+        let orders = match &settings.orders {
+            Some(orders) => {
+                let vm_id = &settings.entry.vm_id;
+                Some(orders_link::start(orders, vm_id, platform.clone(), entry.view()).await?)
+            }
+            None => None,
+        };
         let admin = match &settings.admin {
             Some(settings) => {
                 Some(Admin::start(settings, platform, AdminView(entry.view())).await?)
@@ -59,6 +66,9 @@
             _ = terminate.recv() => {}
         }
         log::info!("entry: shutdown begins");
+        if let Some(orders) = orders {
+            orders_link::close(orders).await;
+        }
         if let Some(admin) = admin {
             admin.close().await;
         }
--- a/crates/geraniumroad/src/run_error.rs
+++ b/crates/geraniumroad/src/run_error.rs
@@ -28,6 +28,12 @@
             source(cause)
             from()
         }
+        /// The orders could not start.
+        Orders(cause: ractor::SpawnErr) {
+            display("the orders could not start: {cause}")
+            source(cause)
+            from()
+        }
         /// The configuration for the embedded platform is not valid.
         Document(cause: fleet::DocumentError) {
             display("{cause}")
--- a/crates/orders/src/lease_driver.rs
+++ b/crates/orders/src/lease_driver.rs
@@ -1,9 +1,10 @@
 //! Carries the steps of a lease to the platform.
 
 use crate::{
-    fence_record::FenceRecord, lease::Lease, lease_input::LeaseInput, lease_step::LeaseStep,
+    fence_record::FenceRecord, holder_record::HolderRecord, lease::Lease, lease_input::LeaseInput,
+    lease_step::LeaseStep,
 };
-use base::{Clock, ServiceName};
+use base::{Clock, ServiceName, VmId};
 use plat::{Platform, PlatformError};
 use wire::platform::KvWrite;
 
@@ -13,15 +14,17 @@
     platform: Platform,
     holder_key: String,
     fence_key: String,
+    vm_id: VmId,
     ttl_ms: u64,
 }
 
 impl LeaseDriver {
-    pub fn new(platform: Platform, service: &ServiceName, ttl_ms: u64) -> Self {
+    pub fn new(platform: Platform, service: &ServiceName, vm_id: &VmId, ttl_ms: u64) -> Self {
         Self {
             platform,
             holder_key: format!("orders/{service}/holder"),
             fence_key: format!("orders/{service}/fence"),
+            vm_id: vm_id.clone(),
             ttl_ms,
         }
     }
@@ -51,14 +54,7 @@
             LeaseStep::ReadFence => self.read_fence().await,
             LeaseStep::Grant => self.platform.grant_lease(self.ttl_ms).await.map(granted),
             LeaseStep::Keep(lease_id) => self.platform.keep_lease(*lease_id).await.map(granted),
-            LeaseStep::WriteHolder(lease_id) => {
-                let write = KvWrite {
-                    value: lease_id.to_string(),
-                    expect_revision: Some(0),
-                    lease_id: Some(*lease_id),
-                };
-                self.write(&self.holder_key, &write).await
-            }
+            LeaseStep::WriteHolder(lease_id) => self.write_holder(*lease_id).await,
             LeaseStep::WriteFence(record, revision) => self.write_fence(record, *revision).await,
         };
         match outcome {
@@ -74,9 +70,11 @@
 
     async fn read_holder(&self) -> Result<LeaseInput, PlatformError> {
         let entry = self.platform.get(&self.holder_key).await?;
-        // A value that is not a number names a lease that is not ours.
-        let lease_id = entry.map(|entry| entry.value.parse().unwrap_or(0));
-        Ok(LeaseInput::Holder(lease_id))
+        // A value of another shape names a lease that is not ours.
+        let lease_id = |value: &str| {
+            serde_json::from_str::<HolderRecord>(value).map_or(0, |record| record.lease_id)
+        };
+        Ok(LeaseInput::Holder(entry.map(|entry| lease_id(&entry.value))))
     }
 
     async fn read_fence(&self) -> Result<LeaseInput, PlatformError> {
@@ -86,6 +84,13 @@
         Ok(LeaseInput::Fence(record, revision))
     }
 
+    async fn write_holder(&self, lease_id: u64) -> Result<LeaseInput, PlatformError> {
+        let record = HolderRecord { lease_id, vm_id: self.vm_id.clone() };
+        let Ok(value) = serde_json::to_string(&record) else { return Ok(LeaseInput::Conflict) };
+        let write = KvWrite { value, expect_revision: Some(0), lease_id: Some(lease_id) };
+        self.write(&self.holder_key, &write).await
+    }
+
     async fn write_fence(
         &self,
         record: &FenceRecord,
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine_command;
 mod engine_view;
 mod fence_record;
+mod holder_record;
 mod lease;
 mod lease_driver;
 mod lease_input;
@@ -30,6 +31,7 @@
 pub use crate::{
     engine_command::EngineCommand,
     fence_record::FenceRecord,
+    holder_record::HolderRecord,
     lease::Lease,
     lease_input::LeaseInput,
     lease_step::LeaseStep,
--- a/crates/orders/src/orders_options.rs
+++ b/crates/orders/src/orders_options.rs
@@ -1,10 +1,13 @@
 //! Options of the orders of a daemon.
 
 use crate::{lease_timing::LeaseTiming, pacing::Pacing};
+use base::VmId;
 
 /// Options of the orders of a daemon.
 #[derive(Clone, Debug)]
 pub struct OrdersOptions {
+    /// This daemon, as the holder's key names it.
+    pub vm_id: VmId,
     /// Durations of the lease.
     pub timing: LeaseTiming,
     /// Bounds on loads.
--- a/crates/orders/src/service_orders.rs
+++ b/crates/orders/src/service_orders.rs
@@ -62,7 +62,8 @@
     /// Takes part in the choice of the holder and sends orders while it is this daemon, until `stop` shows true.
     pub async fn run(self, mut stop: watch::Receiver<bool>) {
         let ttl_ms = self.options.timing.ttl_ms;
-        let driver = LeaseDriver::new(self.platform.clone(), &self.service, ttl_ms);
+        let driver =
+            LeaseDriver::new(self.platform.clone(), &self.service, &self.options.vm_id, ttl_ms);
         let mut lease = Lease::new(self.options.timing);
         let mut holdership: Option<Holdership> = None;
         while !*stop.borrow() {
