Add the calculation of service-level burn

Cause: objectives are in the configuration, but nothing compares them with what callers got.

Ruled out: a histogram for each slot of each window, about 8 KB each, which would take 1 MB for each service and measure.

--- /dev/null
+++ b/crates/burn/src/slot.rs
@@ -0,0 +1,13 @@
+//! Slot of a window.
+
+use crate::counts::Counts;
+use serde::{Deserialize, Serialize};
+
+/// Counts in one slot of a window.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Slot {
+    /// Number of the slot since the Unix epoch.
+    pub number: u64,
+    /// Counts.
+    pub counts: Counts,
+}
