Report service-level burn of the fleet

Cause: operators could not see how fast a service spends the budgets of its objectives.

Conclusion: GET /admin/v1/burn/local and /admin/v1/burn; geraniumctl report burn as text, JSON and a page.

--- a/crates/admin/src/admin.rs
+++ b/crates/admin/src/admin.rs
@@ -1,6 +1,6 @@
 //! Running server towards operators.
 
-use crate::{daemon::Daemon, handler::AdminHandler, planner::Planner};
+use crate::{daemon::Daemon, fleet_burn::FleetBurn, handler::AdminHandler, planner::Planner};
 use conf::AdminSettings;
 use plat::Platform;
 use std::{io::Result as IoResult, net::SocketAddr, sync::Arc};
@@ -13,6 +13,7 @@
     addr: SocketAddr,
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
+    publishing: JoinHandle<()>,
 }
 
 impl Admin {
@@ -29,7 +30,9 @@
         let server = Server::bind(settings.listen).await?;
         let addr = server.local_addr()?;
         let (stop, stopped) = watch::channel(false);
+        let publishing = tokio::spawn(FleetBurn::publish(platform.clone(), daemon.vm_id(), addr));
         let handler = Arc::new(AdminHandler {
+            fleet_burn: FleetBurn::new(platform.clone()),
             bootstrap_key_hash: settings.bootstrap_key_hash.clone(),
             planner: Arc::new(Planner::new(platform.clone(), rand::random())),
             platform,
@@ -38,7 +41,7 @@
         });
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("admin: listens on {addr}");
-        Ok(Self { addr, stop, server })
+        Ok(Self { addr, stop, server, publishing })
     }
 
     /// Address that operators connect to.
@@ -48,6 +51,7 @@
 
     /// Shuts down: requests in flight are answered, waiting watches at once.
     pub async fn close(self) {
+        self.publishing.abort();
         self.stop.send_replace(true);
         let _ = self.server.await;
     }
--- a/crates/admin/src/daemon.rs
+++ b/crates/admin/src/daemon.rs
@@ -1,7 +1,8 @@
 //! What the administration API needs from the daemon that it runs in.
 
-use base::{HashSet, KeyHash, ModelName, OperatorName, VersionName};
-use fleet::Succession;
+use base::{HashSet, KeyHash, ModelName, OperatorName, VersionName, VmId};
+use burn::Digest;
+use fleet::{Document, Succession};
 use wire::platform::Vm;
 
 /// Daemon that serves the administration API.
@@ -18,6 +19,15 @@
     /// Versions that running generations are pinned to.
     fn pinned(&self) -> HashSet<(ModelName, VersionName)>;
 
+    /// Identifier of its VM.
+    fn vm_id(&self) -> VmId;
+
+    /// Configuration in force.
+    fn document(&self) -> Document;
+
+    /// Measurements of its requests.
+    fn burn(&self) -> Digest;
+
     /// Waits up to `wait_ms` for a revision above `revision` and returns the one in force.
     fn wait_after(&self, revision: u64, wait_ms: u64) -> impl Future<Output = u64> + Send;
 }
--- a/crates/admin/src/handler.rs
+++ b/crates/admin/src/handler.rs
@@ -1,10 +1,12 @@
 //! Routes of the server towards operators.
 
 use crate::{
-    admin_error::AdminError, confirmed::Confirmed, daemon::Daemon, member::Member,
-    plan_request::PlanRequest, planner::Planner, status::Status, watch_report::WatchReport,
+    admin_error::AdminError, confirmed::Confirmed, daemon::Daemon, fleet_burn::FleetBurn,
+    member::Member, plan_request::PlanRequest, planner::Planner, status::Status,
+    watch_report::WatchReport,
 };
 use base::{Clock, HashMap, KeyHash, OperatorName, PlanId};
+use burn::BurnReport;
 use fleet::PlanContext;
 use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
 use plat::Platform;
@@ -39,6 +41,7 @@
     pub planner: Arc<Planner<Platform>>,
     pub platform: Platform,
     pub daemon: D,
+    pub fleet_burn: FleetBurn,
     pub stop: watch::Receiver<bool>,
 }
 
@@ -74,6 +77,12 @@
                 let to = optional(&query, "to")?.unwrap_or(u64::MAX);
                 Ok(ok(&self.planner.diff(from, to).await?))
             }
+            (Method::GET, "burn/local") => Ok(ok(&self.daemon.burn())),
+            (Method::GET, "burn") => {
+                let key = bearer_key(&request)?.to_owned();
+                let fleet = self.fleet_burn.collect(&self.daemon, &key).await;
+                Ok(ok(&BurnReport::new(&self.daemon.document(), fleet)))
+            }
             (Method::GET, "watch") => self.watch(&query).await,
             (Method::POST, path) => {
                 let id = path.strip_prefix("plans/").and_then(|rest| rest.strip_suffix("/confirm"));
@@ -89,9 +98,7 @@
     }
 
     fn authenticate(&self, request: &Request<Incoming>) -> Result<OperatorName, AdminError> {
-        let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-        let key = header.and_then(|text| text.strip_prefix("Bearer ")).ok_or(AdminError::Key)?;
-        let key_hash = KeyHash::of(key);
+        let key_hash = KeyHash::of(bearer_key(request)?);
         if self.bootstrap_key_hash.as_ref() == Some(&key_hash) {
             return OperatorName::try_from(BOOTSTRAP).map_err(|_| AdminError::Key);
         }
@@ -168,6 +175,11 @@
     web::json(StatusCode::OK, value)
 }
 
+fn bearer_key(request: &Request<Incoming>) -> Result<&str, AdminError> {
+    let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    header.and_then(|text| text.strip_prefix("Bearer ")).ok_or(AdminError::Key)
+}
+
 fn plan_id(raw: &str) -> Result<PlanId, AdminError> {
     PlanId::try_from(raw).map_err(|_| AdminError::Route)
 }
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod diff_report;
 mod error_body;
+mod fleet_burn;
 mod handler;
 mod history;
 mod member;
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -114,6 +114,11 @@
         running.map(|process| process.addr("admin")).collect()
     }
 
+    /// Directory for files of the cluster, removed at its end.
+    pub fn files_path(&self) -> &Path {
+        self.files.path()
+    }
+
     /// Process of the platform.
     pub fn platform(&self) -> &Process {
         &self.platform
--- a/crates/burn/src/ring.rs
+++ b/crates/burn/src/ring.rs
@@ -43,7 +43,9 @@
         let newest = self.window.slot_of(unix_s);
         let mut sum = Counts::default();
         // A daemon whose clock is ahead may have later slots; they count as the newest.
-        for slot in self.slots.iter().filter(|slot| slot.number.saturating_add(self.window.slots) > newest) {
+        for slot in
+            self.slots.iter().filter(|slot| slot.number.saturating_add(self.window.slots) > newest)
+        {
             sum.add(&slot.counts);
         }
         sum
--- a/crates/entry/src/entry_view.rs
+++ b/crates/entry/src/entry_view.rs
@@ -1,7 +1,8 @@
 //! What the rest of the daemon may see of an entry.
 
 use crate::{config::Config, shared::Shared};
-use base::{HashSet, ModelName, VersionName};
+use base::{HashSet, ModelName, VersionName, VmId};
+use burn::Digest;
 use std::{sync::Arc, time::Duration};
 use wire::platform::Vm;
 
@@ -34,6 +35,16 @@
         self.shared.upstreams.list()
     }
 
+    /// Measurements of this entry's requests.
+    pub fn burn(&self) -> Digest {
+        self.shared.meters.digest()
+    }
+
+    /// Identifier of the VM.
+    pub fn vm_id(&self) -> &VmId {
+        &self.shared.vm_id
+    }
+
     /// Versions that generations running at this entry are pinned to.
     pub fn pinned(&self) -> HashSet<(ModelName, VersionName)> {
         self.shared.pins.pinned()
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -10,7 +10,9 @@
     models::models,
     output::Output,
     relay::{Relay, RelayError},
-    render, service,
+    render,
+    request_meter::RequestMeter,
+    service,
     shared::Shared,
     stream,
 };
@@ -170,8 +172,12 @@
         let request =
             CallRequest { account, service, method, path, headers, body, request_id, key };
         let shared = Arc::clone(&self.shared);
+        let mut meter = RequestMeter::new(&shared, &request.service, false);
         let task = self.shared.calls.spawn(service::forward(shared, request, rules));
-        task.await.map_err(|_| ApiError::UnknownOutcome)?
+        let answer = task.await.map_err(|_| ApiError::UnknownOutcome)?;
+        let status = answer.as_ref().map_or_else(ApiError::status, Response::status);
+        meter.answered(status.is_server_error());
+        answer
     }
 
     async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, ApiError> {
--- /dev/null
+++ b/crates/entry/src/meters.rs
@@ -0,0 +1,38 @@
+//! Measurements of all services at this entry.
+
+use base::{Clock, HashMap, ServiceName};
+use burn::{Digest, ServiceMeter};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Services that are measured, so that memory stays bounded when services come and go.
+const MAX_SERVICES: usize = 64;
+
+/// Measurements of all services at this entry.
+#[derive(Debug, Default)]
+pub(crate) struct Meters {
+    services: Mutex<HashMap<ServiceName, ServiceMeter>>,
+}
+
+impl Meters {
+    /// Changes the measurements of a service. `change` gets the time in seconds since the Unix epoch.
+    pub fn change(&self, service: &ServiceName, change: impl FnOnce(&mut ServiceMeter, u64)) {
+        let mut services = self.lock();
+        if services.contains_key(service) || services.len() < MAX_SERVICES {
+            change(services.entry(service.clone()).or_default(), Clock::unix_ms() / 1_000);
+        }
+    }
+
+    /// Measurements in a form that can be merged.
+    pub fn digest(&self) -> Digest {
+        let unix_s = Clock::unix_ms() / 1_000;
+        let mut services = self.lock();
+        let digests = services.iter_mut().map(|(service, meter)| meter.digest(service, unix_s));
+        let mut digests: Vec<_> = digests.collect();
+        digests.sort_by(|a, b| a.service.cmp(&b.service));
+        Digest { services: digests }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, ServiceMeter>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -6,6 +6,7 @@
     output::{CallerGone, Output},
     pin_guard::PinGuard,
     render,
+    request_meter::RequestMeter,
     shared::Shared,
     upstream_guard::UpstreamGuard,
 };
@@ -66,6 +67,7 @@
     output: Output,
     finish: Option<(FinishReason, Usage)>,
     failure: Option<FailCause>,
+    meter: RequestMeter,
     _pin: Option<PinGuard>,
 }
 
@@ -77,7 +79,9 @@
             Preset::Latency => Policy::LATENCY,
         };
         let pin = shared.pins.pin(&job.request.model, &job.request.version);
+        let meter = RequestMeter::new(&shared, &job.service, !journal.is_empty());
         Self {
+            meter,
             _pin: pin,
             shared,
             job,
@@ -103,6 +107,11 @@
         metrics::counter!("generation_losses_total").increment(u64::from(stats.losses));
         metrics::counter!("generation_dropped_tokens_total")
             .increment(u64::from(stats.dropped_tokens));
+        self.meter.end(match &outcome {
+            Ok(_) => Some(false),
+            Err(RelayError::Failed(_)) => Some(true),
+            Err(RelayError::CallerGone) => None,
+        });
         if let Err(RelayError::Failed(cause)) = outcome {
             log::warn!(
                 "recovery: {} of {} failed: {cause}",
@@ -234,7 +243,10 @@
         match action {
             Action::Start { attempt, is_recovery } => self.start(attempt, is_recovery),
             Action::Cancel { attempt } => self.running.retain(|running| running.id != attempt),
-            Action::Release { index } => self.output.token(index, self.generation.journal()),
+            Action::Release { index } => {
+                self.meter.token();
+                self.output.token(index, self.generation.journal());
+            }
             Action::Finish => {
                 if let Some((reason, usage)) = self.finish {
                     self.output.finish(reason, usage);
@@ -251,6 +263,7 @@
             return;
         };
         if is_recovery {
+            self.meter.recovery();
             log::info!(
                 "recovery: {} starts attempt {attempt} at {} after {} tokens",
                 self.job.generation_id,
--- /dev/null
+++ b/crates/entry/src/request_meter.rs
@@ -0,0 +1,94 @@
+//! Measurements of one request.
+
+use crate::shared::Shared;
+use base::ServiceName;
+use burn::Measure;
+use std::sync::Arc;
+
+/// Gaps that are collected before they are added, so that tokens do not wait for a lock.
+const GAPS: usize = 256;
+
+/// Measurements of one request.
+#[derive(Debug)]
+pub(crate) struct RequestMeter {
+    shared: Arc<Shared>,
+    service: ServiceName,
+    target_ms: Option<u64>,
+    started_ms: u64,
+    first_ms: Option<u64>,
+    last_token_ms: Option<u64>,
+    is_recovering: bool,
+    gaps_ms: Vec<u64>,
+}
+
+impl RequestMeter {
+    /// Begins to measure. A generation that goes on from another entry has no first token to measure here.
+    pub fn new(shared: &Arc<Shared>, service: &ServiceName, is_continued: bool) -> Self {
+        let config = shared.config();
+        let objectives = config.document.service(service).map(|service| service.objectives);
+        let target_ms = objectives.and_then(|objectives| objectives.latency_p95_ms);
+        Self {
+            shared: Arc::clone(shared),
+            service: service.clone(),
+            target_ms: target_ms.filter(|_| !is_continued).map(u64::from),
+            started_ms: shared.clock.now_ms(),
+            first_ms: None,
+            last_token_ms: None,
+            is_recovering: is_continued,
+            gaps_ms: Vec::new(),
+        }
+    }
+
+    /// Notes a token.
+    pub fn token(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        match self.last_token_ms.replace(now_ms) {
+            None if self.is_recovering => {}
+            None => self.first_ms = Some(now_ms - self.started_ms),
+            Some(last_ms) if self.is_recovering => {
+                self.record(Measure::Resume, &[now_ms - last_ms]);
+            }
+            Some(last_ms) => self.gaps_ms.push(now_ms - last_ms),
+        }
+        self.is_recovering = false;
+        if self.gaps_ms.len() >= GAPS {
+            self.flush();
+        }
+    }
+
+    /// Notes that a lost attempt is replaced. Before the first token, the wait counts towards that.
+    pub fn recovery(&mut self) {
+        self.is_recovering |= self.last_token_ms.is_some();
+    }
+
+    /// Counts the end of a request. `is_failed` is none if the caller went away, which counts as no request.
+    pub fn end(&mut self, is_failed: Option<bool>) {
+        self.flush();
+        if let Some(is_failed) = is_failed {
+            self.shared.meters.change(&self.service, |meter, unix_s| {
+                meter.request(unix_s, self.first_ms, is_failed, self.target_ms);
+            });
+        }
+    }
+
+    /// Counts the end of a request whose whole answer arrived at once, or failed.
+    pub fn answered(&mut self, is_failed: bool) {
+        if !is_failed {
+            self.token();
+        }
+        self.end(Some(is_failed));
+    }
+
+    fn flush(&mut self) {
+        let gaps_ms = std::mem::take(&mut self.gaps_ms);
+        if !gaps_ms.is_empty() {
+            self.record(Measure::Gap, &gaps_ms);
+        }
+    }
+
+    fn record(&self, measure: Measure, durations_ms: &[u64]) {
+        self.shared.meters.change(&self.service, |meter, unix_s| {
+            meter.record(unix_s, measure, durations_ms);
+        });
+    }
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     call_tasks::CallTasks, claim_store::ClaimStore, config::Config, journals::Journals,
-    peers::Peers, pins::Pins, retry_budgets::RetryBudgets, serving::Serving, upstreams::Upstreams,
+    meters::Meters, peers::Peers, pins::Pins, retry_budgets::RetryBudgets, serving::Serving,
+    upstreams::Upstreams,
 };
 use base::{Clock, VmId};
 use conf::LimitSettings;
@@ -30,6 +31,7 @@
     pub engines: EnginePool,
     pub pins: Arc<Pins>,
     pub serving: Arc<Serving>,
+    pub meters: Meters,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
     pub process_nonce: u64,
--- /dev/null
+++ b/crates/geraniumctl/src/burn_page.rs
@@ -0,0 +1,109 @@
+//! Burn report as a page that needs no other file.
+
+use crate::{
+    burn_plot::plot,
+    burn_text::{target, warnings},
+    ctl_error::CtlError,
+};
+use burn::{BurnReport, ObjectiveReport, Ring, ServiceReport, WINDOWS};
+
+/// Windows that are plotted, by their positions: 1 hour and 3 days.
+const PLOTTED: [usize; 2] = [1, 3];
+
+const STYLE: &str = "body{font:15px sans-serif;margin:2em;max-width:75em}table{border-collapse:collapse}\
+    td,th{border:1px solid #bbb;padding:.3em .7em;text-align:right}td:first-child,th:first-child{text-align:left}\
+    .page{background:#c62828;color:#fff}.ticket{background:#f9a825}.ok{background:#2e7d32;color:#fff}\
+    .level{padding:.1em .6em}.warning{color:#c62828;font-weight:bold}svg{max-width:100%}";
+
+/// Burn report as a page.
+///
+/// # Errors
+///
+/// `Plot` if a plot cannot be drawn.
+pub(crate) fn page(report: &BurnReport) -> Result<String, CtlError> {
+    let mut body = format!(
+        "<h1>Service-level burn {}</h1>\n<p>{} entries answered; {} s since 1970-01-01 UTC.</p>\n",
+        badge(report.level.name()),
+        report.fleet.entries.len(),
+        report.fleet.unix_s
+    );
+    for warning in warnings(report) {
+        body.push_str(&format!("<p class=\"warning\">{}</p>\n", escaped(&warning)));
+    }
+    body.push_str(
+        "<p>A burn rate of 1 spends the budget of an objective exactly by the end of its window. <b>page</b>: act now; \
+         <b>ticket</b>: work on it in the next days.</p>\n",
+    );
+    body.push_str(&overview(report));
+    for service in &report.services {
+        body.push_str(&section(report, service)?);
+    }
+    Ok(format!(
+        "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Service-level burn</title>\
+         <style>{STYLE}</style></head>\n<body>\n{body}</body></html>\n"
+    ))
+}
+
+fn overview(report: &BurnReport) -> String {
+    let names: Vec<String> =
+        WINDOWS.iter().map(|window| format!("<th>{}</th>", window.name())).collect();
+    let mut table = format!(
+        "<table><tr><th>service</th><th>objective</th><th>level</th>{}</tr>\n",
+        names.concat()
+    );
+    for service in &report.services {
+        for objective in &service.objectives {
+            let name = escaped(service.service.as_str());
+            let level = badge(objective.level.name());
+            let cells = cells(objective);
+            let target = escaped(&target(objective));
+            table.push_str(&format!(
+                "<tr><td>{name}</td><td>{target}</td><td>{level}</td>{cells}</tr>\n"
+            ));
+        }
+    }
+    table + "</table>\n"
+}
+
+fn cells(objective: &ObjectiveReport) -> String {
+    let cell = |window: &burn::WindowBurn| {
+        format!(
+            "<td>{:.1}<br><small>{} of {}</small></td>",
+            window.burn, window.bad, window.requests
+        )
+    };
+    objective.windows.iter().map(cell).collect()
+}
+
+fn section(report: &BurnReport, service: &ServiceReport) -> Result<String, CtlError> {
+    let mut text = format!("<h2>{}</h2>\n", escaped(service.service.as_str()));
+    text.push_str(
+        "<table><tr><th>last hour</th><th>p50</th><th>p95</th><th>p99</th><th>values</th></tr>\n",
+    );
+    for (measure, count, [p50, p95, p99]) in &service.durations {
+        let name = measure.name();
+        text.push_str(&format!(
+            "<tr><td>{name}</td><td>{p50} ms</td><td>{p95} ms</td><td>{p99} ms</td><td>{count}</td></tr>\n"
+        ));
+    }
+    text.push_str("</table>\n");
+    for objective in &service.objectives {
+        text.push_str(&format!("<h3>{}</h3>\n", escaped(&target(objective))));
+        for position in PLOTTED {
+            let digest = report.fleet.digest.services.iter();
+            let mut digest = digest.filter(|digest| digest.service == service.service);
+            let ring = digest.next().and_then(|digest| digest.ring(position)).cloned();
+            let ring = ring.unwrap_or_else(|| Ring::new(WINDOWS[position]));
+            text.push_str(&plot(&ring, objective.kind, objective.budget, report.fleet.unix_s)?);
+        }
+    }
+    Ok(text)
+}
+
+fn badge(level: &str) -> String {
+    format!("<span class=\"level {level}\">{level}</span>")
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
--- a/crates/geraniumctl/src/cli.rs
+++ b/crates/geraniumctl/src/cli.rs
@@ -31,6 +31,7 @@
     Diff(DiffOptions),
     History(HistoryOptions),
     Plan(PlanOptions),
+    Report(ReportOptions),
     Show(ShowOptions),
     Status(StatusOptions),
     Watch(WatchOptions),
@@ -44,6 +45,7 @@
             Self::Diff(options) => options.json,
             Self::History(options) => options.json,
             Self::Plan(options) => options.json,
+            Self::Report(ReportOptions { report: Report::Burn(options) }) => options.json,
             Self::Show(options) => options.json,
             Self::Status(options) => options.json,
             Self::Watch(options) => options.json,
@@ -102,6 +104,34 @@
     pub words: Vec<String>,
 }
 
+/// Report on the fleet.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportOptions {
+    #[argh(subcommand)]
+    pub report: Report,
+}
+
+/// Reports.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Report {
+    Burn(BurnOptions),
+}
+
+/// Show how fast each service spends the budgets of its objectives, over 5 min, 1 h, 6 h and 3 d, and which entries did
+/// not answer. Levels: page (act now), ticket (work on it in the next days), ok.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "burn")]
+pub struct BurnOptions {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// also write the report with plots to this HTML file, which needs no other file
+    #[argh(option)]
+    pub html: Option<PathBuf>,
+}
+
 /// Show a plan.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "show")]
--- a/crates/geraniumctl/src/commands.rs
+++ b/crates/geraniumctl/src/commands.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     access::Access,
-    cli::{Cli, Command, PlanOptions, WatchOptions},
+    burn_page, burn_text,
+    cli::{BurnOptions, Cli, Command, PlanOptions, Report, ReportOptions, WatchOptions},
     ctl_error::CtlError,
     intent_file, render,
 };
@@ -10,6 +11,7 @@
     AdminErrorBody, AdminErrorDetail, Confirmed, DiffReport, History, PlanCreated, PlanRequest,
     Status, WatchReport,
 };
+use burn::BurnReport;
 use fleet::Plan;
 use std::path::Path;
 use web::{Client, ClientError, Method, Reply};
@@ -44,6 +46,7 @@
         Command::Plan(options) => {
             client.send_json(Method::POST, "/admin/v1/plans", &request(options)?).await
         }
+        Command::Report(_) => client.send(Method::GET, "/admin/v1/burn").await,
         Command::Show(options) => {
             client.send(Method::GET, &format!("/admin/v1/plans/{}", options.plan)).await
         }
@@ -51,6 +54,9 @@
         Command::Watch(options) => watch(&client, options).await,
     };
     let reply = accepted(reply)?;
+    if let Command::Report(ReportOptions { report: Report::Burn(options) }) = command {
+        write_page(options, &reply)?;
+    }
     if command.is_json() {
         return Ok(String::from_utf8_lossy(&reply.body).into_owned());
     }
@@ -59,12 +65,22 @@
         Command::Diff(_) => render::diff(&reply.json::<DiffReport>()?),
         Command::History(_) => render::history(&reply.json::<History>()?),
         Command::Plan(_) => render::created(&reply.json::<PlanCreated>()?),
+        Command::Report(_) => burn_text::text(&reply.json::<BurnReport>()?),
         Command::Show(_) => render::plan(&reply.json::<Plan>()?),
         Command::Status(_) => render::status(&reply.json::<Status>()?),
         Command::Watch(_) => format!("revision {}", reply.json::<WatchReport>()?.revision),
     })
 }
 
+/// Writes the page of a report if the command asks for it.
+fn write_page(options: &BurnOptions, reply: &Reply) -> Result<(), CtlError> {
+    if let Some(path) = &options.html {
+        let page = burn_page::page(&reply.json::<BurnReport>()?)?;
+        std::fs::write(path, page).map_err(|cause| CtlError::Write(path.clone(), cause))?;
+    }
+    Ok(())
+}
+
 fn wait_ms(command: &Command) -> u64 {
     match command {
         Command::Watch(options) => options.wait_ms + WATCH_SLACK_MS,
--- a/crates/geraniumctl/src/ctl_error.rs
+++ b/crates/geraniumctl/src/ctl_error.rs
@@ -1,6 +1,7 @@
 //! Errors of the operators' program.
 
 use admin::AdminErrorBody;
+use plotters::drawing::DrawingAreaErrorKind;
 use quick_error::quick_error;
 use std::path::PathBuf;
 
@@ -29,6 +30,17 @@
             display("{} cannot be read: {cause}", path.display())
             source(cause)
         }
+        /// A file cannot be written.
+        Write(path: PathBuf, cause: std::io::Error) {
+            display("{} cannot be written: {cause}", path.display())
+            source(cause)
+        }
+        /// A plot cannot be drawn.
+        Plot(cause: DrawingAreaErrorKind<std::io::Error>) {
+            display("the plot cannot be drawn: {cause}")
+            source(cause)
+            from()
+        }
         /// A file is not valid TOML.
         Toml(cause: toml::de::Error) {
             display("the file is not valid: {cause}")
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -8,6 +8,9 @@
 )]
 
 mod access;
+mod burn_page;
+mod burn_plot;
+mod burn_text;
 mod cli;
 mod commands;
 mod ctl_error;
--- a/crates/geraniumroad/src/admin_view.rs
+++ b/crates/geraniumroad/src/admin_view.rs
@@ -1,9 +1,10 @@
 //! The entry as the administration API sees it.
 
 use admin::Daemon;
-use base::{HashSet, KeyHash, ModelName, OperatorName, VersionName};
+use base::{HashSet, KeyHash, ModelName, OperatorName, VersionName, VmId};
+use burn::Digest;
 use entry::EntryView;
-use fleet::Succession;
+use fleet::{Document, Succession};
 use wire::platform::Vm;
 
 /// The entry as the administration API sees it.
@@ -28,6 +29,18 @@
         self.0.pinned()
     }
 
+    fn vm_id(&self) -> VmId {
+        self.0.vm_id().clone()
+    }
+
+    fn document(&self) -> Document {
+        self.0.config().document.clone()
+    }
+
+    fn burn(&self) -> Digest {
+        self.0.burn()
+    }
+
     async fn wait_after(&self, revision: u64, wait_ms: u64) -> u64 {
         self.0.wait_after(revision, wait_ms).await
     }
