--- a/crates/bench/src/cluster/daemon_settings.rs
+++ b/crates/bench/src/cluster/daemon_settings.rs
@@ -15,6 +15,8 @@
     pub platform: SocketAddr,
     pub worker_threads: u64,
     pub vm_list_interval_ms: u64,
+    /// Lines of the section `[orders]`; without them there is no such section.
+    pub orders: Option<&'s str>,
     /// Lines of the section `[recovery]`.
     pub recovery: &'s str,
     pub seeds: &'s [SocketAddr],
@@ -34,6 +36,7 @@
             recovery,
             ..
         } = self;
+        let orders = self.orders.map(|lines| format!("[orders]\n{lines}\n")).unwrap_or_default();
         let operator_key = KeyHash::of(Layout::OPERATOR_KEY);
         let operator_key = operator_key.as_str();
         let peer = self.peer_listen.map(|listen| {
@@ -48,7 +51,7 @@
              worker_threads = {worker_threads}\nshutdown_wait_ms = 200\n\n\
              [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = {vm_list_interval_ms}\n\n\
              [admin]\nlisten = \"127.0.0.1:0\"\nbootstrap_key_hash = \"{operator_key}\"\n\n\
-             [recovery]\n{recovery}\n[log]\nlevel = \"error\"\n\n{}",
+             {orders}[recovery]\n{recovery}\n[log]\nlevel = \"error\"\n\n{}",
             peer.unwrap_or_default()
         )
     }
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -20,6 +20,8 @@
     pub engines_per_domain: usize,
     /// Whether daemons exchange journal copies.
     pub has_peers: bool,
+    /// Lines of the section `[orders]` of the daemons; none without it.
+    pub orders: Option<String>,
     /// Time between tokens.
     pub token_gap_ms: u64,
     /// Recovery preset.
@@ -46,6 +48,8 @@
     pub accounts: usize,
     /// Models besides the one that is served.
     pub models: usize,
+    /// Whether the engines load versions from the platform's weight store.
+    pub has_weight_store: bool,
     /// More arguments of the engines, for example `--batch-limit`.
     pub engine_args: Vec<String>,
     /// More arguments of the platform, for example `--vm-list-lag-ms`.
@@ -59,6 +63,7 @@
             entries_per_domain: 1,
             engines_per_domain: 2,
             has_peers: true,
+            orders: None,
             token_gap_ms: 41,
             preset: Preset::Latency,
             services: Vec::new(),
@@ -72,6 +77,7 @@
             vm_list_interval_ms: 200,
             accounts: 0,
             models: 0,
+            has_weight_store: false,
             engine_args: Vec::new(),
             platform_args: Vec::new(),
         }
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -66,11 +66,15 @@
     /// # Errors
     ///
     /// A process did not become ready.
-    pub async fn start(program: &Path, layout: Layout) -> Result<Self, BenchError> {
+    pub async fn start(program: &Path, mut layout: Layout) -> Result<Self, BenchError> {
         let files = tempfile::tempdir()?;
         let mut platform_args = vec!["platform", "--listen", "127.0.0.1:0"];
         platform_args.extend(layout.platform_args.iter().map(String::as_str));
         let platform = Process::start(program, &platform_args)?;
+        if layout.has_weight_store {
+            let store = platform.addr("addr")?.to_string();
+            layout.engine_args.extend(["--weight-store".to_owned(), store]);
+        }
         let platform_proxy = match layout.has_platform_proxy {
             true => Some(start_proxy(program, platform.addr("addr")?)?),
             false => None,
@@ -153,6 +157,11 @@
         running.map(|process| process.addr("admin")).collect()
     }
 
+    /// Directory for files of the cluster, removed at its end.
+    pub fn files_path(&self) -> &Path {
+        self.files.path()
+    }
+
     /// Process of the platform.
     pub fn platform(&self) -> &Process {
         &self.platform
@@ -383,6 +392,7 @@
             platform,
             worker_threads: self.layout.worker_threads,
             vm_list_interval_ms: self.layout.vm_list_interval_ms,
+            orders: self.layout.orders.as_deref(),
             recovery: &self.layout.recovery,
             seeds: &[],
             via: &[],
@@ -425,6 +435,7 @@
             platform,
             worker_threads: self.layout.worker_threads,
             vm_list_interval_ms: self.layout.vm_list_interval_ms,
+            orders: self.layout.orders.as_deref(),
             recovery: &self.layout.recovery,
             seeds: &seeds,
             via: &self.network.via(domain),
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -11,10 +11,12 @@
 mod entry_settings;
 mod limit_settings;
 mod log_settings;
+mod orders_settings;
 mod peer_settings;
 mod platform_settings;
 mod problem;
 mod recovery_settings;
+mod secret;
 mod section;
 mod settings;
 
@@ -23,9 +25,11 @@
     entry_settings::EntrySettings,
     limit_settings::LimitSettings,
     log_settings::{LogFormat, LogSettings},
+    orders_settings::OrdersSettings,
     peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     recovery_settings::{RecoveryPolicy, RecoverySettings},
+    secret::Secret,
     settings::Settings,
 };
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -11,10 +11,13 @@
     handler::CallerHandler,
     journals::Journals,
     member_actor::{MemberActor, MemberArguments},
+    meters::Meters,
     peer_answers::PeerAnswers,
     peers::Peers,
     recovery_state::RecoveryState,
     retry_budgets::RetryBudgets,
+    serving::Serving,
+    serving_actor::{ServingActor, ServingArguments},
     shared::Shared,
     spread::Spread,
     upstreams::Upstreams,
@@ -104,6 +107,14 @@
         };
         let (config_actor, _) = Actor::spawn(None, ConfigActor, config_arguments).await?;
         let claims = ClaimStore::new(platform.clone());
+        let serving: Arc<Serving> = Arc::default();
+        let mut actors = vec![config_actor.get_cell()];
+        if settings.orders.is_some() {
+            let arguments =
+                ServingArguments { platform: platform.clone(), serving: Arc::clone(&serving) };
+            let (serving_actor, _) = Actor::spawn(None, ServingActor, arguments).await?;
+            actors.push(serving_actor.get_cell());
+        }
         let vm_list_arguments = VmListArguments {
             platform,
             spread: Arc::clone(&spread),
@@ -125,6 +136,8 @@
             engines: EnginePool::default(),
             pins: Arc::default(),
             recovery: RecoveryState::new(settings.recovery, clock),
+            serving,
+            meters: Meters::default(),
             metrics,
             is_draining: AtomicBool::new(false),
             process_nonce: rand::random(),
@@ -134,7 +147,7 @@
         let handler = Arc::new(CallerHandler { shared: Arc::clone(&shared) });
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
-        let mut actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
+        actors.push(vm_list_actor.get_cell());
         let member = handle.map(|handle| MemberArguments { spread, handle });
         if let Some(arguments) = member.clone() {
             actors.push(Actor::spawn(None, MemberActor, arguments).await?.0.get_cell());
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,6 +7,7 @@
     pin_guard::PinGuard,
     recovery_state::lock,
     render,
+    request_meter::RequestMeter,
     running::{Progress, Running, admission, first_event, next_event},
     service_pacer::Permit,
     shared::Shared,
@@ -84,6 +85,7 @@
     output: Output,
     finish: Option<(FinishReason, Usage)>,
     failure: Option<FailCause>,
+    meter: RequestMeter,
     _pin: Option<PinGuard>,
 }
 
@@ -94,7 +96,9 @@
         let tracker = shared.recovery.tracker(&job.request.model);
         let vm_changes = shared.upstreams.changes();
         let pin = shared.pins.pin(&job.request.model, &job.request.version);
+        let meter = RequestMeter::new(&shared, &job.service, !journal.is_empty());
         Self {
+            meter,
             _pin: pin,
             shared,
             job,
@@ -125,6 +129,11 @@
         metrics::counter!("generation_attempts_total").increment(u64::from(stats.attempts));
         metrics::counter!("generation_extra_tokens_total")
             .increment(u64::from(stats.dropped_tokens));
+        self.meter.end(match &outcome {
+            Ok(_) => Some(false),
+            Err(RelayError::Failed(_)) => Some(true),
+            Err(RelayError::CallerGone) => None,
+        });
         if let Err(RelayError::Failed(cause)) = outcome {
             log::warn!(
                 "recovery: {} of {} failed: {cause}",
@@ -335,6 +344,7 @@
     }
 
     fn release(&mut self, index: u32) {
+        self.meter.token();
         self.output.token(index, self.generation.journal());
         let now_ms = self.shared.clock.now_ms();
         let was_interrupted = std::mem::take(&mut self.is_interrupted);
@@ -404,6 +414,7 @@
         request.request_id = format!("{}/{attempt}", self.job.generation_id);
         request.continue_token_ids = self.generation.journal().token_ids().to_vec();
         if is_recovery {
+            self.meter.recovery();
             request.priority = request.priority.saturating_add(RECOVERY_PRIORITY);
             log::info!(
                 "recovery: {} starts attempt {attempt} at {addr} after {} tokens",
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     call_tasks::CallTasks, claim_store::ClaimStore, config::Config, journals::Journals,
-    peers::Peers, pins::Pins, recovery_state::RecoveryState, retry_budgets::RetryBudgets,
-    upstreams::Upstreams,
+    meters::Meters, peers::Peers, pins::Pins, recovery_state::RecoveryState,
+    retry_budgets::RetryBudgets, serving::Serving, upstreams::Upstreams,
 };
 use base::{Clock, VmId};
 use conf::LimitSettings;
@@ -31,6 +31,8 @@
     pub engines: EnginePool,
     pub pins: Arc<Pins>,
     pub recovery: RecoveryState,
+    pub serving: Arc<Serving>,
+    pub meters: Meters,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
     pub process_nonce: u64,
--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -12,6 +12,7 @@
 mod dev;
 
 mod logging;
+mod orders_link;
 mod run;
 mod run_error;
 
