--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -25,6 +25,10 @@
     pub has_platform_proxy: bool,
     /// More arguments of the engines, for example `--batch-limit`.
     pub engine_args: Vec<String>,
+    /// Requests a second of the client account.
+    pub requests_per_s: u32,
+    /// More sections of the daemons' settings, for example `[route]`.
+    pub entry_settings: String,
     /// More arguments of the platform, for example `--vm-list-lag-ms`.
     pub platform_args: Vec<String>,
 }
@@ -41,6 +45,8 @@
             has_engine_proxies: false,
             has_platform_proxy: false,
             engine_args: Vec::new(),
+            requests_per_s: 100_000,
+            entry_settings: String::new(),
             platform_args: Vec::new(),
         }
     }
@@ -67,7 +73,7 @@
             accounts: vec![Account {
                 name: AccountName::try_from("bench")?,
                 key_hashes: vec![KeyHash::of(Self::KEY)],
-                requests_per_s: 100_000,
+                requests_per_s: self.requests_per_s,
             }],
             services: vec![Service {
                 name: service.clone(),
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -248,11 +248,12 @@
             Some(proxy) => proxy.addr("addr")?,
             None => self.platform_addr()?,
         };
+        let more = &self.layout.entry_settings;
         let text = |listen: SocketAddr| {
             format!(
                 "[entry]\nvm_id = \"{id}\"\ndomain = \"{domain}\"\nlisten = \"{listen}\"\n\n\
                  [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = 200\n\n\
-                 [log]\nlevel = \"error\"\n"
+                 [log]\nlevel = \"error\"\n\n{more}\n"
             )
         };
         std::fs::write(&settings, text(SocketAddr::from(([127, 0, 0, 1], 0))))?;
--- /dev/null
+++ b/crates/bench/tests/load.rs
@@ -0,0 +1,80 @@
+//! Guards against limits that a real daemon does not apply, or applies without telling the caller.
+
+use bench::{
+    caller::{AnswerEnd, Caller, Question},
+    cluster::{Cluster, Layout},
+};
+use std::path::PathBuf;
+use tokio::task::JoinSet;
+use web::{Client, Method};
+
+/// The experiment program, which cargo builds next to the tests.
+fn program() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.parent().unwrap().parent().unwrap().join("examples/experiment")
+}
+
+fn question(max_tokens: u32) -> Question {
+    Question { model: Layout::MODEL.to_owned(), prompt: "a peal plan".to_owned(), max_tokens }
+}
+
+fn small() -> Layout {
+    Layout {
+        domains: vec!["clyde".to_owned()],
+        engines_per_domain: 1,
+        token_gap_ms: 20,
+        ..Layout::default()
+    }
+}
+
+async fn ask_together(cluster: &Cluster, count: usize, question: &Question) -> Vec<AnswerEnd> {
+    let addr = cluster.entry_addrs()[0];
+    let mut asking = JoinSet::new();
+    for _ in 0..count {
+        let question = question.clone();
+        asking.spawn(async move { Caller::new(Layout::KEY).ask(addr, &question).await.end });
+    }
+    asking.join_all().await
+}
+
+/// Fails if an account may send more than its rate, or if the rejection is not typed.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_over_the_rate_of_the_account_are_rejected_with_429() {
+    let layout = Layout { requests_per_s: 1, ..small() };
+    let cluster = Cluster::start(&program(), layout).await.unwrap();
+    let ends = ask_together(&cluster, 30, &question(1)).await;
+    let limited = AnswerEnd::Refused(429, "rate_limit_exceeded".to_owned());
+    assert!(ends.contains(&AnswerEnd::Done));
+    assert!(ends.contains(&limited));
+    assert!(ends.iter().all(|end| *end == AnswerEnd::Done || *end == limited));
+}
+
+/// Fails if a service takes more work than its engines and queue hold, or if work that was admitted is not finished.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_over_the_room_of_the_service_are_rejected_with_503() {
+    let layout = Layout {
+        engine_args: ["--batch-limit", "4"].map(str::to_owned).to_vec(),
+        entry_settings: "[limits]\nqueue_wait_ms = 100".to_owned(),
+        ..small()
+    };
+    let cluster = Cluster::start(&program(), layout).await.unwrap();
+    let client = Client::new(cluster.entry_addrs()[0], 2_000);
+    // The room is known when the engine's load was read once.
+    loop {
+        let reply = client.send(Method::GET, "/metrics").await.unwrap();
+        if String::from_utf8_lossy(&reply.body).contains("route_poll_bytes_total") {
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            let row = text.lines().find(|line| line.starts_with("route_poll_bytes_total"));
+            let bytes = row.and_then(|row| row.rsplit(' ').next()?.parse::<u64>().ok());
+            if bytes.is_some_and(|bytes| bytes > 1_000) {
+                break;
+            }
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let ends = ask_together(&cluster, 60, &question(100)).await;
+    let rejected = AnswerEnd::Refused(503, "overloaded".to_owned());
+    assert!(ends.contains(&AnswerEnd::Done));
+    assert!(ends.contains(&rejected));
+    assert!(ends.iter().all(|end| *end == AnswerEnd::Done || *end == rejected), "{ends:?}");
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -12,6 +12,7 @@
 mod log_settings;
 mod platform_settings;
 mod problem;
+mod route_settings;
 mod section;
 mod settings;
 
@@ -21,5 +22,6 @@
     log_settings::{LogFormat, LogSettings},
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
+    route_settings::RouteSettings,
     settings::Settings,
 };
--- a/crates/conf/src/limit_settings.rs
+++ b/crates/conf/src/limit_settings.rs
@@ -10,11 +10,20 @@
     pub body_bytes: u64,
     /// Largest number of tokens that a caller may ask for.
     pub max_tokens: u64,
+    /// Longest wait of a request in the queue of its service.
+    pub queue_wait_ms: u64,
+    /// Largest number of tokens that a generation of the class short may ask for.
+    pub short_max_tokens: u64,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { body_bytes: 4 * 1024 * 1024, max_tokens: 32_768 }
+        Self {
+            body_bytes: 4 * 1024 * 1024,
+            max_tokens: 32_768,
+            queue_wait_ms: 2_000,
+            short_max_tokens: 64,
+        }
     }
 }
 
@@ -25,7 +34,11 @@
         let body_bytes =
             section.integer("body_bytes", 1_024..=268_435_456, default.body_bytes, source);
         let max_tokens = section.integer("max_tokens", 1..=1_000_000, default.max_tokens, source);
+        let queue_wait_ms =
+            section.integer("queue_wait_ms", 0..=60_000, default.queue_wait_ms, source);
+        let short_max_tokens =
+            section.integer("short_max_tokens", 0..=1_000_000, default.short_max_tokens, source);
         section.close(source);
-        Self { body_bytes, max_tokens }
+        Self { body_bytes, max_tokens, queue_wait_ms, short_max_tokens }
     }
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -6,12 +6,13 @@
     log_settings::LogSettings,
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
+    route_settings::RouteSettings,
     section::Source,
 };
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
-const SECTIONS: &str = "[entry], [limits], [log], [platform]";
+const SECTIONS: &str = "[entry], [limits], [log], [platform], [route]";
 
 /// Settings of the daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,6 +25,8 @@
     pub log: LogSettings,
     /// Access to the platform.
     pub platform: PlatformSettings,
+    /// Choice of upstreams.
+    pub route: RouteSettings,
 }
 
 impl TryFrom<&str> for Settings {
@@ -79,6 +82,7 @@
         let limits = LimitSettings::read(root, source);
         let log = LogSettings::read(root, source);
         let platform = PlatformSettings::read(root, source);
-        Some(Self { entry: entry?, limits, log, platform: platform? })
+        let route = RouteSettings::read(root, source);
+        Some(Self { entry: entry?, limits, log, platform: platform?, route })
     }
 }
--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,143 @@
+//! Admission of requests: limits of client accounts and queues of services.
+
+use crate::{
+    api_error::ApiError, permit::Permit, service_queue::ServiceQueue, upstreams::Upstreams,
+};
+use base::{Clock, HashMap, ServiceName, VmId};
+use conf::LimitSettings;
+use fleet::Account;
+use limit::{AccountLimits, AccountRate, Class, QueueLimits};
+use sha2::{Digest, Sha256};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use wire::platform::{Vm, VmRole};
+
+/// Part of a service's places that only short requests may use: one in this many, and at least one.
+const SHORT_RESERVE_PART: u32 = 10;
+
+/// Requests of a class that may wait even where few run.
+const MIN_WAITING: u32 = 16;
+
+/// Places of a service without a usable upstream: requests then pass and report that.
+const NO_UPSTREAM_PLACES: u32 = 64;
+
+/// Admission of requests at one entry.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    limits: LimitSettings,
+    clock: Clock,
+    upstreams: Arc<Upstreams>,
+    accounts: Mutex<AccountLimits>,
+    queues: Mutex<HashMap<ServiceName, Arc<Mutex<ServiceQueue>>>>,
+}
+
+impl Admission {
+    pub fn new(
+        vm_id: &VmId,
+        limits: LimitSettings,
+        clock: Clock,
+        upstreams: Arc<Upstreams>,
+    ) -> Self {
+        let accounts = AccountLimits::new(hash(vm_id.as_str()), Clock::unix_ms());
+        let queues = Mutex::new(HashMap::default());
+        Self { limits, clock, upstreams, accounts: Mutex::new(accounts), queues }
+    }
+
+    /// Takes over the entries in a list of VMs.
+    pub fn set_entries(&self, vms: &[Vm]) {
+        let entries = vms.iter().filter(|vm| vm.role == VmRole::Entry);
+        let hashes: Vec<u64> = entries.map(|vm| hash(vm.id.as_str())).collect();
+        lock(&self.accounts).set_peers(&hashes, self.clock.now_ms());
+    }
+
+    /// Waits for a place for a request of `account`.
+    ///
+    /// # Errors
+    ///
+    /// `AccountLimit` or `Overloaded`; the request was not run.
+    pub async fn admit(
+        &self,
+        account: &Account,
+        service: &ServiceName,
+        class: Class,
+        tokens: u32,
+    ) -> Result<Permit, ApiError> {
+        let now_ms = self.clock.now_ms();
+        let rate =
+            AccountRate { requests_per_s: f64::from(account.requests_per_s), tokens_per_s: None };
+        let account_hash = hash(account.name.as_str()) as u32;
+        let admitted = lock(&self.accounts).admit(account_hash, &rate, tokens, now_ms);
+        admitted.map_err(|wait_ms| {
+            log::debug!("limit: account {} has used up its rate", account.name);
+            reject("account");
+            ApiError::AccountLimit(wait_ms)
+        })?;
+        let queue = self.queue(service);
+        let offered = lock(&queue).offer(class, now_ms);
+        let overloaded = || {
+            log::debug!("limit: service {service} rejects a {} request", class.as_str());
+            reject("queue");
+            ApiError::Overloaded
+        };
+        let (id, admitted) = offered.ok_or_else(overloaded)?;
+        let permit = Permit { queue, id, class, clock: self.clock };
+        // The queue drops the sender when the deadline has passed.
+        let is_admitted = match admitted {
+            Some(admitted) => admitted.await.is_ok(),
+            None => true,
+        };
+        if is_admitted { Ok(permit) } else { Err(overloaded()) }
+    }
+
+    /// Adapts the bounds of all queues to what the upstreams can take now, and drops requests that waited too long.
+    pub fn refresh(&self) {
+        let queues: Vec<_> = lock(&self.queues)
+            .iter()
+            .map(|(service, queue)| (service.clone(), Arc::clone(queue)))
+            .collect();
+        for (service, queue) in queues {
+            let limits = self.queue_limits(&service);
+            let mut queue = lock(&queue);
+            queue.set_limits(limits, self.clock.now_ms());
+            for class in Class::ALL {
+                let (running, waiting) = queue.counts(class);
+                let labels = [("service", service.to_string()), ("class", class.as_str().into())];
+                metrics::gauge!("limit_running", &labels).set(f64::from(running));
+                metrics::gauge!("limit_waiting", &labels).set(waiting as f64);
+            }
+        }
+    }
+
+    fn queue(&self, service: &ServiceName) -> Arc<Mutex<ServiceQueue>> {
+        if let Some(queue) = lock(&self.queues).get(service) {
+            return Arc::clone(queue);
+        }
+        let queue = ServiceQueue::new(self.queue_limits(service));
+        let queue = Arc::new(Mutex::new(queue));
+        Arc::clone(lock(&self.queues).entry(service.clone()).or_insert(queue))
+    }
+
+    fn queue_limits(&self, service: &ServiceName) -> QueueLimits {
+        let (upstreams, room) = self.upstreams.room(service);
+        let running = if upstreams == 0 { NO_UPSTREAM_PLACES } else { room.max(1) };
+        QueueLimits {
+            running,
+            short_reserve: (running / SHORT_RESERVE_PART).max(1).min(running - 1),
+            waiting: running.max(MIN_WAITING) as usize,
+            wait_ms: self.limits.queue_wait_ms,
+        }
+    }
+}
+
+fn reject(reason: &'static str) {
+    metrics::counter!("limit_rejections_total", "reason" => reason).increment(1);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Hash of a name that is the same at every daemon.
+fn hash(name: &str) -> u64 {
+    let digest = Sha256::digest(name.as_bytes());
+    digest.iter().take(8).fold(0, |value, &byte| (value << 8) | u64::from(byte))
+}
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -54,6 +54,14 @@
         Service(name: Box<str>) {
             display("the service {name:?} does not exist")
         }
+        /// The client account has used up its rate.
+        AccountLimit(wait_ms: u64) {
+            display("the rate of the client account is used up; the request was not run")
+        }
+        /// The service has no room within the time that a request may wait.
+        Overloaded {
+            display("the service is overloaded; the request was not run")
+        }
         /// No upstream is available; the request was not run.
         NoUpstream {
             display("no upstream is available; the request was not run")
@@ -83,7 +91,10 @@
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Body | Self::Json(_) | Self::Field(..) => StatusCode::BAD_REQUEST,
-            Self::NoUpstream | Self::Generation(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::AccountLimit(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoUpstream | Self::Generation(_) | Self::Overloaded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::UnknownOutcome => StatusCode::BAD_GATEWAY,
             Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
@@ -101,6 +112,8 @@
             Self::Field(..) => "invalid_value",
             Self::Model(_) => "model_not_found",
             Self::Service(_) => "service_not_found",
+            Self::AccountLimit(_) => "rate_limit_exceeded",
+            Self::Overloaded => "overloaded",
             Self::NoUpstream => "not_run",
             Self::UnknownOutcome => "outcome_unknown",
             Self::Generation(_) => "generation_failed",
@@ -133,6 +146,10 @@
         if let Self::Method(allowed) = self {
             response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
         }
+        if let Self::AccountLimit(wait_ms) = self {
+            let wait_s = wait_ms.div_ceil(1_000).max(1);
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(wait_s));
+        }
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
             response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,10 +1,12 @@
 //! Running entry.
 
 use crate::{
+    admission::Admission,
     config::Config,
     config_actor::{ConfigActor, ConfigArguments},
     entry_error::EntryError,
     handler::CallerHandler,
+    load_actor::{LoadActor, LoadArguments},
     shared::Shared,
     upstreams::Upstreams,
     vm_list_actor::{VmListActor, VmListArguments},
@@ -48,7 +50,19 @@
         let server = Server::bind(settings.entry.listen).await?;
         let addr = server.local_addr()?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
-        let upstreams = Arc::new(Upstreams::new(&settings.entry.domain, rand::random()));
+        let clock = Clock::start();
+        let upstreams = Arc::new(Upstreams::new(
+            &settings.entry.domain,
+            settings.route.policy,
+            clock,
+            rand::random(),
+        ));
+        let admission = Arc::new(Admission::new(
+            &settings.entry.vm_id,
+            settings.limits,
+            clock,
+            Arc::clone(&upstreams),
+        ));
         let (config_sender, config) = watch::channel(Arc::new(Config::default()));
         let config_arguments =
             ConfigArguments { platform: platform.clone(), sender: config_sender };
@@ -56,15 +70,20 @@
         let vm_list_arguments = VmListArguments {
             platform,
             upstreams: Arc::clone(&upstreams),
+            admission: Arc::clone(&admission),
             interval_ms: settings.platform.vm_list_interval_ms,
         };
         let (vm_list_actor, _) = Actor::spawn(None, VmListActor, vm_list_arguments).await?;
+        let load_arguments =
+            LoadArguments { upstreams: Arc::clone(&upstreams), admission: Arc::clone(&admission) };
+        let (load_actor, _) = Actor::spawn(None, LoadActor, load_arguments).await?;
         let shared = Arc::new(Shared {
             vm_id: settings.entry.vm_id.clone(),
-            clock: Clock::start(),
+            clock,
             limits: settings.limits,
             config,
             upstreams,
+            admission,
             engines: EnginePool::default(),
             metrics,
             is_draining: AtomicBool::new(false),
@@ -75,7 +94,7 @@
         let handler = Arc::new(CallerHandler { shared: Arc::clone(&shared) });
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
-        let actors = vec![config_actor.get_cell(), vm_list_actor.get_cell()];
+        let actors = vec![config_actor.get_cell(), load_actor.get_cell(), vm_list_actor.get_cell()];
         Ok(Self { addr, shared, stop, server, actors })
     }
 
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -7,6 +7,7 @@
     job_request::{chat_job, text_job},
     models::models,
     output::Output,
+    permit::Permit,
     relay::{Relay, RelayError},
     render::{self, Renderer},
     service,
@@ -19,6 +20,7 @@
     body::Incoming,
     header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
 };
+use limit::Class;
 use std::sync::Arc;
 use web::{ChannelBody, Handler, Method, ReadBodyError, ResponseBody, StatusCode};
 
@@ -81,17 +83,24 @@
         } else {
             chat_job(&body, account, &config, &self.shared)?
         };
+        let admission = &self.shared.admission;
+        let permit =
+            admission.admit(account, &job.service, job.class, job.request.max_tokens).await?;
         metrics::counter!("generations_total").increment(1);
-        if job.is_stream { Ok(self.stream(job)) } else { self.whole(job).await }
+        if job.is_stream { Ok(self.stream(job, permit)) } else { self.whole(job, permit).await }
     }
 
-    fn stream(&self, job: Job) -> Response<ResponseBody> {
+    fn stream(&self, job: Job, permit: Permit) -> Response<ResponseBody> {
         let (sender, body) = ChannelBody::new(PENDING_CHUNKS);
         let id_prefix = format!("{}/1/{}/-/", job.generation_id, self.shared.vm_id);
         let renderer = Renderer::new(&job, id_prefix);
         let output = Output::Stream { renderer, sender, pending: Vec::new() };
         let relay = Relay::new(Arc::clone(&self.shared), job, output);
-        tokio::spawn(relay.run());
+        tokio::spawn(async move {
+            let outcome = relay.run().await;
+            drop(permit);
+            outcome
+        });
         let mut response = Response::new(body.boxed_unsync());
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -99,9 +108,11 @@
         response
     }
 
-    async fn whole(&self, job: Job) -> Result<Response<ResponseBody>, ApiError> {
+    async fn whole(&self, job: Job, permit: Permit) -> Result<Response<ResponseBody>, ApiError> {
         let relay = Relay::new(Arc::clone(&self.shared), job.clone(), Output::Whole);
-        match relay.run().await {
+        let outcome = relay.run().await;
+        drop(permit);
+        match outcome {
             Ok(answer) => {
                 Ok(render::whole(&job, answer.journal.text(), answer.reason, answer.usage))
             }
@@ -117,13 +128,15 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
-        authenticate(request.headers(), &config)?;
+        let account = authenticate(request.headers(), &config)?;
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
         let path = match request.uri().query() {
             Some(query) => format!("/{path}?{query}"),
             None => format!("/{path}"),
         };
         let body = self.read_body(request).await?;
+        let service = service::find(&config, name)?;
+        let _permit = self.shared.admission.admit(account, &service, Class::Short, 0).await?;
         service::forward(&self.shared, name, method, &path, body).await
     }
 
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -2,6 +2,7 @@
 
 use base::{AccountName, ServiceName};
 use fleet::Preset;
+use limit::Class;
 use wire::engine::EngineRequest;
 
 /// Shape of the answer.
@@ -20,6 +21,7 @@
     pub account: AccountName,
     pub service: ServiceName,
     pub preset: Preset,
+    pub class: Class,
     pub kind: AnswerKind,
     pub is_stream: bool,
     pub created_s: u64,
--- a/crates/entry/src/job_request.rs
+++ b/crates/entry/src/job_request.rs
@@ -8,6 +8,7 @@
 };
 use base::{Clock, ModelName};
 use fleet::{Account, Model, Preset};
+use limit::Class;
 use wire::{
     engine::{EngineRequest, Message},
     openai::{ChatMessage, ChatRequest, CompletionRequest, Content, Prompt},
@@ -120,6 +121,7 @@
     }
     let (model, adapter) = find_model(common.model, config)?;
     let generation_id = shared.new_generation_id();
+    let is_short = u64::from(max_tokens) <= shared.limits.short_max_tokens;
     let request = EngineRequest {
         request_id: String::new(),
         model: model.name.to_string(),
@@ -139,6 +141,7 @@
             .document
             .service(&model.service)
             .map_or(Preset::default(), |service| service.preset),
+        class: if is_short { Class::Short } else { Class::Long },
         kind,
         is_stream: common.is_stream,
         created_s: Clock::unix_ms() / 1_000,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
     future_incompatible
 )]
 
+mod admission;
 mod api_error;
 mod authenticate;
 mod config;
@@ -16,13 +17,18 @@
 mod handler;
 mod job;
 mod job_request;
+mod load_actor;
 mod models;
 mod output;
+mod permit;
+mod poll;
 mod relay;
 mod render;
 mod service;
+mod service_queue;
 mod shared;
 mod upstream_guard;
+mod upstream_state;
 mod upstreams;
 mod vm_list_actor;
 
--- /dev/null
+++ b/crates/entry/src/load_actor.rs
@@ -0,0 +1,85 @@
+//! Actor that polls engines for load and cache events at a bounded cost.
+
+use crate::{admission::Admission, upstreams::Upstreams};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::{sync::Arc, time::Duration};
+
+/// Time between two polls of load: 20 a second, whatever the number of engines, are about 6 KB/s.
+const POLL_INTERVAL_MS: u64 = 50;
+
+/// Bytes a second for cache events.
+const CACHE_EVENT_BYTES_PER_S: u64 = 2_000;
+
+/// Actor that polls engines.
+#[derive(Debug)]
+pub(crate) struct LoadActor;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct LoadArguments {
+    pub upstreams: Arc<Upstreams>,
+    pub admission: Arc<Admission>,
+}
+
+/// Message of the actor.
+#[derive(Debug)]
+pub(crate) enum LoadMessage {
+    /// Poll the load of the next engine.
+    PollLoad,
+    /// Poll the cache events of the next engine.
+    PollCacheEvents,
+}
+
+impl Actor for LoadActor {
+    type Msg = LoadMessage;
+    type State = LoadArguments;
+    type Arguments = LoadArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<LoadMessage>,
+        arguments: LoadArguments,
+    ) -> Result<LoadArguments, ActorProcessingErr> {
+        myself.cast(LoadMessage::PollLoad)?;
+        myself.cast(LoadMessage::PollCacheEvents)?;
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<LoadMessage>,
+        message: LoadMessage,
+        state: &mut LoadArguments,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            LoadMessage::PollLoad => {
+                if let Some(poll) = state.upstreams.next_poll() {
+                    // Polls run beside each other, so that a silent engine does not delay the others; the time limit
+                    // of a poll bounds their number to ten.
+                    tokio::spawn(async move { count(poll.read_load().await) });
+                }
+                state.admission.refresh();
+                let interval = Duration::from_millis(POLL_INTERVAL_MS);
+                drop(myself.send_after(interval, || LoadMessage::PollLoad));
+            }
+            LoadMessage::PollCacheEvents => {
+                let poll = state.upstreams.next_cache_poll();
+                tokio::spawn(async move {
+                    let bytes = match poll {
+                        Some(poll) => poll.read_cache_events().await,
+                        None => 0,
+                    };
+                    count(bytes);
+                    let pause_ms = (bytes * 1_000 / CACHE_EVENT_BYTES_PER_S).max(200);
+                    let pause = Duration::from_millis(pause_ms);
+                    drop(myself.send_after(pause, || LoadMessage::PollCacheEvents));
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn count(bytes: u64) {
+    metrics::counter!("route_poll_bytes_total").increment(bytes);
+}
--- /dev/null
+++ b/crates/entry/src/permit.rs
@@ -0,0 +1,23 @@
+//! Place of a request in the queue of its service.
+
+use crate::service_queue::ServiceQueue;
+use base::Clock;
+use limit::Class;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Place of a request that runs or waits. It is given back on drop, because a request also ends when its task is
+/// cancelled.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    pub queue: Arc<Mutex<ServiceQueue>>,
+    pub id: u64,
+    pub class: Class,
+    pub clock: Clock,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.end(self.id, self.class, self.clock.now_ms());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/poll.rs
@@ -0,0 +1,84 @@
+//! One poll of an engine.
+
+use crate::upstream_state::UpstreamState;
+use base::Clock;
+use route::LoadReport;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use web::{Client, ClientError, Method};
+use wire::engine::{CacheEventList, EngineLoad, EngineState};
+
+/// Longest wait for an answer to a poll.
+const POLL_WAIT_MS: u64 = 500;
+
+/// Age that the load in an answer to `GET /load` is taken to have.
+const REPORT_LAG_MS: u64 = 100;
+
+/// Time after which the versions of an engine are read again.
+const STATE_AGE_MS: u64 = 30_000;
+
+/// Bytes of the head of a request and of its answer, which the answer's body does not count.
+const HEAD_BYTES: u64 = 220;
+
+/// Engine that is to be polled.
+#[derive(Clone, Debug)]
+pub(crate) struct Poll {
+    pub addr: SocketAddr,
+    pub state: UpstreamState,
+    pub clock: Clock,
+}
+
+impl Poll {
+    /// Reads the load, or the state with the versions if that was not read for long. Bytes of the exchange.
+    pub async fn read_load(&self) -> u64 {
+        let now_ms = self.clock.now_ms();
+        let read_at_ms = self.state.state_read_at_ms();
+        let is_state_due = read_at_ms.is_none_or(|at_ms| now_ms >= at_ms + STATE_AGE_MS);
+        if is_state_due {
+            let Some((state, bytes)) = self.get::<EngineState>("/state").await else {
+                return HEAD_BYTES;
+            };
+            self.state.take_loaded(state.loaded);
+            self.take_load(&state.load, self.clock.now_ms());
+            return bytes;
+        }
+        let Some((load, bytes)) = self.get::<EngineLoad>("/load").await else { return HEAD_BYTES };
+        self.take_load(&load, self.clock.now_ms().saturating_sub(REPORT_LAG_MS));
+        bytes
+    }
+
+    /// Reads the cache events since the last ones. Bytes of the exchange.
+    pub async fn read_cache_events(&self) -> u64 {
+        let after = self.state.last_cache_event();
+        let path = format!("/cache_events?after={after}");
+        let Some((list, bytes)) = self.get::<CacheEventList>(&path).await else {
+            return HEAD_BYTES;
+        };
+        if list.last_number < after {
+            // Numbers start again after a restart, and the cache is then empty.
+            self.state.forget_cache();
+        } else {
+            self.state.take_cache_events(&list);
+        }
+        bytes
+    }
+
+    fn take_load(&self, load: &EngineLoad, at_ms: u64) {
+        let requests = load.running.saturating_add(load.waiting);
+        let report = LoadReport { at_ms, requests, batch_limit: load.batch_limit };
+        self.state.take_load(report, load.is_leaving);
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Option<(T, u64)> {
+        let reply = Client::new(self.addr, POLL_WAIT_MS).send(Method::GET, path).await;
+        match reply {
+            Ok(reply) => Some((reply.json().ok()?, HEAD_BYTES + reply.body.len() as u64)),
+            Err(ClientError::Connect(_)) if self.state.failed() => {
+                log::warn!("route: upstream {} is ejected, it accepts no connection", self.addr);
+                metrics::counter!("route_ejections_total").increment(1);
+                None
+            }
+            Err(_) => None,
+        }
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,6 +10,7 @@
 };
 use fleet::Preset;
 use futures::{FutureExt, future::BoxFuture};
+use limit::Class;
 use recovery::{Action, AttemptId, FailCause, Generation, Input, Journal, LossCause, Policy};
 use std::{future::poll_fn, net::SocketAddr, sync::Arc, task::Poll};
 use upstream::{EngineError, EngineStream};
@@ -171,6 +172,7 @@
                     self.job.generation_id,
                     lost.guard.addr()
                 );
+                lost.guard.failed(&err);
                 self.failed_addrs.push(lost.guard.addr());
                 self.input(Input::Lost { attempt: id, cause });
             }
@@ -191,7 +193,7 @@
                     self.input(Input::Finished { attempt: id, token_count });
                     let is_accepted = self.generation.is_done();
                     if is_accepted {
-                        self.running.swap_remove(position);
+                        self.running.swap_remove(position).guard.succeeded();
                         tokio::spawn(stream.close());
                     }
                     return;
@@ -242,7 +244,14 @@
     }
 
     fn start(&mut self, attempt: AttemptId, is_recovery: bool) {
-        let chosen = self.shared.upstreams.choose(&self.job.service, &self.failed_addrs);
+        // A short generation keeps its class when it is recovered.
+        let class = if is_recovery { self.job.class.min(Class::Recovery) } else { self.job.class };
+        let chosen = self.shared.upstreams.choose_engine(
+            &self.job.service,
+            &self.job.request,
+            class,
+            &self.failed_addrs,
+        );
         let Some(guard) = chosen else {
             self.input(Input::NoUpstream { attempt });
             return;
@@ -256,6 +265,7 @@
             );
         }
         let mut request = self.job.request.clone();
+        request.priority = class.priority();
         request.request_id = format!("{}/{attempt}", self.job.generation_id);
         request.continue_token_ids = self.generation.journal().token_ids().to_vec();
         let engines = self.shared.engines.clone();
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,6 +1,6 @@
 //! Requests to plain services.
 
-use crate::{api_error::ApiError, shared::Shared};
+use crate::{api_error::ApiError, config::Config, shared::Shared};
 use base::ServiceName;
 use bytes::Bytes;
 use fleet::ServiceKind;
@@ -22,14 +22,7 @@
     path: &str,
     body: Bytes,
 ) -> Result<Response<ResponseBody>, ApiError> {
-    let unknown = || ApiError::Service(name.chars().take(100).collect::<String>().into());
-    let service = ServiceName::try_from(name).map_err(|_| unknown())?;
-    let config = shared.config();
-    let is_plain =
-        config.document.service(&service).is_some_and(|service| service.kind == ServiceKind::Plain);
-    if !is_plain {
-        return Err(unknown());
-    }
+    let service = find(&shared.config(), name)?;
     let guard = shared.upstreams.choose(&service, &[]).ok_or(ApiError::NoUpstream)?;
     let client = Client::new(guard.addr(), ANSWER_WAIT_MS);
     let reply = client.send_bytes(method, path, body).await.map_err(|err| match err {
@@ -40,3 +33,16 @@
     *response.status_mut() = reply.status;
     Ok(response)
 }
+
+/// The plain service with a name.
+///
+/// # Errors
+///
+/// `Service`.
+pub(crate) fn find(config: &Config, name: &str) -> Result<ServiceName, ApiError> {
+    let unknown = || ApiError::Service(name.chars().take(100).collect::<String>().into());
+    let service = ServiceName::try_from(name).map_err(|_| unknown())?;
+    let is_plain =
+        config.document.service(&service).is_some_and(|service| service.kind == ServiceKind::Plain);
+    if is_plain { Ok(service) } else { Err(unknown()) }
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that all requests of an entry share.
 
-use crate::{config::Config, upstreams::Upstreams};
+use crate::{admission::Admission, config::Config, upstreams::Upstreams};
 use base::{Clock, VmId};
 use conf::LimitSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -19,6 +19,7 @@
     pub limits: LimitSettings,
     pub config: watch::Receiver<Arc<Config>>,
     pub upstreams: Arc<Upstreams>,
+    pub admission: Arc<Admission>,
     pub engines: EnginePool,
     pub metrics: Option<PrometheusHandle>,
     pub is_draining: AtomicBool,
--- a/crates/entry/src/upstream_guard.rs
+++ b/crates/entry/src/upstream_guard.rs
@@ -1,12 +1,8 @@
 //! Request in flight at an upstream.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
-};
+use crate::upstream_state::UpstreamState;
+use std::net::SocketAddr;
+use upstream::EngineError;
 
 /// Counts one request at an upstream for as long as it lives.
 ///
@@ -14,23 +10,37 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamGuard {
     addr: SocketAddr,
-    in_flight: Arc<AtomicU32>,
+    state: UpstreamState,
 }
 
 impl UpstreamGuard {
-    pub fn new(addr: SocketAddr, in_flight: Arc<AtomicU32>) -> Self {
-        in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { addr, in_flight }
+    pub fn new(addr: SocketAddr, state: UpstreamState, blocks: &[u64]) -> Self {
+        state.sent(blocks);
+        Self { addr, state }
     }
 
     /// Address of the upstream.
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
+
+    /// Counts the request as a success of the upstream.
+    pub fn succeeded(&self) {
+        self.state.succeeded();
+    }
+
+    /// Counts the request as a failure, unless the engine only refused it: that shows load or a missing version.
+    pub fn failed(&self, error: &EngineError) {
+        let is_refusal = matches!(error, EngineError::Refused(400..=499));
+        if !is_refusal && self.state.failed() {
+            log::warn!("route: upstream {} is ejected after repeated failures", self.addr);
+            metrics::counter!("route_ejections_total").increment(1);
+        }
+    }
 }
 
 impl Drop for UpstreamGuard {
     fn drop(&mut self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.state.ended();
     }
 }
--- /dev/null
+++ b/crates/entry/src/upstream_state.rs
@@ -0,0 +1,163 @@
+//! What an entry knows of one upstream.
+
+use base::Clock;
+use route::{Candidate, Health, LoadHistory, LoadReport, PrefixSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use wire::engine::{CacheEventKind, CacheEventList, EngineRequest, LoadedVersion};
+
+/// Requests at a time that an upstream is taken to serve until it reports its limit.
+const DEFAULT_BATCH_LIMIT: u32 = 256;
+
+/// Knowledge of one upstream, shared by its requests.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamState {
+    clock: Clock,
+    known: Arc<Mutex<Known>>,
+}
+
+#[derive(Debug)]
+struct Known {
+    load: LoadHistory,
+    health: Health,
+    prefixes: PrefixSet,
+    /// Versions that an engine serves; `None` if it serves all or they are not known.
+    loaded: Option<Vec<LoadedVersion>>,
+    last_cache_event: u64,
+    state_read_at_ms: Option<u64>,
+    is_leaving: bool,
+}
+
+impl UpstreamState {
+    /// An upstream that was just seen for the first time.
+    pub fn new(clock: Clock, health: Health) -> Self {
+        let known = Known {
+            load: LoadHistory::default(),
+            health,
+            prefixes: PrefixSet::default(),
+            loaded: None,
+            last_cache_event: 0,
+            state_read_at_ms: None,
+            is_leaving: false,
+        };
+        Self { clock, known: Arc::new(Mutex::new(known)) }
+    }
+
+    /// Counts a request and remembers the blocks of its context.
+    pub fn sent(&self, blocks: &[u64]) {
+        let mut known = self.lock();
+        known.load.sent(self.clock.now_ms());
+        blocks.iter().for_each(|&block| known.prefixes.insert(block));
+    }
+
+    /// Counts the end of a request.
+    pub fn ended(&self) {
+        self.lock().load.ended(self.clock.now_ms());
+    }
+
+    /// Counts a success.
+    pub fn succeeded(&self) {
+        self.lock().health.succeeded(self.clock.now_ms());
+    }
+
+    /// Counts a failure of the upstream; whether it is ejected by it.
+    pub fn failed(&self) -> bool {
+        self.lock().health.failed(self.clock.now_ms())
+    }
+
+    /// Whether the upstream announced that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.lock().is_leaving
+    }
+
+    /// Requests that this entry may have in flight there: what other entries leave of the limit.
+    pub fn room(&self) -> u32 {
+        let known = self.lock();
+        if known.health.is_ejected(self.clock.now_ms()) {
+            return 0;
+        }
+        batch_limit(&known).saturating_sub(known.load.others(self.clock.now_ms()))
+    }
+
+    /// Takes over a load that is from `at_ms`.
+    pub fn take_load(&self, report: LoadReport, is_leaving: bool) {
+        let mut known = self.lock();
+        known.load.take_report(report);
+        known.is_leaving = is_leaving;
+    }
+
+    /// Takes over the versions that an engine serves.
+    pub fn take_loaded(&self, loaded: Option<Vec<LoadedVersion>>) {
+        let mut known = self.lock();
+        known.loaded = loaded;
+        known.state_read_at_ms = Some(self.clock.now_ms());
+    }
+
+    /// Time at which the versions were read last.
+    pub fn state_read_at_ms(&self) -> Option<u64> {
+        self.lock().state_read_at_ms
+    }
+
+    /// Number of the last cache event that was read.
+    pub fn last_cache_event(&self) -> u64 {
+        self.lock().last_cache_event
+    }
+
+    /// Takes over cache events. Lost ones leave hints that are wrong until the block is used again.
+    pub fn take_cache_events(&self, list: &CacheEventList) {
+        let mut known = self.lock();
+        known.last_cache_event = list.last_number;
+        for event in &list.events {
+            let Ok(block) = u64::from_str_radix(&event.block, 16) else { continue };
+            match event.kind {
+                CacheEventKind::Stored => known.prefixes.insert(block),
+                CacheEventKind::Removed => known.prefixes.remove(block),
+            }
+        }
+    }
+
+    /// Forgets what a restarted engine no longer has.
+    pub fn forget_cache(&self) {
+        let mut known = self.lock();
+        known.prefixes = PrefixSet::default();
+        known.last_cache_event = 0;
+    }
+
+    /// What the choice needs to know. `request` is `None` for plain services.
+    pub fn candidate(
+        &self,
+        request: Option<&EngineRequest>,
+        blocks: &[u64],
+        is_local: bool,
+    ) -> Candidate {
+        let known = self.lock();
+        let now_ms = self.clock.now_ms();
+        let missing = blocks.len() - known.prefixes.leading(blocks);
+        Candidate {
+            in_flight: known.load.in_flight(),
+            reported: known.load.report().map(|report| report.requests),
+            corrected: known.load.corrected(now_ms),
+            batch_limit: batch_limit(&known),
+            missing_blocks: u32::try_from(missing).unwrap_or(u32::MAX),
+            share: known.health.share(now_ms),
+            is_local,
+            has_version: request.and_then(|request| has_version(known.loaded.as_ref()?, request)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn batch_limit(known: &Known) -> u32 {
+    known.load.report().map_or(DEFAULT_BATCH_LIMIT, |report| report.batch_limit)
+}
+
+fn has_version(loaded: &[LoadedVersion], request: &EngineRequest) -> Option<bool> {
+    let mut same = loaded
+        .iter()
+        .filter(|loaded| loaded.model == request.model && loaded.version == request.version);
+    Some(
+        same.any(|loaded| request.adapter.is_empty() || loaded.adapters.contains(&request.adapter)),
+    )
+}
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -1,28 +1,37 @@
-//! Table of upstreams with this entry's in-flight counts.
+//! Table of upstreams and the choice among them.
 
-use crate::upstream_guard::UpstreamGuard;
-use base::{DomainName, HashMap, ServiceName, VmId};
+use crate::{poll::Poll, upstream_guard::UpstreamGuard, upstream_state::UpstreamState};
+use base::{Clock, DomainName, HashMap, ServiceName, VmId};
+use limit::Class;
 use rand::{SeedableRng, rngs::SmallRng};
-use route::Candidate;
+use route::{Candidate, Health, Policy};
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
 };
-use wire::platform::{Vm, VmRole, VmState};
+use wire::{
+    engine::EngineRequest,
+    platform::{Vm, VmRole, VmState},
+};
+
+/// Of this many polls of load, one goes to an engine of another failure domain.
+const REMOTE_POLL: u64 = 4;
 
 /// Upstream as this entry knows it.
 #[derive(Clone, Debug)]
 struct Upstream {
     vm: Vm,
-    in_flight: Arc<AtomicU32>,
+    state: UpstreamState,
 }
 
 #[derive(Debug)]
 struct Inner {
     upstreams: HashMap<VmId, Upstream>,
+    /// Engines of the own failure domain and of the others, in the order of polls.
+    polled: [Vec<VmId>; 2],
+    polls: u64,
+    cache_polls: u64,
+    choices: u64,
     rng: SmallRng,
 }
 
@@ -30,53 +39,157 @@
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     domain: DomainName,
+    policy: Policy,
+    clock: Clock,
     inner: Mutex<Inner>,
 }
 
 impl Upstreams {
-    pub fn new(domain: &DomainName, seed: u64) -> Self {
-        let inner = Inner { upstreams: HashMap::default(), rng: SmallRng::seed_from_u64(seed) };
-        Self { domain: domain.clone(), inner: Mutex::new(inner) }
+    pub fn new(domain: &DomainName, policy: Policy, clock: Clock, seed: u64) -> Self {
+        let inner = Inner {
+            upstreams: HashMap::default(),
+            polled: [Vec::new(), Vec::new()],
+            polls: 0,
+            cache_polls: 0,
+            choices: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        Self { domain: domain.clone(), policy, clock, inner: Mutex::new(inner) }
     }
 
-    /// Takes over a new list of VMs; counts of upstreams that stay are kept.
+    /// Takes over a new list of VMs; what is known of upstreams that stay is kept.
     pub fn update(&self, vms: Vec<Vm>) {
         let mut inner = self.lock();
+        let is_first_list = inner.upstreams.is_empty();
         let mut upstreams = HashMap::default();
+        let mut polled = [Vec::new(), Vec::new()];
         for vm in vms.into_iter().filter(|vm| vm.role != VmRole::Entry) {
-            let in_flight = match inner.upstreams.remove(&vm.id) {
-                Some(known) => known.in_flight,
-                None => Arc::default(),
+            let state = match inner.upstreams.remove(&vm.id) {
+                Some(known) => known.state,
+                // Upstreams of the first list were there before this entry and are warm.
+                None if is_first_list => UpstreamState::new(self.clock, Health::warm()),
+                None => UpstreamState::new(self.clock, Health::appeared(self.clock.now_ms())),
             };
-            upstreams.insert(vm.id.clone(), Upstream { vm, in_flight });
+            if vm.role == VmRole::Engine {
+                polled[usize::from(vm.domain != self.domain)].push(vm.id.clone());
+            }
+            upstreams.insert(vm.id.clone(), Upstream { vm, state });
         }
         inner.upstreams = upstreams;
+        inner.polled = polled;
+    }
+
+    /// Chooses an engine for `request`, if possible not one at an address in `avoid`, and counts a request there. `None`
+    /// also if `class` is not short and all engines are full but for the reserve of short requests.
+    pub fn choose_engine(
+        &self,
+        service: &ServiceName,
+        request: &EngineRequest,
+        class: Class,
+        avoid: &[SocketAddr],
+    ) -> Option<UpstreamGuard> {
+        let pinned = [request.model.as_str(), &request.version, &request.adapter];
+        let blocks = if request.messages.is_empty() {
+            route::block_hashes(pinned, &request.prompt)
+        } else {
+            let lines = request.messages.iter();
+            let prompt: String =
+                lines.map(|line| format!("{}: {}\n", line.role, line.content)).collect();
+            route::block_hashes(pinned, &prompt)
+        };
+        self.choose_by(service, Some(request), &blocks, class, avoid)
     }
 
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
     pub fn choose(&self, service: &ServiceName, avoid: &[SocketAddr]) -> Option<UpstreamGuard> {
+        self.choose_by(service, None, &[], Class::Short, avoid)
+    }
+
+    fn choose_by(
+        &self,
+        service: &ServiceName,
+        request: Option<&EngineRequest>,
+        blocks: &[u64],
+        class: Class,
+        avoid: &[SocketAddr],
+    ) -> Option<UpstreamGuard> {
         let mut inner = self.lock();
-        let Inner { upstreams, rng } = &mut *inner;
-        let mut usable: Vec<&Upstream> = upstreams
-            .values()
-            .filter(|upstream| upstream.vm.service.as_ref() == Some(service))
-            .filter(|upstream| upstream.vm.state == VmState::Live)
-            .collect();
+        let Inner { upstreams, rng, choices, .. } = &mut *inner;
+        let mut usable: Vec<&Upstream> = live(upstreams, service).collect();
         if usable.iter().any(|upstream| !avoid.contains(&upstream.vm.addr)) {
             usable.retain(|upstream| !avoid.contains(&upstream.vm.addr));
         }
-        let candidates: Vec<Candidate> = usable
+        usable.sort_unstable_by(|a, b| a.vm.id.cmp(&b.vm.id));
+        let mut candidates: Vec<Candidate> = usable
             .iter()
-            .map(|upstream| Candidate {
-                in_flight: upstream.in_flight.load(Ordering::Relaxed),
-                is_local: upstream.vm.domain == self.domain,
+            .map(|upstream| {
+                upstream.state.candidate(request, blocks, upstream.vm.domain == self.domain)
             })
             .collect();
-        let chosen = usable[route::choose(&candidates, rng)?];
-        Some(UpstreamGuard::new(chosen.vm.addr, Arc::clone(&chosen.in_flight)))
+        if self.policy == Policy::Scored && class != Class::Short {
+            let mut open = candidates.iter().map(Candidate::has_room_beside_reserve);
+            usable.retain(|_| open.next().unwrap_or(true));
+            candidates.retain(Candidate::has_room_beside_reserve);
+        }
+        let position = route::choose(self.policy, &candidates, *choices, rng)?;
+        *choices += 1;
+        let place = if candidates[position].is_local { "local" } else { "remote" };
+        metrics::counter!("route_choices_total", "place" => place).increment(1);
+        let hits = blocks.len() as u64 - u64::from(candidates[position].missing_blocks);
+        metrics::counter!("route_prefix_blocks_total", "expected" => "hit").increment(hits);
+        let chosen = usable[position];
+        Some(UpstreamGuard::new(chosen.vm.addr, chosen.state.clone(), blocks))
+    }
+
+    /// Number of usable upstreams of `service`, and the requests that this entry may have in flight there.
+    pub fn room(&self, service: &ServiceName) -> (usize, u32) {
+        let inner = self.lock();
+        live(&inner.upstreams, service).fold((0, 0), |(count, room), upstream| {
+            (count + 1, room.saturating_add(upstream.state.room()))
+        })
+    }
+
+    /// The next engine whose load is to be read: mostly one of the own failure domain, since those are preferred.
+    pub fn next_poll(&self) -> Option<Poll> {
+        let mut inner = self.lock();
+        inner.polls += 1;
+        let turn = inner.polls;
+        let is_remote = turn.is_multiple_of(REMOTE_POLL);
+        let [local, remote] = &inner.polled;
+        let from =
+            if (is_remote || local.is_empty()) && !remote.is_empty() { remote } else { local };
+        // Rotation within the rare remote polls needs its own count.
+        let step = if is_remote { turn / REMOTE_POLL } else { turn - turn / REMOTE_POLL };
+        let id = from.get((step as usize).checked_rem(from.len())?)?;
+        self.poll(inner.upstreams.get(id)?)
+    }
+
+    /// The next engine of the own failure domain whose cache events are to be read.
+    pub fn next_cache_poll(&self) -> Option<Poll> {
+        let mut inner = self.lock();
+        inner.cache_polls += 1;
+        let local = &inner.polled[0];
+        let id = local.get((inner.cache_polls as usize).checked_rem(local.len())?)?;
+        self.poll(inner.upstreams.get(id)?)
+    }
+
+    fn poll(&self, upstream: &Upstream) -> Option<Poll> {
+        let (addr, state) = (upstream.vm.addr, upstream.state.clone());
+        Some(Poll { addr, state, clock: self.clock })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn live<'u>(
+    upstreams: &'u HashMap<VmId, Upstream>,
+    service: &'u ServiceName,
+) -> impl Iterator<Item = &'u Upstream> {
+    upstreams.values().filter(move |upstream| {
+        upstream.vm.service.as_ref() == Some(service)
+            && upstream.vm.state == VmState::Live
+            && !upstream.state.is_leaving()
+    })
+}
--- a/crates/entry/src/vm_list_actor.rs
+++ b/crates/entry/src/vm_list_actor.rs
@@ -1,6 +1,6 @@
 //! Actor that keeps the table of upstreams up to date.
 
-use crate::upstreams::Upstreams;
+use crate::{admission::Admission, upstreams::Upstreams};
 use plat::Platform;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{sync::Arc, time::Duration};
@@ -14,6 +14,7 @@
 pub(crate) struct VmListArguments {
     pub platform: Platform,
     pub upstreams: Arc<Upstreams>,
+    pub admission: Arc<Admission>,
     pub interval_ms: u64,
 }
 
@@ -47,7 +48,10 @@
         match message {
             VmListMessage::Poll => {
                 match state.platform.vms().await {
-                    Ok(list) => state.upstreams.update(list.vms),
+                    Ok(list) => {
+                        state.admission.set_entries(&list.vms);
+                        state.upstreams.update(list.vms);
+                    }
                     Err(err) => log::warn!("vms: the platform's list cannot be read: {err}"),
                 }
                 let interval = Duration::from_millis(state.interval_ms);
--- a/crates/geraniumroad/src/dev.rs
+++ b/crates/geraniumroad/src/dev.rs
@@ -2,7 +2,7 @@
 
 use crate::{cli::DevOptions, dev_report::DevReport, logging, run_error::RunError};
 use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
-use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, Settings};
+use conf::{EntrySettings, LimitSettings, LogSettings, PlatformSettings, RouteSettings, Settings};
 use entry::Entry;
 use fleet::{Account, Document, Model, Preset, Service, ServiceKind};
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -93,6 +93,7 @@
                 timeout_ms: 1_000,
                 vm_list_interval_ms: 200,
             },
+            route: RouteSettings::default(),
         };
         let vms = engines.iter().map(|(id, domain, engine)| vm(id, domain, engine));
         platform.set_vms(vms.collect::<Result<_, _>>()?);
--- a/crates/limit/src/account_limits.rs
+++ b/crates/limit/src/account_limits.rs
@@ -143,6 +143,10 @@
         if self.peers.is_empty() {
             return Some(1.0);
         }
+        let even_of_all = 1.0 / (self.peers.len() + 1) as f64;
+        if self.peers.values().all(Option::is_none) {
+            return Some(even_of_all);
+        }
         let silence_ms = |peer: &Option<PeerDemand>| {
             let since_ms = peer.as_ref().map_or(self.known_at_ms, |peer| peer.heard_at_ms);
             now_ms.saturating_sub(since_ms)
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -1,10 +1,35 @@
 //! Upstream that may be chosen.
 
+/// Part of an engine's batch that only short requests may use: one place in this many, and at least one.
+const SHORT_RESERVE_PART: u32 = 10;
+
 /// What is known of an upstream at the time of the choice.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// Requests of this entry that are in flight there.
     pub in_flight: u32,
+    /// Load that the upstream reported last, uncorrected; `None` without a report.
+    pub reported: Option<u32>,
+    /// Load now: the report corrected by what this entry sent since.
+    pub corrected: u32,
+    /// Requests that it serves at a time.
+    pub batch_limit: u32,
+    /// Blocks of the context that its prefix cache lacks.
+    pub missing_blocks: u32,
+    /// Share of the usual load, from 0 while ejected to 1.
+    pub share: f64,
     /// Whether it is in this entry's failure domain.
     pub is_local: bool,
+    /// Whether it serves the pinned version and adapter; `None` if that is not known.
+    pub has_version: Option<bool>,
+}
+
+impl Candidate {
+    /// Whether work that is not short may be sent there without taking the reserve for short requests. A running
+    /// sequence is not preempted, so a full batch delays a short request whatever its priority is.
+    pub fn has_room_beside_reserve(&self) -> bool {
+        let reserve = (self.batch_limit / SHORT_RESERVE_PART).max(1);
+        let open = self.batch_limit.saturating_sub(reserve).max(1);
+        self.corrected < open
+    }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,4 +1,4 @@
-//! Choice of an upstream: plain functions without sockets or clocks.
+//! Choice of an upstream: plain functions and state without sockets or clocks.
 #![deny(
     clippy::all,
     clippy::if_not_else,
@@ -7,7 +7,18 @@
     future_incompatible
 )]
 
+mod block_hasher;
 mod candidate;
 mod choice;
+mod health;
+mod load_history;
+mod load_report;
+mod policy;
+mod policy_error;
+mod prefix_set;
 
-pub use crate::{candidate::Candidate, choice::choose};
+pub use crate::{
+    block_hasher::block_hashes, candidate::Candidate, choice::choose, health::Health,
+    load_history::LoadHistory, load_report::LoadReport, policy::Policy, policy_error::PolicyError,
+    prefix_set::PrefixSet,
+};
--- /dev/null
+++ b/crates/route/tests/choice.rs
@@ -0,0 +1,184 @@
+//! Guards against choices that break a rule of routing, by comparison with simple oracles.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::{SeedableRng, rngs::SmallRng};
+use route::{Candidate, Health, LoadHistory, LoadReport, Policy, PrefixSet, block_hashes, choose};
+use std::collections::HashSet;
+
+/// Checker with a fixed seed, so that every run tries the same cases.
+fn seeded() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 1))
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Any(Candidate);
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let small = |g: &mut Gen| u32::from(u8::arbitrary(g));
+        Self(Candidate {
+            in_flight: small(g),
+            reported: Option::<u8>::arbitrary(g).map(u32::from),
+            corrected: small(g),
+            batch_limit: small(g),
+            missing_blocks: small(g),
+            share: *g.choose(&[0.0, 0.1, 0.5, 1.0]).unwrap(),
+            is_local: bool::arbitrary(g),
+            has_version: Option::arbitrary(g),
+        })
+    }
+}
+
+fn candidates(raw: Vec<Any>) -> Vec<Candidate> {
+    raw.into_iter().map(|any| any.0).collect()
+}
+
+/// Fails if a choice falls on an ejected upstream or one without the version while another exists, or on none.
+#[test]
+fn a_choice_is_made_and_avoids_ejected_upstreams_and_missing_versions() {
+    fn holds(raw: Vec<Any>, turn: u64, seed: u64) -> bool {
+        let candidates = candidates(raw);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Policy::ALL.into_iter().all(|policy| match choose(policy, &candidates, turn, &mut rng) {
+            None => candidates.is_empty(),
+            Some(chosen) => {
+                let chosen = candidates[chosen];
+                let able = |c: &Candidate| c.has_version != Some(false);
+                let fine = |c: &Candidate| able(c) && c.share > 0.0;
+                (able(&chosen) || !candidates.iter().any(able))
+                    && (fine(&chosen) || !candidates.iter().any(fine))
+            }
+        })
+    }
+    seeded().tests(500).quickcheck(holds as fn(Vec<Any>, u64, u64) -> bool);
+}
+
+/// Fails if the chosen policy leaves the own failure domain while its upstreams have room.
+#[test]
+fn the_own_failure_domain_is_used_until_it_is_full() {
+    let base = Candidate {
+        in_flight: 0,
+        reported: None,
+        corrected: 0,
+        batch_limit: 8,
+        missing_blocks: 0,
+        share: 1.0,
+        is_local: true,
+        has_version: None,
+    };
+    let remote = Candidate { is_local: false, ..base };
+    let mut rng = SmallRng::seed_from_u64(1);
+    for turn in 0..100 {
+        let free = [remote, base, remote, remote];
+        assert_eq!(choose(Policy::Scored, &free, turn, &mut rng), Some(1));
+        let full = [remote, Candidate { corrected: 8, ..base }];
+        assert_eq!(choose(Policy::Scored, &full, turn, &mut rng), Some(0));
+    }
+}
+
+/// Fails if the corrected load is not the report plus what was sent since its time, minus what ended.
+#[test]
+fn a_report_is_corrected_by_the_requests_since_its_time() {
+    fn holds(events: Vec<bool>, others: u8, reported_at: u8) -> bool {
+        let mut history = LoadHistory::default();
+        let mut counts = Vec::new();
+        let mut own = 0_u32;
+        for (turn, &is_sent) in events.iter().enumerate() {
+            let now_ms = 10 * (turn as u64 + 1);
+            if is_sent {
+                history.sent(now_ms);
+                own += 1;
+            } else {
+                history.ended(now_ms);
+                own = own.saturating_sub(1);
+            }
+            counts.push((now_ms, own));
+        }
+        let at_ms = u64::from(reported_at) * 10;
+        let own_then =
+            counts.iter().rev().find(|(ms, _)| *ms <= at_ms).map_or(0, |&(_, count)| count);
+        let requests = own_then + u32::from(others);
+        history.take_report(LoadReport { at_ms, requests, batch_limit: 8 });
+        let now_ms = 10 * (events.len() as u64 + 1);
+        history.corrected(now_ms.max(at_ms)) == own + u32::from(others)
+    }
+    seeded().tests(500).quickcheck(holds as fn(Vec<bool>, u8, u8) -> bool);
+}
+
+/// Fails if an upstream is ejected without failures, forever, or returns with its full share at once.
+#[test]
+fn an_ejection_ends_and_the_return_is_gradual() {
+    fn holds(events: Vec<(bool, u16)>) -> bool {
+        let mut health = Health::warm();
+        let (mut now_ms, mut row) = (0, 0);
+        for (is_success, pause_ms) in events {
+            now_ms += u64::from(pause_ms);
+            let was_ejected = health.is_ejected(now_ms);
+            if is_success {
+                health.succeeded(now_ms);
+                row = 0;
+            } else if !was_ejected {
+                row += 1;
+                let is_ejected = health.failed(now_ms);
+                if is_ejected != (row == 3) {
+                    return false;
+                }
+                row %= 3;
+            }
+        }
+        let later_ms = now_ms + 30_000;
+        let is_gradual = (now_ms..later_ms).step_by(100).all(|ms| {
+            health.share(ms) <= health.share(ms + 100)
+                && (health.share(ms + 100) - health.share(ms) < 0.13)
+        });
+        is_gradual && !health.is_ejected(later_ms) && health.share(later_ms + 5_000) >= 1.0
+    }
+    seeded().tests(300).quickcheck(holds as fn(Vec<(bool, u16)>) -> bool);
+}
+
+/// Fails if the memory of hints is not bounded, or if a block is reported that was never stored or was removed.
+#[test]
+fn prefix_hints_are_bounded_and_name_only_stored_blocks() {
+    fn holds(events: Vec<(bool, u8)>, query: Vec<u8>) -> bool {
+        let mut set = PrefixSet::default();
+        let mut oracle = HashSet::new();
+        for (is_stored, block) in events {
+            if is_stored {
+                set.insert(u64::from(block));
+                oracle.insert(u64::from(block));
+            } else {
+                set.remove(u64::from(block));
+                oracle.remove(&u64::from(block));
+            }
+        }
+        let query: Vec<u64> = query.into_iter().map(u64::from).collect();
+        set.leading(&query) == query.iter().take_while(|block| oracle.contains(block)).count()
+    }
+    seeded().tests(300).quickcheck(holds as fn(Vec<(bool, u8)>, Vec<u8>) -> bool);
+    let mut set = PrefixSet::default();
+    (0..20_000).for_each(|block| set.insert(block % 9_000));
+    assert!(set.len() <= 4_096);
+    assert_eq!(set.leading(&[1_999]), 1);
+    assert_eq!(set.leading(&[2_500]), 0);
+}
+
+/// Fails if the hashes differ from those in the engines' cache events, so that no hint ever matches.
+#[test]
+fn block_hashes_are_those_of_the_engines() {
+    let hashes = block_hashes(["composer", "v1", ""], &"tower 1 ".repeat(64));
+    assert_eq!(hashes, [0xc580_a7d7_053c_0eaa, 0x4114_5eb9_b04c_1a0a]);
+}
+
+/// Fails if long or recovery work may fill the batch of an engine, so that a short request waits there.
+#[test]
+fn other_work_never_takes_the_reserve_for_short_requests() {
+    fn holds(any: Any) -> bool {
+        let mut candidate = Candidate { corrected: 0, ..any.0 };
+        while candidate.has_room_beside_reserve() {
+            candidate.corrected += 1;
+        }
+        let limit = candidate.batch_limit;
+        limit < 2 || (candidate.corrected < limit && candidate.corrected >= limit * 8 / 10 - 1)
+    }
+    seeded().tests(300).quickcheck(holds as fn(Any) -> bool);
+}
