--- /dev/null
+++ b/crates/bench/src/experiment/routing.rs
@@ -0,0 +1,118 @@
+//! Experiment `routing`: uneven prompts on 35 engines, one row for each policy.
+
+use crate::{
+    bench_error::BenchError,
+    caller::{AnswerEnd, Question},
+    cluster::{Cluster, Layout},
+    experiment::{open_load::OpenLoad, options::ExperimentOptions},
+    percentile::percentile,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
+use std::path::Path;
+
+/// Policies in the order of the rows; the last one is the chosen one.
+const POLICIES: [&str; 4] = ["round_robin", "least_reported", "two_choices", "scored"];
+
+/// Failure domains, with one entry and seven engines each.
+const DOMAINS: usize = 5;
+
+/// Requests that an engine runs at a time.
+const BATCH_LIMIT: &str = "4";
+
+/// Time to compute a token of context: a history of 1,500 words takes 300 ms.
+const PREFILL_US_PER_TOKEN: &str = "200";
+
+/// Blocks in an engine's prefix cache: about four of the histories.
+const CACHE_BLOCKS: &str = "160";
+
+/// Load, about two thirds of what the engines can do.
+const REQUESTS_PER_S: f64 = 90.0;
+
+/// Towers whose histories are the prefixes of long prompts.
+const TOWERS: u32 = 60;
+
+/// Time that the engines need to report, before the load.
+const WARM_UP_MS: u64 = 2_500;
+
+pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
+    let mut rows = Vec::new();
+    for policy in POLICIES {
+        let row = measure(program, options, policy).await?;
+        if !options.is_json {
+            println!("{row}");
+        }
+        rows.push(row);
+    }
+    let p95 = |row: &Value| row["first_token_p95_ms"].as_u64().unwrap_or(u64::MAX);
+    let chosen = p95(&rows[POLICIES.len() - 1]);
+    let best = rows.iter().map(p95).min().unwrap_or(0);
+    let broken: u64 = rows.iter().filter_map(|row| row["broken"].as_u64()).sum();
+    println!("{}", json!({"rows": rows}));
+    if broken > 0 {
+        return Err(BenchError::Failed(format!("{broken} answers are not whole")));
+    }
+    if chosen as f64 <= best as f64 * 1.1 {
+        return Ok(());
+    }
+    Err(BenchError::Failed(format!("first token p95 is {chosen} ms, a baseline has {best} ms")))
+}
+
+async fn measure(
+    program: &Path,
+    options: &ExperimentOptions,
+    policy: &str,
+) -> Result<Value, BenchError> {
+    let args = [
+        ["--batch-limit", BATCH_LIMIT],
+        ["--prefill-us-per-token", PREFILL_US_PER_TOKEN],
+        ["--cache-blocks", CACHE_BLOCKS],
+    ];
+    let layout = Layout {
+        domains: (0..DOMAINS).map(|number| format!("domain-{number}")).collect(),
+        engines_per_domain: 7,
+        token_gap_ms: 20,
+        seed: options.seed,
+        engine_args: args.as_flattened().iter().map(|&arg| arg.to_owned()).collect(),
+        entry_settings: format!("[route]\npolicy = \"{policy}\""),
+        ..Layout::default()
+    };
+    let cluster = Cluster::start(program, layout).await?;
+    tokio::time::sleep(std::time::Duration::from_millis(WARM_UP_MS)).await;
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    let load = OpenLoad {
+        requests_per_s: REQUESTS_PER_S,
+        duration_ms: options.duration_s * 1_000 / POLICIES.len() as u64,
+        retries: 0,
+    };
+    let shots = load.run(&cluster.entry_addrs(), &mut rng, question).await;
+    let counters = cluster.engine_counters().await?;
+    let mut first: Vec<u64> = shots.iter().filter_map(|shot| shot.first_token_ms).collect();
+    let done = shots.iter().filter(|shot| shot.end == AnswerEnd::Done).count();
+    let mut requests: Vec<u64> = counters.iter().map(|counters| counters.requests).collect();
+    Ok(json!({
+        "policy": policy,
+        "requests": shots.len(),
+        "done": done,
+        "broken": shots.iter().filter(|shot| !shot.is_intact).count(),
+        "first_token_p50_ms": percentile(&mut first, 50),
+        "first_token_p95_ms": percentile(&mut first, 95),
+        "first_token_p99_ms": percentile(&mut first, 99),
+        "prefilled_tokens": counters.iter().map(|counters| counters.prefilled_tokens).sum::<u64>(),
+        "cached_tokens": counters.iter().map(|counters| counters.cached_tokens).sum::<u64>(),
+        "requests_per_engine_min": percentile(&mut requests, 1),
+        "requests_per_engine_max": percentile(&mut requests, 100),
+    }))
+}
+
+/// A quarter of the prompts are a tower's history of 1,500 words; one in ten answers is long.
+fn question(number: u64, rng: &mut SmallRng) -> Question {
+    let tower = rng.random_range(0..TOWERS);
+    let words = if rng.random_ratio(1, 4) { 1_500 } else { 10 };
+    let history: String = (0..words).map(|word| format!("t{tower}w{word} ")).collect();
+    Question {
+        model: Layout::MODEL.to_owned(),
+        prompt: format!("{history}question {number}"),
+        max_tokens: if rng.random_ratio(1, 10) { 120 } else { 20 },
+    }
+}
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -11,14 +11,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use wire::platform::{Vm, VmRole};
 
-/// Part of a service's places that only short requests may use: one in this many, and at least one.
-const SHORT_RESERVE_PART: u32 = 10;
-
 /// Requests of a class that may wait even where few run.
 const MIN_WAITING: u32 = 16;
 
 /// Places of a service without a usable upstream: requests then pass and report that.
-const NO_UPSTREAM_PLACES: u32 = 64;
+const NO_UPSTREAM_ROOM: (u32, u32) = (64, 6);
 
 /// Admission of requests at one entry.
 #[derive(Debug)]
@@ -117,11 +114,13 @@
     }
 
     fn queue_limits(&self, service: &ServiceName) -> QueueLimits {
-        let (upstreams, room) = self.upstreams.room(service);
-        let running = if upstreams == 0 { NO_UPSTREAM_PLACES } else { room.max(1) };
+        // Each entry may use the whole reserve: a split would lock short requests out where most of them arrive. What
+        // exceeds the reserve waits at the engine, ahead of other work.
+        let (room, short_reserve) = self.upstreams.room(service).unwrap_or(NO_UPSTREAM_ROOM);
+        let running = room.max(1);
         QueueLimits {
             running,
-            short_reserve: (running / SHORT_RESERVE_PART).max(1).min(running - 1),
+            short_reserve,
             waiting: running.max(MIN_WAITING) as usize,
             wait_ms: self.limits.queue_wait_ms,
         }
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -64,18 +64,26 @@
         self.lock().health.failed(self.clock.now_ms())
     }
 
+    /// Whether the upstream is ejected.
+    pub fn is_ejected(&self) -> bool {
+        self.lock().health.is_ejected(self.clock.now_ms())
+    }
+
     /// Whether the upstream announced that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.lock().is_leaving
     }
 
-    /// Requests that this entry may have in flight there: what other entries leave of the limit.
-    pub fn room(&self) -> u32 {
+    /// Requests that this entry may have in flight there, which is what other entries leave of the limit, and the places
+    /// for short requests.
+    pub fn room(&self) -> (u32, u32) {
         let known = self.lock();
         if known.health.is_ejected(self.clock.now_ms()) {
-            return 0;
+            return (0, 0);
         }
-        batch_limit(&known).saturating_sub(known.load.others(self.clock.now_ms()))
+        let limit = batch_limit(&known);
+        let others = known.load.others(self.clock.now_ms());
+        (limit.saturating_sub(others), route::short_reserve(limit))
     }
 
     /// Takes over a load that is from `at_ms`.
@@ -136,6 +144,10 @@
             in_flight: known.load.in_flight(),
             reported: known.load.report().map(|report| report.requests),
             corrected: known.load.corrected(now_ms),
+            report_age_ms: known
+                .load
+                .report()
+                .map_or(0, |report| now_ms.saturating_sub(report.at_ms)),
             batch_limit: batch_limit(&known),
             missing_blocks: u32::try_from(missing).unwrap_or(u32::MAX),
             share: known.health.share(now_ms),
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -141,12 +141,12 @@
         Some(UpstreamGuard::new(chosen.vm.addr, chosen.state.clone(), blocks))
     }
 
-    /// Number of usable upstreams of `service`, and the requests that this entry may have in flight there.
-    pub fn room(&self, service: &ServiceName) -> (usize, u32) {
+    /// Requests that this entry may have in flight at the upstreams of `service`, and the places among them for short
+    /// requests; `None` without a usable upstream.
+    pub fn room(&self, service: &ServiceName) -> Option<(u32, u32)> {
         let inner = self.lock();
-        live(&inner.upstreams, service).fold((0, 0), |(count, room), upstream| {
-            (count + 1, room.saturating_add(upstream.state.room()))
-        })
+        let rooms = live(&inner.upstreams, service).map(|upstream| upstream.state.room());
+        rooms.reduce(|sum, next| (sum.0.saturating_add(next.0), sum.1.saturating_add(next.1)))
     }
 
     /// The next engine whose load is to be read: mostly one of the own failure domain, since those are preferred.
@@ -160,8 +160,11 @@
             if (is_remote || local.is_empty()) && !remote.is_empty() { remote } else { local };
         // Rotation within the rare remote polls needs its own count.
         let step = if is_remote { turn / REMOTE_POLL } else { turn - turn / REMOTE_POLL };
-        let id = from.get((step as usize).checked_rem(from.len())?)?;
-        self.poll(inner.upstreams.get(id)?)
+        // Polls of engines that are down would make the reports of the others older.
+        let known: Vec<&Upstream> = from.iter().filter_map(|id| inner.upstreams.get(id)).collect();
+        let up = known.iter().filter(|upstream| !upstream.state.is_ejected());
+        let up: Vec<&Upstream> = up.copied().collect();
+        self.poll(up.get((step as usize).checked_rem(up.len())?)?)
     }
 
     /// The next engine of the own failure domain whose cache events are to be read.
--- a/crates/limit/src/account_limits.rs
+++ b/crates/limit/src/account_limits.rs
@@ -57,10 +57,10 @@
     pub fn set_peers(&mut self, peers: &[u64], now_ms: u64) {
         self.peers.retain(|peer, _| peers.contains(peer));
         for &peer in peers.iter().filter(|&&peer| peer != self.entry) {
-            if !self.peers.contains_key(&peer) {
-                self.peers.insert(peer, None);
+            self.peers.entry(peer).or_insert_with(|| {
                 self.known_at_ms = now_ms;
-            }
+                None
+            });
         }
     }
 
--- a/crates/limit/src/bucket.rs
+++ b/crates/limit/src/bucket.rs
@@ -11,9 +11,10 @@
 }
 
 impl Bucket {
-    /// A bucket that holds one request's worth, so that a new account is served at once.
+    /// A bucket that the first refill fills to the burst, as after a pause. A smaller level would reject the second of
+    /// two requests that arrive within a millisecond, whatever the rate is.
     pub fn new(now_ms: u64) -> Self {
-        Self { level: 1.0, refilled_at_ms: now_ms }
+        Self { level: f64::INFINITY, refilled_at_ms: now_ms }
     }
 
     /// Adds what `rate_per_s` gave since the last call.
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -85,10 +85,16 @@
 }
 
 /// Short requests may use every place, the others all but the reserve. Places that short requests use beyond the
-/// reserve count against the others, so that the total stays within the bound.
+/// reserve count against the others, so that the total stays within the bound. The reserve also holds when the bound
+/// has fallen below what runs, as after a loss of engines.
 fn has_room(limits: &QueueLimits, running: &[u32; 3], class: Class) -> bool {
     let total: u32 = running.iter().sum();
     let others = total - running[Class::Short as usize];
     let is_within_reserve = others < limits.running.saturating_sub(limits.short_reserve);
-    total < limits.running && (class == Class::Short || is_within_reserve)
+    match class {
+        Class::Short => {
+            total < limits.running || running[Class::Short as usize] < limits.short_reserve
+        }
+        Class::Long | Class::Recovery => total < limits.running && is_within_reserve,
+    }
 }
--- a/crates/limit/tests/accounts.rs
+++ b/crates/limit/tests/accounts.rs
@@ -131,6 +131,15 @@
     assert!(fleet.run(&demands, 5_000)[6] > 0);
 }
 
+/// Fails if a new account with a high rate has its first requests rejected.
+#[test]
+fn the_first_requests_of_an_account_pass_together() {
+    let mut limits = AccountLimits::new(1, 0);
+    let rate = AccountRate { requests_per_s: 100.0, tokens_per_s: None };
+    assert!((0..10).all(|_| limits.admit(ACCOUNT, &rate, 1, 5).is_ok()));
+    assert!((0..100).any(|_| limits.admit(ACCOUNT, &rate, 1, 5).is_err()));
+}
+
 /// Fails if the limit of tokens is exceeded by requests that are larger than the burst.
 #[test]
 fn tokens_are_limited_with_large_requests() {
--- a/crates/limit/tests/queue.rs
+++ b/crates/limit/tests/queue.rs
@@ -136,6 +136,16 @@
     assert_eq!(queue.offer(101, Class::Short, 0), Admission::Admitted);
 }
 
+/// Fails if the loss of engines, which lowers the bound below what runs, locks short requests out.
+#[test]
+fn the_reserve_holds_when_the_bound_falls_below_what_runs() {
+    let mut queue = Queue::new(LIMITS);
+    (0..4).for_each(|id| assert_eq!(queue.offer(id, Class::Long, 0), Admission::Admitted));
+    queue.set_limits(QueueLimits { running: 3, short_reserve: 1, ..LIMITS });
+    assert_eq!(queue.offer(4, Class::Short, 0), Admission::Admitted);
+    assert_eq!(queue.offer(5, Class::Short, 0), Admission::Queued { deadline_ms: 100 });
+}
+
 /// Fails if retries exceed a tenth of the first tries and the minimum of one a second.
 #[test]
 fn retries_stay_within_the_budget() {
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -1,7 +1,9 @@
 //! Upstream that may be chosen.
 
-/// Part of an engine's batch that only short requests may use: one place in this many, and at least one.
-const SHORT_RESERVE_PART: u32 = 10;
+use crate::short_reserve::short_reserve;
+
+/// Age of a report in which other entries are taken to send one request more to the upstream.
+const STALE_STEP_MS: u64 = 400;
 
 /// What is known of an upstream at the time of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -12,6 +14,8 @@
     pub reported: Option<u32>,
     /// Load now: the report corrected by what this entry sent since.
     pub corrected: u32,
+    /// Age of the report; 0 without a report.
+    pub report_age_ms: u64,
     /// Requests that it serves at a time.
     pub batch_limit: u32,
     /// Blocks of the context that its prefix cache lacks.
@@ -28,8 +32,9 @@
     /// Whether work that is not short may be sent there without taking the reserve for short requests. A running
     /// sequence is not preempted, so a full batch delays a short request whatever its priority is.
     pub fn has_room_beside_reserve(&self) -> bool {
-        let reserve = (self.batch_limit / SHORT_RESERVE_PART).max(1);
-        let open = self.batch_limit.saturating_sub(reserve).max(1);
-        self.corrected < open
+        let limit = self.batch_limit.max(1);
+        // Entries with the same old report would otherwise all take the same open place.
+        let unseen = (self.report_age_ms / STALE_STEP_MS).min(u64::from(limit / 4)) as u32;
+        self.corrected.saturating_add(unseen) < limit - short_reserve(self.batch_limit)
     }
 }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -26,7 +26,7 @@
     if usable.is_empty() {
         return None;
     }
-    let best = match policy {
+    match policy {
         Policy::LeastReported => {
             usable.into_iter().min_by_key(|&i| candidates[i].reported.unwrap_or(0))
         }
@@ -36,8 +36,7 @@
             let pair = [0, 1].map(|_| usable[rng.random_range(0..usable.len())]);
             pair.into_iter().min_by_key(|&i| candidates[i].in_flight)
         }
-    };
-    best
+    }
 }
 
 /// Candidates that serve the version and are not ejected. A rule that would leave none is dropped, because stale
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,9 +16,10 @@
 mod policy;
 mod policy_error;
 mod prefix_set;
+mod short_reserve;
 
 pub use crate::{
     block_hasher::block_hashes, candidate::Candidate, choice::choose, health::Health,
     load_history::LoadHistory, load_report::LoadReport, policy::Policy, policy_error::PolicyError,
-    prefix_set::PrefixSet,
+    prefix_set::PrefixSet, short_reserve::short_reserve,
 };
