--- a/crates/bench/src/cluster/daemon_settings.rs
+++ b/crates/bench/src/cluster/daemon_settings.rs
@@ -19,6 +19,8 @@
     pub orders: Option<&'s str>,
     /// Lines of the section `[recovery]`.
     pub recovery: &'s str,
+    /// More sections.
+    pub more: &'s str,
     pub seeds: &'s [SocketAddr],
     pub via: &'s [(SocketAddr, SocketAddr)],
 }
@@ -34,6 +36,7 @@
             worker_threads,
             vm_list_interval_ms,
             recovery,
+            more,
             ..
         } = self;
         let orders = self.orders.map(|lines| format!("[orders]\n{lines}\n")).unwrap_or_default();
@@ -51,7 +54,7 @@
              worker_threads = {worker_threads}\nshutdown_wait_ms = 200\n\n\
              [platform]\naddr = \"{platform}\"\nvm_list_interval_ms = {vm_list_interval_ms}\n\n\
              [admin]\nlisten = \"127.0.0.1:0\"\nbootstrap_key_hash = \"{operator_key}\"\n\n\
-             {orders}[recovery]\n{recovery}\n[log]\nlevel = \"error\"\n\n{}",
+             {orders}[recovery]\n{recovery}\n[log]\nlevel = \"error\"\n\n{more}\n{}",
             peer.unwrap_or_default()
         )
     }
--- a/crates/bench/src/cluster/layout.rs
+++ b/crates/bench/src/cluster/layout.rs
@@ -52,6 +52,10 @@
     pub has_weight_store: bool,
     /// More arguments of the engines, for example `--batch-limit`.
     pub engine_args: Vec<String>,
+    /// Requests a second of the client account.
+    pub requests_per_s: u32,
+    /// More sections of the daemons' settings, for example `[route]`.
+    pub entry_settings: String,
     /// More arguments of the platform, for example `--vm-list-lag-ms`.
     pub platform_args: Vec<String>,
 }
@@ -79,6 +83,8 @@
             models: 0,
             has_weight_store: false,
             engine_args: Vec::new(),
+            requests_per_s: 100_000,
+            entry_settings: String::new(),
             platform_args: Vec::new(),
         }
     }
@@ -117,7 +123,7 @@
             services.push(plain);
         }
         let mut document = Document {
-            accounts: vec![Account::new(&account, KeyHash::of(Self::KEY), 100_000)],
+            accounts: vec![Account::new(&account, KeyHash::of(Self::KEY), self.requests_per_s)],
             services,
             models: vec![Model::new(&model, &service, &version)],
             ..Document::default()
--- a/crates/bench/src/cluster/node.rs
+++ b/crates/bench/src/cluster/node.rs
@@ -394,6 +394,7 @@
             vm_list_interval_ms: self.layout.vm_list_interval_ms,
             orders: self.layout.orders.as_deref(),
             recovery: &self.layout.recovery,
+            more: &self.layout.entry_settings,
             seeds: &[],
             via: &[],
         }
@@ -437,6 +438,7 @@
             vm_list_interval_ms: self.layout.vm_list_interval_ms,
             orders: self.layout.orders.as_deref(),
             recovery: &self.layout.recovery,
+            more: &self.layout.entry_settings,
             seeds: &seeds,
             via: &self.network.via(domain),
         }
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments by name.
 
+mod account_limits;
 mod at_most_once;
 mod config_spread;
 mod drain;
@@ -9,10 +10,14 @@
 mod journal_copies;
 mod membership;
 mod metrics;
+mod open_load;
 mod operator_races;
 mod options;
+mod overload;
 mod partition;
 mod relay;
+mod routing;
+mod short_during_recovery;
 mod storm;
 
 pub use self::options::ExperimentOptions;
@@ -21,6 +26,7 @@
 
 /// Names of all experiments with what they show.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
+    ("account-limits", "rate that 7 entries admit together"),
     ("at-most-once", "no call runs twice, and none that was reported as not run has run"),
     ("config-spread", "time until a configuration change is in force everywhere"),
     ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
@@ -30,8 +36,11 @@
     ("journal-copies", "delay and cost of journal copies for each token"),
     ("membership", "cost of the membership, detection of a lost daemon, false suspicions"),
     ("operator-races", "each confirmed plan is applied exactly once"),
+    ("overload", "goodput at twice the capacity"),
     ("partition", "failure domains serve while they are cut from each other and from the platform"),
     ("relay", "cost and added delay of a relayed token"),
+    ("routing", "time to the first token by each policy of the choice"),
+    ("short-during-recovery", "short requests while a third of the engines is lost"),
 ];
 
 /// Runs an experiment with `program` as the executable of its processes.
@@ -45,6 +54,7 @@
     options: &ExperimentOptions,
 ) -> Result<(), BenchError> {
     match name {
+        "account-limits" => account_limits::run(program, options).await,
         "at-most-once" => at_most_once::run(program, options).await,
         "config-spread" => config_spread::run(program, options).await,
         "drain" => drain::run(program, options).await,
@@ -54,8 +64,11 @@
         "journal-copies" => journal_copies::run(program, options).await,
         "membership" => membership::run(program, options).await,
         "operator-races" => operator_races::run(program, options).await,
+        "overload" => overload::run(program, options).await,
         "partition" => partition::run(program, options).await,
         "relay" => relay::run(program, options).await,
+        "routing" => routing::run(program, options).await,
+        "short-during-recovery" => short_during_recovery::run(program, options).await,
         _ => Err(BenchError::UnknownExperiment(name.to_owned())),
     }
 }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -16,6 +16,7 @@
 mod platform_settings;
 mod problem;
 mod recovery_settings;
+mod route_settings;
 mod secret;
 mod section;
 mod settings;
@@ -30,6 +31,7 @@
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     recovery_settings::{RecoveryPolicy, RecoverySettings},
+    route_settings::RouteSettings,
     secret::Secret,
     settings::Settings,
 };
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -10,13 +10,14 @@
     platform_settings::PlatformSettings,
     problem::{Problem, Problems},
     recovery_settings::RecoverySettings,
+    route_settings::RouteSettings,
     section::Source,
 };
 use toml::de::DeTable;
 
 /// Sections that a settings file may have.
 const SECTIONS: &str =
-    "[admin], [entry], [limits], [log], [orders], [peer], [platform], [recovery]";
+    "[admin], [entry], [limits], [log], [orders], [peer], [platform], [recovery], [route]";
 
 /// Sections whose keys are read only if the section is there.
 const OPTIONAL_SECTIONS: &str = "[admin]\n[orders]\n[peer]\n";
@@ -40,6 +41,8 @@
     pub platform: PlatformSettings,
     /// Recovery of generations.
     pub recovery: RecoverySettings,
+    /// Choice of upstreams.
+    pub route: RouteSettings,
 }
 
 impl TryFrom<&str> for Settings {
@@ -101,6 +104,7 @@
         let peer = PeerSettings::read(root, source);
         let platform = PlatformSettings::read(root, source);
         let recovery = RecoverySettings::read(root, source);
+        let route = RouteSettings::read(root, source);
         Some(Self {
             admin,
             entry: entry?,
@@ -110,6 +114,7 @@
             peer,
             platform: platform?,
             recovery,
+            route,
         })
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! Running entry.
 
 use crate::{
+    admission::Admission,
     call_tasks::CallTasks,
     claim_store::ClaimStore,
     config::Config,
@@ -10,6 +11,7 @@
     entry_view::EntryView,
     handler::CallerHandler,
     journals::Journals,
+    load_actor::{LoadActor, LoadArguments},
     member_actor::{MemberActor, MemberArguments},
     meters::Meters,
     peer_answers::PeerAnswers,
@@ -21,6 +23,7 @@
     shared::Shared,
     spread::Spread,
     upstreams::Upstreams,
+    usage_digests::UsageDigests,
     vm_list_actor::{VmListActor, VmListArguments},
 };
 use base::Clock;
@@ -72,9 +75,20 @@
         let server = Server::bind(settings.entry.listen).await?;
         let addr = server.local_addr()?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
-        let upstreams = Arc::new(Upstreams::new(&settings.entry.domain, rand::random()));
-        let (config_sender, config) = watch::channel(Arc::new(Config::default()));
         let clock = Clock::start();
+        let upstreams = Arc::new(Upstreams::new(
+            &settings.entry.domain,
+            settings.route.policy,
+            clock,
+            rand::random(),
+        ));
+        let admission = Arc::new(Admission::new(
+            &settings.entry.vm_id,
+            settings.limits,
+            clock,
+            Arc::clone(&upstreams),
+        ));
+        let (config_sender, config) = watch::channel(Arc::new(Config::default()));
         let journals = Arc::new(Journals::new(clock));
         let late_spread = Arc::new(OnceLock::new());
         let answers = PeerAnswers {
@@ -97,7 +111,9 @@
             ConfigOffer { sender: config_sender },
             Arc::clone(&peers),
             Arc::clone(&upstreams),
+            Arc::clone(&admission),
         ));
+        spread.set_digests(Arc::new(UsageDigests { admission: Arc::clone(&admission) }));
         // Nothing else sets it.
         let _ = late_spread.set(Arc::clone(&spread));
         let config_arguments = ConfigArguments {
@@ -121,7 +137,6 @@
             interval_ms: settings.platform.vm_list_interval_ms,
         };
         let (vm_list_actor, _) = Actor::spawn(None, VmListActor, vm_list_arguments).await?;
-        let clock = Clock::start();
         let shared = Arc::new(Shared {
             vm_id: settings.entry.vm_id.clone(),
             clock,
@@ -133,6 +148,7 @@
             claims,
             calls: CallTasks::new(),
             retries: RetryBudgets::default(),
+            admission,
             engines: EnginePool::default(),
             pins: Arc::default(),
             recovery: RecoveryState::new(settings.recovery, clock),
@@ -148,6 +164,12 @@
         let server = tokio::spawn(server.run(handler, stopped));
         log::info!("entry: {} listens on {addr}", settings.entry.vm_id);
         actors.push(vm_list_actor.get_cell());
+        let load_arguments = LoadArguments {
+            upstreams: Arc::clone(&shared.upstreams),
+            admission: Arc::clone(&shared.admission),
+        };
+        let (load_actor, _) = Actor::spawn(None, LoadActor, load_arguments).await?;
+        actors.push(load_actor.get_cell());
         let member = handle.map(|handle| MemberArguments { spread, handle });
         if let Some(arguments) = member.clone() {
             actors.push(Actor::spawn(None, MemberActor, arguments).await?.0.get_cell());
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -9,6 +9,7 @@
     keyed_call::{KeyedCall, RunError},
     models::models,
     output::Output,
+    permit::Permit,
     relay::{Relay, RelayError},
     render,
     request_meter::RequestMeter,
@@ -24,6 +25,7 @@
     body::Incoming,
     header::{CONNECTION, CONTENT_TYPE, HeaderValue},
 };
+use limit::Class;
 use recovery::{CursorError, Journal};
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -107,14 +109,17 @@
             let id = id.to_str().map_err(|_| ApiError::Cursor(CursorError::Shape))?;
             return stream::resume(&self.shared, &job, id).await;
         }
+        let admission = &self.shared.admission;
+        let permit =
+            admission.admit(account, &job.service, job.class, job.request.max_tokens).await?;
         metrics::counter!("generations_total").increment(1);
         match (job.is_stream, key) {
-            (true, _) => Ok(stream::begin(&self.shared, job)),
-            (false, None) => self.whole(job).await,
+            (true, _) => Ok(stream::begin(&self.shared, job, permit)),
+            (false, None) => self.whole(job, permit).await,
             (false, Some(key)) => {
                 let account = job.account.clone();
                 let call = KeyedCall { account, key, digest, run_ms: GENERATION_RUN_MS };
-                self.whole_once(job, call).await
+                self.whole_once(job, call, permit).await
             }
         }
     }
@@ -125,11 +130,12 @@
         &self,
         job: Job,
         call: KeyedCall,
+        permit: Permit,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let handler = Self { shared: Arc::clone(&self.shared) };
         let task = self.shared.calls.spawn(async move {
             let generate = || async {
-                let response = handler.whole(job).await.map_err(RunError::Unknown)?;
+                let response = handler.whole(job, permit).await.map_err(RunError::Unknown)?;
                 let (parts, body) = response.into_parts();
                 let Ok(body) = body.collect().await;
                 Ok(Response::from_parts(parts, body.to_bytes()))
@@ -139,10 +145,12 @@
         task.await.map_err(|_| ApiError::UnknownOutcome)?
     }
 
-    async fn whole(&self, job: Job) -> Result<Response<ResponseBody>, ApiError> {
+    async fn whole(&self, job: Job, permit: Permit) -> Result<Response<ResponseBody>, ApiError> {
         let relay =
             Relay::new(Arc::clone(&self.shared), job.clone(), Journal::default(), Output::Whole);
-        match relay.run().await {
+        let outcome = relay.run().await;
+        drop(permit);
+        match outcome {
             Ok(answer) => {
                 Ok(render::whole(&job, answer.journal.text(), answer.reason, answer.usage))
             }
@@ -158,7 +166,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
-        let account = authenticate(request.headers(), &config)?.name.clone();
+        let account = authenticate(request.headers(), &config)?;
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
         let path = match request.uri().query() {
             Some(query) => format!("/{path}?{query}"),
@@ -169,11 +177,17 @@
         let request_id = request_id(request.headers())?;
         let headers = request.headers().clone();
         let body = self.read_body(request).await?;
+        let permit = self.shared.admission.admit(account, &service, Class::Short, 0).await?;
+        let account = account.name.clone();
         let request =
             CallRequest { account, service, method, path, headers, body, request_id, key };
         let shared = Arc::clone(&self.shared);
         let mut meter = RequestMeter::new(&shared, &request.service, false);
-        let task = self.shared.calls.spawn(service::forward(shared, request, rules));
+        let task = self.shared.calls.spawn(async move {
+            let answer = service::forward(shared, request, rules).await;
+            drop(permit);
+            answer
+        });
         let answer = task.await.map_err(|_| ApiError::UnknownOutcome)?;
         let status = answer.as_ref().map_or_else(ApiError::status, Response::status);
         meter.answered(status.is_server_error());
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod abandoned_claim;
 mod accepted;
+mod admission;
 mod api_error;
 mod authenticate;
 mod call_request;
@@ -31,6 +32,7 @@
 mod job_request;
 mod journals;
 mod keyed_call;
+mod load_actor;
 mod member_actor;
 mod member_message;
 mod meters;
@@ -39,8 +41,10 @@
 mod pass_headers;
 mod peer_answers;
 mod peers;
+mod permit;
 mod pin_guard;
 mod pins;
+mod poll;
 mod recovery_state;
 mod relay;
 mod render;
@@ -49,13 +53,16 @@
 mod running;
 mod service;
 mod service_pacer;
+mod service_queue;
 mod serving;
 mod serving_actor;
 mod shared;
 mod spread;
 mod stream;
 mod upstream_guard;
+mod upstream_state;
 mod upstreams;
+mod usage_digests;
 mod vm_list_actor;
 
 pub use crate::{
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,6 +13,7 @@
     shared::Shared,
 };
 use futures::FutureExt;
+use limit::Class;
 use recovery::{
     Action, AttemptId, FailCause, Generation, Input, Journal, LossCause, Policy, Sample, Stats,
     Timing, TimingTracker,
@@ -41,10 +42,6 @@
 /// Shortest time for the same.
 const QUIET_FLOOR_MS: u64 = 100;
 
-/// What the priority of recovery attempts is raised by. A lower number runs first at an engine, so recovery yields to
-/// short requests.
-const RECOVERY_PRIORITY: i32 = 10;
-
 /// How a generation ended.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -205,6 +202,9 @@
             Err(err) => {
                 let lost = self.running.swap_remove(position);
                 let cause = loss_cause(&err);
+                if let Some(guard) = &lost.guard {
+                    guard.failed(&err);
+                }
                 if let Some(addr) = lost.addr() {
                     log::info!(
                         "recovery: {} lost attempt {id} at {addr}: {err}",
@@ -249,7 +249,9 @@
                     self.input(Input::Finished { attempt: id, token_count });
                     let is_accepted = self.generation.is_done();
                     if is_accepted {
-                        self.running.swap_remove(position);
+                        if let Some(guard) = self.running.swap_remove(position).guard {
+                            guard.succeeded();
+                        }
                         tokio::spawn(stream.close());
                     }
                     return;
@@ -404,18 +406,22 @@
         let now_ms = self.shared.clock.now_ms();
         let quiet_ms = QUIET_FLOOR_MS.max((QUIET_FACTOR * self.timing().gap_ms) as u64);
         self.shared.upstreams.add_quiet(now_ms.saturating_sub(quiet_ms), &mut avoid);
-        let Some(guard) = self.shared.upstreams.choose(&self.job.service, &avoid) else {
+        // A short generation keeps its class when it is recovered.
+        let class = if is_recovery { self.job.class.min(Class::Recovery) } else { self.job.class };
+        let upstreams = &self.shared.upstreams;
+        let chosen = upstreams.choose_engine(&self.job.service, &self.job.request, class, &avoid);
+        let Some(guard) = chosen else {
             self.running.swap_remove(position);
             self.input(Input::NoUpstream { attempt });
             return;
         };
         let addr = guard.addr();
         let mut request = self.job.request.clone();
+        request.priority = class.priority();
         request.request_id = format!("{}/{attempt}", self.job.generation_id);
         request.continue_token_ids = self.generation.journal().token_ids().to_vec();
         if is_recovery {
             self.meter.recovery();
-            request.priority = request.priority.saturating_add(RECOVERY_PRIORITY);
             log::info!(
                 "recovery: {} starts attempt {attempt} at {addr} after {} tokens",
                 self.job.generation_id,
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -99,6 +99,7 @@
             Ok(connection) => connection,
             Err(err) => {
                 log::info!("calls: {addr} cannot be reached: {err}");
+                guard.unreachable();
                 failed_addrs.push(addr);
                 call = call.retry().map_err(give_up)?;
                 continue;
@@ -108,6 +109,7 @@
         match connection.send(http_request, rules.answer_wait_ms).await {
             Ok(answer) => {
                 sent.answered();
+                guard.succeeded();
                 if is_leaving(answer.headers()) {
                     shared.upstreams.mark_leaving(addr);
                 }
@@ -115,6 +117,7 @@
             }
             Err(err) => {
                 log::warn!("calls: {addr} gave no answer: {err}");
+                guard.unreachable();
                 failed_addrs.push(addr);
                 match sent.lost() {
                     Lost::Retry(unsent) if shared.retries.withdraw(&request.service) => {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,8 +1,8 @@
 //! State that all requests of an entry share.
 
 use crate::{
-    call_tasks::CallTasks, claim_store::ClaimStore, config::Config, journals::Journals,
-    meters::Meters, peers::Peers, pins::Pins, recovery_state::RecoveryState,
+    admission::Admission, call_tasks::CallTasks, claim_store::ClaimStore, config::Config,
+    journals::Journals, meters::Meters, peers::Peers, pins::Pins, recovery_state::RecoveryState,
     retry_budgets::RetryBudgets, serving::Serving, upstreams::Upstreams,
 };
 use base::{Clock, VmId};
@@ -28,6 +28,7 @@
     pub claims: ClaimStore,
     pub calls: CallTasks,
     pub retries: RetryBudgets,
+    pub admission: Arc<Admission>,
     pub engines: EnginePool,
     pub pins: Arc<Pins>,
     pub recovery: RecoveryState,
--- a/crates/entry/src/spread.rs
+++ b/crates/entry/src/spread.rs
@@ -1,8 +1,8 @@
 //! Membership and copies of the shared texts, used by the actor and by the thread for peers.
 
 use crate::{
-    config_offer::ConfigOffer, digest_hook::DigestHook, member_message::MemberMessage,
-    peers::Peers, upstreams::Upstreams,
+    admission::Admission, config_offer::ConfigOffer, digest_hook::DigestHook,
+    member_message::MemberMessage, peers::Peers, upstreams::Upstreams,
 };
 use base::{Clock, VmId};
 use member::{
@@ -36,6 +36,7 @@
     config: ConfigOffer,
     peers: Arc<Peers>,
     upstreams: Arc<Upstreams>,
+    admission: Arc<Admission>,
     actor: OnceLock<ActorRef<MemberMessage>>,
     digests: OnceLock<Arc<dyn DigestHook>>,
     /// Held while a text is put into force, so that an older one cannot overtake a newer one.
@@ -51,6 +52,7 @@
         config: ConfigOffer,
         peers: Arc<Peers>,
         upstreams: Arc<Upstreams>,
+        admission: Arc<Admission>,
     ) -> Self {
         let inner = Inner {
             membership,
@@ -66,6 +68,7 @@
             config,
             peers,
             upstreams,
+            admission,
             actor: OnceLock::new(),
             digests: OnceLock::new(),
             taking: Mutex::default(),
@@ -83,7 +86,6 @@
     }
 
     /// Names the source and receiver of opaque bytes in heartbeats.
-    #[expect(dead_code, reason = "the usage of client accounts is to travel this way")]
     pub fn set_digests(&self, digests: Arc<dyn DigestHook>) {
         let _ = self.digests.set(digests);
     }
@@ -277,6 +279,7 @@
                 let Ok(list) = serde_json::from_str::<VmList>(text) else { return false };
                 let hints = self.hints(&list);
                 self.peers.update(&list.vms);
+                self.admission.set_entries(&list.vms);
                 self.upstreams.update(list.vms);
                 metrics::gauge!("vm_list_version").set(version.number as f64);
                 let mut inner = self.lock();
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     api_error::ApiError, claim::claim, claimed::Claimed, finish::Finish, gate::Gate, job::Job,
-    output::Output, relay::Relay, render::Renderer, shared::Shared,
+    output::Output, permit::Permit, relay::Relay, render::Renderer, shared::Shared,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -19,10 +19,10 @@
 const PENDING_CHUNKS: usize = 32;
 
 /// Begins a generation.
-pub(crate) fn begin(shared: &Arc<Shared>, job: Job) -> Response<ResponseBody> {
+pub(crate) fn begin(shared: &Arc<Shared>, job: Job, permit: Permit) -> Response<ResponseBody> {
     let (sender, response) = channel();
     let gate = Gate::new(Arc::clone(shared), job.clone(), sender);
-    spawn(shared, job, Journal::default(), gate, Journal::default());
+    spawn(shared, job, Journal::default(), gate, Journal::default(), Some(permit));
     response
 }
 
@@ -60,14 +60,26 @@
     }
     log::info!("recovery: {} goes on after {} tokens", job.generation_id, tokens.len());
     let gate = Gate::resumed(Arc::clone(shared), job.clone(), view, site, cursor.index, sender);
-    spawn(shared, job, tokens, gate, backlog);
+    // Its recovery is rate-limited like any other, so it waits in no queue.
+    spawn(shared, job, tokens, gate, backlog, None);
     Ok(response)
 }
 
-fn spawn(shared: &Arc<Shared>, job: Job, journal: Journal, gate: Gate, backlog: Journal) {
+fn spawn(
+    shared: &Arc<Shared>,
+    job: Job,
+    journal: Journal,
+    gate: Gate,
+    backlog: Journal,
+    permit: Option<Permit>,
+) {
     let (sender, accepted) = Gate::channel();
     let relay = Relay::new(Arc::clone(shared), job, journal, Output::stream(sender));
-    tokio::spawn(relay.run());
+    tokio::spawn(async move {
+        let outcome = relay.run().await;
+        drop(permit);
+        outcome
+    });
     tokio::spawn(gate.run(backlog, accepted));
 }
 
--- a/crates/entry/src/upstream_guard.rs
+++ b/crates/entry/src/upstream_guard.rs
@@ -1,12 +1,8 @@
 //! Request in flight at an upstream.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
-    },
-};
+use crate::upstream_state::UpstreamState;
+use std::net::SocketAddr;
+use upstream::EngineError;
 
 /// Counts one request at an upstream for as long as it lives.
 ///
@@ -14,29 +10,49 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamGuard {
     addr: SocketAddr,
-    in_flight: Arc<AtomicU32>,
-    heard_ms: Arc<AtomicU64>,
+    state: UpstreamState,
 }
 
 impl UpstreamGuard {
-    pub fn new(addr: SocketAddr, in_flight: Arc<AtomicU32>, heard_ms: Arc<AtomicU64>) -> Self {
-        in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { addr, in_flight, heard_ms }
+    pub fn new(addr: SocketAddr, state: UpstreamState, blocks: &[u64]) -> Self {
+        state.sent(blocks);
+        Self { addr, state }
+    }
+
+    /// Address of the upstream.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
     }
 
     /// Notes that the upstream sent something at `now_ms`.
     pub fn hear(&self, now_ms: u64) {
-        self.heard_ms.store(now_ms, Ordering::Relaxed);
+        self.state.hear(now_ms);
     }
 
-    /// Address of the upstream.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
+    /// Counts the request as a success of the upstream.
+    pub fn succeeded(&self) {
+        self.state.succeeded();
+    }
+
+    /// Counts the request as a failure, unless the engine only refused it: that shows load or a missing version.
+    pub fn failed(&self, error: &EngineError) {
+        let is_refusal = matches!(error, EngineError::Refused(400..=499));
+        if !is_refusal {
+            self.unreachable();
+        }
+    }
+
+    /// Counts the request as a failure of the upstream.
+    pub fn unreachable(&self) {
+        if self.state.failed() {
+            log::warn!("route: upstream {} is ejected after repeated failures", self.addr);
+            metrics::counter!("route_ejections_total").increment(1);
+        }
     }
 }
 
 impl Drop for UpstreamGuard {
     fn drop(&mut self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.state.ended();
     }
 }
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -1,37 +1,39 @@
-//! Table of upstreams with this entry's in-flight counts.
+//! Table of upstreams and the choice among them.
 
-use crate::upstream_guard::UpstreamGuard;
+use crate::{poll::Poll, upstream_guard::UpstreamGuard, upstream_state::UpstreamState};
 use base::{Clock, DomainName, HashMap, ServiceName, VmId};
+use limit::Class;
 use rand::{SeedableRng, rngs::SmallRng};
 use recovery::VmSign;
-use route::Candidate;
+use route::{Candidate, Health, Policy};
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, AtomicU64, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 use tokio::sync::watch;
-use wire::platform::{Vm, VmRole, VmState};
+use wire::{
+    engine::EngineRequest,
+    platform::{Vm, VmRole, VmState},
+};
 
-/// How long an upstream's announcement holds. A VM that leaves is gone from the list by then; a service that restarted
-/// on the same VM and stays gets work again.
-const LEAVING_HOLD_MS: u64 = 600_000;
+/// Of this many polls of load, one goes to an engine of another failure domain.
+const REMOTE_POLL: u64 = 4;
 
 /// Upstream as this entry knows it.
 #[derive(Clone, Debug)]
 struct Upstream {
     vm: Vm,
-    in_flight: Arc<AtomicU32>,
-    /// Until when the upstream's own announcement holds against a list that still shows it as live.
-    leaving_until_ms: Option<u64>,
-    heard_ms: Arc<AtomicU64>,
+    state: UpstreamState,
 }
 
 #[derive(Debug)]
 struct Inner {
     upstreams: HashMap<VmId, Upstream>,
+    /// Engines of the own failure domain and of the others, in the order of polls.
+    polled: [Vec<VmId>; 2],
+    polls: u64,
+    cache_polls: u64,
+    choices: u64,
     rng: SmallRng,
 }
 
@@ -39,42 +41,58 @@
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     domain: DomainName,
+    policy: Policy,
     clock: Clock,
     inner: Mutex<Inner>,
     changes: watch::Sender<()>,
 }
 
 impl Upstreams {
-    pub fn new(domain: &DomainName, seed: u64) -> Self {
-        let inner = Inner { upstreams: HashMap::default(), rng: SmallRng::seed_from_u64(seed) };
+    pub fn new(domain: &DomainName, policy: Policy, clock: Clock, seed: u64) -> Self {
+        let inner = Inner {
+            upstreams: HashMap::default(),
+            polled: [Vec::new(), Vec::new()],
+            polls: 0,
+            cache_polls: 0,
+            choices: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
         Self {
             domain: domain.clone(),
-            clock: Clock::start(),
+            policy,
+            clock,
             inner: Mutex::new(inner),
             changes: watch::Sender::new(()),
         }
     }
 
-    /// Takes over a new list of VMs; counts of upstreams that stay are kept.
+    /// Takes over a new list of VMs; what is known of upstreams that stay is kept.
     pub fn update(&self, vms: Vec<Vm>) {
         let mut inner = self.lock();
+        let is_first_list = inner.upstreams.is_empty();
+        let before: HashMap<VmId, Vm> = inner
+            .upstreams
+            .iter()
+            .map(|(id, upstream)| (id.clone(), upstream.vm.clone()))
+            .collect();
         let mut upstreams = HashMap::default();
-        let before = inner.upstreams.clone();
+        let mut polled = [Vec::new(), Vec::new()];
         for vm in vms.into_iter().filter(|vm| vm.role != VmRole::Entry) {
-            let upstream = match inner.upstreams.remove(&vm.id) {
-                Some(known) => Upstream { vm, ..known },
-                None => Upstream {
-                    vm,
-                    in_flight: Arc::default(),
-                    leaving_until_ms: None,
-                    heard_ms: Arc::default(),
-                },
+            let state = match inner.upstreams.remove(&vm.id) {
+                Some(known) => known.state,
+                // Upstreams of the first list were there before this entry and are warm.
+                None if is_first_list => UpstreamState::new(self.clock, Health::warm()),
+                None => UpstreamState::new(self.clock, Health::appeared(self.clock.now_ms())),
             };
-            upstreams.insert(upstream.vm.id.clone(), upstream);
+            if vm.role == VmRole::Engine {
+                polled[usize::from(vm.domain != self.domain)].push(vm.id.clone());
+            }
+            upstreams.insert(vm.id.clone(), Upstream { vm, state });
         }
         let is_same = before.len() == upstreams.len()
-            && upstreams.iter().all(|(id, new)| before.get(id).is_some_and(|old| old.vm == new.vm));
+            && upstreams.iter().all(|(id, new)| before.get(id).is_some_and(|old| *old == new.vm));
         inner.upstreams = upstreams;
+        inner.polled = polled;
         drop(inner);
         if !is_same {
             self.changes.send_replace(());
@@ -84,10 +102,7 @@
     /// Adds the upstreams to `addrs` that have requests of this entry and sent nothing since `since_ms`.
     pub fn add_quiet(&self, since_ms: u64, addrs: &mut Vec<SocketAddr>) {
         let inner = self.lock();
-        let quiet = inner.upstreams.values().filter(|upstream| {
-            upstream.in_flight.load(Ordering::Relaxed) > 0
-                && upstream.heard_ms.load(Ordering::Relaxed) < since_ms
-        });
+        let quiet = inner.upstreams.values().filter(|upstream| upstream.state.is_quiet(since_ms));
         addrs.extend(quiet.map(|upstream| upstream.vm.addr));
     }
 
@@ -106,57 +121,139 @@
         }
     }
 
+    /// Upstreams in order of their identifiers.
+    pub fn list(&self) -> Vec<Vm> {
+        let inner = self.lock();
+        let mut vms: Vec<Vm> =
+            inner.upstreams.values().map(|upstream| upstream.vm.clone()).collect();
+        vms.sort_by(|a, b| a.id.cmp(&b.id));
+        vms
+    }
+
+    /// Sends no new work to the upstream at `addr`, which has announced that it leaves.
+    pub fn mark_leaving(&self, addr: SocketAddr) {
+        let inner = self.lock();
+        for upstream in inner.upstreams.values().filter(|upstream| upstream.vm.addr == addr) {
+            if upstream.state.announce_leaving() {
+                log::info!("upstreams: {} announced that it leaves", upstream.vm.id);
+            }
+        }
+    }
+
+    /// Chooses an engine for `request`, if possible not one at an address in `avoid`, and counts a request there. `None`
+    /// also if `class` is not short and all engines are full but for the reserve of short requests.
+    pub fn choose_engine(
+        &self,
+        service: &ServiceName,
+        request: &EngineRequest,
+        class: Class,
+        avoid: &[SocketAddr],
+    ) -> Option<UpstreamGuard> {
+        let pinned = [request.model.as_str(), &request.version, &request.adapter];
+        let blocks = if request.messages.is_empty() {
+            route::block_hashes(pinned, &request.prompt)
+        } else {
+            let lines = request.messages.iter();
+            let prompt: String =
+                lines.map(|line| format!("{}: {}\n", line.role, line.content)).collect();
+            route::block_hashes(pinned, &prompt)
+        };
+        self.choose_by(service, Some(request), &blocks, class, avoid)
+    }
+
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
     pub fn choose(&self, service: &ServiceName, avoid: &[SocketAddr]) -> Option<UpstreamGuard> {
-        let now_ms = self.clock.now_ms();
+        self.choose_by(service, None, &[], Class::Short, avoid)
+    }
+
+    fn choose_by(
+        &self,
+        service: &ServiceName,
+        request: Option<&EngineRequest>,
+        blocks: &[u64],
+        class: Class,
+        avoid: &[SocketAddr],
+    ) -> Option<UpstreamGuard> {
         let mut inner = self.lock();
-        let Inner { upstreams, rng } = &mut *inner;
-        let mut usable: Vec<&Upstream> = upstreams
-            .values()
-            .filter(|upstream| upstream.vm.service.as_ref() == Some(service))
-            .filter(|upstream| upstream.vm.state == VmState::Live)
-            .filter(|upstream| upstream.leaving_until_ms.is_none_or(|until| until < now_ms))
-            .collect();
+        let Inner { upstreams, rng, choices, .. } = &mut *inner;
+        let mut usable: Vec<&Upstream> = live(upstreams, service).collect();
         if usable.iter().any(|upstream| !avoid.contains(&upstream.vm.addr)) {
             usable.retain(|upstream| !avoid.contains(&upstream.vm.addr));
         }
-        let candidates: Vec<Candidate> = usable
+        usable.sort_unstable_by(|a, b| a.vm.id.cmp(&b.vm.id));
+        let mut candidates: Vec<Candidate> = usable
             .iter()
-            .map(|upstream| Candidate {
-                in_flight: upstream.in_flight.load(Ordering::Relaxed),
-                is_local: upstream.vm.domain == self.domain,
+            .map(|upstream| {
+                upstream.state.candidate(request, blocks, upstream.vm.domain == self.domain)
             })
             .collect();
-        let chosen = usable[route::choose(&candidates, rng)?];
-        Some(UpstreamGuard::new(
-            chosen.vm.addr,
-            Arc::clone(&chosen.in_flight),
-            Arc::clone(&chosen.heard_ms),
-        ))
+        if self.policy == Policy::Scored && class != Class::Short {
+            let mut open = candidates.iter().map(Candidate::has_room_beside_reserve);
+            usable.retain(|_| open.next().unwrap_or(true));
+            candidates.retain(Candidate::has_room_beside_reserve);
+        }
+        let position = route::choose(self.policy, &candidates, *choices, rng)?;
+        *choices += 1;
+        let place = if candidates[position].is_local { "local" } else { "remote" };
+        metrics::counter!("route_choices_total", "place" => place).increment(1);
+        let hits = blocks.len() as u64 - u64::from(candidates[position].missing_blocks);
+        metrics::counter!("route_prefix_blocks_total", "expected" => "hit").increment(hits);
+        let chosen = usable[position];
+        Some(UpstreamGuard::new(chosen.vm.addr, chosen.state.clone(), blocks))
     }
 
-    /// Upstreams in order of their identifiers.
-    pub fn list(&self) -> Vec<Vm> {
+    /// Requests that this entry may have in flight at the upstreams of `service`, and the places among them for short
+    /// requests; `None` without a usable upstream.
+    pub fn room(&self, service: &ServiceName) -> Option<(u32, u32)> {
         let inner = self.lock();
-        let mut vms: Vec<Vm> =
-            inner.upstreams.values().map(|upstream| upstream.vm.clone()).collect();
-        vms.sort_by(|a, b| a.id.cmp(&b.id));
-        vms
+        let rooms = live(&inner.upstreams, service).map(|upstream| upstream.state.room());
+        rooms.reduce(|sum, next| (sum.0.saturating_add(next.0), sum.1.saturating_add(next.1)))
     }
 
-    /// Sends no new work to the upstream at `addr`, which has announced that it leaves.
-    pub fn mark_leaving(&self, addr: SocketAddr) {
-        let now_ms = self.clock.now_ms();
+    /// The next engine whose load is to be read: mostly one of the own failure domain, since those are preferred.
+    pub fn next_poll(&self) -> Option<Poll> {
         let mut inner = self.lock();
-        for upstream in inner.upstreams.values_mut().filter(|upstream| upstream.vm.addr == addr) {
-            if upstream.leaving_until_ms.is_none() {
-                log::info!("upstreams: {} announced that it leaves", upstream.vm.id);
-            }
-            upstream.leaving_until_ms = Some(now_ms + LEAVING_HOLD_MS);
-        }
+        inner.polls += 1;
+        let turn = inner.polls;
+        let is_remote = turn.is_multiple_of(REMOTE_POLL);
+        let [local, remote] = &inner.polled;
+        let from =
+            if (is_remote || local.is_empty()) && !remote.is_empty() { remote } else { local };
+        // Rotation within the rare remote polls needs its own count.
+        let step = if is_remote { turn / REMOTE_POLL } else { turn - turn / REMOTE_POLL };
+        // Polls of engines that are down would make the reports of the others older.
+        let known: Vec<&Upstream> = from.iter().filter_map(|id| inner.upstreams.get(id)).collect();
+        let up = known.iter().filter(|upstream| !upstream.state.is_ejected());
+        let up: Vec<&Upstream> = up.copied().collect();
+        self.poll(up.get((step as usize).checked_rem(up.len())?)?)
+    }
+
+    /// The next engine of the own failure domain whose cache events are to be read.
+    pub fn next_cache_poll(&self) -> Option<Poll> {
+        let mut inner = self.lock();
+        inner.cache_polls += 1;
+        let local = &inner.polled[0];
+        let id = local.get((inner.cache_polls as usize).checked_rem(local.len())?)?;
+        self.poll(inner.upstreams.get(id)?)
+    }
+
+    fn poll(&self, upstream: &Upstream) -> Option<Poll> {
+        let (addr, state) = (upstream.vm.addr, upstream.state.clone());
+        Some(Poll { addr, state, clock: self.clock })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn live<'u>(
+    upstreams: &'u HashMap<VmId, Upstream>,
+    service: &'u ServiceName,
+) -> impl Iterator<Item = &'u Upstream> {
+    upstreams.values().filter(move |upstream| {
+        upstream.vm.service.as_ref() == Some(service)
+            && upstream.vm.state == VmState::Live
+            && !upstream.state.is_leaving()
+    })
+}
