--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -52,8 +52,11 @@
         format!("gen-{:016x}{number:08x}", self.process_nonce)
     }
 
-    /// Whether new requests may be sent here.
+    /// Whether new requests may be sent here. Without a list of VMs, an entry knows neither upstreams nor the peers that
+    /// hold journal copies.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining.load(Ordering::Relaxed) && self.config.borrow().revision > 0
+        !self.is_draining.load(Ordering::Relaxed)
+            && self.config.borrow().revision > 0
+            && self.upstreams.has_list()
     }
 }
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -8,7 +8,10 @@
 use route::{Candidate, Health, Policy};
 use std::{
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 use tokio::sync::watch;
 use wire::{
@@ -45,6 +48,7 @@
     clock: Clock,
     inner: Mutex<Inner>,
     changes: watch::Sender<()>,
+    has_list: AtomicBool,
 }
 
 impl Upstreams {
@@ -63,6 +67,7 @@
             clock,
             inner: Mutex::new(inner),
             changes: watch::Sender::new(()),
+            has_list: AtomicBool::new(false),
         }
     }
 
@@ -94,11 +99,17 @@
         inner.upstreams = upstreams;
         inner.polled = polled;
         drop(inner);
+        self.has_list.store(true, Ordering::Relaxed);
         if !is_same {
             self.changes.send_replace(());
         }
     }
 
+    /// Whether a list has been taken over.
+    pub fn has_list(&self) -> bool {
+        self.has_list.load(Ordering::Relaxed)
+    }
+
     /// Adds the upstreams to `addrs` that have requests of this entry and sent nothing since `since_ms`.
     pub fn add_quiet(&self, since_ms: u64, addrs: &mut Vec<SocketAddr>) {
         let inner = self.lock();
--- a/crates/geraniumroad/src/dev/fleet.rs
+++ b/crates/geraniumroad/src/dev/fleet.rs
@@ -68,8 +68,6 @@
         while !entry.is_ready() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        // The list of VMs is read at the same time as the configuration.
-        tokio::time::sleep(Duration::from_millis(100)).await;
         Ok(Self { platform, engines, entry, rng, dead_engines_tokens: 0 })
     }
 
