--- a/crates/bench/examples/experiment.rs
+++ b/crates/bench/examples/experiment.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use bench::{
     BenchError,
-    experiment::{self, EXPERIMENTS, ExperimentOptions},
+    experiment::{self, EXPERIMENTS, ExperimentOptions, FailureKind},
     role::{self, RoleOptions},
 };
 use fleet::Preset;
@@ -52,11 +52,24 @@
     /// failures after which no other follows; 0 for no bound
     #[argh(option, default = "0")]
     failures: u64,
+    /// kinds of engine failure that `engine-deaths` uses in turn, separated by commas; all of them: kill, freeze, reset,
+    /// silent, malformed, duplicate, skip, cross
+    #[argh(option, default = "FailureKinds::all()", from_str_fn(kinds))]
+    kinds: FailureKinds,
     /// print the JSON line only
     #[argh(switch)]
     json: bool,
 }
 
+/// Kinds of failure, in a type of its own because `argh` takes a `Vec` for a repeated option.
+struct FailureKinds(Vec<FailureKind>);
+
+impl FailureKinds {
+    fn all() -> Self {
+        Self(FailureKind::ALL.to_vec())
+    }
+}
+
 fn main() -> ExitCode {
     let mut args: Vec<String> = std::env::args().collect();
     if args.get(1).is_some_and(|arg| EXPERIMENTS.iter().any(|(name, _)| name == arg)) {
@@ -109,6 +122,10 @@
     }
 }
 
+fn kinds(text: &str) -> Result<FailureKinds, String> {
+    FailureKind::parse_list(text).map(FailureKinds)
+}
+
 fn start(run: &RunOptions) -> Result<(), BenchError> {
     let program = std::env::current_exe()?;
     let options = ExperimentOptions {
@@ -119,6 +136,7 @@
         policy: run.policy.clone(),
         generations: run.generations,
         failures: run.failures,
+        kinds: run.kinds.0.clone(),
     };
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(experiment::run(&run.name, &program, &options))
--- a/crates/bench/src/experiment/engine_deaths.rs
+++ b/crates/bench/src/experiment/engine_deaths.rs
@@ -21,6 +21,7 @@
         engines_per_domain: 12,
         tokens: 60,
         token_gap_ms: 41,
+        kinds: options.kinds.clone(),
         failure_interval_ms: 40,
     };
     let report = storm::run(program, &settings).await?;
--- a/crates/bench/src/experiment/entry_deaths.rs
+++ b/crates/bench/src/experiment/entry_deaths.rs
@@ -4,7 +4,7 @@
     bench_error::BenchError,
     caller::{Answer, AnswerEnd, Caller, Question},
     cluster::{Cluster, Layout},
-    experiment::options::ExperimentOptions,
+    experiment::{options::ExperimentOptions, storm::WorkCount},
     percentile::percentile,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -57,6 +57,7 @@
         callers.spawn(ask_until(cluster.entry_addrs(), number, end));
     }
     let (mut deaths, mut engine_deaths, mut freezes) = (0, 0, 0);
+    let mut work = WorkCount::default();
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(DEATH_INTERVAL_MS)).await;
         let entry = rng.random_range(0..cluster.entry_count());
@@ -68,6 +69,8 @@
         }
         let has_engine = rng.random_range(0..ENGINE_SHARE) == 0;
         if has_engine {
+            // The counters end with the process.
+            work += &cluster.engine_state(engine).await?;
             cluster.kill_engine(engine);
             engine_deaths += 1;
         }
@@ -79,6 +82,11 @@
         }
     }
     let outcomes: Vec<Outcome> = callers.join_all().await.into_iter().flatten().collect();
+    for position in 0..cluster.engine_count() {
+        work += &cluster.engine_state(position).await?;
+    }
+    let delivered: u64 = outcomes.iter().map(|o| u64::from(o.answer.token_count())).sum();
+    let extra_tokens = work.decoded_tokens as f64 - delivered as f64;
     let whole = outcomes.iter().filter(|outcome| outcome.is_whole).count();
     let gaps = |was_silent: bool| -> Vec<u64> {
         let resumed = outcomes.iter().filter(|outcome| outcome.reconnects > 0);
@@ -101,6 +109,7 @@
         "silent_p50_ms": percentile(&mut silent, 50),
         "silent_p95_ms": percentile(&mut silent, 95),
         "silent_max_ms": silent.last().copied().unwrap_or(0),
+        "extra_tokens_pct": 100.0 * extra_tokens / delivered.max(1) as f64,
     });
     for outcome in outcomes.iter().filter(|outcome| !outcome.is_whole) {
         eprintln!("not whole: {:?} {:?}", outcome.answer.last_event_id, outcome.answer.end);
--- a/crates/bench/src/experiment/frontier/mod.rs
+++ b/crates/bench/src/experiment/frontier/mod.rs
@@ -8,7 +8,7 @@
     experiment::{
         frontier::point::{POINTS, Point},
         options::ExperimentOptions,
-        storm::{self, StormSettings},
+        storm::{self, FailureKind, StormSettings},
     },
 };
 use serde_json::json;
@@ -32,6 +32,7 @@
             engines_per_domain: 8,
             tokens: 100,
             token_gap_ms: 41,
+            kinds: vec![FailureKind::Kill, FailureKind::Freeze],
             failure_interval_ms: 250,
         };
         let report = storm::run(program, &storm).await?;
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -11,7 +11,7 @@
 mod relay;
 mod storm;
 
-pub use self::options::ExperimentOptions;
+pub use self::{options::ExperimentOptions, storm::FailureKind};
 use crate::bench_error::BenchError;
 use std::path::Path;
 
--- a/crates/bench/src/experiment/options.rs
+++ b/crates/bench/src/experiment/options.rs
@@ -1,5 +1,6 @@
 //! Options that all experiments share.
 
+use crate::experiment::storm::FailureKind;
 use fleet::Preset;
 
 /// Options of an experiment.
@@ -19,4 +20,6 @@
     pub generations: u64,
     /// Failures after which no other follows; 0 for no bound.
     pub failures: u64,
+    /// Kinds of engine failure, used in turn.
+    pub kinds: Vec<FailureKind>,
 }
--- a/crates/bench/src/experiment/relay/mod.rs
+++ b/crates/bench/src/experiment/relay/mod.rs
@@ -14,7 +14,10 @@
     process_usage::ProcessUsage,
 };
 use serde_json::{Value, json};
-use std::{path::Path, time::Instant};
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
 
 /// Load for the delay: 75 streams with 25 ms between tokens are 3,000 tokens/s.
 const DELAY_LOAD: Load = Load { streams: 75, gap_ms: 25 };
@@ -22,48 +25,70 @@
 /// Load for the cost: 600 streams with 5 ms between tokens are 120,000 tokens/s.
 const COST_LOAD: Load = Load { streams: 600, gap_ms: 5 };
 
+/// Time in which the daemons learn of the engine and of each other.
+const START_MS: u64 = 2_000;
+
+/// Phases that share the length of the load: two loads at three targets.
+const PHASES: u64 = 6;
+
 pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
-    let layout = Layout {
-        domains: vec!["lothian".to_owned()],
-        engines_per_domain: 0,
-        seed: options.seed,
-        ..Layout::default()
-    };
     let engine = ClockEngine::start().await?;
-    let mut cluster = Cluster::start(program, layout).await?;
-    cluster.add_external_engine("clock", engine.addr())?;
-    cluster.publish_vms().await?;
-    // The daemon reads the list of VMs every 200 ms.
-    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
-    let daemon = cluster.entry(0).ok_or_else(|| BenchError::NotReady("daemon".to_owned()))?;
-    let rest = ProcessUsage::of(daemon.pid())?;
-    let entry = Target::Entry(cluster.entry_addrs()[0]);
-    let direct = Target::Engine(engine.addr());
-    let phase_s = (options.duration_s / 4).max(1);
-    let mut rows = Vec::new();
-    for (name, load) in [("delay", DELAY_LOAD), ("cost", COST_LOAD)] {
-        let straight = measure(&engine, direct, load, phase_s, daemon).await?;
-        let relayed = measure(&engine, entry, load, phase_s, daemon).await?;
-        rows.push((name, straight, relayed));
-    }
+    let plain = start(program, options, &engine, false).await?;
+    let copying = start(program, options, &engine, true).await?;
+    let rest = ProcessUsage::of(daemon(&plain)?.pid())?;
+    let phase_s = (options.duration_s / PHASES).max(1);
     let mut report = json!({"resident_at_rest_kb": rest.resident_kb});
-    for (name, straight, relayed) in rows {
+    for (name, load) in [("delay", DELAY_LOAD), ("cost", COST_LOAD)] {
+        let direct = Target::Engine(engine.addr());
+        let relayed = Target::Entry(plain.entry_addr(0));
+        let copied = Target::Entry(copying.entry_addr(0));
+        let rows = json!({
+            "direct": measure(&engine, direct, load, phase_s, daemon(&plain)?).await?,
+            "relayed": measure(&engine, relayed, load, phase_s, daemon(&plain)?).await?,
+            "copied": measure(&engine, copied, load, phase_s, daemon(&copying)?).await?,
+        });
         if !options.is_json {
-            println!("{name}: direct {straight}");
-            println!("{name}: relayed {relayed}");
+            for row in ["direct", "relayed", "copied"] {
+                println!("{name}: {row} {}", rows[row]);
+            }
         }
-        report[name] = json!({"direct": straight, "relayed": relayed});
+        report[name] = rows;
     }
-    report["added_p50_us"] = added(&report, "p50_us");
-    report["added_p99_us"] = added(&report, "p99_us");
+    report["added_p50_us"] = added(&report, "relayed", "p50_us");
+    report["added_p99_us"] = added(&report, "relayed", "p99_us");
+    report["copied_added_p50_us"] = added(&report, "copied", "p50_us");
+    report["copied_added_p99_us"] = added(&report, "copied", "p99_us");
     println!("{report}");
     Ok(())
 }
 
-fn added(report: &Value, field: &str) -> Value {
+/// Starts one daemon, or three that hold journal copies for each other, at `engine`.
+async fn start(
+    program: &Path,
+    options: &ExperimentOptions,
+    engine: &ClockEngine,
+    has_peers: bool,
+) -> Result<Cluster, BenchError> {
+    let mut layout =
+        Layout { engines_per_domain: 0, has_peers, seed: options.seed, ..Layout::default() };
+    if !has_peers {
+        layout.domains.truncate(1);
+    }
+    let mut cluster = Cluster::start(program, layout).await?;
+    cluster.add_external_engine("clock", engine.addr())?;
+    cluster.publish_vms().await?;
+    tokio::time::sleep(Duration::from_millis(START_MS)).await;
+    Ok(cluster)
+}
+
+fn daemon(cluster: &Cluster) -> Result<&Process, BenchError> {
+    cluster.entry(0).ok_or_else(|| BenchError::NotReady("daemon".to_owned()))
+}
+
+fn added(report: &Value, row: &str, field: &str) -> Value {
     let delay = &report["delay"];
-    let number = |path: &str| delay[path][field].as_i64().unwrap_or(0);
-    json!(number("relayed") - number("direct"))
+    let number = |row: &str| delay[row][field].as_i64().unwrap_or(0);
+    json!(number(row) - number("direct"))
 }
 
 async fn measure(
--- a/crates/bench/src/experiment/storm/failure.rs
+++ b/crates/bench/src/experiment/storm/failure.rs
@@ -1,14 +1,91 @@
 //! Failure of an engine.
 
+use serde::Serialize;
+use stand::EngineFault;
 use std::time::Instant;
 
 /// Kind of failure.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum FailureKind {
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FailureKind {
     /// The process stops without notice and is woken later.
     Freeze,
     /// The process is killed and replaced.
     Kill,
+    /// All connections are reset; the engine goes on.
+    Reset,
+    /// No connection delivers anything for a while; those that were open then never do again.
+    Silent,
+    /// One token event is not JSON.
+    Malformed,
+    /// One token event is sent twice.
+    Duplicate,
+    /// One token is not sent.
+    Skip,
+    /// One token event carries the identifier of another request.
+    Cross,
+}
+
+impl FailureKind {
+    /// All kinds, in the order in which a storm uses them.
+    pub const ALL: [Self; 8] = [
+        Self::Kill,
+        Self::Freeze,
+        Self::Reset,
+        Self::Silent,
+        Self::Malformed,
+        Self::Duplicate,
+        Self::Skip,
+        Self::Cross,
+    ];
+
+    /// The name in options and reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Freeze => "freeze",
+            Self::Kill => "kill",
+            Self::Reset => "reset",
+            Self::Silent => "silent",
+            Self::Malformed => "malformed",
+            Self::Duplicate => "duplicate",
+            Self::Skip => "skip",
+            Self::Cross => "cross",
+        }
+    }
+
+    /// Kinds from their names, separated by commas.
+    ///
+    /// # Errors
+    ///
+    /// A name is unknown; the error lists the known ones.
+    pub fn parse_list(text: &str) -> Result<Vec<Self>, String> {
+        text.split(',').map(Self::parse).collect()
+    }
+
+    fn parse(name: &str) -> Result<Self, String> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == name).ok_or_else(|| {
+            let names = Self::ALL.map(Self::as_str).join(", ");
+            format!("unknown kind {name:?}; the kinds are {names}")
+        })
+    }
+
+    /// Whether it hits one token event, and so one stream.
+    pub(super) fn hits_one_event(self) -> bool {
+        matches!(self, Self::Malformed | Self::Duplicate | Self::Skip | Self::Cross)
+    }
+
+    /// Fault of the engine stand-in that causes it; none for failures of the process.
+    pub(super) fn engine_fault(self) -> Option<EngineFault> {
+        match self {
+            Self::Freeze | Self::Kill => None,
+            Self::Reset => Some(EngineFault::Reset),
+            Self::Silent => Some(EngineFault::Silence),
+            Self::Malformed => Some(EngineFault::Malformed { events: 1 }),
+            Self::Duplicate => Some(EngineFault::Duplicate { events: 1 }),
+            Self::Skip => Some(EngineFault::Skip { events: 1 }),
+            Self::Cross => Some(EngineFault::Cross { events: 1 }),
+        }
+    }
 }
 
 /// Failure of an engine.
--- a/crates/bench/src/experiment/storm/mod.rs
+++ b/crates/bench/src/experiment/storm/mod.rs
@@ -1,6 +1,7 @@
 //! Load on a cluster whose engines fail all the time.
 
 mod failure;
+mod kind_report;
 mod load;
 mod load_counts;
 mod report;
@@ -8,4 +9,7 @@
 mod settings;
 mod work_count;
 
-pub(super) use self::{report::StormReport, runner::run, settings::StormSettings};
+pub use self::failure::FailureKind;
+pub(super) use self::{
+    report::StormReport, runner::run, settings::StormSettings, work_count::WorkCount,
+};
--- a/crates/bench/src/experiment/storm/report.rs
+++ b/crates/bench/src/experiment/storm/report.rs
@@ -3,6 +3,7 @@
 use crate::{
     experiment::storm::{
         failure::{Failure, FailureKind},
+        kind_report::KindReport,
         load::Checked,
         work_count::WorkCount,
     },
@@ -10,7 +11,10 @@
 };
 use base::HashMap;
 use serde::Serialize;
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// What a storm showed.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -37,6 +41,8 @@
     pub kill_p95_ms: u64,
     /// 95th percentile after a freeze.
     pub freeze_p95_ms: u64,
+    /// Each kind of failure.
+    pub kinds: BTreeMap<FailureKind, KindReport>,
     /// Tokens decoded beyond those delivered, in percent of those delivered.
     pub extra_tokens_pct: f64,
     /// Prompts processed beyond one for each answer, for each interrupted stream.
@@ -55,32 +61,58 @@
         work: WorkCount,
         in_flight: Duration,
     ) -> Self {
-        let mut kills = resume_latencies(answers, failures, FailureKind::Kill, in_flight);
-        let mut freezes = resume_latencies(answers, failures, FailureKind::Freeze, in_flight);
-        let mut resumes = [kills.as_slice(), freezes.as_slice()].concat();
+        let mut resumes = Vec::new();
+        let mut kinds = BTreeMap::new();
+        let mut interrupted = 0;
+        for kind in FailureKind::ALL {
+            let count = failures.iter().filter(|failure| failure.kind == kind).count();
+            if count == 0 {
+                continue;
+            }
+            let mut latencies = resume_latencies(answers, failures, kind, in_flight);
+            let report = kind_report(count, &mut latencies);
+            // A fault of one event interrupts one of the streams; the others show that they are not disturbed.
+            interrupted += if kind.hits_one_event() { count } else { report.streams };
+            if !kind.hits_one_event() {
+                resumes.append(&mut latencies);
+            }
+            kinds.insert(kind, report);
+        }
         let delivered: usize = answers.iter().map(|checked| checked.answer.token_times.len()).sum();
         let extra_tokens = work.decoded_tokens as f64 - delivered as f64;
         let extra_prefills = work.prefills as f64 - answers.len() as f64;
-        let kill_count =
-            failures.iter().filter(|failure| failure.kind == FailureKind::Kill).count();
+        let of_kind = |kind| kinds.get(&kind).cloned().unwrap_or_default();
+        let (kills, freezes) = (of_kind(FailureKind::Kill), of_kind(FailureKind::Freeze));
         Self {
             generations: answers.len(),
             whole: answers.iter().filter(|checked| checked.is_whole).count(),
             deaths: failures.len(),
-            kills: kill_count,
-            freezes: failures.len() - kill_count,
-            resumes: resumes.len(),
+            kills: kills.failures,
+            freezes: freezes.failures,
+            resumes: interrupted,
             resume_p50_ms: percentile(&mut resumes, 50),
             resume_p95_ms: percentile(&mut resumes, 95),
             resume_max_ms: percentile(&mut resumes, 100),
-            kill_p95_ms: percentile(&mut kills, 95),
-            freeze_p95_ms: percentile(&mut freezes, 95),
+            kill_p95_ms: kills.p95_ms,
+            freeze_p95_ms: freezes.p95_ms,
+            kinds,
             extra_tokens_pct: 100.0 * extra_tokens / delivered.max(1) as f64,
-            extra_prefills_per_resume: extra_prefills / resumes.len().max(1) as f64,
+            extra_prefills_per_resume: extra_prefills / interrupted.max(1) as f64,
         }
     }
 }
 
+fn kind_report(failures: usize, latencies: &mut [u64]) -> KindReport {
+    KindReport {
+        failures,
+        streams: latencies.len(),
+        p50_ms: percentile(latencies, 50),
+        p95_ms: percentile(latencies, 95),
+        p99_ms: percentile(latencies, 99),
+        max_ms: percentile(latencies, 100),
+    }
+}
+
 /// Time from each failure to the next token of each stream that it interrupted. Tokens within `in_flight` of the failure
 /// had left the engine before it.
 fn resume_latencies(
--- a/crates/bench/src/experiment/storm/runner.rs
+++ b/crates/bench/src/experiment/storm/runner.rs
@@ -14,6 +14,7 @@
 };
 use base::HashMap;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use stand::EngineFault;
 use std::{
     ops::Range,
     path::Path,
@@ -22,17 +23,18 @@
 };
 use tokio::task::JoinSet;
 
-/// Time that a frozen engine stays frozen. It begins below the silence timeout of `latency`, so that engines also wake
+/// Time that an engine stays frozen or silent. It begins below the silence timeout of `latency`, so that engines also wake
 /// before they are suspected and while a hedged attempt runs.
-const FREEZE_MS: Range<u64> = 300..1_800;
+const STALL_MS: Range<u64> = 300..1_800;
 
-/// Share of the engines that may be frozen at a time, so that capacity is left.
-const FROZEN_SHARE: usize = 3;
+/// Share of the engines that may be frozen or silent at a time, so that capacity is left.
+const STALLED_SHARE: usize = 3;
 
 struct Storm {
     cluster: Cluster,
     rng: SmallRng,
-    frozen: HashMap<usize, Instant>,
+    /// Engines that deliver nothing, until when, and why.
+    stalled: HashMap<usize, (Instant, FailureKind)>,
     failures: Vec<Failure>,
     work: WorkCount,
 }
@@ -54,7 +56,7 @@
     let mut storm = Storm {
         cluster: Cluster::start(program, layout).await?,
         rng: SmallRng::seed_from_u64(settings.seed),
-        frozen: HashMap::default(),
+        stalled: HashMap::default(),
         failures: Vec::new(),
         work: WorkCount::default(),
     };
@@ -74,11 +76,11 @@
                 None => break,
             },
             _ = ticks.tick() => {
-                storm.thaw_due();
+                storm.restore_due(Instant::now()).await?;
                 let has_failures_left =
                     settings.failures == 0 || (storm.failures.len() as u64) < settings.failures;
                 if Instant::now() < end && has_failures_left {
-                    storm.fail().await?;
+                    storm.fail(&settings.kinds).await?;
                     counts.failures.store(storm.failures.len() as u64, Ordering::Relaxed);
                 }
             }
@@ -88,11 +90,11 @@
 }
 
 impl Storm {
-    /// Lets an engine that is not frozen fail; kinds alternate.
-    async fn fail(&mut self) -> Result<(), BenchError> {
+    /// Lets an engine that is not frozen or silent fail, by the kinds in turn.
+    async fn fail(&mut self, kinds: &[FailureKind]) -> Result<(), BenchError> {
         let position = self.rng.random_range(0..self.cluster.engine_count());
-        let has_capacity = self.frozen.len() * FROZEN_SHARE < self.cluster.engine_count();
-        if self.frozen.contains_key(&position) || !has_capacity {
+        let has_capacity = self.stalled.len() * STALLED_SHARE < self.cluster.engine_count();
+        if self.stalled.contains_key(&position) || !has_capacity {
             return Ok(());
         }
         let state = self.cluster.engine_state(position).await?;
@@ -102,10 +104,7 @@
             .filter_map(|request_id| request_id.split('/').next())
             .map(str::to_owned)
             .collect();
-        let kind = match self.failures.len() % 2 {
-            0 => FailureKind::Kill,
-            _ => FailureKind::Freeze,
-        };
+        let kind = kinds[self.failures.len() % kinds.len()];
         let at = Instant::now();
         match kind {
             FailureKind::Kill => {
@@ -113,27 +112,36 @@
                 self.work += &state;
                 self.cluster.restart_engine(position)?;
             }
-            FailureKind::Freeze => {
-                self.cluster.freeze_engine(position);
-                let wait_ms = self.rng.random_range(FREEZE_MS);
-                self.frozen.insert(position, at + Duration::from_millis(wait_ms));
-            }
+            FailureKind::Freeze => self.cluster.freeze_engine(position),
+            _ => {}
+        }
+        if let Some(fault) = kind.engine_fault() {
+            self.cluster.engine_fault(position, fault).await?;
+        }
+        if matches!(kind, FailureKind::Freeze | FailureKind::Silent) {
+            let wait_ms = self.rng.random_range(STALL_MS);
+            self.stalled.insert(position, (at + Duration::from_millis(wait_ms), kind));
         }
         self.failures.push(Failure { kind, at, generation_ids });
         Ok(())
     }
 
-    /// Wakes the engines whose time has come.
-    fn thaw_due(&mut self) {
-        let now = Instant::now();
-        let cluster = &self.cluster;
-        self.frozen.retain(|&position, &mut until| {
-            let is_frozen = now < until;
-            if !is_frozen {
-                cluster.thaw_engine(position);
+    /// Wakes the engines that are to be frozen or silent until `now` at the latest.
+    async fn restore_due(&mut self, now: Instant) -> Result<(), BenchError> {
+        let due: Vec<(usize, FailureKind)> = self
+            .stalled
+            .iter()
+            .filter(|&(_, &(until, _))| until <= now)
+            .map(|(&position, &(_, kind))| (position, kind))
+            .collect();
+        for (position, kind) in due {
+            self.stalled.remove(&position);
+            match kind {
+                FailureKind::Freeze => self.cluster.thaw_engine(position),
+                _ => self.cluster.engine_fault(position, EngineFault::Restore).await?,
             }
-            is_frozen
-        });
+        }
+        Ok(())
     }
 
     async fn close(
@@ -141,9 +149,8 @@
         answers: &[Checked],
         settings: &StormSettings,
     ) -> Result<StormReport, BenchError> {
-        for &position in self.frozen.keys() {
-            self.cluster.thaw_engine(position);
-        }
+        let last = self.stalled.values().map(|&(until, _)| until).max();
+        self.restore_due(last.unwrap_or(Instant::now())).await?;
         for position in 0..self.cluster.engine_count() {
             let state = self.cluster.engine_state(position).await?;
             self.work += &state;
--- a/crates/bench/src/experiment/storm/settings.rs
+++ b/crates/bench/src/experiment/storm/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a storm.
 
+use crate::experiment::storm::failure::FailureKind;
 use fleet::Preset;
 
 /// Settings of a storm.
@@ -25,6 +26,8 @@
     pub tokens: u32,
     /// Time between tokens.
     pub token_gap_ms: u64,
+    /// Kinds of failure, used in turn.
+    pub kinds: Vec<FailureKind>,
     /// Time between two failures.
     pub failure_interval_ms: u64,
 }
