Let recovery prefer engines that were heard, and do not count a request as a sign of life

A request sent to a frozen engine marked it as heard for two or three usual gaps, and an engine without requests of this entry counted as healthy, so recovery attempts went to engines that were frozen and not yet known as such. Kills alone are quick (p95 159 ms), so queues of admission were ruled out as the cause.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -35,7 +35,7 @@
 
 /// Usual gaps without anything from an engine that is answering, after which new attempts prefer other engines. It is
 /// less than what makes an attempt suspect, since preferring another engine costs nothing.
-const QUIET_FACTOR: f64 = 3.0;
+const QUIET_FACTOR: f64 = 2.0;
 
 /// Shortest time for the same.
 const QUIET_FLOOR_MS: u64 = 100;
@@ -393,8 +393,15 @@
         self.shared.recovery.add_suspects(&mut avoid);
         let now_ms = self.shared.clock.now_ms();
         let quiet_ms = QUIET_FLOOR_MS.max((QUIET_FACTOR * self.timing().gap_ms) as u64);
-        self.shared.upstreams.add_quiet(now_ms.saturating_sub(quiet_ms), &mut avoid);
-        let Some(guard) = self.shared.upstreams.choose(&self.job.service, &avoid) else {
+        let since_ms = now_ms.saturating_sub(quiet_ms);
+        let upstreams = &self.shared.upstreams;
+        upstreams.add_quiet(since_ms, &mut avoid);
+        // An engine without requests may have failed unnoticed, so recovery prefers one that is known to send.
+        let heard = match is_recovery {
+            true => upstreams.choose_heard(&self.job.service, &avoid, since_ms),
+            false => None,
+        };
+        let Some(guard) = heard.or_else(|| upstreams.choose(&self.job.service, &avoid)) else {
             self.running.swap_remove(position);
             self.input(Input::NoUpstream { attempt });
             return;
@@ -411,7 +418,7 @@
                 self.generation.journal().len()
             );
         }
-        guard.hear(now_ms);
+        guard.send(now_ms);
         let engines = self.shared.engines.clone();
         let running = &mut self.running[position];
         running.guard = Some(guard);
--- a/crates/entry/src/upstream_guard.rs
+++ b/crates/entry/src/upstream_guard.rs
@@ -24,6 +24,14 @@
         Self { addr, in_flight, heard_ms }
     }
 
+    /// Notes a request at `now_ms`. The wait for an idle upstream begins with it; one that is busy and silent stays
+    /// silent.
+    pub fn send(&self, now_ms: u64) {
+        if self.in_flight.load(Ordering::Relaxed) == 1 {
+            self.hear(now_ms);
+        }
+    }
+
     /// Notes that the upstream sent something at `now_ms`.
     pub fn hear(&self, now_ms: u64) {
         self.heard_ms.store(now_ms, Ordering::Relaxed);
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -19,6 +19,10 @@
 /// on the same VM and stays gets work again.
 const LEAVING_HOLD_MS: u64 = 600_000;
 
+/// Upstreams that sent something lately, below which recovery attempts use the others as well. Fewer could not take the
+/// streams of a failed engine without queues.
+const HEARD_UPSTREAMS: usize = 3;
+
 /// Upstream as this entry knows it.
 #[derive(Clone, Debug)]
 struct Upstream {
@@ -108,17 +112,43 @@
 
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
     pub fn choose(&self, service: &ServiceName, avoid: &[SocketAddr]) -> Option<UpstreamGuard> {
+        self.choose_if(service, 1, |upstream| !avoid.contains(&upstream.vm.addr))
+            .or_else(|| self.choose_if(service, 1, |_| true))
+    }
+
+    /// Chooses an upstream of `service` that sent something since `since_ms` and is not at an address in `avoid`, and
+    /// counts a request there; none if there are too few of them to share the load.
+    pub fn choose_heard(
+        &self,
+        service: &ServiceName,
+        avoid: &[SocketAddr],
+        since_ms: u64,
+    ) -> Option<UpstreamGuard> {
+        self.choose_if(service, HEARD_UPSTREAMS, |upstream| {
+            upstream.heard_ms.load(Ordering::Relaxed) >= since_ms
+                && !avoid.contains(&upstream.vm.addr)
+        })
+    }
+
+    /// Chooses among the usable upstreams for which `is_wanted` holds, if there are at least `least`.
+    fn choose_if(
+        &self,
+        service: &ServiceName,
+        least: usize,
+        is_wanted: impl Fn(&Upstream) -> bool,
+    ) -> Option<UpstreamGuard> {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
         let Inner { upstreams, rng } = &mut *inner;
-        let mut usable: Vec<&Upstream> = upstreams
+        let usable: Vec<&Upstream> = upstreams
             .values()
             .filter(|upstream| upstream.vm.service.as_ref() == Some(service))
             .filter(|upstream| upstream.vm.state == VmState::Live)
             .filter(|upstream| upstream.leaving_until_ms.is_none_or(|until| until < now_ms))
+            .filter(|upstream| is_wanted(upstream))
             .collect();
-        if usable.iter().any(|upstream| !avoid.contains(&upstream.vm.addr)) {
-            usable.retain(|upstream| !avoid.contains(&upstream.vm.addr));
+        if usable.len() < least {
+            return None;
         }
         let candidates: Vec<Candidate> = usable
             .iter()
