Learn the wait for the first token from 32 samples

Until the usual wait is known, an attempt at a frozen engine waits 2.5 s (latency) or 8 s (economy). First tokens are 60 times rarer than gaps, so 200 samples take long.

--- a/crates/recovery/src/timing_tracker.rs
+++ b/crates/recovery/src/timing_tracker.rs
@@ -2,9 +2,13 @@
 
 use crate::{histogram::Histogram, timing::Timing};
 
-/// Samples before an observed percentile replaces the assumed time.
+/// Gaps before an observed percentile replaces the assumed time.
 const MIN_SAMPLES: u32 = 200;
 
+/// First-token waits before the observed percentile is used. They are rarer than gaps, and until it is known an attempt
+/// at an engine that is frozen costs the longest wait.
+const MIN_FIRST_TOKENS: u32 = 32;
+
 /// Samples between two computations of the percentiles.
 const REFRESH_SAMPLES: u32 = 64;
 
@@ -54,7 +58,7 @@
         if self.gaps.total() >= MIN_SAMPLES {
             self.timing.gap_ms = self.gaps.percentile_ms(GAP_PERCENT);
         }
-        if self.first_tokens.total() >= MIN_SAMPLES {
+        if self.first_tokens.total() >= MIN_FIRST_TOKENS {
             self.timing.first_token_ms = Some(self.first_tokens.percentile_ms(FIRST_TOKEN_PERCENT));
         }
     }
