Suspect a silent engine after 1.5 s at the latest with economy

The silence timeout follows the usual gap up to its cap of 2.5 s. A recovery that lands on a frozen engine then passes the bound of 3 s.

--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -58,7 +58,7 @@
     pub const ECONOMY: Self = Self {
         silence_floor_ms: 1_200,
         silence_factor: 24.0,
-        silence_cap_ms: 2_500,
+        silence_cap_ms: 1_500,
         first_token_floor_ms: 600,
         first_token_factor: 6.0,
         first_token_wait_ms: 8_000,
