Look up the metric of the release gate once, and keep its renderer without peers

Without a holder, each batch chose one again and built the renderer, with a JSON document, for each token.

--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -4,6 +4,7 @@
     accepted::Accepted, finish::Finish, holder::Holder, job::Job, render::Renderer, shared::Shared,
 };
 use bytes::Bytes;
+use metrics::Histogram;
 use recovery::{Append, AppendStatus, Cursor, Install, Journal, Replica, View, ViewId};
 use std::{sync::Arc, time::Instant};
 use tokio::sync::mpsc;
@@ -38,6 +39,8 @@
     sender: mpsc::Sender<Bytes>,
     /// Tokens that were released.
     released: u32,
+    /// Looked up once, because the lookup costs more than the record.
+    release_wait: Histogram,
 }
 
 impl Gate {
@@ -80,7 +83,18 @@
     ) -> Self {
         let renderer = renderer(&job, &view, holder.as_ref());
         let (is_installed, has_chosen) = (holder.is_some(), holder.is_some());
-        Self { shared, job, view, has_chosen, holder, is_installed, renderer, sender, released: 0 }
+        Self {
+            shared,
+            job,
+            view,
+            has_chosen,
+            holder,
+            is_installed,
+            renderer,
+            sender,
+            released: 0,
+            release_wait: metrics::histogram!("release_wait_seconds"),
+        }
     }
 
     /// Channel into a gate.
@@ -137,7 +151,7 @@
             }
             let started = Instant::now();
             self.secure(Some(append)).await?;
-            metrics::histogram!("release_wait_seconds").record(started.elapsed().as_secs_f64());
+            self.release_wait.record(started.elapsed().as_secs_f64());
         }
         self.release(&batch).await
     }
@@ -203,6 +217,9 @@
     /// Chooses a holder, under a new view if the present one had another; whether there is one.
     fn choose_holder(&mut self) -> Result<bool, GateClosed> {
         let chosen = self.shared.peers.choose_holder(&self.job.generation_id);
+        if chosen.is_none() && !self.has_chosen {
+            return Ok(false);
+        }
         if self.has_chosen || (chosen.is_some() && self.released > 0) {
             let renewed = self.shared.journals.renew(&self.job.generation_id, &self.view);
             self.view = renewed.ok_or(GateClosed::Superseded)?;
