Test that a bad event interrupts only its own answer

Guards against a malformed, repeated, skipped or crossed event that ends other generations or leaks into them. Each fault of one event must cost exactly one attempt.

--- a/crates/bench/tests/engine_failures.rs
+++ b/crates/bench/tests/engine_failures.rs
@@ -7,6 +7,7 @@
     cluster::{Cluster, Layout},
 };
 use fleet::Preset;
+use stand::EngineFault;
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 use tokio::task::JoinHandle;
 use web::{Client, Method};
@@ -74,19 +75,29 @@
     panic!("no engine serves the request");
 }
 
-/// Waits until the entry has started a second attempt beside a suspected one.
-async fn hedged(cluster: &Cluster) {
+/// Sum of the entry's counters whose lines start with `prefix`.
+async fn count(cluster: &Cluster, prefix: &str) -> u64 {
     let client = Client::new(cluster.entry_addrs()[0], 2_000);
+    let reply = client.send(Method::GET, "/metrics").await.unwrap();
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    let lines = text.lines().filter(|line| line.starts_with(prefix));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Waits until a counter of the entry has reached `least`.
+async fn counted(cluster: &Cluster, prefix: &str, least: u64) {
     for _ in 0..MAX_TRIES {
-        let reply = client.send(Method::GET, "/metrics").await.unwrap();
-        let text = String::from_utf8_lossy(&reply.body).into_owned();
-        let hedges = text.lines().find_map(|line| line.strip_prefix("generation_hedges_total "));
-        if hedges.is_some_and(|count| count.trim() != "0") {
+        if count(cluster, prefix).await >= least {
             return;
         }
         pause().await;
     }
-    panic!("no hedged attempt started");
+    panic!("{prefix} stays below {least}");
+}
+
+/// Waits until the entry has started a second attempt beside a suspected one.
+async fn hedged(cluster: &Cluster) {
+    counted(cluster, "generation_hedges_total ", 1).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -161,3 +172,27 @@
         check_whole(answer).await;
     }
 }
+
+/// An event that is malformed, repeated, missing or another request's must end one attempt only, and no other answer
+/// may take anything from it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_event_interrupts_only_its_own_answer() {
+    const MALFORMED: &str = "generation_losses_total{cause=\"malformed\"}";
+    let cluster = start(3, Preset::Economy).await;
+    let asking: Vec<_> = (0..12).map(|_| ask(&cluster, 500)).collect();
+    let faults = [
+        EngineFault::Malformed { events: 1 },
+        EngineFault::Duplicate { events: 1 },
+        EngineFault::Skip { events: 1 },
+        EngineFault::Cross { events: 1 },
+    ];
+    for (number, fault) in faults.into_iter().enumerate() {
+        let victim = serving(&cluster, &[]).await;
+        cluster.engine_fault(victim, fault).await.unwrap();
+        counted(&cluster, MALFORMED, number as u64 + 1).await;
+    }
+    for answer in asking {
+        check_whole(answer).await;
+    }
+    assert_eq!(count(&cluster, MALFORMED).await, 4);
+}
