--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -20,7 +20,7 @@
 mod short_during_recovery;
 mod storm;
 
-pub use self::options::ExperimentOptions;
+pub use self::{options::ExperimentOptions, storm::FailureKind};
 use crate::bench_error::BenchError;
 use std::path::Path;
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -37,7 +37,7 @@
 
 /// Usual gaps without anything from an engine that is answering, after which new attempts prefer other engines. It is
 /// less than what makes an attempt suspect, since preferring another engine costs nothing.
-const QUIET_FACTOR: f64 = 3.0;
+const QUIET_FACTOR: f64 = 2.0;
 
 /// Shortest time for the same.
 const QUIET_FLOOR_MS: u64 = 100;
@@ -405,11 +405,19 @@
         self.shared.recovery.add_suspects(&mut avoid);
         let now_ms = self.shared.clock.now_ms();
         let quiet_ms = QUIET_FLOOR_MS.max((QUIET_FACTOR * self.timing().gap_ms) as u64);
-        self.shared.upstreams.add_quiet(now_ms.saturating_sub(quiet_ms), &mut avoid);
+        let since_ms = now_ms.saturating_sub(quiet_ms);
+        self.shared.upstreams.add_quiet(since_ms, &mut avoid);
         // A short generation keeps its class when it is recovered.
         let class = if is_recovery { self.job.class.min(Class::Recovery) } else { self.job.class };
-        let upstreams = &self.shared.upstreams;
-        let chosen = upstreams.choose_engine(&self.job.service, &self.job.request, class, &avoid);
+        // An engine without requests may have failed unnoticed, so recovery prefers one that is known to send.
+        let heard_since_ms = is_recovery.then_some(since_ms);
+        let chosen = self.shared.upstreams.choose_engine(
+            &self.job.service,
+            &self.job.request,
+            class,
+            &avoid,
+            heard_since_ms,
+        );
         let Some(guard) = chosen else {
             self.running.swap_remove(position);
             self.input(Input::NoUpstream { attempt });
@@ -428,7 +436,7 @@
                 self.generation.journal().len()
             );
         }
-        guard.hear(now_ms);
+        guard.send(now_ms);
         let engines = self.shared.engines.clone();
         let running = &mut self.running[position];
         running.guard = Some(guard);
--- a/crates/entry/src/upstream_guard.rs
+++ b/crates/entry/src/upstream_guard.rs
@@ -24,6 +24,14 @@
         self.addr
     }
 
+    /// Notes a request at `now_ms`. The wait for an idle upstream begins with it; one that is busy and silent stays
+    /// silent.
+    pub fn send(&self, now_ms: u64) {
+        if self.state.in_flight() == 1 {
+            self.hear(now_ms);
+        }
+    }
+
     /// Notes that the upstream sent something at `now_ms`.
     pub fn hear(&self, now_ms: u64) {
         self.state.hear(now_ms);
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -66,6 +66,11 @@
         self.lock().load.ended(self.clock.now_ms());
     }
 
+    /// Requests of this entry that are in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.lock().load.in_flight()
+    }
+
     /// Counts a success.
     pub fn succeeded(&self) {
         self.lock().health.succeeded(self.clock.now_ms());
@@ -99,9 +104,14 @@
         self.heard_ms.store(now_ms, Ordering::Relaxed);
     }
 
+    /// Whether something came from the upstream since `since_ms`.
+    pub fn is_heard(&self, since_ms: u64) -> bool {
+        self.heard_ms.load(Ordering::Relaxed) >= since_ms
+    }
+
     /// Whether requests of this entry run there and nothing came back since `since_ms`.
     pub fn is_quiet(&self, since_ms: u64) -> bool {
-        self.heard_ms.load(Ordering::Relaxed) < since_ms && self.lock().load.in_flight() > 0
+        !self.is_heard(since_ms) && self.lock().load.in_flight() > 0
     }
 
     /// Requests that this entry may have in flight there, which is what other entries leave of the limit, and the places
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -22,6 +22,10 @@
 /// Of this many polls of load, one goes to an engine of another failure domain.
 const REMOTE_POLL: u64 = 4;
 
+/// Upstreams that sent something lately, below which recovery attempts use the others as well. Fewer could not take the
+/// streams of a failed engine without queues.
+const HEARD_UPSTREAMS: usize = 3;
+
 /// Upstream as this entry knows it.
 #[derive(Clone, Debug)]
 struct Upstream {
@@ -152,13 +156,15 @@
     }
 
     /// Chooses an engine for `request`, if possible not one at an address in `avoid`, and counts a request there. `None`
-    /// also if `class` is not short and all engines are full but for the reserve of short requests.
+    /// also if `class` is not short and all engines are full but for the reserve of short requests. With
+    /// `heard_since_ms`, engines that sent something since then are preferred if there are enough of them.
     pub fn choose_engine(
         &self,
         service: &ServiceName,
         request: &EngineRequest,
         class: Class,
         avoid: &[SocketAddr],
+        heard_since_ms: Option<u64>,
     ) -> Option<UpstreamGuard> {
         let pinned = [request.model.as_str(), &request.version, &request.adapter];
         let blocks = if request.messages.is_empty() {
@@ -169,12 +175,12 @@
                 lines.map(|line| format!("{}: {}\n", line.role, line.content)).collect();
             route::block_hashes(pinned, &prompt)
         };
-        self.choose_by(service, Some(request), &blocks, class, avoid)
+        self.choose_by(service, Some(request), &blocks, class, avoid, heard_since_ms)
     }
 
     /// Chooses an upstream of `service`, if possible not one at an address in `avoid`, and counts a request there.
     pub fn choose(&self, service: &ServiceName, avoid: &[SocketAddr]) -> Option<UpstreamGuard> {
-        self.choose_by(service, None, &[], Class::Short, avoid)
+        self.choose_by(service, None, &[], Class::Short, avoid, None)
     }
 
     fn choose_by(
@@ -184,6 +190,7 @@
         blocks: &[u64],
         class: Class,
         avoid: &[SocketAddr],
+        heard_since_ms: Option<u64>,
     ) -> Option<UpstreamGuard> {
         let mut inner = self.lock();
         let Inner { upstreams, rng, choices, .. } = &mut *inner;
@@ -191,6 +198,12 @@
         if usable.iter().any(|upstream| !avoid.contains(&upstream.vm.addr)) {
             usable.retain(|upstream| !avoid.contains(&upstream.vm.addr));
         }
+        if let Some(since_ms) = heard_since_ms {
+            let is_heard = |upstream: &&Upstream| upstream.state.is_heard(since_ms);
+            if usable.iter().copied().filter(is_heard).count() >= HEARD_UPSTREAMS {
+                usable.retain(is_heard);
+            }
+        }
         usable.sort_unstable_by(|a, b| a.vm.id.cmp(&b.vm.id));
         let mut candidates: Vec<Candidate> = usable
             .iter()
