Fuzz input from outside and fix the faults found

Cause: engines, peers, operators and callers can send wild values, and no test covered them. Faults, each seen failing first: a count of prompt tokens near the largest number overflowed the total; the view after the largest number overflowed; plan costs, sums of roles and document sequences overflowed; a stream that went on after its finish event kept its task and connection; tokens beyond max_tokens and texts of up to 64 KiB for each token were accepted, so an answer had no bound. Ruled out by the same tests: panics in the settings check, the SSE decoder, event and body decoding and cursors. Conclusion: sums saturate, a stream closes within 1 s and 64 KiB after its finish, a token has at most 1 KiB.

--- /dev/null
+++ b/crates/conf/tests/fuzz.rs
@@ -0,0 +1,107 @@
+//! Guards against a settings file that panics the check instead of being reported.
+
+use conf::Settings;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+/// Seed of all properties.
+const SEED: u64 = 1;
+
+/// Cases of each property.
+const CASES: u64 = 2_000;
+
+/// Valid settings that are mutated.
+const GOOD: &str = r#"
+[entry]
+vm_id = "entry-1"
+domain = "lothian"
+listen = "127.0.0.1:8080"
+shutdown_wait_ms = 200
+[limits]
+body_bytes = 65536
+max_tokens = 1000
+[platform]
+addr = "127.0.0.1:9000"
+timeout_ms = 1000
+[recovery]
+policy = "preset"
+attempts_per_s = 100
+[log]
+format = "json"
+parts = { recovery = "debug" }
+[peer]
+listen = "127.0.0.1:8081"
+[admin]
+listen = "127.0.0.1:8082"
+"#;
+
+/// Text that mutations put into valid settings.
+const PIECES: [&str; 14] = [
+    "0x_",
+    "0xffff_ffff_ffff_ffff_f",
+    "-1",
+    "1e400",
+    "nan",
+    "\"",
+    "[[entry]]",
+    "[",
+    "{",
+    "\u{0}",
+    "é𝕏",
+    "1979-05-27T07:32:00Z",
+    "entry.listen = 1\n",
+    "'''",
+];
+
+/// Settings with some mutations.
+#[derive(Clone, Debug)]
+struct Mutated(String);
+
+impl Arbitrary for Mutated {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut lines: Vec<String> = GOOD.lines().map(str::to_owned).collect();
+        for _ in 0..usize::arbitrary(g) % 6 {
+            let at = usize::arbitrary(g) % lines.len();
+            let piece = *g.choose(&PIECES).unwrap();
+            match u8::arbitrary(g) % 5 {
+                0 => lines.insert(at, piece.to_owned()),
+                1 => drop(lines.remove(at)),
+                2 => lines.push(lines[at].clone()),
+                3 => {
+                    let key = lines[at].split('=').next().unwrap_or_default().to_owned();
+                    lines[at] = format!("{key}= {piece}");
+                }
+                _ => lines[at].push_str(piece),
+            }
+        }
+        Self(lines.join("\n"))
+    }
+}
+
+/// Every file is read, or has mistakes with a line within the file.
+#[test]
+fn no_settings_file_panics() {
+    fn property(text: Mutated, noise: String) -> bool {
+        [text.0.as_str(), noise.as_str()].into_iter().all(|text| {
+            let lines = text.bytes().filter(|&byte| byte == b'\n').count() + 1;
+            match Settings::try_from(text) {
+                Ok(_) => true,
+                Err(problems) => {
+                    !problems.0.is_empty()
+                        && problems.0.iter().all(|problem| (1..=lines).contains(&problem.line))
+                }
+            }
+        })
+    }
+    let generator = Gen::from_size_and_seed(64, SEED);
+    QuickCheck::new()
+        .rng(generator)
+        .tests(CASES)
+        .quickcheck(property as fn(Mutated, String) -> bool);
+}
+
+/// Deep nesting must be a mistake in the file and not exhaust the stack.
+#[test]
+fn a_deeply_nested_settings_file_is_refused() {
+    assert!(Settings::try_from(format!("a = {}", "[".repeat(100_000)).as_str()).is_err());
+    assert!(Settings::try_from(format!("a = {}", "{a=".repeat(100_000)).as_str()).is_err());
+}
--- a/crates/entry/src/render.rs
+++ b/crates/entry/src/render.rs
@@ -97,7 +97,9 @@
 
 /// Token counts as callers see them.
 pub(crate) fn usage(prompt_tokens: u32, completion_tokens: u32) -> Usage {
-    Usage { prompt_tokens, completion_tokens, total_tokens: prompt_tokens + completion_tokens }
+    // The engine's count of prompt tokens is not checked.
+    let total_tokens = prompt_tokens.saturating_add(completion_tokens);
+    Usage { prompt_tokens, completion_tokens, total_tokens }
 }
 
 /// Response with a whole answer.
--- /dev/null
+++ b/crates/entry/tests/hostile_upstream.rs
@@ -0,0 +1,307 @@
+//! Guards against an engine that sends nonsense, and callers that go away or read slowly, harming any answer.
+//!
+//! The engine stand-in beside the nonsense is healthy, so every caller has to get a whole answer.
+
+use base::{AccountName, DomainName, KeyHash, ModelName, ServiceName, VersionName, VmId};
+use conf::Settings;
+use entry::Entry;
+use fleet::{Account, Document, Model, Service, ServiceKind};
+use quickcheck::{Arbitrary, Gen};
+use serde_json::{Value, json};
+use stand::{Chain, Engine, EngineSettings, Platform, PlatformSettings};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+    time::timeout,
+};
+use web::{Client, Method};
+use wire::platform::{Vm, VmRole, VmState};
+
+const KEY: &str = "test-key";
+const MODEL: &str = "composer";
+const VERSION: &str = "v1";
+
+/// Longest wait for a state that has to come.
+const WAIT: Duration = Duration::from_secs(60);
+
+/// Tokens of each answer.
+const TOKENS: usize = 20;
+
+/// Callers at a time while an engine sends nonsense.
+const CALLERS: usize = 6;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+
+/// What the engine sends: a beginning, and a part that it repeats until the connection closes. `ID` stands for the
+/// identifier of the request.
+const NONSENSE: [(&str, &str); 16] = [
+    ("HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n", ""),
+    ("HTTP/1.1 200 OK\r\nx: ", "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"),
+    ("HTTP/1.1 200 OK\r\n", "x-header: value\r\n"),
+    ("HEAD", "no event "),
+    ("HEAD", ": comment\n\n"),
+    ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", ""),
+    ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffffffffffffff\r\n", ""),
+    ("HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n\r\n", ""),
+    ("\0\u{1}\u{2}\u{7f}\r\n\r\n", ""),
+    ("HEADdata: {\"request_id\":\"other\",\"index\":0,\"token_id\":1,\"text\":\"x\"}\n\n", ""),
+    (
+        "HEADdata: {\"request_id\":\"ID\",\"index\":4294967295,\"token_id\":1,\"text\":\"x\"}\n\n",
+        "",
+    ),
+    (
+        "HEADdata: {\"request_id\":\"ID\",\"index\":4294967296,\"token_id\":-1,\"text\":\"x\"}\n\n",
+        "",
+    ),
+    (
+        "HEADdata: {\"request_id\":\"ID\",\"finish_reason\":\"stop\",\
+         \"usage\":{\"prompt_tokens\":1,\"completion_tokens\":4294967295}}\n\n",
+        "",
+    ),
+    ("HEADdata: {\"request_id\":\"ID\",\"index\":0,\"token_id\":1,\"text\":\"HUGE\"}\n\n", ""),
+    ("HEADdata: [DONE]\n\n", ""),
+    ("", ""),
+];
+
+struct Fixture {
+    platform: Platform,
+    engine: Engine,
+    entry: Entry,
+}
+
+impl Fixture {
+    /// Starts an entry with a healthy engine and, if there is an address, another one there.
+    async fn start(other: Option<SocketAddr>, token_gap_ms: u64) -> Self {
+        let platform = Platform::start(PlatformSettings::default()).await.unwrap();
+        let engine = Engine::start(EngineSettings { token_gap_ms, ..EngineSettings::default() });
+        let engine = engine.await.unwrap();
+        platform.put("config/current", &document().encode().unwrap());
+        let addrs = std::iter::once(engine.addr()).chain(other);
+        platform.set_vms(addrs.enumerate().map(|(number, addr)| vm(number, addr)).collect());
+        let text = format!(
+            "[entry]\nvm_id = \"entry-1\"\ndomain = \"lothian\"\nlisten = \"127.0.0.1:0\"\n\
+             [platform]\naddr = \"{}\"\nvm_list_interval_ms = 100\n",
+            platform.addr()
+        );
+        let settings = Settings::try_from(text.as_str()).unwrap();
+        let entry = Entry::start(&settings, None).await.unwrap();
+        let client = Client::new(entry.addr(), 5_000);
+        while !client.send(Method::GET, "/readyz").await.unwrap().status.is_success() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Self { platform, engine, entry }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.entry.addr()
+    }
+
+    async fn close(self) {
+        self.entry.close().await;
+        self.engine.kill().await;
+        self.platform.close().await;
+    }
+
+    /// Waits until the engine has cancelled `count` requests.
+    async fn wait_cancelled(&self, count: u64) {
+        let client = Client::new(self.engine.addr(), 5_000);
+        let waiting = async {
+            loop {
+                let reply = client.send(Method::GET, "/state").await.unwrap();
+                let state: Value = reply.json().unwrap();
+                if state["counters"]["cancelled"].as_u64().unwrap() >= count {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(WAIT, waiting).await.unwrap();
+    }
+}
+
+fn vm(number: usize, addr: SocketAddr) -> Vm {
+    Vm {
+        id: VmId::try_from(format!("engine-{number}")).unwrap(),
+        role: VmRole::Engine,
+        service: Some(ServiceName::try_from(MODEL).unwrap()),
+        domain: DomainName::try_from("lothian").unwrap(),
+        addr,
+        peer_addr: None,
+        state: VmState::Live,
+    }
+}
+
+fn document() -> Document {
+    let service = ServiceName::try_from(MODEL).unwrap();
+    let account = AccountName::try_from("test").unwrap();
+    let model = ModelName::try_from(MODEL).unwrap();
+    let version = VersionName::try_from(VERSION).unwrap();
+    Document {
+        accounts: vec![Account::new(&account, KeyHash::of(KEY), 1_000)],
+        services: vec![Service::new(&service, ServiceKind::Generation)],
+        models: vec![Model::new(&model, &service, &version)],
+        ..Document::default()
+    }
+}
+
+/// Serves nonsense on every connection; the number of requests is the returned counter.
+async fn nonsense(head: String, rest: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(answer(stream, head.clone(), rest.clone()));
+        }
+    });
+    addr
+}
+
+async fn answer(mut stream: TcpStream, head: String, rest: String) {
+    let mut request = vec![0; 64 * 1024];
+    let Ok(size) = stream.read(&mut request).await else { return };
+    let text = String::from_utf8_lossy(&request[..size]).into_owned();
+    let id = text.split("\"request_id\":\"").nth(1).and_then(|rest| rest.split('"').next());
+    let head = head.replace("HEAD", HEAD).replace("ID", id.unwrap_or_default());
+    let head = head.replace("HUGE", &"x".repeat(60_000));
+    let _ = stream.write_all(head.as_bytes()).await;
+    while !rest.is_empty() && stream.write_all(rest.as_bytes()).await.is_ok() {}
+}
+
+/// Asks for a whole answer and checks it.
+async fn ask(addr: SocketAddr) {
+    let client = Client::new(addr, 60_000).with_bearer_key(KEY);
+    let body = json!({"model": MODEL, "prompt": "p", "max_tokens": TOKENS});
+    let reply = client.send_json(Method::POST, "/v1/completions", &body).await.unwrap();
+    let value: Value = reply.json().unwrap();
+    let text = value["choices"][0]["text"].as_str();
+    let chain = Chain::new(MODEL, VERSION, "", "p");
+    assert!(text.is_some_and(|text| chain.verify(text).is_ok()), "{value}");
+    let count = value["usage"]["completion_tokens"].as_u64();
+    assert_eq!(text.map(|text| text.len() as u64 / 9), count);
+}
+
+async fn check(head: &str, rest: &str) {
+    let other = nonsense(head.to_owned(), rest.to_owned()).await;
+    let fixture = Fixture::start(Some(other), 1).await;
+    let mut callers = JoinSet::new();
+    for _ in 0..CALLERS {
+        callers.spawn(ask(fixture.addr()));
+    }
+    timeout(WAIT, callers.join_all()).await.unwrap();
+    fixture.close().await;
+}
+
+/// Each kind of nonsense costs its attempt, and no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn nonsense_of_an_engine_costs_no_answer() {
+    let mut checks = JoinSet::new();
+    for (head, rest) in NONSENSE {
+        checks.spawn(check(head, rest));
+    }
+    checks.join_all().await;
+}
+
+/// Mutated answers with a fixed seed find kinds of nonsense that nobody listed.
+#[tokio::test(flavor = "multi_thread")]
+async fn mutated_answers_of_an_engine_cost_no_answer() {
+    let mut g = Gen::from_size_and_seed(16, 1);
+    let mut checks = JoinSet::new();
+    for _ in 0..12 {
+        let (head, _) = *g.choose(&NONSENSE).unwrap();
+        let mut bytes = head.replace("HEAD", HEAD).into_bytes();
+        for _ in 0..3 {
+            let at = usize::arbitrary(&mut g) % (bytes.len() + 1);
+            bytes.insert(at, u8::arbitrary(&mut g) % 128);
+        }
+        let head = String::from_utf8_lossy(&bytes).into_owned();
+        checks.spawn(async move { check(&head, "").await });
+    }
+    checks.join_all().await;
+}
+
+/// An engine's count of prompt tokens is passed on and must not overflow the sum with the answer's tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_count_of_prompt_tokens_is_passed_on() {
+    let head = "HEADdata: {\"request_id\":\"ID\",\"index\":0,\"token_id\":1,\"text\":\"x\"}\n\n\
+                data: {\"request_id\":\"ID\",\"finish_reason\":\"length\",\
+                \"usage\":{\"prompt_tokens\":4294967295,\"completion_tokens\":1}}\n\n";
+    let other = nonsense(head.to_owned(), String::new()).await;
+    let fixture = Fixture::start(None, 1).await;
+    fixture.platform.set_vms(vec![vm(1, other)]);
+    let client = Client::new(fixture.addr(), 20_000).with_bearer_key(KEY);
+    let body = json!({"model": MODEL, "prompt": "p", "max_tokens": 1});
+    let asking = async {
+        loop {
+            let reply = client.send_json(Method::POST, "/v1/completions", &body).await.unwrap();
+            let value: Value = reply.json().unwrap();
+            // The entry may still use the list with the other engine.
+            if value["choices"][0]["text"] == "x" {
+                return value["usage"]["total_tokens"].as_u64();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    assert_eq!(timeout(WAIT, asking).await.unwrap(), Some(u64::from(u32::MAX)));
+    fixture.close().await;
+}
+
+/// Sends a request and leaves once the engine has begun.
+async fn leave(fixture: &Fixture, is_stream: bool) {
+    let body = json!({"model": MODEL, "prompt": "p", "max_tokens": 4_000, "stream": is_stream});
+    let mut stream = send(fixture.addr(), &body).await;
+    if is_stream {
+        stream.read_exact(&mut [0; 400]).await.unwrap();
+    } else {
+        let client = Client::new(fixture.engine.addr(), 5_000);
+        loop {
+            let state: Value = client.send(Method::GET, "/state").await.unwrap().json().unwrap();
+            if state["load"]["running"].as_u64() > Some(0) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn send(addr: SocketAddr, body: &Value) -> TcpStream {
+    let body = body.to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// The engine must not go on with work that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_work_of_a_caller_that_left_is_cancelled() {
+    let fixture = Fixture::start(None, 20).await;
+    timeout(WAIT, leave(&fixture, true)).await.unwrap();
+    fixture.wait_cancelled(1).await;
+    timeout(WAIT, leave(&fixture, false)).await.unwrap();
+    fixture.wait_cancelled(2).await;
+    ask(fixture.addr()).await;
+    fixture.close().await;
+}
+
+/// Callers that read nothing hold back only their own answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_read_nothing_disturb_no_other() {
+    let fixture = Fixture::start(None, 1).await;
+    let body = json!({"model": MODEL, "prompt": "p", "max_tokens": 4_000, "stream": true});
+    let mut silent = Vec::new();
+    for _ in 0..8 {
+        silent.push(send(fixture.addr(), &body).await);
+    }
+    for _ in 0..5 {
+        timeout(WAIT, ask(fixture.addr())).await.unwrap();
+    }
+    drop(silent);
+    fixture.close().await;
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -93,7 +93,7 @@
             return Err(PlanError::Expired);
         }
         let mut after = apply_all(document, &self.intents, context)?;
-        after.sequence = document.sequence + 1;
+        after.sequence = document.sequence.saturating_add(1);
         let record = ConfirmedPlan {
             plan_id: self.id.clone(),
             operator: self.operator.clone(),
@@ -117,7 +117,7 @@
     /// Whether a document that does not list the plan as confirmed proves that it was not applied. After too many
     /// later changes the record may have been dropped.
     pub fn is_decided_by(&self, document: &Document) -> bool {
-        document.sequence <= self.base_sequence + RECENT_PLANS as u64
+        document.sequence <= self.base_sequence.saturating_add(RECENT_PLANS as u64)
     }
 }
 
@@ -161,8 +161,8 @@
         if engines == 0 {
             warnings.push(format!("no engine of service {} is known", model.service));
         }
-        let wanted: u32 = model.roles.iter().map(|count| count.engines).sum();
-        if wanted > engines {
+        let wanted: u64 = model.roles.iter().map(|count| u64::from(count.engines)).sum();
+        if wanted > u64::from(engines) {
             warnings.push(format!("model {} wants {wanted} engines, {engines} exist", model.name));
         }
     }
--- a/crates/fleet/src/plan_cost.rs
+++ b/crates/fleet/src/plan_cost.rs
@@ -32,9 +32,10 @@
                 .iter()
                 .filter(|adapter| !old.is_some_and(|old| old.adapters.contains(adapter)));
             let new_items = new_versions.count() + new_adapters.count();
-            cost.loads += count * u32::try_from(new_items).unwrap_or(u32::MAX);
+            let new_items = u32::try_from(new_items).unwrap_or(u32::MAX);
+            cost.loads = cost.loads.saturating_add(count.saturating_mul(new_items));
             if old.is_some_and(|old| old.roles != model.roles) {
-                cost.drains += count;
+                cost.drains = cost.drains.saturating_add(count);
             }
         }
         for model in &before.models {
@@ -43,10 +44,10 @@
                 None => true,
             };
             if is_gone {
-                cost.drains += engines(&model.service);
+                cost.drains = cost.drains.saturating_add(engines(&model.service));
             }
         }
-        cost.weight_store_ms = u64::from(cost.loads) * context.weight_load_ms;
+        cost.weight_store_ms = u64::from(cost.loads).saturating_mul(context.weight_load_ms);
         cost
     }
 }
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -34,7 +34,7 @@
     /// number of changes decides.
     pub fn is_contained_in(&self, document: &Document) -> bool {
         let Some(last_plan) = &self.last_plan else { return true };
-        let is_record_kept = document.sequence < self.sequence + RECENT_PLANS as u64;
+        let is_record_kept = document.sequence < self.sequence.saturating_add(RECENT_PLANS as u64);
         document.sequence >= self.sequence
             && (!is_record_kept || document.confirmed(last_plan).is_some())
     }
--- a/crates/recovery/src/replica.rs
+++ b/crates/recovery/src/replica.rs
@@ -91,9 +91,10 @@
         self.begin_view(owner, nonce);
     }
 
-    /// Begins a view of `owner` after all tokens.
+    /// Begins a view of `owner` after all tokens. A peer may have named the largest number; the nonce still tells the
+    /// views apart.
     pub fn begin_view(&mut self, owner: &VmId, nonce: u32) {
-        let number = self.view().map_or(0, |id| id.number) + 1;
+        let number = self.view().map_or(0, |id| id.number).saturating_add(1);
         let id = ViewId { number, nonce, owner: owner.clone() };
         self.install.views.push(View { id, first_index: self.tokens.len() });
     }
--- a/crates/upstream/src/engine_error.rs
+++ b/crates/upstream/src/engine_error.rs
@@ -32,6 +32,14 @@
         Crossed {
             display("an event belongs to another request")
         }
+        /// A token lies beyond the limit of the answer.
+        TooManyTokens(max_tokens: u32) {
+            display("a token lies beyond the limit of {max_tokens} tokens")
+        }
+        /// The text of a token is longer than any token's.
+        TokenText(size_bytes: usize) {
+            display("the text of a token has {size_bytes} bytes")
+        }
         /// The stream is not a valid event stream.
         Decode(cause: wire::sse::DecoderError) {
             display("{cause}")
--- a/crates/upstream/src/engine_pool.rs
+++ b/crates/upstream/src/engine_pool.rs
@@ -70,7 +70,7 @@
             return Err(EngineError::Refused(response.status().as_u16()));
         }
         let pool = self.clone();
-        Ok(EngineStream::new(addr, pool, sender, response.into_body(), &request.request_id))
+        Ok(EngineStream::new(addr, pool, sender, response.into_body(), request))
     }
 
     fn take(&self, addr: SocketAddr) -> Option<Sender> {
--- a/crates/upstream/src/engine_stream.rs
+++ b/crates/upstream/src/engine_stream.rs
@@ -6,15 +6,25 @@
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 use wire::{
-    engine::{EngineEvent, RawEngineEvent},
+    engine::{EngineEvent, EngineRequest, RawEngineEvent},
     sse::Decoder,
 };
 
 /// Largest event that an engine may send.
 const EVENT_SIZE_BYTES: usize = 64 * 1024;
 
+/// Longest text of a token. Tokens of known models have at most a few hundred bytes; with the limit on tokens this bounds
+/// the memory of an answer.
+const TOKEN_TEXT_SIZE_BYTES: usize = 1024;
+
+/// Longest wait for the end of a stream after its finish event.
+const CLOSE_WAIT_MS: u64 = 1_000;
+
+/// Largest rest of a stream after its finish event.
+const CLOSE_SIZE_BYTES: usize = 64 * 1024;
+
 /// Data of the event after the finish event.
 const DONE: &str = "[DONE]";
 
@@ -27,6 +37,7 @@
     body: Incoming,
     decoder: Decoder,
     request_id: Box<str>,
+    max_tokens: u32,
 }
 
 impl EngineStream {
@@ -35,10 +46,11 @@
         pool: EnginePool,
         sender: Sender,
         body: Incoming,
-        request_id: &str,
+        request: &EngineRequest,
     ) -> Self {
         let decoder = Decoder::new(EVENT_SIZE_BYTES);
-        Self { addr, pool, sender, body, decoder, request_id: request_id.into() }
+        let request_id = request.request_id.as_str().into();
+        Self { addr, pool, sender, body, decoder, request_id, max_tokens: request.max_tokens }
     }
 
     /// Waits for the next event. Cancel safe.
@@ -79,19 +91,35 @@
         }
         match EngineEvent::try_from(raw)? {
             EngineEvent::Error { message } => Err(EngineError::Engine(message)),
+            EngineEvent::Token { index, .. } if index >= self.max_tokens => {
+                Err(EngineError::TooManyTokens(self.max_tokens))
+            }
+            EngineEvent::Token { text, .. } if text.len() > TOKEN_TEXT_SIZE_BYTES => {
+                Err(EngineError::TokenText(text.len()))
+            }
             event => Ok(Some(event)),
         }
     }
 
-    /// Reads the rest of a finished answer and returns the connection to the pool. Call it after the finish event.
+    /// Reads the rest of a finished answer and returns the connection to the pool. Call it after the finish event. A
+    /// connection whose rest is long or does not end is closed.
     pub async fn close(mut self) {
+        let wait = Duration::from_millis(CLOSE_WAIT_MS);
+        if tokio::time::timeout(wait, self.read_rest()).await == Ok(true) {
+            self.pool.put(self.addr, self.sender);
+        }
+    }
+
+    /// Whether the stream ended and the connection can carry another request.
+    async fn read_rest(&mut self) -> bool {
+        let mut size_bytes = 0;
         while let Some(frame) = self.body.frame().await {
-            if frame.is_err() {
-                return;
+            let Ok(frame) = frame else { return false };
+            size_bytes += frame.data_ref().map_or(0, |data| data.len());
+            if size_bytes > CLOSE_SIZE_BYTES {
+                return false;
             }
         }
-        if self.sender.ready().await.is_ok() {
-            self.pool.put(self.addr, self.sender);
-        }
+        self.sender.ready().await.is_ok()
     }
 }
