Add experiment everything

Cause: each experiment shows its guarantees under its own faults only. Parts of at-most-once, entry-deaths and operator-races are shared; their checks are unchanged. Not measured yet.

--- a/crates/bench/src/experiment/at_most_once.rs
+++ b/crates/bench/src/experiment/at_most_once.rs
@@ -8,8 +8,8 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
-use stand::{FaultKind, Run, ServiceFault};
-use std::{net::SocketAddr, path::Path, time::Duration};
+use stand::{FaultKind, Run, RunReport, ServiceFault};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
 use tokio::{task::JoinSet, time::Instant};
 
 /// Time in which every entry reads the list of VMs.
@@ -52,11 +52,11 @@
 
 /// What one send of a call led to.
 #[derive(Debug)]
-struct Sent {
+pub(super) struct Sent {
     service: String,
     key: Option<String>,
     request_id: String,
-    outcome: CallOutcome,
+    pub outcome: CallOutcome,
 }
 
 pub(super) async fn run(program: &Path, options: &ExperimentOptions) -> Result<(), BenchError> {
@@ -80,13 +80,7 @@
     let sent: Vec<Sent> = callers.join_all().await.into_iter().flatten().collect();
     tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     let runs = cluster.runs()?;
-    let double_keys = runs.by_key.values().filter(|&&count| count > 1).count();
-    let double_ids = runs.by_request_id.values().filter(|&&count| count > 1).count();
-    let not_run: Vec<&Sent> =
-        sent.iter().filter(|sent| sent.outcome == CallOutcome::NotRun).collect();
-    let not_run_but_ran =
-        not_run.iter().filter(|sent| runs.by_request_id.contains_key(&sent.request_id)).count();
-    let wrong_answers = sent.iter().filter(|sent| !is_own(sent)).count();
+    let CallBreaks { double_runs, not_run_but_ran, wrong_answers } = CallBreaks::of(&sent, &runs);
     let count = |wanted: &CallOutcome| sent.iter().filter(|sent| sent.outcome == *wanted).count();
     let refused =
         sent.iter().filter(|sent| matches!(sent.outcome, CallOutcome::Refused(..))).count();
@@ -96,8 +90,8 @@
         "calls": sent.len(),
         "runs": runs.total,
         "answered": answered,
-        "double_runs": double_keys + double_ids,
-        "not_run": not_run.len(),
+        "double_runs": double_runs,
+        "not_run": count(&CallOutcome::NotRun),
         "not_run_but_ran": not_run_but_ran,
         "unknown": count(&CallOutcome::Unknown),
         "cut_off": count(&CallOutcome::CutOff),
@@ -106,7 +100,7 @@
         "faults": faults,
     });
     println!("{report}");
-    let broken = double_keys + double_ids + not_run_but_ran + wrong_answers;
+    let broken = double_runs + not_run_but_ran + wrong_answers;
     if broken == 0 && faults > 0 && answered > 0 {
         Ok(())
     } else {
@@ -114,6 +108,30 @@
     }
 }
 
+/// Calls that broke a guarantee.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallBreaks {
+    pub double_runs: usize,
+    pub not_run_but_ran: usize,
+    pub wrong_answers: usize,
+}
+
+impl CallBreaks {
+    /// Compares what callers were told with the runs.
+    pub fn of(sent: &[Sent], runs: &RunReport) -> Self {
+        let doubles =
+            |counts: &BTreeMap<String, u64>| counts.values().filter(|&&count| count > 1).count();
+        let not_run = sent.iter().filter(|sent| sent.outcome == CallOutcome::NotRun);
+        Self {
+            double_runs: doubles(&runs.by_key) + doubles(&runs.by_request_id),
+            not_run_but_ran: not_run
+                .filter(|sent| runs.by_request_id.contains_key(&sent.request_id))
+                .count(),
+            wrong_answers: sent.iter().filter(|sent| !is_own(sent)).count(),
+        }
+    }
+}
+
 /// Whether an answer belongs to the call: to its key, or to its request id if it had none.
 fn is_own(sent: &Sent) -> bool {
     let CallOutcome::Answer(_, body) = &sent.outcome else { return true };
@@ -125,7 +143,7 @@
         }
 }
 
-async fn call_until(
+pub(super) async fn call_until(
     addrs: Vec<SocketAddr>,
     number: u64,
     mut rng: SmallRng,
--- a/crates/bench/src/experiment/entry_deaths.rs
+++ b/crates/bench/src/experiment/entry_deaths.rs
@@ -40,10 +40,11 @@
 const RETRY_PAUSE_MS: u64 = 20;
 
 /// Answer with what it took to read it.
-struct Outcome {
-    answer: Answer,
-    is_whole: bool,
-    reconnects: u64,
+pub(super) struct Outcome {
+    pub answer: Answer,
+    pub prompt: String,
+    pub is_whole: bool,
+    pub reconnects: u64,
     was_silent: bool,
 }
 
@@ -123,7 +124,7 @@
 }
 
 /// Asks one question after another until `end`.
-async fn ask_until(addrs: Vec<SocketAddr>, number: usize, end: Instant) -> Vec<Outcome> {
+pub(super) async fn ask_until(addrs: Vec<SocketAddr>, number: usize, end: Instant) -> Vec<Outcome> {
     let mut outcomes = Vec::new();
     while Instant::now() < end {
         let question = Question {
@@ -157,5 +158,5 @@
         }
     }
     let is_whole = answer.is_whole(&question.model, "", &question.prompt);
-    Outcome { answer, is_whole, reconnects, was_silent }
+    Outcome { answer, prompt: question.prompt.clone(), is_whole, reconnects, was_silent }
 }
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod engine_deaths;
 mod entry_deaths;
+mod everything;
 mod frontier;
 mod journal_copies;
 mod operator_races;
@@ -21,6 +22,7 @@
     ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
+    ("everything", "all faults at once under the load of both deployments"),
     ("frontier", "resume latency against extra engine work, with baselines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
     ("operator-races", "each confirmed plan is applied exactly once"),
@@ -42,6 +44,7 @@
         "drain" => drain::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
+        "everything" => everything::run(program, options).await,
         "frontier" => frontier::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
         "operator-races" => operator_races::run(program, options).await,
--- a/crates/bench/src/experiment/operator_races.rs
+++ b/crates/bench/src/experiment/operator_races.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use stand::PlatformFault;
 use std::{net::SocketAddr, path::Path, time::Duration};
-use tokio::{task::JoinSet, time::Instant};
+use tokio::{sync::watch, task::JoinSet, time::Instant};
 use web::{Client, ClientError, Method, Reply};
 use wire::platform::KvEntry;
 
@@ -40,9 +40,26 @@
 /// Time within which every unknown outcome must be resolved.
 const RESOLVE_MS: u64 = 30_000;
 
+/// Daemons that operators use.
+#[derive(Clone, Debug)]
+pub(super) struct Daemons {
+    /// Addresses of the administration servers; a daemon that restarts has another one.
+    pub addrs: watch::Receiver<Vec<SocketAddr>>,
+    /// Whether daemons may die, so that a plan may get no answer.
+    pub may_die: bool,
+}
+
+impl Daemons {
+    fn choose(&self, rng: &mut SmallRng) -> Client {
+        let addrs = self.addrs.borrow();
+        let addr = addrs[rng.random_range(0..addrs.len())];
+        Client::new(addr, WAIT_MS).with_bearer_key(Layout::OPERATOR_KEY)
+    }
+}
+
 /// Plan with what its operator was told.
 #[derive(Debug)]
-struct Told {
+pub(super) struct Told {
     account: AccountName,
     base_revision: u64,
     is_applied: Option<bool>,
@@ -57,7 +74,8 @@
     let mut operators = JoinSet::new();
     for number in 0..OPERATORS {
         let rng = SmallRng::seed_from_u64(options.seed * 1_000 + number);
-        operators.spawn(operate(cluster.admin_addrs()?, number, rng, end));
+        let (_, addrs) = watch::channel(cluster.admin_addrs()?);
+        operators.spawn(operate(Daemons { addrs, may_die: false }, number, rng, end));
     }
     let mut rng = SmallRng::seed_from_u64(options.seed);
     let (mut outages, mut lost_answers) = (0, 0);
@@ -105,17 +123,17 @@
 
 /// Comparison of what operators were told with the document.
 #[derive(Debug, Default)]
-struct Report {
-    confirmed: u64,
-    refused: u64,
-    unresolved: u64,
-    lost: u64,
-    both_won: u64,
-    refused_but_applied: u64,
+pub(super) struct Report {
+    pub confirmed: u64,
+    pub refused: u64,
+    pub unresolved: u64,
+    pub lost: u64,
+    pub both_won: u64,
+    pub refused_but_applied: u64,
 }
 
 impl Report {
-    fn of(told: &[Told], document: &Document) -> Self {
+    pub fn of(told: &[Told], document: &Document) -> Self {
         let mut report = Self::default();
         let mut winners: HashMap<u64, u64> = HashMap::default();
         for plan in told {
@@ -138,30 +156,33 @@
     }
 
     /// Each plan adds an account, so the number of changes also shows a plan that was applied twice.
-    fn is_success(&self, document: &Document) -> bool {
+    pub fn is_success(&self, document: &Document) -> bool {
         let broken = self.unresolved + self.lost + self.both_won + self.refused_but_applied;
         broken == 0 && self.confirmed > 0 && document.sequence == self.confirmed
     }
 }
 
 /// Plans and confirms until `end`, each time at some daemon; now and then the confirmation is sent to two at once.
-async fn operate(
-    addrs: Vec<SocketAddr>,
+pub(super) async fn operate(
+    daemons: Daemons,
     number: u64,
     mut rng: SmallRng,
     end: Instant,
 ) -> Result<Vec<Told>, BenchError> {
     let mut told = Vec::new();
-    let clients: Vec<Client> = addrs
-        .iter()
-        .map(|&addr| Client::new(addr, WAIT_MS).with_bearer_key(Layout::OPERATOR_KEY))
-        .collect();
     while Instant::now() < end && told.len() < PLANS {
         let account = format!("race-{number}-{}", told.len());
         let texts = vec![format!("create account {account}")];
         let request = PlanRequest { intents: Vec::new(), texts };
-        let client = &clients[rng.random_range(0..clients.len())];
-        let reply = client.send_json(Method::POST, "/admin/v1/plans", &request).await?;
+        let client = daemons.choose(&mut rng);
+        let reply = match client.send_json(Method::POST, "/admin/v1/plans", &request).await {
+            Ok(reply) => reply,
+            Err(_) if daemons.may_die => {
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                continue;
+            }
+            Err(err) => return Err(err.into()),
+        };
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
         if !reply.status.is_success() {
             continue;
@@ -176,8 +197,8 @@
         };
         let deadline = Instant::now() + Duration::from_millis(RESOLVE_MS);
         while plan.is_applied.is_none() && Instant::now() < deadline {
-            let first = &clients[rng.random_range(0..clients.len())];
-            let second = &clients[rng.random_range(0..clients.len())];
+            let first = daemons.choose(&mut rng);
+            let second = daemons.choose(&mut rng);
             let (first, second) =
                 tokio::join!(first.send(Method::POST, &path), second.send(Method::POST, &path));
             plan.is_applied = agreed(outcome(first)?, outcome(second)?)?;
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -133,7 +133,7 @@
             let size = bytes.len();
             bytes[at % size] = byte;
         }
-        if cut % 4 == 0 {
+        if cut.is_multiple_of(4) {
             bytes.truncate(cut % (bytes.len() + 1));
         }
         let text = String::from_utf8_lossy(&bytes);
