--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -4,6 +4,7 @@
 use conf::Settings;
 use entry::Entry;
 use fleet::{Account, Document, Model, Service, ServiceKind};
+use quickcheck::{Arbitrary, Gen};
 use serde_json::{Value, json};
 use stand::{Chain, Engine, EngineSettings, Platform, PlatformSettings};
 use std::{net::SocketAddr, time::Duration};
@@ -173,3 +174,35 @@
     assert!(fixture.is_serving().await);
     fixture.close().await;
 }
+
+/// Headers and bodies of callers with some bytes changed, with a fixed seed.
+#[tokio::test]
+async fn mutated_requests_harm_nobody() {
+    let fixture = Fixture::start().await;
+    let mut g = Gen::from_size_and_seed(64, 1);
+    let body = "{\"model\":\"composer\",\"prompt\":\"p\",\"max_tokens\":2,\"stream\":true}";
+    let ids = ["g-1/1-ff/entry-1/-/4294967295", "g-1/4294967296-0/entry-1/entry-2/0", "////"];
+    for _ in 0..200 {
+        let id = g.choose(&ids).unwrap();
+        let mut bytes = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\
+             authorization: Bearer {KEY}\r\nlast-event-id: {id}\r\nidempotency-key: k-1\r\n\
+             x-request-id: r-1\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .into_bytes();
+        for _ in 0..usize::arbitrary(&mut g) % 4 {
+            let at = usize::arbitrary(&mut g) % bytes.len();
+            bytes[at] = u8::arbitrary(&mut g);
+        }
+        let mut stream = TcpStream::connect(fixture.addr()).await.unwrap();
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.shutdown().await;
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        let text = String::from_utf8_lossy(&answer);
+        assert!(!text.starts_with("HTTP/1.1 500"), "{text}");
+    }
+    assert!(fixture.is_serving().await);
+    fixture.close().await;
+}
--- a/crates/entry/tests/hostile_upstream.rs
+++ b/crates/entry/tests/hostile_upstream.rs
@@ -305,3 +305,40 @@
     drop(silent);
     fixture.close().await;
 }
+
+/// Calls to a plain service that answers nonsense end with an answer or a typed error.
+#[tokio::test(flavor = "multi_thread")]
+async fn nonsense_of_a_plain_service_gets_typed_errors() {
+    let fixture = Fixture::start(None, 1).await;
+    let mut with_desk = document();
+    let desk = ServiceName::try_from("desk").unwrap();
+    let mut service = Service::new(&desk, ServiceKind::Plain);
+    service.calls.answer_wait_ms = 2_000;
+    with_desk.services.push(service);
+    fixture.platform.put("config/current", &with_desk.encode().unwrap());
+    let mut calls = JoinSet::new();
+    for (head, rest) in NONSENSE {
+        let addr = nonsense(head.to_owned(), rest.to_owned()).await;
+        let service = Some(desk.clone());
+        fixture.platform.set_vms(vec![
+            vm(0, fixture.engine.addr()),
+            Vm { service, role: VmRole::Service, ..vm(1, addr) },
+        ]);
+        // Entries read the list every 100 ms; a call that meets the service before is refused with a type as well.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let client = Client::new(fixture.addr(), 20_000).with_bearer_key(KEY);
+        calls.spawn(async move {
+            client.send(Method::POST, "/services/desk/orders").await.map(|reply| {
+                let code = reply.json::<Value>().unwrap_or_default()["error"]["code"].clone();
+                (reply.status.as_u16(), code.is_string())
+            })
+        });
+    }
+    for outcome in timeout(WAIT, calls.join_all()).await.unwrap() {
+        // An answer of the service is passed on, so its own status 500 has no code.
+        let (status, has_code) = outcome.unwrap();
+        assert!(has_code || status == 200 || status == 500, "{status}");
+    }
+    ask(fixture.addr()).await;
+    fixture.close().await;
+}
