--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod engine_deaths;
 mod entry_deaths;
+mod everything;
 mod frontier;
 mod journal_copies;
 mod membership;
@@ -32,6 +33,7 @@
     ("drain", "no work for leaving upstreams, and no request cut off by a shutdown"),
     ("engine-deaths", "answers stay whole while engines die"),
     ("entry-deaths", "answers stay whole while entries die, sometimes together with engines"),
+    ("everything", "all faults at once under the load of both deployments"),
     ("frontier", "resume latency against extra engine work, with baselines"),
     ("journal-copies", "delay and cost of journal copies for each token"),
     ("membership", "cost of the membership, detection of a lost daemon, false suspicions"),
@@ -60,6 +62,7 @@
         "drain" => drain::run(program, options).await,
         "engine-deaths" => engine_deaths::run(program, options).await,
         "entry-deaths" => entry_deaths::run(program, options).await,
+        "everything" => everything::run(program, options).await,
         "frontier" => frontier::run(program, options).await,
         "journal-copies" => journal_copies::run(program, options).await,
         "membership" => membership::run(program, options).await,
