Close orders beside the servers at shutdown, and check the sender's key in tests

Cause: the end of the orders came before the failing of readiness and could delay it by the time of a round.

Ruled out: ending the orders after the servers, which would keep the lease while the last streams are finished.

Conclusion: readiness fails at once on SIGTERM.

--- a/crates/bench/tests/orders.rs
+++ b/crates/bench/tests/orders.rs
@@ -26,13 +26,13 @@
 
 async fn cluster(fencing: &str) -> Cluster {
     let orders = "lease_ms = 3000\ninterval_ms = 200\nload_interval_ms = 50\n\
-                  order_timeout_ms = 500\nmax_loads = 1";
+                  order_timeout_ms = 500\nmax_loads = 1\nsender_key = \"sender\"";
     let layout = Layout {
         engines_per_domain: 1,
         token_gap_ms: 20,
         orders: Some(orders.to_owned()),
         has_weight_store: true,
-        engine_args: vec!["--fencing".to_owned(), fencing.to_owned()],
+        engine_args: ["--fencing", fencing, "--order-key", "sender"].map(str::to_owned).to_vec(),
         ..Layout::default()
     };
     Cluster::start(&program(), layout).await.unwrap()
@@ -153,6 +153,7 @@
     assert!(all_have(&cluster, "v2").await.is_some());
     for counters in cluster.engine_counters().await.unwrap() {
         assert_eq!(counters.stale_orders, 0);
+        assert_eq!(counters.unauthenticated_orders, 0);
     }
 }
 
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -66,13 +66,19 @@
             _ = terminate.recv() => {}
         }
         log::info!("entry: shutdown begins");
-        if let Some(orders) = orders {
-            orders_link::close(orders).await;
-        }
-        if let Some(admin) = admin {
-            admin.close().await;
-        }
-        entry.close().await;
+        let close_orders = async {
+            if let Some(orders) = orders {
+                orders_link::close(orders).await;
+            }
+        };
+        let close_servers = async {
+            if let Some(admin) = admin {
+                admin.close().await;
+            }
+            entry.close().await;
+        };
+        // An order that is under way must not delay the failing of readiness.
+        tokio::join!(close_orders, close_servers);
         Ok(())
     })
 }
