--- a/crates/entry/src/load_actor.rs
+++ b/crates/entry/src/load_actor.rs
@@ -7,14 +7,14 @@
 /// Shortest time between two polls of load: 20 a second, whatever the number of engines, are about 6 KB/s.
 const POLL_INTERVAL_MS: u64 = 50;
 
-/// Longest time between two polls of load. In a large fleet heartbeats take most of the 13 KB/s for control, and many
-/// daemons poll the same engine.
-const MAX_POLL_INTERVAL_MS: u64 = 200;
-
-/// Entries for each of which the time between two polls grows by the shortest one.
+/// Entries for each of which the time between two polls grows by the shortest one. In a large fleet heartbeats take most
+/// of the 13 KB/s for control, and many daemons poll the same engine.
 const ENTRIES_PER_STEP: u64 = 25;
 
-/// Bytes a second for cache events.
+/// Largest multiple of the shortest time between two polls.
+const MAX_STEPS: u64 = 4;
+
+/// Bytes a second for cache events in a small fleet; in a large one less, as polls of load.
 const CACHE_EVENT_BYTES_PER_S: u64 = 2_000;
 
 /// Actor that polls engines.
@@ -71,13 +71,14 @@
             }
             LoadMessage::PollCacheEvents => {
                 let poll = state.upstreams.next_cache_poll();
+                let bytes_per_s = CACHE_EVENT_BYTES_PER_S / steps(state.admission.entry_count());
                 tokio::spawn(async move {
                     let bytes = match poll {
                         Some(poll) => poll.read_cache_events().await,
                         None => 0,
                     };
                     count(bytes);
-                    let pause_ms = (bytes * 1_000 / CACHE_EVENT_BYTES_PER_S).max(200);
+                    let pause_ms = (bytes * 1_000 / bytes_per_s).max(200);
                     let pause = Duration::from_millis(pause_ms);
                     drop(myself.send_after(pause, || LoadMessage::PollCacheEvents));
                 });
@@ -89,8 +90,12 @@
 
 /// Time between two polls of load in a fleet of `entries`.
 fn poll_interval(entries: usize) -> Duration {
-    let steps = 1 + entries as u64 / ENTRIES_PER_STEP;
-    Duration::from_millis((POLL_INTERVAL_MS * steps).min(MAX_POLL_INTERVAL_MS))
+    Duration::from_millis(POLL_INTERVAL_MS * steps(entries))
+}
+
+/// How much rarer polls are in a fleet of `entries`.
+fn steps(entries: usize) -> u64 {
+    (1 + entries as u64 / ENTRIES_PER_STEP).min(MAX_STEPS)
 }
 
 fn count(bytes: u64) {
--- a/crates/fleet/tests/plans.rs
+++ b/crates/fleet/tests/plans.rs
@@ -3,7 +3,7 @@
 use base::{KeyHash, ModelName, OperatorName, PlanId, ServiceName, VersionName};
 use fleet::{
     DOCUMENT_SIZE_BYTES, Document, IntentError, Plan, PlanContext, PlanError, PlannedIntent,
-    RECENT_PLANS, Succession, join, parse_intent,
+    Preset, RECENT_PLANS, Succession, join, parse_intent,
 };
 
 fn plan_at(
@@ -196,3 +196,20 @@
     assert_eq!(document.recent_plans.len(), RECENT_PLANS);
     assert!(present.may_become(100, &document));
 }
+
+/// Guards against example documents that no longer match the code, or lack the recovery preset of their deployment.
+#[test]
+fn the_example_documents_are_valid() {
+    for (text, service, preset) in [
+        (include_str!("../../../examples/alba/fleet.json"), "composer", Preset::Latency),
+        (
+            include_str!("../../../examples/is-sudvestur/fleet.json"),
+            "draft-models",
+            Preset::Economy,
+        ),
+    ] {
+        let document = Document::decode(text).unwrap();
+        let service = document.service(&ServiceName::try_from(service).unwrap()).unwrap();
+        assert_eq!(service.preset, preset);
+    }
+}
--- a/crates/limit/src/digest.rs
+++ b/crates/limit/src/digest.rs
@@ -1,7 +1,8 @@
 //! Usage of client accounts as daemons tell it to each other.
 
-/// Accounts in one digest at most: a heartbeat carries 256 bytes for it.
-pub(crate) const ACCOUNTS: usize = 30;
+/// Accounts in one digest at most. With twelve digests a second sent and received, 176 bytes each leave the other control
+/// messages their part of 13 KB/s.
+pub(crate) const ACCOUNTS: usize = 20;
 
 /// Bytes of the sender and the sequence number.
 const HEADER_BYTES: usize = 16;
@@ -9,7 +10,7 @@
 /// Bytes of each account.
 const ACCOUNT_BYTES: usize = 8;
 
-/// Demand of the most recently used accounts at one entry: 16 bytes, and 8 bytes for each of at most 30 accounts.
+/// Demand of the most recently used accounts at one entry: 16 bytes, and 8 bytes for each of at most 20 accounts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UsageDigest {
     /// Hash of the sender's identifier.
@@ -22,7 +23,7 @@
 }
 
 impl UsageDigest {
-    /// Encodes the digest in at most 256 bytes, integers in big-endian order.
+    /// Encodes the digest in at most 176 bytes, integers in big-endian order.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(HEADER_BYTES + ACCOUNT_BYTES * self.demands.len());
         bytes.extend(self.entry.to_be_bytes());
