--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -11,7 +11,8 @@
 pub struct Call<S> {
     repeat: Repeat,
     retries_left: u32,
-    was_sent: bool,
+    /// Sends whose outcome is not known.
+    open_sends: u32,
     state: S,
 }
 
@@ -27,12 +28,12 @@
 impl Call<Unsent> {
     /// A new call that may be retried `retries_left` times where that is safe.
     pub fn new(repeat: Repeat, retries_left: u32) -> Self {
-        Self { repeat, retries_left, was_sent: false, state: Unsent }
+        Self { repeat, retries_left, open_sends: 0, state: Unsent }
     }
 
     /// Marks the call as sent. This must precede the first write to a connection.
     pub fn send(self) -> Call<Sent> {
-        Call { was_sent: true, ..self.into_state(Sent) }
+        Call { open_sends: self.open_sends + 1, ..self.into_state(Sent) }
     }
 
     /// Charges a retry at another upstream after this one could not be reached.
@@ -53,7 +54,7 @@
     ///
     /// The unknown outcome, if an earlier attempt of an idempotent call was sent.
     pub fn close(self) -> Result<NotRun, Call<Unknown>> {
-        if self.was_sent {
+        if self.open_sends > 0 {
             return Err(self.into_state(Unknown));
         }
         Ok(NotRun::new())
@@ -66,6 +67,11 @@
         self.into_state(Answered)
     }
 
+    /// The upstream has proved that it did not run the call and never will.
+    pub fn refused(self) -> Call<Unsent> {
+        Call { open_sends: self.open_sends.saturating_sub(1), ..self.into_state(Unsent) }
+    }
+
     /// The connection failed, or no valid answer came in time.
     pub fn lost(self) -> Lost {
         match (self.repeat, self.retries_left.checked_sub(1)) {
@@ -83,13 +89,18 @@
         self.repeat
     }
 
+    /// Whether the call may be sent again if that is safe.
+    pub fn has_retries(&self) -> bool {
+        self.retries_left > 0
+    }
+
     /// State of the call.
     pub fn state(&self) -> &S {
         &self.state
     }
 
     fn into_state<T>(self, state: T) -> Call<T> {
-        let Self { repeat, retries_left, was_sent, state: _ } = self;
-        Call { repeat, retries_left, was_sent, state }
+        let Self { repeat, retries_left, open_sends, state: _ } = self;
+        Call { repeat, retries_left, open_sends, state }
     }
 }
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -137,7 +137,8 @@
             let generate = || async {
                 let response = handler.whole(job, permit).await.map_err(RunError::Unknown)?;
                 let (parts, body) = response.into_parts();
-                let Ok(body) = body.collect().await;
+                let body =
+                    body.collect().await.map_err(|_| RunError::Unknown(ApiError::Internal))?;
                 Ok(Response::from_parts(parts, body.to_bytes()))
             };
             call.run(&handler.shared, generate).await
--- a/crates/geraniumroad/src/cli.rs
+++ b/crates/geraniumroad/src/cli.rs
@@ -1,6 +1,8 @@
 //! Command line of the daemon.
 
+use crate::run_error::RunError;
 use argh::FromArgs;
+use platform::SETTINGS_VARIABLE;
 use std::path::PathBuf;
 
 /// Serving system for long generations on engines that fail.
@@ -20,6 +22,7 @@
     Check(CheckOptions),
     Dev(DevOptions),
     Run(RunOptions),
+    Serve(ServeOptions),
 }
 
 /// Check a settings file and report every mistake with its key, its line and what is allowed.
@@ -54,3 +57,24 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Serve callers on the users' platform, with the settings file that the platform writes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct ServeOptions {
+    /// settings file in JSON; by default the one that GERANIUMROAD_NODE_FILE names
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+}
+
+impl ServeOptions {
+    /// Path of the settings file.
+    ///
+    /// # Errors
+    ///
+    /// `NoSettings` if neither the option nor the variable names a file.
+    pub fn settings_path(&self) -> Result<PathBuf, RunError> {
+        let from_variable = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+        self.settings.clone().or_else(from_variable).ok_or(RunError::NoSettings)
+    }
+}
--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -10,14 +10,15 @@
 mod admin_view;
 mod cli;
 mod dev;
-
+mod line_log;
 mod logging;
 mod orders_link;
 mod run;
 mod run_error;
+mod serve;
 
 pub use crate::{
-    cli::{CheckOptions, Cli, Command, DevOptions, RunOptions},
+    cli::{CheckOptions, Cli, Command, DevOptions, RunOptions, ServeOptions},
     run_error::RunError,
 };
 
@@ -31,5 +32,6 @@
         Command::Check(options) => run::check(&options.settings),
         Command::Dev(options) => dev::dev(options),
         Command::Run(options) => run::run(&options.settings),
+        Command::Serve(options) => serve::serve(&options.settings_path()?),
     }
 }
--- a/crates/geraniumroad/src/run_error.rs
+++ b/crates/geraniumroad/src/run_error.rs
@@ -56,6 +56,16 @@
         Metrics {
             display("the metrics recorder could not be installed")
         }
+        /// No settings file is named.
+        NoSettings {
+            display("a settings file is needed: --settings or GERANIUMROAD_NODE_FILE")
+        }
+        /// The settings file of the platform is not valid.
+        PlatformSettings(cause: platform::FormatError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
         /// The run of `dev --once` broke its promise.
         NotWhole(answers: usize, whole: usize, deaths: usize) {
             display("{whole} of {answers} answers are whole after {deaths} deaths")
--- /dev/null
+++ b/crates/geraniumroad/src/serve.rs
@@ -0,0 +1,127 @@
+//! Command `serve`: a daemon on the users' platform.
+
+use crate::{line_log, run_error::RunError};
+use ingress::{Core, CoreOptions, Gateway, ReadyProbe, follow_config, follow_instances};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use platform::{
+    CONFIG_KEY, RUNNERS_PREFIX, Settings, Store, decode_config, decode_runner, wire_names,
+};
+use recovery::Policy;
+use std::{
+    hash::{BuildHasher, RandomState},
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+use web::{Handler, ResponseBody, Server, ServerLimits};
+
+/// Time after SIGTERM in which connections still come, because the balancer has not seen yet that the daemon leaves.
+const ACCEPT_AFTER_STOP_MS: u64 = 3_000;
+
+/// Time before SIGKILL at which the requests that are still in flight are cut off.
+const CUT_MARGIN_MS: u64 = 300;
+
+/// Longest wait for the head of a request, also on an idle connection. Callers use a connection again that was idle for
+/// up to four fifths of the platform's usual limit of 15 s.
+const HEADER_WAIT_MS: u64 = 15_000;
+
+/// Largest head of a request.
+const HEADERS_SIZE_BYTES: usize = 32 * 1024;
+
+/// Serves callers until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// The settings are not valid, or a server cannot start.
+pub fn serve(path: &Path) -> Result<(), RunError> {
+    let settings = Settings::read(path)?;
+    line_log::install(&settings.vm_name)?;
+    let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run(settings, path, metrics))
+}
+
+async fn run(settings: Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
+    let core = Arc::new(Core::new(wire_names(), options(&settings)));
+    let limits = ServerLimits {
+        header_wait_ms: HEADER_WAIT_MS,
+        headers_size_bytes: HEADERS_SIZE_BYTES,
+        accept_after_stop_ms: ACCEPT_AFTER_STOP_MS,
+        cut_after_stop_ms: Some(settings.grace_ms.saturating_sub(CUT_MARGIN_MS)),
+    };
+    let entry = Server::with_limits(settings.entry_addr, limits).await?;
+    let ready = Server::bind(settings.ready_addr).await?;
+    let metrics_server = Server::bind(settings.metrics_addr).await?;
+    let (stop, stopped) = watch::channel(false);
+    let config = Store::new(settings.store_addr);
+    let runners = Store::new(settings.store_addr);
+    tokio::spawn(follow_config(Arc::clone(&core), config, CONFIG_KEY, decode_config));
+    tokio::spawn(follow_instances(Arc::clone(&core), runners, RUNNERS_PREFIX, decode_runner));
+    tokio::spawn(ready.run(Arc::new(ReadyProbe::new(Arc::clone(&core))), stopped_never()));
+    tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), stopped_never()));
+    log::info!(
+        "daemon: start vm={} domain={} entry={} store={}",
+        settings.vm_name,
+        settings.domain,
+        settings.entry_addr,
+        settings.store_addr
+    );
+    let gateway = Arc::new(Gateway::new(Arc::clone(&core)));
+    let serving = entry.run(gateway, stopped);
+    tokio::pin!(serving);
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = interrupt.recv() => break,
+            _ = terminate.recv() => break,
+            _ = reload.recv() => match Settings::read(path) {
+                Ok(_) => log::info!("daemon: reload; addresses stay until the next start"),
+                Err(err) => log::warn!("daemon: reload failed, the settings stay: {err}"),
+            },
+            () = serving.as_mut() => return Ok(()),
+        }
+    }
+    log::info!("daemon: stop begins");
+    core.stop();
+    stop.send_replace(true);
+    serving.await;
+    log::info!("daemon: stop ends");
+    line_log::close(Duration::from_millis(100));
+    Ok(())
+}
+
+fn options(settings: &Settings) -> CoreOptions {
+    CoreOptions {
+        domain: settings.domain.clone(),
+        retry_ratio: settings.retry_ratio,
+        stream_policy: Policy::EVENTS,
+        seed: RandomState::new().hash_one(&settings.vm_name),
+    }
+}
+
+/// A stop that never comes: its server ends with the process.
+fn stopped_never() -> watch::Receiver<bool> {
+    let (sender, receiver) = watch::channel(false);
+    // The receiver would take the end of its sender for a stop.
+    std::mem::forget(sender);
+    receiver
+}
+
+/// Page of metrics in the text format of Prometheus.
+struct MetricsPage(PrometheusHandle);
+
+impl Handler for MetricsPage {
+    async fn handle(
+        self: Arc<Self>,
+        _request: hyper::Request<hyper::body::Incoming>,
+    ) -> hyper::Response<ResponseBody> {
+        hyper::Response::new(web::full(self.0.render()))
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/caller_error.rs
@@ -0,0 +1,124 @@
+//! Failures that the system reports to callers.
+
+use crate::names::WireNames;
+use hyper::{
+    Response,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use quick_error::quick_error;
+use web::{ResponseBody, StatusCode};
+
+quick_error! {
+    /// Why a caller gets no answer of an upstream.
+    ///
+    /// `Busy`, `NoConfig` and `BodyTimeout` promise that the request has not run and never will.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum CallerError {
+        /// This daemon has not seen a configuration.
+        NoConfig {
+            display("no configuration is known yet")
+        }
+        /// No route matches.
+        NoRoute {
+            display("no route matches")
+        }
+        /// The key is missing or unknown.
+        UnknownKey {
+            display("the key is missing or unknown")
+        }
+        /// A header is missing or malformed.
+        Header(name: &'static str) {
+            display("the header for the {name} is missing or malformed")
+        }
+        /// The body could not be read.
+        Body {
+            display("the body ended early")
+        }
+        /// The body did not arrive in time.
+        BodyTimeout {
+            display("the body did not arrive in time")
+        }
+        /// The body is larger than the limit.
+        TooLarge {
+            display("the body is larger than the limit")
+        }
+        /// The request has not run; it may be sent again after the given time.
+        Busy(retry_after_ms: u64) {
+            display("the request has not run, since no upstream can take it now")
+        }
+        /// The upstream may have run the request, and gave no valid answer.
+        Unknown {
+            display("the upstream gave no valid answer; the request may have run")
+        }
+        /// The upstream may have run the request, and gave no answer in time.
+        TimedOut {
+            display("no answer came in time; the request may have run")
+        }
+    }
+}
+
+/// Wait that a caller is told if the daemon does not know its configuration.
+const NO_CONFIG_RETRY_MS: u64 = 250;
+
+impl CallerError {
+    /// HTTP status.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfig | Self::Busy(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::Header(_) | Self::Body => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Name in error bodies, logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_config",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::Header(_) => "bad_header",
+            Self::Body => "bad_body",
+            Self::BodyTimeout => "body_timeout",
+            Self::TooLarge => "body_too_large",
+            Self::Busy(_) => "not_run",
+            Self::Unknown => "outcome_unknown",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// The response to the caller. `request_id` is the identifier that the caller sent.
+    pub fn response(
+        self,
+        names: &WireNames,
+        request_id: Option<&HeaderValue>,
+    ) -> Response<ResponseBody> {
+        let body = format!(
+            r#"{{"error":{{"message":"{self}","type":"{}","code":"{}"}}}}"#,
+            self.status().as_str(),
+            self.code()
+        );
+        let mut response = Response::new(web::full(body));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(id) = request_id {
+            headers.insert(names.request_id.clone(), id.clone());
+        }
+        let retry_after_ms = match self {
+            Self::Busy(retry_after_ms) => Some(retry_after_ms),
+            Self::NoConfig => Some(NO_CONFIG_RETRY_MS),
+            _ => None,
+        };
+        if let Some(ms) = retry_after_ms
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", ms as f64 / 1_000.0))
+        {
+            headers.insert(RETRY_AFTER, value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/config.rs
@@ -0,0 +1,61 @@
+//! Configuration in force.
+
+use crate::route_table::RouteTable;
+use base::{AccountName, HashMap, ServiceName};
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Version; it only grows.
+    pub version: u64,
+    /// Routes.
+    pub routes: RouteTable,
+    /// Services by name.
+    pub services: HashMap<ServiceName, ServiceRules>,
+    /// Limits for callers.
+    pub limits: ClientLimits,
+    /// Client accounts by key; none if requests need no key.
+    pub tenants: Option<HashMap<Box<str>, Tenant>>,
+}
+
+/// What is known of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceRules {
+    /// Connections that one upstream accepts from all callers.
+    pub max_connections: Option<u32>,
+    /// Rules of the model engines; none for a plain service.
+    pub engine: Option<EngineRules>,
+}
+
+/// Properties of a service's model engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineRules {
+    /// Tokens that an engine's memory holds.
+    pub memory_tokens: u64,
+    /// Whether an engine copies the memory of a run to another engine while it grows.
+    pub copies_memory: bool,
+}
+
+/// Limits for callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClientLimits {
+    /// Largest body of a request.
+    pub max_body_bytes: usize,
+    /// Longest time that a caller may take for the head of a request.
+    pub header_timeout_ms: u64,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self { max_body_bytes: 1024 * 1024, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
+    }
+}
+
+/// Client account of a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Tenant {
+    /// Name that the upstream is told.
+    pub name: AccountName,
+}
--- /dev/null
+++ b/crates/ingress/src/core.rs
@@ -0,0 +1,215 @@
+//! State that all requests of a daemon share.
+
+use crate::{
+    budget::Budget, candidates::Placement, config::Config, instance::Instance, names::WireNames,
+    registry::Registry, zone_losses::ZoneLosses,
+};
+use base::{Clock, DomainName, HashMap, ServiceName};
+use rand::{SeedableRng, rngs::SmallRng};
+use recovery::{Policy, Sample, Timing, TimingTracker};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+use tokio::sync::watch;
+
+/// What the settings and the platform's bounds decide.
+#[derive(Clone, Debug)]
+pub struct CoreOptions {
+    /// Failure domain of this daemon.
+    pub domain: DomainName,
+    /// Repeats that the fleet may send for each request of a service.
+    pub retry_ratio: f64,
+    /// When a stream is taken over by another engine.
+    pub stream_policy: Policy,
+    /// Seed of the choices.
+    pub seed: u64,
+}
+
+/// State that all requests of a daemon share.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) clock: Clock,
+    pub(crate) names: WireNames,
+    pub(crate) options: CoreOptions,
+    config: Mutex<Option<Arc<Config>>>,
+    registry: Mutex<Registry>,
+    has_instances: AtomicBool,
+    is_stopping: AtomicBool,
+    budgets: Mutex<HashMap<ServiceName, Budget>>,
+    trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
+    losses: Mutex<ZoneLosses>,
+    losses_changed: watch::Sender<()>,
+    rng: Mutex<SmallRng>,
+}
+
+impl Core {
+    /// State of a daemon that knows neither configuration nor instances.
+    pub fn new(names: WireNames, options: CoreOptions) -> Self {
+        Self {
+            clock: Clock::start(),
+            names,
+            rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
+            options,
+            config: Mutex::default(),
+            registry: Mutex::default(),
+            has_instances: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            budgets: Mutex::default(),
+            trackers: Mutex::default(),
+            losses: Mutex::default(),
+            losses_changed: watch::Sender::new(()),
+        }
+    }
+
+    /// Configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        lock(&self.config).clone()
+    }
+
+    /// Puts a configuration in force unless it is older than the one in force.
+    pub fn install(&self, config: Config) {
+        let mut current = lock(&self.config);
+        let before = current.as_ref().map_or(0, |config| config.version);
+        if current.is_some() && config.version <= before {
+            log::info!("config: version={} is not newer than version={before}", config.version);
+            return;
+        }
+        log::info!(
+            "config: version={} in force, before={before} routes={} services={}",
+            config.version,
+            config.routes.len(),
+            config.services.len()
+        );
+        metrics::gauge!("config_version").set(config.version as f64);
+        *current = Some(Arc::new(config));
+    }
+
+    /// Changes the instances.
+    pub fn with_registry<T>(&self, change: impl FnOnce(&mut Registry, u64) -> T) -> T {
+        change(&mut lock(&self.registry), self.clock.now_ms())
+    }
+
+    /// The list of instances was read whole once.
+    pub fn instances_listed(&self) {
+        self.has_instances.store(true, Ordering::Relaxed);
+    }
+
+    /// No new connection should come here any more.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the daemon shuts down.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.has_instances.load(Ordering::Relaxed)
+            && lock(&self.config).is_some()
+    }
+
+    /// Chooses an instance of a service.
+    pub(crate) fn place(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+    ) -> Option<Arc<Instance>> {
+        let now_ms = self.clock.now_ms();
+        let mut registry = lock(&self.registry);
+        if registry.expires_ms().is_some_and(|at_ms| at_ms <= now_ms) {
+            registry.expire(now_ms);
+        }
+        let losses = lock(&self.losses);
+        let domain = &self.options.domain;
+        let mut rng = lock(&self.rng);
+        placement.choose(registry.of_service(service), domain, &losses, now_ms, &mut *rng)
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn deposit(&self, service: &ServiceName) {
+        self.with_budget(service, Budget::deposit);
+    }
+
+    /// Whether the budget of a service allows one send more.
+    pub(crate) fn withdraw(&self, service: &ServiceName) -> bool {
+        let is_allowed = self.with_budget(service, Budget::withdraw);
+        if !is_allowed {
+            metrics::counter!("retry_budget_exhausted_total").increment(1);
+        }
+        is_allowed
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, change: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            return change(budget);
+        }
+        let budget = Budget::new(self.options.retry_ratio);
+        change(budgets.entry(service.clone()).or_insert(budget))
+    }
+
+    /// Usual times of a service's streams.
+    pub(crate) fn timing(&self, service: &ServiceName) -> Timing {
+        lock(&self.trackers).get(service).map_or_else(Timing::default, TimingTracker::timing)
+    }
+
+    /// Learns from a stream's event.
+    pub(crate) fn observe(&self, service: &ServiceName, sample: Sample) {
+        let mut trackers = lock(&self.trackers);
+        let tracker = match trackers.get_mut(service) {
+            Some(tracker) => tracker,
+            None => trackers.entry(service.clone()).or_default(),
+        };
+        match sample {
+            Sample::Gap(gap_ms) => tracker.observe_gap(gap_ms),
+            Sample::FirstToken(wait_ms) => tracker.observe_first_token(wait_ms),
+        }
+    }
+
+    /// Takes over that an attempt was lost through the instance's fault.
+    pub(crate) fn lost(&self, instance: &Instance) {
+        let now_ms = self.clock.now_ms();
+        instance.failed(now_ms);
+        let mut losses = lock(&self.losses);
+        let had_failed = losses.has_failed(&instance.entry.domain, now_ms);
+        losses.add(&instance.entry.domain, &instance.entry.id, now_ms);
+        let has_failed = losses.has_failed(&instance.entry.domain, now_ms);
+        drop(losses);
+        if has_failed && !had_failed {
+            log::info!("instances: domain={} seems to have failed", instance.entry.domain);
+            self.losses_changed.send_replace(());
+        }
+    }
+
+    /// Whether many instances of a failure domain were lost a short while ago.
+    pub(crate) fn has_failed(&self, domain: &DomainName) -> bool {
+        lock(&self.losses).has_failed(domain, self.clock.now_ms())
+    }
+
+    /// Signals that a failure domain seems to have failed.
+    pub(crate) fn losses_changed(&self) -> watch::Receiver<()> {
+        self.losses_changed.subscribe()
+    }
+
+    /// Draws from `low_ms` to `high_ms`.
+    pub(crate) fn jitter_ms(&self, low_ms: u64, high_ms: u64) -> u64 {
+        use rand::RngExt;
+        lock(&self.rng).random_range(low_ms..=high_ms.max(low_ms))
+    }
+
+    /// Draws the service of a request.
+    pub(crate) fn pick_service<'a>(
+        &self,
+        route: &'a crate::route_table::Route,
+    ) -> Option<&'a ServiceName> {
+        route.pick_service(&mut *lock(&self.rng))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/ingress/src/gateway.rs
@@ -0,0 +1,168 @@
+//! Serves callers.
+
+use crate::{
+    caller_error::CallerError,
+    config::{Config, Tenant},
+    core::Core,
+    inbound::{Inbound, InboundHead},
+    route_kind::RouteKind,
+    route_table::Route,
+    short_call,
+    stream_relay::{Begun, StreamRelay},
+};
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    HeaderMap, Request, Response,
+    body::{Frame, Incoming},
+    header::{CONNECTION, HOST, HeaderValue},
+};
+use std::{sync::Arc, time::Duration};
+use web::{Handler, ReadBodyError, ResponseBody, StatusCode, read_body};
+
+/// Longest wait for the body of a request.
+const BODY_WAIT_MS: u64 = 10_000;
+
+/// Serves callers: routes a request, and hands it to the part that carries its kind.
+#[derive(Debug)]
+pub struct Gateway {
+    core: Arc<Core>,
+}
+
+impl Gateway {
+    /// Gateway on the state of a daemon.
+    pub fn new(core: Arc<Core>) -> Self {
+        Self { core }
+    }
+
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, CallerError> {
+        let arrived_ms = self.core.clock.now_ms();
+        let config = self.core.config().ok_or(CallerError::NoConfig)?;
+        let route = route_of(&config, &request)?;
+        let tenant = self.tenant(&config, route, request.headers())?;
+        let service = self.core.pick_service(route).ok_or(CallerError::NoRoute)?;
+        let head = InboundHead { names: &self.core.names, route, service, tenant, arrived_ms };
+        let (parts, body) = request.into_parts();
+        let body = tokio::time::timeout(
+            Duration::from_millis(BODY_WAIT_MS.min(route.timeout_ms)),
+            read_body(body, config.limits.max_body_bytes),
+        );
+        let body = match body.await {
+            Ok(Ok(body)) => body,
+            Ok(Err(ReadBodyError::TooLarge(_))) => return Err(CallerError::TooLarge),
+            Ok(Err(ReadBodyError::Transport(_))) => return Err(CallerError::Body),
+            Err(_) => return Err(CallerError::BodyTimeout),
+        };
+        let inbound = head.with_body(parts.method, parts.uri, &parts.headers, body)?;
+        match inbound.kind {
+            RouteKind::Idempotent | RouteKind::NonIdempotent => self.serve_call(&inbound).await,
+            RouteKind::Streaming { .. } => self.serve_stream(inbound).await,
+        }
+    }
+
+    async fn serve_call(&self, inbound: &Inbound) -> Result<Response<ResponseBody>, CallerError> {
+        let outcome = short_call::serve(&self.core, inbound).await;
+        let status = outcome.as_ref().map_or_else(|err| err.status(), Response::status);
+        let took_ms = self.core.clock.now_ms() - inbound.arrived_ms;
+        metrics::histogram!("call_duration_ms").record(took_ms as f64);
+        if !status.is_success() || took_ms > inbound.target_latency_ms {
+            log::info!(
+                "call: id={} route={} status={} outcome={} took_ms={took_ms}",
+                inbound.id_text(),
+                inbound.route,
+                status.as_u16(),
+                outcome.as_ref().map_or_else(|err| err.code(), |_| "answered"),
+            );
+        }
+        outcome
+    }
+
+    async fn serve_stream(&self, inbound: Inbound) -> Result<Response<ResponseBody>, CallerError> {
+        let mut relay = StreamRelay::new(Arc::clone(&self.core), Arc::new(inbound));
+        let headers = match relay.begin().await? {
+            Begun::Stream(headers) => headers,
+            Begun::Failure(answer) => return Ok(answer.into_response()),
+        };
+        let events = stream::unfold(Some(relay), |relay| async move {
+            let mut relay = relay?;
+            match relay.next_bytes().await? {
+                Ok(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Err(err) => Some((Err(err), None)),
+            }
+        });
+        let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+        *response.headers_mut() = headers;
+        Ok(response)
+    }
+
+    fn tenant<'a>(
+        &self,
+        config: &'a Config,
+        route: &Route,
+        headers: &HeaderMap,
+    ) -> Result<Option<&'a Tenant>, CallerError> {
+        let Some(tenants) = &config.tenants else { return Ok(None) };
+        let key = headers.get(&self.core.names.key).and_then(|value| value.to_str().ok());
+        match key.and_then(|key| tenants.get(key)) {
+            Some(tenant) => Ok(Some(tenant)),
+            None if route.allows_anonymous => Ok(None),
+            None => Err(CallerError::UnknownKey),
+        }
+    }
+}
+
+fn route_of<'a>(config: &'a Config, request: &Request<Incoming>) -> Result<&'a Route, CallerError> {
+    let stated = request.headers().get(HOST).and_then(|value| value.to_str().ok());
+    let host = request.uri().host().or(stated).ok_or(CallerError::NoRoute)?;
+    config.routes.find(host, request.uri().path()).ok_or(CallerError::NoRoute)
+}
+
+impl Handler for Gateway {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        let id = request.headers().get(&self.core.names.request_id).cloned();
+        let mut response = match self.serve(request).await {
+            Ok(response) => response,
+            Err(err) => {
+                let shown = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+                let version = self.core.config().map_or(0, |config| config.version);
+                log::info!(
+                    "request: id={shown} status={} outcome={} config={version}",
+                    err.status().as_u16(),
+                    err.code()
+                );
+                metrics::counter!("requests_failed_total", "outcome" => err.code()).increment(1);
+                err.response(&self.core.names, id.as_ref())
+            }
+        };
+        if self.core.is_stopping() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Tells the platform's balancer whether new connections should come here.
+#[derive(Debug)]
+pub struct ReadyProbe {
+    core: Arc<Core>,
+}
+
+impl ReadyProbe {
+    /// Probe on the state of a daemon.
+    pub fn new(core: Arc<Core>) -> Self {
+        Self { core }
+    }
+}
+
+impl Handler for ReadyProbe {
+    async fn handle(self: Arc<Self>, _request: Request<Incoming>) -> Response<ResponseBody> {
+        let mut response = Response::new(web::empty());
+        if !self.core.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/inbound.rs
@@ -0,0 +1,160 @@
+//! Request of a caller after routing.
+
+use crate::{
+    caller_error::CallerError, config::Tenant, names::WireNames, route_kind::RouteKind,
+    route_table::Route,
+};
+use base::ServiceName;
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{
+        CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+
+/// Headers that concern one connection only, and those that the framing of the new message replaces.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// One try of a caller, with what decides how it is served.
+#[derive(Debug)]
+pub(crate) struct Inbound {
+    /// Identifier of the try.
+    pub id: HeaderValue,
+    pub method: Method,
+    pub target: Uri,
+    /// Headers that every upstream gets.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub service: ServiceName,
+    pub route: Box<str>,
+    pub kind: RouteKind,
+    pub max_attempts: u32,
+    pub target_latency_ms: u64,
+    /// Start on the daemon's clock.
+    pub arrived_ms: u64,
+    /// When the caller or the route gives up, on the daemon's clock.
+    pub deadline_ms: u64,
+    /// Last event that the caller has.
+    pub last_event_id: Option<u64>,
+}
+
+impl Inbound {
+    /// Identifier as text.
+    pub fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+
+    /// Time that is left at `now_ms`.
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        self.deadline_ms.saturating_sub(now_ms)
+    }
+}
+
+/// Head of a request after routing; its body is still to be read.
+#[derive(Debug)]
+pub(crate) struct InboundHead<'a> {
+    pub names: &'a WireNames,
+    pub route: &'a Route,
+    pub service: &'a ServiceName,
+    pub tenant: Option<&'a Tenant>,
+    pub arrived_ms: u64,
+}
+
+impl InboundHead<'_> {
+    /// Joins the head with the body.
+    ///
+    /// # Errors
+    ///
+    /// `Header` if a header that decides how the request is served is missing or malformed.
+    pub fn with_body(
+        &self,
+        method: Method,
+        target: Uri,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Inbound, CallerError> {
+        let names = self.names;
+        let id = headers.get(&names.request_id).ok_or(CallerError::Header("request id"))?;
+        let caller_ms = number(headers, &names.time_left_ms, "time left")?;
+        let left_ms = caller_ms.unwrap_or(u64::MAX).min(self.route.timeout_ms);
+        Ok(Inbound {
+            id: id.clone(),
+            method,
+            target,
+            headers: self.forwarded(headers),
+            body,
+            service: self.service.clone(),
+            route: self.route.name.clone(),
+            kind: self.route.kind,
+            max_attempts: self.route.max_attempts.max(1),
+            target_latency_ms: self.route.target_latency_ms,
+            arrived_ms: self.arrived_ms,
+            deadline_ms: self.arrived_ms.saturating_add(left_ms),
+            last_event_id: number(headers, &names.last_event_id, "last event")?,
+        })
+    }
+
+    fn forwarded(&self, headers: &HeaderMap) -> HeaderMap {
+        let names = self.names;
+        let listed: Vec<String> = headers
+            .get_all(CONNECTION)
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .flat_map(|value| value.split(','))
+            .map(|name| name.trim().to_ascii_lowercase())
+            .collect();
+        let own = [
+            &names.account,
+            &names.copy_from,
+            &names.copy_to,
+            &names.expected_instance,
+            &names.expected_version,
+            &names.key,
+            &names.last_event_id,
+            &names.time_left_ms,
+        ];
+        let is_dropped = |name: &HeaderName| {
+            CONNECTION_HEADERS.contains(name)
+                || name.as_str() == "keep-alive"
+                || name.as_str() == "proxy-connection"
+                || own.contains(&name)
+                || names.reserved.contains(name)
+                || listed.iter().any(|listed| listed == name.as_str())
+        };
+        let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
+        for (name, value) in headers {
+            if !is_dropped(name) {
+                forwarded.append(name.clone(), value.clone());
+            }
+        }
+        if let Some(tenant) = self.tenant
+            && let Ok(value) = HeaderValue::from_str(tenant.name.as_str())
+        {
+            forwarded.insert(names.account.clone(), value);
+        }
+        forwarded
+    }
+}
+
+/// Whole number of a header.
+fn number(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    what: &'static str,
+) -> Result<Option<u64>, CallerError> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| CallerError::Header(what))?;
+    text.trim().parse().map(Some).map_err(|_| CallerError::Header(what))
+}
--- /dev/null
+++ b/crates/ingress/src/lease.rs
@@ -0,0 +1,29 @@
+//! Place of a request at an instance.
+
+use crate::instance::Instance;
+use std::{ops::Deref, sync::Arc};
+
+/// Counts a request as in flight at an instance until it is closed or dropped.
+#[derive(Debug)]
+pub(crate) struct InstanceLease(Arc<Instance>);
+
+impl InstanceLease {
+    pub fn new(instance: Arc<Instance>) -> Self {
+        instance.enter();
+        Self(instance)
+    }
+}
+
+impl Deref for InstanceLease {
+    type Target = Instance;
+
+    fn deref(&self) -> &Instance {
+        &self.0
+    }
+}
+
+impl Drop for InstanceLease {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,54 @@
+//! Serves requests by routes: choice of upstreams, attempts, recovery of streams and repeat rules.
+//!
+//! The names of headers come from outside, so that the crate does not depend on one platform's dialect.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod answer;
+mod attempt_error;
+mod budget;
+mod caller_error;
+mod candidates;
+mod config;
+mod connections;
+mod core;
+mod event;
+mod event_splitter;
+mod exchange;
+mod follow;
+mod gateway;
+mod held_answer;
+mod inbound;
+mod instance;
+mod instance_entry;
+mod lease;
+mod names;
+mod registry;
+mod route_kind;
+mod route_table;
+mod short_call;
+mod stream_relay;
+mod zone_losses;
+
+pub use crate::{
+    budget::Budget,
+    caller_error::CallerError,
+    config::{ClientLimits, Config, EngineRules, ServiceRules, Tenant},
+    core::{Core, CoreOptions},
+    event::Event,
+    event_splitter::{EventSplitter, SplitError},
+    follow::{follow_config, follow_instances},
+    gateway::{Gateway, ReadyProbe},
+    instance::Instance,
+    instance_entry::{InstanceEntry, InstanceId},
+    names::WireNames,
+    registry::Registry,
+    route_kind::RouteKind,
+    route_table::{Route, RouteTable},
+    zone_losses::ZoneLosses,
+};
--- /dev/null
+++ b/crates/ingress/src/names.rs
@@ -0,0 +1,36 @@
+//! Names of headers in the dialect of a face.
+
+use hyper::header::HeaderName;
+
+/// Names of the headers that the system reads or sets.
+#[derive(Clone, Debug)]
+pub struct WireNames {
+    /// Identifier of one try of a caller; upstreams echo it.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender will still wait.
+    pub time_left_ms: HeaderName,
+    /// Key of a client account.
+    pub key: HeaderName,
+    /// Client account, told to upstreams.
+    pub account: HeaderName,
+    /// Identifier of the last event that was received.
+    pub last_event_id: HeaderName,
+    /// Instance that a request is meant for.
+    pub expected_instance: HeaderName,
+    /// Instance that answered.
+    pub instance: HeaderName,
+    /// Present if the upstream did not run the request.
+    pub not_run: HeaderName,
+    /// Proof of the upstream that made the answer.
+    pub stamp: HeaderName,
+    /// Version of the weights that made the answer.
+    pub version: HeaderName,
+    /// Version of the weights that the request needs.
+    pub expected_version: HeaderName,
+    /// Engine that takes a copy of the run's memory as it grows.
+    pub copy_to: HeaderName,
+    /// Copy from which the run goes on.
+    pub copy_from: HeaderName,
+    /// Headers that only the system may set; a caller's are dropped.
+    pub reserved: Vec<HeaderName>,
+}
--- /dev/null
+++ b/crates/ingress/src/route_kind.rs
@@ -0,0 +1,27 @@
+//! What may be repeated on a route.
+
+use call::Repeat;
+
+/// Kind of the requests on a route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteKind {
+    /// Requests that may run more than once.
+    Idempotent,
+    /// Requests that run at most once.
+    NonIdempotent,
+    /// Requests that are answered by a stream of events.
+    Streaming {
+        /// Whether a stream may go on at another upstream after its last event.
+        is_resumable: bool,
+    },
+}
+
+impl RouteKind {
+    /// Whether a request of this kind may be sent to another upstream after it may have run.
+    pub fn repeat(self) -> Repeat {
+        match self {
+            Self::Idempotent | Self::Streaming { is_resumable: true } => Repeat::Idempotent,
+            Self::NonIdempotent | Self::Streaming { is_resumable: false } => Repeat::AtMostOnce,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/stream_relay.rs
@@ -0,0 +1,561 @@
+//! Relay of one stream of events: carries messages between its state machine, the engines and the caller.
+
+use crate::{
+    answer::passed_on, attempt_error::AttemptError, caller_error::CallerError,
+    candidates::Placement, core::Core, event::Event, event_splitter::EventSplitter,
+    exchange::Exchange, held_answer::HeldAnswer, inbound::Inbound, instance::Instance,
+    instance_entry::InstanceId, lease::InstanceLease,
+};
+use bytes::{Bytes, BytesMut};
+use call::Repeat;
+use futures::{FutureExt, future::BoxFuture};
+use hyper::{
+    HeaderMap,
+    header::{HeaderName, HeaderValue},
+};
+use recovery::{Action, AttemptId, Generation, Input, Journal, LossCause, VmSign};
+use std::{
+    future::poll_fn,
+    sync::Arc,
+    task::{Context, Poll},
+};
+use tokio::{sync::watch, time::Instant};
+use web::AbortedBody;
+
+/// Shortest and longest wait that a caller is told after a refusal. The range spreads the callers' return.
+const RETRY_AFTER_MS: (u64, u64) = (200, 900);
+
+/// Longest sleep of the relay. A deadline beyond it is looked at again.
+const MAX_SLEEP_MS: u64 = 60_000;
+
+/// How the answer to the caller begins.
+#[derive(Debug)]
+pub(crate) enum Begun {
+    /// The headers of a stream whose first event has arrived.
+    Stream(HeaderMap),
+    /// The engine's own failure.
+    Failure(HeldAnswer),
+}
+
+/// Why the relay ended without the end of the stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Failure {
+    /// The time is over.
+    Deadline,
+    /// No attempt is left, or none may be made.
+    Attempts,
+}
+
+/// Attempt at an engine.
+struct Attempt {
+    id: AttemptId,
+    instance: Arc<Instance>,
+    progress: Progress,
+}
+
+enum Progress {
+    Opening(BoxFuture<'static, Result<Opened, AttemptError>>),
+    Reading { exchange: Exchange, splitter: EventSplitter },
+}
+
+/// Answer of an engine after its head.
+enum Opened {
+    Stream(Exchange),
+    Failure(HeldAnswer),
+}
+
+/// What an attempt brought.
+enum Step {
+    Head,
+    Failure(HeldAnswer),
+    Event(Event),
+    End,
+    Failed(AttemptError),
+}
+
+/// Copy of the run's memory at another engine.
+#[derive(Debug)]
+struct MemoryCopy {
+    lease: InstanceLease,
+    instance: Arc<Instance>,
+}
+
+/// Carries one stream to its end.
+pub(crate) struct StreamRelay {
+    core: Arc<Core>,
+    inbound: Arc<Inbound>,
+    generation: Generation,
+    actions: Vec<Action>,
+    attempts: Vec<Attempt>,
+    excluded: Vec<InstanceId>,
+    /// Sends whose request may have run, or was refused by an engine.
+    sends: u32,
+    /// Sends whose request may have run.
+    open_sends: u32,
+    copy: Option<MemoryCopy>,
+    head: Option<HeaderMap>,
+    own_failure: Option<HeldAnswer>,
+    version: Option<HeaderValue>,
+    last_event_id: Option<u64>,
+    released: BytesMut,
+    events: u32,
+    losses: u32,
+    longest_pause_ms: u64,
+    last_release_ms: u64,
+    first_event_ms: Option<u64>,
+    losses_changed: watch::Receiver<()>,
+    is_done: bool,
+    failure: Option<Failure>,
+}
+
+impl StreamRelay {
+    /// Relay of a stream that has not begun.
+    pub fn new(core: Arc<Core>, inbound: Arc<Inbound>) -> Self {
+        core.deposit(&inbound.service);
+        let policy = core.options.stream_policy;
+        let losses_changed = core.losses_changed();
+        Self {
+            generation: Generation::new(policy, Journal::default()),
+            actions: Vec::new(),
+            attempts: Vec::new(),
+            excluded: Vec::new(),
+            sends: 0,
+            open_sends: 0,
+            copy: None,
+            head: None,
+            own_failure: None,
+            version: None,
+            last_event_id: inbound.last_event_id,
+            released: BytesMut::new(),
+            events: 0,
+            losses: 0,
+            longest_pause_ms: 0,
+            last_release_ms: inbound.arrived_ms,
+            first_event_ms: None,
+            losses_changed,
+            is_done: false,
+            failure: None,
+            core,
+            inbound,
+        }
+    }
+
+    /// Waits for the first event or the failure of all attempts.
+    ///
+    /// # Errors
+    ///
+    /// `Busy` only if the request has not run and never will.
+    pub async fn begin(&mut self) -> Result<Begun, CallerError> {
+        self.generation.start(self.core.clock.now_ms(), &mut self.actions);
+        self.perform();
+        while self.released.is_empty() && !self.is_done {
+            if let Some(failure) = self.failure {
+                let own_failure = self.own_failure.take();
+                return own_failure.map(Begun::Failure).ok_or_else(|| self.caller_error(failure));
+            }
+            self.wait().await;
+        }
+        self.head.take().map(Begun::Stream).ok_or(CallerError::Unknown)
+    }
+
+    /// Bytes of the next events; `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// `Aborted` if the stream cannot be finished.
+    pub async fn next_bytes(&mut self) -> Option<Result<Bytes, AbortedBody>> {
+        loop {
+            if !self.released.is_empty() {
+                return Some(Ok(self.released.split().freeze()));
+            }
+            if self.is_done {
+                return None;
+            }
+            if self.failure.is_some() {
+                return Some(Err(AbortedBody::Aborted));
+            }
+            self.wait().await;
+        }
+    }
+
+    fn caller_error(&self, failure: Failure) -> CallerError {
+        let may_have_run = self.open_sends > 0;
+        match failure {
+            _ if !may_have_run => {
+                CallerError::Busy(self.core.jitter_ms(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1))
+            }
+            Failure::Deadline => CallerError::TimedOut,
+            Failure::Attempts => CallerError::Unknown,
+        }
+    }
+
+    /// Waits for the next step of an attempt or for the next deadline.
+    async fn wait(&mut self) {
+        let clock = self.core.clock;
+        let now_ms = clock.now_ms();
+        let timing = self.core.timing(&self.inbound.service);
+        let tick_ms = self.generation.deadline_ms(timing).unwrap_or(u64::MAX);
+        let wake_ms = tick_ms.min(self.inbound.deadline_ms).min(now_ms + MAX_SLEEP_MS);
+        let attempts = &mut self.attempts;
+        let step = poll_fn(|cx| {
+            for (position, attempt) in attempts.iter_mut().enumerate() {
+                if let Poll::Ready(step) = attempt.poll_step(cx) {
+                    return Poll::Ready((position, step));
+                }
+            }
+            Poll::Pending
+        });
+        tokio::select! {
+            biased;
+            (position, step) = step => self.on_step(position, step),
+            () = tokio::time::sleep_until(Instant::from_std(clock.instant_at(wake_ms))) => {
+                self.on_tick();
+            }
+            Ok(()) = self.losses_changed.changed() => self.on_losses_changed(),
+        }
+    }
+
+    fn on_tick(&mut self) {
+        if self.core.clock.now_ms() >= self.inbound.deadline_ms {
+            self.fail(Failure::Deadline);
+            return;
+        }
+        self.input(Input::Tick);
+    }
+
+    fn on_losses_changed(&mut self) {
+        let listed: Vec<(AttemptId, Option<VmSign>)> = self
+            .attempts
+            .iter()
+            .map(|attempt| {
+                let has_failed = self.core.has_failed(&attempt.instance.entry.domain);
+                (attempt.id, has_failed.then_some(VmSign::Removed))
+            })
+            .collect();
+        for (attempt, sign) in listed {
+            self.input(Input::Listed { attempt, sign });
+        }
+    }
+
+    fn on_step(&mut self, position: usize, step: Step) {
+        let attempt = &self.attempts[position];
+        let id = attempt.id;
+        match step {
+            Step::Head => self.on_head(position),
+            Step::Failure(answer) => self.on_own_failure(position, answer),
+            Step::Event(event) => self.on_event(id, event),
+            Step::End => {
+                let token_count = self.generation.journal().len();
+                self.input(Input::Finished { attempt: id, token_count });
+                self.close_attempt(id);
+            }
+            Step::Failed(err) => self.on_failed(position, &err),
+        }
+    }
+
+    fn on_head(&mut self, position: usize) {
+        let Progress::Reading { exchange, .. } = &self.attempts[position].progress else { return };
+        if self.events == 0 {
+            self.head = Some(passed_on(&exchange.headers));
+            self.version = exchange.headers.get(&self.core.names.version).cloned();
+        }
+    }
+
+    /// An engine answered with a failure of its own. The caller gets it if no other attempt can be made.
+    fn on_own_failure(&mut self, position: usize, answer: HeldAnswer) {
+        let status = answer.status;
+        let is_final = !status.is_server_error() && self.events == 0;
+        self.own_failure = Some(answer);
+        if is_final {
+            self.fail(Failure::Attempts);
+            return;
+        }
+        self.on_failed(position, &AttemptError::Answered(status.as_u16()));
+    }
+
+    fn on_event(&mut self, id: AttemptId, event: Event) {
+        let index = self.generation.journal().len();
+        if let (Some(event_id), Some(last_id)) = (event.id, self.last_event_id)
+            && event_id != last_id + 1
+        {
+            log::warn!(
+                "stream: id={} attempt={id} event={event_id} after event={last_id}",
+                self.inbound.id_text()
+            );
+            self.cancel(id);
+            self.input(Input::Lost { attempt: id, cause: LossCause::Malformed });
+            return;
+        }
+        self.last_event_id = event.id.or(self.last_event_id);
+        let before = self.released.len();
+        self.released.extend_from_slice(&event.bytes);
+        self.input(Input::Token { attempt: id, index, token_id: 0, text: "" });
+        if self.generation.journal().len() == index {
+            self.released.truncate(before);
+            return;
+        }
+        if let Some(sample) = self.generation.take_sample() {
+            self.core.observe(&self.inbound.service, sample);
+        }
+        let now_ms = self.core.clock.now_ms();
+        if self.first_event_ms.is_some() {
+            let pause_ms = now_ms.saturating_sub(self.last_release_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        self.first_event_ms.get_or_insert(now_ms);
+        self.last_release_ms = now_ms;
+        self.events += 1;
+    }
+
+    fn on_failed(&mut self, position: usize, err: &AttemptError) {
+        let lost = self.attempts.swap_remove(position);
+        let instance = &lost.instance;
+        log::info!(
+            "attempt: id={} attempt={} instance={} domain={} failed: {err}; events={} silent_ms={}",
+            self.inbound.id_text(),
+            lost.id,
+            instance.entry.id,
+            instance.entry.domain,
+            self.events,
+            self.core.clock.now_ms().saturating_sub(self.last_release_ms),
+        );
+        match err {
+            AttemptError::NotSent(_) | AttemptError::Misdirected => {
+                self.sends = self.sends.saturating_sub(1);
+                self.open_sends = self.open_sends.saturating_sub(1);
+            }
+            AttemptError::Refused(_) => self.open_sends = self.open_sends.saturating_sub(1),
+            AttemptError::Answered(_) | AttemptError::Lost(_) => {}
+        }
+        if err.is_fault() {
+            self.core.lost(instance);
+        }
+        self.losses += 1;
+        self.input(Input::Lost { attempt: lost.id, cause: err.loss_cause() });
+    }
+
+    fn input(&mut self, input: Input<'_>) {
+        let timing = self.core.timing(&self.inbound.service);
+        self.generation.on(input, self.core.clock.now_ms(), timing, &mut self.actions);
+        self.perform();
+    }
+
+    fn perform(&mut self) {
+        while !self.actions.is_empty() {
+            for action in std::mem::take(&mut self.actions) {
+                match action {
+                    Action::Start { attempt, .. } => self.start(attempt),
+                    Action::Cancel { attempt } => self.cancel(attempt),
+                    Action::Release { .. } => {}
+                    Action::Finish => self.is_done = true,
+                    Action::Fail(cause) => {
+                        log::info!("stream: id={} failed: {cause}", self.inbound.id_text());
+                        self.fail(Failure::Attempts);
+                    }
+                }
+            }
+        }
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        self.failure.get_or_insert(failure);
+        self.attempts.clear();
+    }
+
+    /// Closes the connection of an attempt that the state machine suspects or no longer needs.
+    fn cancel(&mut self, id: AttemptId) {
+        let Some(position) = self.attempts.iter().position(|attempt| attempt.id == id) else {
+            return;
+        };
+        let attempt = self.attempts.swap_remove(position);
+        let silent_ms = self.core.clock.now_ms().saturating_sub(self.last_release_ms);
+        log::info!(
+            "attempt: id={} attempt={id} instance={} domain={} cancelled; events={} silent_ms={silent_ms}",
+            self.inbound.id_text(),
+            attempt.instance.entry.id,
+            attempt.instance.entry.domain,
+            self.events,
+        );
+        self.losses += 1;
+        self.core.lost(&attempt.instance);
+    }
+
+    /// Keeps the connection of an attempt that has brought its whole stream.
+    fn close_attempt(&mut self, id: AttemptId) {
+        let Some(position) = self.attempts.iter().position(|attempt| attempt.id == id) else {
+            return;
+        };
+        let attempt = self.attempts.swap_remove(position);
+        attempt.instance.succeeded(self.core.clock.now_ms());
+        if let Progress::Reading { exchange, .. } = attempt.progress {
+            exchange.close(&self.core);
+        }
+    }
+
+    fn start(&mut self, id: AttemptId) {
+        let is_first = self.sends == 0;
+        let may_repeat = self.inbound.kind.repeat() == Repeat::Idempotent || self.open_sends == 0;
+        if !may_repeat || self.sends >= self.inbound.max_attempts {
+            self.fail(Failure::Attempts);
+            return;
+        }
+        let Some((instance, copy_from)) = self.choose() else {
+            self.input(Input::NoUpstream { attempt: id });
+            return;
+        };
+        if !is_first && !self.core.withdraw(&self.inbound.service) {
+            log::info!("stream: id={} has no retry budget", self.inbound.id_text());
+            self.fail(Failure::Attempts);
+            return;
+        }
+        self.sends += 1;
+        self.open_sends += 1;
+        self.excluded.push(Arc::clone(&instance.entry.id));
+        let more = self.attempt_headers(&instance, copy_from);
+        log::info!(
+            "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={} copy_to={}",
+            self.inbound.id_text(),
+            instance.entry.id,
+            instance.entry.domain,
+            self.last_event_id,
+            copy_from,
+            self.copy.as_ref().map_or("-", |copy| &*copy.instance.entry.id),
+        );
+        let core = Arc::clone(&self.core);
+        let inbound = Arc::clone(&self.inbound);
+        let target = Arc::clone(&instance);
+        let opening = async move {
+            let exchange = Exchange::open(&core, &inbound, target, &more).await?;
+            if exchange.status.is_success() {
+                return Ok(Opened::Stream(exchange));
+            }
+            HeldAnswer::read(&core, exchange).await.map(Opened::Failure)
+        };
+        let opening = opening.boxed();
+        self.attempts.push(Attempt { id, instance, progress: Progress::Opening(opening) });
+        self.input(Input::Sent { attempt: id });
+    }
+
+    /// The engine for the next attempt: the one with a copy of the run's memory, if it can be used.
+    fn choose(&mut self) -> Option<(Arc<Instance>, bool)> {
+        if let Some(copy) = self.copy.take()
+            && copy.instance.is_open()
+            && !self.core.has_failed(&copy.instance.entry.domain)
+        {
+            drop(copy.lease);
+            return Some((copy.instance, true));
+        }
+        let placement = Placement { excluded: &self.excluded, other_than: None };
+        Some((self.core.place(&self.inbound.service, &placement)?, false))
+    }
+
+    fn attempt_headers(
+        &mut self,
+        instance: &Instance,
+        copy_from: bool,
+    ) -> Vec<(HeaderName, HeaderValue)> {
+        let names = &self.core.names;
+        let mut more = Vec::new();
+        if let Some(id) = self.last_event_id {
+            more.push((names.last_event_id.clone(), HeaderValue::from(id)));
+        }
+        if copy_from
+            && let Ok(value) = HeaderValue::from_str(&format!(
+                "{}/{}",
+                instance.entry.addr,
+                self.inbound.id_text()
+            ))
+        {
+            more.push((names.copy_from.clone(), value));
+        }
+        if self.events > 0
+            && let Some(version) = &self.version
+        {
+            more.push((names.expected_version.clone(), version.clone()));
+        }
+        self.copy = self.place_copy(instance);
+        if let Some(copy) = &self.copy
+            && let Ok(value) = HeaderValue::from_str(&copy.instance.entry.addr.to_string())
+        {
+            more.push((names.copy_to.clone(), value));
+        }
+        more
+    }
+
+    /// Chooses the engine that takes a copy of the run's memory: one of another failure domain, since the engines of a
+    /// failure domain tend to fail together.
+    fn place_copy(&self, instance: &Instance) -> Option<MemoryCopy> {
+        let config = self.core.config()?;
+        let engine = config.services.get(&self.inbound.service)?.engine?;
+        if !engine.copies_memory {
+            return None;
+        }
+        let placement =
+            Placement { excluded: &self.excluded, other_than: Some(&instance.entry.domain) };
+        let target = self.core.place(&self.inbound.service, &placement)?;
+        Some(MemoryCopy { lease: InstanceLease::new(Arc::clone(&target)), instance: target })
+    }
+}
+
+impl Attempt {
+    fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        loop {
+            match &mut self.progress {
+                Progress::Opening(opening) => match std::task::ready!(opening.poll_unpin(cx)) {
+                    Ok(Opened::Stream(exchange)) => {
+                        self.progress =
+                            Progress::Reading { exchange, splitter: EventSplitter::default() };
+                        return Poll::Ready(Step::Head);
+                    }
+                    Ok(Opened::Failure(answer)) => return Poll::Ready(Step::Failure(answer)),
+                    Err(err) => return Poll::Ready(Step::Failed(err)),
+                },
+                Progress::Reading { exchange, splitter } => {
+                    match splitter.next_event() {
+                        Ok(Some(event)) => return Poll::Ready(Step::Event(event)),
+                        Ok(None) => {}
+                        Err(_) => return Poll::Ready(failed(LossCause::Malformed)),
+                    }
+                    match std::task::ready!(exchange.poll_data(cx)) {
+                        Some(Ok(data)) => splitter.push(&data),
+                        Some(Err(err)) => return Poll::Ready(Step::Failed(err)),
+                        None if splitter.has_partial() => {
+                            return Poll::Ready(failed(LossCause::Closed));
+                        }
+                        None => return Poll::Ready(Step::End),
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn failed(cause: LossCause) -> Step {
+    Step::Failed(AttemptError::Lost(cause))
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        let outcome = match (self.is_done, self.failure) {
+            (true, _) => "whole",
+            (false, Some(Failure::Deadline)) => "deadline",
+            (false, Some(Failure::Attempts)) => "attempts",
+            (false, None) => "caller_gone",
+        };
+        let now_ms = self.core.clock.now_ms();
+        let first_ms = self.first_event_ms.map(|at_ms| at_ms - self.inbound.arrived_ms);
+        log::info!(
+            "stream: id={} route={} outcome={outcome} events={} sends={} losses={} first_ms={} \
+             longest_pause_ms={} total_ms={}",
+            self.inbound.id_text(),
+            self.inbound.route,
+            self.events,
+            self.sends,
+            self.losses,
+            first_ms.map_or(-1, |ms| ms as i64),
+            self.longest_pause_ms,
+            now_ms.saturating_sub(self.inbound.arrived_ms),
+        );
+        metrics::counter!("streams_total", "outcome" => outcome).increment(1);
+    }
+}
--- /dev/null
+++ b/crates/plat/src/follow.rs
@@ -0,0 +1,76 @@
+//! Follows the items of a key-value service through its outages.
+
+use crate::source::{Change, Source, SourceError};
+use base::Clock;
+use std::time::Duration;
+
+/// Wait of one watch. A connection that went silent is noticed after it, so it is shorter than the time in which a
+/// leaving upstream must get no more work.
+const WATCH_WAIT_MS: u64 = 1_500;
+
+/// Pause after a failed call; doubled for each further one.
+const PAUSE_MS: u64 = 50;
+
+/// Longest pause after a failed call.
+const MAX_PAUSE_MS: u64 = 400;
+
+/// Pause between two watches, so that changes that come close together take one call.
+const BATCH_MS: u64 = 100;
+
+/// Takes over what was read.
+pub trait Follower {
+    /// All items.
+    fn listed(&mut self, items: Vec<Change>);
+
+    /// Changes since the last call.
+    fn changed(&mut self, changes: Vec<Change>);
+
+    /// The service does not answer; called once for each outage.
+    fn lost(&mut self, err: &SourceError);
+
+    /// The service answered; `away_ms` is the length of an outage that ends with the answer.
+    fn answered(&mut self, away_ms: Option<u64>);
+}
+
+/// Reads the items below `prefix`, and then their changes. It ends only with its future.
+pub async fn follow(mut source: impl Source, prefix: &str, mut follower: impl Follower) {
+    let clock = Clock::start();
+    let mut revision = None;
+    let mut failures = 0_u32;
+    let mut lost_at_ms = None;
+    loop {
+        let outcome = match revision {
+            None => source.list(prefix).await,
+            Some(revision) => source.watch(prefix, revision, WATCH_WAIT_MS).await,
+        };
+        match outcome {
+            Ok(read) => {
+                let away_ms = lost_at_ms.take().map(|at_ms| clock.now_ms().saturating_sub(at_ms));
+                failures = 0;
+                follower.answered(away_ms);
+                let is_quiet = read.changes.is_empty();
+                match revision {
+                    None => follower.listed(read.changes),
+                    Some(_) => follower.changed(read.changes),
+                }
+                revision = Some(read.revision.max(revision.unwrap_or(0)));
+                if !is_quiet {
+                    tokio::time::sleep(Duration::from_millis(BATCH_MS)).await;
+                }
+            }
+            Err(SourceError::Compacted) => {
+                log::info!("plat: the history of {prefix} is gone; all items are read again");
+                revision = None;
+            }
+            Err(err) => {
+                if lost_at_ms.is_none() {
+                    lost_at_ms = Some(clock.now_ms());
+                    follower.lost(&err);
+                }
+                let pause_ms = (PAUSE_MS << failures.min(8)).min(MAX_PAUSE_MS);
+                failures += 1;
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -7,13 +7,20 @@
     future_incompatible
 )]
 
+mod follow;
 mod kv;
 mod platform;
 mod platform_error;
 mod resolved;
+mod source;
 mod write_resolved;
 
 pub use crate::{
-    kv::Kv, platform::Platform, platform_error::PlatformError, resolved::Resolved,
+    follow::{Follower, follow},
+    kv::Kv,
+    platform::Platform,
+    platform_error::PlatformError,
+    resolved::Resolved,
+    source::{Change, Changes, Source, SourceError},
     write_resolved::write_resolved,
 };
--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -69,6 +69,22 @@
         no_upstream_limit_ms: 10_000,
     };
 
+    /// Preset for streams whose events hold several tokens, and whose prompt is long. A second attempt beside a suspected
+    /// one would be a second run of the same request.
+    pub const EVENTS: Self = Self {
+        silence_floor_ms: 450,
+        silence_factor: 2.0,
+        silence_cap_ms: 1_200,
+        first_token_floor_ms: 1_500,
+        first_token_factor: 2.0,
+        first_token_wait_ms: 4_000,
+        keeps_suspect: false,
+        restart: RestartMode::Continue,
+        max_fruitless_attempts: 12,
+        no_upstream_pause_ms: 50,
+        no_upstream_limit_ms: 10_000,
+    };
+
     /// Baseline: resume after a fixed timeout, whatever the usual times are.
     pub const FIXED_TIMEOUT: Self = Self {
         silence_floor_ms: 2_000,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -18,7 +18,19 @@
 use tokio::sync::mpsc;
 
 /// Body of every response that a server here sends.
-pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type ResponseBody = UnsyncBoxBody<Bytes, AbortedBody>;
+
+quick_error! {
+    /// A response that was begun cannot be finished. The server closes the connection, so that the caller does not take
+    /// the response for a whole one.
+    #[derive(Clone, Copy, Debug)]
+    pub enum AbortedBody {
+        /// The rest of the response is not available.
+        Aborted {
+            display("the response cannot be finished")
+        }
+    }
+}
 
 quick_error! {
     /// Why a body could not be read.
@@ -51,12 +63,12 @@
 
 impl Body for ChannelBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = AbortedBody;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
         self.receiver.poll_recv(cx).map(|chunk| chunk.map(|data| Ok(Frame::data(data))))
     }
 
@@ -67,7 +79,7 @@
 
 /// Body with the given content.
 pub fn full(content: impl Into<Bytes>) -> ResponseBody {
-    Full::new(content.into()).boxed_unsync()
+    Full::new(content.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
 /// Body without content.
--- a/crates/web/src/client_error.rs
+++ b/crates/web/src/client_error.rs
@@ -11,6 +11,11 @@
             display("no connection: {cause}")
             source(cause)
         }
+        /// The connection was closed before the request was written, so nothing was sent.
+        Unsent(cause: hyper::Error) {
+            display("the connection was closed before the request was sent: {cause}")
+            source(cause)
+        }
         /// The connection failed after the request may have been sent.
         Transport(cause: hyper::Error) {
             display("the connection failed: {cause}")
--- /dev/null
+++ b/crates/web/src/connection.rs
@@ -0,0 +1,75 @@
+//! Client connection that carries one request at a time.
+
+use crate::{client_error::ClientError, keep_alive::keep_alive};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, task::AbortHandle};
+
+/// Size of the read buffer. Many connections are open at a time, and answers come in small pieces.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+
+/// HTTP/1.1 connection to a server. It never sends a request twice, and dropping it closes it at once.
+#[derive(Debug)]
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Connection {
+    /// Connects to `addr` within `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// `Connect` if no connection could be opened.
+    pub async fn open(addr: SocketAddr, wait_ms: u64) -> Result<Self, ClientError> {
+        let connect = TcpStream::connect(addr);
+        let stream = match tokio::time::timeout(Duration::from_millis(wait_ms), connect).await {
+            Ok(stream) => stream.map_err(ClientError::Connect)?,
+            Err(_) => return Err(ClientError::Connect(std::io::ErrorKind::TimedOut.into())),
+        };
+        let _ = stream.set_nodelay(true);
+        keep_alive(&stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(ClientError::Transport)?;
+        let driver = tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("web: a connection to {addr} ended: {err}");
+            }
+        });
+        Ok(Self { sender, driver: driver.abort_handle() })
+    }
+
+    /// Whether the last exchange has ended and the server has kept the connection open.
+    pub fn is_idle(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and returns the answer's head; its body is read from the connection.
+    ///
+    /// # Errors
+    ///
+    /// `Unsent` if nothing was written; `Transport`, after which the request may have reached the server.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientError> {
+        self.sender.try_send_request(request).await.map_err(|mut failed| {
+            match failed.take_message() {
+                Some(_) => ClientError::Unsent(failed.into_error()),
+                None => ClientError::Transport(failed.into_error()),
+            }
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,15 +10,19 @@
 mod body;
 mod client;
 mod client_error;
+mod connection;
 mod keep_alive;
 mod server;
+mod server_limits;
 
 pub use hyper::{Method, StatusCode};
 
 pub use crate::{
-    body::{ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
+    body::{AbortedBody, ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
     client::{Client, Reply},
     client_error::ClientError,
+    connection::Connection,
     keep_alive::keep_alive,
     server::{Handler, Server},
+    server_limits::ServerLimits,
 };
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server with graceful shutdown.
 
-use crate::{body::ResponseBody, keep_alive::keep_alive};
+use crate::{body::ResponseBody, keep_alive::keep_alive, server_limits::ServerLimits};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
@@ -13,12 +13,6 @@
     task::JoinSet,
 };
 
-/// Longest wait for the headers of a request.
-const HEADER_WAIT_MS: u64 = 30_000;
-
-/// Largest size of all headers of a request.
-const HEADERS_SIZE_BYTES: usize = 64 * 1024;
-
 /// Pause after a failed `accept`, so that a lack of file descriptors does not become a busy loop.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
@@ -35,6 +29,7 @@
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
+    limits: ServerLimits,
 }
 
 impl Server {
@@ -44,7 +39,16 @@
     ///
     /// The error of `bind`.
     pub async fn bind(addr: SocketAddr) -> IoResult<Self> {
-        Ok(Self { listener: TcpListener::bind(addr).await? })
+        Self::with_limits(addr, ServerLimits::default()).await
+    }
+
+    /// Binds to an address with other limits than the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// The error of `bind`.
+    pub async fn with_limits(addr: SocketAddr, limits: ServerLimits) -> IoResult<Self> {
+        Ok(Self { listener: TcpListener::bind(addr).await?, limits })
     }
 
     /// The address that the server listens on.
@@ -56,35 +60,59 @@
         self.listener.local_addr()
     }
 
-    /// Serves until `stop` becomes true. Then it accepts no more connections and returns when every request in
-    /// flight has been answered.
+    /// Serves until `stop` becomes true. Then it accepts no more connections, unless the limits give them some time,
+    /// and returns when every request in flight has been answered or cut off.
     pub async fn run<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
         let mut connections = JoinSet::new();
+        let limits = self.limits;
         let connection_stop = stop.clone();
+        let accept = |connections: &mut JoinSet<()>, stream| {
+            connections.spawn(serve(stream, Arc::clone(&handler), limits, connection_stop.clone()));
+        };
+        let last_accept = async {
+            stopped(&mut stop).await;
+            tokio::time::sleep(Duration::from_millis(limits.accept_after_stop_ms)).await;
+        };
+        tokio::pin!(last_accept);
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) => {
-                        connections.spawn(serve(stream, Arc::clone(&handler), connection_stop.clone()));
+                    Ok((stream, _)) => accept(&mut connections, stream),
+                    Err(err) => {
+                        log::warn!("web: a connection was not accepted: {err}");
+                        tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
                     }
-                    Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await,
                 },
                 Some(_) = connections.join_next() => {}
-                () = stopped(&mut stop) => break,
+                () = last_accept.as_mut() => break,
             }
         }
         // Connections that the kernel has accepted already would be reset with the listener.
         while let Ok(Ok((stream, _))) =
             tokio::time::timeout(Duration::ZERO, self.listener.accept()).await
         {
-            connections.spawn(serve(stream, Arc::clone(&handler), connection_stop.clone()));
+            accept(&mut connections, stream);
         }
         drop(self.listener);
-        while connections.join_next().await.is_some() {}
+        let finish = async { while connections.join_next().await.is_some() {} };
+        match limits.cut_after_stop_ms {
+            Some(cut_ms) => {
+                let left_ms = cut_ms.saturating_sub(limits.accept_after_stop_ms);
+                if tokio::time::timeout(Duration::from_millis(left_ms), finish).await.is_err() {
+                    log::warn!("web: requests in flight are cut off {cut_ms} ms after the stop");
+                }
+            }
+            None => finish.await,
+        }
     }
 }
 
-async fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
+async fn serve<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    limits: ServerLimits,
+    mut stop: watch::Receiver<bool>,
+) {
     // Tokens are small writes that must not wait for an acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
     keep_alive(&stream);
@@ -92,15 +120,18 @@
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
+    // A connection that comes after the stop gets one answer.
+    let is_last = *stop.borrow();
     let connection = http1::Builder::new()
+        .keep_alive(!is_last)
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(HEADER_WAIT_MS))
-        .max_buf_size(HEADERS_SIZE_BYTES)
+        .header_read_timeout(Duration::from_millis(limits.header_wait_ms))
+        .max_buf_size(limits.headers_size_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stopped(&mut stop) => connection.as_mut().graceful_shutdown(),
+        () = stopped(&mut stop), if !is_last => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
--- /dev/null
+++ b/crates/web/src/server_limits.rs
@@ -0,0 +1,25 @@
+//! Limits of a server.
+
+/// What a server takes from callers, and for how long it waits for them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerLimits {
+    /// Longest wait for the headers of the next request on a connection.
+    pub header_wait_ms: u64,
+    /// Largest size of all headers of a request.
+    pub headers_size_bytes: usize,
+    /// Time after a stop in which new connections are still accepted.
+    pub accept_after_stop_ms: u64,
+    /// Time after a stop at which requests in flight are cut off; none to wait for all of them.
+    pub cut_after_stop_ms: Option<u64>,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            header_wait_ms: 30_000,
+            headers_size_bytes: 64 * 1024,
+            accept_after_stop_ms: 0,
+            cut_after_stop_ms: None,
+        }
+    }
+}
