Keep the fleet's budget of repeats, and ask only engines that can have a copy

Budget: each daemon started with a balance of 10 repeats and saved up to 40, so 59 daemons could spend 590 at once where the slack allows 150. Now a daemon spends what its own requests of the window allow and a 370th of the slack.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -100,7 +100,7 @@
 fn options(settings: &Settings) -> CoreOptions {
     CoreOptions {
         domain: settings.domain.clone(),
-        retry_ratio: settings.retry_ratio,
+        budget: settings.budget,
         stream_policy: Policy::EVENTS,
         seed: RandomState::new().hash_one(&settings.vm_name),
     }
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -1,40 +1,80 @@
 //! Budget of second and later sends to a service.
 
-/// Sends that can be saved up while all requests succeed.
-const MAX_BALANCE: f64 = 40.0;
+use std::collections::VecDeque;
 
-/// Sends that a daemon may make before it has seen requests: its part of the fleet's slack.
-const FIRST_BALANCE: f64 = 10.0;
+/// Parts of the window. Whole parts leave the window at a time.
+const PARTS: u64 = 20;
 
-/// Share of the allowed ratio that a daemon spends, since other daemons' windows may lie differently.
-const SPENT_SHARE: f64 = 0.8;
+/// Share of the allowed ratio that a daemon spends. The rest covers requests that leave the window a part too late.
+const SPENT_SHARE: f64 = 0.95;
+
+/// Daemons that share the slack of the fleet: the size that the system is designed for.
+const SHARING_DAEMONS: f64 = 370.0;
+
+/// Bounds of the repeats that the whole fleet may send to a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetRules {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats in a window that are allowed besides.
+    pub slack: f64,
+    /// Length of the window, which may begin at any moment.
+    pub window_ms: u64,
+}
 
 /// Budget of repeats for one service at one daemon.
 ///
-/// Each daemon spends only what its own requests earn, so the fleet keeps the ratio without a message.
-#[derive(Clone, Copy, Debug)]
+/// Each daemon spends only what its own requests of the window allow and its part of the slack, so the fleet keeps its
+/// bounds without a message.
+#[derive(Clone, Debug)]
 pub struct Budget {
-    ratio: f64,
-    balance: f64,
+    rules: BudgetRules,
+    parts: VecDeque<Part>,
+}
+
+/// Counts of one part of the window.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    number: u64,
+    requests: u32,
+    repeats: u32,
 }
 
 impl Budget {
-    /// A budget of `ratio` repeats for each request.
-    pub fn new(ratio: f64) -> Self {
-        Self { ratio: ratio * SPENT_SHARE, balance: FIRST_BALANCE }
+    /// A budget that has seen no request.
+    pub fn new(rules: BudgetRules) -> Self {
+        Self { rules, parts: VecDeque::new() }
     }
 
     /// Counts a request of a caller.
-    pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.ratio).min(MAX_BALANCE);
+    pub fn deposit(&mut self, now_ms: u64) {
+        self.part(now_ms).requests += 1;
     }
 
     /// Takes a repeat from the budget; whether there was one.
-    pub fn withdraw(&mut self) -> bool {
-        if self.balance < 1.0 {
+    pub fn withdraw(&mut self, now_ms: u64) -> bool {
+        self.part(now_ms);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
+        let allowed = f64::from(requests) * self.rules.ratio * SPENT_SHARE
+            + self.rules.slack / SHARING_DAEMONS;
+        if f64::from(repeats + 1) > allowed {
             return false;
         }
-        self.balance -= 1.0;
+        self.part(now_ms).repeats += 1;
         true
     }
+
+    /// The part of `now_ms`; parts that have left the window are dropped.
+    fn part(&mut self, now_ms: u64) -> &mut Part {
+        let number = now_ms / (self.rules.window_ms / PARTS).max(1);
+        while self.parts.front().is_some_and(|part| part.number + PARTS < number) {
+            self.parts.pop_front();
+        }
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(Part { number, requests: 0, repeats: 0 });
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
 }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -1,8 +1,13 @@
 //! State that all requests of a daemon share.
 
 use crate::{
-    budget::Budget, candidates::Placement, config::Config, instance::Instance, names::WireNames,
-    registry::Registry, zone_losses::ZoneLosses,
+    budget::{Budget, BudgetRules},
+    candidates::Placement,
+    config::Config,
+    instance::Instance,
+    names::WireNames,
+    registry::Registry,
+    zone_losses::ZoneLosses,
 };
 use base::{Clock, DomainName, HashMap, ServiceName};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -18,8 +23,8 @@
 pub struct CoreOptions {
     /// Failure domain of this daemon.
     pub domain: DomainName,
-    /// Repeats that the fleet may send for each request of a service.
-    pub retry_ratio: f64,
+    /// Repeats that the fleet may send to a service.
+    pub budget: BudgetRules,
     /// When a stream is taken over by another engine.
     pub stream_policy: Policy,
     /// Seed of the choices.
@@ -131,12 +136,14 @@
 
     /// Counts a request for a service.
     pub(crate) fn deposit(&self, service: &ServiceName) {
-        self.with_budget(service, Budget::deposit);
+        let now_ms = self.clock.now_ms();
+        self.with_budget(service, |budget| budget.deposit(now_ms));
     }
 
     /// Whether the budget of a service allows one send more.
     pub(crate) fn withdraw(&self, service: &ServiceName) -> bool {
-        let is_allowed = self.with_budget(service, Budget::withdraw);
+        let now_ms = self.clock.now_ms();
+        let is_allowed = self.with_budget(service, |budget| budget.withdraw(now_ms));
         if !is_allowed {
             metrics::counter!("retry_budget_exhausted_total").increment(1);
         }
@@ -148,7 +155,7 @@
         if let Some(budget) = budgets.get_mut(service) {
             return change(budget);
         }
-        let budget = Budget::new(self.options.retry_ratio);
+        let budget = Budget::new(self.options.budget);
         change(budgets.entry(service.clone()).or_insert(budget))
     }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -36,7 +36,7 @@
 mod zone_losses;
 
 pub use crate::{
-    budget::Budget,
+    budget::{Budget, BudgetRules},
     caller_error::CallerError,
     config::{ClientLimits, Config, EngineRules, ServiceRules, Tenant},
     core::{Core, CoreOptions},
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -25,6 +25,10 @@
 /// Shortest and longest wait that a caller is told after a refusal. The range spreads the callers' return.
 const RETRY_AFTER_MS: (u64, u64) = (200, 900);
 
+/// Time after which a run that brought no event is taken to have copied a part of its memory. Engines copy several times
+/// a second.
+const COPY_BEGINS_MS: u64 = 400;
+
 /// Longest sleep of the relay. A deadline beyond it is looked at again.
 const MAX_SLEEP_MS: u64 = 60_000;
 
@@ -73,11 +77,12 @@
     Failed(AttemptError),
 }
 
-/// Copy of the run's memory at another engine.
+/// Copy of the run's memory at another engine, from the time at which the run was sent.
 #[derive(Debug)]
 struct MemoryCopy {
     lease: InstanceLease,
     instance: Arc<Instance>,
+    since_ms: u64,
 }
 
 /// Carries one stream to its end.
@@ -327,10 +332,12 @@
             AttemptError::Refused(_) => self.open_sends = self.open_sends.saturating_sub(1),
             AttemptError::Answered(_) | AttemptError::Lost(_) => {}
         }
+        let has_run = matches!(err, AttemptError::Lost(_));
         if err.is_fault() {
             self.core.lost(instance);
         }
         self.losses += 1;
+        self.keep_copy_of_run(has_run);
         self.input(Input::Lost { attempt: lost.id, cause: err.loss_cause() });
     }
 
@@ -377,9 +384,24 @@
             self.events,
         );
         self.losses += 1;
+        self.keep_copy_of_run(true);
         self.core.lost(&attempt.instance);
     }
 
+    /// Forgets the copy that the last attempt was to make, unless its run can have made one: an engine without a copy
+    /// refuses to go on from it.
+    fn keep_copy_of_run(&mut self, has_run: bool) {
+        let now_ms = self.core.clock.now_ms();
+        let is_made = |copy: &MemoryCopy| {
+            has_run
+                && (self.last_release_ms > copy.since_ms
+                    || now_ms >= copy.since_ms + COPY_BEGINS_MS)
+        };
+        if !self.copy.as_ref().is_some_and(is_made) {
+            self.copy = None;
+        }
+    }
+
     /// Keeps the connection of an attempt that has brought its whole stream.
     fn close_attempt(&mut self, id: AttemptId) {
         let Some(position) = self.attempts.iter().position(|attempt| attempt.id == id) else {
@@ -493,7 +515,11 @@
         let placement =
             Placement { excluded: &self.excluded, other_than: Some(&instance.entry.domain) };
         let target = self.core.place(&self.inbound.service, &placement)?;
-        Some(MemoryCopy { lease: InstanceLease::new(Arc::clone(&target)), instance: target })
+        Some(MemoryCopy {
+            lease: InstanceLease::new(Arc::clone(&target)),
+            instance: target,
+            since_ms: self.core.clock.now_ms(),
+        })
     }
 }
 
