--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -25,10 +25,6 @@
 /// Shortest and longest wait that a caller is told after a refusal. The range spreads the callers' return.
 const RETRY_AFTER_MS: (u64, u64) = (200, 900);
 
-/// Time after which a run that brought no event is taken to have copied a part of its memory. Engines copy several times
-/// a second.
-const COPY_BEGINS_MS: u64 = 400;
-
 /// Longest sleep of the relay. A deadline beyond it is looked at again.
 const MAX_SLEEP_MS: u64 = 60_000;
 
@@ -391,12 +387,7 @@
     /// Forgets the copy that the last attempt was to make, unless its run can have made one: an engine without a copy
     /// refuses to go on from it.
     fn keep_copy_of_run(&mut self, has_run: bool) {
-        let now_ms = self.core.clock.now_ms();
-        let is_made = |copy: &MemoryCopy| {
-            has_run
-                && (self.last_release_ms > copy.since_ms
-                    || now_ms >= copy.since_ms + COPY_BEGINS_MS)
-        };
+        let is_made = |copy: &MemoryCopy| has_run && self.last_release_ms > copy.since_ms;
         if !self.copy.as_ref().is_some_and(is_made) {
             self.copy = None;
         }
