Follow the platform by one watch and share the slack of the retry budget

Cause of the calls: two watches a daemon, each answered for every heartbeat change within 100 ms. One watch over all keys, 500 ms between two answers, 3 s of waiting. Ruled out: calls of the list (one a start).

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -1,11 +1,10 @@
 //! Command `serve`: a daemon on the users' platform.
 
 use crate::{line_log, run_error::RunError};
-use ingress::{Core, CoreOptions, Gateway, ReadyProbe, follow_config, follow_instances};
+use ingress::{Core, CoreOptions, Decoders, Gateway, ReadyProbe, follow_platform};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use platform::{
-    CONFIG_KEY, RUNNERS_PREFIX, Settings, Store, decode_config, decode_runner, wire_names,
-};
+use plat::announce;
+use platform::{KEYS, Settings, Store, decode_config, decode_runner, wire_names};
 use recovery::Policy;
 use std::{
     hash::{BuildHasher, RandomState},
@@ -58,10 +57,12 @@
     let ready = Server::bind(settings.ready_addr).await?;
     let metrics_server = Server::bind(settings.metrics_addr).await?;
     let (stop, stopped) = watch::channel(false);
-    let config = Store::new(settings.store_addr);
-    let runners = Store::new(settings.store_addr);
-    tokio::spawn(follow_config(Arc::clone(&core), config, CONFIG_KEY, decode_config));
-    tokio::spawn(follow_instances(Arc::clone(&core), runners, RUNNERS_PREFIX, decode_runner));
+    let decoders = Decoders { config: decode_config, instance: decode_runner };
+    let store = Store::new(settings.store_addr);
+    tokio::spawn(follow_platform(Arc::clone(&core), store, KEYS, decoders));
+    let store = Store::new(settings.store_addr);
+    let key = format!("{}{}", KEYS.daemons, settings.vm_name);
+    tokio::spawn(async move { announce(store, &key, b"").await });
     tokio::spawn(ready.run(Arc::new(ReadyProbe::new(Arc::clone(&core))), stopped_never()));
     tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), stopped_never()));
     log::info!(
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -5,11 +5,8 @@
 /// Parts of the window. Whole parts leave the window at a time.
 const PARTS: u64 = 20;
 
-/// Share of the allowed ratio that a daemon spends. The rest covers requests that leave the window a part too late.
-const SPENT_SHARE: f64 = 0.95;
-
-/// Daemons that share the slack of the fleet: the size that the system is designed for.
-const SHARING_DAEMONS: f64 = 370.0;
+/// Share of the bounds that is spent. The rest covers requests that leave the window a part too late.
+const SPENT_SHARE: f64 = 0.9;
 
 /// Bounds of the repeats that the whole fleet may send to a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,7 +22,7 @@
 /// Budget of repeats for one service at one daemon.
 ///
 /// Each daemon spends only what its own requests of the window allow and its part of the slack, so the fleet keeps its
-/// bounds without a message.
+/// bounds without a message for each request.
 #[derive(Clone, Debug)]
 pub struct Budget {
     rules: BudgetRules,
@@ -51,13 +48,13 @@
         self.part(now_ms).requests += 1;
     }
 
-    /// Takes a repeat from the budget; whether there was one.
-    pub fn withdraw(&mut self, now_ms: u64) -> bool {
+    /// Takes a repeat from the budget; whether there was one. `daemons` share the slack.
+    pub fn withdraw(&mut self, daemons: usize, now_ms: u64) -> bool {
         self.part(now_ms);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
         let allowed = f64::from(requests) * self.rules.ratio * SPENT_SHARE
-            + self.rules.slack / SHARING_DAEMONS;
+            + self.rules.slack * SPENT_SHARE / daemons.max(1) as f64;
         if f64::from(repeats + 1) > allowed {
             return false;
         }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -4,6 +4,7 @@
     budget::{Budget, BudgetRules},
     candidates::Placement,
     config::Config,
+    fleet_size::FleetSize,
     instance::Instance,
     names::WireNames,
     registry::Registry,
@@ -41,6 +42,7 @@
     registry: Mutex<Registry>,
     has_instances: AtomicBool,
     is_stopping: AtomicBool,
+    fleet_size: Mutex<FleetSize>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<ZoneLosses>,
@@ -60,6 +62,7 @@
             registry: Mutex::default(),
             has_instances: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
+            fleet_size: Mutex::default(),
             budgets: Mutex::default(),
             trackers: Mutex::default(),
             losses: Mutex::default(),
@@ -100,6 +103,12 @@
         self.has_instances.store(true, Ordering::Relaxed);
     }
 
+    /// Takes over the number of daemons that the platform lists.
+    pub fn set_fleet_size(&self, daemons: usize) {
+        lock(&self.fleet_size).set(daemons, self.clock.now_ms());
+        metrics::gauge!("daemons_listed").set(daemons as f64);
+    }
+
     /// No new connection should come here any more.
     pub fn stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
@@ -143,7 +152,8 @@
     /// Whether the budget of a service allows one send more.
     pub(crate) fn withdraw(&self, service: &ServiceName) -> bool {
         let now_ms = self.clock.now_ms();
-        let is_allowed = self.with_budget(service, |budget| budget.withdraw(now_ms));
+        let daemons = lock(&self.fleet_size).get(now_ms);
+        let is_allowed = self.with_budget(service, |budget| budget.withdraw(daemons, now_ms));
         if !is_allowed {
             metrics::counter!("retry_budget_exhausted_total").increment(1);
         }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -20,6 +20,7 @@
 mod event;
 mod event_splitter;
 mod exchange;
+mod fleet_size;
 mod follow;
 mod gateway;
 mod held_answer;
@@ -42,7 +43,8 @@
     core::{Core, CoreOptions},
     event::Event,
     event_splitter::{EventSplitter, SplitError},
-    follow::{follow_config, follow_instances},
+    fleet_size::FleetSize,
+    follow::{Decoders, Keys, follow_platform},
     gateway::{Gateway, ReadyProbe},
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
--- a/crates/plat/src/follow.rs
+++ b/crates/plat/src/follow.rs
@@ -4,9 +4,9 @@
 use base::Clock;
 use std::time::Duration;
 
-/// Wait of one watch. A connection that went silent is noticed after it, so it is shorter than the time in which a
-/// leaving upstream must get no more work.
-const WATCH_WAIT_MS: u64 = 1_500;
+/// Wait of one watch. A watch on a connection that went silent is noticed only after it, and a leaving upstream must get
+/// no more work a few seconds later.
+const WATCH_WAIT_MS: u64 = 3_000;
 
 /// Pause after a failed call; doubled for each further one.
 const PAUSE_MS: u64 = 50;
@@ -14,8 +14,9 @@
 /// Longest pause after a failed call.
 const MAX_PAUSE_MS: u64 = 400;
 
-/// Pause between two watches, so that changes that come close together take one call.
-const BATCH_MS: u64 = 100;
+/// Pause between two watches, so that changes that come close together take one call. It is a quarter of the shortest
+/// time in which a leaving upstream must get no more work.
+const BATCH_MS: u64 = 500;
 
 /// Takes over what was read.
 pub trait Follower {
@@ -59,7 +60,7 @@
                 }
             }
             Err(SourceError::Compacted) => {
-                log::info!("plat: the history of {prefix} is gone; all items are read again");
+                log::info!("plat: the history is gone; all items are read again");
                 revision = None;
             }
             Err(err) => {
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -7,6 +7,7 @@
     future_incompatible
 )]
 
+mod announce;
 mod follow;
 mod kv;
 mod platform;
@@ -16,6 +17,7 @@
 mod write_resolved;
 
 pub use crate::{
+    announce::{Announcer, announce},
     follow::{Follower, follow},
     kv::Kv,
     platform::Platform,
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -1,6 +1,9 @@
 //! Client connection that carries one request at a time.
 
-use crate::{client_error::ClientError, keep_alive::keep_alive};
+use crate::{
+    client_error::ClientError,
+    keep_alive::{keep_alive, probe_often},
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
@@ -25,6 +28,24 @@
     ///
     /// `Connect` if no connection could be opened.
     pub async fn open(addr: SocketAddr, wait_ms: u64) -> Result<Self, ClientError> {
+        Self::with_keep_alive(addr, wait_ms, keep_alive).await
+    }
+
+    /// The same for a connection whose loss must show within about three seconds, while its answer is awaited for
+    /// longer.
+    ///
+    /// # Errors
+    ///
+    /// `Connect` if no connection could be opened.
+    pub async fn open_probed(addr: SocketAddr, wait_ms: u64) -> Result<Self, ClientError> {
+        Self::with_keep_alive(addr, wait_ms, probe_often).await
+    }
+
+    async fn with_keep_alive(
+        addr: SocketAddr,
+        wait_ms: u64,
+        keep_alive: fn(&TcpStream),
+    ) -> Result<Self, ClientError> {
         let connect = TcpStream::connect(addr);
         let stream = match tokio::time::timeout(Duration::from_millis(wait_ms), connect).await {
             Ok(stream) => stream.map_err(ClientError::Connect)?,
