Ask three engines for their load before each attempt

Ruled out: a longer avoidance of engines that failed, since a daemon has seen only the failures of its own streams.

--- /dev/null
+++ b/crates/ingress/src/engine_report.rs
@@ -0,0 +1,14 @@
+//! What an engine says of its load.
+
+/// Load of an engine some hundred milliseconds ago.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Requests in the batch and in the queue.
+    pub requests: u32,
+    /// Tokens in memory that cannot be evicted.
+    pub used_tokens: u64,
+    /// Tokens that the memory holds.
+    pub memory_tokens: u64,
+    /// Unix time of the engine's start; none if it does not say.
+    pub born_unix_ms: Option<u64>,
+}
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -55,11 +55,11 @@
         let is_kept = kept.is_some();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => connect(&instance).await?,
+            None => connect(&instance).await.map_err(AttemptError::NotSent)?,
         };
         let mut sent = connection.send(request(core, inbound, &instance, more)).await;
         if is_kept && matches!(sent, Err(ClientError::Unsent(_))) {
-            connection = connect(&instance).await?;
+            connection = connect(&instance).await.map_err(AttemptError::NotSent)?;
             sent = connection.send(request(core, inbound, &instance, more)).await;
         }
         let response = match sent {
@@ -126,9 +126,10 @@
     }
 }
 
-async fn connect(instance: &Instance) -> Result<Connection, AttemptError> {
+/// Opens a connection to an instance.
+pub(crate) async fn connect(instance: &Instance) -> Result<Connection, ClientError> {
     metrics::counter!("upstream_connections_opened_total").increment(1);
-    Connection::open(instance.entry.addr, CONNECT_WAIT_MS).await.map_err(AttemptError::NotSent)
+    Connection::open(instance.entry.addr, CONNECT_WAIT_MS).await
 }
 
 fn request(
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -17,6 +17,7 @@
 mod config;
 mod connections;
 mod core;
+mod engine_report;
 mod event;
 mod event_splitter;
 mod exchange;
@@ -29,6 +30,7 @@
 mod instance_entry;
 mod lease;
 mod names;
+mod probe;
 mod registry;
 mod route_kind;
 mod route_table;
@@ -41,6 +43,7 @@
     caller_error::CallerError,
     config::{ClientLimits, Config, EngineRules, ServiceRules, Tenant},
     core::{Core, CoreOptions},
+    engine_report::EngineReport,
     event::Event,
     event_splitter::{EventSplitter, SplitError},
     fleet_size::FleetSize,
--- a/crates/ingress/src/names.rs
+++ b/crates/ingress/src/names.rs
@@ -1,5 +1,6 @@
 //! Names of headers in the dialect of a face.
 
+use crate::engine_report::EngineReport;
 use hyper::header::HeaderName;
 
 /// Names of the headers that the system reads or sets.
@@ -33,4 +34,8 @@
     pub copy_from: HeaderName,
     /// Headers that only the system may set; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
+    /// Path of an engine's report.
+    pub report_path: &'static str,
+    /// Decodes an engine's report; `None` if it cannot be read.
+    pub decode_report: fn(&[u8]) -> Option<EngineReport>,
 }
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -4,7 +4,7 @@
     answer::passed_on, attempt_error::AttemptError, caller_error::CallerError,
     candidates::Placement, core::Core, event::Event, event_splitter::EventSplitter,
     exchange::Exchange, held_answer::HeldAnswer, inbound::Inbound, instance::Instance,
-    instance_entry::InstanceId, lease::InstanceLease,
+    instance_entry::InstanceId, lease::InstanceLease, probe::choose_probed,
 };
 use bytes::{Bytes, BytesMut};
 use call::Repeat;
@@ -25,6 +25,9 @@
 /// Shortest and longest wait that a caller is told after a refusal. The range spreads the callers' return.
 const RETRY_AFTER_MS: (u64, u64) = (200, 900);
 
+/// Engines that are asked for their load before one gets the request.
+const PROBED_ENGINES: usize = 3;
+
 /// Longest sleep of the relay. A deadline beyond it is looked at again.
 const MAX_SLEEP_MS: u64 = 60_000;
 
@@ -49,15 +52,24 @@
 /// Attempt at an engine.
 struct Attempt {
     id: AttemptId,
-    instance: Arc<Instance>,
+    /// The engine; none while one is being chosen.
+    instance: Option<Arc<Instance>>,
     progress: Progress,
 }
 
 enum Progress {
+    Choosing(BoxFuture<'static, Option<Chosen>>),
     Opening(BoxFuture<'static, Result<Opened, AttemptError>>),
     Reading { exchange: Exchange, splitter: EventSplitter },
 }
 
+/// Engine for an attempt.
+struct Chosen {
+    instance: Arc<Instance>,
+    /// Whether it has a copy of the run's memory.
+    has_copy: bool,
+}
+
 /// Answer of an engine after its head.
 enum Opened {
     Stream(Exchange),
@@ -66,6 +78,7 @@
 
 /// What an attempt brought.
 enum Step {
+    Chosen(Option<Chosen>),
     Head,
     Failure(HeldAnswer),
     Event(Event),
@@ -76,7 +89,7 @@
 /// Copy of the run's memory at another engine, from the time at which the run was sent.
 #[derive(Debug)]
 struct MemoryCopy {
-    lease: InstanceLease,
+    _lease: InstanceLease,
     instance: Arc<Instance>,
     since_ms: u64,
 }
@@ -229,7 +242,9 @@
             .attempts
             .iter()
             .map(|attempt| {
-                let has_failed = self.core.has_failed(&attempt.instance.entry.domain);
+                let instance = attempt.instance.as_ref();
+                let has_failed =
+                    instance.is_some_and(|instance| self.core.has_failed(&instance.entry.domain));
                 (attempt.id, has_failed.then_some(VmSign::Removed))
             })
             .collect();
@@ -242,6 +257,7 @@
         let attempt = &self.attempts[position];
         let id = attempt.id;
         match step {
+            Step::Chosen(chosen) => self.on_chosen(position, chosen),
             Step::Head => self.on_head(position),
             Step::Failure(answer) => self.on_own_failure(position, answer),
             Step::Event(event) => self.on_event(id, event),
@@ -310,7 +326,7 @@
 
     fn on_failed(&mut self, position: usize, err: &AttemptError) {
         let lost = self.attempts.swap_remove(position);
-        let instance = &lost.instance;
+        let Some(instance) = &lost.instance else { return };
         log::info!(
             "attempt: id={} attempt={} instance={} domain={} failed: {err}; events={} silent_ms={}",
             self.inbound.id_text(),
@@ -371,17 +387,18 @@
             return;
         };
         let attempt = self.attempts.swap_remove(position);
+        let Some(instance) = attempt.instance else { return };
         let silent_ms = self.core.clock.now_ms().saturating_sub(self.last_release_ms);
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} cancelled; events={} silent_ms={silent_ms}",
             self.inbound.id_text(),
-            attempt.instance.entry.id,
-            attempt.instance.entry.domain,
+            instance.entry.id,
+            instance.entry.domain,
             self.events,
         );
         self.losses += 1;
         self.keep_copy_of_run(true);
-        self.core.lost(&attempt.instance);
+        self.core.lost(&instance);
     }
 
     /// Forgets the copy that the last attempt was to make, unless its run can have made one: an engine without a copy
@@ -399,24 +416,58 @@
             return;
         };
         let attempt = self.attempts.swap_remove(position);
-        attempt.instance.succeeded(self.core.clock.now_ms());
+        if let Some(instance) = attempt.instance {
+            instance.succeeded(self.core.clock.now_ms());
+        }
         if let Progress::Reading { exchange, .. } = attempt.progress {
             exchange.close(&self.core);
         }
     }
 
     fn start(&mut self, id: AttemptId) {
-        let is_first = self.sends == 0;
         let may_repeat = self.inbound.kind.repeat() == Repeat::Idempotent || self.open_sends == 0;
         if !may_repeat || self.sends >= self.inbound.max_attempts {
             self.fail(Failure::Attempts);
             return;
         }
-        let Some((instance, copy_from)) = self.choose() else {
+        let with_copy = self.copy.take().map(|copy| copy.instance);
+        let with_copy = with_copy.filter(|instance| instance.is_open());
+        let candidates = self.candidates();
+        let core = Arc::clone(&self.core);
+        let choosing = async move {
+            if let Some(instance) = with_copy
+                && let Some(instance) = choose_probed(&core, vec![instance]).await
+            {
+                return Some(Chosen { instance, has_copy: true });
+            }
+            let instance = choose_probed(&core, candidates).await?;
+            Some(Chosen { instance, has_copy: false })
+        };
+        let progress = Progress::Choosing(choosing.boxed());
+        self.attempts.push(Attempt { id, instance: None, progress });
+    }
+
+    /// Engines that are asked for their load before one gets the request.
+    fn candidates(&self) -> Vec<Arc<Instance>> {
+        let mut excluded = self.excluded.clone();
+        let mut candidates = Vec::with_capacity(PROBED_ENGINES);
+        for _ in 0..PROBED_ENGINES {
+            let placement = Placement { excluded: &excluded, other_than: None };
+            let Some(instance) = self.core.place(&self.inbound.service, &placement) else { break };
+            excluded.push(Arc::clone(&instance.entry.id));
+            candidates.push(instance);
+        }
+        candidates
+    }
+
+    fn on_chosen(&mut self, position: usize, chosen: Option<Chosen>) {
+        let id = self.attempts[position].id;
+        let Some(Chosen { instance, has_copy }) = chosen else {
+            self.attempts.swap_remove(position);
             self.input(Input::NoUpstream { attempt: id });
             return;
         };
-        if !is_first && !self.core.withdraw(&self.inbound.service) {
+        if self.sends > 0 && !self.core.withdraw(&self.inbound.service) {
             log::info!("stream: id={} has no retry budget", self.inbound.id_text());
             self.fail(Failure::Attempts);
             return;
@@ -424,14 +475,13 @@
         self.sends += 1;
         self.open_sends += 1;
         self.excluded.push(Arc::clone(&instance.entry.id));
-        let more = self.attempt_headers(&instance, copy_from);
+        let more = self.attempt_headers(&instance, has_copy);
         log::info!(
-            "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={} copy_to={}",
+            "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={has_copy} copy_to={}",
             self.inbound.id_text(),
             instance.entry.id,
             instance.entry.domain,
             self.last_event_id,
-            copy_from,
             self.copy.as_ref().map_or("-", |copy| &*copy.instance.entry.id),
         );
         let core = Arc::clone(&self.core);
@@ -444,24 +494,12 @@
             }
             HeldAnswer::read(&core, exchange).await.map(Opened::Failure)
         };
-        let opening = opening.boxed();
-        self.attempts.push(Attempt { id, instance, progress: Progress::Opening(opening) });
+        let attempt = &mut self.attempts[position];
+        attempt.instance = Some(instance);
+        attempt.progress = Progress::Opening(opening.boxed());
         self.input(Input::Sent { attempt: id });
     }
 
-    /// The engine for the next attempt: the one with a copy of the run's memory, if it can be used.
-    fn choose(&mut self) -> Option<(Arc<Instance>, bool)> {
-        if let Some(copy) = self.copy.take()
-            && copy.instance.is_open()
-            && !self.core.has_failed(&copy.instance.entry.domain)
-        {
-            drop(copy.lease);
-            return Some((copy.instance, true));
-        }
-        let placement = Placement { excluded: &self.excluded, other_than: None };
-        Some((self.core.place(&self.inbound.service, &placement)?, false))
-    }
-
     fn attempt_headers(
         &mut self,
         instance: &Instance,
@@ -507,7 +545,7 @@
             Placement { excluded: &self.excluded, other_than: Some(&instance.entry.domain) };
         let target = self.core.place(&self.inbound.service, &placement)?;
         Some(MemoryCopy {
-            lease: InstanceLease::new(Arc::clone(&target)),
+            _lease: InstanceLease::new(Arc::clone(&target)),
             instance: target,
             since_ms: self.core.clock.now_ms(),
         })
@@ -518,6 +556,9 @@
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         loop {
             match &mut self.progress {
+                Progress::Choosing(choosing) => {
+                    return choosing.poll_unpin(cx).map(Step::Chosen);
+                }
                 Progress::Opening(opening) => match std::task::ready!(opening.poll_unpin(cx)) {
                     Ok(Opened::Stream(exchange)) => {
                         self.progress =
