Keep a copy of each stream's memory alive, and ask silent engines whether they live

Cause: with a failure domain lost every three seconds, the engine that had the copy was often lost first, and a stream without a copy has its prompt read again: late for the caller, and the reading is priced. Engines that went dark while they read a prompt were left only after 4 s. A silent engine that answers is not left.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -4,7 +4,7 @@
 use ingress::{Core, CoreOptions, Decoders, Gateway, ReadyProbe, follow_platform};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use plat::announce;
-use platform::{KEYS, Settings, Store, decode_config, decode_runner, wire_names};
+use platform::{KEYS, Settings, Store, decode_config, decode_runner, dialect};
 use recovery::Policy;
 use std::{
     hash::{BuildHasher, RandomState},
@@ -46,7 +46,7 @@
 }
 
 async fn run(settings: Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
-    let core = Arc::new(Core::new(wire_names(), options(&settings)));
+    let core = Arc::new(Core::new(dialect(), options(&settings)));
     let limits = ServerLimits {
         header_wait_ms: HEADER_WAIT_MS,
         headers_size_bytes: HEADERS_SIZE_BYTES,
--- a/crates/ingress/src/answer.rs
+++ b/crates/ingress/src/answer.rs
@@ -1,6 +1,6 @@
 //! What the head of an upstream's answer says.
 
-use crate::names::WireNames;
+use crate::dialect::Dialect;
 use hyper::{
     HeaderMap, StatusCode,
     header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
@@ -27,20 +27,20 @@
     status: StatusCode,
     headers: &HeaderMap,
     id: &HeaderValue,
-    names: &WireNames,
+    dialect: &Dialect,
 ) -> Verdict {
-    let answered_id = headers.get(&names.request_id);
+    let answered_id = headers.get(&dialect.request_id);
     if answered_id.is_some_and(|answered| answered != id) {
         return Verdict::Foreign;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Verdict::Misdirected;
     }
-    if headers.contains_key(&names.not_run) {
+    if headers.contains_key(&dialect.not_run) {
         return Verdict::NotRun;
     }
     let is_whole = answered_id.is_some() && !headers.contains_key(CONTENT_ENCODING);
-    let is_proved = !status.is_success() || headers.contains_key(&names.stamp);
+    let is_proved = !status.is_success() || headers.contains_key(&dialect.stamp);
     if is_whole && is_proved { Verdict::Answer } else { Verdict::Foreign }
 }
 
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -62,6 +62,12 @@
         true
     }
 
+    /// Gives back a repeat that was not sent.
+    pub fn refund(&mut self, now_ms: u64) {
+        let part = self.part(now_ms);
+        part.repeats = part.repeats.saturating_sub(1);
+    }
+
     /// The part of `now_ms`; parts that have left the window are dropped.
     fn part(&mut self, now_ms: u64) -> &mut Part {
         let number = now_ms / (self.rules.window_ms / PARTS).max(1);
--- a/crates/ingress/src/caller_error.rs
+++ b/crates/ingress/src/caller_error.rs
@@ -1,6 +1,6 @@
 //! Failures that the system reports to callers.
 
-use crate::names::WireNames;
+use crate::dialect::Dialect;
 use hyper::{
     Response,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
@@ -94,7 +94,7 @@
     /// The response to the caller. `request_id` is the identifier that the caller sent.
     pub fn response(
         self,
-        names: &WireNames,
+        dialect: &Dialect,
         request_id: Option<&HeaderValue>,
     ) -> Response<ResponseBody> {
         let body = format!(
@@ -107,7 +107,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(id) = request_id {
-            headers.insert(names.request_id.clone(), id.clone());
+            headers.insert(dialect.request_id.clone(), id.clone());
         }
         let retry_after_ms = match self {
             Self::Busy(retry_after_ms) => Some(retry_after_ms),
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -34,6 +34,10 @@
     pub memory_tokens: u64,
     /// Whether an engine copies the memory of a run to another engine while it grows.
     pub copies_memory: bool,
+    /// Whether an engine copies the memory of a run to another engine when it is asked to.
+    pub moves_memory: bool,
+    /// Time for which a copy that was asked for is kept at least.
+    pub copy_life_ms: u64,
 }
 
 /// Limits for callers.
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -3,10 +3,10 @@
 use crate::{
     budget::{Budget, BudgetRules},
     candidates::Placement,
-    config::Config,
+    config::{Config, EngineRules},
+    dialect::Dialect,
     fleet_size::FleetSize,
     instance::Instance,
-    names::WireNames,
     registry::Registry,
     zone_losses::ZoneLosses,
 };
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct Core {
     pub(crate) clock: Clock,
-    pub(crate) names: WireNames,
+    pub(crate) dialect: Dialect,
     pub(crate) options: CoreOptions,
     config: Mutex<Option<Arc<Config>>>,
     registry: Mutex<Registry>,
@@ -46,16 +46,16 @@
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<ZoneLosses>,
-    losses_changed: watch::Sender<()>,
+    changes: watch::Sender<()>,
     rng: Mutex<SmallRng>,
 }
 
 impl Core {
     /// State of a daemon that knows neither configuration nor instances.
-    pub fn new(names: WireNames, options: CoreOptions) -> Self {
+    pub fn new(dialect: Dialect, options: CoreOptions) -> Self {
         Self {
             clock: Clock::start(),
-            names,
+            dialect,
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             options,
             config: Mutex::default(),
@@ -66,7 +66,7 @@
             budgets: Mutex::default(),
             trackers: Mutex::default(),
             losses: Mutex::default(),
-            losses_changed: watch::Sender::new(()),
+            changes: watch::Sender::new(()),
         }
     }
 
@@ -143,6 +143,29 @@
         placement.choose(registry.of_service(service), domain, &losses, now_ms, &mut *rng)
     }
 
+    /// Chooses up to `count` different instances of a service.
+    pub(crate) fn place_some(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+        count: usize,
+    ) -> Vec<Arc<Instance>> {
+        let mut excluded = placement.excluded.to_vec();
+        let mut placed = Vec::with_capacity(count);
+        while placed.len() < count {
+            let placement = Placement { excluded: &excluded, other_than: placement.other_than };
+            let Some(instance) = self.place(service, &placement) else { break };
+            excluded.push(Arc::clone(&instance.entry.id));
+            placed.push(instance);
+        }
+        placed
+    }
+
+    /// Rules of the engines of a service; none if it has no engines.
+    pub(crate) fn engine_rules(&self, service: &ServiceName) -> Option<EngineRules> {
+        self.config()?.services.get(service)?.engine
+    }
+
     /// Counts a request for a service.
     pub(crate) fn deposit(&self, service: &ServiceName) {
         let now_ms = self.clock.now_ms();
@@ -160,6 +183,12 @@
         is_allowed
     }
 
+    /// Gives back a send that did not happen.
+    pub(crate) fn refund(&self, service: &ServiceName) {
+        let now_ms = self.clock.now_ms();
+        self.with_budget(service, |budget| budget.refund(now_ms));
+    }
+
     fn with_budget<T>(&self, service: &ServiceName, change: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
         if let Some(budget) = budgets.get_mut(service) {
@@ -198,18 +227,23 @@
         drop(losses);
         if has_failed && !had_failed {
             log::info!("instances: domain={} seems to have failed", instance.entry.domain);
-            self.losses_changed.send_replace(());
         }
+        self.instances_changed();
+    }
+
+    /// Lets all relays look at their engines again.
+    pub(crate) fn instances_changed(&self) {
+        self.changes.send_replace(());
     }
 
-    /// Whether many instances of a failure domain were lost a short while ago.
-    pub(crate) fn has_failed(&self, domain: &DomainName) -> bool {
-        lock(&self.losses).has_failed(domain, self.clock.now_ms())
+    /// Whether an instance of a failure domain was lost a short while ago.
+    pub(crate) fn has_loss(&self, domain: &DomainName) -> bool {
+        lock(&self.losses).has_loss(domain, self.clock.now_ms())
     }
 
-    /// Signals that a failure domain seems to have failed.
-    pub(crate) fn losses_changed(&self) -> watch::Receiver<()> {
-        self.losses_changed.subscribe()
+    /// Signals that instances were lost, replaced or removed.
+    pub(crate) fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
     }
 
     /// Draws from `low_ms` to `high_ms`.
--- a/crates/ingress/src/names.rs
+++ b/crates/ingress/src/dialect.rs
@@ -1,11 +1,12 @@
-//! Names of headers in the dialect of a face.
+//! Dialect of a face: names, paths and encodings.
 
 use crate::engine_report::EngineReport;
 use hyper::header::HeaderName;
+use std::net::SocketAddr;
 
-/// Names of the headers that the system reads or sets.
+/// Names of the headers, paths and encodings of what the system says to upstreams and callers.
 #[derive(Clone, Debug)]
-pub struct WireNames {
+pub struct Dialect {
     /// Identifier of one try of a caller; upstreams echo it.
     pub request_id: HeaderName,
     /// Milliseconds that the sender will still wait.
@@ -38,4 +39,12 @@
     pub report_path: &'static str,
     /// Decodes an engine's report; `None` if it cannot be read.
     pub decode_report: fn(&[u8]) -> Option<EngineReport>,
+    /// Path of the order to copy a run's memory to another engine.
+    pub move_path: &'static str,
+    /// Encodes that order from the request's identifier and the other engine's address.
+    pub encode_move: fn(&str, SocketAddr) -> Vec<u8>,
+    /// Decodes the handle of a copy; `None` if it cannot be read.
+    pub decode_move: fn(&[u8]) -> Option<Box<str>>,
+    /// Path of the order to drop a copy; its handle follows.
+    pub drop_copy_path: &'static str,
 }
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -74,12 +74,12 @@
         };
         let (head, body) = response.into_parts();
         let exchange = Self { lease, status: head.status, headers: head.headers, body, connection };
-        match judge(exchange.status, &exchange.headers, &inbound.id, &core.names) {
+        match judge(exchange.status, &exchange.headers, &inbound.id, &core.dialect) {
             Verdict::Answer => Ok(exchange),
             Verdict::Misdirected => {
-                let actual = exchange.headers.get(&core.names.instance);
+                let actual = exchange.headers.get(&core.dialect.instance);
                 if actual.is_some_and(|id| id.as_bytes() != instance.entry.id.as_bytes()) {
-                    instance.replaced();
+                    instance.retire();
                 }
                 Err(AttemptError::Misdirected)
             }
@@ -144,9 +144,9 @@
     let headers = request.headers_mut();
     *headers = inbound.headers.clone();
     let left_ms = inbound.left_ms(core.clock.now_ms());
-    headers.insert(core.names.time_left_ms.clone(), HeaderValue::from(left_ms));
+    headers.insert(core.dialect.time_left_ms.clone(), HeaderValue::from(left_ms));
     if let Ok(id) = HeaderValue::from_str(&instance.entry.id) {
-        headers.insert(core.names.expected_instance.clone(), id);
+        headers.insert(core.dialect.expected_instance.clone(), id);
     }
     for (name, value) in more {
         headers.insert(name.clone(), value.clone());
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -112,6 +112,7 @@
                 self.daemon_changed(name, change.value.is_some());
             }
         }
+        self.core.instances_changed();
     }
 
     fn lost(&mut self, err: &SourceError) {
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -44,7 +44,7 @@
         let route = route_of(&config, &request)?;
         let tenant = self.tenant(&config, route, request.headers())?;
         let service = self.core.pick_service(route).ok_or(CallerError::NoRoute)?;
-        let head = InboundHead { names: &self.core.names, route, service, tenant, arrived_ms };
+        let head = InboundHead { dialect: &self.core.dialect, route, service, tenant, arrived_ms };
         let (parts, body) = request.into_parts();
         let body = tokio::time::timeout(
             Duration::from_millis(BODY_WAIT_MS.min(route.timeout_ms)),
@@ -105,7 +105,7 @@
         headers: &HeaderMap,
     ) -> Result<Option<&'a Tenant>, CallerError> {
         let Some(tenants) = &config.tenants else { return Ok(None) };
-        let key = headers.get(&self.core.names.key).and_then(|value| value.to_str().ok());
+        let key = headers.get(&self.core.dialect.key).and_then(|value| value.to_str().ok());
         match key.and_then(|key| tenants.get(key)) {
             Some(tenant) => Ok(Some(tenant)),
             None if route.allows_anonymous => Ok(None),
@@ -122,7 +122,7 @@
 
 impl Handler for Gateway {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        let id = request.headers().get(&self.core.names.request_id).cloned();
+        let id = request.headers().get(&self.core.dialect.request_id).cloned();
         let mut response = match self.serve(request).await {
             Ok(response) => response,
             Err(err) => {
@@ -134,7 +134,7 @@
                     err.code()
                 );
                 metrics::counter!("requests_failed_total", "outcome" => err.code()).increment(1);
-                err.response(&self.core.names, id.as_ref())
+                err.response(&self.core.dialect, id.as_ref())
             }
         };
         if self.core.is_stopping() {
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -1,7 +1,7 @@
 //! Request of a caller after routing.
 
 use crate::{
-    caller_error::CallerError, config::Tenant, names::WireNames, route_kind::RouteKind,
+    caller_error::CallerError, config::Tenant, dialect::Dialect, route_kind::RouteKind,
     route_table::Route,
 };
 use base::ServiceName;
@@ -65,7 +65,7 @@
 /// Head of a request after routing; its body is still to be read.
 #[derive(Debug)]
 pub(crate) struct InboundHead<'a> {
-    pub names: &'a WireNames,
+    pub dialect: &'a Dialect,
     pub route: &'a Route,
     pub service: &'a ServiceName,
     pub tenant: Option<&'a Tenant>,
@@ -85,9 +85,9 @@
         headers: &HeaderMap,
         body: Bytes,
     ) -> Result<Inbound, CallerError> {
-        let names = self.names;
-        let id = headers.get(&names.request_id).ok_or(CallerError::Header("request id"))?;
-        let caller_ms = number(headers, &names.time_left_ms, "time left")?;
+        let dialect = self.dialect;
+        let id = headers.get(&dialect.request_id).ok_or(CallerError::Header("request id"))?;
+        let caller_ms = number(headers, &dialect.time_left_ms, "time left")?;
         let left_ms = caller_ms.unwrap_or(u64::MAX).min(self.route.timeout_ms);
         Ok(Inbound {
             id: id.clone(),
@@ -102,12 +102,12 @@
             target_latency_ms: self.route.target_latency_ms,
             arrived_ms: self.arrived_ms,
             deadline_ms: self.arrived_ms.saturating_add(left_ms),
-            last_event_id: number(headers, &names.last_event_id, "last event")?,
+            last_event_id: number(headers, &dialect.last_event_id, "last event")?,
         })
     }
 
     fn forwarded(&self, headers: &HeaderMap) -> HeaderMap {
-        let names = self.names;
+        let dialect = self.dialect;
         let listed: Vec<String> = headers
             .get_all(CONNECTION)
             .iter()
@@ -116,21 +116,21 @@
             .map(|name| name.trim().to_ascii_lowercase())
             .collect();
         let own = [
-            &names.account,
-            &names.copy_from,
-            &names.copy_to,
-            &names.expected_instance,
-            &names.expected_version,
-            &names.key,
-            &names.last_event_id,
-            &names.time_left_ms,
+            &dialect.account,
+            &dialect.copy_from,
+            &dialect.copy_to,
+            &dialect.expected_instance,
+            &dialect.expected_version,
+            &dialect.key,
+            &dialect.last_event_id,
+            &dialect.time_left_ms,
         ];
         let is_dropped = |name: &HeaderName| {
             CONNECTION_HEADERS.contains(name)
                 || name.as_str() == "keep-alive"
                 || name.as_str() == "proxy-connection"
                 || own.contains(&name)
-                || names.reserved.contains(name)
+                || dialect.reserved.contains(name)
                 || listed.iter().any(|listed| listed == name.as_str())
         };
         let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
@@ -142,7 +142,7 @@
         if let Some(tenant) = self.tenant
             && let Ok(value) = HeaderValue::from_str(tenant.name.as_str())
         {
-            forwarded.insert(names.account.clone(), value);
+            forwarded.insert(dialect.account.clone(), value);
         }
         forwarded
     }
--- a/crates/ingress/src/instance.rs
+++ b/crates/ingress/src/instance.rs
@@ -24,13 +24,15 @@
 struct State {
     health: Health,
     avoid_until_ms: u64,
-    is_replaced: bool,
+    is_retired: bool,
+    alive_at_ms: u64,
 }
 
 impl Instance {
     /// An instance that was listed for the first time.
     pub fn new(entry: InstanceEntry) -> Self {
-        let state = State { health: Health::warm(), avoid_until_ms: 0, is_replaced: false };
+        let state =
+            State { health: Health::warm(), avoid_until_ms: 0, is_retired: false, alive_at_ms: 0 };
         Self {
             entry,
             connections: Connections::default(),
@@ -66,15 +68,25 @@
         state.avoid_until_ms = now_ms + AVOID_MS;
     }
 
-    /// Takes over that another instance has its address.
-    pub fn replaced(&self) {
-        self.state().is_replaced = true;
+    /// Takes over that it is gone: its entry was removed, or another instance has its address.
+    pub fn retire(&self) {
+        self.state().is_retired = true;
         self.connections.clear();
     }
 
+    /// Takes over that it answered.
+    pub fn heard(&self, now_ms: u64) {
+        self.state().alive_at_ms = now_ms;
+    }
+
+    /// Whether it answered within the last `within_ms`.
+    pub fn was_heard(&self, within_ms: u64, now_ms: u64) -> bool {
+        now_ms < self.state().alive_at_ms + within_ms
+    }
+
     /// Whether new requests may go there at all.
     pub fn is_open(&self) -> bool {
-        !self.entry.is_draining && !self.state().is_replaced
+        !self.entry.is_draining && !self.state().is_retired
     }
 
     /// Whether it failed a short while ago.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,13 +10,17 @@
 )]
 
 mod answer;
+mod attempt;
 mod attempt_error;
 mod budget;
 mod caller_error;
 mod candidates;
 mod config;
 mod connections;
+mod copy_keeper;
 mod core;
+mod dialect;
+mod engine_call;
 mod engine_report;
 mod event;
 mod event_splitter;
@@ -29,7 +33,7 @@
 mod instance;
 mod instance_entry;
 mod lease;
-mod names;
+mod memory_copy;
 mod probe;
 mod registry;
 mod route_kind;
@@ -43,6 +47,7 @@
     caller_error::CallerError,
     config::{ClientLimits, Config, EngineRules, ServiceRules, Tenant},
     core::{Core, CoreOptions},
+    dialect::Dialect,
     engine_report::EngineReport,
     event::Event,
     event_splitter::{EventSplitter, SplitError},
@@ -51,7 +56,6 @@
     gateway::{Gateway, ReadyProbe},
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
-    names::WireNames,
     registry::Registry,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
--- /dev/null
+++ b/crates/ingress/src/memory_copy.rs
@@ -0,0 +1,46 @@
+//! Copy of a run's memory at another engine.
+
+use crate::{instance::Instance, lease::InstanceLease};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Copy of a run's memory at another engine.
+#[derive(Debug)]
+pub(crate) struct MemoryCopy {
+    /// The engine that has the copy.
+    pub instance: Arc<Instance>,
+    /// How the copy is made.
+    pub origin: CopyOrigin,
+    /// When it was asked for, on the daemon's clock.
+    pub since_ms: u64,
+    _lease: InstanceLease,
+}
+
+/// How a copy is made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum CopyOrigin {
+    /// The engine of the run keeps it up to date by itself.
+    Followed,
+    /// It was asked for once, at the engine at this address, which gave a handle.
+    Snapshot {
+        /// Engine of the run.
+        source: SocketAddr,
+        /// Name of the copy.
+        handle: Box<str>,
+    },
+}
+
+impl MemoryCopy {
+    /// Copy at `instance`.
+    pub fn new(instance: Arc<Instance>, origin: CopyOrigin, since_ms: u64) -> Self {
+        let lease = InstanceLease::new(Arc::clone(&instance));
+        Self { instance, origin, since_ms, _lease: lease }
+    }
+
+    /// Text by which a request names the copy. `request_id` is the identifier of the run's request.
+    pub fn reference(&self, request_id: &str) -> String {
+        match &self.origin {
+            CopyOrigin::Followed => format!("{}/{request_id}", self.instance.entry.addr),
+            CopyOrigin::Snapshot { source, handle } => format!("{source}/{handle}"),
+        }
+    }
+}
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -1,22 +1,19 @@
 //! Asks engines for their load before a request is sent.
 
 use crate::{
-    answer::keep_alive_s, core::Core, engine_report::EngineReport, exchange::connect,
-    instance::Instance, lease::InstanceLease,
+    core::Core, engine_call::engine_call, engine_report::EngineReport, instance::Instance,
+    lease::InstanceLease,
 };
-use bytes::Bytes;
 use futures::future::join_all;
-use http_body_util::Full;
-use hyper::{Request, StatusCode, Uri, header::HOST};
-use std::{sync::Arc, time::Duration};
-use web::{ClientError, read_body};
+use hyper::Method;
+use std::sync::Arc;
 
 /// Longest wait for a report. An engine that does not answer by then is taken for dead, which costs less than sending
 /// the request to it.
 const PROBE_WAIT_MS: u64 = 80;
 
-/// Largest report.
-const REPORT_SIZE_BYTES: usize = 64 * 1024;
+/// Time for which an engine that answered is not asked again whether it is alive.
+const KNOWN_ALIVE_MS: u64 = 150;
 
 /// Asks all candidates at the same time and chooses the one with the fewest requests; `None` if none answers.
 ///
@@ -34,6 +31,15 @@
     answered.min_by_key(|(report, instance)| load(report, instance)).map(|(_, instance)| instance)
 }
 
+/// Whether an engine is alive: it answered a short while ago, or does so now.
+pub(crate) async fn is_alive(core: &Core, instance: &Arc<Instance>) -> bool {
+    if !instance.is_open() {
+        return false;
+    }
+    let now_ms = core.clock.now_ms();
+    instance.was_heard(KNOWN_ALIVE_MS, now_ms) || probe(core, instance).await.is_some()
+}
+
 /// Load by which candidates are compared: first whether there is room, then the requests. A report is old, so requests
 /// that this daemon has sent since count as well.
 fn load(report: &EngineReport, instance: &Instance) -> (bool, u32) {
@@ -44,46 +50,23 @@
 
 /// The report of an engine, if it is the one that is listed.
 async fn probe(core: &Core, instance: &Arc<Instance>) -> Option<EngineReport> {
-    let wait = Duration::from_millis(PROBE_WAIT_MS);
-    let outcome = tokio::time::timeout(wait, fetch(core, instance)).await;
-    let report = match outcome {
-        Ok(Ok(report)) => report,
-        Ok(Err(err)) => {
+    let _lease = InstanceLease::new(Arc::clone(instance));
+    let path = core.dialect.report_path;
+    let answer = engine_call(core, instance, Method::GET, path, Vec::new(), PROBE_WAIT_MS).await;
+    let report = match answer {
+        Ok((_, report)) => (core.dialect.decode_report)(&report)?,
+        Err(err) => {
             log::info!("probe: instance={} failed: {err}", instance.entry.id);
             core.lost(instance);
             return None;
         }
-        Err(_) => {
-            log::info!("probe: instance={} gave no report in time", instance.entry.id);
-            core.lost(instance);
-            return None;
-        }
     };
-    let report = (core.names.decode_report)(&report)?;
     if report.born_unix_ms.is_some() && report.born_unix_ms != instance.entry.born_unix_ms {
         log::info!("probe: instance={} was replaced at its address", instance.entry.id);
-        instance.replaced();
+        instance.retire();
+        core.instances_changed();
         return None;
     }
+    instance.heard(core.clock.now_ms());
     Some(report)
 }
-
-async fn fetch(core: &Core, instance: &Arc<Instance>) -> Result<Bytes, ClientError> {
-    let lease = InstanceLease::new(Arc::clone(instance));
-    let mut connection = match instance.connections.take(core.clock.now_ms()) {
-        Some(connection) => connection,
-        None => connect(instance).await?,
-    };
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = Uri::from_static(core.names.report_path);
-    if let Ok(host) = instance.entry.addr.to_string().parse() {
-        request.headers_mut().insert(HOST, host);
-    }
-    let response = connection.send(request).await?;
-    let (head, body) = response.into_parts();
-    let body = read_body(body, REPORT_SIZE_BYTES).await?;
-    let keep_alive_s = keep_alive_s(&head.headers);
-    lease.connections.put(connection, keep_alive_s, core.clock.now_ms());
-    // An engine that answers is alive, whatever it says of its load.
-    Ok(if head.status == StatusCode::OK { body } else { Bytes::new() })
-}
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -66,6 +66,7 @@
             }
             self.unlink(&id);
         }
+        self.retire_at(&entry);
         log::info!(
             "instances: {id} service={} domain={} addr={} draining={}",
             entry.service,
@@ -128,9 +129,20 @@
         self.instances.values().filter_map(|listed| listed.gone_at_ms).min()
     }
 
+    /// Retires an instance whose address another one has now.
+    fn retire_at(&self, entry: &InstanceEntry) {
+        for listed in self.instances.values() {
+            let old = &listed.instance.entry;
+            if old.addr == entry.addr && old.id != entry.id {
+                log::info!("instances: {} was replaced at its address by {}", old.id, entry.id);
+                listed.instance.retire();
+            }
+        }
+    }
+
     fn unlink(&mut self, id: &str) {
         let Some(listed) = self.instances.remove(id) else { return };
-        listed.instance.connections.clear();
+        listed.instance.retire();
         let service = &listed.instance.entry.service;
         if let Some(instances) = self.by_service.get_mut(service) {
             instances.retain(|instance| &*instance.entry.id != id);
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -62,7 +62,13 @@
                 failure = Some(answer);
                 retry_lost(sent.lost())?
             }
-            Outcome::Failed(AttemptError::NotSent(_) | AttemptError::Misdirected) => sent.refused(),
+            Outcome::Failed(AttemptError::NotSent(_)) => {
+                if is_repeat {
+                    core.refund(&inbound.service);
+                }
+                sent.refused()
+            }
+            Outcome::Failed(AttemptError::Misdirected) => sent.refused(),
             Outcome::Failed(AttemptError::Refused(_)) => match sent.refused().retry() {
                 Ok(call) => call,
                 Err(call) => return give_up(core, inbound, call, failure),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -1,24 +1,32 @@
 //! Relay of one stream of events: carries messages between its state machine, the engines and the caller.
 
 use crate::{
-    answer::passed_on, attempt_error::AttemptError, caller_error::CallerError,
-    candidates::Placement, core::Core, event::Event, event_splitter::EventSplitter,
-    exchange::Exchange, held_answer::HeldAnswer, inbound::Inbound, instance::Instance,
-    instance_entry::InstanceId, lease::InstanceLease, probe::choose_probed,
+    answer::passed_on,
+    attempt::{Attempt, Chosen, Opened, Progress, Step},
+    attempt_error::AttemptError,
+    caller_error::CallerError,
+    candidates::Placement,
+    config::EngineRules,
+    copy_keeper::CopyKeeper,
+    core::Core,
+    event::Event,
+    exchange::Exchange,
+    held_answer::HeldAnswer,
+    inbound::Inbound,
+    instance::Instance,
+    instance_entry::InstanceId,
+    memory_copy::{CopyOrigin, MemoryCopy},
+    probe::{choose_probed, is_alive},
 };
 use bytes::{Bytes, BytesMut};
 use call::Repeat;
-use futures::{FutureExt, future::BoxFuture};
+use futures::FutureExt;
 use hyper::{
     HeaderMap,
     header::{HeaderName, HeaderValue},
 };
-use recovery::{Action, AttemptId, Generation, Input, Journal, LossCause, VmSign};
-use std::{
-    future::poll_fn,
-    sync::Arc,
-    task::{Context, Poll},
-};
+use recovery::{Action, AttemptId, Generation, Input, Journal, LossCause};
+use std::{future::poll_fn, sync::Arc, task::Poll};
 use tokio::{sync::watch, time::Instant};
 use web::AbortedBody;
 
@@ -49,51 +57,6 @@
     Attempts,
 }
 
-/// Attempt at an engine.
-struct Attempt {
-    id: AttemptId,
-    /// The engine; none while one is being chosen.
-    instance: Option<Arc<Instance>>,
-    progress: Progress,
-}
-
-enum Progress {
-    Choosing(BoxFuture<'static, Option<Chosen>>),
-    Opening(BoxFuture<'static, Result<Opened, AttemptError>>),
-    Reading { exchange: Exchange, splitter: EventSplitter },
-}
-
-/// Engine for an attempt.
-struct Chosen {
-    instance: Arc<Instance>,
-    /// Whether it has a copy of the run's memory.
-    has_copy: bool,
-}
-
-/// Answer of an engine after its head.
-enum Opened {
-    Stream(Exchange),
-    Failure(HeldAnswer),
-}
-
-/// What an attempt brought.
-enum Step {
-    Chosen(Option<Chosen>),
-    Head,
-    Failure(HeldAnswer),
-    Event(Event),
-    End,
-    Failed(AttemptError),
-}
-
-/// Copy of the run's memory at another engine, from the time at which the run was sent.
-#[derive(Debug)]
-struct MemoryCopy {
-    _lease: InstanceLease,
-    instance: Arc<Instance>,
-    since_ms: u64,
-}
-
 /// Carries one stream to its end.
 pub(crate) struct StreamRelay {
     core: Arc<Core>,
@@ -106,7 +69,8 @@
     sends: u32,
     /// Sends whose request may have run.
     open_sends: u32,
-    copy: Option<MemoryCopy>,
+    engine_rules: Option<EngineRules>,
+    keeper: CopyKeeper,
     head: Option<HeaderMap>,
     own_failure: Option<HeldAnswer>,
     version: Option<HeaderValue>,
@@ -117,7 +81,7 @@
     longest_pause_ms: u64,
     last_release_ms: u64,
     first_event_ms: Option<u64>,
-    losses_changed: watch::Receiver<()>,
+    changes: watch::Receiver<()>,
     is_done: bool,
     failure: Option<Failure>,
 }
@@ -127,7 +91,7 @@
     pub fn new(core: Arc<Core>, inbound: Arc<Inbound>) -> Self {
         core.deposit(&inbound.service);
         let policy = core.options.stream_policy;
-        let losses_changed = core.losses_changed();
+        let changes = core.changes();
         Self {
             generation: Generation::new(policy, Journal::default()),
             actions: Vec::new(),
@@ -135,7 +99,8 @@
             excluded: Vec::new(),
             sends: 0,
             open_sends: 0,
-            copy: None,
+            engine_rules: core.engine_rules(&inbound.service),
+            keeper: CopyKeeper::default(),
             head: None,
             own_failure: None,
             version: None,
@@ -146,7 +111,7 @@
             longest_pause_ms: 0,
             last_release_ms: inbound.arrived_ms,
             first_event_ms: None,
-            losses_changed,
+            changes,
             is_done: false,
             failure: None,
             core,
@@ -206,51 +171,73 @@
     /// Waits for the next step of an attempt or for the next deadline.
     async fn wait(&mut self) {
         let clock = self.core.clock;
-        let now_ms = clock.now_ms();
-        let timing = self.core.timing(&self.inbound.service);
-        let tick_ms = self.generation.deadline_ms(timing).unwrap_or(u64::MAX);
-        let wake_ms = tick_ms.min(self.inbound.deadline_ms).min(now_ms + MAX_SLEEP_MS);
+        let wake = Instant::from_std(clock.instant_at(self.wake_ms(clock.now_ms())));
         let attempts = &mut self.attempts;
+        let keeper = &mut self.keeper;
         let step = poll_fn(|cx| {
+            let now_ms = clock.now_ms();
             for (position, attempt) in attempts.iter_mut().enumerate() {
-                if let Poll::Ready(step) = attempt.poll_step(cx) {
-                    return Poll::Ready((position, step));
+                if let Poll::Ready(step) = attempt.poll_step(now_ms, cx) {
+                    return Poll::Ready(Some((position, step)));
                 }
             }
-            Poll::Pending
+            keeper.poll_task(now_ms, cx).map(|()| None)
         });
         tokio::select! {
             biased;
-            (position, step) = step => self.on_step(position, step),
-            () = tokio::time::sleep_until(Instant::from_std(clock.instant_at(wake_ms))) => {
-                self.on_tick();
-            }
-            Ok(()) = self.losses_changed.changed() => self.on_losses_changed(),
+            step = step => match step {
+                Some((position, step)) => self.on_step(position, step),
+                None => self.keep_copy(),
+            },
+            () = tokio::time::sleep_until(wake) => self.on_tick(),
+            Ok(()) = self.changes.changed() => self.on_change(),
         }
     }
 
+    /// When the relay has something to do although nothing happens.
+    fn wake_ms(&self, now_ms: u64) -> u64 {
+        let timing = self.core.timing(&self.inbound.service);
+        let tick_ms = self.generation.deadline_ms(timing);
+        let checks = self.attempts.iter().filter_map(Attempt::check_ms);
+        let copy_ms = self.source().and_then(|_| self.keeper.due_ms(self.engine_rules?));
+        let limits = [self.inbound.deadline_ms, now_ms + MAX_SLEEP_MS];
+        limits.into_iter().chain(tick_ms).chain(checks).chain(copy_ms).min().unwrap_or(now_ms)
+    }
+
+    /// The engine whose run makes events.
+    fn source(&self) -> Option<&Arc<Instance>> {
+        let attempt = self.attempts.iter().find(|attempt| attempt.has_event())?;
+        attempt.instance.as_ref()
+    }
+
     fn on_tick(&mut self) {
         if self.core.clock.now_ms() >= self.inbound.deadline_ms {
             self.fail(Failure::Deadline);
             return;
         }
+        for attempt in &mut self.attempts {
+            attempt.check(&self.core, false);
+        }
+        self.keep_copy();
         self.input(Input::Tick);
     }
 
-    fn on_losses_changed(&mut self) {
-        let listed: Vec<(AttemptId, Option<VmSign>)> = self
-            .attempts
-            .iter()
-            .map(|attempt| {
-                let instance = attempt.instance.as_ref();
-                let has_failed =
-                    instance.is_some_and(|instance| self.core.has_failed(&instance.entry.domain));
-                (attempt.id, has_failed.then_some(VmSign::Removed))
-            })
-            .collect();
-        for (attempt, sign) in listed {
-            self.input(Input::Listed { attempt, sign });
+    fn on_change(&mut self) {
+        for attempt in &mut self.attempts {
+            let domain = attempt.instance.as_ref().map(|instance| &instance.entry.domain);
+            let has_loss = domain.is_some_and(|domain| self.core.has_loss(domain));
+            attempt.check(&self.core, has_loss);
         }
+        self.keeper.on_change(&self.core);
+        self.keep_copy();
+    }
+
+    /// Lets a run that makes events have a copy of its memory.
+    fn keep_copy(&mut self) {
+        let (Some(rules), Some(source)) = (self.engine_rules, self.source().cloned()) else {
+            return;
+        };
+        self.keeper.keep(&self.core, &self.inbound, &source, &self.excluded, rules);
     }
 
     fn on_step(&mut self, position: usize, step: Step) {
@@ -274,7 +261,7 @@
         let Progress::Reading { exchange, .. } = &self.attempts[position].progress else { return };
         if self.events == 0 {
             self.head = Some(passed_on(&exchange.headers));
-            self.version = exchange.headers.get(&self.core.names.version).cloned();
+            self.version = exchange.headers.get(&self.core.dialect.version).cloned();
         }
     }
 
@@ -338,6 +325,9 @@
         );
         match err {
             AttemptError::NotSent(_) | AttemptError::Misdirected => {
+                if self.sends > 1 && matches!(err, AttemptError::NotSent(_)) {
+                    self.core.refund(&self.inbound.service);
+                }
                 self.sends = self.sends.saturating_sub(1);
                 self.open_sends = self.open_sends.saturating_sub(1);
             }
@@ -404,9 +394,12 @@
     /// Forgets the copy that the last attempt was to make, unless its run can have made one: an engine without a copy
     /// refuses to go on from it.
     fn keep_copy_of_run(&mut self, has_run: bool) {
-        let is_made = |copy: &MemoryCopy| has_run && self.last_release_ms > copy.since_ms;
-        if !self.copy.as_ref().is_some_and(is_made) {
-            self.copy = None;
+        let is_made = |copy: &MemoryCopy| {
+            let is_snapshot = copy.origin != CopyOrigin::Followed;
+            has_run && (is_snapshot || self.last_release_ms > copy.since_ms)
+        };
+        if !self.keeper.copy().is_some_and(is_made) {
+            self.keeper.set(None);
         }
     }
 
@@ -418,6 +411,7 @@
         let attempt = self.attempts.swap_remove(position);
         if let Some(instance) = attempt.instance {
             instance.succeeded(self.core.clock.now_ms());
+            std::mem::take(&mut self.keeper).close(&self.core, &instance);
         }
         if let Progress::Reading { exchange, .. } = attempt.progress {
             exchange.close(&self.core);
@@ -430,39 +424,25 @@
             self.fail(Failure::Attempts);
             return;
         }
-        let with_copy = self.copy.take().map(|copy| copy.instance);
-        let with_copy = with_copy.filter(|instance| instance.is_open());
-        let candidates = self.candidates();
+        let copy = self.keeper.take().filter(|copy| copy.instance.is_open());
+        let placement = Placement { excluded: &self.excluded, other_than: None };
+        let candidates = self.core.place_some(&self.inbound.service, &placement, PROBED_ENGINES);
         let core = Arc::clone(&self.core);
         let choosing = async move {
-            if let Some(instance) = with_copy
-                && let Some(instance) = choose_probed(&core, vec![instance]).await
+            if let Some(copy) = copy
+                && is_alive(&core, &copy.instance).await
             {
-                return Some(Chosen { instance, has_copy: true });
+                return Some(Chosen { instance: Arc::clone(&copy.instance), copy: Some(copy) });
             }
             let instance = choose_probed(&core, candidates).await?;
-            Some(Chosen { instance, has_copy: false })
+            Some(Chosen { instance, copy: None })
         };
-        let progress = Progress::Choosing(choosing.boxed());
-        self.attempts.push(Attempt { id, instance: None, progress });
-    }
-
-    /// Engines that are asked for their load before one gets the request.
-    fn candidates(&self) -> Vec<Arc<Instance>> {
-        let mut excluded = self.excluded.clone();
-        let mut candidates = Vec::with_capacity(PROBED_ENGINES);
-        for _ in 0..PROBED_ENGINES {
-            let placement = Placement { excluded: &excluded, other_than: None };
-            let Some(instance) = self.core.place(&self.inbound.service, &placement) else { break };
-            excluded.push(Arc::clone(&instance.entry.id));
-            candidates.push(instance);
-        }
-        candidates
+        self.attempts.push(Attempt::choosing(id, choosing.boxed(), self.core.clock.now_ms()));
     }
 
     fn on_chosen(&mut self, position: usize, chosen: Option<Chosen>) {
         let id = self.attempts[position].id;
-        let Some(Chosen { instance, has_copy }) = chosen else {
+        let Some(Chosen { instance, copy }) = chosen else {
             self.attempts.swap_remove(position);
             self.input(Input::NoUpstream { attempt: id });
             return;
@@ -475,14 +455,15 @@
         self.sends += 1;
         self.open_sends += 1;
         self.excluded.push(Arc::clone(&instance.entry.id));
-        let more = self.attempt_headers(&instance, has_copy);
+        let more = self.attempt_headers(&instance, copy.as_ref());
         log::info!(
-            "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={has_copy} copy_to={}",
+            "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={} copy_to={}",
             self.inbound.id_text(),
             instance.entry.id,
             instance.entry.domain,
             self.last_event_id,
-            self.copy.as_ref().map_or("-", |copy| &*copy.instance.entry.id),
+            copy.as_ref().map_or("-".into(), |copy| copy.reference(self.inbound.id_text())),
+            self.keeper.copy().map_or("-", |copy| &*copy.instance.entry.id),
         );
         let core = Arc::clone(&self.core);
         let inbound = Arc::clone(&self.inbound);
@@ -494,41 +475,34 @@
             }
             HeldAnswer::read(&core, exchange).await.map(Opened::Failure)
         };
-        let attempt = &mut self.attempts[position];
-        attempt.instance = Some(instance);
-        attempt.progress = Progress::Opening(opening.boxed());
+        self.attempts[position].sent(instance, opening.boxed(), self.core.clock.now_ms());
         self.input(Input::Sent { attempt: id });
     }
 
     fn attempt_headers(
         &mut self,
         instance: &Instance,
-        copy_from: bool,
+        copy_from: Option<&MemoryCopy>,
     ) -> Vec<(HeaderName, HeaderValue)> {
-        let names = &self.core.names;
+        let dialect = &self.core.dialect;
         let mut more = Vec::new();
         if let Some(id) = self.last_event_id {
-            more.push((names.last_event_id.clone(), HeaderValue::from(id)));
+            more.push((dialect.last_event_id.clone(), HeaderValue::from(id)));
         }
-        if copy_from
-            && let Ok(value) = HeaderValue::from_str(&format!(
-                "{}/{}",
-                instance.entry.addr,
-                self.inbound.id_text()
-            ))
-        {
-            more.push((names.copy_from.clone(), value));
+        let reference = copy_from.map(|copy| copy.reference(self.inbound.id_text()));
+        if let Some(Ok(value)) = reference.map(|text| HeaderValue::from_str(&text)) {
+            more.push((dialect.copy_from.clone(), value));
         }
         if self.events > 0
             && let Some(version) = &self.version
         {
-            more.push((names.expected_version.clone(), version.clone()));
+            more.push((dialect.expected_version.clone(), version.clone()));
         }
-        self.copy = self.place_copy(instance);
-        if let Some(copy) = &self.copy
+        self.keeper.set(self.place_copy(instance));
+        if let Some(copy) = self.keeper.copy()
             && let Ok(value) = HeaderValue::from_str(&copy.instance.entry.addr.to_string())
         {
-            more.push((names.copy_to.clone(), value));
+            more.push((dialect.copy_to.clone(), value));
         }
         more
     }
@@ -536,62 +510,16 @@
     /// Chooses the engine that takes a copy of the run's memory: one of another failure domain, since the engines of a
     /// failure domain tend to fail together.
     fn place_copy(&self, instance: &Instance) -> Option<MemoryCopy> {
-        let config = self.core.config()?;
-        let engine = config.services.get(&self.inbound.service)?.engine?;
-        if !engine.copies_memory {
+        if !self.engine_rules?.copies_memory {
             return None;
         }
         let placement =
             Placement { excluded: &self.excluded, other_than: Some(&instance.entry.domain) };
         let target = self.core.place(&self.inbound.service, &placement)?;
-        Some(MemoryCopy {
-            _lease: InstanceLease::new(Arc::clone(&target)),
-            instance: target,
-            since_ms: self.core.clock.now_ms(),
-        })
-    }
-}
-
-impl Attempt {
-    fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
-        loop {
-            match &mut self.progress {
-                Progress::Choosing(choosing) => {
-                    return choosing.poll_unpin(cx).map(Step::Chosen);
-                }
-                Progress::Opening(opening) => match std::task::ready!(opening.poll_unpin(cx)) {
-                    Ok(Opened::Stream(exchange)) => {
-                        self.progress =
-                            Progress::Reading { exchange, splitter: EventSplitter::default() };
-                        return Poll::Ready(Step::Head);
-                    }
-                    Ok(Opened::Failure(answer)) => return Poll::Ready(Step::Failure(answer)),
-                    Err(err) => return Poll::Ready(Step::Failed(err)),
-                },
-                Progress::Reading { exchange, splitter } => {
-                    match splitter.next_event() {
-                        Ok(Some(event)) => return Poll::Ready(Step::Event(event)),
-                        Ok(None) => {}
-                        Err(_) => return Poll::Ready(failed(LossCause::Malformed)),
-                    }
-                    match std::task::ready!(exchange.poll_data(cx)) {
-                        Some(Ok(data)) => splitter.push(&data),
-                        Some(Err(err)) => return Poll::Ready(Step::Failed(err)),
-                        None if splitter.has_partial() => {
-                            return Poll::Ready(failed(LossCause::Closed));
-                        }
-                        None => return Poll::Ready(Step::End),
-                    }
-                }
-            }
-        }
+        Some(MemoryCopy::new(target, CopyOrigin::Followed, self.core.clock.now_ms()))
     }
 }
 
-fn failed(cause: LossCause) -> Step {
-    Step::Failed(AttemptError::Lost(cause))
-}
-
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         let outcome = match (self.is_done, self.failure) {
--- a/crates/ingress/src/zone_losses.rs
+++ b/crates/ingress/src/zone_losses.rs
@@ -6,7 +6,7 @@
 const WINDOW_MS: u64 = 600;
 
 /// Instances whose loss within the window shows that.
-const MIN_INSTANCES: usize = 3;
+const MIN_INSTANCES: usize = 2;
 
 /// Recent losses of instances, by failure domain.
 ///
@@ -27,9 +27,18 @@
 
     /// Whether several instances of the failure domain were lost a short while ago.
     pub fn has_failed(&self, domain: &DomainName, now_ms: u64) -> bool {
+        self.count(domain, now_ms) >= MIN_INSTANCES
+    }
+
+    /// Whether an instance of the failure domain was lost a short while ago.
+    pub fn has_loss(&self, domain: &DomainName, now_ms: u64) -> bool {
+        self.count(domain, now_ms) > 0
+    }
+
+    fn count(&self, domain: &DomainName, now_ms: u64) -> usize {
         let recent = |lost: &Vec<(Box<str>, u64)>| {
             lost.iter().filter(|(_, at_ms)| now_ms < at_ms + WINDOW_MS).count()
         };
-        self.lost.get(domain).map_or(0, recent) >= MIN_INSTANCES
+        self.lost.get(domain).map_or(0, recent)
     }
 }
--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -72,12 +72,12 @@
     /// Preset for streams whose events hold several tokens, and whose prompt is long. A second attempt beside a suspected
     /// one would be a second run of the same request.
     pub const EVENTS: Self = Self {
-        silence_floor_ms: 450,
+        silence_floor_ms: 600,
         silence_factor: 2.0,
         silence_cap_ms: 1_200,
-        first_token_floor_ms: 1_500,
-        first_token_factor: 2.0,
-        first_token_wait_ms: 4_000,
+        first_token_floor_ms: 4_000,
+        first_token_factor: 3.0,
+        first_token_wait_ms: 8_000,
         keeps_suspect: false,
         restart: RestartMode::Continue,
         max_fruitless_attempts: 12,
