Spread streams over failure domains, lend repeats between daemons and wait for the budget

Streams now go to any failure domain, a daemon whose budget is spent borrows one from another by a datagram (taken from the lender's, so the sum stays), and a stream that gets none waits instead of ending. Also: an engine that drains is not taken for dead by the liveness check.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -1,7 +1,7 @@
 //! Command `serve`: a daemon on the users' platform.
 
 use crate::{line_log, run_error::RunError};
-use ingress::{Core, CoreOptions, Decoders, Gateway, ReadyProbe, follow_platform};
+use ingress::{Core, CoreOptions, Decoders, Gateway, LoanDesk, ReadyProbe, follow_platform};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use plat::announce;
 use platform::{KEYS, Settings, Store, decode_config, decode_runner, dialect};
@@ -23,7 +23,7 @@
 const ACCEPT_AFTER_STOP_MS: u64 = 3_000;
 
 /// Time before SIGKILL at which the requests that are still in flight are cut off.
-const CUT_MARGIN_MS: u64 = 300;
+const CUT_MARGIN_MS: u64 = 600;
 
 /// Longest wait for the head of a request, also on an idle connection. Callers use a connection again that was idle for
 /// up to four fifths of the platform's usual limit of 15 s.
@@ -62,7 +62,11 @@
     tokio::spawn(follow_platform(Arc::clone(&core), store, KEYS, decoders));
     let store = Store::new(settings.store_addr);
     let key = format!("{}{}", KEYS.daemons, settings.vm_name);
-    tokio::spawn(async move { announce(store, &key, b"").await });
+    let value = settings.loan_addr.to_string();
+    tokio::spawn(async move { announce(store, &key, value.as_bytes()).await });
+    let desk = Arc::new(LoanDesk::bind(settings.loan_addr).await?);
+    core.set_loan_desk(Arc::clone(&desk));
+    tokio::spawn(desk.run(Arc::clone(&core)));
     tokio::spawn(ready.run(Arc::new(ReadyProbe::new(Arc::clone(&core))), stopped_never()));
     tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), stopped_never()));
     log::info!(
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -47,6 +47,8 @@
     pub instance: Arc<Instance>,
     /// Copy of the run's memory that the engine has.
     pub copy: Option<MemoryCopy>,
+    /// Whether the budget of repeats allows the attempt.
+    pub is_allowed: bool,
 }
 
 /// Answer of an engine after its head.
--- a/crates/ingress/src/candidates.rs
+++ b/crates/ingress/src/candidates.rs
@@ -13,6 +13,9 @@
     pub excluded: &'a [InstanceId],
     /// Failure domain that the instance must not be in.
     pub other_than: Option<&'a DomainName>,
+    /// Whether instances of the own failure domain are preferred. Long requests are spread over all, so that the loss of
+    /// a failure domain hits few of them at each daemon and the budget of repeats lasts.
+    pub prefers_local: bool,
 }
 
 impl Placement<'_> {
@@ -38,30 +41,32 @@
         prefer(&mut usable, |instance| !losses.has_failed(&instance.entry.domain, now_ms));
         prefer(&mut usable, |instance| !instance.is_avoided(now_ms));
         let candidates: Vec<Candidate> =
-            usable.iter().map(|instance| candidate(instance, own_domain, now_ms)).collect();
+            usable.iter().map(|instance| self.candidate(instance, own_domain, now_ms)).collect();
         let chosen = choose(Policy::Scored, &candidates, 0, rng)?;
         Some(Arc::clone(usable[chosen]))
     }
 }
 
-fn prefer(usable: &mut Vec<&Arc<Instance>>, is_preferred: impl Fn(&Instance) -> bool) {
-    if usable.iter().any(|instance| is_preferred(instance)) {
-        usable.retain(|instance| is_preferred(instance));
+impl Placement<'_> {
+    fn candidate(&self, instance: &Instance, own_domain: &DomainName, now_ms: u64) -> Candidate {
+        let in_flight = instance.in_flight();
+        Candidate {
+            in_flight,
+            reported: None,
+            corrected: in_flight,
+            report_age_ms: 0,
+            sent_since: 0,
+            batch_limit: instance.entry.slots,
+            missing_blocks: 0,
+            share: instance.share(now_ms),
+            is_local: !self.prefers_local || instance.entry.domain == *own_domain,
+            has_version: None,
+        }
     }
 }
 
-fn candidate(instance: &Instance, own_domain: &DomainName, now_ms: u64) -> Candidate {
-    let in_flight = instance.in_flight();
-    Candidate {
-        in_flight,
-        reported: None,
-        corrected: in_flight,
-        report_age_ms: 0,
-        sent_since: 0,
-        batch_limit: instance.entry.slots,
-        missing_blocks: 0,
-        share: instance.share(now_ms),
-        is_local: instance.entry.domain == *own_domain,
-        has_version: None,
+fn prefer(usable: &mut Vec<&Arc<Instance>>, is_preferred: impl Fn(&Instance) -> bool) {
+    if usable.iter().any(|instance| is_preferred(instance)) {
+        usable.retain(|instance| is_preferred(instance));
     }
 }
--- a/crates/ingress/src/copy_keeper.rs
+++ b/crates/ingress/src/copy_keeper.rs
@@ -174,7 +174,7 @@
     domain: &DomainName,
     excluded: &[InstanceId],
 ) -> Vec<Arc<Instance>> {
-    let placement = Placement { excluded, other_than: Some(domain) };
+    let placement = Placement { excluded, other_than: Some(domain), ..Placement::default() };
     core.place_some(&inbound.service, &placement, PROBED_ENGINES)
 }
 
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -7,15 +7,19 @@
     dialect::Dialect,
     fleet_size::FleetSize,
     instance::Instance,
+    loan_desk::LoanDesk,
     registry::Registry,
     zone_losses::ZoneLosses,
 };
 use base::{Clock, DomainName, HashMap, ServiceName};
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng, seq::index};
 use recovery::{Policy, Sample, Timing, TimingTracker};
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 use tokio::sync::watch;
 
@@ -43,6 +47,8 @@
     has_instances: AtomicBool,
     is_stopping: AtomicBool,
     fleet_size: Mutex<FleetSize>,
+    daemons: Mutex<Vec<SocketAddr>>,
+    loan_desk: OnceLock<Arc<LoanDesk>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<ZoneLosses>,
@@ -63,6 +69,8 @@
             has_instances: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             fleet_size: Mutex::default(),
+            daemons: Mutex::default(),
+            loan_desk: OnceLock::new(),
             budgets: Mutex::default(),
             trackers: Mutex::default(),
             losses: Mutex::default(),
@@ -103,10 +111,38 @@
         self.has_instances.store(true, Ordering::Relaxed);
     }
 
-    /// Takes over the number of daemons that the platform lists.
-    pub fn set_fleet_size(&self, daemons: usize) {
-        lock(&self.fleet_size).set(daemons, self.clock.now_ms());
-        metrics::gauge!("daemons_listed").set(daemons as f64);
+    /// Takes over the daemons that the platform lists, this one among them, by the addresses of their loan desks.
+    pub fn set_daemons(&self, daemons: Vec<SocketAddr>) {
+        lock(&self.fleet_size).set(daemons.len(), self.clock.now_ms());
+        metrics::gauge!("daemons_listed").set(daemons.len() as f64);
+        *lock(&self.daemons) = daemons;
+    }
+
+    /// Lets this daemon lend and borrow repeats.
+    pub fn set_loan_desk(&self, desk: Arc<LoanDesk>) {
+        if self.loan_desk.set(desk).is_err() {
+            log::warn!("loan: the daemon has a desk already");
+        }
+    }
+
+    /// Whether a daemon that the platform lists has the address.
+    pub(crate) fn is_peer(&self, addr: SocketAddr) -> bool {
+        lock(&self.daemons).contains(&addr)
+    }
+
+    /// Up to `count` other daemons, drawn at random.
+    pub(crate) fn some_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let own = self.loan_desk.get().and_then(|desk| desk.local_addr().ok());
+        let daemons = lock(&self.daemons);
+        let others: Vec<SocketAddr> =
+            daemons.iter().copied().filter(|addr| Some(*addr) != own).collect();
+        let drawn = index::sample(&mut *lock(&self.rng), others.len(), count.min(others.len()));
+        drawn.into_iter().map(|i| others[i]).collect()
+    }
+
+    /// Takes a repeat from the budget for another daemon; whether there was one.
+    pub(crate) fn lend(&self, service: &ServiceName) -> bool {
+        self.withdraw_own(service)
     }
 
     /// No new connection should come here any more.
@@ -153,7 +189,7 @@
         let mut excluded = placement.excluded.to_vec();
         let mut placed = Vec::with_capacity(count);
         while placed.len() < count {
-            let placement = Placement { excluded: &excluded, other_than: placement.other_than };
+            let placement = Placement { excluded: &excluded, ..*placement };
             let Some(instance) = self.place(service, &placement) else { break };
             excluded.push(Arc::clone(&instance.entry.id));
             placed.push(instance);
@@ -172,15 +208,25 @@
         self.with_budget(service, |budget| budget.deposit(now_ms));
     }
 
-    /// Whether the budget of a service allows one send more.
-    pub(crate) fn withdraw(&self, service: &ServiceName) -> bool {
-        let now_ms = self.clock.now_ms();
-        let daemons = lock(&self.fleet_size).get(now_ms);
-        let is_allowed = self.with_budget(service, |budget| budget.withdraw(daemons, now_ms));
-        if !is_allowed {
+    /// Whether the budget of a service, or that of another daemon, allows one send more.
+    pub(crate) async fn withdraw(&self, service: &ServiceName) -> bool {
+        if self.withdraw_own(service) {
+            return true;
+        }
+        let is_lent = match self.loan_desk.get() {
+            Some(desk) => desk.borrow(self, service).await,
+            None => false,
+        };
+        if !is_lent {
             metrics::counter!("retry_budget_exhausted_total").increment(1);
         }
-        is_allowed
+        is_lent
+    }
+
+    fn withdraw_own(&self, service: &ServiceName) -> bool {
+        let now_ms = self.clock.now_ms();
+        let daemons = lock(&self.fleet_size).get(now_ms);
+        self.with_budget(service, |budget| budget.withdraw(daemons, now_ms))
     }
 
     /// Gives back a send that did not happen.
--- a/crates/ingress/src/fleet_size.rs
+++ b/crates/ingress/src/fleet_size.rs
@@ -6,6 +6,9 @@
 /// Number that is assumed until one is known: the size that the system is designed for.
 const ASSUMED: usize = 370;
 
+/// Time for which it is still assumed afterwards: the daemons of a fleet that starts announce themselves in it.
+const ASSUMED_MEMORY_MS: u64 = 5_000;
+
 /// Largest number of daemons that was listed in the last while.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSize {
@@ -17,10 +20,13 @@
 impl FleetSize {
     /// Takes over the number of daemons that are listed at `now_ms`.
     pub fn set(&mut self, listed: usize, now_ms: u64) {
-        let before = self.listed.replace(listed).unwrap_or(ASSUMED);
+        let (before, memory_ms) = match self.listed.replace(listed) {
+            Some(before) => (before, MEMORY_MS),
+            None => (ASSUMED, ASSUMED_MEMORY_MS),
+        };
         self.before.retain(|&(count, until_ms)| count > listed && until_ms > now_ms);
         if before > listed {
-            self.before.push((before, now_ms + MEMORY_MS));
+            self.before.push((before, now_ms + memory_ms));
         }
     }
 
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -1,9 +1,9 @@
 //! Follows the configuration, the instances and the daemons in the platform.
 
 use crate::{config::Config, core::Core, instance_entry::InstanceEntry};
-use base::HashSet;
+use base::HashMap;
 use plat::{Change, Follower, Source, SourceError, follow};
-use std::{fmt::Display, sync::Arc};
+use std::{fmt::Display, net::SocketAddr, sync::Arc};
 
 /// Keys of the platform's items.
 #[derive(Clone, Copy, Debug)]
@@ -34,7 +34,7 @@
     keys: Keys,
     decoders: Decoders<E>,
 ) {
-    let follower = PlatformFollower { core, keys, decoders, daemons: HashSet::default() };
+    let follower = PlatformFollower { core, keys, decoders, daemons: HashMap::default() };
     follow(source, "", follower).await;
 }
 
@@ -42,7 +42,8 @@
     core: Arc<Core>,
     keys: Keys,
     decoders: Decoders<E>,
-    daemons: HashSet<Box<str>>,
+    /// Addresses of the daemons' loan desks, by name.
+    daemons: HashMap<Box<str>, SocketAddr>,
 }
 
 impl<E: Display> PlatformFollower<E> {
@@ -68,15 +69,18 @@
         }
     }
 
-    fn daemon_changed(&mut self, name: &str, is_listed: bool) {
-        let is_new = match is_listed {
-            true => self.daemons.insert(name.into()),
-            false => self.daemons.remove(name),
-        };
-        if is_new {
-            self.core.set_fleet_size(self.daemons.len());
+    /// Takes over the item of a daemon; whether that changes the list.
+    fn daemon_changed(&mut self, name: &str, value: Option<&[u8]>) -> bool {
+        let addr = value.and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
+        match addr {
+            Some(addr) => self.daemons.insert(name.into(), addr) != Some(addr),
+            None => self.daemons.remove(name).is_some(),
         }
     }
+
+    fn daemons_changed(&self) {
+        self.core.set_daemons(self.daemons.values().copied().collect());
+    }
 }
 
 impl<E: Display> Follower for PlatformFollower<E> {
@@ -90,15 +94,16 @@
                 let value = item.value.as_deref().unwrap_or_default();
                 entries.extend(self.entry(id, value));
             } else if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
-                self.daemons.insert(name.into());
+                self.daemon_changed(name, item.value.as_deref());
             }
         }
-        self.core.set_fleet_size(self.daemons.len());
+        self.daemons_changed();
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
         self.core.instances_listed();
     }
 
     fn changed(&mut self, changes: Vec<Change>) {
+        let mut has_daemons = false;
         for change in &changes {
             if &*change.key == self.keys.config {
                 self.install(change);
@@ -109,9 +114,12 @@
                     None => registry.remove(id, now_ms),
                 });
             } else if let Some(name) = change.key.strip_prefix(self.keys.daemons) {
-                self.daemon_changed(name, change.value.is_some());
+                has_daemons |= self.daemon_changed(name, change.value.as_deref());
             }
         }
+        if has_daemons {
+            self.daemons_changed();
+        }
         self.core.instances_changed();
     }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -33,6 +33,8 @@
 mod instance;
 mod instance_entry;
 mod lease;
+mod loan_desk;
+mod loan_message;
 mod memory_copy;
 mod probe;
 mod registry;
@@ -56,6 +58,8 @@
     gateway::{Gateway, ReadyProbe},
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
+    loan_desk::LoanDesk,
+    loan_message::LoanMessage,
     registry::Registry,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -33,9 +33,6 @@
 
 /// Whether an engine is alive: it answered a short while ago, or does so now.
 pub(crate) async fn is_alive(core: &Core, instance: &Arc<Instance>) -> bool {
-    if !instance.is_open() {
-        return false;
-    }
     let now_ms = core.clock.now_ms();
     instance.was_heard(KNOWN_ALIVE_MS, now_ms) || probe(core, instance).await.is_some()
 }
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -37,14 +37,17 @@
     let mut failure: Option<HeldAnswer> = None;
     core.deposit(&inbound.service);
     loop {
-        let placement = Placement { excluded: &excluded, other_than: None };
+        let placement =
+            Placement { excluded: &excluded, prefers_local: true, ..Placement::default() };
         let left_ms = inbound.left_ms(core.clock.now_ms());
         let instance = core.place(&inbound.service, &placement).filter(|_| left_ms > 0);
         let is_repeat = !excluded.is_empty();
-        let Some(instance) = instance.filter(|_| !is_repeat || core.withdraw(&inbound.service))
-        else {
+        let Some(instance) = instance else {
             return give_up(core, inbound, call, failure);
         };
+        if is_repeat && !core.withdraw(&inbound.service).await {
+            return give_up(core, inbound, call, failure);
+        }
         excluded.push(Arc::clone(&instance.entry.id));
         let sent = call.send();
         let may_repeat = sent.repeat() == Repeat::Idempotent && sent.has_retries();
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -425,31 +425,39 @@
             return;
         }
         let copy = self.keeper.take().filter(|copy| copy.instance.is_open());
-        let placement = Placement { excluded: &self.excluded, other_than: None };
+        let placement = Placement { excluded: &self.excluded, ..Placement::default() };
         let candidates = self.core.place_some(&self.inbound.service, &placement, PROBED_ENGINES);
         let core = Arc::clone(&self.core);
+        let is_repeat = self.sends > 0;
+        let service = self.inbound.service.clone();
         let choosing = async move {
-            if let Some(copy) = copy
-                && is_alive(&core, &copy.instance).await
-            {
-                return Some(Chosen { instance: Arc::clone(&copy.instance), copy: Some(copy) });
-            }
-            let instance = choose_probed(&core, candidates).await?;
-            Some(Chosen { instance, copy: None })
+            let is_copy_alive = match &copy {
+                Some(copy) => is_alive(&core, &copy.instance).await,
+                None => false,
+            };
+            let copy = copy.filter(|_| is_copy_alive);
+            let instance = match &copy {
+                Some(copy) => Arc::clone(&copy.instance),
+                None => choose_probed(&core, candidates).await?,
+            };
+            let is_allowed = !is_repeat || core.withdraw(&service).await;
+            Some(Chosen { instance, copy, is_allowed })
         };
         self.attempts.push(Attempt::choosing(id, choosing.boxed(), self.core.clock.now_ms()));
     }
 
     fn on_chosen(&mut self, position: usize, chosen: Option<Chosen>) {
         let id = self.attempts[position].id;
-        let Some(Chosen { instance, copy }) = chosen else {
+        let Some(Chosen { instance, copy, is_allowed }) = chosen else {
             self.attempts.swap_remove(position);
             self.input(Input::NoUpstream { attempt: id });
             return;
         };
-        if self.sends > 0 && !self.core.withdraw(&self.inbound.service) {
-            log::info!("stream: id={} has no retry budget", self.inbound.id_text());
-            self.fail(Failure::Attempts);
+        if !is_allowed {
+            log::info!("stream: id={} waits for the retry budget", self.inbound.id_text());
+            self.keeper.set(copy);
+            self.attempts.swap_remove(position);
+            self.input(Input::NoUpstream { attempt: id });
             return;
         }
         self.sends += 1;
@@ -513,8 +521,11 @@
         if !self.engine_rules?.copies_memory {
             return None;
         }
-        let placement =
-            Placement { excluded: &self.excluded, other_than: Some(&instance.entry.domain) };
+        let placement = Placement {
+            excluded: &self.excluded,
+            other_than: Some(&instance.entry.domain),
+            ..Placement::default()
+        };
         let target = self.core.place(&self.inbound.service, &placement)?;
         Some(MemoryCopy::new(target, CopyOrigin::Followed, self.core.clock.now_ms()))
     }
--- /dev/null
+++ b/crates/ingress/tests/events.rs
@@ -0,0 +1,51 @@
+//! Splitting of a stream into events.
+
+use ingress::{Event, EventSplitter, SplitError};
+use quickcheck::{QuickCheck, TestResult};
+
+fn split(parts: &[&[u8]]) -> (Vec<Event>, bool) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for part in parts {
+        splitter.push(part);
+        while let Some(event) = splitter.next_event().unwrap() {
+            events.push(event);
+        }
+    }
+    (events, splitter.has_partial())
+}
+
+/// Guards against a partial event that is passed on, and against changed bytes.
+#[test]
+fn whole_events_come_out_byte_by_byte() {
+    let text = b"weight-versions: 3\nid: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\nid: 9\nda";
+    let (events, has_partial) = split(&[text]);
+    let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+    assert_eq!(ids, [Some(7), Some(8)]);
+    let bytes: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+    assert_eq!(bytes, text[..text.len() - 8]);
+    assert!(has_partial);
+}
+
+/// Guards against a result that depends on how the bytes are cut on their way.
+#[test]
+fn cuts_do_not_change_the_events() {
+    fn holds(ids: Vec<u16>, cuts: Vec<usize>) -> TestResult {
+        let text: String = ids.iter().map(|id| format!("id: {id}\ndata: x{id}\n\n")).collect();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut % (text.len() + 1)).collect();
+        cuts.extend([0, text.len()]);
+        cuts.sort_unstable();
+        let parts: Vec<&[u8]> =
+            cuts.windows(2).map(|pair| &text.as_bytes()[pair[0]..pair[1]]).collect();
+        TestResult::from_bool(split(&parts) == split(&[text.as_bytes()]))
+    }
+    QuickCheck::new().quickcheck(holds as fn(Vec<u16>, Vec<usize>) -> TestResult);
+}
+
+/// Guards against memory that grows with bytes that never become an event.
+#[test]
+fn an_endless_event_is_refused() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; 300 * 1024]);
+    assert_eq!(splitter.next_event(), Err(SplitError::TooLarge));
+}
--- /dev/null
+++ b/crates/ingress/tests/routes.rs
@@ -0,0 +1,43 @@
+//! Choice of a route, and of its service.
+
+use ingress::{Route, RouteKind, RouteTable};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        max_attempts: 2,
+        services: vec![("one".try_into().unwrap(), 90), ("two".try_into().unwrap(), 10)],
+        allows_anonymous: false,
+    }
+}
+
+/// Guards against a request that goes by a shorter prefix, another host or a prefix that only looks like its path.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ]);
+    let find = |host, path| table.find(host, path).map(|route| &*route.name);
+    assert_eq!(find("a.example", "/x/y/z/1"), Some("long"));
+    assert_eq!(find("A.Example:80", "/x/yy"), Some("short"));
+    assert_eq!(find("a.example", "/x"), None);
+    assert_eq!(find("c.example", "/x/y/"), None);
+}
+
+/// Guards against a split of the traffic that ignores the weights.
+#[test]
+fn services_are_drawn_by_weight() {
+    let route = route("split", "a.example", "/");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let is_two = |rng: &mut SmallRng| route.pick_service(rng).unwrap().as_str() == "two";
+    let two = (0..10_000).filter(|_| is_two(&mut rng)).count();
+    assert!((900..1_100).contains(&two), "{two} of 10,000");
+}
--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -81,7 +81,7 @@
         keeps_suspect: false,
         restart: RestartMode::Continue,
         max_fruitless_attempts: 12,
-        no_upstream_pause_ms: 50,
+        no_upstream_pause_ms: 100,
         no_upstream_limit_ms: 10_000,
     };
 
