Read all items again after a failed watch

Ruled out: the pause after a failure (50 ms). Now a failed call is followed by a list. An outage of under 2 s excuses no missing entry any more, since none can lapse in it. The test of the gap failed before.

--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -125,7 +125,7 @@
 
     fn lost(&mut self, err: &SourceError) {
         log::warn!("platform: the store does not answer: {err}");
-        self.core.with_registry(|registry, _| registry.platform_lost());
+        self.core.with_registry(|registry, now_ms| registry.platform_lost(now_ms));
     }
 
     fn answered(&mut self, away_ms: Option<u64>) {
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -10,6 +10,10 @@
 /// Time after the return of the platform in which entries that lapsed meanwhile come back.
 pub const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// Shortest outage in which an entry can lapse: an entry lapses after three heartbeats of more than a second, and the
+/// last one may have come up to one before the outage.
+const SHORTEST_LAPSE_MS: u64 = 2_000;
+
 /// All instances that the platform lists.
 ///
 /// An entry that disappears is gone, unless the platform was away: then it may have lapsed although the instance lives,
@@ -18,7 +22,7 @@
 pub struct Registry {
     instances: HashMap<InstanceId, Listed>,
     by_service: HashMap<ServiceName, Vec<Arc<Instance>>>,
-    is_away: bool,
+    away_since_ms: Option<u64>,
     grace_until_ms: u64,
 }
 
@@ -45,13 +49,14 @@
     }
 
     /// The platform does not answer.
-    pub fn platform_lost(&mut self) {
-        self.is_away = true;
+    pub fn platform_lost(&mut self, now_ms: u64) {
+        self.away_since_ms.get_or_insert(now_ms);
     }
 
     /// The platform answers again.
     pub fn platform_answered(&mut self, now_ms: u64) {
-        if std::mem::take(&mut self.is_away) {
+        let since_ms = self.away_since_ms.take();
+        if since_ms.is_some_and(|at_ms| now_ms >= at_ms + SHORTEST_LAPSE_MS) {
             self.grace_until_ms = now_ms + LAPSE_GRACE_MS;
         }
     }
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -58,7 +58,7 @@
 fn entries_that_lapse_in_an_outage_count_for_two_seconds_more() {
     let mut registry = Registry::default();
     registry.replace(vec![entry("x", 1), entry("y", 2)], 0);
-    registry.platform_lost();
+    registry.platform_lost(7_000);
     registry.platform_answered(10_000);
     registry.replace(Vec::new(), 10_000);
     assert_eq!(open_ids(&registry), ["x", "y"]);
@@ -75,8 +75,19 @@
 fn an_entry_that_is_removed_after_the_grace_is_gone_at_once() {
     let mut registry = Registry::default();
     registry.upsert(entry("x", 1));
-    registry.platform_lost();
+    registry.platform_lost(7_000);
     registry.platform_answered(10_000);
     registry.remove("x", 12_500);
     assert!(registry.is_empty());
 }
+
+/// Guards against work for an instance that left while the platform cut its watches for a moment.
+#[test]
+fn a_short_outage_excuses_no_missing_entry() {
+    let mut registry = Registry::default();
+    registry.replace(vec![entry("x", 1), entry("y", 2)], 0);
+    registry.platform_lost(7_000);
+    registry.platform_answered(7_300);
+    registry.replace(vec![entry("x", 1)], 7_300);
+    assert_eq!(open_ids(&registry), ["x"]);
+}
--- a/crates/plat/src/follow.rs
+++ b/crates/plat/src/follow.rs
@@ -68,6 +68,9 @@
                     lost_at_ms = Some(clock.now_ms());
                     follower.lost(&err);
                 }
+                // The service may have made changes before it cut the watch, and a watch that begins before them may hear of
+                // them only at its end.
+                revision = None;
                 let pause_ms = (PAUSE_MS << failures.min(8)).min(MAX_PAUSE_MS);
                 failures += 1;
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
