Use one retry budget for both faces

limit::RetryBudget was not used, call::RetryBudget served the own interface and ingress::Budget the platform's. The one over a sliding window, in limit, now serves both.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -22,7 +22,6 @@
 mod record_error;
 mod repeat;
 mod repeat_rules;
-mod retry_budget;
 mod state;
 mod stored_answer;
 
@@ -42,7 +41,6 @@
     record_error::RecordError,
     repeat::Repeat,
     repeat_rules::RepeatRules,
-    retry_budget::RetryBudget,
     state::{Answered, Sent, Unknown, Unsent},
     stored_answer::{STORED_BODY_BYTES, StoredAnswer},
 };
--- a/crates/entry/src/retry_budgets.rs
+++ b/crates/entry/src/retry_budgets.rs
@@ -1,9 +1,12 @@
 //! Retry budgets of all services.
 
 use base::{HashMap, ServiceName};
-use call::RetryBudget;
+use limit::{RetryBudget, RetryRules};
 use std::sync::{Mutex, PoisonError};
 
+/// Repeats of sent calls at one entry: a tenth of the calls, and ten besides, so that a quiet service can recover.
+const RULES: RetryRules = RetryRules { ratio: 0.1, slack: 10.0, window_ms: 10_000 };
+
 /// Retry budgets of all services. Names are of services in the configuration, so that their number is bounded.
 #[derive(Debug, Default)]
 pub(crate) struct RetryBudgets {
@@ -12,17 +15,18 @@
 
 impl RetryBudgets {
     /// Counts a new call.
-    pub fn deposit(&self, service: &ServiceName) {
-        self.with(service, RetryBudget::deposit);
+    pub fn deposit(&self, service: &ServiceName, now_ms: u64) {
+        self.with(service, |budget| budget.deposit(now_ms));
     }
 
     /// Takes a repeat from the budget; whether there was one.
-    pub fn withdraw(&self, service: &ServiceName) -> bool {
-        self.with(service, RetryBudget::withdraw)
+    pub fn withdraw(&self, service: &ServiceName, now_ms: u64) -> bool {
+        // The rules are for each entry.
+        self.with(service, |budget| budget.withdraw(1, now_ms))
     }
 
     fn with<T>(&self, service: &ServiceName, action: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        action(budgets.entry(service.clone()).or_default())
+        action(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(RULES)))
     }
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -85,7 +85,7 @@
     repeat: Repeat,
     rules: &CallRules,
 ) -> Result<Response<Bytes>, RunError> {
-    shared.retries.deposit(&request.service);
+    shared.retries.deposit(&request.service, shared.clock.now_ms());
     let mut call = Call::new(repeat, RETRIES);
     let mut failed_addrs: Vec<SocketAddr> = Vec::new();
     loop {
@@ -120,7 +120,9 @@
                 guard.unreachable();
                 failed_addrs.push(addr);
                 match sent.lost() {
-                    Lost::Retry(unsent) if shared.retries.withdraw(&request.service) => {
+                    Lost::Retry(unsent)
+                        if shared.retries.withdraw(&request.service, shared.clock.now_ms()) =>
+                    {
                         call = unsent;
                     }
                     Lost::Retry(unsent) => return Err(give_up(unsent)),
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -29,6 +29,10 @@
 /// up to four fifths of the platform's usual limit of 15 s.
 const HEADER_WAIT_MS: u64 = 15_000;
 
+/// Longest wait for an engine's report. Engines answer within two milliseconds inside the site, and what is left of the
+/// pause that a caller accepts must do for the next engine.
+const REPORT_WAIT_MS: u64 = 80;
+
 /// Largest head of a request.
 const HEADERS_SIZE_BYTES: usize = 32 * 1024;
 
@@ -105,8 +109,9 @@
 fn options(settings: &Settings) -> CoreOptions {
     CoreOptions {
         domain: settings.domain.clone(),
-        budget: settings.budget,
+        retries: settings.retries,
         stream_policy: Policy::EVENTS,
+        report_wait_ms: REPORT_WAIT_MS,
         seed: RandomState::new().hash_one(&settings.vm_name),
     }
 }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -1,7 +1,6 @@
 //! State that all requests of a daemon share.
 
 use crate::{
-    budget::{Budget, BudgetRules},
     candidates::Placement,
     config::{Config, EngineRules},
     dialect::Dialect,
@@ -12,6 +11,7 @@
     zone_losses::ZoneLosses,
 };
 use base::{Clock, DomainName, HashMap, ServiceName};
+use limit::{RetryBudget, RetryRules};
 use rand::{SeedableRng, rngs::SmallRng, seq::index};
 use recovery::{Policy, Sample, Timing, TimingTracker};
 use std::{
@@ -29,9 +29,11 @@
     /// Failure domain of this daemon.
     pub domain: DomainName,
     /// Repeats that the fleet may send to a service.
-    pub budget: BudgetRules,
+    pub retries: RetryRules,
     /// When a stream is taken over by another engine.
     pub stream_policy: Policy,
+    /// Longest wait for an engine's report. An engine that does not answer by then is taken for dead.
+    pub report_wait_ms: u64,
     /// Seed of the choices.
     pub seed: u64,
 }
@@ -49,7 +51,7 @@
     fleet_size: Mutex<FleetSize>,
     daemons: Mutex<Vec<SocketAddr>>,
     loan_desk: OnceLock<Arc<LoanDesk>>,
-    budgets: Mutex<HashMap<ServiceName, Budget>>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<ZoneLosses>,
     changes: watch::Sender<()>,
@@ -235,12 +237,16 @@
         self.with_budget(service, |budget| budget.refund(now_ms));
     }
 
-    fn with_budget<T>(&self, service: &ServiceName, change: impl FnOnce(&mut Budget) -> T) -> T {
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
         let mut budgets = lock(&self.budgets);
         if let Some(budget) = budgets.get_mut(service) {
             return change(budget);
         }
-        let budget = Budget::new(self.options.budget);
+        let budget = RetryBudget::new(self.options.retries);
         change(budgets.entry(service.clone()).or_insert(budget))
     }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,7 +12,6 @@
 mod answer;
 mod attempt;
 mod attempt_error;
-mod budget;
 mod caller_error;
 mod candidates;
 mod config;
@@ -45,7 +44,6 @@
 mod zone_losses;
 
 pub use crate::{
-    budget::{Budget, BudgetRules},
     caller_error::CallerError,
     config::{ClientLimits, Config, EngineRules, ServiceRules, Tenant},
     core::{Core, CoreOptions},
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -8,10 +8,6 @@
 use hyper::Method;
 use std::sync::Arc;
 
-/// Longest wait for a report. An engine that does not answer by then is taken for dead, which costs less than sending
-/// the request to it.
-const PROBE_WAIT_MS: u64 = 80;
-
 /// Time for which an engine that answered is not asked again whether it is alive.
 const KNOWN_ALIVE_MS: u64 = 150;
 
@@ -49,7 +45,8 @@
 async fn probe(core: &Core, instance: &Arc<Instance>) -> Option<EngineReport> {
     let _lease = InstanceLease::new(Arc::clone(instance));
     let path = core.dialect.report_path;
-    let answer = engine_call(core, instance, Method::GET, path, Vec::new(), PROBE_WAIT_MS).await;
+    let wait_ms = core.options.report_wait_ms;
+    let answer = engine_call(core, instance, Method::GET, path, Vec::new(), wait_ms).await;
     let report = match answer {
         Ok((_, report)) => (core.dialect.decode_report)(&report)?,
         Err(err) => {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -20,6 +20,12 @@
 mod retry_budget;
 
 pub use crate::{
-    account_limits::AccountLimits, account_rate::AccountRate, admission::Admission, class::Class,
-    digest::UsageDigest, queue::Queue, queue_limits::QueueLimits, retry_budget::RetryBudget,
+    account_limits::AccountLimits,
+    account_rate::AccountRate,
+    admission::Admission,
+    class::Class,
+    digest::UsageDigest,
+    queue::Queue,
+    queue_limits::QueueLimits,
+    retry_budget::{RetryBudget, RetryRules},
 };
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -1,43 +1,83 @@
-//! Budget that keeps retries to a share of first tries.
+//! Budget of second and later sends to a service.
 
-/// Retries that a first try pays for.
-const RATIO: f64 = 0.1;
+use std::collections::VecDeque;
 
-/// Retries a second that are allowed without first tries, so that a quiet service can recover.
-const MIN_PER_S: f64 = 1.0;
+/// Parts of the window. Whole parts leave the window at a time.
+const PARTS: u64 = 20;
 
-/// Largest balance: it bounds the burst of retries when many requests fail together.
-const BALANCE_LIMIT: f64 = 100.0;
+/// Share of the bounds that is spent. The rest covers requests that leave the window a part too late.
+const SPENT_SHARE: f64 = 0.9;
 
-/// Retry budget of one service. Attempts that resume a generation are not charged here; `recovery` limits their rate.
+/// Bounds of the repeats that the whole fleet may send to a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRules {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats in a window that are allowed besides.
+    pub slack: f64,
+    /// Length of the window, which may begin at any moment.
+    pub window_ms: u64,
+}
+
+/// Budget of repeats for one service at one daemon.
+///
+/// Each daemon spends only what its own requests of the window allow and its part of the slack, so the fleet keeps its
+/// bounds without a message for each request.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    balance: f64,
-    refilled_at_ms: u64,
+    rules: RetryRules,
+    parts: VecDeque<Part>,
+}
+
+/// Counts of one part of the window.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    number: u64,
+    requests: u32,
+    repeats: u32,
 }
 
 impl RetryBudget {
-    /// A budget that holds the minimum of one second.
-    pub fn new(now_ms: u64) -> Self {
-        Self { balance: MIN_PER_S, refilled_at_ms: now_ms }
+    /// A budget that has seen no request.
+    pub fn new(rules: RetryRules) -> Self {
+        Self { rules, parts: VecDeque::new() }
     }
 
-    /// Counts a first try.
-    pub fn first_try(&mut self) {
-        self.balance = (self.balance + RATIO).min(BALANCE_LIMIT);
+    /// Counts a request of a caller.
+    pub fn deposit(&mut self, now_ms: u64) {
+        self.part(now_ms).requests += 1;
     }
 
-    /// Whether a retry is allowed; if so, it is charged.
-    pub fn try_retry(&mut self, now_ms: u64) -> bool {
-        let elapsed_ms = now_ms.saturating_sub(self.refilled_at_ms);
-        self.refilled_at_ms = now_ms.max(self.refilled_at_ms);
-        let refill = elapsed_ms as f64 / 1_000.0 * MIN_PER_S;
-        // The minimum does not add up over quiet times.
-        self.balance = self.balance.max((self.balance + refill).min(MIN_PER_S));
-        if self.balance < 1.0 {
+    /// Takes a repeat from the budget; whether there was one. `daemons` share the slack.
+    pub fn withdraw(&mut self, daemons: usize, now_ms: u64) -> bool {
+        self.part(now_ms);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
+        let allowed = f64::from(requests) * self.rules.ratio * SPENT_SHARE
+            + self.rules.slack * SPENT_SHARE / daemons.max(1) as f64;
+        if f64::from(repeats + 1) > allowed {
             return false;
         }
-        self.balance -= 1.0;
+        self.part(now_ms).repeats += 1;
         true
     }
+
+    /// Gives back a repeat that was not sent.
+    pub fn refund(&mut self, now_ms: u64) {
+        let part = self.part(now_ms);
+        part.repeats = part.repeats.saturating_sub(1);
+    }
+
+    /// The part of `now_ms`; parts that have left the window are dropped.
+    fn part(&mut self, now_ms: u64) -> &mut Part {
+        let number = now_ms / (self.rules.window_ms / PARTS).max(1);
+        while self.parts.front().is_some_and(|part| part.number + PARTS < number) {
+            self.parts.pop_front();
+        }
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(Part { number, requests: 0, repeats: 0 });
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
 }
