Choose engines by the prompts that wait there

An engine's report tells how many requests it has and how many of them make events; the difference is the prompts that a new one waits for. It now comes first, and a stream waits up to 1.5 s for an engine with fewer than three.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     attempt_error::AttemptError, core::Core, event::Event, event_splitter::EventSplitter,
-    exchange::Exchange, held_answer::HeldAnswer, instance::Instance, memory_copy::MemoryCopy,
-    probe::is_alive,
+    exchange::Exchange, held_answer::HeldAnswer, instance::Instance, lease::PromptLease,
+    memory_copy::MemoryCopy, probe::is_alive,
 };
 use futures::{FutureExt, future::BoxFuture};
 use recovery::{AttemptId, LossCause};
@@ -34,6 +34,8 @@
     checked_ms: u64,
     check: Option<BoxFuture<'static, bool>>,
     has_event: bool,
+    /// The prompt at the engine, until its first event.
+    prompt: Option<PromptLease>,
 }
 
 pub(crate) enum Progress {
@@ -47,8 +49,27 @@
     pub instance: Arc<Instance>,
     /// Copy of the run's memory that the engine has.
     pub copy: Option<MemoryCopy>,
-    /// Whether the budget of repeats allows the attempt.
-    pub is_allowed: bool,
+    /// Why the attempt has to wait; none if it may begin.
+    pub delay: Option<Delay>,
+}
+
+/// Why an attempt has to wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Delay {
+    /// Prompts wait at all engines that were asked.
+    Busy,
+    /// The budget of repeats is spent.
+    Budget,
+}
+
+impl Delay {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Budget => "budget",
+            Self::Busy => "busy",
+        }
+    }
 }
 
 /// Answer of an engine after its head.
@@ -82,6 +103,7 @@
             checked_ms: now_ms,
             check: None,
             has_event: false,
+            prompt: None,
         }
     }
 
@@ -92,6 +114,7 @@
         opening: BoxFuture<'static, Result<Opened, AttemptError>>,
         now_ms: u64,
     ) {
+        self.prompt = Some(PromptLease::new(Arc::clone(&instance)));
         self.instance = Some(instance);
         self.progress = Progress::Opening(opening);
         self.heard_ms = now_ms;
@@ -133,7 +156,10 @@
         let step = self.poll_progress(cx);
         if step.is_ready() {
             self.heard_ms = now_ms;
-            self.has_event |= matches!(step, Poll::Ready(Step::Event(_)));
+            if matches!(step, Poll::Ready(Step::Event(_))) {
+                self.has_event = true;
+                self.prompt = None;
+            }
             return step;
         }
         if let Some(check) = &mut self.check {
--- a/crates/ingress/src/copy_keeper.rs
+++ b/crates/ingress/src/copy_keeper.rs
@@ -123,7 +123,7 @@
             let Some(target) = choose_probed(&core, candidates).await else {
                 return Outcome::Failed;
             };
-            match snapshot(&core, &inbound, &source, target).await {
+            match snapshot(&core, &inbound, &source, target.instance).await {
                 Some(copy) => Outcome::Made(copy),
                 None => Outcome::Failed,
             }
--- a/crates/ingress/src/engine_report.rs
+++ b/crates/ingress/src/engine_report.rs
@@ -5,6 +5,8 @@
 pub struct EngineReport {
     /// Requests in the batch and in the queue.
     pub requests: u32,
+    /// Those of them whose prompt is not read yet. A new prompt waits for them.
+    pub pending_prompts: u32,
     /// Tokens in memory that cannot be evicted.
     pub used_tokens: u64,
     /// Tokens that the memory holds.
--- a/crates/ingress/src/instance.rs
+++ b/crates/ingress/src/instance.rs
@@ -17,6 +17,7 @@
     pub entry: InstanceEntry,
     pub(crate) connections: Connections,
     in_flight: AtomicU32,
+    pending_prompts: AtomicU32,
     state: Mutex<State>,
 }
 
@@ -37,6 +38,7 @@
             entry,
             connections: Connections::default(),
             in_flight: AtomicU32::new(0),
+            pending_prompts: AtomicU32::new(0),
             state: Mutex::new(state),
         }
     }
@@ -46,6 +48,19 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Requests of this daemon whose prompt is not read yet.
+    pub fn pending_prompts(&self) -> u32 {
+        self.pending_prompts.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_prompt(&self) {
+        self.pending_prompts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn end_prompt(&self) {
+        self.pending_prompts.fetch_sub(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn enter(&self) {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -11,20 +11,32 @@
 /// Time for which an engine that answered is not asked again whether it is alive.
 const KNOWN_ALIVE_MS: u64 = 150;
 
-/// Asks all candidates at the same time and chooses the one with the fewest requests; `None` if none answers.
+/// Prompts that wait at an engine from which on another one is not sent there while better engines may come. Reading
+/// one takes about a second, and callers wait a few seconds for the first event.
+const MANY_PROMPTS: u32 = 3;
+
+/// Engine that answered.
+#[derive(Debug)]
+pub(crate) struct Probed {
+    pub instance: Arc<Instance>,
+    /// Whether a new prompt would wait for long.
+    pub is_busy: bool,
+}
+
+/// Asks all candidates at the same time and chooses the one with the least work; `None` if none answers.
 ///
 /// A report shows what the daemon cannot know otherwise: the requests of other daemons, and that an address belongs to
 /// an engine that was started again. Sending the request there would take a repeat from the fleet's budget.
-pub(crate) async fn choose_probed(
-    core: &Core,
-    candidates: Vec<Arc<Instance>>,
-) -> Option<Arc<Instance>> {
+pub(crate) async fn choose_probed(core: &Core, candidates: Vec<Arc<Instance>>) -> Option<Probed> {
     let probes = candidates.into_iter().map(|instance| async move {
         let report = probe(core, &instance).await?;
         Some((report, instance))
     });
     let answered = join_all(probes).await.into_iter().flatten();
-    answered.min_by_key(|(report, instance)| load(report, instance)).map(|(_, instance)| instance)
+    let (load, instance) = answered
+        .map(|(report, instance)| (Load::of(&report, &instance), instance))
+        .min_by_key(|(load, _)| *load)?;
+    Some(Probed { instance, is_busy: load.pending_prompts >= MANY_PROMPTS })
 }
 
 /// Whether an engine is alive: it answered a short while ago, or does so now.
@@ -33,12 +45,25 @@
     instance.was_heard(KNOWN_ALIVE_MS, now_ms) || probe(core, instance).await.is_some()
 }
 
-/// Load by which candidates are compared: first whether there is room, then the requests. A report is old, so requests
-/// that this daemon has sent since count as well.
-fn load(report: &EngineReport, instance: &Instance) -> (bool, u32) {
-    let is_full = report.used_tokens * 10 > report.memory_tokens * 9;
-    // The probe itself is counted as in flight.
-    (is_full, report.requests.max(instance.in_flight().saturating_sub(1)))
+/// Load by which candidates are compared: first whether there is room, then how many prompts a new one waits for, then
+/// how many streams it slows down.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Load {
+    is_full: bool,
+    pending_prompts: u32,
+    requests: u32,
+}
+
+impl Load {
+    /// A report is old, so what this daemon has sent since counts as well.
+    fn of(report: &EngineReport, instance: &Instance) -> Self {
+        Self {
+            is_full: report.used_tokens * 10 > report.memory_tokens * 9,
+            pending_prompts: report.pending_prompts.max(instance.pending_prompts()),
+            // The probe itself is counted as in flight.
+            requests: report.requests.max(instance.in_flight().saturating_sub(1)),
+        }
+    }
 }
 
 /// The report of an engine, if it is the one that is listed.
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     answer::passed_on,
-    attempt::{Attempt, Chosen, Opened, Progress, Step},
+    attempt::{Attempt, Chosen, Delay, Opened, Progress, Step},
     attempt_error::AttemptError,
     caller_error::CallerError,
     candidates::Placement,
@@ -36,6 +36,10 @@
 /// Engines that are asked for their load before one gets the request.
 const PROBED_ENGINES: usize = 3;
 
+/// Time since the last event, or since the request came, in which an attempt waits for an engine that is not busy. The
+/// engines of a failure domain that was lost come back in it.
+const BUSY_WAIT_MS: u64 = 1_500;
+
 /// Longest sleep of the relay. A deadline beyond it is looked at again.
 const MAX_SLEEP_MS: u64 = 60_000;
 
@@ -429,6 +433,8 @@
         let candidates = self.core.place_some(&self.inbound.service, &placement, PROBED_ENGINES);
         let core = Arc::clone(&self.core);
         let is_repeat = self.sends > 0;
+        let now_ms = self.core.clock.now_ms();
+        let may_wait = now_ms < self.last_release_ms + BUSY_WAIT_MS;
         let service = self.inbound.service.clone();
         let choosing = async move {
             let is_copy_alive = match &copy {
@@ -436,25 +442,34 @@
                 None => false,
             };
             let copy = copy.filter(|_| is_copy_alive);
-            let instance = match &copy {
-                Some(copy) => Arc::clone(&copy.instance),
-                None => choose_probed(&core, candidates).await?,
+            let (instance, is_busy) = match &copy {
+                Some(copy) => (Arc::clone(&copy.instance), false),
+                None => {
+                    let probed = choose_probed(&core, candidates).await?;
+                    (probed.instance, probed.is_busy)
+                }
+            };
+            let delay = if is_busy && may_wait {
+                Some(Delay::Busy)
+            } else if is_repeat && !core.withdraw(&service).await {
+                Some(Delay::Budget)
+            } else {
+                None
             };
-            let is_allowed = !is_repeat || core.withdraw(&service).await;
-            Some(Chosen { instance, copy, is_allowed })
+            Some(Chosen { instance, copy, delay })
         };
         self.attempts.push(Attempt::choosing(id, choosing.boxed(), self.core.clock.now_ms()));
     }
 
     fn on_chosen(&mut self, position: usize, chosen: Option<Chosen>) {
         let id = self.attempts[position].id;
-        let Some(Chosen { instance, copy, is_allowed }) = chosen else {
+        let Some(Chosen { instance, copy, delay }) = chosen else {
             self.attempts.swap_remove(position);
             self.input(Input::NoUpstream { attempt: id });
             return;
         };
-        if !is_allowed {
-            log::info!("stream: id={} waits for the retry budget", self.inbound.id_text());
+        if let Some(delay) = delay {
+            log::info!("stream: id={} waits, reason={}", self.inbound.id_text(), delay.as_str());
             self.keeper.set(copy);
             self.attempts.swap_remove(position);
             self.input(Input::NoUpstream { attempt: id });
