--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -1,9 +1,9 @@
 //! One attempt of a stream at an engine.
 
 use crate::{
-    attempt_error::AttemptError, core::Core, event::Event, event_splitter::EventSplitter,
-    exchange::Exchange, held_answer::HeldAnswer, instance::Instance, lease::PromptLease,
-    memory_copy::MemoryCopy, probe::is_alive,
+    attempt_error::AttemptError, choice::Choice, core::Core, event::Event,
+    event_splitter::EventSplitter, exchange::Exchange, held_answer::HeldAnswer, instance::Instance,
+    lease::PromptLease, probe::is_alive,
 };
 use futures::{FutureExt, future::BoxFuture};
 use recovery::{AttemptId, LossCause};
@@ -39,39 +39,11 @@
 }
 
 pub(crate) enum Progress {
-    Choosing(BoxFuture<'static, Option<Chosen>>),
+    Choosing(BoxFuture<'static, Choice>),
     Opening(BoxFuture<'static, Result<Opened, AttemptError>>),
     Reading { exchange: Exchange, splitter: EventSplitter },
 }
 
-/// Engine for an attempt.
-pub(crate) struct Chosen {
-    pub instance: Arc<Instance>,
-    /// Copy of the run's memory that the engine has.
-    pub copy: Option<MemoryCopy>,
-    /// Why the attempt has to wait; none if it may begin.
-    pub delay: Option<Delay>,
-}
-
-/// Why an attempt has to wait.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Delay {
-    /// Prompts wait at all engines that were asked.
-    Busy,
-    /// The budget of repeats is spent.
-    Budget,
-}
-
-impl Delay {
-    /// Name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Budget => "budget",
-            Self::Busy => "busy",
-        }
-    }
-}
-
 /// Answer of an engine after its head.
 pub(crate) enum Opened {
     Stream(Exchange),
@@ -80,7 +52,7 @@
 
 /// What an attempt brought.
 pub(crate) enum Step {
-    Chosen(Option<Chosen>),
+    Chosen(Choice),
     Head,
     Failure(HeldAnswer),
     Event(Event),
@@ -90,11 +62,7 @@
 
 impl Attempt {
     /// Attempt for which an engine is being chosen.
-    pub fn choosing(
-        id: AttemptId,
-        choosing: BoxFuture<'static, Option<Chosen>>,
-        now_ms: u64,
-    ) -> Self {
+    pub fn choosing(id: AttemptId, choosing: BoxFuture<'static, Choice>, now_ms: u64) -> Self {
         Self {
             id,
             instance: None,
--- a/crates/ingress/src/copy_keeper.rs
+++ b/crates/ingress/src/copy_keeper.rs
@@ -9,7 +9,7 @@
     instance::Instance,
     instance_entry::InstanceId,
     memory_copy::{CopyOrigin, MemoryCopy},
-    probe::{choose_probed, is_alive},
+    probe::{is_alive, probe_all},
 };
 use base::DomainName;
 use futures::{FutureExt, future::BoxFuture};
@@ -120,10 +120,9 @@
         let inbound = Arc::clone(inbound);
         let source = Arc::clone(source);
         let copying = async move {
-            let Some(target) = choose_probed(&core, candidates).await else {
-                return Outcome::Failed;
-            };
-            match snapshot(&core, &inbound, &source, target.instance).await {
+            let probed = probe_all(&core, candidates).await;
+            let Some(target) = probed.best().cloned() else { return Outcome::Failed };
+            match snapshot(&core, &inbound, &source, target).await {
                 Some(copy) => Outcome::Made(copy),
                 None => Outcome::Failed,
             }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod attempt_error;
 mod caller_error;
 mod candidates;
+mod choice;
 mod config;
 mod connections;
 mod copy_keeper;
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -15,28 +15,48 @@
 /// one takes about a second, and callers wait a few seconds for the first event.
 const MANY_PROMPTS: u32 = 3;
 
-/// Engine that answered.
-#[derive(Debug)]
+/// Engines that answered, the one with the least work first.
+#[derive(Debug, Default)]
 pub(crate) struct Probed {
-    pub instance: Arc<Instance>,
-    /// Whether a new prompt would wait for long.
-    pub is_busy: bool,
+    answered: Vec<(Load, Arc<Instance>)>,
 }
 
-/// Asks all candidates at the same time and chooses the one with the least work; `None` if none answers.
+impl Probed {
+    /// The engine with the least work; `None` if none answered.
+    pub fn best(&self) -> Option<&Arc<Instance>> {
+        self.answered.first().map(|(_, instance)| instance)
+    }
+
+    /// Whether a new prompt would wait for long at all of them.
+    pub fn is_busy(&self) -> bool {
+        self.answered.first().is_some_and(|(load, _)| load.pending_prompts >= MANY_PROMPTS)
+    }
+
+    /// The best engine with room for a copy of a run at `instance`: one of another failure domain, since the engines of
+    /// a failure domain tend to fail together.
+    pub fn copy_target(&self, instance: &Instance) -> Option<&Arc<Instance>> {
+        let (_, target) = self
+            .answered
+            .iter()
+            .find(|(load, target)| !load.is_full && target.entry.domain != instance.entry.domain)?;
+        Some(target)
+    }
+}
+
+/// Asks all candidates at the same time.
 ///
 /// A report shows what the daemon cannot know otherwise: the requests of other daemons, and that an address belongs to
 /// an engine that was started again. Sending the request there would take a repeat from the fleet's budget.
-pub(crate) async fn choose_probed(core: &Core, candidates: Vec<Arc<Instance>>) -> Option<Probed> {
+pub(crate) async fn probe_all(core: &Core, candidates: Vec<Arc<Instance>>) -> Probed {
     let probes = candidates.into_iter().map(|instance| async move {
         let report = probe(core, &instance).await?;
         Some((report, instance))
     });
     let answered = join_all(probes).await.into_iter().flatten();
-    let (load, instance) = answered
-        .map(|(report, instance)| (Load::of(&report, &instance), instance))
-        .min_by_key(|(load, _)| *load)?;
-    Some(Probed { instance, is_busy: load.pending_prompts >= MANY_PROMPTS })
+    let mut answered: Vec<_> =
+        answered.map(|(report, instance)| (Load::of(&report, &instance), instance)).collect();
+    answered.sort_by_key(|(load, _)| *load);
+    Probed { answered }
 }
 
 /// Whether an engine is alive: it answered a short while ago, or does so now.
@@ -45,7 +65,8 @@
     instance.was_heard(KNOWN_ALIVE_MS, now_ms) || probe(core, instance).await.is_some()
 }
 
-/// Load by which candidates are compared: first whether there is room, then how many prompts a new one waits for, then
+/// Load by which candidates are compared: first whether there is room for a usual request, which takes up to an eighth of
+/// the memory, then how many prompts a new one waits for, then
 /// how many streams it slows down.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Load {
@@ -58,7 +79,7 @@
     /// A report is old, so what this daemon has sent since counts as well.
     fn of(report: &EngineReport, instance: &Instance) -> Self {
         Self {
-            is_full: report.used_tokens * 10 > report.memory_tokens * 9,
+            is_full: report.used_tokens * 8 > report.memory_tokens * 7,
             pending_prompts: report.pending_prompts.max(instance.pending_prompts()),
             // The probe itself is counted as in flight.
             requests: report.requests.max(instance.in_flight().saturating_sub(1)),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     answer::passed_on,
-    attempt::{Attempt, Chosen, Delay, Opened, Progress, Step},
+    attempt::{Attempt, Opened, Progress, Step},
     attempt_error::AttemptError,
     caller_error::CallerError,
     candidates::Placement,
+    choice::{Choice, Delay, Wanted, choose_engine},
     config::EngineRules,
     copy_keeper::CopyKeeper,
     core::Core,
@@ -16,7 +17,6 @@
     instance::Instance,
     instance_entry::InstanceId,
     memory_copy::{CopyOrigin, MemoryCopy},
-    probe::{choose_probed, is_alive},
     route_kind::RouteKind,
 };
 use bytes::{Bytes, BytesMut};
@@ -256,7 +256,7 @@
         let attempt = &self.attempts[position];
         let id = attempt.id;
         match step {
-            Step::Chosen(chosen) => self.on_chosen(position, chosen),
+            Step::Chosen(choice) => self.on_chosen(position, choice),
             Step::Head => self.on_head(position),
             Step::Failure(answer) => self.on_own_failure(position, answer),
             Step::Event(event) => self.on_event(id, event),
@@ -440,37 +440,19 @@
         let placement = Placement { excluded: &self.excluded, ..Placement::default() };
         let candidates = self.core.place_some(&self.inbound.service, &placement, PROBED_ENGINES);
         let core = Arc::clone(&self.core);
-        let is_repeat = self.sends > 0;
-        let now_ms = self.core.clock.now_ms();
-        let may_wait = now_ms < self.last_release_ms + BUSY_WAIT_MS;
-        let service = self.inbound.service.clone();
-        let urgency = self.urgency(copy.is_some(), now_ms);
-        let choosing = async move {
-            let is_copy_alive = match &copy {
-                Some(copy) => is_alive(&core, &copy.instance).await,
-                None => false,
-            };
-            let copy = copy.filter(|_| is_copy_alive);
-            let (instance, is_busy) = match &copy {
-                Some(copy) => (Arc::clone(&copy.instance), false),
-                None => {
-                    let probed = choose_probed(&core, candidates).await?;
-                    (probed.instance, probed.is_busy)
-                }
-            };
-            let delay = if is_busy && may_wait {
-                Some(Delay::Busy)
-            } else if is_repeat && !core.withdraw(&service, urgency).await {
-                Some(Delay::Budget)
-            } else {
-                None
-            };
-            Some(Chosen { instance, copy, delay })
+        let now_ms = core.clock.now_ms();
+        let wanted = Wanted {
+            service: self.inbound.service.clone(),
+            candidates,
+            repeat: (self.sends > 0).then(|| self.urgency(copy.is_some(), now_ms)),
+            may_wait: now_ms < self.last_release_ms + BUSY_WAIT_MS,
+            copy,
         };
-        self.attempts.push(Attempt::choosing(id, choosing.boxed(), self.core.clock.now_ms()));
+        let choosing = async move { choose_engine(&core, wanted).await };
+        self.attempts.push(Attempt::choosing(id, choosing.boxed(), now_ms));
     }
 
-    /// Whether the answer can still be in time.
+    /// Whether the answer can still be in time, or would cost much more later.
     fn urgency(&self, has_copy: bool, now_ms: u64) -> Urgency {
         let RouteKind::Streaming { gap_target_ms, .. } = self.inbound.kind else {
             return Urgency::Urgent;
@@ -480,35 +462,38 @@
             Some(first_ms) => {
                 let first_in_time =
                     first_ms <= self.inbound.arrived_ms + self.inbound.target_latency_ms;
-                let pause_ms = self.longest_pause_ms.max(now_ms - self.last_release_ms);
-                has_copy && first_in_time && pause_ms <= gap_target_ms
+                let pause_ms = now_ms - self.last_release_ms;
+                let is_in_time =
+                    first_in_time && self.longest_pause_ms.max(pause_ms) <= gap_target_ms;
+                let life_ms = self.engine_rules.map_or(0, |rules| rules.copy_life_ms);
+                // Without its copy, the stream would have its whole prompt read again.
+                let is_copy_ending = pause_ms * 2 > life_ms;
+                has_copy && (is_in_time || is_copy_ending)
             }
         };
         if is_in_time { Urgency::Urgent } else { Urgency::Late }
     }
 
-    fn on_chosen(&mut self, position: usize, chosen: Option<Chosen>) {
+    fn on_chosen(&mut self, position: usize, choice: Choice) {
         let id = self.attempts[position].id;
-        let Some(Chosen { instance, copy, delay }) = chosen else {
-            self.attempts.swap_remove(position);
-            self.input(Input::NoUpstream { attempt: id });
-            return;
-        };
-        if let Some(delay) = delay {
-            if self.delay.replace(delay) != Some(delay) {
-                let id = self.inbound.id_text();
-                log::info!("stream: id={id} waits, reason={}", delay.as_str());
+        let (instance, copy, copy_target) = match choice {
+            Choice::Engine { instance, copy, copy_target } => (instance, copy, copy_target),
+            Choice::Wait { delay, copy } => {
+                if self.delay.replace(delay) != Some(delay) {
+                    let id = self.inbound.id_text();
+                    log::info!("stream: id={id} waits, reason={}", delay.as_str());
+                }
+                self.keeper.set(copy);
+                self.attempts.swap_remove(position);
+                self.input(Input::NoUpstream { attempt: id });
+                return;
             }
-            self.keeper.set(copy);
-            self.attempts.swap_remove(position);
-            self.input(Input::NoUpstream { attempt: id });
-            return;
-        }
+        };
         self.delay = None;
         self.sends += 1;
         self.open_sends += 1;
         self.excluded.push(Arc::clone(&instance.entry.id));
-        let more = self.attempt_headers(&instance, copy.as_ref());
+        let more = self.attempt_headers(copy.as_ref(), copy_target);
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={} copy_to={}",
             self.inbound.id_text(),
@@ -534,8 +519,8 @@
 
     fn attempt_headers(
         &mut self,
-        instance: &Instance,
         copy_from: Option<&MemoryCopy>,
+        copy_target: Option<Arc<Instance>>,
     ) -> Vec<(HeaderName, HeaderValue)> {
         let dialect = &self.core.dialect;
         let mut more = Vec::new();
@@ -551,7 +536,10 @@
         {
             more.push((dialect.expected_version.clone(), version.clone()));
         }
-        self.keeper.set(self.place_copy(instance));
+        let makes_copies = self.engine_rules.is_some_and(|rules| rules.copies_memory);
+        let target = copy_target.filter(|_| makes_copies);
+        let now_ms = self.core.clock.now_ms();
+        self.keeper.set(target.map(|target| MemoryCopy::new(target, CopyOrigin::Followed, now_ms)));
         if let Some(copy) = self.keeper.copy()
             && let Ok(value) = HeaderValue::from_str(&copy.instance.entry.addr.to_string())
         {
@@ -559,21 +547,6 @@
         }
         more
     }
-
-    /// Chooses the engine that takes a copy of the run's memory: one of another failure domain, since the engines of a
-    /// failure domain tend to fail together.
-    fn place_copy(&self, instance: &Instance) -> Option<MemoryCopy> {
-        if !self.engine_rules?.copies_memory {
-            return None;
-        }
-        let placement = Placement {
-            excluded: &self.excluded,
-            other_than: Some(&instance.entry.domain),
-            ..Placement::default()
-        };
-        let target = self.core.place(&self.inbound.service, &placement)?;
-        Some(MemoryCopy::new(target, CopyOrigin::Followed, self.core.clock.now_ms()))
-    }
 }
 
 impl Drop for StreamRelay {
