Start from a stale list of the store and catch up by a watch

Lists of the latest state by a whole fleet that starts count for the store's rate; stale ones do not, and the watch after them brings the state up to date before the daemon is ready.

--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -99,6 +99,9 @@
         }
         self.daemons_changed();
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
+    }
+
+    fn caught_up(&mut self) {
         self.core.instances_listed();
     }
 
--- a/crates/plat/src/follow.rs
+++ b/crates/plat/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the items of a key-value service through its outages.
 
-use crate::source::{Change, Source, SourceError};
+use crate::source::{Change, Freshness, Source, SourceError};
 use base::Clock;
 use std::time::Duration;
 
@@ -8,6 +8,9 @@
 /// no more work a few seconds later.
 const WATCH_WAIT_MS: u64 = 3_000;
 
+/// Wait of the watch that brings a stale list up to date: it returns at once.
+const CATCH_UP_WAIT_MS: u64 = 1;
+
 /// Pause after a failed call; doubled for each further one.
 const PAUSE_MS: u64 = 50;
 
@@ -20,9 +23,12 @@
 
 /// Takes over what was read.
 pub trait Follower {
-    /// All items.
+    /// All items. They may be seconds old until `caught_up` is called.
     fn listed(&mut self, items: Vec<Change>);
 
+    /// All changes up to now were taken over.
+    fn caught_up(&mut self);
+
     /// Changes since the last call.
     fn changed(&mut self, changes: Vec<Change>);
 
@@ -34,15 +40,21 @@
 }
 
 /// Reads the items below `prefix`, and then their changes. It ends only with its future.
+///
+/// The first list may be stale: when a whole fleet starts, lists of the latest state would exceed the rate of the
+/// service. The watch that follows brings it up to date.
 pub async fn follow(mut source: impl Source, prefix: &str, mut follower: impl Follower) {
     let clock = Clock::start();
     let mut revision = None;
+    let mut freshness = Freshness::Stale;
+    let mut is_current = false;
     let mut failures = 0_u32;
     let mut lost_at_ms = None;
     loop {
         let outcome = match revision {
-            None => source.list(prefix).await,
-            Some(revision) => source.watch(prefix, revision, WATCH_WAIT_MS).await,
+            None => source.list(prefix, freshness).await,
+            Some(revision) if is_current => source.watch(prefix, revision, WATCH_WAIT_MS).await,
+            Some(revision) => source.watch(prefix, revision, CATCH_UP_WAIT_MS).await,
         };
         match outcome {
             Ok(read) => {
@@ -51,23 +63,37 @@
                 follower.answered(away_ms);
                 let is_quiet = read.changes.is_empty();
                 match revision {
-                    None => follower.listed(read.changes),
-                    Some(_) => follower.changed(read.changes),
+                    None => {
+                        follower.listed(read.changes);
+                        is_current = freshness == Freshness::Latest;
+                    }
+                    Some(_) => {
+                        follower.changed(read.changes);
+                        is_current = true;
+                    }
+                }
+                if is_current {
+                    follower.caught_up();
                 }
                 revision = Some(read.revision.max(revision.unwrap_or(0)));
-                if !is_quiet {
+                if !is_quiet && is_current {
                     tokio::time::sleep(Duration::from_millis(BATCH_MS)).await;
                 }
             }
             Err(SourceError::Compacted) => {
                 log::info!("plat: the history is gone; all items are read again");
                 revision = None;
+                freshness = Freshness::Latest;
             }
             Err(err) => {
                 if lost_at_ms.is_none() {
                     lost_at_ms = Some(clock.now_ms());
                     follower.lost(&err);
                 }
+                // A fleet that starts during an outage still lists the stale state, which is not limited.
+                if is_current {
+                    freshness = Freshness::Latest;
+                }
                 // The service may have made changes before it cut the watch, and a watch that begins before them may hear of
                 // them only at its end.
                 revision = None;
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -23,6 +23,6 @@
     platform::Platform,
     platform_error::PlatformError,
     resolved::Resolved,
-    source::{Change, Changes, Source, SourceError},
+    source::{Change, Changes, Freshness, Source, SourceError},
     write_resolved::write_resolved,
 };
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -48,10 +48,24 @@
     pub revision: u64,
 }
 
+/// How fresh the answer to a list must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// It holds all changes that were acknowledged before the call.
+    Latest,
+    /// It may be seconds old; its revision tells up to which change it is complete. It costs little, and the service
+    /// does not limit its rate.
+    Stale,
+}
+
 /// Reading side of a key-value service. Each method is one counted call or one for each page, and none retries.
 pub trait Source: Send {
     /// Reads all items whose keys begin with `prefix`.
-    fn list(&mut self, prefix: &str) -> impl Future<Output = Result<Changes, SourceError>> + Send;
+    fn list(
+        &mut self,
+        prefix: &str,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<Changes, SourceError>> + Send;
 
     /// Waits up to `wait_ms` for changes below `prefix` after `revision`.
     fn watch(
