Explain one request from the daemons' logs

geraniumctl explain ID [FILES] tells the lines of a request in order, what the same daemon saw of failure domains and the store at the time, and the cause of the outcome.

--- a/crates/geraniumctl/src/cli.rs
+++ b/crates/geraniumctl/src/cli.rs
@@ -29,6 +29,7 @@
 pub enum Command {
     Confirm(ConfirmOptions),
     Diff(DiffOptions),
+    Explain(ExplainOptions),
     History(HistoryOptions),
     Plan(PlanOptions),
     Report(ReportOptions),
@@ -43,6 +44,7 @@
         match self {
             Self::Confirm(options) => options.json,
             Self::Diff(options) => options.json,
+            Self::Explain(_) => false,
             Self::History(options) => options.json,
             Self::Plan(options) => options.json,
             Self::Report(ReportOptions { report: Report::Burn(options) }) => options.json,
@@ -80,6 +82,18 @@
     pub to: Option<u64>,
 }
 
+/// Tell what happened to one request, from the logs of the daemons. It needs no server and no key.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainOptions {
+    /// identifier of the request
+    #[argh(positional)]
+    pub id: String,
+    /// files of log lines; standard input if there is none
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Show confirmed plans, the oldest first.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "history")]
--- a/crates/geraniumctl/src/commands.rs
+++ b/crates/geraniumctl/src/commands.rs
@@ -3,8 +3,11 @@
 use crate::{
     access::Access,
     burn_page, burn_text,
-    cli::{BurnOptions, Cli, Command, PlanOptions, Report, ReportOptions, WatchOptions},
+    cli::{
+        BurnOptions, Cli, Command, ExplainOptions, PlanOptions, Report, ReportOptions, WatchOptions,
+    },
     ctl_error::CtlError,
+    explain::explain,
     intent_file, render,
 };
 use admin::{
@@ -13,7 +16,7 @@
 };
 use burn::BurnReport;
 use fleet::Plan;
-use std::path::Path;
+use std::{io::Read, path::Path};
 use web::{Client, ClientError, Method, Reply};
 
 /// Longest wait for an answer. It covers the daemon's own tries at the platform.
@@ -29,6 +32,10 @@
 /// The command line is not complete, the server refused, or it did not answer.
 pub async fn execute(cli: &Cli) -> Result<String, CtlError> {
     let command = cli.command.as_ref().ok_or(CtlError::NoCommand)?;
+    if let Command::Explain(options) = command {
+        // It reads logs only, and needs no server.
+        return tell(options);
+    }
     let access = Access::find(cli)?;
     let client = Client::new(access.server, wait_ms(command)).with_bearer_key(&access.key);
     let reply = match command {
@@ -40,6 +47,7 @@
             let to = options.to.map(|to| format!("&to={to}")).unwrap_or_default();
             client.send(Method::GET, &format!("/admin/v1/diff?from={}{to}", options.from)).await
         }
+        Command::Explain(options) => return tell(options),
         Command::History(options) => {
             client.send(Method::GET, &format!("/admin/v1/history?limit={}", options.limit)).await
         }
@@ -63,6 +71,7 @@
     Ok(match command {
         Command::Confirm(_) => render::confirmed(&reply.json::<Confirmed>()?),
         Command::Diff(_) => render::diff(&reply.json::<DiffReport>()?),
+        Command::Explain(options) => tell(options)?,
         Command::History(_) => render::history(&reply.json::<History>()?),
         Command::Plan(_) => render::created(&reply.json::<PlanCreated>()?),
         Command::Report(_) => burn_text::text(&reply.json::<BurnReport>()?),
@@ -72,6 +81,20 @@
     })
 }
 
+/// Tells the story of a request from files or standard input.
+fn tell(options: &ExplainOptions) -> Result<String, CtlError> {
+    let mut logs = String::new();
+    if options.files.is_empty() {
+        std::io::stdin().read_to_string(&mut logs)?;
+    }
+    for path in &options.files {
+        let text = std::fs::read(path).map_err(|cause| CtlError::Read(path.clone(), cause))?;
+        logs.push_str(&String::from_utf8_lossy(&text));
+        logs.push('\n');
+    }
+    explain(&options.id, &logs).ok_or_else(|| CtlError::NoLine(options.id.clone()))
+}
+
 /// Writes the page of a report if the command asks for it.
 fn write_page(options: &BurnOptions, reply: &Reply) -> Result<(), CtlError> {
     if let Some(path) = &options.html {
--- a/crates/geraniumctl/src/ctl_error.rs
+++ b/crates/geraniumctl/src/ctl_error.rs
@@ -25,6 +25,10 @@
         NoIntent {
             display("a file or an intent is needed")
         }
+        /// No line of the logs names the request.
+        NoLine(id: String) {
+            display("no line names the request {id}")
+        }
         /// A file cannot be read.
         Read(path: PathBuf, cause: std::io::Error) {
             display("{} cannot be read: {cause}", path.display())
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -14,13 +14,17 @@
 mod cli;
 mod commands;
 mod ctl_error;
+mod explain;
 mod intent_file;
+mod log_line;
 mod render;
 
 pub use crate::{
     cli::{Cli, Command},
     commands::execute,
     ctl_error::CtlError,
+    explain::explain,
+    log_line::LogLine,
 };
 
 use argh::FromArgs;
--- /dev/null
+++ b/crates/geraniumctl/tests/explain.rs
@@ -0,0 +1,51 @@
+//! Stories of requests, from lines that daemons wrote in a played day.
+
+use geraniumctl::{LogLine, explain};
+
+const LOGS: &str = "\
+  0.0000 front-a-1 1785784684998 INFO vm=front-a-1 attempt: id=e9a9b4d8 attempt=1 instance=i-04a6 domain=lothian after=None copy_from=- copy_to=i-2178
+  1.9852 front-a-1 1785784686983 INFO vm=front-a-1 attempt: id=e9a9b4d8 attempt=1 instance=i-04a6 domain=lothian failed: lost: closed; events=3 silent_ms=26
+  1.9852 front-a-1 1785784686983 INFO vm=front-a-1 instances: domain=lothian seems to have failed
+  1.9860 front-b-1 1785784686984 INFO vm=front-b-1 instances: domain=clyde seems to have failed
+  1.9900 front-a-1 1785784686988 INFO vm=front-a-1 stream: id=e9a9b4d8 waits, reason=budget
+  3.6000 front-a-1 1785784688598 INFO vm=front-a-1 attempt: id=e9a9b4d8 attempt=9 instance=i-2178 domain=tayside after=Some(3) copy_from=10.3.64.17:8787/e9a9b4d8 copy_to=-
+  7.5860 front-a-1 1785784692584 INFO vm=front-a-1 stream: id=e9a9b4d8 route=r-vbg outcome=whole events=121 sends=2 losses=1 first_ms=1905 longest_pause_ms=1638 total_ms=7597
+  0.0617 front-b-1 1785784685061 INFO vm=front-b-1 request: id=1334de0c status=404 outcome=no_route config=3
+  0.1000 front-b-1 1785784685100 INFO vm=front-b-1 attempt: id=cf6aa8e6 instance=i-ac0e answered status=500
+  0.1190 front-b-1 1785784685119 INFO vm=front-b-1 call: id=cf6aa8e6 route=r-6giy status=500 outcome=answered took_ms=36
+a line of something else id=e9a9b4d8
+";
+
+/// Guards against a story that leaves out why a stream was late, or takes another daemon's view for its own.
+#[test]
+fn a_late_stream_is_explained_by_its_losses_and_waits() {
+    let story = explain("e9a9b4d8", LOGS).unwrap();
+    assert!(story.contains("domain=lothian seems to have failed"), "{story}");
+    assert!(!story.contains("clyde"), "{story}");
+    assert!(story.contains("   7586 ms  front-a-1  stream: "), "{story}");
+    let cause = story.lines().last().unwrap();
+    assert_eq!(
+        cause,
+        "cause: whole, late by a pause between two events (i-04a6 failed: lost: closed; it waited: budget)"
+    );
+}
+
+/// Guards against refusals and failures without a cause.
+#[test]
+fn refused_and_failed_requests_are_explained() {
+    let cause = |id| explain(id, LOGS).unwrap().lines().last().unwrap().to_owned();
+    assert_eq!(cause("1334de0c"), "cause: no route of configuration 3 matches");
+    assert_eq!(cause("cf6aa8e6"), "cause: status 500 after 36 ms (i-ac0e answered status=500)");
+    assert_eq!(explain("cf6aa8", LOGS), None);
+}
+
+/// Guards against lines of other programs that are taken for a daemon's.
+#[test]
+fn only_lines_of_daemons_are_read() {
+    let line = LogLine::parse("1785784685061 WARN vm=a web: cut off; after_ms=3 x").unwrap();
+    assert_eq!((line.time_ms, line.vm, line.part), (1_785_784_685_061, "a", "web"));
+    assert_eq!(line.number("after_ms"), Some(3));
+    for other in ["", "x vm=a web: y", "17 NOTE vm=a web: y", "17 INFO web: y", "17 INFO vm=a y"] {
+        assert_eq!(LogLine::parse(other), None, "{other}");
+    }
+}
