--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -21,8 +21,6 @@
 /// What is known of a service.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ServiceRules {
-    /// Connections that one upstream accepts from all callers.
-    pub max_connections: Option<u32>,
     /// Rules of the model engines; none for a plain service.
     pub engine: Option<EngineRules>,
 }
@@ -45,15 +43,11 @@
 pub struct ClientLimits {
     /// Largest body of a request.
     pub max_body_bytes: usize,
-    /// Longest time that a caller may take for the head of a request.
-    pub header_timeout_ms: u64,
-    /// Time after which an idle connection is closed.
-    pub idle_timeout_ms: u64,
 }
 
 impl Default for ClientLimits {
     fn default() -> Self {
-        Self { max_body_bytes: 1024 * 1024, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
+        Self { max_body_bytes: 1024 * 1024 }
     }
 }
 
