--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -71,8 +71,11 @@
     let desk = Arc::new(LoanDesk::bind(settings.loan_addr).await?);
     core.set_loan_desk(Arc::clone(&desk));
     tokio::spawn(desk.run(Arc::clone(&core)));
-    tokio::spawn(ready.run(Arc::new(ReadyProbe::new(Arc::clone(&core))), stopped_never()));
-    tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), stopped_never()));
+    // These two answer until the process ends; a receiver whose sender is gone would take that for a stop.
+    let (_running, never_stopped) = watch::channel(false);
+    let probe = Arc::new(ReadyProbe::new(Arc::clone(&core)));
+    tokio::spawn(ready.run(probe, never_stopped.clone()));
+    tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), never_stopped));
     log::info!(
         "daemon: start vm={} domain={} entry={} store={}",
         settings.vm_name,
@@ -116,14 +119,6 @@
     }
 }
 
-/// A stop that never comes: its server ends with the process.
-fn stopped_never() -> watch::Receiver<bool> {
-    let (sender, receiver) = watch::channel(false);
-    // The receiver would take the end of its sender for a stop.
-    std::mem::forget(sender);
-    receiver
-}
-
 /// Page of metrics in the text format of Prometheus.
 struct MetricsPage(PrometheusHandle);
 
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -8,11 +8,12 @@
     instance::Instance,
     loan_desk::LoanDesk,
     registry::Registry,
+    route_table::Route,
     zone_losses::ZoneLosses,
 };
 use base::{Clock, DomainName, HashMap, ServiceName};
 use limit::{RetryBudget, RetryRules, Urgency};
-use rand::{SeedableRng, rngs::SmallRng, seq::index};
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
 use recovery::{Policy, Sample, Timing, TimingTracker};
 use std::{
     net::SocketAddr,
@@ -300,15 +301,11 @@
 
     /// Draws from `low_ms` to `high_ms`.
     pub(crate) fn jitter_ms(&self, low_ms: u64, high_ms: u64) -> u64 {
-        use rand::RngExt;
         lock(&self.rng).random_range(low_ms..=high_ms.max(low_ms))
     }
 
     /// Draws the service of a request.
-    pub(crate) fn pick_service<'a>(
-        &self,
-        route: &'a crate::route_table::Route,
-    ) -> Option<&'a ServiceName> {
+    pub(crate) fn pick_service<'a>(&self, route: &'a Route) -> Option<&'a ServiceName> {
         route.pick_service(&mut *lock(&self.rng))
     }
 }
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -8,6 +8,8 @@
     instance::Instance,
     lease::InstanceLease,
 };
+use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Request, StatusCode,
@@ -15,7 +17,11 @@
     header::{HeaderName, HeaderValue},
 };
 use recovery::LossCause;
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 use web::{ClientError, Connection, read_body};
 
 /// Longest wait for a connection inside the site. It is a few hundred times the latency, so that a busy instance is not
@@ -101,7 +107,7 @@
 
     /// Reads what is left of a refusal, so that its connection can be used again.
     async fn drain(mut self, core: &Core) {
-        let wait = std::time::Duration::from_millis(REFUSAL_WAIT_MS);
+        let wait = Duration::from_millis(REFUSAL_WAIT_MS);
         let body = read_body(&mut self.body, REFUSAL_SIZE_BYTES);
         if matches!(tokio::time::timeout(wait, body).await, Ok(Ok(_))) {
             self.close(core);
@@ -113,13 +119,9 @@
     /// # Errors
     ///
     /// `Lost` if the connection failed before the end.
-    pub fn poll_data(
-        &mut self,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<bytes::Bytes, AttemptError>>> {
-        use futures::FutureExt;
-        let frame = std::task::ready!(self.body.frame().poll_unpin(cx));
-        std::task::Poll::Ready(frame.map(|frame| match frame {
+    pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
+        let frame = ready!(self.body.frame().poll_unpin(cx));
+        Poll::Ready(frame.map(|frame| match frame {
             Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
             Err(_) => Err(AttemptError::Lost(LossCause::Closed)),
         }))
@@ -137,7 +139,7 @@
     inbound: &Inbound,
     instance: &Instance,
     more: &[(HeaderName, HeaderValue)],
-) -> Request<Full<bytes::Bytes>> {
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = inbound.target.clone();
