Share the headers of one connection, and compare lists of instances by a set

Found in the last reading of the change. ingress listed the hop-by-hop headers again and dropped the ones named in Connection by its own loop; entry's function moves to web and serves both. Registry::replace compared each known instance with each listed one, which is millions of comparisons with 3,000 runners.

--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -8,24 +8,9 @@
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Method, Uri,
-    header::{
-        CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-    },
+    header::{CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue},
 };
-
-/// Headers that concern one connection only, and those that the framing of the new message replaces.
-const CONNECTION_HEADERS: [HeaderName; 9] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
+use web::end_to_end;
 
 /// One try of a caller, with what decides how it is served.
 #[derive(Debug)]
@@ -108,13 +93,6 @@
 
     fn forwarded(&self, headers: &HeaderMap) -> HeaderMap {
         let dialect = self.dialect;
-        let listed: Vec<String> = headers
-            .get_all(CONNECTION)
-            .iter()
-            .filter_map(|value| value.to_str().ok())
-            .flat_map(|value| value.split(','))
-            .map(|name| name.trim().to_ascii_lowercase())
-            .collect();
         let own = [
             &dialect.account,
             &dialect.copy_from,
@@ -125,19 +103,10 @@
             &dialect.last_event_id,
             &dialect.time_left_ms,
         ];
-        let is_dropped = |name: &HeaderName| {
-            CONNECTION_HEADERS.contains(name)
-                || name.as_str() == "keep-alive"
-                || name.as_str() == "proxy-connection"
-                || own.contains(&name)
-                || dialect.reserved.contains(name)
-                || listed.iter().any(|listed| listed == name.as_str())
-        };
-        let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
-        for (name, value) in headers {
-            if !is_dropped(name) {
-                forwarded.append(name.clone(), value.clone());
-            }
+        let mut forwarded = end_to_end(headers);
+        // The framing of the new message replaces the caller's.
+        for name in [&CONTENT_LENGTH, &EXPECT].into_iter().chain(own).chain(&dialect.reserved) {
+            forwarded.remove(name);
         }
         if let Some(tenant) = self.tenant
             && let Ok(value) = HeaderValue::from_str(tenant.name.as_str())
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -4,7 +4,7 @@
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
 };
-use base::{HashMap, ServiceName};
+use base::{HashMap, HashSet, ServiceName};
 use std::sync::Arc;
 
 /// Time after the return of the platform in which entries that lapsed meanwhile come back.
@@ -100,12 +100,9 @@
 
     /// Takes over all entries.
     pub fn replace(&mut self, entries: Vec<InstanceEntry>, now_ms: u64) {
-        let missing: Vec<InstanceId> = self
-            .instances
-            .keys()
-            .filter(|id| !entries.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
+        let listed: HashSet<&InstanceId> = entries.iter().map(|entry| &entry.id).collect();
+        let missing: Vec<InstanceId> =
+            self.instances.keys().filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
             self.remove(&id, now_ms);
         }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod client_error;
 mod connection;
+mod end_to_end;
 mod keep_alive;
 mod server;
 mod server_limits;
@@ -22,6 +23,7 @@
     client::{Client, Reply},
     client_error::ClientError,
     connection::Connection,
+    end_to_end::end_to_end,
     keep_alive::keep_alive,
     server::{Handler, Server},
     server_limits::ServerLimits,
