Keep a stream's engine or its replica in the daemon's own failure domain

Candidates were picked at random over all domains. Now one of the probed engines is in the daemon's own domain, the others are outside, and the replica prefers the own domain.

--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -93,7 +93,7 @@
         Some(_) if holder.is_none() && probed.is_busy() && may_wait => WaitReason::Busy,
         Some(instance) => {
             let instance = Arc::clone(instance);
-            let replica_target = probed.replica_target(&instance).cloned();
+            let replica_target = probed.replica_target(&instance, &core.options.domain).cloned();
             return EngineChoice::Engine { instance, replica, replica_target };
         }
         None => WaitReason::NoEngine,
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -6,6 +6,7 @@
     domain_losses::DomainLosses,
     fleet_size::FleetSize,
     instance::Instance,
+    instance_entry::InstanceId,
     placement::Placement,
     registry::Registry,
     retry_lending::RetryLending,
@@ -243,6 +244,33 @@
         chosen
     }
 
+    /// Chooses up to `count` engines of a service for a stream, of which one is in the daemon's own failure domain and
+    /// the others are outside it, as far as there are such engines.
+    ///
+    /// The stream and its KV cache replica can then be in two domains of which one is that of the daemon, so that the
+    /// stream survives both the loss of the own domain's engines and a partition of the own domain from the others.
+    pub(crate) fn choose_stream_candidates(
+        &self,
+        service: &ServiceName,
+        excluded: &[InstanceId],
+        count: usize,
+    ) -> Vec<Arc<Instance>> {
+        let own = &self.options.domain;
+        let has_own_failed = lock(&self.losses).has_failed(own, self.clock.now_ms());
+        let local = Placement { excluded, required_domain: Some(own), ..Placement::default() };
+        let mut chosen = match has_own_failed {
+            true => Vec::new(),
+            false => self.choose_instances(service, &local, 1),
+        };
+        let remote = Placement { excluded, excluded_domain: Some(own), ..Placement::default() };
+        chosen.extend(self.choose_instances(service, &remote, count - chosen.len()));
+        let ids = chosen.iter().map(|instance| Arc::clone(&instance.entry.id));
+        let excluded: Vec<InstanceId> = excluded.iter().cloned().chain(ids).collect();
+        let any = Placement { excluded: &excluded, ..Placement::default() };
+        chosen.extend(self.choose_instances(service, &any, count - chosen.len()));
+        chosen
+    }
+
     /// Properties of a service's model engines; `None` for an unknown service and for one without engines.
     pub(crate) fn engine_config(&self, service: &ServiceName) -> Option<EngineConfig> {
         self.config()?.services.get(service)?.engine
--- a/crates/ingress/src/kv_replicator.rs
+++ b/crates/ingress/src/kv_replicator.rs
@@ -8,7 +8,6 @@
     instance::Instance,
     instance_entry::InstanceId,
     kv_replica::{KvReplica, KvReplicaOrigin},
-    placement::Placement,
     probe::{is_alive, probe_all},
 };
 use base::DomainName;
@@ -129,7 +128,7 @@
         let source = Arc::clone(source);
         let snapshotting = async move {
             let probed = probe_all(&core, candidates).await;
-            let Some(target) = probed.replica_target(&source).cloned() else {
+            let Some(target) = probed.replica_target(&source, &core.options.domain).cloned() else {
                 return Outcome::Failed;
             };
             match request_snapshot(&core, &inbound, &source, target).await {
@@ -179,15 +178,18 @@
 }
 
 /// Chooses engines that can hold a snapshot. They are in other failure domains than the source, because the engines of
-/// one failure domain tend to fail together.
+/// one failure domain tend to fail together. One of them is in the daemon's own domain, unless that is the source's.
 fn snapshot_candidates(
     core: &Core,
     inbound: &Inbound,
     domain: &DomainName,
     excluded: &[InstanceId],
 ) -> Vec<Arc<Instance>> {
-    let placement = Placement { excluded, excluded_domain: Some(domain), ..Placement::default() };
-    core.choose_instances(&inbound.service, &placement, PROBED_ENGINES)
+    let mut candidates =
+        core.choose_stream_candidates(&inbound.service, excluded, PROBED_ENGINES + 1);
+    candidates.retain(|candidate| candidate.entry.domain != *domain);
+    candidates.truncate(PROBED_ENGINES);
+    candidates
 }
 
 /// Asks the engine `source`, which runs the request, to copy the KV cache to `target`; `None` if that fails.
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -13,6 +13,8 @@
     pub excluded: &'a [InstanceId],
     /// Failure domain to avoid: the instance must be in a different one.
     pub excluded_domain: Option<&'a DomainName>,
+    /// Failure domain that the instance must be in; `None` if it may be in any.
+    pub required_domain: Option<&'a DomainName>,
     /// Whether instances in the daemon's own failure domain are preferred. Long requests are spread over all domains
     /// instead: the loss of one domain then hits only a few of them at each daemon, and the retry budget suffices.
     pub prefers_local: bool,
@@ -35,6 +37,7 @@
             instance.accepts_requests()
                 && !self.excluded.contains(&instance.entry.id)
                 && self.excluded_domain != Some(&instance.entry.domain)
+                && self.required_domain.is_none_or(|domain| *domain == instance.entry.domain)
         };
         let mut usable: Vec<&Arc<Instance>> =
             instances.iter().filter(|instance| is_usable(instance)).collect();
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -4,6 +4,7 @@
     core::Core, engine_call::engine_call, engine_report::EngineReport, instance::Instance,
     instance_guards::InFlightGuard,
 };
+use base::DomainName;
 use futures::future::join_all;
 use hyper::Method;
 use std::sync::Arc;
@@ -39,15 +40,24 @@
     /// The least loaded engine with capacity for a KV cache replica of a request at `instance`; `None` if there is
     /// none. The engine is in another failure domain than `instance`, because the engines of one failure domain tend to
     /// fail together.
-    pub fn replica_target(&self, instance: &Instance) -> Option<&Arc<Instance>> {
+    ///
+    /// An engine in the daemon's own failure domain `own_domain` is preferred, because it stays reachable if the domain
+    /// is partitioned from the others.
+    pub fn replica_target(
+        &self,
+        instance: &Instance,
+        own_domain: &DomainName,
+    ) -> Option<&Arc<Instance>> {
         let has_capacity = |load: &Load| match self.has_losses {
             true => !load.is_full,
             false => load.is_half_empty,
         };
-        let mut with_capacity = self.engines.iter().filter(|(load, _)| has_capacity(load));
-        let (_, target) =
-            with_capacity.find(|(_, target)| target.entry.domain != instance.entry.domain)?;
-        Some(target)
+        let targets = || {
+            let with_capacity = self.engines.iter().filter(|(load, _)| has_capacity(load));
+            let targets = with_capacity.map(|(_, target)| target);
+            targets.filter(|target| target.entry.domain != instance.entry.domain)
+        };
+        targets().find(|target| target.entry.domain == *own_domain).or_else(|| targets().next())
     }
 }
 
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -15,7 +15,6 @@
     instance_entry::InstanceId,
     kv_replica::{KvReplica, KvReplicaOrigin},
     kv_replicator::KvReplicator,
-    placement::Placement,
     response_head::forwarded_headers,
     route_kind::RouteKind,
 };
@@ -484,9 +483,11 @@
             return;
         }
         let replica = self.replicator.take().filter(|replica| replica.instance.accepts_requests());
-        let placement = Placement { excluded: &self.excluded, ..Placement::default() };
-        let candidates =
-            self.core.choose_instances(&self.inbound.service, &placement, PROBED_ENGINES);
+        let candidates = self.core.choose_stream_candidates(
+            &self.inbound.service,
+            &self.excluded,
+            PROBED_ENGINES,
+        );
         let core = Arc::clone(&self.core);
         let now_ms = core.clock.now_ms();
         let requirements = EngineRequirements {
