Read the store through two relays in each failure domain

Now two daemons of each failure domain with five daemons or more read the store, those with the fastest links, and the others read from them, in the format of the store's own calls and with its revisions, so that a watch can go on at the store when a relay fails, is silent or says that its copy is older than half of the time within which changes must be active. Heartbeats that change nothing else are not forwarded. During an outage a daemon with relays calls the store once a second.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -3,8 +3,11 @@
 use crate::{line_log, run_error::RunError};
 use ingress::{Core, CoreOptions, Decoders, Gateway, ReadyProbe, RetryLending, follow_platform};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use plat::announce;
-use platform::{KEYS, Settings, Store, decode_config, decode_instance, dialect};
+use plat::{ItemCache, Relay, RelayOptions, RelayedSource, announce};
+use platform::{
+    KEYS, RELAY_KEYS, RelayService, Settings, Store, decode_config, decode_instance, dialect,
+    is_same_item,
+};
 use recovery::Policy;
 use std::{
     hash::{BuildHasher, RandomState},
@@ -30,6 +33,14 @@
 /// the rest of the pause that a caller accepts must suffice for resuming at the next engine.
 const REPORT_TIMEOUT_MS: u64 = 80;
 
+/// Age from which a relay's copy of the store's items is too old to be read, as a divisor of the time within which a
+/// change must be active. The other half of this time remains for reading the change from the store instead.
+const MAX_AGE_DIVISOR: u64 = 2;
+
+/// Longest wait of a watch, as a divisor of the time within which a change must be active. A relay confirms its copy
+/// after each watch and each collection of changes, which together must be shorter than the largest age of a copy.
+const WATCH_WAIT_DIVISOR: u64 = 8;
+
 /// Serves callers until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -50,18 +61,22 @@
     let metrics_server = Server::bind(settings.metrics_addr).await?;
     let (stop, stopped) = watch::channel(false);
     let decoders = Decoders { config: decode_config, instance: decode_instance };
+    let items = Arc::new(ItemCache::new(is_same_item));
+    let relay = RelayService::new(Arc::clone(&items), settings.change_bound_ms / MAX_AGE_DIVISOR);
+    let relay_server = Server::bind(settings.relay_addr).await?;
     let store = Store::new(settings.store_addr);
-    tokio::spawn(follow_platform(Arc::clone(&core), store, KEYS, decoders));
+    let source = RelayedSource::new(store, Store::relay, relay_options(&settings), items);
+    tokio::spawn(follow_platform(Arc::clone(&core), source, KEYS, decoders));
     let store = Store::new(settings.store_addr);
-    let key = format!("{}{}", KEYS.daemons, settings.vm_name);
-    let value = settings.retry_lending_addr.to_string();
-    tokio::spawn(async move { announce(store, &key, value.as_bytes()).await });
+    let announced = announced_items(&settings);
+    tokio::spawn(async move { announce(store, &announced).await });
     let retry_lending = Arc::new(RetryLending::bind(settings.retry_lending_addr).await?);
     core.set_retry_lending(Arc::clone(&retry_lending));
     tokio::spawn(retry_lending.run(Arc::clone(&core)));
-    // The readiness and metrics servers run until the process exits. The sender of their stop signal is kept, because
-    // these servers would stop if it were dropped.
+    // The readiness, relay and metrics servers run until the process exits. The sender of their stop signal is kept,
+    // because these servers would stop if it were dropped.
     let (_never_stop, never_stopped) = watch::channel(false);
+    tokio::spawn(relay_server.run(Arc::new(relay), never_stopped.clone()));
     let probe = Arc::new(ReadyProbe::new(Arc::clone(&core)));
     tokio::spawn(ready.run(probe, never_stopped.clone()));
     tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), never_stopped));
@@ -98,6 +113,30 @@
     Ok(())
 }
 
+fn relay_options(settings: &Settings) -> RelayOptions {
+    RelayOptions {
+        own_name: settings.vm_name.clone(),
+        domain: settings.domain.clone(),
+        prefix: RELAY_KEYS,
+        wait_ms: settings.change_bound_ms / WATCH_WAIT_DIVISOR,
+    }
+}
+
+/// Items by which the daemon announces where others can borrow retries and read copies of the store's items.
+fn announced_items(settings: &Settings) -> [(String, String); 2] {
+    let vm_name = &settings.vm_name;
+    let relay = Relay {
+        vm_name: vm_name.clone(),
+        domain: settings.domain.clone(),
+        addr: settings.relay_addr,
+        link_mbps: settings.link_mbps,
+    };
+    [
+        (format!("{}{vm_name}", KEYS.daemons), settings.retry_lending_addr.to_string()),
+        (format!("{RELAY_KEYS}{vm_name}"), relay.encode()),
+    ]
+}
+
 /// Derives the options of `ingress::Core` from the settings of the daemon.
 fn options(settings: &Settings) -> CoreOptions {
     CoreOptions {
--- a/crates/plat/src/announce.rs
+++ b/crates/plat/src/announce.rs
@@ -1,4 +1,4 @@
-//! Keeps an item in a key-value service for as long as the process that owns the item runs, by means of a lease.
+//! Keeps items in a key-value service for as long as the process that owns them runs, by means of a lease.
 
 use crate::source::SourceError;
 use std::time::Duration;
@@ -21,41 +21,40 @@
     /// Renews a lease. Returns false if the lease has expired.
     fn renew(&mut self, lease: u64) -> impl Future<Output = Result<bool, SourceError>> + Send;
 
-    /// Writes an item that the service removes when the lease expires. Returns false if the lease has expired already.
+    /// Writes items, as pairs of key and value, that the service removes when the lease expires. Either all of them are
+    /// written or none. Returns false if the lease has expired already.
     fn put(
         &mut self,
-        key: &str,
-        value: &[u8],
+        items: &[(String, String)],
         lease: u64,
     ) -> impl Future<Output = Result<bool, SourceError>> + Send;
 }
 
-/// Keeps the item `key` in the service until the future is dropped.
+/// Keeps the items, which are pairs of key and value, in the service until the future is dropped.
 ///
-/// If the answer to a write is lost, the item is written again with a new lease. This is safe, because no other process
-/// writes the item.
-pub async fn announce(mut client: impl LeaseClient, key: &str, value: &[u8]) {
+/// If the answer to a write is lost, the items are written again with a new lease. This is safe, because no other
+/// process writes them.
+pub async fn announce(mut client: impl LeaseClient, items: &[(String, String)]) {
     loop {
-        if let Err(err) = keep_until_expired(&mut client, key, value).await {
-            log::info!("plat: announcing {key} failed and will be retried: {err}");
+        if let Err(err) = keep_until_expired(&mut client, items).await {
+            log::info!("plat: announcing this daemon failed and will be retried: {err}");
         }
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
     }
 }
 
-/// Writes the item with a new lease, and renews the lease until the service reports that it has expired. A failed
+/// Writes the items with a new lease, and renews the lease until the service reports that it has expired. A failed
 /// renewal is tried again after the usual interval.
 ///
 /// # Errors
 ///
-/// Returns an error if the lease cannot be acquired or the item cannot be written.
+/// Returns an error if the lease cannot be acquired or the items cannot be written.
 async fn keep_until_expired(
     client: &mut impl LeaseClient,
-    key: &str,
-    value: &[u8],
+    items: &[(String, String)],
 ) -> Result<(), SourceError> {
     let lease = client.grant(LEASE_MS).await?;
-    if !client.put(key, value, lease).await? {
+    if !client.put(items, lease).await? {
         return Ok(());
     }
     let mut is_lease_valid = true;
@@ -64,7 +63,7 @@
         is_lease_valid = match client.renew(lease).await {
             Ok(is_valid) => is_valid,
             Err(err) => {
-                log::info!("plat: the lease of {key} was not renewed: {err}");
+                log::info!("plat: the lease of this daemon was not renewed: {err}");
                 true
             }
         };
--- /dev/null
+++ b/crates/plat/src/item_cache.rs
@@ -0,0 +1,217 @@
+//! Copy of a key-value service's items, from which other processes can read instead of the service.
+
+use crate::source::{Change, Changes, SourceError};
+use base::{Clock, HashMap, lock};
+use bytes::Bytes;
+use std::{
+    collections::VecDeque,
+    sync::{Mutex, MutexGuard},
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Number of removals that the cache remembers. A reader that missed more of them has to read all items again.
+const MAX_REMOVALS: usize = 4_096;
+
+/// Tells whether the old and the new value of a key mean the same to every reader.
+pub type IsSame = fn(key: &str, old: &[u8], new: &[u8]) -> bool;
+
+/// Items of a key-value service with their revisions, as of the last answer of the service.
+///
+/// Revisions are those of the service, so a reader can continue after the same revision at the service or at the cache
+/// of another process.
+#[derive(Debug)]
+pub struct ItemCache {
+    clock: Clock,
+    is_same: IsSame,
+    state: Mutex<State>,
+    /// Wakes the waiting readers after each update.
+    updates: watch::Sender<()>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Value of each key, with the revision at which its meaning last changed.
+    items: HashMap<Box<str>, (Bytes, u64)>,
+    /// Removed keys with the revisions of their removals, oldest first.
+    removals: VecDeque<(Box<str>, u64)>,
+    /// Removals up to this revision are no longer remembered.
+    forgotten_removals: u64,
+    /// Revision up to which all changes are included; 0 before the first update.
+    revision: u64,
+    /// When the items were last known to be the latest ones; `None` before that and during an outage.
+    confirmed_ms: Option<u64>,
+}
+
+impl ItemCache {
+    /// Creates an empty cache. A write for which `is_same` returns true is not reported to readers.
+    pub fn new(is_same: IsSame) -> Self {
+        Self {
+            clock: Clock::start(),
+            is_same,
+            state: Mutex::default(),
+            updates: watch::Sender::new(()),
+        }
+    }
+
+    /// Replaces all items. `is_latest` tells whether they are the latest ones.
+    ///
+    /// A list does not tell which keys were written and removed since the last read, and a reader may have learned of
+    /// such a key elsewhere. So readers that continue after an earlier revision have to read all items as well.
+    pub fn replace(&self, list: &Changes, is_latest: bool) {
+        self.update(is_latest, |state| {
+            state.items.clear();
+            state.removals.clear();
+            state.write(&list.changes, self.is_same);
+            state.forgotten_removals = state.forgotten_removals.max(list.revision);
+            state.revision = list.revision;
+        });
+    }
+
+    /// Applies the changes that a watch returned, after which the items are the latest ones.
+    pub fn apply(&self, read: &Changes) {
+        self.update(true, |state| {
+            state.write(&read.changes, self.is_same);
+            state.revision = state.revision.max(read.revision);
+        });
+    }
+
+    /// Records that the service does not respond, so that readers turn to another source at once.
+    pub fn mark_outage(&self) {
+        self.state().confirmed_ms = None;
+        self.updates.send_replace(());
+    }
+
+    /// Revision up to which all changes are included; 0 before the first update.
+    pub fn revision(&self) -> u64 {
+        self.state().revision
+    }
+
+    /// Returns the value of each key that begins with `prefix`.
+    pub fn values(&self, prefix: &str) -> Vec<(Box<str>, Bytes)> {
+        let state = self.state();
+        let matching = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        matching.map(|(key, (value, _))| (key.clone(), value.clone())).collect()
+    }
+
+    /// Returns all items.
+    ///
+    /// # Errors
+    ///
+    /// `Outdated` if the items have not been confirmed as the latest ones within `max_age_ms`.
+    pub fn list(&self, max_age_ms: u64) -> Result<Changes, SourceError> {
+        let state = self.state();
+        match state.fresh_until_ms(max_age_ms).is_some_and(|at_ms| self.clock.now_ms() < at_ms) {
+            true => Ok(Changes { changes: state.items_after(0), revision: state.revision }),
+            false => Err(SourceError::Outdated),
+        }
+    }
+
+    /// Waits up to `wait_ms` for changes after `revision`, and returns them.
+    ///
+    /// # Errors
+    ///
+    /// `Outdated` as soon as the items have not been confirmed as the latest ones within `max_age_ms`; `Compacted` if
+    /// removals after `revision` were forgotten.
+    pub async fn watch(
+        &self,
+        revision: u64,
+        wait_ms: u64,
+        max_age_ms: u64,
+    ) -> Result<Changes, SourceError> {
+        let mut updates = self.updates.subscribe();
+        let deadline_ms = self.clock.now_ms() + wait_ms;
+        loop {
+            updates.mark_unchanged();
+            let fresh_until_ms = {
+                let state = self.state();
+                let now_ms = self.clock.now_ms();
+                let fresh_until_ms = state.fresh_until_ms(max_age_ms);
+                let fresh_until_ms = fresh_until_ms.filter(|&at_ms| now_ms < at_ms);
+                let fresh_until_ms = fresh_until_ms.ok_or(SourceError::Outdated)?;
+                if revision < state.forgotten_removals {
+                    return Err(SourceError::Compacted);
+                }
+                let changes = state.changes_after(revision);
+                if !changes.is_empty() || now_ms >= deadline_ms {
+                    return Ok(Changes { changes, revision: state.revision });
+                }
+                fresh_until_ms
+            };
+            let wake = Instant::from_std(self.clock.instant_at(deadline_ms.min(fresh_until_ms)));
+            // Both outcomes lead to another look at the state.
+            let _ = tokio::time::timeout_at(wake, updates.changed()).await;
+        }
+    }
+
+    fn update(&self, is_latest: bool, change: impl FnOnce(&mut State)) {
+        let mut state = self.state();
+        change(&mut state);
+        if is_latest {
+            state.confirmed_ms = Some(self.clock.now_ms());
+        }
+        drop(state);
+        self.updates.send_replace(());
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+impl State {
+    fn fresh_until_ms(&self, max_age_ms: u64) -> Option<u64> {
+        self.confirmed_ms.map(|at_ms| at_ms + max_age_ms)
+    }
+
+    fn write(&mut self, changes: &[Change], is_same: IsSame) {
+        for change in changes {
+            let Some(value) = &change.value else {
+                self.remove(change.key.clone(), change.revision);
+                continue;
+            };
+            match self.items.get_mut(&change.key) {
+                Some((old, _)) if is_same(&change.key, old, value) => *old = value.clone(),
+                Some(item) => *item = (value.clone(), change.revision),
+                None => {
+                    self.items.insert(change.key.clone(), (value.clone(), change.revision));
+                }
+            }
+        }
+    }
+
+    /// Removes a key, and remembers the removal also if the key is missing: a reader of another cache may have it.
+    fn remove(&mut self, key: Box<str>, revision: u64) {
+        self.items.remove(&key);
+        self.removals.push_back((key, revision));
+        if self.removals.len() > MAX_REMOVALS
+            && let Some((_, forgotten)) = self.removals.pop_front()
+        {
+            self.forgotten_removals = self.forgotten_removals.max(forgotten);
+        }
+    }
+
+    fn items_after(&self, revision: u64) -> Vec<Change> {
+        let newer = self.items.iter().filter(|(_, (_, changed))| *changed > revision);
+        let mut items: Vec<Change> = newer
+            .map(|(key, (value, changed))| Change {
+                key: key.clone(),
+                value: Some(value.clone()),
+                revision: *changed,
+            })
+            .collect();
+        items.sort_by_key(|item| item.revision);
+        items
+    }
+
+    /// Writes and removals after `revision`, in the order of their revisions.
+    fn changes_after(&self, revision: u64) -> Vec<Change> {
+        let removed = self.removals.iter().filter(|(_, removed)| *removed > revision);
+        let mut changes: Vec<Change> = removed
+            .filter(|(key, _)| !self.items.contains_key(key))
+            .map(|(key, removed)| Change { key: key.clone(), value: None, revision: *removed })
+            .collect();
+        changes.extend(self.items_after(revision));
+        changes.sort_by_key(|change| change.revision);
+        changes
+    }
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -10,20 +10,26 @@
 
 mod announce;
 mod compare_and_swap;
+mod item_cache;
 mod kv;
 mod list_and_watch;
 mod platform;
 mod platform_error;
+mod relay;
+mod relayed_source;
 mod source;
 mod swap_outcome;
 
 pub use crate::{
     announce::{LeaseClient, announce},
     compare_and_swap::compare_and_swap,
+    item_cache::{IsSame, ItemCache},
     kv::Kv,
     list_and_watch::{WatchHandler, list_and_watch},
     platform::Platform,
     platform_error::PlatformError,
+    relay::{Relay, choose_relays},
+    relayed_source::{RelayOptions, RelayedSource},
     source::{Change, Changes, Freshness, Source, SourceError},
     swap_outcome::SwapOutcome,
 };
--- /dev/null
+++ b/crates/plat/src/relayed_source.rs
@@ -0,0 +1,200 @@
+//! Source that reads a key-value service through relays, or directly if there are none or they fail.
+
+use crate::{
+    item_cache::ItemCache,
+    relay::{Relay, choose_relays},
+    source::{Changes, Freshness, Source, SourceError},
+};
+use base::{Clock, DomainName};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// How long a relay is not asked after it failed.
+const RELAY_BACKOFF_MS: u64 = 1_000;
+
+/// How long the service is not called after it failed, if there are relays. They notice the end of an outage, and the
+/// calls of a whole fleet during an outage cost as much as others.
+const DIRECT_BACKOFF_MS: u64 = 1_000;
+
+/// Timeout for an answer of a relay, in addition to the time that the call itself waits there.
+const RELAY_ANSWER_MS: u64 = 300;
+
+/// Wait of the direct watch that replaces one at a relay that failed. It is short, because the watch only has to return
+/// the changes that the relay did not deliver.
+const CATCH_UP_WAIT_MS: u64 = 1;
+
+/// Options of a [`RelayedSource`].
+#[derive(Clone, Debug)]
+pub struct RelayOptions {
+    /// Name of the VM of this daemon.
+    pub own_name: Box<str>,
+    /// Failure domain of this daemon, in which relays are chosen.
+    pub domain: DomainName,
+    /// Prefix of the keys under which daemons announce themselves as relays.
+    pub prefix: &'static str,
+    /// Longest wait of a watch. It bounds the time in which a lost relay is noticed.
+    pub wait_ms: u64,
+}
+
+/// Reads a key-value service for one daemon, and records in a cache what it reads, so that the daemon can be a relay
+/// for others.
+///
+/// Most daemons of a failure domain read from two relays in this domain instead of the service, whose calls are limited
+/// and paid for. If a relay fails or says that its items are outdated, the same watch continues directly at the
+/// service, because revisions are the same everywhere.
+pub struct RelayedSource<S> {
+    service: S,
+    /// Creates a source that reads from the relay at an address.
+    connect: fn(SocketAddr) -> S,
+    options: RelayOptions,
+    cache: Arc<ItemCache>,
+    clock: Clock,
+    /// Source for the relay that was asked last.
+    current: Option<(SocketAddr, S)>,
+    /// Relays that failed, each with the time until which it is not asked.
+    failed: Vec<(SocketAddr, u64)>,
+    /// Time until which the service is not called.
+    direct_after_ms: u64,
+}
+
+/// Call that is made at a relay or at the service.
+#[derive(Clone, Copy)]
+enum Read<'a> {
+    List(&'a str, Freshness),
+    Watch { prefix: &'a str, revision: u64, wait_ms: u64 },
+}
+
+impl Read<'_> {
+    async fn send(self, source: &mut impl Source) -> Result<Changes, SourceError> {
+        match self {
+            Self::List(prefix, freshness) => source.list(prefix, freshness).await,
+            Self::Watch { prefix, revision, wait_ms } => {
+                source.watch(prefix, revision, wait_ms).await
+            }
+        }
+    }
+
+    fn wait_ms(self) -> u64 {
+        match self {
+            Self::List(..) => 0,
+            Self::Watch { wait_ms, .. } => wait_ms,
+        }
+    }
+}
+
+impl<S: Source> RelayedSource<S> {
+    /// Creates a source that calls `service`, and that creates sources for relays by `connect`.
+    pub fn new(
+        service: S,
+        connect: fn(SocketAddr) -> S,
+        options: RelayOptions,
+        cache: Arc<ItemCache>,
+    ) -> Self {
+        Self {
+            service,
+            connect,
+            options,
+            cache,
+            clock: Clock::start(),
+            current: None,
+            failed: Vec::new(),
+            direct_after_ms: 0,
+        }
+    }
+
+    /// Relays of this daemon, the preferred one first; empty if it reads the service itself.
+    fn relays(&self) -> Vec<Relay> {
+        let prefix = self.options.prefix;
+        let items = self.cache.values(prefix);
+        let daemons: Vec<Relay> = items
+            .iter()
+            .filter_map(|(key, item)| Relay::decode(key.strip_prefix(prefix)?, item))
+            .collect();
+        choose_relays(&daemons, &self.options.domain, &self.options.own_name)
+    }
+
+    /// Makes a call at the first relay that has not failed recently. `None` if there is no such relay, or if it failed.
+    /// The error `Compacted` is no failure: the relay works, but has to be asked for all items.
+    async fn read_from_relay(
+        &mut self,
+        relays: &[Relay],
+        read: Read<'_>,
+    ) -> Option<Result<Changes, SourceError>> {
+        let now_ms = self.clock.now_ms();
+        self.failed.retain(|(_, until_ms)| now_ms < *until_ms);
+        let has_failed = |addr| self.failed.iter().any(|(failed, _)| *failed == addr);
+        let addr = relays.iter().map(|relay| relay.addr).find(|addr| !has_failed(*addr))?;
+        if self.current.as_ref().is_none_or(|(current, _)| *current != addr) {
+            log::info!("plat: reads from the relay at {addr}");
+            self.current = Some((addr, (self.connect)(addr)));
+        }
+        let (_, source) = self.current.as_mut()?;
+        let timeout = Duration::from_millis(read.wait_ms() + RELAY_ANSWER_MS);
+        let err = match tokio::time::timeout(timeout, read.send(source)).await {
+            // An older list than the one that this daemon has would bring back what was removed.
+            Ok(Ok(list))
+                if matches!(read, Read::List(..)) && list.revision < self.cache.revision() =>
+            {
+                "it is behind".to_owned()
+            }
+            Ok(answer @ (Ok(_) | Err(SourceError::Compacted))) => return Some(answer),
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => format!("no answer in {} ms", timeout.as_millis()),
+        };
+        log::info!("plat: the relay at {addr} failed: {err}");
+        metrics::counter!("relay_failures_total").increment(1);
+        self.current = None;
+        self.failed.push((addr, self.clock.now_ms() + RELAY_BACKOFF_MS));
+        None
+    }
+
+    /// Makes a call at a relay, or at the service if there is no relay that works.
+    async fn read(&mut self, read: Read<'_>) -> Result<Changes, SourceError> {
+        let relays = self.relays();
+        if let Some(answer) = self.read_from_relay(&relays, read).await {
+            metrics::counter!("relay_reads_total").increment(1);
+            return answer;
+        }
+        if !relays.is_empty() && self.clock.now_ms() < self.direct_after_ms {
+            return Err(SourceError::Paused);
+        }
+        let direct = match read {
+            Read::Watch { prefix, revision, .. } if !relays.is_empty() => {
+                Read::Watch { prefix, revision, wait_ms: CATCH_UP_WAIT_MS }
+            }
+            other => other,
+        };
+        metrics::counter!("store_reads_total").increment(1);
+        let outcome = direct.send(&mut self.service).await;
+        if matches!(&outcome, Err(err) if !matches!(err, SourceError::Compacted)) {
+            self.direct_after_ms = self.clock.now_ms() + DIRECT_BACKOFF_MS;
+        }
+        outcome
+    }
+}
+
+impl<S: Source> Source for RelayedSource<S> {
+    async fn list(&mut self, prefix: &str, freshness: Freshness) -> Result<Changes, SourceError> {
+        let outcome = self.read(Read::List(prefix, freshness)).await;
+        match &outcome {
+            Ok(list) => self.cache.replace(list, freshness == Freshness::Latest),
+            Err(_) => self.cache.mark_outage(),
+        }
+        outcome
+    }
+
+    async fn watch(
+        &mut self,
+        prefix: &str,
+        revision: u64,
+        wait_ms: u64,
+    ) -> Result<Changes, SourceError> {
+        let wait_ms = wait_ms.min(self.options.wait_ms);
+        let outcome = self.read(Read::Watch { prefix, revision, wait_ms }).await;
+        match &outcome {
+            Ok(read) => self.cache.apply(read),
+            Err(SourceError::Compacted) => {}
+            Err(_) => self.cache.mark_outage(),
+        }
+        outcome
+    }
+}
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -21,6 +21,14 @@
         Compacted {
             display("the history is no longer kept")
         }
+        /// A copy of the service's items is too old to be read.
+        Outdated {
+            display("the copy of the items is too old")
+        }
+        /// The call was not made, because a call to the service has failed a moment ago.
+        Paused {
+            display("the service failed a moment ago")
+        }
         /// The part `what` of the answer is not valid.
         Malformed(what: &'static str) {
             display("{what} of the answer is not valid")
--- /dev/null
+++ b/crates/plat/tests/relays.rs
@@ -0,0 +1,92 @@
+//! Tests of the choice of the daemons that read a key-value service for others.
+
+use plat::{Relay, choose_relays};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+fn relay(number: u8, link_mbps: u64) -> Relay {
+    Relay {
+        vm_name: format!("vm-{number}").into(),
+        domain: "lothian".to_owned().try_into().unwrap(),
+        addr: ([10, 0, 0, number], 7202).into(),
+        link_mbps,
+    }
+}
+
+fn fleet() -> Vec<Relay> {
+    (0..20).map(|number| relay(number, if number % 7 == 3 { 200 } else { 20 })).collect()
+}
+
+/// Guards against relays on slow links, where a large configuration would arrive late at the other daemons.
+#[test]
+fn relays_have_the_fastest_links_and_every_other_daemon_has_two() {
+    let fleet = fleet();
+    let mut first_relays = Vec::new();
+    let mut direct = 0;
+    for daemon in &fleet {
+        let relays = choose_relays(&fleet, &daemon.domain, &daemon.vm_name);
+        if relays.is_empty() {
+            direct += 1;
+            continue;
+        }
+        assert_eq!(relays.len(), 2);
+        assert!(relays.iter().all(|relay| relay.link_mbps == 200));
+        first_relays.push(relays[0].vm_name.clone());
+    }
+    assert_eq!(direct, 2);
+    first_relays.sort();
+    first_relays.dedup();
+    assert_eq!(first_relays.len(), 2, "one relay serves all daemons");
+}
+
+/// Guards against relays in domains where they save nothing, and against relays in other failure domains, whose loss
+/// or partition would hit this domain as well.
+#[test]
+fn small_domains_and_other_domains_have_no_relays() {
+    let mut fleet = fleet();
+    let domain = fleet[0].domain.clone();
+    assert_eq!(choose_relays(&fleet[..4], &domain, "vm-0"), []);
+    for relay in &mut fleet {
+        relay.domain = "clyde".to_owned().try_into().unwrap();
+    }
+    assert_eq!(choose_relays(&fleet, &domain, "vm-0"), []);
+}
+
+#[derive(Clone, Debug)]
+struct View(Vec<Relay>);
+
+impl Arbitrary for View {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(fleet().into_iter().filter(|_| u8::arbitrary(g) % 3 > 0).collect())
+    }
+}
+
+/// Guards against daemons that read from each other, because they know different daemons: they would confirm old items
+/// to each other for ever.
+#[test]
+fn no_two_daemons_read_from_each_other() {
+    fn property(a: View, b: View, numbers: (u8, u8)) -> TestResult {
+        let (first, second) = (numbers.0 % 20, numbers.1 % 20);
+        if first == second {
+            return TestResult::discard();
+        }
+        let reads_from = |view: &View, own: u8, other: u8| {
+            let mut fleet = view.0.clone();
+            fleet.extend([own, other].map(|number| self::fleet()[usize::from(number)].clone()));
+            fleet.dedup_by(|a, b| a == b);
+            let relays = choose_relays(&fleet, &fleet[0].domain, &format!("vm-{own}"));
+            relays.iter().any(|relay| *relay.vm_name == *format!("vm-{other}"))
+        };
+        TestResult::from_bool(!(reads_from(&a, first, second) && reads_from(&b, second, first)))
+    }
+    QuickCheck::new().tests(2_000).quickcheck(property as fn(View, View, (u8, u8)) -> TestResult);
+}
+
+/// Guards against a malformed item that stops the daemons from reading.
+#[test]
+fn malformed_items_name_no_relay() {
+    let relay = relay(1, 200);
+    assert_eq!(Relay::decode("vm-1", relay.encode().as_bytes()), Some(relay));
+    for item in [&b""[..], b"lothian", b"lothian 10.0.0.1:1", b"lothian 10.0.0.1 20", b"\xff 1 1"] {
+        assert_eq!(Relay::decode("vm-1", item), None);
+    }
+}
