Ask further daemons when the relays of a domain have lost the store

Now the two daemons that come next take their place, a direct watch waits unless a relay has failed in the same call, and the age of a copy is passed on with it, so that a chain of daemons does not make old items look fresh.

--- a/crates/plat/src/item_cache.rs
+++ b/crates/plat/src/item_cache.rs
@@ -12,6 +12,9 @@
 /// Number of removals that the cache remembers. A reader that missed more of them has to read all items again.
 const MAX_REMOVALS: usize = 4_096;
 
+/// Largest age that is told apart. Older items are of no use.
+const MAX_AGE_MS: u64 = 3_600_000;
+
 /// Tells whether the old and the new value of a key mean the same to every reader.
 pub type IsSame = fn(key: &str, old: &[u8], new: &[u8]) -> bool;
 
@@ -38,8 +41,9 @@
     forgotten_removals: u64,
     /// Revision up to which all changes are included; 0 before the first update.
     revision: u64,
-    /// When the items were last known to be the latest ones; `None` before that and during an outage.
-    confirmed_ms: Option<u64>,
+    /// When the items were last known to be the latest ones; `None` before that and during an outage. It is negative if
+    /// that was before the clock started.
+    confirmed_ms: Option<i64>,
 }
 
 impl ItemCache {
@@ -53,12 +57,12 @@
         }
     }
 
-    /// Replaces all items. `is_latest` tells whether they are the latest ones.
+    /// Replaces all items. `is_latest` tells whether they were the latest ones `list.age_ms` ago.
     ///
     /// A list does not tell which keys were written and removed since the last read, and a reader may have learned of
     /// such a key elsewhere. So readers that continue after an earlier revision have to read all items as well.
     pub fn replace(&self, list: &Changes, is_latest: bool) {
-        self.update(is_latest, |state| {
+        self.update(is_latest.then_some(list.age_ms), |state| {
             state.items.clear();
             state.removals.clear();
             state.write(&list.changes, self.is_same);
@@ -67,9 +71,9 @@
         });
     }
 
-    /// Applies the changes that a watch returned, after which the items are the latest ones.
+    /// Applies the changes that a watch returned, after which the items are the latest ones as of `read.age_ms` ago.
     pub fn apply(&self, read: &Changes) {
-        self.update(true, |state| {
+        self.update(Some(read.age_ms), |state| {
             state.write(&read.changes, self.is_same);
             state.revision = state.revision.max(read.revision);
         });
@@ -100,10 +104,8 @@
     /// `Outdated` if the items have not been confirmed as the latest ones within `max_age_ms`.
     pub fn list(&self, max_age_ms: u64) -> Result<Changes, SourceError> {
         let state = self.state();
-        match state.fresh_until_ms(max_age_ms).is_some_and(|at_ms| self.clock.now_ms() < at_ms) {
-            true => Ok(Changes { changes: state.items_after(0), revision: state.revision }),
-            false => Err(SourceError::Outdated),
-        }
+        let age_ms = state.age_ms(self.clock.now_ms(), max_age_ms)?;
+        Ok(Changes { changes: state.items_after(0), revision: state.revision, age_ms })
     }
 
     /// Waits up to `wait_ms` for changes after `revision`, and returns them.
@@ -125,17 +127,15 @@
             let fresh_until_ms = {
                 let state = self.state();
                 let now_ms = self.clock.now_ms();
-                let fresh_until_ms = state.fresh_until_ms(max_age_ms);
-                let fresh_until_ms = fresh_until_ms.filter(|&at_ms| now_ms < at_ms);
-                let fresh_until_ms = fresh_until_ms.ok_or(SourceError::Outdated)?;
+                let age_ms = state.age_ms(now_ms, max_age_ms)?;
                 if revision < state.forgotten_removals {
                     return Err(SourceError::Compacted);
                 }
                 let changes = state.changes_after(revision);
                 if !changes.is_empty() || now_ms >= deadline_ms {
-                    return Ok(Changes { changes, revision: state.revision });
+                    return Ok(Changes { changes, revision: state.revision, age_ms });
                 }
-                fresh_until_ms
+                now_ms + max_age_ms - age_ms
             };
             let wake = Instant::from_std(self.clock.instant_at(deadline_ms.min(fresh_until_ms)));
             // Both outcomes lead to another look at the state.
@@ -143,11 +143,12 @@
         }
     }
 
-    fn update(&self, is_latest: bool, change: impl FnOnce(&mut State)) {
+    /// Changes the items, which were the latest ones `age_ms` ago; `None` if that is not known.
+    fn update(&self, age_ms: Option<u64>, change: impl FnOnce(&mut State)) {
         let mut state = self.state();
         change(&mut state);
-        if is_latest {
-            state.confirmed_ms = Some(self.clock.now_ms());
+        if let Some(age_ms) = age_ms {
+            state.confirmed_ms = Some(self.clock.now_ms() as i64 - age_ms.min(MAX_AGE_MS) as i64);
         }
         drop(state);
         self.updates.send_replace(());
@@ -159,8 +160,15 @@
 }
 
 impl State {
-    fn fresh_until_ms(&self, max_age_ms: u64) -> Option<u64> {
-        self.confirmed_ms.map(|at_ms| at_ms + max_age_ms)
+    /// Time since the items were known to be the latest ones.
+    ///
+    /// # Errors
+    ///
+    /// `Outdated` if that is not shorter than `max_age_ms`.
+    fn age_ms(&self, now_ms: u64, max_age_ms: u64) -> Result<u64, SourceError> {
+        let confirmed_ms = self.confirmed_ms.ok_or(SourceError::Outdated)?;
+        let age_ms = (now_ms as i64 - confirmed_ms).max(0) as u64;
+        if age_ms < max_age_ms { Ok(age_ms) } else { Err(SourceError::Outdated) }
     }
 
     fn write(&mut self, changes: &[Change], is_same: IsSame) {
--- a/crates/plat/src/relay.rs
+++ b/crates/plat/src/relay.rs
@@ -10,6 +10,10 @@
 /// lost.
 const RELAYS_PER_DOMAIN: usize = 2;
 
+/// Number of further daemons that are asked when the relays of the domain have lost the service. They read it
+/// themselves then.
+const SUBSTITUTES: usize = 2;
+
 /// Smallest number of daemons in a failure domain for which relays are used. In a smaller domain, each daemon reads the
 /// service itself, which costs few calls and depends on no other daemon.
 const MIN_DAEMONS: usize = 5;
@@ -49,7 +53,8 @@
 /// the daemon reads the service itself: it is a relay, or its failure domain `domain` is too small for relays.
 ///
 /// The relays of a domain are those with the fastest links, because each change goes to all daemons of the domain.
-/// Daemons that know different sets of daemons may choose different relays, which only costs a few more calls.
+/// Daemons that know different sets of daemons may choose different relays, which only costs a few more calls. A daemon
+/// reads only from daemons that precede it in one order of all daemons, so that no two read from each other.
 pub fn choose_relays(daemons: &[Relay], domain: &DomainName, own_name: &str) -> Vec<Relay> {
     let mut relays: Vec<&Relay> = daemons.iter().filter(|relay| relay.domain == *domain).collect();
     if relays.len() < MIN_DAEMONS {
@@ -58,12 +63,13 @@
     relays.sort_by_cached_key(|relay| {
         (std::cmp::Reverse(relay.link_mbps), hash(&relay.vm_name), relay.vm_name.clone())
     });
-    relays.truncate(RELAYS_PER_DOMAIN);
-    if relays.iter().any(|relay| *relay.vm_name == *own_name) {
+    let own = relays.iter().position(|relay| *relay.vm_name == *own_name);
+    relays.truncate(own.unwrap_or(usize::MAX).min(RELAYS_PER_DOMAIN + SUBSTITUTES));
+    if relays.len() < RELAYS_PER_DOMAIN {
         return Vec::new();
     }
-    let first = hash(own_name) as usize % relays.len();
-    relays.rotate_left(first);
+    let first = hash(own_name) as usize % RELAYS_PER_DOMAIN;
+    relays[..RELAYS_PER_DOMAIN].rotate_left(first);
     relays.into_iter().cloned().collect()
 }
 
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -56,6 +56,15 @@
     direct_after_ms: u64,
 }
 
+/// Why no relay has answered a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RelayError {
+    /// There is no relay that has not failed recently.
+    NoRelay,
+    /// All relays that were asked failed.
+    RelayFailed,
+}
+
 /// Call that is made at a relay or at the service.
 #[derive(Clone, Copy)]
 enum Read<'a> {
@@ -112,56 +121,76 @@
         choose_relays(&daemons, &self.options.domain, &self.options.own_name)
     }
 
-    /// Makes a call at the first relay that has not failed recently. `None` if there is no such relay, or if it failed.
-    /// The error `Compacted` is no failure: the relay works, but has to be asked for all items.
+    /// Makes a call at the first of the relays that has not failed recently and answers. The error `Compacted` is an
+    /// answer: the relay works, but has to be asked for all items.
+    ///
+    /// # Errors
+    ///
+    /// `NoRelay` if there is no such relay, `RelayFailed` if one failed in this call.
     async fn read_from_relay(
         &mut self,
         relays: &[Relay],
         read: Read<'_>,
-    ) -> Option<Result<Changes, SourceError>> {
+    ) -> Result<Result<Changes, SourceError>, RelayError> {
         let now_ms = self.clock.now_ms();
         self.failed.retain(|(_, until_ms)| now_ms < *until_ms);
-        let has_failed = |addr| self.failed.iter().any(|(failed, _)| *failed == addr);
-        let addr = relays.iter().map(|relay| relay.addr).find(|addr| !has_failed(*addr))?;
-        if self.current.as_ref().is_none_or(|(current, _)| *current != addr) {
-            log::info!("plat: reads from the relay at {addr}");
-            self.current = Some((addr, (self.connect)(addr)));
-        }
-        let (_, source) = self.current.as_mut()?;
-        let timeout = Duration::from_millis(read.wait_ms() + RELAY_ANSWER_MS);
-        let err = match tokio::time::timeout(timeout, read.send(source)).await {
-            // An older list than the one that this daemon has would bring back what was removed.
-            Ok(Ok(list))
-                if matches!(read, Read::List(..)) && list.revision < self.cache.revision() =>
-            {
-                "it is behind".to_owned()
+        let mut outcome = RelayError::NoRelay;
+        for addr in relays.iter().map(|relay| relay.addr) {
+            if self.failed.iter().any(|(failed, _)| *failed == addr) {
+                continue;
             }
-            Ok(answer @ (Ok(_) | Err(SourceError::Compacted))) => return Some(answer),
-            Ok(Err(err)) => err.to_string(),
-            Err(_) => format!("no answer in {} ms", timeout.as_millis()),
-        };
-        log::info!("plat: the relay at {addr} failed: {err}");
-        metrics::counter!("relay_failures_total").increment(1);
-        self.current = None;
-        self.failed.push((addr, self.clock.now_ms() + RELAY_BACKOFF_MS));
-        None
+            if self.current.as_ref().is_none_or(|(current, _)| *current != addr) {
+                log::info!("plat: reads from the relay at {addr}");
+            }
+            let current = self.current.take().filter(|(current, _)| *current == addr);
+            let mut source = current.map_or_else(|| (self.connect)(addr), |(_, source)| source);
+            let timeout = Duration::from_millis(read.wait_ms() + RELAY_ANSWER_MS);
+            let answer = tokio::time::timeout(timeout, read.send(&mut source)).await;
+            let has_timed_out = answer.is_err();
+            let err = match answer {
+                // An older list than the one that this daemon has would bring back what was removed.
+                Ok(Ok(list))
+                    if matches!(read, Read::List(..)) && list.revision < self.cache.revision() =>
+                {
+                    "it is behind".to_owned()
+                }
+                Ok(answer @ (Ok(_) | Err(SourceError::Compacted))) => {
+                    self.current = Some((addr, source));
+                    return Ok(answer);
+                }
+                Ok(Err(err)) => err.to_string(),
+                Err(_) => format!("no answer in {} ms", timeout.as_millis()),
+            };
+            log::info!("plat: the relay at {addr} failed: {err}");
+            metrics::counter!("relay_failures_total").increment(1);
+            self.failed.push((addr, self.clock.now_ms() + RELAY_BACKOFF_MS));
+            outcome = RelayError::RelayFailed;
+            // A relay that does not answer has taken too much time to ask another one.
+            if has_timed_out {
+                break;
+            }
+        }
+        Err(outcome)
     }
 
     /// Makes a call at a relay, or at the service if there is no relay that works.
     async fn read(&mut self, read: Read<'_>) -> Result<Changes, SourceError> {
         let relays = self.relays();
-        if let Some(answer) = self.read_from_relay(&relays, read).await {
-            metrics::counter!("relay_reads_total").increment(1);
-            return answer;
-        }
+        let relay_error = match self.read_from_relay(&relays, read).await {
+            Ok(answer) => {
+                metrics::counter!("relay_reads_total").increment(1);
+                return answer;
+            }
+            Err(err) => err,
+        };
         if !relays.is_empty() && self.clock.now_ms() < self.direct_after_ms {
             return Err(SourceError::Paused);
         }
-        let direct = match read {
-            Read::Watch { prefix, revision, .. } if !relays.is_empty() => {
+        let direct = match (read, relay_error) {
+            (Read::Watch { prefix, revision, .. }, RelayError::RelayFailed) => {
                 Read::Watch { prefix, revision, wait_ms: CATCH_UP_WAIT_MS }
             }
-            other => other,
+            (read, _) => read,
         };
         metrics::counter!("store_reads_total").increment(1);
         let outcome = direct.send(&mut self.service).await;
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -54,6 +54,8 @@
     pub changes: Vec<Change>,
     /// Revision after which the next watch continues, so that it misses no change.
     pub revision: u64,
+    /// Time since the answer was known to contain all changes; 0 if the service itself answered.
+    pub age_ms: u64,
 }
 
 /// How fresh the answer to a list must be.
