--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -149,13 +149,16 @@
     /// Polls for the next step of the attempt, or for the result of the health check.
     pub fn poll_step(&mut self, now_ms: u64, cx: &mut Context<'_>) -> Poll<Step> {
         let step = self.poll_progress(cx);
-        if step.is_ready() {
-            self.last_activity_ms = now_ms;
-            if matches!(step, Poll::Ready(Step::Event(_))) {
+        if let Poll::Ready(step) = step {
+            let is_comment = matches!(&step, Step::Event(event) if event.is_comment());
+            if !is_comment {
+                self.last_activity_ms = now_ms;
+            }
+            if matches!(step, Step::Event(_)) && !is_comment {
                 self.has_event = true;
                 self.prefill = None;
             }
-            return step;
+            return Poll::Ready(step);
         }
         let Some(check) = &mut self.check else { return Poll::Pending };
         let health = ready!(check.poll_unpin(cx));
--- a/crates/ingress/src/buffered_response.rs
+++ b/crates/ingress/src/buffered_response.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{HeaderMap, Response, StatusCode, body::Frame};
 use std::future::poll_fn;
+use tokio::time::Instant;
 use web::{AbortedBody, ResponseBody};
 
 /// Largest body that is buffered completely. A larger one is forwarded as it arrives; if it then breaks off, it cannot
@@ -23,12 +24,17 @@
 }
 
 impl BufferedResponse {
-    /// Reads a response to its end, or until the body exceeds the buffer limit.
+    /// Reads a response to its end, or until the body exceeds the buffer limit. A body that has not ended by
+    /// `deadline_ms` on the daemon's clock is aborted then.
     ///
     /// # Errors
     ///
     /// `Lost` if the connection fails before the end of the body or the buffer limit.
-    pub async fn read(core: &Core, mut exchange: Exchange) -> Result<Self, AttemptError> {
+    pub async fn read(
+        core: &Core,
+        mut exchange: Exchange,
+        deadline_ms: u64,
+    ) -> Result<Self, AttemptError> {
         let status = exchange.status;
         let headers = forwarded_headers(&exchange.headers);
         let mut content = BytesMut::new();
@@ -41,7 +47,8 @@
                 }
             }
             if content.len() > MAX_BUFFERED_BYTES {
-                let body = forward(content.freeze(), exchange);
+                let deadline = Instant::from_std(core.clock.instant_at(deadline_ms));
+                let body = forward(content.freeze(), exchange, deadline);
                 return Ok(Self { status, headers, body });
             }
         }
@@ -56,17 +63,25 @@
     }
 }
 
-/// Creates a body that sends `first` and then forwards the rest of the exchange as it arrives.
-fn forward(first: Bytes, exchange: Exchange) -> ResponseBody {
-    let chunks = stream::unfold((Some(first), Some(exchange)), |(first, exchange)| async move {
-        if let Some(first) = first {
-            return Some((Ok(Frame::data(first)), (None, exchange)));
-        }
-        let mut exchange = exchange?;
-        match poll_fn(|cx| exchange.poll_data(cx)).await? {
-            Ok(data) => Some((Ok(Frame::data(data)), (None, Some(exchange)))),
-            Err(_) => Some((Err(AbortedBody::Aborted), (None, None))),
-        }
-    });
+/// Creates a body that sends `first` and then forwards the rest of the exchange as it arrives, until `deadline`. An
+/// upstream that never ends its body would otherwise occupy the connections for ever.
+fn forward(first: Bytes, exchange: Exchange, deadline: Instant) -> ResponseBody {
+    let chunks =
+        stream::unfold((Some(first), Some(exchange)), move |(first, exchange)| async move {
+            if let Some(first) = first {
+                return Some((Ok(Frame::data(first)), (None, exchange)));
+            }
+            let mut exchange = exchange?;
+            let data =
+                tokio::time::timeout_at(deadline, poll_fn(|cx| exchange.poll_data(cx))).await;
+            match data {
+                // `timeout_at` polls the data first, so data that is always available would never time out.
+                Ok(data) if Instant::now() < deadline => match data? {
+                    Ok(data) => Some((Ok(Frame::data(data)), (None, Some(exchange)))),
+                    Err(_) => Some((Err(AbortedBody::Aborted), (None, None))),
+                },
+                _ => Some((Err(AbortedBody::Aborted), (None, None))),
+            }
+        });
     StreamBody::new(chunks).boxed_unsync()
 }
--- a/crates/ingress/src/event.rs
+++ b/crates/ingress/src/event.rs
@@ -10,3 +10,12 @@
     /// Bytes of the event including the empty line at its end.
     pub bytes: Bytes,
 }
+
+impl Event {
+    /// Whether the event only holds comments or is empty, as engines may send to keep a connection open. A stalled
+    /// engine can send comments as well, so they do not show that it works.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|&byte| byte == b'\n' || byte == b'\r');
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+}
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -61,15 +61,16 @@
     ) -> Result<Self, AttemptError> {
         let guard = InFlightGuard::new(Arc::clone(&instance));
         let pooled = instance.connections.take(core.clock.now_ms());
-        let is_pooled = pooled.is_some();
+        let mut is_reused = pooled.is_some();
         let mut connection = match pooled {
             Some(connection) => connection,
             None => connect(&instance).await.map_err(AttemptError::NotSent)?,
         };
         let mut sent = connection.send(request(core, inbound, &instance, extra_headers)).await;
         // A pooled connection may have been closed by the instance meanwhile.
-        if is_pooled && matches!(sent, Err(ClientError::Unsent(_))) {
+        if is_reused && matches!(sent, Err(ClientError::Unsent(_))) {
             connection = connect(&instance).await.map_err(AttemptError::NotSent)?;
+            is_reused = false;
             sent = connection.send(request(core, inbound, &instance, extra_headers)).await;
         }
         let response = match sent {
@@ -83,8 +84,10 @@
             }
         };
         let (head, body) = response.into_parts();
+        connection.limit_framing();
         let exchange = Self { guard, status: head.status, headers: head.headers, body, connection };
-        match classify_response(exchange.status, &exchange.headers, &inbound.id, &core.dialect) {
+        let (status, headers) = (exchange.status, &exchange.headers);
+        match classify_response(status, headers, &inbound.id, is_reused, &core.dialect) {
             ResponseClass::Valid => Ok(exchange),
             ResponseClass::Misdirected => {
                 let actual = exchange.headers.get(&core.dialect.instance);
@@ -124,6 +127,7 @@
     /// `Lost` if the connection fails before the end of the body.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
         let frame = ready!(self.body.frame().poll_unpin(cx));
+        self.connection.limit_framing();
         Poll::Ready(frame.map(|frame| match frame {
             Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
             Err(_) => Err(AttemptError::Lost(LossCause::Closed)),
--- a/crates/ingress/src/kv_replicator.rs
+++ b/crates/ingress/src/kv_replicator.rs
@@ -3,7 +3,7 @@
 use crate::{
     config::EngineConfig,
     core::Core,
-    engine_call::engine_call,
+    engine_call::{engine_call, isolated_engine_call},
     inbound::Inbound,
     instance::Instance,
     instance_entry::InstanceId,
@@ -202,9 +202,14 @@
     let requested_ms = core.clock.now_ms();
     let dialect = &core.dialect;
     let body = (dialect.encode_snapshot_request)(inbound.id_text(), target.entry.addr);
-    let response =
-        engine_call(core, source, Method::POST, dialect.snapshot_path, body, SNAPSHOT_TIMEOUT_MS)
-            .await;
+    let response = isolated_engine_call(
+        source,
+        Method::POST,
+        dialect.snapshot_path,
+        body,
+        SNAPSHOT_TIMEOUT_MS,
+    )
+    .await;
     let id = inbound.id_text();
     let (from, to) = (&source.entry.id, &target.entry.id);
     match response {
--- a/crates/ingress/src/response_head.rs
+++ b/crates/ingress/src/response_head.rs
@@ -22,17 +22,22 @@
 /// Classifies a response to the request `id` by its head.
 ///
 /// A late response to another request may arrive in place of the expected one. Therefore a response must carry the
-/// identifier of this request, unless the response states that the request has not run.
+/// identifier of this request, unless the response states that the request has not run. Even that statement must carry
+/// the identifier if the connection was reused, because it may be a late copy of an earlier one.
 pub(crate) fn classify_response(
     status: StatusCode,
     headers: &HeaderMap,
     id: &HeaderValue,
+    is_reused: bool,
     dialect: &Dialect,
 ) -> ResponseClass {
     let answered_id = headers.get(&dialect.request_id);
     if answered_id.is_some_and(|answered| answered != id) {
         return ResponseClass::Invalid;
     }
+    if is_reused && answered_id.is_none() {
+        return ResponseClass::Invalid;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::Misdirected;
     }
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -159,7 +159,7 @@
 ) -> Outcome {
     let exchange = async {
         let exchange = Exchange::open(core, inbound, Arc::clone(instance), &[]).await?;
-        BufferedResponse::read(core, exchange).await
+        BufferedResponse::read(core, exchange, inbound.deadline_ms).await
     };
     match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
         Ok(Ok(response)) => Outcome::Answered(response),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -41,6 +41,9 @@
 /// request if there was none. The engines of a lost failure domain are usually back by then.
 const MAX_BUSY_WAIT_MS: u64 = 1_500;
 
+/// Shortest time between two checks of the deadlines while bytes are waiting, so that the bytes are read as well.
+const MIN_TICK_INTERVAL_MS: u64 = 20;
+
 /// Longest sleep of the relay. If the next deadline is later, the relay computes it again after the sleep.
 const MAX_SLEEP_MS: u64 = 60_000;
 
@@ -104,6 +107,8 @@
     last_release_ms: u64,
     /// When the first event was released; `None` before it.
     first_event_ms: Option<u64>,
+    /// When the deadlines were last checked.
+    last_tick_ms: u64,
     instance_changes: watch::Receiver<()>,
     is_done: bool,
     failure: Option<Failure>,
@@ -135,6 +140,7 @@
             longest_pause_ms: 0,
             last_release_ms: inbound.arrived_ms,
             first_event_ms: None,
+            last_tick_ms: 0,
             instance_changes,
             is_done: false,
             failure: None,
@@ -194,7 +200,14 @@
     /// reacts to whichever comes first.
     async fn wait(&mut self) {
         let clock = self.core.clock;
-        let wake = Instant::from_std(clock.instant_at(self.wake_ms(clock.now_ms())));
+        let now_ms = clock.now_ms();
+        let wake_ms = self.wake_ms(now_ms);
+        // Bytes that arrive without end must not keep the deadlines from being checked.
+        if now_ms >= wake_ms.max(self.last_tick_ms + MIN_TICK_INTERVAL_MS) {
+            self.on_tick();
+            return;
+        }
+        let wake = Instant::from_std(clock.instant_at(wake_ms));
         let attempts = &mut self.attempts;
         let replicator = &mut self.replicator;
         let step = poll_fn(|cx| {
@@ -236,6 +249,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.last_tick_ms = self.core.clock.now_ms();
         if self.core.clock.now_ms() >= self.inbound.deadline_ms {
             self.fail(Failure::Deadline);
             return;
@@ -315,15 +329,20 @@
     }
 
     /// Releases an event to the caller if the state machine accepts it. An event whose identifier does not follow that
-    /// of the last event ends the attempt.
+    /// of the last event ends the attempt. A comment is released too, but is no progress of the stream.
     fn on_event(&mut self, id: AttemptId, event: Event) {
+        if event.is_comment() {
+            self.released.extend_from_slice(&event.bytes);
+            return;
+        }
         let index = self.generation.journal().len();
-        if let (Some(event_id), Some(last_id)) = (event.id, self.last_event_id)
-            && event_id != last_id + 1
+        if let Some(last_id) = self.last_event_id
+            && event.id != last_id.checked_add(1)
         {
             log::warn!(
-                "stream: id={} attempt={id} event={event_id} after event={last_id}",
-                self.inbound.id_text()
+                "stream: id={} attempt={id} event={:?} after event={last_id}",
+                self.inbound.id_text(),
+                event.id
             );
             self.cancel(id);
             self.input(Input::Lost { attempt: id, cause: LossCause::Malformed });
@@ -569,7 +588,7 @@
             if exchange.status.is_success() {
                 return Ok(Opened::Stream(exchange));
             }
-            BufferedResponse::read(&core, exchange).await.map(Opened::Error)
+            BufferedResponse::read(&core, exchange, inbound.deadline_ms).await.map(Opened::Error)
         };
         self.attempts[position].send(instance, opening.boxed(), self.core.clock.now_ms());
         self.input(Input::Sent { attempt: id });
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::{
     body::read_body,
     client_error::ClientError,
+    framing_limit::{FramingLimit, FramingLimitedStream},
     tcp_keepalive::{enable_fast_tcp_keepalive, enable_tcp_keepalive},
 };
 use bytes::Bytes;
@@ -21,6 +22,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Limit on the bytes that are no response.
+    framing_limit: FramingLimit,
     /// Task that reads from and writes to the socket.
     driver: AbortHandle,
 }
@@ -60,9 +63,10 @@
         };
         let _ = stream.set_nodelay(true);
         enable_keepalive(&stream);
+        let framing_limit = FramingLimit::new();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(FramingLimitedStream::new(stream, framing_limit.clone())))
             .await
             .map_err(ClientError::Transport)?;
         let driver = tokio::spawn(async move {
@@ -70,7 +74,7 @@
                 log::debug!("web: a connection to {addr} failed: {err}");
             }
         });
-        Ok(Self { sender, driver: driver.abort_handle() })
+        Ok(Self { sender, framing_limit, driver: driver.abort_handle() })
     }
 
     /// Returns whether another request can be sent now: the last exchange has ended and the server has kept the
@@ -94,12 +98,22 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ClientError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            match error.take_message() {
-                Some(_) => ClientError::Unsent(error.into_error()),
-                None => ClientError::Transport(error.into_error()),
-            }
-        })
+        self.framing_limit.start();
+        let response =
+            self.sender.try_send_request(request).await.map_err(|mut error| {
+                match error.take_message() {
+                    Some(_) => ClientError::Unsent(error.into_error()),
+                    None => ClientError::Transport(error.into_error()),
+                }
+            })?;
+        self.framing_limit.stop();
+        Ok(response)
+    }
+
+    /// Limits the bytes that are read until the next call. Call it for each part of a body whose reader does not limit
+    /// the size of the body, so that bytes which are no part of it do not arrive without end.
+    pub fn limit_framing(&self) {
+        self.framing_limit.start();
     }
 
     /// Sends a request and reads the complete response, whose body may have at most `limit_bytes`.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -13,6 +13,7 @@
 mod client_error;
 mod connection;
 mod end_to_end_headers;
+mod framing_limit;
 mod in_flight_requests;
 mod json_request;
 mod server;
