Serve no request by a list that may be old

The daemon was not ready then, but the balancer sends requests to all daemons of a domain while few are ready.

Now it answers 503 with Retry-After until it has caught up once.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -67,8 +67,8 @@
     pub(crate) options: CoreOptions,
     config: Mutex<Option<Arc<Config>>>,
     registry: Mutex<Registry>,
-    /// Whether the list of instances was read completely.
-    has_instances: AtomicBool,
+    /// Whether the configuration and the instances have been up to date since the daemon started.
+    has_caught_up: AtomicBool,
     /// Start of the shutdown on `clock`; unset before it.
     stopped_ms: OnceLock<u64>,
     fleet_size: Mutex<FleetSize>,
@@ -99,7 +99,7 @@
             options,
             config: Mutex::default(),
             registry: Mutex::default(),
-            has_instances: AtomicBool::new(false),
+            has_caught_up: AtomicBool::new(false),
             stopped_ms: OnceLock::new(),
             fleet_size: Mutex::default(),
             daemons: Mutex::default(),
@@ -146,9 +146,15 @@
         change(&mut lock(&self.registry), self.clock.now_ms())
     }
 
-    /// Records that the list of instances was read completely, which the daemon needs to be ready.
-    pub fn mark_instances_listed(&self) {
-        self.has_instances.store(true, Ordering::Relaxed);
+    /// Records that the configuration and the instances are up to date, which the daemon needs to serve requests.
+    pub fn mark_caught_up(&self) {
+        self.has_caught_up.store(true, Ordering::Relaxed);
+    }
+
+    /// Active configuration; `None` until the daemon has caught up with the platform. The first list that a daemon reads
+    /// may be old, and hold keys that were withdrawn and instances that have left.
+    pub(crate) fn current_config(&self) -> Option<Arc<Config>> {
+        self.config().filter(|_| self.has_caught_up.load(Ordering::Relaxed))
     }
 
     /// Replaces the list of daemons. `daemons` holds their retry lending addresses, including that of this daemon.
@@ -204,9 +210,7 @@
     /// Whether the daemon is ready for new connections: it has a configuration and the instances, and is not shutting
     /// down.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.has_instances.load(Ordering::Relaxed)
-            && lock(&self.config).is_some()
+        !self.is_stopping() && self.current_config().is_some()
     }
 
     /// Chooses an instance of a service; `None` if none meets the constraints of `placement`.
@@ -381,6 +385,11 @@
         self.jitter_ms(STREAM_RETRY_AFTER_MS.0, STREAM_RETRY_AFTER_MS.1)
     }
 
+    /// Random number that another process cannot guess soon.
+    pub(crate) fn random_number(&self) -> u64 {
+        lock(&self.rng).random()
+    }
+
     /// Random time from `low_ms` to `high_ms`, inclusive.
     pub(crate) fn jitter_ms(&self, low_ms: u64, high_ms: u64) -> u64 {
         lock(&self.rng).random_range(low_ms..=high_ms.max(low_ms))
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -113,7 +113,7 @@
     }
 
     fn on_caught_up(&mut self) {
-        self.core.mark_instances_listed();
+        self.core.mark_caught_up();
     }
 
     fn on_changes(&mut self, changes: Vec<Change>) {
