--- a/crates/ingress/src/retry_lending.rs
+++ b/crates/ingress/src/retry_lending.rs
@@ -9,10 +9,7 @@
 use std::{
     io::Result as IoResult,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 use tokio::{net::UdpSocket, sync::oneshot};
@@ -32,10 +29,17 @@
 #[derive(Debug)]
 pub struct RetryLending {
     socket: UdpSocket,
-    /// Senders that deliver the answers to the requests that wait for them, by the number of the question.
-    pending: Mutex<HashMap<u64, oneshot::Sender<bool>>>,
-    /// Number of the next question.
-    next_number: AtomicU64,
+    /// Questions that wait for an answer, by their number.
+    pending: Mutex<HashMap<u64, Question>>,
+}
+
+/// Question that waits for an answer.
+#[derive(Debug)]
+struct Question {
+    /// Daemon that was asked. An answer from any other address is ignored.
+    asked: SocketAddr,
+    /// Delivers the answer to the request that waits for it.
+    sender: oneshot::Sender<bool>,
 }
 
 impl RetryLending {
@@ -45,11 +49,7 @@
     ///
     /// The address cannot be bound.
     pub async fn bind(addr: SocketAddr) -> IoResult<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind(addr).await?,
-            pending: Mutex::default(),
-            next_number: AtomicU64::new(0),
-        })
+        Ok(Self { socket: UdpSocket::bind(addr).await?, pending: Mutex::default() })
     }
 
     /// Address that the socket is bound to.
@@ -82,10 +82,7 @@
                     self.send(&RetryLendingMessage::Answer { number, is_granted }, from).await;
                 }
                 Some(RetryLendingMessage::Answer { number, is_granted }) => {
-                    if let Some(sender) = self.pending().remove(&number) {
-                        // The request that asked may have stopped waiting.
-                        let _ = sender.send(is_granted);
-                    }
+                    self.on_answer(number, is_granted, from);
                 }
                 _ => log::info!(
                     "loan: ignored a message from {from}, invalid or from an unlisted daemon"
@@ -94,6 +91,19 @@
         }
     }
 
+    /// Delivers an answer, unless it comes from another address than the daemon that was asked.
+    fn on_answer(&self, number: u64, is_granted: bool, from: SocketAddr) {
+        let mut pending = self.pending();
+        if pending.get(&number).is_none_or(|question| question.asked != from) {
+            log::debug!("loan: ignored an answer from {from} to no question");
+            return;
+        }
+        if let Some(question) = pending.remove(&number) {
+            // The request that asked may have stopped waiting.
+            let _ = question.sender.send(is_granted);
+        }
+    }
+
     /// Asks other daemons one after the other for a retry. Returns whether one of them lent it.
     pub(crate) async fn borrow(
         &self,
@@ -102,9 +112,9 @@
         urgency: Urgency,
     ) -> bool {
         for peer in core.random_peers(MAX_ASKED_DAEMONS) {
-            let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+            let number = core.random_number();
             let (sender, receiver) = oneshot::channel();
-            self.pending().insert(number, sender);
+            self.pending().insert(number, Question { asked: peer, sender });
             let ask = RetryLendingMessage::Ask { number, service: service.clone(), urgency };
             self.send(&ask, peer).await;
             let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
@@ -124,7 +134,7 @@
         }
     }
 
-    fn pending(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<bool>>> {
+    fn pending(&self) -> MutexGuard<'_, HashMap<u64, Question>> {
         lock(&self.pending)
     }
 }
