--- a/crates/geraniumctl/src/cli.rs
+++ b/crates/geraniumctl/src/cli.rs
@@ -31,6 +31,7 @@
     Diff(DiffOptions),
     Explain(ExplainOptions),
     History(HistoryOptions),
+    Losses(LossesOptions),
     Plan(PlanOptions),
     Report(ReportOptions),
     Show(ShowOptions),
@@ -46,6 +47,7 @@
             Self::Diff(options) => options.json,
             Self::Explain(_) => false,
             Self::History(options) => options.json,
+            Self::Losses(options) => options.json,
             Self::Plan(options) => options.json,
             Self::Report(ReportOptions { report: Report::Burn(options) }) => options.json,
             Self::Show(options) => options.json,
@@ -106,6 +108,19 @@
     pub limit: u64,
 }
 
+/// Count the requests that failed or came late, by 2-second window and cause, from the logs of the daemons. It needs no
+/// server and no key.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub struct LossesOptions {
+    /// print one JSON array
+    #[argh(switch)]
+    pub json: bool,
+    /// files of log lines; standard input if there is none
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Plan a change; nothing changes until the plan is confirmed.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "plan")]
--- a/crates/geraniumctl/src/commands.rs
+++ b/crates/geraniumctl/src/commands.rs
@@ -1,14 +1,17 @@
-//! Executes the commands: `explain` reads logs, all others send requests to a daemon's administration server.
+//! Executes the commands: `explain` and `losses` read logs, all others send requests to a daemon's administration server.
 
 use crate::{
     access::Access,
     burn_page, burn_text,
     cli::{
-        BurnOptions, Cli, Command, ExplainOptions, PlanOptions, Report, ReportOptions, WatchOptions,
+        BurnOptions, Cli, Command, ExplainOptions, LossesOptions, PlanOptions, Report,
+        ReportOptions, WatchOptions,
     },
     ctl_error::CtlError,
     explain::explain,
-    intent_file, render,
+    intent_file,
+    losses::{losses, losses_text},
+    render,
 };
 use admin::{
     AdminErrorBody, AdminErrorDetail, Confirmed, DiffReport, History, PlanCreated, PlanRequest,
@@ -16,7 +19,10 @@
 };
 use burn::BurnReport;
 use fleet::Plan;
-use std::{io::Read, path::Path};
+use std::{
+    io::Read,
+    path::{Path, PathBuf},
+};
 use web::{Client, ClientError, Method, Reply};
 
 /// Timeout of a request, in milliseconds. It covers the time that the daemon needs for its own attempts to reach the
@@ -34,9 +40,11 @@
 /// answer.
 pub async fn execute(cli: &Cli) -> Result<String, CtlError> {
     let command = cli.command.as_ref().ok_or(CtlError::NoCommand)?;
-    if let Command::Explain(options) = command {
-        // This command only reads logs and needs no server.
-        return explain_logs(options);
+    // These commands only read logs and need no server.
+    match command {
+        Command::Explain(options) => return explain_logs(options),
+        Command::Losses(options) => return count_losses(options),
+        _ => {}
     }
     let access = Access::resolve(cli)?;
     let client = Client::new(access.server, timeout_ms(command)).with_bearer_key(&access.key);
@@ -53,6 +61,7 @@
         Command::History(options) => {
             client.send(Method::GET, &format!("/admin/v1/history?limit={}", options.limit)).await
         }
+        Command::Losses(options) => return count_losses(options),
         Command::Plan(options) => {
             client.send_json(Method::POST, "/admin/v1/plans", &plan_request(options)?).await
         }
@@ -75,6 +84,7 @@
         Command::Diff(_) => render::diff(&reply.json::<DiffReport>()?),
         Command::Explain(options) => explain_logs(options)?,
         Command::History(_) => render::history(&reply.json::<History>()?),
+        Command::Losses(options) => count_losses(options)?,
         Command::Plan(_) => render::created(&reply.json::<PlanCreated>()?),
         Command::Report(_) => burn_text::text(&reply.json::<BurnReport>()?),
         Command::Show(_) => render::plan(&reply.json::<Plan>()?),
@@ -83,18 +93,33 @@
     })
 }
 
-/// Explains a request from log files, or from standard input if no file is given.
+/// Explains a request from log files.
 fn explain_logs(options: &ExplainOptions) -> Result<String, CtlError> {
+    let logs = read_logs(&options.files)?;
+    explain(&options.id, &logs).ok_or_else(|| CtlError::RequestNotInLogs(options.id.clone()))
+}
+
+/// Counts the failed and late requests in log files.
+fn count_losses(options: &LossesOptions) -> Result<String, CtlError> {
+    let groups = losses(&read_logs(&options.files)?);
+    match options.json {
+        true => Ok(serde_json::to_string(&groups).map_err(ClientError::Json)?),
+        false => Ok(losses_text(&groups)),
+    }
+}
+
+/// Reads log files, or standard input if no file is given.
+fn read_logs(files: &[PathBuf]) -> Result<String, CtlError> {
     let mut logs = String::new();
-    if options.files.is_empty() {
+    if files.is_empty() {
         std::io::stdin().read_to_string(&mut logs)?;
     }
-    for path in &options.files {
+    for path in files {
         let text = std::fs::read(path).map_err(|cause| CtlError::Read(path.clone(), cause))?;
         logs.push_str(&String::from_utf8_lossy(&text));
         logs.push('\n');
     }
-    explain(&options.id, &logs).ok_or_else(|| CtlError::RequestNotInLogs(options.id.clone()))
+    Ok(logs)
 }
 
 /// Writes the HTML page of a burn report if the option `--html` names a file.
--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -9,11 +9,11 @@
 
 /// Pause between two events, in milliseconds, above which an answer counts as late. The log does not state the target
 /// of the route.
-const LATE_PAUSE_MS: i64 = 700;
+pub(crate) const LATE_PAUSE_MS: i64 = 700;
 
 /// Wait for the first event, in milliseconds, above which an answer counts as late. The log does not state the target
 /// of the route.
-const LATE_FIRST_MS: i64 = 4_500;
+pub(crate) const LATE_FIRST_MS: i64 = 4_500;
 
 /// Explains what happened to the request `id`: its log lines in order, lines of the same daemon on failure domains and
 /// the platform around its failures, and the cause of the outcome. Returns `None` if no line has the identifier in its
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -17,6 +17,8 @@
 mod explain;
 mod intent_file;
 mod log_line;
+mod loss_cause;
+mod losses;
 mod render;
 
 pub use crate::{
@@ -25,6 +27,8 @@
     ctl_error::CtlError,
     explain::explain,
     log_line::LogLine,
+    loss_cause::LossCause,
+    losses::{LossGroup, losses, losses_text},
 };
 
 use argh::FromArgs;
