Restart background tasks that fail; wait at the store in small domains

- A panic in the task that follows the store, announces the daemon or lends retries ended this task for good while the daemon went on with old beliefs.
The short wait is now that of relays and their readers alone.
- A daemon reads from the store until it has been up to date once: relays that start at the same time would have to send all items to each daemon again.

--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -16,10 +16,12 @@
 mod run;
 mod run_error;
 mod serve;
+mod supervisor;
 
 pub use crate::{
     cli::{CheckOptions, Cli, Command, DevOptions, RunOptions, ServeOptions},
     run_error::RunError,
+    supervisor::keep_running,
 };
 
 /// Runs a command until it is finished or, if it serves, until the process is told to stop.
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -1,6 +1,6 @@
 //! Command `serve`: runs the daemon on the deployment platform (its store, load balancer and machines).
 
-use crate::{line_log, run_error::RunError};
+use crate::{line_log, run_error::RunError, supervisor::keep_running};
 use ingress::{Core, CoreOptions, Decoders, Gateway, ReadyProbe, RetryLending, follow_platform};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use plat::{ItemCache, Relay, RelayOptions, RelayedSource, announce};
@@ -60,19 +60,12 @@
     let ready = Server::bind(settings.ready_addr).await?;
     let metrics_server = Server::bind(settings.metrics_addr).await?;
     let (stop, stopped) = watch::channel(false);
-    let decoders = Decoders { config: decode_config, instance: decode_instance };
     let items = Arc::new(ItemCache::new(is_same_item));
     let relay = RelayService::new(Arc::clone(&items), settings.change_bound_ms / MAX_AGE_DIVISOR);
     let relay_server = Server::bind(settings.relay_addr).await?;
-    let store = Store::new(settings.store_addr);
-    let source = RelayedSource::new(store, Store::relay, relay_options(&settings), items);
-    tokio::spawn(follow_platform(Arc::clone(&core), source, KEYS, decoders));
-    let store = Store::new(settings.store_addr);
-    let announced = announced_items(&settings);
-    tokio::spawn(async move { announce(store, &announced).await });
     let retry_lending = Arc::new(RetryLending::bind(settings.retry_lending_addr).await?);
     core.set_retry_lending(Arc::clone(&retry_lending));
-    tokio::spawn(retry_lending.run(Arc::clone(&core)));
+    spawn_background_tasks(&settings, &core, items, retry_lending);
     // The readiness, relay and metrics servers run until the process exits. The sender of their stop signal is kept,
     // because these servers would stop if it were dropped.
     let (_never_stop, never_stopped) = watch::channel(false);
@@ -113,6 +106,33 @@
     Ok(())
 }
 
+/// Starts the tasks that follow the store, announce this daemon and lend retries.
+fn spawn_background_tasks(
+    settings: &Settings,
+    core: &Arc<Core>,
+    items: Arc<ItemCache>,
+    retry_lending: Arc<RetryLending>,
+) {
+    let store_addr = settings.store_addr;
+    let options = relay_options(settings);
+    let following = Arc::clone(core);
+    tokio::spawn(keep_running("follow", move || {
+        let store = Store::new(store_addr);
+        let source = RelayedSource::new(store, Store::relay, options.clone(), Arc::clone(&items));
+        let decoders = Decoders { config: decode_config, instance: decode_instance };
+        follow_platform(Arc::clone(&following), source, KEYS, decoders)
+    }));
+    let announced = announced_items(settings);
+    tokio::spawn(keep_running("announce", move || {
+        let announced = announced.clone();
+        async move { announce(Store::new(store_addr), &announced).await }
+    }));
+    let lending = Arc::clone(core);
+    tokio::spawn(keep_running("lending", move || {
+        Arc::clone(&retry_lending).run(Arc::clone(&lending))
+    }));
+}
+
 fn relay_options(settings: &Settings) -> RelayOptions {
     RelayOptions {
         own_name: settings.vm_name.clone(),
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -28,7 +28,7 @@
     list_and_watch::{WatchHandler, list_and_watch},
     platform::Platform,
     platform_error::PlatformError,
-    relay::{Relay, choose_relays},
+    relay::{ReadPath, Relay, choose_read_path},
     relayed_source::{RelayOptions, RelayedSource},
     source::{Change, Changes, Freshness, Source, SourceError},
     swap_outcome::SwapOutcome,
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     item_cache::ItemCache,
-    relay::{Relay, choose_relays},
+    relay::{ReadPath, Relay, choose_read_path},
     source::{Changes, Freshness, Source, SourceError},
 };
 use base::{Clock, DomainName};
@@ -31,7 +31,7 @@
     pub domain: DomainName,
     /// Prefix of the keys under which daemons announce themselves as relays.
     pub prefix: &'static str,
-    /// Longest wait of a watch. It bounds the time in which a lost relay is noticed.
+    /// Longest wait of a watch at a relay, and of one by which a relay confirms that its copy is up to date.
     pub wait_ms: u64,
 }
 
@@ -54,6 +54,9 @@
     failed: Vec<(SocketAddr, u64)>,
     /// Time until which the service is not called.
     direct_after_ms: u64,
+    /// Whether this daemon has had the latest items once. Until then it reads from the service: relays that have started
+    /// at the same time as this daemon would have to send all items again to bring an old list up to date.
+    has_caught_up: bool,
 }
 
 /// Why no relay has answered a call.
@@ -82,6 +85,16 @@
         }
     }
 
+    /// The same call with a shorter wait, if it waits for longer than `max_ms`.
+    fn with_wait_up_to(self, max_ms: u64) -> Self {
+        match self {
+            Self::List(..) => self,
+            Self::Watch { prefix, revision, wait_ms } => {
+                Self::Watch { prefix, revision, wait_ms: wait_ms.min(max_ms) }
+            }
+        }
+    }
+
     fn wait_ms(self) -> u64 {
         match self {
             Self::List(..) => 0,
@@ -107,18 +120,21 @@
             current: None,
             failed: Vec::new(),
             direct_after_ms: 0,
+            has_caught_up: false,
         }
     }
 
-    /// Relays of this daemon, the preferred one first; empty if it reads the service itself.
-    fn relays(&self) -> Vec<Relay> {
+    fn read_path(&self) -> ReadPath {
+        if !self.has_caught_up {
+            return ReadPath::Direct;
+        }
         let prefix = self.options.prefix;
         let items = self.cache.values(prefix);
         let daemons: Vec<Relay> = items
             .iter()
             .filter_map(|(key, item)| Relay::decode(key.strip_prefix(prefix)?, item))
             .collect();
-        choose_relays(&daemons, &self.options.domain, &self.options.own_name)
+        choose_read_path(&daemons, &self.options.domain, &self.options.own_name)
     }
 
     /// Makes a call at the first of the relays that has not failed recently and answers. The error `Compacted` is an
@@ -175,22 +191,26 @@
 
     /// Makes a call at a relay, or at the service if there is no relay that works.
     async fn read(&mut self, read: Read<'_>) -> Result<Changes, SourceError> {
-        let relays = self.relays();
-        let relay_error = match self.read_from_relay(&relays, read).await {
-            Ok(answer) => {
-                metrics::counter!("relay_reads_total").increment(1);
-                return answer;
-            }
-            Err(err) => err,
-        };
-        if !relays.is_empty() && self.clock.now_ms() < self.direct_after_ms {
-            return Err(SourceError::Paused);
-        }
-        let direct = match (read, relay_error) {
-            (Read::Watch { prefix, revision, .. }, RelayError::RelayFailed) => {
-                Read::Watch { prefix, revision, wait_ms: CATCH_UP_WAIT_MS }
+        let direct = match self.read_path() {
+            ReadPath::Direct => read,
+            ReadPath::AsRelay => read.with_wait_up_to(self.options.wait_ms),
+            ReadPath::Through(relays) => {
+                let read = read.with_wait_up_to(self.options.wait_ms);
+                let relay_error = match self.read_from_relay(&relays, read).await {
+                    Ok(answer) => {
+                        metrics::counter!("relay_reads_total").increment(1);
+                        return answer;
+                    }
+                    Err(err) => err,
+                };
+                if self.clock.now_ms() < self.direct_after_ms {
+                    return Err(SourceError::Paused);
+                }
+                match relay_error {
+                    RelayError::NoRelay => read,
+                    RelayError::RelayFailed => read.with_wait_up_to(CATCH_UP_WAIT_MS),
+                }
             }
-            (read, _) => read,
         };
         metrics::counter!("store_reads_total").increment(1);
         let outcome = direct.send(&mut self.service).await;
@@ -205,7 +225,10 @@
     async fn list(&mut self, prefix: &str, freshness: Freshness) -> Result<Changes, SourceError> {
         let outcome = self.read(Read::List(prefix, freshness)).await;
         match &outcome {
-            Ok(list) => self.cache.replace(list, freshness == Freshness::Latest),
+            Ok(list) => {
+                self.cache.replace(list, freshness == Freshness::Latest);
+                self.has_caught_up |= freshness == Freshness::Latest;
+            }
             Err(_) => self.cache.mark_outage(),
         }
         outcome
@@ -217,10 +240,12 @@
         revision: u64,
         wait_ms: u64,
     ) -> Result<Changes, SourceError> {
-        let wait_ms = wait_ms.min(self.options.wait_ms);
         let outcome = self.read(Read::Watch { prefix, revision, wait_ms }).await;
         match &outcome {
-            Ok(read) => self.cache.apply(read),
+            Ok(read) => {
+                self.cache.apply(read);
+                self.has_caught_up = true;
+            }
             Err(SourceError::Compacted) => {}
             Err(_) => self.cache.mark_outage(),
         }
--- a/crates/plat/tests/relays.rs
+++ b/crates/plat/tests/relays.rs
@@ -1,6 +1,6 @@
 //! Tests of the choice of the daemons that read a key-value service for others.
 
-use plat::{Relay, choose_relays};
+use plat::{ReadPath, Relay, choose_read_path};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 
 fn relay(number: u8, link_mbps: u64) -> Relay {
@@ -21,34 +21,48 @@
 fn relays_have_the_fastest_links_and_every_other_daemon_has_two_or_more() {
     let fleet = fleet();
     let mut first_relays = Vec::new();
-    let mut direct = 0;
+    let mut relay_count = 0;
     for daemon in &fleet {
-        let relays = choose_relays(&fleet, &daemon.domain, &daemon.vm_name);
-        if relays.is_empty() {
-            direct += 1;
-            continue;
-        }
+        let relays = match choose_read_path(&fleet, &daemon.domain, &daemon.vm_name) {
+            ReadPath::Through(relays) => relays,
+            path => {
+                assert_eq!(path, ReadPath::AsRelay);
+                relay_count += 1;
+                continue;
+            }
+        };
         assert!((2..=4).contains(&relays.len()));
         assert!(relays[..2].iter().all(|relay| relay.link_mbps == 200));
         first_relays.push(relays[0].vm_name.clone());
     }
-    assert_eq!(direct, 2);
+    assert_eq!(relay_count, 2);
     first_relays.sort();
     first_relays.dedup();
     assert_eq!(first_relays.len(), 2, "one relay serves all daemons");
 }
 
+/// Guards against relays whose traffic, or whose number, grows as fast as the fleet.
+#[test]
+fn the_number_of_relays_grows_with_the_square_root_of_the_domain() {
+    for (daemons, expected) in [(6, 2), (39, 2), (100, 3), (240, 5)] {
+        let fleet: Vec<Relay> = (0..daemons).map(|number| relay(number, 20)).collect();
+        let path = |own: &Relay| choose_read_path(&fleet, &own.domain, &own.vm_name);
+        let relays = fleet.iter().filter(|own| path(own) == ReadPath::AsRelay).count();
+        assert_eq!(relays, expected, "{daemons} daemons");
+    }
+}
+
 /// Guards against relays in domains where they save nothing, and against relays in other failure domains, whose loss
 /// or partition would hit this domain as well.
 #[test]
 fn small_domains_and_other_domains_have_no_relays() {
     let mut fleet = fleet();
     let domain = fleet[0].domain.clone();
-    assert_eq!(choose_relays(&fleet[..4], &domain, "vm-0"), []);
+    assert_eq!(choose_read_path(&fleet[..4], &domain, "vm-0"), ReadPath::Direct);
     for relay in &mut fleet {
         relay.domain = "clyde".to_owned().try_into().unwrap();
     }
-    assert_eq!(choose_relays(&fleet, &domain, "vm-0"), []);
+    assert_eq!(choose_read_path(&fleet, &domain, "vm-0"), ReadPath::Direct);
 }
 
 #[derive(Clone, Debug)]
@@ -73,7 +87,8 @@
             let mut fleet = view.0.clone();
             fleet.extend([own, other].map(|number| self::fleet()[usize::from(number)].clone()));
             fleet.dedup_by(|a, b| a == b);
-            let relays = choose_relays(&fleet, &fleet[0].domain, &format!("vm-{own}"));
+            let path = choose_read_path(&fleet, &fleet[0].domain, &format!("vm-{own}"));
+            let ReadPath::Through(relays) = path else { return false };
             relays.iter().any(|relay| *relay.vm_name == *format!("vm-{other}"))
         };
         TestResult::from_bool(!(reads_from(&a, first, second) && reads_from(&b, second, first)))
