Tell which daemons may have lost a request that no log line names

explain ended with 'no line names the request' for requests whose daemon died. It now lists the daemons that started or stopped in the logs, with the silence before, and what follows from it.

--- a/crates/geraniumctl/src/commands.rs
+++ b/crates/geraniumctl/src/commands.rs
@@ -8,7 +8,7 @@
         ReportOptions, WatchOptions,
     },
     ctl_error::CtlError,
-    explain::explain,
+    explain::{explain, explain_missing},
     intent_file,
     losses::{losses, losses_text},
     render,
@@ -96,7 +96,8 @@
 /// Explains a request from log files.
 fn explain_logs(options: &ExplainOptions) -> Result<String, CtlError> {
     let logs = read_logs(&options.files)?;
-    explain(&options.id, &logs).ok_or_else(|| CtlError::RequestNotInLogs(options.id.clone()))
+    explain(&options.id, &logs)
+        .ok_or_else(|| CtlError::RequestNotInLogs(explain_missing(&options.id, &logs)))
 }
 
 /// Counts the failed and late requests in log files.
--- a/crates/geraniumctl/src/ctl_error.rs
+++ b/crates/geraniumctl/src/ctl_error.rs
@@ -26,9 +26,9 @@
         NoIntent {
             display("a file or an intent is needed")
         }
-        /// No log line has this request identifier in its field `id`.
-        RequestNotInLogs(id: String) {
-            display("no line names the request {id}")
+        /// No log line has the request's identifier in its field `id`. The text tells which daemons may have lost it.
+        RequestNotInLogs(explanation: String) {
+            display("{explanation}")
         }
         /// A file could not be read.
         Read(path: PathBuf, cause: std::io::Error) {
--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -50,6 +50,40 @@
     Some(explanation)
 }
 
+/// Says what the logs tell about a request that none of their lines names: which daemons started or stopped, so that
+/// they may have lost the request without a line.
+pub fn explain_missing(id: &str, logs: &str) -> String {
+    let lines: Vec<LogLine<'_>> = logs.lines().filter_map(LogLine::parse).collect();
+    let Some(first_ms) = lines.iter().map(|line| line.time_ms).min() else {
+        return format!("no line names the request {id}: the logs hold no line of a daemon");
+    };
+    let mut text = format!(
+        "no line names the request {id}\n\
+         A daemon logs a call only if it failed or was late, and a stream when it is sent to an engine.\n"
+    );
+    let is_restart = |line: &&LogLine<'_>| {
+        line.component == "daemon"
+            && (line.text.starts_with("started") || line.text.starts_with("shut"))
+    };
+    let mut restarts: Vec<&LogLine<'_>> = lines.iter().filter(is_restart).collect();
+    restarts.sort_by_key(|line| line.time_ms);
+    text.push_str("daemons that started or stopped, and how long each had been silent before:\n");
+    for line in restarts {
+        let before = lines.iter().filter(|other| other.vm == line.vm);
+        let last_ms = before.map(|other| other.time_ms).filter(|&ms| ms < line.time_ms).max();
+        let silent = last_ms.map_or("no line before".to_owned(), |last_ms| {
+            format!("{} ms of silence", line.time_ms - last_ms)
+        });
+        let (word, _) = line.text.split_once(" vm=").unwrap_or((line.text, ""));
+        let at_ms = line.time_ms - first_ms;
+        let _ = writeln!(text, "{at_ms:>7} ms  {}  {word}, {silent}", line.vm);
+    }
+    text.push_str(
+        "cause: unknown; a request that was sent to one of these daemons while it was silent may have run",
+    );
+    text
+}
+
 /// Returns the lines on failure domains, the platform and the daemon that are close to a failure of the request at the
 /// same daemon.
 fn context_lines<'l, 'a>(
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -25,7 +25,7 @@
     cli::{Cli, Command},
     commands::execute,
     ctl_error::CtlError,
-    explain::explain,
+    explain::{explain, explain_missing},
     log_line::LogLine,
     loss_cause::LossCause,
     losses::{LossGroup, losses, losses_text},
--- a/crates/geraniumctl/tests/explain.rs
+++ b/crates/geraniumctl/tests/explain.rs
@@ -1,6 +1,6 @@
 //! Guards against wrong explanations of requests. The log lines are from daemons in a simulation of a whole day.
 
-use geraniumctl::{LogLine, explain};
+use geraniumctl::{LogLine, explain, explain_missing};
 
 const LOGS: &str = "\
   0.0000 front-a-1 1785784684998 INFO vm=front-a-1 attempt: id=e9a9b4d8 attempt=1 instance=i-04a6 domain=lothian after=None copy_from=- copy_to=i-2178
@@ -47,6 +47,23 @@
     assert_eq!(explain("cf6aa8", LOGS), None);
 }
 
+/// Guards against an answer that leaves the operator without a hint when a daemon was lost with the request.
+#[test]
+fn a_request_in_no_log_is_explained_by_the_daemons_that_were_lost() {
+    let logs = "\
+1785784684000 INFO vm=a-1 daemon: started vm=a-1 domain=lothian entry=10.0.0.1:1 store=10.0.0.2:1
+1785784690000 INFO vm=a-1 stream: id=x waits, reason=budget
+1785784691500 INFO vm=a-1 daemon: started vm=a-1 domain=lothian entry=10.0.0.1:1 store=10.0.0.2:1
+1785784691600 INFO vm=b-1 daemon: shutting down
+";
+    let text = explain_missing("gone", logs);
+    assert!(text.starts_with("no line names the request gone\n"), "{text}");
+    assert!(text.contains("      0 ms  a-1  started, no line before"), "{text}");
+    assert!(text.contains("   7500 ms  a-1  started, 1500 ms of silence"), "{text}");
+    assert!(text.contains("   7600 ms  b-1  shutting down, no line before"), "{text}");
+    assert!(explain_missing("gone", "").contains("no line of a daemon"));
+}
+
 /// Guards against parsing lines of other programs as log lines of a daemon.
 #[test]
 fn only_log_lines_of_daemons_are_parsed() {
