Let requests wait for the first configuration of a daemon that has just started

Requests now wait up to 300 ms after the start of the daemon; later ones are refused at once as before.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -20,10 +20,10 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, OnceLock,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use web::ServerLimits;
 
 /// Shortest and longest `Retry-After` of a refused stream. A random value from the range spreads the retries of
@@ -37,6 +37,9 @@
 /// failure domain fails again within some ten seconds.
 const EXPECT_LOSSES_MS: u64 = 30_000;
 
+/// Time from the start of the daemon in which requests wait for the first configuration.
+const START_WAIT_MS: u64 = 300;
+
 /// Options of a daemon, from its settings and the platform's limits.
 #[derive(Clone, Debug)]
 pub struct CoreOptions {
@@ -68,7 +71,7 @@
     config: Mutex<Option<Arc<Config>>>,
     registry: Mutex<Registry>,
     /// Whether the configuration and the instances have been up to date since the daemon started.
-    has_caught_up: AtomicBool,
+    has_caught_up: watch::Sender<bool>,
     /// Start of the shutdown on `clock`; unset before it.
     stopped_ms: OnceLock<u64>,
     fleet_size: Mutex<FleetSize>,
@@ -99,7 +102,7 @@
             options,
             config: Mutex::default(),
             registry: Mutex::default(),
-            has_caught_up: AtomicBool::new(false),
+            has_caught_up: watch::Sender::new(false),
             stopped_ms: OnceLock::new(),
             fleet_size: Mutex::default(),
             daemons: Mutex::default(),
@@ -148,13 +151,23 @@
 
     /// Records that the configuration and the instances are up to date, which the daemon needs to serve requests.
     pub fn mark_caught_up(&self) {
-        self.has_caught_up.store(true, Ordering::Relaxed);
+        self.has_caught_up.send_replace(true);
     }
 
     /// Active configuration; `None` until the daemon has caught up with the platform. The first list that a daemon reads
     /// may be old, and hold keys that were withdrawn and instances that have left.
     pub(crate) fn current_config(&self) -> Option<Arc<Config>> {
-        self.config().filter(|_| self.has_caught_up.load(Ordering::Relaxed))
+        self.config().filter(|_| *self.has_caught_up.borrow())
+    }
+
+    /// Like `current_config`, but waits for the daemon to catch up if it has just started. That usually takes some
+    /// milliseconds, while a caller that is refused comes back later or not at all.
+    pub(crate) async fn wait_for_config(&self) -> Option<Arc<Config>> {
+        let end = Instant::from_std(self.clock.instant_at(START_WAIT_MS));
+        let mut has_caught_up = self.has_caught_up.subscribe();
+        // A timeout leaves the decision to the state that the daemon has then.
+        let _ = tokio::time::timeout_at(end, has_caught_up.wait_for(|&is_done| is_done)).await;
+        self.current_config()
     }
 
     /// Replaces the list of daemons. `daemons` holds their retry lending addresses, including that of this daemon.
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -44,7 +44,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, CallerError> {
         let arrived_ms = self.core.clock.now_ms();
-        let config = self.core.current_config().ok_or(CallerError::NoConfig)?;
+        let config = self.core.wait_for_config().await.ok_or(CallerError::NoConfig)?;
         if headers_size_bytes(&request) > config.limits.max_headers_bytes {
             return Err(CallerError::HeadersTooLarge);
         }
