--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -18,6 +18,7 @@
 mod intent_file;
 mod log_line;
 mod loss_cause;
+mod loss_group;
 mod losses;
 mod render;
 
@@ -28,7 +29,8 @@
     explain::{explain, explain_missing},
     log_line::LogLine,
     loss_cause::LossCause,
-    losses::{LossGroup, losses, losses_text},
+    loss_group::LossGroup,
+    losses::{losses, losses_text},
 };
 
 use argh::FromArgs;
--- a/crates/geraniumctl/src/losses.rs
+++ b/crates/geraniumctl/src/losses.rs
@@ -4,8 +4,8 @@
     explain::{LATE_FIRST_MS, LATE_PAUSE_MS},
     log_line::LogLine,
     loss_cause::LossCause,
+    loss_group::LossGroup,
 };
-use serde::Serialize;
 use std::{
     collections::{BTreeMap, HashMap},
     fmt::Write,
@@ -24,22 +24,6 @@
 /// Number of failure domains that are lost to a daemon at about the same time if its own domain is cut off.
 const CUT_DOMAINS: usize = 2;
 
-/// Failed and late requests of one window with the same cause.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct LossGroup {
-    /// Start of the window, in milliseconds after the first line of the logs.
-    pub window_ms: u64,
-    pub cause: &'static str,
-    /// Requests that got no complete answer.
-    pub failed: usize,
-    /// Requests that got a complete answer late.
-    pub late: usize,
-    /// Failure domain or VM that most of the requests have in common, and their number.
-    pub largest: (String, usize),
-    /// Identifiers of some of the requests, for `explain`.
-    pub ids: Vec<String>,
-}
-
 /// Failed or late request.
 struct Loss {
     start_ms: u64,
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -15,7 +15,9 @@
 mod list_and_watch;
 mod platform;
 mod platform_error;
+mod read_path;
 mod relay;
+mod relay_options;
 mod relayed_source;
 mod source;
 mod swap_outcome;
@@ -28,8 +30,10 @@
     list_and_watch::{WatchHandler, list_and_watch},
     platform::Platform,
     platform_error::PlatformError,
-    relay::{ReadPath, Relay, choose_read_path},
-    relayed_source::{RelayOptions, RelayedSource},
+    read_path::{ReadPath, choose_read_path},
+    relay::Relay,
+    relay_options::RelayOptions,
+    relayed_source::RelayedSource,
     source::{Change, Changes, Freshness, Source, SourceError},
     swap_outcome::SwapOutcome,
 };
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     item_cache::ItemCache,
-    relay::{ReadPath, Relay, choose_read_path},
+    read_path::{ReadPath, choose_read_path},
+    relay::Relay,
+    relay_options::RelayOptions,
     source::{Changes, Freshness, Source, SourceError},
 };
-use base::{Clock, DomainName};
+use base::Clock;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// How long a relay is not asked after it failed.
@@ -22,19 +24,6 @@
 /// the changes that the relay did not deliver.
 const CATCH_UP_WAIT_MS: u64 = 1;
 
-/// Options of a [`RelayedSource`].
-#[derive(Clone, Debug)]
-pub struct RelayOptions {
-    /// Name of the VM of this daemon.
-    pub own_name: Box<str>,
-    /// Failure domain of this daemon, in which relays are chosen.
-    pub domain: DomainName,
-    /// Prefix of the keys under which daemons announce themselves as relays.
-    pub prefix: &'static str,
-    /// Longest wait of a watch at a relay, and of one by which a relay confirms that its copy is up to date.
-    pub wait_ms: u64,
-}
-
 /// Reads a key-value service for one daemon, and records in a cache what it reads, so that the daemon can be a relay
 /// for others.
 ///
@@ -124,6 +113,7 @@
         }
     }
 
+    /// Decides where to read from, by the daemons that announce themselves in the service.
     fn read_path(&self) -> ReadPath {
         if !self.has_caught_up {
             return ReadPath::Direct;
