--- a/crates/geraniumctl/src/loss_cause.rs
+++ b/crates/geraniumctl/src/loss_cause.rs
@@ -1,7 +1,5 @@
 //! Causes for which requests fail or are answered late.
 
-use std::fmt::{Display, Formatter, Result as FmtResult};
-
 /// Cause of a failed or late request, as far as the daemons' logs tell it.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum LossCause {
@@ -65,9 +63,3 @@
         }
     }
 }
-
-impl Display for LossCause {
-    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
-        f.pad(self.as_str())
-    }
-}
--- a/crates/geraniumctl/src/losses.rs
+++ b/crates/geraniumctl/src/losses.rs
@@ -6,10 +6,8 @@
     loss_cause::LossCause,
     loss_group::LossGroup,
 };
-use std::{
-    collections::{BTreeMap, HashMap},
-    fmt::Write,
-};
+use base::HashMap;
+use std::{collections::BTreeMap, fmt::Write};
 
 /// Length of the windows in milliseconds.
 const WINDOW_MS: u64 = 2_000;
@@ -40,7 +38,7 @@
 pub fn losses(logs: &str) -> Vec<LossGroup> {
     let lines: Vec<LogLine<'_>> = logs.lines().filter_map(LogLine::parse).collect();
     let Some(first_ms) = lines.iter().map(|line| line.time_ms).min() else { return Vec::new() };
-    let mut requests: HashMap<&str, Vec<&LogLine<'_>>> = HashMap::new();
+    let mut requests: HashMap<&str, Vec<&LogLine<'_>>> = HashMap::default();
     for line in &lines {
         if let Some(id) = line.field("id") {
             requests.entry(id).or_default().push(line);
@@ -63,7 +61,7 @@
                 largest: (String::new(), 0),
                 ids: Vec::new(),
             };
-            (group, HashMap::new())
+            (group, HashMap::default())
         });
         match loss.is_failed {
             true => group.failed += 1,
@@ -114,7 +112,7 @@
 
 impl<'a> Cuts<'a> {
     fn new(lines: &[LogLine<'a>]) -> Self {
-        let mut lost: HashMap<&str, Vec<(u64, &str)>> = HashMap::new();
+        let mut lost: HashMap<&str, Vec<(u64, &str)>> = HashMap::default();
         for line in lines {
             if line.component == "instances"
                 && line.text.contains("seems to have failed")
@@ -195,6 +193,7 @@
             .any(|word| line.text.contains(word))
 }
 
+/// Finds the cause of a failed or late request whose end is the line `end`.
 fn cause(lines: &[&LogLine<'_>], end: &LogLine<'_>, cuts: &Cuts<'_>) -> LossCause {
     let reason = |text: &str| lines.iter().any(|line| line.field("reason") == Some(text));
     match end.field("outcome") {
@@ -216,7 +215,6 @@
     if reason("no_engine") {
         return LossCause::NoEngine;
     }
-    let resumed_from = |line: &LogLine<'_>| line.field("copy_from").is_some_and(|from| from != "-");
     let Some(last) = failures.last() else {
         return match end.field("outcome") {
             Some("caller_gone") => LossCause::CallerLeft,
@@ -235,9 +233,9 @@
     if failures.iter().all(|line| line.number("events") == Some(0)) {
         return LossCause::LostBeforeFirstEvent;
     }
-    let attempts = lines.iter().filter(|line| line.field("copy_from").is_some());
-    let retries: Vec<&&LogLine<'_>> = attempts.skip(1).collect();
-    if !retries.iter().any(|line| resumed_from(line)) {
+    // The first attempt has no copy to go on from.
+    let mut sources = lines.iter().filter_map(|line| line.field("copy_from")).skip(1);
+    if !sources.any(|source| source != "-") {
         return LossCause::LostWithoutCopy;
     }
     match failures.iter().any(|line| line.text.contains("refused with status")) {
