Log which parts of a prompt a lost attempt had, and for how long it was answered

The dialect decodes the parts; the line of a failed attempt gains answering_ms (-1 without a response head) and parts.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -42,6 +42,8 @@
     checked_ms: u64,
     /// Health check in progress; `None` if there is none.
     check: Option<BoxFuture<'static, EngineHealth>>,
+    /// When the head of the response arrived, with which the engine begins its answer; `None` before it.
+    begun_ms: Option<u64>,
     /// Whether an event has arrived from the engine.
     has_event: bool,
     /// Counts the prefill as pending at the engine; `None` before the request is sent and after the first event.
@@ -96,6 +98,7 @@
             last_activity_ms: now_ms,
             checked_ms: now_ms,
             check: None,
+            begun_ms: None,
             has_event: false,
             prefill: None,
         }
@@ -120,6 +123,11 @@
         self.has_event
     }
 
+    /// Time since the engine began its answer; `None` if it has not.
+    pub fn answering_ms(&self, now_ms: u64) -> Option<u64> {
+        self.begun_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     /// When the next health check is due; `None` while one is in progress or no engine is chosen.
     pub fn check_due_ms(&self) -> Option<u64> {
         self.instance.as_ref()?;
@@ -154,6 +162,9 @@
             if !is_comment {
                 self.last_activity_ms = now_ms;
             }
+            if matches!(step, Step::Head) {
+                self.begun_ms = Some(now_ms);
+            }
             if matches!(step, Step::Event(_)) && !is_comment {
                 self.has_event = true;
                 self.prefill = None;
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -33,6 +33,10 @@
     pub replica_to: HeaderName,
     /// Reference to the KV cache replica from which the engine resumes the request.
     pub replica_from: HeaderName,
+    /// Parts of the request's prompt, in order.
+    pub prompt_parts: HeaderName,
+    /// Decodes the identifiers of the parts from the value of `prompt_parts`; empty if the value is malformed.
+    pub decode_prompt_parts: fn(&str) -> Vec<Box<str>>,
     /// Further headers that callers may not set; they are removed from requests.
     pub reserved: Vec<HeaderName>,
     /// Path of an engine's load report.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -12,6 +12,9 @@
 };
 use web::end_to_end_headers;
 
+/// Largest number of a prompt's parts that are considered, which bounds log lines and messages between daemons.
+const MAX_SHARED_PARTS: usize = 8;
+
 /// Request of a caller, with the properties of its route that decide how it is served.
 #[derive(Debug)]
 pub(crate) struct Inbound {
@@ -33,6 +36,8 @@
     pub arrived_ms: u64,
     /// Deadline of the caller or of the route, whichever is earlier, on the daemon's clock.
     pub deadline_ms: u64,
+    /// Identifiers of the prompt's parts that other requests may share, which are all but the last one, in order.
+    pub shared_parts: Vec<Box<str>>,
     /// Identifier of the last event that the caller has received, after which the stream resumes; `None` for a new
     /// request.
     pub last_event_id: Option<u64>,
@@ -90,10 +95,20 @@
             target_latency_ms: self.route.target_latency_ms,
             arrived_ms: self.arrived_ms,
             deadline_ms: self.arrived_ms.saturating_add(left_ms),
+            shared_parts: self.shared_parts(headers),
             last_event_id: number(headers, &dialect.last_event_id, "last event")?,
         })
     }
 
+    /// Identifiers of the prompt's parts but the last one, which belongs to this request or its session alone.
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<Box<str>> {
+        let value = headers.get(&self.dialect.prompt_parts).and_then(|value| value.to_str().ok());
+        let mut parts = value.map(self.dialect.decode_prompt_parts).unwrap_or_default();
+        parts.pop();
+        parts.truncate(MAX_SHARED_PARTS);
+        parts
+    }
+
     /// Headers of the caller without those that this system sets itself, plus one with the name of the client account.
     fn forwarded_headers(&self, headers: &HeaderMap) -> HeaderMap {
         let dialect = self.dialect;
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -373,14 +373,18 @@
     fn on_failed(&mut self, position: usize, err: &AttemptError) {
         let lost = self.attempts.swap_remove(position);
         let Some(instance) = &lost.instance else { return };
+        let now_ms = self.core.clock.now_ms();
         log::info!(
-            "attempt: id={} attempt={} instance={} domain={} failed: {err}; events={} silent_ms={}",
+            "attempt: id={} attempt={} instance={} domain={} failed: {err}; events={} silent_ms={} \
+             answering_ms={} parts={}",
             self.inbound.id_text(),
             lost.id,
             instance.entry.id,
             instance.entry.domain,
             self.events,
-            self.core.clock.now_ms().saturating_sub(self.last_release_ms),
+            now_ms.saturating_sub(self.last_release_ms),
+            lost.answering_ms(now_ms).map_or(-1, |ms| ms as i64),
+            self.inbound.shared_parts.join(","),
         );
         match err {
             AttemptError::NotSent(_) | AttemptError::Misdirected => {
