Name the socket between daemons after its use by more than retry lending

PeerSocket, PeerMessage and the peer address take the names of RetryLending and its message. No behaviour changes; the encoding of the messages stays.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -1,7 +1,7 @@
 //! Command `serve`: runs the daemon on the deployment platform (its store, load balancer and machines).
 
 use crate::{line_log, run_error::RunError, supervisor::keep_running};
-use ingress::{Core, CoreOptions, Decoders, Gateway, ReadyProbe, RetryLending, follow_platform};
+use ingress::{Core, CoreOptions, Decoders, Gateway, PeerSocket, ReadyProbe, follow_platform};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use plat::{ItemCache, Relay, RelayOptions, RelayedSource, announce};
 use platform::{
@@ -63,9 +63,9 @@
     let items = Arc::new(ItemCache::new(is_same_item));
     let relay = RelayService::new(Arc::clone(&items), settings.change_bound_ms / MAX_AGE_DIVISOR);
     let relay_server = Server::bind(settings.relay_addr).await?;
-    let retry_lending = Arc::new(RetryLending::bind(settings.retry_lending_addr).await?);
-    core.set_retry_lending(Arc::clone(&retry_lending));
-    spawn_background_tasks(&settings, &core, items, retry_lending);
+    let peer_socket = Arc::new(PeerSocket::bind(settings.peer_addr).await?);
+    core.set_peer_socket(Arc::clone(&peer_socket));
+    spawn_background_tasks(&settings, &core, items, peer_socket);
     // The readiness, relay and metrics servers run until the process exits. The sender of their stop signal is kept,
     // because these servers would stop if it were dropped.
     let (_never_stop, never_stopped) = watch::channel(false);
@@ -106,12 +106,12 @@
     Ok(())
 }
 
-/// Starts the tasks that follow the store, announce this daemon and lend retries.
+/// Starts the tasks that follow the store, announce this daemon and exchange messages with other daemons.
 fn spawn_background_tasks(
     settings: &Settings,
     core: &Arc<Core>,
     items: Arc<ItemCache>,
-    retry_lending: Arc<RetryLending>,
+    peer_socket: Arc<PeerSocket>,
 ) {
     let store_addr = settings.store_addr;
     let options = relay_options(settings);
@@ -127,9 +127,9 @@
         let announced = announced.clone();
         async move { announce(Store::new(store_addr), &announced).await }
     }));
-    let lending = Arc::clone(core);
-    tokio::spawn(keep_running("lending", move || {
-        Arc::clone(&retry_lending).run(Arc::clone(&lending))
+    let receiving = Arc::clone(core);
+    tokio::spawn(keep_running("peers", move || {
+        Arc::clone(&peer_socket).run(Arc::clone(&receiving))
     }));
 }
 
@@ -152,7 +152,7 @@
         link_mbps: settings.link_mbps,
     };
     [
-        (format!("{}{vm_name}", KEYS.daemons), settings.retry_lending_addr.to_string()),
+        (format!("{}{vm_name}", KEYS.daemons), settings.peer_addr.to_string()),
         (format!("{RELAY_KEYS}{vm_name}"), relay.encode()),
     ]
 }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -7,9 +7,9 @@
     fleet_size::FleetSize,
     instance::Instance,
     instance_entry::InstanceId,
+    peer_socket::PeerSocket,
     placement::Placement,
     registry::Registry,
-    retry_lending::RetryLending,
     route_table::Route,
 };
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
@@ -75,9 +75,9 @@
     /// Start of the shutdown on `clock`; unset before it.
     stopped_ms: OnceLock<u64>,
     fleet_size: Mutex<FleetSize>,
-    /// Retry lending addresses of all listed daemons, including this one.
+    /// Peer addresses of all listed daemons, including this one.
     daemons: Mutex<Vec<SocketAddr>>,
-    retry_lending: OnceLock<Arc<RetryLending>>,
+    peer_socket: OnceLock<Arc<PeerSocket>>,
     budgets: RetryBudgets,
     /// Timing statistics of the streams of each service.
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
@@ -106,7 +106,7 @@
             stopped_ms: OnceLock::new(),
             fleet_size: Mutex::default(),
             daemons: Mutex::default(),
-            retry_lending: OnceLock::new(),
+            peer_socket: OnceLock::new(),
             trackers: Mutex::default(),
             losses: Mutex::default(),
             losses_until_ms: AtomicU64::new(0),
@@ -170,28 +170,28 @@
         self.current_config()
     }
 
-    /// Replaces the list of daemons. `daemons` holds their retry lending addresses, including that of this daemon.
+    /// Replaces the list of daemons. `daemons` holds their peer addresses, including that of this daemon.
     pub fn set_daemons(&self, daemons: Vec<SocketAddr>) {
         lock(&self.fleet_size).set(daemons.len(), self.clock.now_ms());
         metrics::gauge!("daemons_listed").set(daemons.len() as f64);
         *lock(&self.daemons) = daemons;
     }
 
-    /// Enables the borrowing of retries. Only the first call has an effect.
-    pub fn set_retry_lending(&self, lending: Arc<RetryLending>) {
-        if self.retry_lending.set(lending).is_err() {
-            log::warn!("loan: retry lending is already enabled");
+    /// Enables messages to other daemons, such as the borrowing of retries. Only the first call has an effect.
+    pub fn set_peer_socket(&self, socket: Arc<PeerSocket>) {
+        if self.peer_socket.set(socket).is_err() {
+            log::warn!("peers: the socket is already set");
         }
     }
 
-    /// Whether a listed daemon has the retry lending address `addr`.
+    /// Whether a listed daemon has the peer address `addr`.
     pub(crate) fn is_peer(&self, addr: SocketAddr) -> bool {
         lock(&self.daemons).contains(&addr)
     }
 
-    /// Retry lending addresses of `count` other daemons, picked at random; of all others if fewer are listed.
+    /// Peer addresses of `count` other daemons, picked at random; of all others if fewer are listed.
     pub(crate) fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
-        let own = self.retry_lending.get().and_then(|lending| lending.local_addr().ok());
+        let own = self.peer_socket.get().and_then(|socket| socket.local_addr().ok());
         let daemons = lock(&self.daemons);
         let others: Vec<SocketAddr> =
             daemons.iter().copied().filter(|addr| Some(*addr) != own).collect();
@@ -304,8 +304,8 @@
         if self.withdraw_own(service, urgency) {
             return true;
         }
-        let is_lent = match self.retry_lending.get() {
-            Some(lending) => lending.borrow(self, service, urgency).await,
+        let is_lent = match self.peer_socket.get() {
+            Some(socket) => socket.borrow(self, service, urgency).await,
             None => false,
         };
         if !is_lent {
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -51,7 +51,7 @@
     core: Arc<Core>,
     keys: PlatformKeys,
     decoders: Decoders<E>,
-    /// Retry lending addresses of the daemons, by name of the VM.
+    /// Peer addresses of the daemons, by name of the VM.
     daemons: HashMap<Box<str>, SocketAddr>,
 }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -33,12 +33,12 @@
 mod instance_guards;
 mod kv_replica;
 mod kv_replicator;
+mod peer_message;
+mod peer_socket;
 mod placement;
 mod probe;
 mod registry;
 mod response_head;
-mod retry_lending;
-mod retry_lending_message;
 mod route_kind;
 mod route_table;
 mod short_call;
@@ -58,9 +58,9 @@
     gateway::{Gateway, ReadyProbe},
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
+    peer_message::PeerMessage,
+    peer_socket::PeerSocket,
     registry::Registry,
-    retry_lending::RetryLending,
-    retry_lending_message::RetryLendingMessage,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
 };
--- a/crates/ingress/src/retry_lending_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -1,4 +1,4 @@
-//! Messages by which daemons lend each other retries from their retry budgets.
+//! Messages between daemons.
 
 use base::ServiceName;
 use limit::Urgency;
@@ -9,7 +9,7 @@
 
 /// Message between two daemons, sent as one datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum RetryLendingMessage {
+pub enum PeerMessage {
     /// Asks to borrow one retry.
     Ask {
         /// Number by which the answer refers to this question.
@@ -28,7 +28,7 @@
     },
 }
 
-impl RetryLendingMessage {
+impl PeerMessage {
     /// Encodes the message as the content of a datagram.
     pub fn encode(&self) -> Vec<u8> {
         // Serialization fails for none of these field types.
--- a/crates/ingress/src/retry_lending.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -1,8 +1,8 @@
-//! Lending of retries between the retry budgets of daemons.
+//! Messages between daemons, by which they lend each other retries.
 
 use crate::{
     core::Core,
-    retry_lending_message::{MESSAGE_SIZE_BYTES, RetryLendingMessage},
+    peer_message::{MESSAGE_SIZE_BYTES, PeerMessage},
 };
 use base::{HashMap, ServiceName, lock};
 use limit::Urgency;
@@ -21,13 +21,13 @@
 /// soon is skipped.
 const ANSWER_TIMEOUT_MS: u64 = 20;
 
-/// Borrows retries from other daemons when this daemon's retry budget is exhausted, and lends them retries.
+/// UDP socket for messages between daemons. Borrows retries from other daemons when this daemon's retry budget is exhausted, and lends them retries.
 ///
 /// The loss of a failure domain affects some daemons more than others, while the retry budget holds for the whole
 /// fleet. A lent retry is withdrawn from the lender's budget, so the sum of the budgets never grows. An answer that is
 /// lost wastes one retry.
 #[derive(Debug)]
-pub struct RetryLending {
+pub struct PeerSocket {
     socket: UdpSocket,
     /// Questions that wait for an answer, by their number.
     pending: Mutex<HashMap<u64, Question>>,
@@ -42,7 +42,7 @@
     sender: oneshot::Sender<bool>,
 }
 
-impl RetryLending {
+impl PeerSocket {
     /// Binds a UDP socket to `addr`.
     ///
     /// # Errors
@@ -74,14 +74,12 @@
                     continue;
                 }
             };
-            match RetryLendingMessage::decode(&buffer[..size]) {
-                Some(RetryLendingMessage::Ask { number, service, urgency })
-                    if core.is_peer(from) =>
-                {
+            match PeerMessage::decode(&buffer[..size]) {
+                Some(PeerMessage::Ask { number, service, urgency }) if core.is_peer(from) => {
                     let is_granted = core.lend_retry(&service, urgency);
-                    self.send(&RetryLendingMessage::Answer { number, is_granted }, from).await;
+                    self.send(&PeerMessage::Answer { number, is_granted }, from).await;
                 }
-                Some(RetryLendingMessage::Answer { number, is_granted }) => {
+                Some(PeerMessage::Answer { number, is_granted }) => {
                     self.on_answer(number, is_granted, from);
                 }
                 _ => log::info!(
@@ -115,7 +113,7 @@
             let number = core.random_number();
             let (sender, receiver) = oneshot::channel();
             self.pending().insert(number, Question { asked: peer, sender });
-            let ask = RetryLendingMessage::Ask { number, service: service.clone(), urgency };
+            let ask = PeerMessage::Ask { number, service: service.clone(), urgency };
             self.send(&ask, peer).await;
             let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
             let is_granted = matches!(tokio::time::timeout(timeout, receiver).await, Ok(Ok(true)));
@@ -128,7 +126,7 @@
         false
     }
 
-    async fn send(&self, message: &RetryLendingMessage, to: SocketAddr) {
+    async fn send(&self, message: &PeerMessage, to: SocketAddr) {
         if let Err(err) = self.socket.send_to(&message.encode(), to).await {
             log::debug!("loan: cannot send to {to}: {err}");
         }
