Refuse requests with a part of a prompt that crashes engines

The class of fault is a retry without memory: a request that kills what serves it is retried at the next engine, and nothing is learned for the next request or another daemon.

The new crate quarantine decides from the crashes that all daemons report which parts of prompts are condemned. A loss counts only if the engine had just begun to answer and is then found dead. Streams, resumes, retries and whole answers pass the same check before each send.

--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -120,6 +120,17 @@
             field("left_ms"),
         );
     }
+    if let Some(line) =
+        request_lines.iter().find(|line| line.field("reason") == Some("quarantine"))
+    {
+        let field = |name| line.field(name).unwrap_or("?");
+        return format!(
+            "the part {} of its prompt crashed the engines {} ({})",
+            field("parts"),
+            field("engines"),
+            failed_attempts(request_lines),
+        );
+    }
     if let Some(line) = request_lines.iter().find(|line| line.component == "request") {
         return refusal_cause(line, request_lines);
     }
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -30,6 +30,14 @@
 /// Time without an event after which the engine's health is checked if another engine of its failure domain was lost.
 const CHECK_AFTER_LOSS_MS: u64 = 60;
 
+/// Time since the head of the response in which a crash of the engine is put down to the request. An engine that a
+/// prompt crashes ends about 0.1 s after the head, and a slow one later.
+const BEGIN_MS: u64 = 600;
+
+/// Time since the head of the response after which the request has not crashed the engine. It exceeds `BEGIN_MS`, so
+/// that no request counts as both.
+const SURVIVAL_MS: u64 = 1_500;
+
 /// State of one attempt to stream the events of a request from one engine.
 pub(crate) struct Attempt {
     pub id: AttemptId,
@@ -46,6 +54,8 @@
     begun_ms: Option<u64>,
     /// Whether an event has arrived from the engine.
     has_event: bool,
+    /// Whether `take_survival` has returned `true`.
+    has_survived: bool,
     /// Counts the prefill as pending at the engine; `None` before the request is sent and after the first event.
     prefill: Option<PrefillGuard>,
 }
@@ -100,6 +110,7 @@
             check: None,
             begun_ms: None,
             has_event: false,
+            has_survived: false,
             prefill: None,
         }
     }
@@ -128,6 +139,21 @@
         self.begun_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
+    /// Whether the engine has just begun its answer, so that the request may be the cause if it crashes now.
+    pub fn has_just_begun(&self, now_ms: u64) -> bool {
+        self.answering_ms(now_ms).is_some_and(|ms| ms <= BEGIN_MS)
+    }
+
+    /// Returns `true` once when the engine has survived the request: it has answered for some time, or `is_complete`.
+    pub fn take_survival(&mut self, is_complete: bool, now_ms: u64) -> bool {
+        let has_lasted = self.answering_ms(now_ms).is_some_and(|ms| ms >= SURVIVAL_MS);
+        if self.has_survived || !self.has_event || !(is_complete || has_lasted) {
+            return false;
+        }
+        self.has_survived = true;
+        true
+    }
+
     /// When the next health check is due; `None` while one is in progress or no engine is chosen.
     pub fn check_due_ms(&self) -> Option<u64> {
         self.instance.as_ref()?;
--- a/crates/ingress/src/caller_error.rs
+++ b/crates/ingress/src/caller_error.rs
@@ -11,7 +11,7 @@
 quick_error! {
     /// Why a caller gets no response of an upstream.
     ///
-    /// `Busy`, `NoConfig` and `BodyTimeout` guarantee that the request has not run and never will.
+    /// `Busy`, `Quarantined`, `NoConfig` and `BodyTimeout` guarantee that the request has not run and never will.
     #[derive(Clone, Copy, Debug, Eq, PartialEq)]
     pub enum CallerError {
         /// The daemon has not received a configuration yet.
@@ -50,6 +50,15 @@
         Busy(retry_after_ms: u64) {
             display("the request has not run, since no upstream can take it now")
         }
+        /// The request has not run, because a part of its prompt crashes engines. The caller may retry after the given
+        /// time.
+        Quarantined(retry_after_ms: u64) {
+            display("the request has not run, since a part of its prompt crashes engines")
+        }
+        /// The request was sent to engines, and a part of its prompt crashes engines. It may have run.
+        PromptCrashed {
+            display("a part of the prompt crashes engines; the request may have run")
+        }
         /// No upstream returned a valid response, and the request may have run.
         OutcomeUnknown {
             display("the upstream gave no valid answer; the request may have run")
@@ -68,14 +77,16 @@
     /// HTTP status of the response to the caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::Busy(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::Busy(_) | Self::Quarantined(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Header(_) | Self::IncompleteBody => StatusCode::BAD_REQUEST,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::OutcomeUnknown | Self::PromptCrashed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -92,6 +103,8 @@
             Self::BodyTimeout => "body_timeout",
             Self::TooLarge => "body_too_large",
             Self::Busy(_) => "not_run",
+            Self::Quarantined(_) => "prompt_quarantined",
+            Self::PromptCrashed => "prompt_crashed",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
         }
@@ -116,7 +129,7 @@
             headers.insert(dialect.request_id.clone(), id.clone());
         }
         let retry_after_ms = match self {
-            Self::Busy(retry_after_ms) => Some(retry_after_ms),
+            Self::Busy(retry_after_ms) | Self::Quarantined(retry_after_ms) => Some(retry_after_ms),
             Self::NoConfig => Some(NO_CONFIG_RETRY_AFTER_MS),
             _ => None,
         };
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -5,15 +5,19 @@
     dialect::Dialect,
     domain_losses::DomainLosses,
     fleet_size::FleetSize,
+    inbound::Inbound,
     instance::Instance,
     instance_entry::InstanceId,
     peer_socket::PeerSocket,
     placement::Placement,
+    probe::probe,
+    prompt_quarantine::{PromptQuarantine, ServiceEvidence},
     registry::Registry,
     route_table::Route,
 };
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
+use quarantine::{Admission, Crash, CrashedEngine};
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
 use recovery::{Policy, Timing, TimingSample, TimingTracker};
 use std::{
@@ -82,6 +86,8 @@
     /// Timing statistics of the streams of each service.
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<DomainLosses>,
+    /// Parts of prompts that crash engines.
+    pub(crate) quarantine: PromptQuarantine,
     /// Time on `clock` until which more losses are expected.
     losses_until_ms: AtomicU64,
     /// Notifies stream relays that instances were lost, replaced or removed.
@@ -96,6 +102,7 @@
         Self {
             clock: Clock::start(),
             dialect,
+            quarantine: PromptQuarantine::new(options.seed as f64 / u64::MAX as f64),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
             budgets: RetryBudgets::new(options.retries),
@@ -368,6 +375,70 @@
         self.notify_instances_changed();
     }
 
+    /// Decides whether a request may be sent to an engine, by the parts of its prompt.
+    pub(crate) fn admit_prompt(&self, inbound: &Inbound) -> Admission {
+        if inbound.shared_parts.is_empty() {
+            return Admission::Allowed;
+        }
+        let now_ms = self.clock.now_ms();
+        let daemons = lock(&self.fleet_size).get(now_ms);
+        self.quarantine.admit(&inbound.service, &inbound.shared_parts, daemons, now_ms)
+    }
+
+    /// Finds out whether an engine has crashed that had just begun to answer a request, and records it if so. The loss of
+    /// the connection alone does not show that.
+    pub(crate) fn check_crash(self: &Arc<Self>, instance: &Arc<Instance>, inbound: &Inbound) {
+        if inbound.shared_parts.is_empty() {
+            return;
+        }
+        let lost_ms = self.clock.now_ms();
+        let (core, instance) = (Arc::clone(self), Arc::clone(instance));
+        let (service, parts) = (inbound.service.clone(), inbound.shared_parts.clone());
+        tokio::spawn(async move {
+            if probe(&core, &instance).await.is_some() {
+                return;
+            }
+            let entry = &instance.entry;
+            let now_ms = core.clock.now_ms();
+            let crash = Crash {
+                engine: CrashedEngine {
+                    instance: Arc::clone(&entry.id).as_ref().into(),
+                    started_unix_ms: entry.started_unix_ms,
+                },
+                domain: entry.domain.clone(),
+                age_ms: now_ms - lost_ms,
+                suspects: vec![parts],
+            };
+            if core.quarantine.record_crash(&service, crash, now_ms) {
+                core.notify_instances_changed();
+            }
+        });
+    }
+
+    /// Records that an engine answers a request without a crash.
+    pub(crate) fn record_survival(&self, inbound: &Inbound) {
+        if inbound.shared_parts.is_empty() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        if self.quarantine.record_survival(&inbound.service, &inbound.shared_parts, now_ms) {
+            self.notify_instances_changed();
+        }
+    }
+
+    /// Evidence on crashes for another daemon.
+    pub(crate) fn evidence(&self) -> Vec<ServiceEvidence> {
+        let offset = self.random_number() as usize;
+        self.quarantine.evidence(offset, self.clock.now_ms())
+    }
+
+    /// Merges the evidence of another daemon.
+    pub(crate) fn merge_evidence(&self, message: Vec<ServiceEvidence>) {
+        if self.quarantine.merge(message, self.clock.now_ms()) {
+            self.notify_instances_changed();
+        }
+    }
+
     /// Whether instances were lost recently, so that more losses are expected.
     pub(crate) fn has_recent_losses(&self) -> bool {
         self.clock.now_ms() < self.losses_until_ms.load(Ordering::Relaxed)
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -37,6 +37,7 @@
 mod peer_socket;
 mod placement;
 mod probe;
+mod prompt_quarantine;
 mod registry;
 mod response_head;
 mod route_kind;
@@ -60,6 +61,7 @@
     instance_entry::{InstanceEntry, InstanceId},
     peer_message::PeerMessage,
     peer_socket::PeerSocket,
+    prompt_quarantine::ServiceEvidence,
     registry::Registry,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -1,11 +1,12 @@
 //! Messages between daemons.
 
+use crate::prompt_quarantine::ServiceEvidence;
 use base::ServiceName;
 use limit::Urgency;
 use serde::{Deserialize, Serialize};
 
 /// Largest size of an encoded message. The rest of a longer datagram is cut off when it is received.
-pub(crate) const MESSAGE_SIZE_BYTES: usize = 256;
+pub(crate) const MESSAGE_SIZE_BYTES: usize = 1_400;
 
 /// Message between two daemons, sent as one datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -26,6 +27,10 @@
         /// Whether the retry is lent, so that the daemon that asked may send it.
         is_granted: bool,
     },
+    /// Tells which engines crashed on parts of prompts, and which survived them.
+    Evidence(Vec<ServiceEvidence>),
+    /// Asks a daemon for its evidence, after a start.
+    EvidenceRequest,
 }
 
 impl PeerMessage {
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -21,7 +21,24 @@
 /// soon is skipped.
 const ANSWER_TIMEOUT_MS: u64 = 20;
 
-/// UDP socket for messages between daemons. Borrows retries from other daemons when this daemon's retry budget is exhausted, and lends them retries.
+/// Number of daemons that are told new evidence on crashes. Each of them tells as many others, so that it spreads to a
+/// large fleet within a few messages.
+const EVIDENCE_FANOUT: usize = 4;
+
+/// Time after which known evidence is repeated to one daemon, picked at random, in case an earlier message was lost.
+const EVIDENCE_REPEAT_MS: u64 = 500;
+
+/// Shortest time between two messages with new evidence, which collects the crashes of a burst.
+const EVIDENCE_PAUSE_MS: u64 = 20;
+
+/// Number of times that a daemon which has started asks others for their evidence, and how many it asks each time.
+const EVIDENCE_REQUESTS: u32 = 20;
+const EVIDENCE_REQUEST_FANOUT: usize = 2;
+
+/// UDP socket for messages between daemons.
+///
+/// Borrows retries from other daemons when this daemon's retry budget is exhausted, and lends them retries. Exchanges
+/// evidence on prompts that crash engines.
 ///
 /// The loss of a failure domain affects some daemons more than others, while the retry budget holds for the whole
 /// fleet. A lent retry is withdrawn from the lender's budget, so the sum of the budgets never grows. An answer that is
@@ -61,8 +78,38 @@
         self.socket.local_addr()
     }
 
-    /// Receives questions and answers of other daemons, as long as the future is polled.
+    /// Receives and answers messages of other daemons and sends evidence, as long as the future is polled.
     pub async fn run(self: Arc<Self>, core: Arc<Core>) {
+        tokio::join!(self.receive(&core), self.share_evidence(&core));
+    }
+
+    /// Sends new evidence to other daemons at once, and repeats known evidence from time to time.
+    async fn share_evidence(&self, core: &Core) {
+        let mut requests = 0;
+        loop {
+            let repeat = Duration::from_millis(EVIDENCE_REPEAT_MS);
+            // A timeout means that there is nothing new, and known evidence is repeated.
+            let _ = tokio::time::timeout(repeat, core.quarantine.wait_for_unsent()).await;
+            if requests < EVIDENCE_REQUESTS && !core.quarantine.has_heard() {
+                for peer in core.random_peers(EVIDENCE_REQUEST_FANOUT) {
+                    requests += 1;
+                    self.send(&PeerMessage::EvidenceRequest, peer).await;
+                }
+            }
+            let fanout = if core.quarantine.has_unsent() { EVIDENCE_FANOUT } else { 1 };
+            let message = core.evidence();
+            if message.is_empty() {
+                continue;
+            }
+            let message = PeerMessage::Evidence(message);
+            for peer in core.random_peers(fanout) {
+                self.send(&message, peer).await;
+            }
+            tokio::time::sleep(Duration::from_millis(EVIDENCE_PAUSE_MS)).await;
+        }
+    }
+
+    async fn receive(&self, core: &Core) {
         let mut buffer = [0; MESSAGE_SIZE_BYTES];
         loop {
             let (size, from) = match self.socket.recv_from(&mut buffer).await {
@@ -82,6 +129,12 @@
                 Some(PeerMessage::Answer { number, is_granted }) => {
                     self.on_answer(number, is_granted, from);
                 }
+                Some(PeerMessage::Evidence(message)) if core.is_peer(from) => {
+                    core.merge_evidence(message);
+                }
+                Some(PeerMessage::EvidenceRequest) if core.is_peer(from) => {
+                    self.send(&PeerMessage::Evidence(core.evidence()), from).await;
+                }
                 _ => log::info!(
                     "loan: ignored a message from {from}, invalid or from an unlisted daemon"
                 ),
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -137,7 +137,7 @@
 
 /// Requests the load report of an engine; `None` if the engine does not respond, or if its start time shows that
 /// another one now has the address of the registry entry.
-async fn probe(core: &Core, instance: &Arc<Instance>) -> Option<EngineReport> {
+pub(crate) async fn probe(core: &Core, instance: &Arc<Instance>) -> Option<EngineReport> {
     let _guard = InFlightGuard::new(Arc::clone(instance));
     let path = core.dialect.report_path;
     let timeout_ms = core.options.report_timeout_ms;
--- /dev/null
+++ b/crates/ingress/src/prompt_quarantine.rs
@@ -0,0 +1,170 @@
+//! Parts of prompts that crash engines, by service.
+
+use base::{HashMap, ServiceName, lock};
+use quarantine::{Admission, Change, Crash, Evidence, Ledger, PartId, Verdict};
+use serde::{Deserialize, Serialize};
+use std::sync::{
+    Mutex,
+    atomic::{AtomicBool, Ordering},
+};
+use tokio::sync::Notify;
+
+/// Space for the evidence in one datagram, which must fit into one packet.
+const MAX_EVIDENCE_BYTES: usize = 1_100;
+
+/// Offset of the time in the ledgers from the daemon's clock, which starts at 0 with the daemon. Evidence of other
+/// daemons is older than that, up to the hour for which a ledger remembers it.
+const LEDGER_OFFSET_MS: u64 = 24 * 3_600_000;
+
+/// Evidence on the engines of one service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceEvidence {
+    /// Service of the engines.
+    pub service: ServiceName,
+    /// Crashes and survivals.
+    pub evidence: Evidence,
+}
+
+/// Ledgers of all services, with the log lines and counters of their verdicts.
+#[derive(Debug)]
+pub(crate) struct PromptQuarantine {
+    ledgers: Mutex<HashMap<ServiceName, Ledger>>,
+    /// Number from 0 to 1 that sets the time of this daemon's trials apart from those of other daemons.
+    spread: f64,
+    /// Wakes the task that sends evidence to other daemons.
+    unsent: Notify,
+    /// Whether another daemon has sent its evidence since this one started.
+    has_heard: AtomicBool,
+}
+
+impl PromptQuarantine {
+    /// Creates ledgers without crashes.
+    pub fn new(spread: f64) -> Self {
+        Self {
+            ledgers: Mutex::default(),
+            spread,
+            unsent: Notify::new(),
+            has_heard: AtomicBool::new(false),
+        }
+    }
+
+    /// Decides whether a request may be sent, as `Ledger::admit`.
+    pub fn admit(
+        &self,
+        service: &ServiceName,
+        parts: &[PartId],
+        daemons: usize,
+        now_ms: u64,
+    ) -> Admission {
+        match lock(&self.ledgers).get_mut(service) {
+            Some(ledger) => ledger.admit(parts, daemons, self.spread, ledger_ms(now_ms)),
+            None => Admission::Allowed,
+        }
+    }
+
+    /// Records a crash that this daemon has seen. Returns whether verdicts have changed.
+    pub fn record_crash(&self, service: &ServiceName, crash: Crash, now_ms: u64) -> bool {
+        let mut ledgers = lock(&self.ledgers);
+        let ledger = ledgers.entry(service.clone()).or_default();
+        let changes = ledger.record_crash(crash, ledger_ms(now_ms));
+        self.apply(service, ledger, &changes, now_ms)
+    }
+
+    /// Records that an engine survived a request. Returns whether verdicts have changed.
+    pub fn record_survival(&self, service: &ServiceName, parts: &[PartId], now_ms: u64) -> bool {
+        let mut ledgers = lock(&self.ledgers);
+        let Some(ledger) = ledgers.get_mut(service).filter(|ledger| !ledger.is_empty()) else {
+            return false;
+        };
+        let changes = ledger.record_survival(parts, ledger_ms(now_ms));
+        self.apply(service, ledger, &changes, now_ms)
+    }
+
+    /// Merges the evidence of another daemon. Returns whether verdicts have changed.
+    pub fn merge(&self, message: Vec<ServiceEvidence>, now_ms: u64) -> bool {
+        self.has_heard.store(true, Ordering::Relaxed);
+        let mut has_changed = false;
+        let mut ledgers = lock(&self.ledgers);
+        for ServiceEvidence { service, evidence } in message {
+            if evidence.is_empty() {
+                continue;
+            }
+            let ledger = ledgers.entry(service.clone()).or_default();
+            let changes = ledger.merge(evidence, ledger_ms(now_ms));
+            has_changed |= self.apply(&service, ledger, &changes, now_ms);
+        }
+        has_changed
+    }
+
+    /// Whether another daemon has sent its evidence since this one started.
+    pub fn has_heard(&self) -> bool {
+        self.has_heard.load(Ordering::Relaxed)
+    }
+
+    /// Waits until some evidence was not sent to other daemons yet.
+    pub async fn wait_for_unsent(&self) {
+        self.unsent.notified().await;
+    }
+
+    /// Whether some evidence was not sent to other daemons yet.
+    pub fn has_unsent(&self) -> bool {
+        lock(&self.ledgers).values().any(Ledger::has_unsent)
+    }
+
+    /// Evidence for another daemon, as much as fits into a datagram. `offset` selects the older evidence.
+    pub fn evidence(&self, offset: usize, now_ms: u64) -> Vec<ServiceEvidence> {
+        let mut ledgers = lock(&self.ledgers);
+        let count = ledgers.values().filter(|ledger| !ledger.is_empty()).count().max(1);
+        let mut message = Vec::new();
+        for (service, ledger) in ledgers.iter_mut().filter(|(_, ledger)| !ledger.is_empty()) {
+            let evidence = ledger.evidence(MAX_EVIDENCE_BYTES / count, offset, ledger_ms(now_ms));
+            message.push(ServiceEvidence { service: service.clone(), evidence });
+        }
+        message
+    }
+
+    /// Logs and counts changes, and wakes the task that sends evidence. Returns whether verdicts have changed.
+    fn apply(
+        &self,
+        service: &ServiceName,
+        ledger: &Ledger,
+        changes: &[Change],
+        now_ms: u64,
+    ) -> bool {
+        for change in changes {
+            let (what, counter, verdict) = match change {
+                Change::Suspected(verdict) => ("suspected", "parts_suspected_total", verdict),
+                Change::Condemned(verdict) => ("condemned", "parts_condemned_total", verdict),
+                Change::Released(verdict) => ("released", "parts_released_total", verdict),
+            };
+            metrics::counter!(counter).increment(1);
+            log::info!(
+                "quarantine: {what} service={service} parts={} engines={} first_age_ms={} last_age_ms={}",
+                verdict.parts.join(","),
+                engine_names(verdict),
+                ledger_ms(now_ms).saturating_sub(verdict.first_ms),
+                age_ms(verdict, now_ms),
+            );
+        }
+        if ledger.has_unsent() {
+            self.unsent.notify_one();
+        }
+        changes.iter().any(|change| !matches!(change, Change::Suspected(_)))
+    }
+}
+
+/// Time in the ledgers at `now_ms` on the daemon's clock.
+fn ledger_ms(now_ms: u64) -> u64 {
+    now_ms + LEDGER_OFFSET_MS
+}
+
+/// Time since the last crash of a verdict.
+pub(crate) fn age_ms(verdict: &Verdict, now_ms: u64) -> u64 {
+    ledger_ms(now_ms).saturating_sub(verdict.last_ms)
+}
+
+/// Identifiers of the engines of a verdict, for logs.
+pub(crate) fn engine_names(verdict: &Verdict) -> String {
+    let names: Vec<&str> = verdict.engines.iter().map(|engine| &*engine.instance).collect();
+    names.join(",")
+}
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -3,11 +3,13 @@
 use crate::{
     attempt_error::AttemptError, buffered_response::BufferedResponse, caller_error::CallerError,
     core::Core, exchange::Exchange, inbound::Inbound, instance::Instance,
-    instance_entry::InstanceId, placement::Placement,
+    instance_entry::InstanceId, placement::Placement, prompt_quarantine::engine_names,
 };
 use call::{Call, Idempotency, LostCall, Unknown, Unsent};
 use hyper::Response;
 use limit::Urgency;
+use quarantine::Admission;
+use recovery::LossCause;
 use std::{sync::Arc, time::Duration};
 use web::ResponseBody;
 
@@ -30,7 +32,7 @@
 ///
 /// `Busy` only if the call has not run and never will.
 pub(crate) async fn serve(
-    core: &Core,
+    core: &Arc<Core>,
     inbound: &Inbound,
 ) -> Result<Response<ResponseBody>, CallerError> {
     let mut call = Call::new(inbound.kind.idempotency(), inbound.max_attempts - 1);
@@ -38,6 +40,20 @@
     let mut error_response: Option<BufferedResponse> = None;
     core.deposit(&inbound.service);
     loop {
+        if let Admission::Refused { verdict, retry_after_ms } = core.admit_prompt(inbound) {
+            log::info!(
+                "call: id={} refused, reason=quarantine parts={} engines={}",
+                inbound.id_text(),
+                verdict.parts.join(","),
+                engine_names(&verdict),
+            );
+            metrics::counter!("requests_quarantined_total").increment(1);
+            let closed: Result<_, Call<Unknown>> = call.close();
+            return Err(match closed {
+                Ok(_) => CallerError::Quarantined(retry_after_ms),
+                Err(_) => CallerError::PromptCrashed,
+            });
+        }
         let placement =
             Placement { excluded: &excluded, prefers_local: true, ..Placement::default() };
         let left_ms = inbound.left_ms(core.clock.now_ms());
@@ -125,8 +141,14 @@
     }
 }
 
-/// Logs a failed attempt and records the outcome in the state of the instance.
-fn record_outcome(core: &Core, inbound: &Inbound, instance: &Instance, outcome: &Outcome) {
+/// Logs a failed attempt and records the outcome in the state of the instance. An engine that cut a whole answer off may
+/// have crashed on its prompt: such an answer has no events that show when it began.
+fn record_outcome(
+    core: &Arc<Core>,
+    inbound: &Inbound,
+    instance: &Arc<Instance>,
+    outcome: &Outcome,
+) {
     let id = inbound.id_text();
     let at = &instance.entry.id;
     match outcome {
@@ -136,12 +158,18 @@
                 response.status.as_u16()
             );
         }
-        Outcome::Answered(_) => instance.record_success(core.clock.now_ms()),
+        Outcome::Answered(_) => {
+            instance.record_success(core.clock.now_ms());
+            core.record_survival(inbound);
+        }
         Outcome::Failed(err) => {
             log::info!("attempt: id={id} instance={at} failed: {err}");
             if err.is_fault() {
                 core.record_loss(instance);
             }
+            if matches!(err, AttemptError::Lost(LossCause::Closed | LossCause::Reset)) {
+                core.check_crash(instance, inbound);
+            }
         }
         Outcome::TimedOut => {
             log::info!("attempt: id={id} instance={at} gave no answer in time");
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -15,6 +15,7 @@
     instance_entry::InstanceId,
     kv_replica::{KvReplica, KvReplicaOrigin},
     kv_replicator::KvReplicator,
+    prompt_quarantine::{age_ms, engine_names},
     response_head::forwarded_headers,
     route_kind::RouteKind,
 };
@@ -26,6 +27,7 @@
     header::{HeaderName, HeaderValue},
 };
 use limit::Urgency;
+use quarantine::Admission;
 use recovery::{Action, AttemptId, EngineSignal, Generation, Input, Journal, LossCause};
 use std::{future::poll_fn, sync::Arc, task::Poll};
 use tokio::{sync::watch, time::Instant};
@@ -63,6 +65,8 @@
     Deadline,
     /// No attempt is left, or no further one is allowed.
     Attempts,
+    /// A part of the prompt crashes engines. Requests with it are sent again after the given time.
+    Quarantine { retry_after_ms: u64 },
 }
 
 /// Relays one stream of events to its end. A failed attempt is followed by one at another engine, which resumes after
@@ -112,6 +116,8 @@
     instance_changes: watch::Receiver<()>,
     is_done: bool,
     failure: Option<Failure>,
+    /// Whether the current attempt is to find out if the parts of the prompt still crash engines.
+    is_trial: bool,
 }
 
 impl StreamRelay {
@@ -144,6 +150,7 @@
             instance_changes,
             is_done: false,
             failure: None,
+            is_trial: false,
             core,
             inbound,
         }
@@ -190,6 +197,8 @@
     fn caller_error(&self, failure: Failure) -> CallerError {
         let may_have_run = self.open_sends > 0;
         match failure {
+            Failure::Quarantine { .. } if may_have_run => CallerError::PromptCrashed,
+            Failure::Quarantine { retry_after_ms } => CallerError::Quarantined(retry_after_ms),
             _ if !may_have_run => CallerError::Busy(self.core.stream_retry_after_ms()),
             Failure::Deadline => CallerError::TimedOut,
             Failure::Attempts => CallerError::OutcomeUnknown,
@@ -262,6 +271,9 @@
     }
 
     fn on_instance_change(&mut self) {
+        if !self.attempts.iter().any(Attempt::has_event) && self.is_refused() {
+            return;
+        }
         for attempt in &mut self.attempts {
             let domain = attempt.instance.as_ref().map(|instance| &instance.entry.domain);
             let has_loss = domain.is_some_and(|domain| self.core.has_loss(domain));
@@ -280,14 +292,17 @@
     }
 
     fn on_step(&mut self, position: usize, step: Step) {
-        let attempt = &self.attempts[position];
-        let id = attempt.id;
+        let id = self.attempts[position].id;
         match step {
             Step::Chosen(choice) => self.on_chosen(position, choice),
             Step::Head => self.on_head(position),
             Step::ErrorResponse(response) => self.on_error_response(position, response),
-            Step::Event(event) => self.on_event(id, event),
+            Step::Event(event) => {
+                self.record_survival(position, false);
+                self.on_event(id, event);
+            }
             Step::End => {
+                self.record_survival(position, true);
                 let token_count = self.generation.journal().len();
                 self.input(Input::Finished { attempt: id, token_count });
                 self.close_attempt(id);
@@ -297,6 +312,47 @@
         }
     }
 
+    /// Records that the engine survives the request, once for each attempt.
+    fn record_survival(&mut self, position: usize, is_complete: bool) {
+        let now_ms = self.core.clock.now_ms();
+        if self.attempts[position].take_survival(is_complete, now_ms) {
+            self.core.record_survival(&self.inbound);
+        }
+    }
+
+    /// Fails the relay if parts of the prompt are known to crash engines, unless this request is to find out whether
+    /// they still do. Returns whether it has failed.
+    fn is_refused(&mut self) -> bool {
+        if self.is_trial {
+            return false;
+        }
+        let (verdict, retry_after_ms) = match self.core.admit_prompt(&self.inbound) {
+            Admission::Allowed => return false,
+            Admission::Trial(verdict) => {
+                log::info!(
+                    "quarantine: trial id={} parts={}",
+                    self.inbound.id_text(),
+                    verdict.parts.join(",")
+                );
+                self.is_trial = true;
+                return false;
+            }
+            Admission::Refused { verdict, retry_after_ms } => (verdict, retry_after_ms),
+        };
+        let now_ms = self.core.clock.now_ms();
+        log::info!(
+            "stream: id={} refused, reason=quarantine parts={} engines={} last_age_ms={} sends={}",
+            self.inbound.id_text(),
+            verdict.parts.join(","),
+            engine_names(&verdict),
+            age_ms(&verdict, now_ms),
+            self.sends,
+        );
+        metrics::counter!("requests_quarantined_total").increment(1);
+        self.fail(Failure::Quarantine { retry_after_ms });
+        true
+    }
+
     /// Handles the health check of an engine that sends no events but is alive. The engine is given more time if it
     /// works on the request and no KV cache replica allows another engine to resume quickly.
     fn on_checked(&mut self, id: AttemptId, is_working: bool) {
@@ -398,6 +454,11 @@
             AttemptError::Answered(_) | AttemptError::Lost(_) => {}
         }
         let may_have_run = matches!(err, AttemptError::Lost(_));
+        let is_cut = matches!(err, AttemptError::Lost(LossCause::Closed | LossCause::Reset));
+        if is_cut && lost.has_just_begun(now_ms) {
+            self.core.check_crash(instance, &self.inbound);
+        }
+        self.is_trial = false;
         if err.is_fault() {
             self.core.record_loss(instance);
         }
@@ -463,6 +524,7 @@
             self.events,
         );
         self.losses += 1;
+        self.is_trial = false;
         self.drop_missing_replica(true);
         // This is no loss: health checks detect dead engines, and one that is only slow does not suggest that its
         // failure domain has failed.
@@ -505,6 +567,9 @@
             self.fail(Failure::Attempts);
             return;
         }
+        if self.is_refused() {
+            return;
+        }
         let replica = self.replicator.take().filter(|replica| replica.instance.accepts_requests());
         let candidates = self.core.choose_stream_candidates(
             &self.inbound.service,
@@ -568,6 +633,9 @@
                 return;
             }
         };
+        if self.is_refused() {
+            return;
+        }
         self.wait_reason = None;
         self.sends += 1;
         self.open_sends += 1;
@@ -640,6 +708,7 @@
             (true, _) => "whole",
             (false, Some(Failure::Deadline)) => "deadline",
             (false, Some(Failure::Attempts)) => "attempts",
+            (false, Some(Failure::Quarantine { .. })) => "quarantine",
             (false, None) => "caller_gone",
         };
         let now_ms = self.core.clock.now_ms();
--- /dev/null
+++ b/crates/quarantine/src/crash.rs
@@ -0,0 +1,26 @@
+//! Report of an engine that crashed right after it began to answer.
+
+use crate::part_id::PartId;
+use base::DomainName;
+use serde::{Deserialize, Serialize};
+
+/// One run of an engine's process, which can crash only once.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CrashedEngine {
+    /// Identifier of the instance.
+    pub instance: Box<str>,
+    /// Start time of the process in milliseconds since the Unix epoch; `None` if it is not known.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// Crash of an engine, with the requests that it had just begun to answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    pub engine: CrashedEngine,
+    /// Failure domain of the engine.
+    pub domain: DomainName,
+    /// Time since the crash.
+    pub age_ms: u64,
+    /// Shared parts of the prompt of each request that the engine had just begun to answer.
+    pub suspects: Vec<Vec<PartId>>,
+}
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,30 @@
+//! Finds parts of prompts that crash the engines which answer them, from the crashes that all daemons report.
+//!
+//! The crate does no I/O and reads no clock; callers pass the current time.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod admission;
+mod change;
+mod crash;
+mod evidence;
+mod ledger;
+mod part_id;
+mod survival;
+mod verdict;
+
+pub use crate::{
+    admission::Admission,
+    change::Change,
+    crash::{Crash, CrashedEngine},
+    evidence::Evidence,
+    ledger::Ledger,
+    part_id::PartId,
+    survival::Survival,
+    verdict::Verdict,
+};
--- /dev/null
+++ b/crates/quarantine/tests/ledger.rs
@@ -0,0 +1,324 @@
+//! Tests of verdicts on parts of prompts, beside a model that knows which parts crash engines.
+
+use quarantine::{Admission, Change, Crash, CrashedEngine, Evidence, Ledger, PartId};
+use quickcheck::{Gen, QuickCheck};
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// Time after the last crash from which a trial may be sent: 10 minutes.
+const VERDICT_MS: u64 = 600_000;
+
+fn parts(ids: &[&str]) -> Vec<PartId> {
+    ids.iter().map(|&id| id.into()).collect()
+}
+
+/// Crash of the engine `number`, of the domain `number` modulo 3, that had just begun to answer the given requests.
+fn crash(number: u64, suspects: &[&[&str]]) -> Crash {
+    Crash {
+        engine: CrashedEngine {
+            instance: format!("i-{number}").into(),
+            started_unix_ms: Some(1_000 + number),
+        },
+        domain: DOMAINS[number as usize % 3].try_into().unwrap(),
+        age_ms: 0,
+        suspects: suspects.iter().map(|ids| parts(ids)).collect(),
+    }
+}
+
+/// Crash like `crash`, with `age_ms` and another domain.
+fn crash_in(number: u64, domain: &str, age_ms: u64, suspects: &[&[&str]]) -> Crash {
+    Crash { domain: domain.try_into().unwrap(), age_ms, ..crash(number, suspects) }
+}
+
+fn is_refused(ledger: &mut Ledger, ids: &[&str], now_ms: u64) -> bool {
+    matches!(ledger.admit(&parts(ids), 6, 0.5, now_ms), Admission::Refused { .. })
+}
+
+/// Returns all evidence of a ledger.
+fn all_evidence(ledger: &mut Ledger, now_ms: u64) -> Evidence {
+    ledger.evidence(1_000_000, 0, now_ms)
+}
+
+/// Guards against a part that goes on crashing engines after the fifth crash.
+#[test]
+fn a_part_is_condemned_before_the_fifth_crash_in_different_domains() {
+    let mut ledger = Ledger::default();
+    for number in 0..4 {
+        assert!(!is_refused(&mut ledger, &["s", "bad"], number * 250));
+        ledger.record_crash(crash(number, &[&["s", "bad", "x"]]), number * 250);
+    }
+    assert!(is_refused(&mut ledger, &["s", "bad", "y", "x"], 1_000));
+}
+
+/// Guards against condemning the parts that all requests share instead of the one that crashes engines.
+#[test]
+fn a_part_that_other_requests_survive_is_not_condemned() {
+    let mut ledger = Ledger::default();
+    for number in 0..6 {
+        let own = format!("x{number}");
+        ledger.record_crash(crash(number, &[&["s", "bad", &own]]), number * 250);
+    }
+    assert_eq!(ledger.verdicts()[0].parts, parts(&["bad", "s"]));
+    assert!(!is_refused(&mut ledger, &["s", "good"], 1_500), "the part `s` alone is sound");
+    ledger.record_survival(&parts(&["s", "good"]), 1_600);
+    assert_eq!(ledger.verdicts()[0].parts, parts(&["bad"]));
+    assert!(is_refused(&mut ledger, &["bad"], 1_700));
+}
+
+/// Guards against condemning a first part that two crashing parts have in common.
+#[test]
+fn two_crashing_parts_do_not_condemn_the_part_that_they_share() {
+    let mut ledger = Ledger::default();
+    for number in 0..10 {
+        let bad = if number % 2 == 0 { "bad" } else { "evil" };
+        ledger.record_crash(crash(number, &[&["s", bad]]), number * 700);
+    }
+    assert!(is_refused(&mut ledger, &["s", "bad"], 7_000));
+    assert!(is_refused(&mut ledger, &["s", "evil"], 7_000));
+    assert!(!is_refused(&mut ledger, &["s", "good"], 7_000));
+}
+
+/// Guards against condemning a popular part because a rack, a failure domain or the whole fleet fails at once.
+#[test]
+fn engines_that_fail_together_condemn_no_part() {
+    let mut ledger = Ledger::default();
+    for number in 0..36 {
+        ledger.record_crash(crash(number, &[&["s", "x"]]), 1_000 + number);
+    }
+    assert!(!is_refused(&mut ledger, &["s", "x"], 1_100));
+}
+
+/// Guards against condemning a popular part while one failure domain fails again and again and the others answer.
+#[test]
+fn a_domain_that_fails_repeatedly_condemns_no_part_that_others_answer() {
+    let mut ledger = Ledger::default();
+    for round in 0..20 {
+        let now_ms = 1_000 + round * 1_000;
+        for engine in 0..12 {
+            let crash = crash_in(round * 12 + engine, "a", 0, &[&["s", "x"]]);
+            ledger.record_crash(crash, now_ms + engine * 5);
+        }
+        assert!(!is_refused(&mut ledger, &["s"], now_ms + 100), "round {round}");
+        ledger.record_survival(&parts(&["s", "y"]), now_ms + 400);
+    }
+}
+
+/// Guards against missing a crashing part because a failure domain fails at the same time.
+#[test]
+fn a_crashing_part_is_condemned_while_a_domain_fails() {
+    let mut ledger = Ledger::default();
+    for round in 0..4 {
+        let now_ms = 1_000 + round * 400;
+        for engine in 0..12 {
+            let crash = crash_in(100 + round * 12 + engine, "a", 0, &[&["s", "x"]]);
+            ledger.record_crash(crash, now_ms);
+        }
+        let domain = if round % 2 == 0 { "b" } else { "c" };
+        ledger.record_crash(crash_in(round, domain, 0, &[&["s", "bad"]]), now_ms + 50);
+        ledger.record_survival(&parts(&["s", "x"]), now_ms + 200);
+    }
+    assert!(is_refused(&mut ledger, &["s", "bad"], 3_000));
+    assert!(!is_refused(&mut ledger, &["s", "x"], 3_000));
+}
+
+/// Guards against a verdict that lasts although the cause was removed, and against many engines lost to find out.
+#[test]
+fn one_request_tests_a_verdict_again_and_its_survival_ends_the_verdict() {
+    let mut ledger = Ledger::default();
+    for number in 0..5 {
+        ledger.record_crash(crash(number, &[&["bad"]]), number * 700);
+    }
+    let trial_ms = 2_800 + VERDICT_MS + 30_000;
+    assert!(is_refused(&mut ledger, &["bad"], trial_ms - 1));
+    assert!(matches!(ledger.admit(&parts(&["bad"]), 6, 0.5, trial_ms), Admission::Trial(_)));
+    assert!(is_refused(&mut ledger, &["bad"], trial_ms + 1), "one request is enough");
+    let mut crashed = ledger.clone();
+    crashed.record_crash(crash(9, &[&["bad"]]), trial_ms + 1_000);
+    assert!(is_refused(&mut crashed, &["bad"], trial_ms + VERDICT_MS));
+    let changes = ledger.record_survival(&parts(&["bad"]), trial_ms + 1_000);
+    assert!(matches!(changes[0], Change::Released(_)));
+    assert!(!is_refused(&mut ledger, &["bad"], trial_ms + 1_001));
+}
+
+/// Guards against a fleet whose daemons all test a verdict at the same time.
+#[test]
+fn trials_of_a_large_fleet_are_spread_over_time() {
+    let daemons = 195;
+    let mut trials = Vec::new();
+    for number in 0..daemons {
+        let mut ledger = Ledger::default();
+        for crashed in 0..4 {
+            ledger.record_crash(crash(crashed, &[&["bad"]]), crashed * 700);
+        }
+        let spread = number as f64 / daemons as f64;
+        let first_ms =
+            (VERDICT_MS / 1_000..6 * VERDICT_MS / 1_000).map(|s| s * 1_000).find(|&now_ms| {
+                matches!(
+                    ledger.admit(&parts(&["bad"]), daemons, spread, now_ms),
+                    Admission::Trial(_)
+                )
+            });
+        trials.push(first_ms.expect("each daemon sends a trial"));
+    }
+    trials.sort();
+    let in_10_s = trials.windows(4).filter(|window| window[3] - window[0] < 10_000).count();
+    assert_eq!(in_10_s, 0, "four trials within 10 s");
+}
+
+/// Guards against a memory that grows with the number of parts or crashes.
+#[test]
+fn evidence_is_bounded() {
+    let mut ledger = Ledger::default();
+    for number in 0..1_000 {
+        let own: Vec<String> = (0..8).map(|part| format!("{number}-{part}")).collect();
+        let own: Vec<&str> = own.iter().map(String::as_str).collect();
+        ledger.record_crash(crash(number, &[&own]), number * 10);
+        ledger.record_survival(&parts(&own), number * 10 + 5);
+        ledger.record_survival(&parts(&["never in a crash"]), number * 10 + 6);
+    }
+    let evidence = all_evidence(&mut ledger, 10_000);
+    assert!(evidence.crashes.len() <= 128, "{} crashes", evidence.crashes.len());
+    assert!(evidence.survivals.len() <= 128 * 8, "{} survivals", evidence.survivals.len());
+    let message = ledger.evidence(1_100, 7, 10_000);
+    let size_bytes: usize = message.crashes.iter().map(|crash| crash.suspects[0].len() * 8).sum();
+    assert!(size_bytes < 1_100, "{size_bytes} bytes of parts");
+}
+
+/// One report about a request, as the model draws it: an engine crashes on it, or survives it.
+#[derive(Clone, Copy, Debug)]
+struct Event {
+    at_ms: u64,
+    is_crash: bool,
+    is_bad: bool,
+    daemon: usize,
+}
+
+/// Draws requests of which those with the part `bad` crash their engines, those without it do not, except that a
+/// failure domain fails now and then.
+fn draw_events(g: &mut Gen, is_bad_sent: bool) -> Vec<Event> {
+    let mut events = Vec::new();
+    for at_ms in (0..12_000).step_by(150) {
+        let is_bad = is_bad_sent && u8::arbitrary_in(g, 3) == 0;
+        let is_unlucky = u8::arbitrary_in(g, 12) == 0;
+        let daemon = usize::from(u8::arbitrary_in(g, DAEMONS as u8));
+        events.push(Event { at_ms, is_crash: is_bad || is_unlucky, is_bad, daemon });
+    }
+    events
+}
+
+const DAEMONS: usize = 5;
+
+/// Longest time for which the model cuts daemons off from each other.
+const MAX_CUT_MS: u64 = 2_000;
+
+trait ArbitraryIn {
+    /// Draws a number below `end`.
+    fn arbitrary_in(g: &mut Gen, end: u8) -> u8;
+}
+
+impl ArbitraryIn for u8 {
+    fn arbitrary_in(g: &mut Gen, end: u8) -> u8 {
+        let all: Vec<u8> = (0..end).collect();
+        *g.choose(&all).unwrap_or(&0)
+    }
+}
+
+/// Plays the events at `DAEMONS` ledgers, which exchange evidence with delays, duplicates and cuts. Returns the ledgers
+/// and the time of the fifth crash on the bad part, if there were as many.
+fn play(events: &[Event], g: &mut Gen) -> (Vec<Ledger>, Option<u64>, Vec<u64>) {
+    let mut ledgers = vec![Ledger::default(); DAEMONS];
+    let mut crashes_ms = Vec::new();
+    let mut late_ms = Vec::new();
+    let mut messages: Vec<(u64, usize, Evidence)> = Vec::new();
+    let cut_from_ms = u64::from(u8::arbitrary_in(g, 100)) * 100;
+    for (number, event) in events.iter().enumerate() {
+        let now_ms = event.at_ms;
+        let own = format!("x{number}");
+        let ids = if event.is_bad { vec!["s", "bad", &own] } else { vec!["s", &own] };
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(|(at_ms, ..)| *at_ms <= now_ms);
+        messages = waiting;
+        for (_, to, evidence) in due {
+            ledgers[to].merge(evidence, now_ms);
+        }
+        if is_refused(&mut ledgers[event.daemon], &ids, now_ms) {
+            if !event.is_bad {
+                late_ms.push(u64::MAX);
+            }
+            continue;
+        }
+        if event.is_bad {
+            crashes_ms.push(now_ms);
+        }
+        match event.is_crash {
+            true => {
+                ledgers[event.daemon].record_crash(crash(number as u64, &[&ids]), now_ms);
+            }
+            false => {
+                ledgers[event.daemon].record_survival(&parts(&ids), now_ms);
+            }
+        }
+        let is_cut = (cut_from_ms..cut_from_ms + MAX_CUT_MS).contains(&now_ms);
+        for (from, ledger) in ledgers.iter_mut().enumerate() {
+            let evidence = all_evidence(ledger, now_ms);
+            for to in (0..DAEMONS).filter(|to| *to != from && !is_cut) {
+                let delay_ms = u64::from(u8::arbitrary_in(g, 10)) * 30;
+                messages.push((now_ms + delay_ms, to, evidence.clone()));
+                if u8::arbitrary_in(g, 4) == 0 {
+                    messages.push((now_ms + 2 * delay_ms, to, evidence.clone()));
+                }
+            }
+        }
+    }
+    if let Some(&fifth_ms) = crashes_ms.get(4) {
+        let late = crashes_ms.iter().filter(|&&at_ms| at_ms > fifth_ms + 3_000);
+        late_ms.extend(late);
+        return (ledgers, Some(fifth_ms), late_ms);
+    }
+    (ledgers, None, late_ms)
+}
+
+/// Guards, over drawn orders of crashes, survivals, delays, duplicates and a cut, against more than three requests with
+/// a crashing part later than 3 s after the fifth crash, and against the refusal of sound requests.
+#[test]
+fn drawn_crashes_condemn_the_crashing_part_and_no_other() {
+    for seed in 0..100 {
+        let mut g = Gen::from_size_and_seed(100, seed);
+        let events = draw_events(&mut g, true);
+        let (_, fifth_ms, late_ms) = play(&events, &mut g);
+        assert!(fifth_ms.is_some() || late_ms.is_empty(), "seed {seed}");
+        assert!(late_ms.len() <= 3, "seed {seed}: {late_ms:?}");
+        assert!(!late_ms.contains(&u64::MAX), "seed {seed}: a sound request was refused");
+    }
+}
+
+/// Guards against a verdict on sound parts, over drawn crashes that no request causes.
+#[test]
+fn drawn_crashes_without_a_cause_condemn_no_part() {
+    for seed in 0..100 {
+        let mut g = Gen::from_size_and_seed(100, seed);
+        let events = draw_events(&mut g, false);
+        let (ledgers, _, late_ms) = play(&events, &mut g);
+        assert!(late_ms.is_empty(), "seed {seed}: a sound request was refused");
+        assert!(ledgers.iter().all(|ledger| ledger.verdicts().is_empty()), "seed {seed}");
+    }
+}
+
+/// Guards against evidence that counts twice because it arrives twice, in another order or by way of another daemon.
+#[test]
+fn merged_evidence_does_not_depend_on_order_and_repetition() {
+    fn holds(order: Vec<u8>, delays: Vec<u8>) -> bool {
+        let reports: Vec<Crash> = (0..3).map(|number| crash(number, &[&["s", "bad"]])).collect();
+        let mut ledger = Ledger::default();
+        for (position, number) in order.iter().enumerate() {
+            let delay = u64::from(*delays.get(position).unwrap_or(&0));
+            let mut report = reports[usize::from(number % 3)].clone();
+            report.age_ms = 5_000;
+            let evidence = Evidence { crashes: vec![report], survivals: Vec::new() };
+            ledger.merge(evidence, 100_000 + delay);
+        }
+        // Three crashes are not enough for a verdict, however often they are reported.
+        ledger.verdicts().is_empty()
+    }
+    QuickCheck::new().quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+}
