--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -120,8 +120,7 @@
             field("left_ms"),
         );
     }
-    if let Some(line) =
-        request_lines.iter().find(|line| line.field("reason") == Some("quarantine"))
+    if let Some(line) = request_lines.iter().find(|line| line.field("reason") == Some("quarantine"))
     {
         let field = |name| line.field(name).unwrap_or("?");
         return format!(
