Keep the limits that upstreams name in their answers

The class of fault is a signal of an upstream that its callers pass on and ignore.

Each daemon that gets such an answer keeps to its share of the limit from then on: the limit divided by the number of daemons, or among as many daemons as it has requests a second. A daemon whose share is used up borrows from others, so an instance does not idle while callers are refused. What no instance can take in time is refused at once with Retry-After. Calls, retries, streams, resumed streams and those that wait for an engine pass the same check before each send.

--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -130,6 +130,16 @@
             failed_attempts(request_lines),
         );
     }
+    if let Some(line) = request_lines
+        .iter()
+        .find(|line| line.field("reason") == Some("limit") && line.text.contains("refused"))
+    {
+        let retry_after_ms = line.field("retry_after_ms").unwrap_or("?");
+        return format!(
+            "the upstreams' limits left no request for {retry_after_ms} ms ({})",
+            failed_attempts(request_lines),
+        );
+    }
     if let Some(line) = request_lines.iter().find(|line| line.component == "request") {
         return refusal_cause(line, request_lines);
     }
--- a/crates/geraniumctl/tests/explain.rs
+++ b/crates/geraniumctl/tests/explain.rs
@@ -18,6 +18,8 @@
   9.7860 front-b-1 1785784686200 INFO vm=front-b-1 call: id=b9e4ddd2 route=r-6giy outcome=caller_gone took_ms=1004
   9.8000 front-b-1 1785784685300 INFO vm=front-b-1 stream: id=5eb1a7d0 refused, reason=quarantine parts=91bd engines=i-1,i-2 last_age_ms=900 sends=0
   9.8000 front-b-1 1785784685300 INFO vm=front-b-1 request: id=5eb1a7d0 status=503 outcome=prompt_quarantined config=2
+  9.9000 front-b-1 1785784685400 INFO vm=front-b-1 call: id=11a17ed0 refused, reason=limit retry_after_ms=740
+  9.9000 front-b-1 1785784685400 INFO vm=front-b-1 request: id=11a17ed0 status=503 outcome=not_run config=2
 a line of something else id=e9a9b4d8
 ";
 
@@ -49,6 +51,10 @@
         cause("5eb1a7d0"),
         "cause: the part 91bd of its prompt crashed the engines i-1,i-2 (no attempt failed)"
     );
+    assert_eq!(
+        cause("11a17ed0"),
+        "cause: the upstreams' limits left no request for 740 ms (no attempt failed)"
+    );
     assert_eq!(cause("b9e4ddd2"), "cause: the caller left after 1004 ms (no attempt failed)");
     assert_eq!(explain("cf6aa8", LOGS), None);
 }
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -3,7 +3,9 @@
 use crate::{
     core::Core,
     instance::Instance,
+    instance_entry::InstanceId,
     kv_replica::KvReplica,
+    placement::Placement,
     probe::{is_alive, probe_all},
 };
 use base::ServiceName;
@@ -23,6 +25,8 @@
     pub retry: Option<Urgency>,
     /// Whether the attempt may wait if all probed engines are busy.
     pub may_wait: bool,
+    /// Engines that the request was sent to before.
+    pub excluded: Vec<InstanceId>,
 }
 
 /// Decision on where an attempt starts, or why it has to wait.
@@ -35,6 +39,8 @@
         replica: Option<KvReplica>,
         /// Engine that is to hold the KV cache replica of the attempt; `None` if no probed engine can.
         replica_target: Option<Arc<Instance>>,
+        /// Whether another daemon lent the request that the limit of the engine leaves no more to this daemon.
+        is_borrowed: bool,
     },
     /// The attempt cannot start yet.
     Wait {
@@ -51,6 +57,8 @@
     Busy,
     /// The retry budget is exhausted.
     Budget,
+    /// This daemon's share in the limits that the engines name is used up.
+    Limit,
     /// No probed engine responded.
     NoEngine,
 }
@@ -61,6 +69,7 @@
         match self {
             Self::Budget => "budget",
             Self::Busy => "busy",
+            Self::Limit => "limit",
             Self::NoEngine => "no_engine",
         }
     }
@@ -72,12 +81,25 @@
 /// The retry budget is checked first, because probing costs engine time as well. If the attempt has to wait after that,
 /// the withdrawn retry is refunded.
 pub(crate) async fn choose_engine(core: &Core, requirements: EngineRequirements) -> EngineChoice {
-    let EngineRequirements { service, candidates, replica, retry, may_wait } = requirements;
+    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded } =
+        requirements;
     if let Some(urgency) = retry
         && !core.withdraw(&service, urgency).await
     {
         return EngineChoice::Wait { reason: WaitReason::Budget, replica };
     }
+    let replica = replica.filter(|replica| core.allows_request(&replica.instance));
+    let placement = Placement { excluded: &excluded, ..Placement::default() };
+    if candidates.is_empty() && replica.is_none() && core.is_limited(&service, &placement) {
+        if let Some(instance) = core.borrow_instance(&service, &placement).await {
+            let (replica, replica_target) = (None, None);
+            return EngineChoice::Engine { instance, replica, replica_target, is_borrowed: true };
+        }
+        if retry.is_some() {
+            core.refund(&service);
+        }
+        return EngineChoice::Wait { reason: WaitReason::Limit, replica };
+    }
     let check_replica = async {
         match &replica {
             Some(replica) => is_alive(core, &replica.instance).await,
@@ -94,7 +116,7 @@
         Some(instance) => {
             let instance = Arc::clone(instance);
             let replica_target = probed.replica_target(&instance, &core.options.domain).cloned();
-            return EngineChoice::Engine { instance, replica, replica_target };
+            return EngineChoice::Engine { instance, replica, replica_target, is_borrowed: false };
         }
         None => WaitReason::NoEngine,
     };
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -8,6 +8,7 @@
     inbound::Inbound,
     instance::Instance,
     instance_entry::InstanceId,
+    instance_limits::InstanceLimits,
     peer_socket::PeerSocket,
     placement::Placement,
     probe::probe,
@@ -86,6 +87,8 @@
     /// Timing statistics of the streams of each service.
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<DomainLosses>,
+    /// Limits that instances name.
+    limits: InstanceLimits,
     /// Parts of prompts that crash engines.
     pub(crate) quarantine: PromptQuarantine,
     /// Time on `clock` until which more losses are expected.
@@ -102,6 +105,7 @@
         Self {
             clock: Clock::start(),
             dialect,
+            limits: InstanceLimits::default(),
             quarantine: PromptQuarantine::new(options.seed as f64 / u64::MAX as f64),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
@@ -181,11 +185,15 @@
     pub fn set_daemons(&self, daemons: Vec<SocketAddr>) {
         lock(&self.fleet_size).set(daemons.len(), self.clock.now_ms());
         metrics::gauge!("daemons_listed").set(daemons.len() as f64);
+        self.limits.set_daemons(&daemons);
         *lock(&self.daemons) = daemons;
     }
 
     /// Enables messages to other daemons, such as the borrowing of retries. Only the first call has an effect.
     pub fn set_peer_socket(&self, socket: Arc<PeerSocket>) {
+        if let Ok(addr) = socket.local_addr() {
+            self.limits.set_own(addr);
+        }
         if self.peer_socket.set(socket).is_err() {
             log::warn!("peers: the socket is already set");
         }
@@ -202,8 +210,17 @@
         let daemons = lock(&self.daemons);
         let others: Vec<SocketAddr> =
             daemons.iter().copied().filter(|addr| Some(*addr) != own).collect();
-        let picked = index::sample(&mut *lock(&self.rng), others.len(), count.min(others.len()));
-        picked.into_iter().map(|i| others[i]).collect()
+        self.sample(&others, count)
+    }
+
+    /// Peer addresses of `count` other daemons that use the limit of `instance`, picked at random.
+    pub(crate) fn random_limit_users(&self, instance: &str, count: usize) -> Vec<SocketAddr> {
+        self.sample(&self.limits.users(instance, self.fleet_size()), count)
+    }
+
+    fn sample(&self, addrs: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+        let picked = index::sample(&mut *lock(&self.rng), addrs.len(), count.min(addrs.len()));
+        picked.into_iter().map(|i| addrs[i]).collect()
     }
 
     /// Withdraws a retry from this daemon's budget for another daemon. Returns whether the budget sufficed.
@@ -244,10 +261,103 @@
         if registry.next_expiry_ms().is_some_and(|at_ms| at_ms <= now_ms) {
             registry.expire(now_ms);
         }
+        let instances = registry.of_service(service);
         let losses = lock(&self.losses);
         let domain = &self.options.domain;
         let mut rng = lock(&self.rng);
-        placement.choose(registry.of_service(service), domain, &losses, now_ms, &mut *rng)
+        if self.limits.is_empty() {
+            return placement.choose(instances, domain, &losses, now_ms, &mut *rng);
+        }
+        let daemons = self.fleet_size();
+        let is_open = |instance: &&Arc<Instance>| self.limits.allows(instance, daemons, now_ms);
+        let open: Vec<Arc<Instance>> = instances.iter().filter(is_open).cloned().collect();
+        placement.choose(&open, domain, &losses, now_ms, &mut *rng)
+    }
+
+    /// The instance of a service that meets the constraints and takes a request soonest, and the time until then; `None`
+    /// if none meets the constraints, or this daemon has no share in their limits.
+    pub(crate) fn soonest_instance(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+    ) -> Option<(Arc<Instance>, u64)> {
+        let daemons = self.fleet_size();
+        let waits = self.usable_instances(service, placement).into_iter().filter_map(|instance| {
+            let wait_ms = self.limits.wait_ms(&instance, daemons, self.clock.now_ms())?;
+            Some((instance, wait_ms))
+        });
+        waits.min_by_key(|(_, wait_ms)| *wait_ms)
+    }
+
+    /// Borrows a request from another daemon for an instance of a service whose limit leaves none to this daemon. Returns
+    /// that instance; `None` if no request was lent.
+    pub(crate) async fn borrow_instance(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+    ) -> Option<Arc<Instance>> {
+        let instances = self.usable_instances(service, placement);
+        let position = self.random_number() as usize % instances.len().max(1);
+        let instance = instances.get(position)?;
+        if !self.limits.may_borrow(instance, self.clock.now_ms()) {
+            return None;
+        }
+        let socket = self.peer_socket.get()?;
+        if socket.borrow_request(self, &instance.entry.id).await {
+            return Some(Arc::clone(instance));
+        }
+        self.limits.pause_borrowing(instance, self.clock.now_ms());
+        None
+    }
+
+    /// Whether all instances of a service that meet the constraints have used up this daemon's share in their limits.
+    pub(crate) fn is_limited(&self, service: &ServiceName, placement: &Placement<'_>) -> bool {
+        !self.limits.is_empty()
+            && self.choose_instance(service, placement).is_none()
+            && !self.usable_instances(service, placement).is_empty()
+    }
+
+    /// Instances of a service that meet the constraints, whatever their limits are.
+    fn usable_instances(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+    ) -> Vec<Arc<Instance>> {
+        let registry = lock(&self.registry);
+        let instances = registry.of_service(service).iter();
+        instances.filter(|instance| placement.is_met_by(instance)).cloned().collect()
+    }
+
+    /// Records the limit in requests per second that an answer of an instance names; `None` if it names none.
+    pub(crate) fn record_limit(&self, instance: &Instance, rate_per_s: Option<f64>) {
+        self.limits.record(instance, rate_per_s, self.fleet_size(), self.clock.now_ms());
+    }
+
+    /// Whether the limit of an instance leaves a request to this daemon.
+    pub(crate) fn allows_request(&self, instance: &Instance) -> bool {
+        self.limits.allows(instance, self.fleet_size(), self.clock.now_ms())
+    }
+
+    /// Uses up a request of this daemon's share in the limit of an instance.
+    pub(crate) fn take_request(&self, instance: &Instance) {
+        self.limits.take(instance);
+    }
+
+    /// Uses up a request of this daemon's share in the limit of an instance for another daemon. Returns whether there
+    /// was one.
+    pub(crate) fn lend_request(&self, instance: &str) -> bool {
+        self.limits.lend(instance, self.fleet_size(), self.clock.now_ms())
+    }
+
+    /// Forgets the limits of instances that are no longer listed.
+    pub(crate) fn forget_limits(&self) {
+        let registry = lock(&self.registry);
+        self.limits.retain(|id| registry.contains(id));
+    }
+
+    /// Number of daemons among which the limits of the fleet are divided.
+    fn fleet_size(&self) -> usize {
+        lock(&self.fleet_size).get(self.clock.now_ms())
     }
 
     /// Chooses `count` different instances of a service; fewer if no more of them meet the constraints.
@@ -323,9 +433,7 @@
 
     /// Withdraws a retry from this daemon's budget. Returns whether the budget sufficed.
     fn withdraw_own(&self, service: &ServiceName, urgency: Urgency) -> bool {
-        let now_ms = self.clock.now_ms();
-        let daemons = lock(&self.fleet_size).get(now_ms);
-        self.budgets.try_withdraw(service, daemons, urgency, now_ms)
+        self.budgets.try_withdraw(service, self.fleet_size(), urgency, self.clock.now_ms())
     }
 
     /// Refunds a withdrawn retry that was not sent.
@@ -381,8 +489,7 @@
             return Admission::Allowed;
         }
         let now_ms = self.clock.now_ms();
-        let daemons = lock(&self.fleet_size).get(now_ms);
-        self.quarantine.admit(&inbound.service, &inbound.shared_parts, daemons, now_ms)
+        self.quarantine.admit(&inbound.service, &inbound.shared_parts, self.fleet_size(), now_ms)
     }
 
     /// Finds out whether an engine has crashed that had just begun to answer a request, and records it if so. The loss of
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -33,6 +33,8 @@
     pub replica_to: HeaderName,
     /// Reference to the KV cache replica from which the engine resumes the request.
     pub replica_from: HeaderName,
+    /// Limit in requests per second that an upstream names for all requests that it gets.
+    pub upstream_limit: HeaderName,
     /// Parts of the request's prompt, in order.
     pub prompt_parts: HeaderName,
     /// Decodes the identifiers of the parts from the value of `prompt_parts`; empty if the value is malformed.
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -6,7 +6,7 @@
     inbound::Inbound,
     instance::Instance,
     instance_guards::InFlightGuard,
-    response_head::{ResponseClass, classify_response, keep_alive_s},
+    response_head::{ResponseClass, classify_response, keep_alive_s, named_limit_per_s},
 };
 use bytes::Bytes;
 use futures::FutureExt;
@@ -87,7 +87,11 @@
         connection.limit_framing();
         let exchange = Self { guard, status: head.status, headers: head.headers, body, connection };
         let (status, headers) = (exchange.status, &exchange.headers);
-        match classify_response(status, headers, &inbound.id, is_reused, &core.dialect) {
+        let class = classify_response(status, headers, &inbound.id, is_reused, &core.dialect);
+        if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
+            core.record_limit(&instance, named_limit_per_s(headers, &core.dialect));
+        }
+        match class {
             ResponseClass::Valid => Ok(exchange),
             ResponseClass::Misdirected => {
                 let actual = exchange.headers.get(&core.dialect.instance);
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -110,6 +110,7 @@
         }
         self.publish_daemons();
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
+        self.core.forget_limits();
     }
 
     fn on_caught_up(&mut self) {
@@ -134,6 +135,7 @@
         if have_daemons_changed {
             self.publish_daemons();
         }
+        self.core.forget_limits();
         self.core.notify_instances_changed();
     }
 
--- /dev/null
+++ b/crates/ingress/src/instance_limits.rs
@@ -0,0 +1,156 @@
+//! Limits that instances name in their answers, and this daemon's share in them.
+
+use crate::{instance::Instance, instance_entry::InstanceId};
+use base::{HashMap, lock};
+use limit::{FleetShare, UpstreamLimitChange, UpstreamLimits};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    sync::Mutex,
+};
+
+/// Time after a request could not be borrowed in which none is asked for again, so that a fleet without spare requests is
+/// not busy with asking.
+const BORROW_PAUSE_MS: u64 = 200;
+
+/// Limits of instances, with the log lines of their changes.
+#[derive(Debug, Default)]
+pub(crate) struct InstanceLimits {
+    limits: Mutex<UpstreamLimits>,
+    daemons: Mutex<Daemons>,
+    /// Instances for which no request could be borrowed, each with the time until which none is asked for.
+    borrow_pauses: Mutex<HashMap<InstanceId, u64>>,
+}
+
+/// Identifiers of the daemons, which are the same at each of them.
+#[derive(Debug, Default)]
+struct Daemons {
+    own: u64,
+    listed: Vec<u64>,
+    addrs: HashMap<u64, SocketAddr>,
+}
+
+impl InstanceLimits {
+    /// Sets the peer address of this daemon.
+    pub fn set_own(&self, addr: SocketAddr) {
+        lock(&self.daemons).own = daemon_id(addr);
+    }
+
+    /// Replaces the list of daemons, given by their peer addresses.
+    pub fn set_daemons(&self, addrs: &[SocketAddr]) {
+        let mut daemons = lock(&self.daemons);
+        daemons.listed = addrs.iter().copied().map(daemon_id).collect();
+        daemons.addrs = addrs.iter().map(|&addr| (daemon_id(addr), addr)).collect();
+    }
+
+    /// Records the limit in requests per second that an answer of the instance names; `None` if it names none.
+    pub fn record(
+        &self,
+        instance: &Instance,
+        rate_per_s: Option<f64>,
+        daemons: usize,
+        now_ms: u64,
+    ) {
+        let entry = &instance.entry;
+        let mut limits = lock(&self.limits);
+        if rate_per_s.is_none() && limits.is_empty() {
+            return;
+        }
+        let change = limits.record(&entry.id, entry.started_unix_ms, rate_per_s, now_ms);
+        let Some(change) = change else { return };
+        let known = lock(&self.daemons);
+        let share = known.share(daemons);
+        let own_per_s = |rate_per_s| share.rate_per_s(&entry.id, rate_per_s);
+        let id = &entry.id;
+        match change {
+            UpstreamLimitChange::Named { new_per_s } => {
+                log::info!(
+                    "limit: instance={id} named limit_per_s={new_per_s} share_per_s={:.3} daemons={daemons}",
+                    own_per_s(new_per_s)
+                );
+            }
+            UpstreamLimitChange::Changed { old_per_s, new_per_s } => log::info!(
+                "limit: instance={id} changed limit_per_s={new_per_s} before={old_per_s} share_per_s={:.3} \
+                 daemons={daemons}",
+                own_per_s(new_per_s)
+            ),
+            UpstreamLimitChange::Ended { old_per_s } => {
+                log::info!("limit: instance={id} ended, before={old_per_s}");
+            }
+        }
+        metrics::counter!("upstream_limit_changes_total").increment(1);
+    }
+
+    /// Forgets the limits of instances that are not in the registry.
+    pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
+        lock(&self.limits).retain(&is_listed);
+        lock(&self.borrow_pauses).retain(|instance, _| is_listed(instance));
+    }
+
+    /// Whether no instance has a limit.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.limits).is_empty()
+    }
+
+    /// Whether a request may be sent to the instance now.
+    pub fn allows(&self, instance: &Instance, daemons: usize, now_ms: u64) -> bool {
+        self.wait_ms(instance, daemons, now_ms) == Some(0)
+    }
+
+    /// Time until a request may be sent to the instance; `None` if this daemon has no share in its limit.
+    pub fn wait_ms(&self, instance: &Instance, daemons: usize, now_ms: u64) -> Option<u64> {
+        let entry = &instance.entry;
+        let mut limits = lock(&self.limits);
+        if limits.is_empty() {
+            return Some(0);
+        }
+        let known = lock(&self.daemons);
+        limits.wait_ms(&entry.id, entry.started_unix_ms, &known.share(daemons), now_ms)
+    }
+
+    /// Uses up one request of this daemon's share.
+    pub fn take(&self, instance: &Instance) {
+        lock(&self.limits).take(&instance.entry.id, instance.entry.started_unix_ms);
+    }
+
+    /// Uses up one request of this daemon's share for another daemon. Returns whether there was one.
+    pub fn lend(&self, instance: &str, daemons: usize, now_ms: u64) -> bool {
+        let mut limits = lock(&self.limits);
+        let known = lock(&self.daemons);
+        limits.lend(instance, &known.share(daemons), now_ms)
+    }
+
+    /// Peer addresses of the other daemons that use the limit of the instance; empty if it has none.
+    pub fn users(&self, instance: &str, daemons: usize) -> Vec<SocketAddr> {
+        let limits = lock(&self.limits);
+        let Some(rate_per_s) = limits.rate_per_s(instance) else { return Vec::new() };
+        let known = lock(&self.daemons);
+        let users = known.share(daemons).users(instance, rate_per_s);
+        let others = users.into_iter().filter(|&user| user != known.own);
+        others.filter_map(|user| known.addrs.get(&user).copied()).collect()
+    }
+
+    /// Whether a request for the instance may be asked for.
+    pub fn may_borrow(&self, instance: &Instance, now_ms: u64) -> bool {
+        lock(&self.borrow_pauses).get(&instance.entry.id).is_none_or(|&at_ms| at_ms <= now_ms)
+    }
+
+    /// Records that no daemon has lent a request for the instance.
+    pub fn pause_borrowing(&self, instance: &Instance, now_ms: u64) {
+        let id = InstanceId::clone(&instance.entry.id);
+        lock(&self.borrow_pauses).insert(id, now_ms + BORROW_PAUSE_MS);
+    }
+}
+
+impl Daemons {
+    fn share(&self, daemons: usize) -> FleetShare<'_> {
+        FleetShare { own: self.own, listed: &self.listed, daemons }
+    }
+}
+
+/// Identifier of the daemon with the peer address `addr`. The hasher has fixed keys, so that all daemons compute the same.
+fn daemon_id(addr: SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    addr.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,6 +31,7 @@
 mod instance;
 mod instance_entry;
 mod instance_guards;
+mod instance_limits;
 mod kv_replica;
 mod kv_replicator;
 mod peer_message;
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -31,6 +31,13 @@
     Evidence(Vec<ServiceEvidence>),
     /// Asks a daemon for its evidence, after a start.
     EvidenceRequest,
+    /// Asks to borrow one request of the daemon's share in the limit of an instance.
+    AskRequest {
+        /// Number by which the answer refers to this question.
+        number: u64,
+        /// Identifier of the instance that named the limit.
+        instance: Box<str>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -14,7 +14,7 @@
 };
 use tokio::{net::UdpSocket, sync::oneshot};
 
-/// Number of daemons that are asked for a retry, one after the other.
+/// Number of daemons that are asked for a retry or a request, one after the other.
 const MAX_ASKED_DAEMONS: usize = 3;
 
 /// Longest wait for an answer. A datagram takes about a millisecond inside the site, and a daemon too busy to answer
@@ -37,8 +37,8 @@
 
 /// UDP socket for messages between daemons.
 ///
-/// Borrows retries from other daemons when this daemon's retry budget is exhausted, and lends them retries. Exchanges
-/// evidence on prompts that crash engines.
+/// Borrows retries from other daemons when this daemon's retry budget is exhausted, and requests to an upstream when its
+/// share in the upstream's limit is used up, and lends them both. Exchanges evidence on prompts that crash engines.
 ///
 /// The loss of a failure domain affects some daemons more than others, while the retry budget holds for the whole
 /// fleet. A lent retry is withdrawn from the lender's budget, so the sum of the budgets never grows. An answer that is
@@ -126,6 +126,10 @@
                     let is_granted = core.lend_retry(&service, urgency);
                     self.send(&PeerMessage::Answer { number, is_granted }, from).await;
                 }
+                Some(PeerMessage::AskRequest { number, instance }) if core.is_peer(from) => {
+                    let is_granted = core.lend_request(&instance);
+                    self.send(&PeerMessage::Answer { number, is_granted }, from).await;
+                }
                 Some(PeerMessage::Answer { number, is_granted }) => {
                     self.on_answer(number, is_granted, from);
                 }
@@ -162,17 +166,42 @@
         service: &ServiceName,
         urgency: Urgency,
     ) -> bool {
-        for peer in core.random_peers(MAX_ASKED_DAEMONS) {
+        let ask = |number| PeerMessage::Ask { number, service: service.clone(), urgency };
+        let is_lent = self.ask(core, core.random_peers(MAX_ASKED_DAEMONS), ask).await;
+        if is_lent {
+            metrics::counter!("retry_budget_borrowed_total").increment(1);
+        }
+        is_lent
+    }
+
+    /// Asks other daemons one after the other for a request of their shares in the limit of `instance`. Returns whether
+    /// one of them lent it.
+    pub(crate) async fn borrow_request(&self, core: &Core, instance: &str) -> bool {
+        let ask = |number| PeerMessage::AskRequest { number, instance: instance.into() };
+        let users = core.random_limit_users(instance, MAX_ASKED_DAEMONS);
+        let is_lent = self.ask(core, users, ask).await;
+        if is_lent {
+            metrics::counter!("upstream_limit_borrowed_total").increment(1);
+        }
+        is_lent
+    }
+
+    /// Sends the question that `ask` creates for a number to `peers`, one after the other, until one grants it.
+    async fn ask(
+        &self,
+        core: &Core,
+        peers: Vec<SocketAddr>,
+        ask: impl Fn(u64) -> PeerMessage,
+    ) -> bool {
+        for peer in peers {
             let number = core.random_number();
             let (sender, receiver) = oneshot::channel();
             self.pending().insert(number, Question { asked: peer, sender });
-            let ask = PeerMessage::Ask { number, service: service.clone(), urgency };
-            self.send(&ask, peer).await;
+            self.send(&ask(number), peer).await;
             let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
             let is_granted = matches!(tokio::time::timeout(timeout, receiver).await, Ok(Ok(true)));
             self.pending().remove(&number);
             if is_granted {
-                metrics::counter!("retry_budget_borrowed_total").increment(1);
                 return true;
             }
         }
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -33,14 +33,8 @@
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<Arc<Instance>> {
-        let is_usable = |instance: &Instance| {
-            instance.accepts_requests()
-                && !self.excluded.contains(&instance.entry.id)
-                && self.excluded_domain != Some(&instance.entry.domain)
-                && self.required_domain.is_none_or(|domain| *domain == instance.entry.domain)
-        };
         let mut usable: Vec<&Arc<Instance>> =
-            instances.iter().filter(|instance| is_usable(instance)).collect();
+            instances.iter().filter(|instance| self.is_met_by(instance)).collect();
         prefer(&mut usable, |instance| !losses.has_failed(&instance.entry.domain, now_ms));
         prefer(&mut usable, |instance| !instance.has_failed_recently(now_ms));
         let candidates: Vec<Candidate> =
@@ -51,6 +45,14 @@
 }
 
 impl Placement<'_> {
+    /// Whether an instance takes requests and meets the constraints.
+    pub fn is_met_by(&self, instance: &Instance) -> bool {
+        instance.accepts_requests()
+            && !self.excluded.contains(&instance.entry.id)
+            && self.excluded_domain != Some(&instance.entry.domain)
+            && self.required_domain.is_none_or(|domain| *domain == instance.entry.domain)
+    }
+
     /// Describes an instance for the routing policy. The load is that of this daemon's requests alone.
     fn candidate(&self, instance: &Instance, own_domain: &DomainName, now_ms: u64) -> Candidate {
         let in_flight = instance.in_flight();
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -48,6 +48,11 @@
         self.instances.len()
     }
 
+    /// Whether the instance `id` is listed, or kept for the grace period.
+    pub fn contains(&self, id: &str) -> bool {
+        self.instances.contains_key(id)
+    }
+
     /// Whether no instance is listed.
     pub fn is_empty(&self) -> bool {
         self.instances.is_empty()
--- a/crates/ingress/src/response_head.rs
+++ b/crates/ingress/src/response_head.rs
@@ -61,6 +61,12 @@
     forwarded
 }
 
+/// Limit in requests per second that the upstream names; `None` if it names none, or a number that is no rate.
+pub(crate) fn named_limit_per_s(headers: &HeaderMap, dialect: &Dialect) -> Option<f64> {
+    let value = headers.get(&dialect.upstream_limit)?.to_str().ok()?;
+    value.trim().parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
+}
+
 /// Seconds for which the upstream keeps the connection open while idle: 0 if it closes the connection after this
 /// response, `None` if it states nothing.
 pub(crate) fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -16,6 +16,10 @@
 /// Multiple of the target latency after which an idempotent call is retried at another instance.
 const RETRY_LATENCY_FACTOR: u64 = 3;
 
+/// Part of the time until the target latency that a call may wait for the share in a limit, as a divisor. The rest is for
+/// the upstream.
+const IN_TIME_WAIT_DIVISOR: u64 = 2;
+
 /// Outcome of sending a call to one instance.
 enum Outcome {
     /// A valid response arrived, possibly with an error status.
@@ -57,15 +61,22 @@
         let placement =
             Placement { excluded: &excluded, prefers_local: true, ..Placement::default() };
         let left_ms = inbound.left_ms(core.clock.now_ms());
-        let instance = core.choose_instance(&inbound.service, &placement).filter(|_| left_ms > 0);
+        let chosen = match left_ms {
+            0 => Err(core.call_retry_after_ms()),
+            _ => choose(core, inbound, &placement).await,
+        };
         let is_retry = !excluded.is_empty();
-        let Some(instance) = instance else {
-            return give_up(core, inbound, call, error_response);
+        let instance = match chosen {
+            Ok(instance) => instance,
+            Err(retry_after_ms) => {
+                return give_up(core, inbound, call, error_response, retry_after_ms);
+            }
         };
         let is_in_time = core.clock.now_ms() < inbound.arrived_ms + inbound.target_latency_ms;
         let urgency = if is_in_time { Urgency::Urgent } else { Urgency::Late };
         if is_retry && !core.withdraw(&inbound.service, urgency).await {
-            return give_up(core, inbound, call, error_response);
+            let retry_after_ms = core.call_retry_after_ms();
+            return give_up(core, inbound, call, error_response, retry_after_ms);
         }
         excluded.push(Arc::clone(&instance.entry.id));
         let sent = call.send();
@@ -89,7 +100,10 @@
             Outcome::Failed(AttemptError::Misdirected) => sent.refused(),
             Outcome::Failed(AttemptError::Refused(_)) => match sent.refused().retry() {
                 Ok(call) => call,
-                Err(call) => return give_up(core, inbound, call, error_response),
+                Err(call) => {
+                    let retry_after_ms = core.call_retry_after_ms();
+                    return give_up(core, inbound, call, error_response, retry_after_ms);
+                }
             },
             lost @ (Outcome::Answered(_)
             | Outcome::Failed(AttemptError::Answered(_) | AttemptError::Lost(_))
@@ -106,7 +120,52 @@
     }
 }
 
-/// Ends a call that is not retried.
+/// Chooses an instance and uses up a request of this daemon's share in its limit, if it has one. If all instances have
+/// used up theirs, the call waits for the next one as long as it can still be answered in time, or borrows one from
+/// another daemon.
+///
+/// # Errors
+///
+/// The time in milliseconds after which the caller may retry, if there is no such instance.
+async fn choose(
+    core: &Core,
+    inbound: &Inbound,
+    placement: &Placement<'_>,
+) -> Result<Arc<Instance>, u64> {
+    let service = &inbound.service;
+    if let Some(instance) = core.choose_instance(service, placement) {
+        core.take_request(&instance);
+        return Ok(instance);
+    }
+    if !core.is_limited(service, placement) {
+        return Err(core.call_retry_after_ms());
+    }
+    let target_ms = inbound.arrived_ms + inbound.target_latency_ms;
+    let max_wait_ms = target_ms.saturating_sub(core.clock.now_ms()) / IN_TIME_WAIT_DIVISOR;
+    let soonest = core.soonest_instance(service, placement);
+    if let Some((instance, wait_ms)) = &soonest
+        && *wait_ms <= max_wait_ms
+    {
+        core.take_request(instance);
+        tokio::time::sleep(Duration::from_millis(*wait_ms)).await;
+        if instance.accepts_requests() {
+            return Ok(Arc::clone(instance));
+        }
+    }
+    if let Some(instance) = core.borrow_instance(service, placement).await {
+        return Ok(instance);
+    }
+    let wait_ms = soonest.map_or(0, |(_, wait_ms)| wait_ms);
+    let retry_after_ms = wait_ms + core.call_retry_after_ms();
+    log::info!(
+        "call: id={} refused, reason=limit retry_after_ms={retry_after_ms}",
+        inbound.id_text()
+    );
+    metrics::counter!("requests_limited_total").increment(1);
+    Err(retry_after_ms)
+}
+
+/// Ends a call that is not retried. A caller whose call has not run may retry after `retry_after_ms`.
 ///
 /// # Errors
 ///
@@ -116,10 +175,11 @@
     inbound: &Inbound,
     call: Call<Unsent>,
     error_response: Option<BufferedResponse>,
+    retry_after_ms: u64,
 ) -> Result<Response<ResponseBody>, CallerError> {
     let closed: Result<_, Call<Unknown>> = call.close();
     match closed {
-        Ok(_) => Err(CallerError::Busy(core.call_retry_after_ms())),
+        Ok(_) => Err(CallerError::Busy(retry_after_ms)),
         Err(_) => outcome_unknown(core, inbound, error_response),
     }
 }
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -15,6 +15,7 @@
     instance_entry::InstanceId,
     kv_replica::{KvReplica, KvReplicaOrigin},
     kv_replicator::KvReplicator,
+    placement::Placement,
     prompt_quarantine::{age_ms, engine_names},
     response_head::forwarded_headers,
     route_kind::RouteKind,
@@ -65,6 +66,8 @@
     Deadline,
     /// No attempt is left, or no further one is allowed.
     Attempts,
+    /// The limits that the engines name leave no request to this daemon in time.
+    Limit { retry_after_ms: u64 },
     /// A part of the prompt crashes engines. Requests with it are sent again after the given time.
     Quarantine { retry_after_ms: u64 },
 }
@@ -198,10 +201,11 @@
         let may_have_run = self.open_sends > 0;
         match failure {
             Failure::Quarantine { .. } if may_have_run => CallerError::PromptCrashed,
+            Failure::Limit { retry_after_ms } if !may_have_run => CallerError::Busy(retry_after_ms),
             Failure::Quarantine { retry_after_ms } => CallerError::Quarantined(retry_after_ms),
             _ if !may_have_run => CallerError::Busy(self.core.stream_retry_after_ms()),
             Failure::Deadline => CallerError::TimedOut,
-            Failure::Attempts => CallerError::OutcomeUnknown,
+            Failure::Attempts | Failure::Limit { .. } => CallerError::OutcomeUnknown,
         }
     }
 
@@ -584,6 +588,7 @@
             retry: (self.sends > 0).then(|| self.urgency(replica.is_some(), now_ms)),
             may_wait: now_ms < self.last_release_ms + MAX_BUSY_WAIT_MS,
             replica,
+            excluded: self.excluded.clone(),
         };
         let choosing = async move { choose_engine(&core, requirements).await };
         self.attempts.push(Attempt::choosing(id, choosing.boxed(), now_ms));
@@ -619,17 +624,22 @@
     fn on_chosen(&mut self, position: usize, choice: EngineChoice) {
         let id = self.attempts[position].id;
         let (instance, replica, replica_target) = match choice {
-            EngineChoice::Engine { instance, replica, replica_target } => {
+            EngineChoice::Engine { instance, replica, replica_target, is_borrowed } => {
+                if !is_borrowed && !self.core.allows_request(&instance) {
+                    // Another request has used up the share in the limit meanwhile.
+                    if self.sends > 0 {
+                        self.core.refund(&self.inbound.service);
+                    }
+                    self.wait_for_engine(position, WaitReason::Limit, replica);
+                    return;
+                }
+                if !is_borrowed {
+                    self.core.take_request(&instance);
+                }
                 (instance, replica, replica_target)
             }
             EngineChoice::Wait { reason, replica } => {
-                if self.wait_reason.replace(reason) != Some(reason) {
-                    let id = self.inbound.id_text();
-                    log::info!("stream: id={id} waits, reason={}", reason.as_str());
-                }
-                self.replicator.set(replica);
-                self.attempts.swap_remove(position);
-                self.input(Input::NoUpstream { attempt: id });
+                self.wait_for_engine(position, reason, replica);
                 return;
             }
         };
@@ -666,6 +676,35 @@
         self.input(Input::Sent { attempt: id });
     }
 
+    /// Ends an attempt that cannot start yet. The state machine starts the next one after a pause, unless the limits of
+    /// the engines leave no request to this daemon before the first event would be late.
+    fn wait_for_engine(&mut self, position: usize, reason: WaitReason, replica: Option<KvReplica>) {
+        let id = self.attempts[position].id;
+        if reason == WaitReason::Limit && self.sends == 0 {
+            let placement = Placement { excluded: &self.excluded, ..Placement::default() };
+            let soonest = self.core.soonest_instance(&self.inbound.service, &placement);
+            let wait_ms = soonest.map(|(_, wait_ms)| wait_ms);
+            let latest_ms = (self.inbound.arrived_ms + self.inbound.target_latency_ms)
+                .saturating_sub(PREFILL_MS);
+            if wait_ms.is_none_or(|wait_ms| self.core.clock.now_ms() + wait_ms > latest_ms) {
+                let retry_after_ms = wait_ms.unwrap_or(0) + self.core.stream_retry_after_ms();
+                log::info!(
+                    "stream: id={} refused, reason=limit retry_after_ms={retry_after_ms}",
+                    self.inbound.id_text()
+                );
+                metrics::counter!("requests_limited_total").increment(1);
+                self.fail(Failure::Limit { retry_after_ms });
+                return;
+            }
+        }
+        if self.wait_reason.replace(reason) != Some(reason) {
+            log::info!("stream: id={} waits, reason={}", self.inbound.id_text(), reason.as_str());
+        }
+        self.replicator.set(replica);
+        self.attempts.swap_remove(position);
+        self.input(Input::NoUpstream { attempt: id });
+    }
+
     /// Records the KV cache replica that the attempt is to create at `replica_target`, and returns the additional
     /// headers of its request: after which event the stream resumes, from which replica, and to which engine the KV
     /// cache is replicated.
@@ -708,6 +747,7 @@
             (true, _) => "whole",
             (false, Some(Failure::Deadline)) => "deadline",
             (false, Some(Failure::Attempts)) => "attempts",
+            (false, Some(Failure::Limit { .. })) => "limit",
             (false, Some(Failure::Quarantine { .. })) => "quarantine",
             (false, None) => "caller_gone",
         };
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,4 +1,4 @@
-//! Admission control: rate limits of client accounts, bounded queues with deadlines, and retry budgets.
+//! Admission control: rate limits of client accounts and of upstreams, bounded queues with deadlines, and retry budgets.
 //!
 //! An entry is a process that accepts client requests. A client account may use all entries at the same time, so its
 //! rate limit is shared among them. The crate does no I/O and reads no clock; callers pass the current time.
@@ -17,10 +17,13 @@
 mod admission_queue_limits;
 mod class;
 mod demand_rate;
+mod fleet_share;
 mod peer_demand;
 mod retry_budget;
 mod retry_budgets;
 mod token_bucket;
+mod upstream_limit_change;
+mod upstream_limits;
 mod usage_digest;
 
 pub use crate::{
@@ -30,7 +33,10 @@
     admission_queue::AdmissionQueue,
     admission_queue_limits::AdmissionQueueLimits,
     class::Class,
+    fleet_share::FleetShare,
     retry_budget::{RetryBudget, RetryBudgetLimits, Urgency},
     retry_budgets::RetryBudgets,
+    upstream_limit_change::UpstreamLimitChange,
+    upstream_limits::UpstreamLimits,
     usage_digest::UsageDigest,
 };
