--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -233,7 +233,10 @@
                     match ready!(exchange.poll_data(cx)) {
                         Some(Ok(data)) => splitter.push(&data),
                         Some(Err(err)) => return Poll::Ready(Step::Failed(err)),
-                        None if splitter.has_partial() => {
+                        // The end of a connection without an event does not show that the answer is complete.
+                        None if splitter.has_partial()
+                            || !self.has_event && exchange.ends_with_connection() =>
+                        {
                             return Poll::Ready(lost(LossCause::Closed));
                         }
                         None => return Poll::Ready(Step::End),
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::{
     HeaderMap, Request, StatusCode,
     body::Incoming,
-    header::{HeaderName, HeaderValue},
+    header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
 use recovery::LossCause;
 use std::{
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Whether the body has neither a length nor chunks, so that it ends with the connection.
+    pub fn ends_with_connection(&self) -> bool {
+        !self.headers.contains_key(CONTENT_LENGTH) && !self.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Polls for the next chunk of the body; `None` at its end.
     ///
     /// # Errors
