Play crashing parts and named limits in the soak

An episode begins with the fourth fault of each soak and at random later: all engines crash on a new part of a prompt, which some streams have, and one instance of the desk names 6 requests/s, while failure domains crash, instances drain and the configuration changes. Checked are the requests with the part later than 3 s after the fifth crash (3) and the requests of the limited instance in 4 s (41).

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -38,6 +38,8 @@
     /// Addresses of all daemons for client requests.
     pub entry_addrs: Vec<SocketAddr>,
     pub findings: Arc<Mutex<Findings>>,
+    /// Part of a prompt that some of the streams get; `None` outside of an episode.
+    pub crashing_part: Arc<Mutex<Option<String>>>,
     /// Set to true when the soak ends.
     pub is_stopped: Arc<AtomicBool>,
 }
@@ -51,6 +53,9 @@
             request_number += 1;
             let id = format!("c{}-{request_number}", self.number);
             match rng.random_range(0..4) {
+                0 if rng.random_bool(0.3) && lock(&self.crashing_part).is_some() => {
+                    self.send_crashing_stream(&id, &mut rng).await;
+                }
                 0 => self.read_stream(&id, &mut rng).await,
                 1 => self.send_call(&id, "GET", "/read/x", &mut rng).await,
                 _ => self.send_call(&id, "POST", "/book/x", &mut rng).await,
@@ -70,12 +75,36 @@
     ) -> Option<Reply> {
         let entry_addr = self.entry_addrs[rng.random_range(0..self.entry_addrs.len())];
         let last_event_id = last_event.map(|event| event.to_string());
-        let mut headers = vec![("Credential", "key-1"), ("Deadline-Remaining", "9000")];
+        let prompt = format!("50:200,{}:300,{id}:4000", self.number);
+        let mut headers = vec![
+            ("Credential", "key-1"),
+            ("Deadline-Remaining", "9000"),
+            ("Prompt-Prefix", prompt.as_str()),
+        ];
         headers.extend(last_event_id.as_deref().map(|event| ("Last-Event-Id", event)));
         let reply = call_with(entry_addr, method, path, id, &headers);
         tokio::time::timeout(RESPONSE_TIMEOUT, reply).await.ok().flatten()
     }
 
+    /// Sends a stream whose prompt crashes engines. Only a refusal or a failure can be the response.
+    async fn send_crashing_stream(&self, id: &str, rng: &mut SmallRng) {
+        let Some(part) = lock(&self.crashing_part).clone() else { return };
+        let entry_addr = self.entry_addrs[rng.random_range(0..self.entry_addrs.len())];
+        let prompt = format!("50:200,{part}:300,{id}:4000");
+        let headers = [
+            ("Credential", "key-1"),
+            ("Deadline-Remaining", "9000"),
+            ("Prompt-Prefix", prompt.as_str()),
+        ];
+        let reply = call_with(entry_addr, "POST", "/long/x", id, &headers);
+        let reply = tokio::time::timeout(RESPONSE_TIMEOUT, reply).await.ok().flatten();
+        let mut findings = lock(&self.findings);
+        if reply.is_some_and(|reply| reply.status == 503 && reply.is_complete) {
+            findings.report.refused += 1;
+            findings.checks.refused.push(id.to_owned());
+        }
+    }
+
     /// Sends a call to a plain service and records its response.
     async fn send_call(&self, id: &str, method: &str, path: &str, rng: &mut SmallRng) {
         let reply = self.send(method, path, id, None, rng).await;
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -14,6 +14,22 @@
 /// lasts.
 const MAX_FAULT_MS: u64 = 2_500;
 
+/// Fault that begins an episode: engines crash on one part of a prompt, and an upstream names a limit.
+const EPISODE: u32 = 12;
+
+/// Number of the fault that is always an episode, so that each soak has one.
+const FIRST_EPISODE: u64 = 4;
+
+/// Length of an episode.
+const EPISODE_TIME: Duration = Duration::from_secs(9);
+
+/// Time without faults before an episode, in which the daemons find each other and the upstreams again.
+const CONTACT_TIME: Duration = Duration::from_secs(6);
+
+/// Faults that are injected during an episode: reloads, changes of the configuration, and the loss of engines, which
+/// could be mistaken for crashes on a part.
+const EPISODE_FAULTS: [u32; 4] = [3, 6, 7, 8];
+
 /// Injects one random fault after another. Faults with a duration overlap, because each of them ends at its own time.
 pub(crate) struct FaultInjector {
     pub rng: SmallRng,
@@ -23,12 +39,20 @@
     daemon_resumes: Vec<(usize, Instant)>,
     /// Time at which the store is up again; `None` if it is up.
     store_restore_at: Option<Instant>,
+    /// End of the current episode; `None` if there is none.
+    episode_end: Option<Instant>,
 }
 
 impl FaultInjector {
     /// Creates an injector that draws its faults from `rng`.
     pub fn new(rng: SmallRng) -> Self {
-        Self { rng, count: 0, daemon_resumes: Vec::new(), store_restore_at: None }
+        Self {
+            rng,
+            count: 0,
+            daemon_resumes: Vec::new(),
+            store_restore_at: None,
+            episode_end: None,
+        }
     }
 
     /// Injects one fault, waits for a random pause, ends the faults that are due, and restarts daemons whose process
@@ -40,7 +64,13 @@
     ) -> Result<(), SoakError> {
         self.count += 1;
         let daemon = self.rng.random_range(0..daemons.len());
-        match self.rng.random_range(0..12) {
+        // The daemons of an episode are in contact with each other and with the upstreams all the time.
+        let fault = match self.episode_end {
+            Some(_) => EPISODE_FAULTS[self.rng.random_range(0..EPISODE_FAULTS.len())],
+            None if self.count == FIRST_EPISODE => EPISODE,
+            None => self.rng.random_range(0..=EPISODE),
+        };
+        match fault {
             0 => daemons[daemon].kill(),
             1 => daemons[daemon].signal(Signal::TERM),
             2 => {
@@ -61,8 +91,16 @@
                 let end = self.random_end();
                 environment.inject_proxy_fault(&mut self.rng, end);
             }
+            EPISODE => {
+                self.end_all(environment, daemons)?;
+                tokio::time::sleep(CONTACT_TIME).await;
+                self.end_due_faults(environment, daemons)?;
+                environment.begin_episode(&mut self.rng);
+                self.episode_end = Some(Instant::now() + EPISODE_TIME);
+            }
             _ => environment.inject_upstream_faults(&mut self.rng),
         }
+        environment.update_registry();
         let pause_ms = self.rng.random_range(FAULT_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         self.end_due_faults(environment, daemons)
@@ -75,6 +113,7 @@
         daemons: &mut [DaemonProcess],
     ) -> Result<(), SoakError> {
         self.store_restore_at = Some(Instant::now());
+        self.episode_end = self.episode_end.map(|_| Instant::now());
         environment.end_proxy_faults();
         for (_, at) in &mut self.daemon_resumes {
             *at = Instant::now();
@@ -94,6 +133,11 @@
         daemons: &mut [DaemonProcess],
     ) -> Result<(), SoakError> {
         let now = Instant::now();
+        if self.episode_end.is_some_and(|at| at <= now) {
+            self.episode_end = None;
+            environment.end_episode();
+        }
+        environment.update_registry();
         environment.end_due_proxy_faults(now);
         if self.store_restore_at.is_some_and(|at| at <= now) {
             self.store_restore_at = None;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -64,6 +64,7 @@
             seed: cli.seed,
             entry_addrs: entry_addrs.clone(),
             findings: Arc::clone(&findings),
+            crashing_part: Arc::clone(&environment.crashing_part),
             is_stopped: Arc::clone(&is_stopped),
         })
         .map(|client| tokio::spawn(client.run()))
@@ -91,6 +92,8 @@
     let found = lock(&findings);
     let mut report = found.report.clone();
     report.faults = faults.count;
+    environment.end_episode();
+    report.violations.append(&mut environment.violations);
     report.check_executions(&found.checks, &environment.count_executions());
     if !has_recovered {
         report.violations.push("requests are not served again after the last fault".to_owned());
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -3,11 +3,28 @@
 use platform_stand::{Behaviour, FakeStore, FakeUpstream, config};
 use rand::{Rng, RngExt};
 use stand::{Direction, Proxy, ProxyFault, ProxySettings};
-use std::{io::Result as IoResult, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    io::Result as IoResult,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 /// Names of the failure domains.
 pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
+/// Limit that an upstream names during an episode, in requests per second.
+const LIMIT_PER_S: f64 = 6.0;
+
+/// Length of the windows in which requests are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after which the daemons must know of five crashes or of a limit: the users' `contact_ms`.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Number of requests with a part that may reach engines later than `CONTACT` after the fifth crash on it.
+const MAX_LATE_REQUESTS: usize = 3;
+
 /// Number of engines in each failure domain.
 const ENGINES_PER_DOMAIN: usize = 3;
 
@@ -26,6 +43,21 @@
     config_version: u64,
     /// Number of upstreams started so far, part of their ids.
     started_upstreams: u64,
+    /// Current episode; `None` if there is none.
+    episode: Option<Episode>,
+    /// Number of episodes so far.
+    episodes: u64,
+    /// Part of a prompt on which engines crash, which clients add to some of their requests.
+    pub crashing_part: Arc<Mutex<Option<String>>>,
+    /// Descriptions of the guarantees that were violated during episodes.
+    pub violations: Vec<String>,
+}
+
+/// Time in which engines crash on one part of a prompt, and one upstream names a limit.
+struct Episode {
+    part: String,
+    began: Instant,
+    limited: String,
 }
 
 /// Upstream with its proxy, its service and its failure domain.
@@ -35,6 +67,8 @@
     proxy: Arc<Proxy>,
     service: &'static str,
     domain: &'static str,
+    /// Number of crashes before the start that the registry entry states.
+    registered_crashes: usize,
 }
 
 impl TestEnvironment {
@@ -49,6 +83,10 @@
             proxy_faults: Vec::new(),
             config_version: 0,
             started_upstreams: 0,
+            episode: None,
+            episodes: 0,
+            crashing_part: Arc::default(),
+            violations: Vec::new(),
         };
         environment.change_config();
         for domain in DOMAINS {
@@ -74,7 +112,10 @@
         let upstream =
             FakeUpstream::start(&format!("{service}-{domain}-{}", self.started_upstreams)).await;
         let proxy = Arc::new(Proxy::start(ProxySettings::new(upstream.addr)).await?);
-        let proxied = ProxiedUpstream { upstream, proxy, service, domain };
+        if let Some(episode) = self.episode.as_ref().filter(|_| service == "engines") {
+            upstream.crash_on_part(Some(&episode.part));
+        }
+        let proxied = ProxiedUpstream { upstream, proxy, service, domain, registered_crashes: 0 };
         self.store.put(&proxied.key(), &proxied.registry_entry("ready"));
         self.upstreams.push(proxied);
         Ok(())
@@ -120,6 +161,78 @@
         }
     }
 
+    /// Begins an episode: from now on engines crash on a new part, and one instance of the desk names a limit.
+    pub fn begin_episode(&mut self, rng: &mut impl Rng) {
+        self.episodes += 1;
+        let part = format!("bad{}", self.episodes);
+        for proxied in self.upstreams.iter().filter(|proxied| proxied.service == "engines") {
+            proxied.upstream.crash_on_part(Some(&part));
+        }
+        let desks: Vec<_> =
+            self.upstreams.iter().filter(|proxied| proxied.service == "desk").collect();
+        let limited = desks[rng.random_range(0..desks.len())];
+        limited.upstream.name_limit(Some(LIMIT_PER_S));
+        *self.crashing_part.lock().unwrap() = Some(part.clone());
+        let limited = limited.upstream.id.clone();
+        self.episode = Some(Episode { part, began: Instant::now(), limited });
+    }
+
+    /// Ends the episode, and checks how many requests with the part reached engines and how many the limited upstream
+    /// got.
+    pub fn end_episode(&mut self) {
+        let Some(episode) = self.episode.take() else { return };
+        *self.crashing_part.lock().unwrap() = None;
+        let all = || self.upstreams.iter().chain(&self.removed_upstreams);
+        let mut crashes: Vec<Instant> = all().flat_map(|p| p.upstream.crashes()).collect();
+        crashes.retain(|at| *at >= episode.began);
+        crashes.sort();
+        let has_part = |prompt: Option<&str>| prompt.is_some_and(|p| p.contains(&episode.part));
+        if let Some(fifth) = crashes.get(4) {
+            let late = all().flat_map(|p| p.upstream.received()).filter(|request| {
+                request.at > *fifth + CONTACT && has_part(request.header("prompt-prefix"))
+            });
+            let late = late.count();
+            if late > MAX_LATE_REQUESTS {
+                self.violations.push(format!(
+                    "{late} requests with the part {} reached engines after the fifth crash",
+                    episode.part
+                ));
+            }
+        }
+        let limited = all().find(|proxied| proxied.upstream.id == episode.limited);
+        let times: Vec<Instant> = limited
+            .map(|proxied| proxied.upstream.received().iter().map(|request| request.at).collect())
+            .unwrap_or_default();
+        for &start in times.iter().filter(|at| **at >= episode.began + CONTACT) {
+            let in_window = times.iter().filter(|at| **at >= start && **at < start + LIMIT_WINDOW);
+            let count = in_window.count();
+            let allowed = 1.5 * LIMIT_WINDOW.as_secs_f64() * LIMIT_PER_S + 5.0;
+            if count as f64 > allowed {
+                self.violations.push(format!(
+                    "{} got {count} requests in 4 s, allowed {allowed}",
+                    episode.limited
+                ));
+                break;
+            }
+        }
+        for proxied in all() {
+            proxied.upstream.crash_on_part(None);
+            proxied.upstream.name_limit(None);
+        }
+    }
+
+    /// Writes the registry entries of upstreams that have crashed and started again since they were last written.
+    pub fn update_registry(&mut self) {
+        for position in 0..self.upstreams.len() {
+            let proxied = &mut self.upstreams[position];
+            let crashes = proxied.upstream.crashes().len();
+            if crashes != proxied.registered_crashes {
+                proxied.registered_crashes = crashes;
+                self.store.put(&proxied.key(), &proxied.registry_entry("ready"));
+            }
+        }
+    }
+
     /// Writes a newer version of the configuration.
     pub fn change_config(&mut self) {
         self.config_version += 1 + self.config_version % 3;
--- a/crates/upstream/tests/bad_streams.rs
+++ b/crates/upstream/tests/bad_streams.rs
@@ -85,6 +85,25 @@
     assert!(matches!(stream.next().await, Err(EngineError::Decode(_))));
 }
 
+/// Guards against an answer that is taken for a complete one because it ends with its connection.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_before_the_finish_event_is_cut_off() {
+    let half = &FINISH[..FINISH.len() / 2];
+    for tail in ["", half] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let answer = format!("{HEAD}{}{tail}", token(0, "a"));
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 4096]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        });
+        let mut stream = EnginePool::default().open(addr, &request()).await.unwrap();
+        assert!(matches!(stream.next().await, Ok(EngineEvent::Token { index: 0, .. })));
+        assert!(matches!(stream.next().await, Err(EngineError::Closed)));
+    }
+}
+
 /// A connection returns to the pool only after the rest of its stream has been read, which may never end.
 #[tokio::test]
 async fn a_finished_stream_that_never_ends_is_closed() {
