--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -322,3 +322,48 @@
     }
     QuickCheck::new().quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
 }
+
+/// Guards against evidence that reaches a large fleet late, or takes more than a small part of the 13 KB that a daemon may
+/// receive in a second.
+#[test]
+fn evidence_reaches_195_daemons_soon_and_in_few_bytes() {
+    const FLEET: usize = 195;
+    const ROUND_MS: u64 = 20;
+    let mut g = Gen::from_size_and_seed(100, 1);
+    let mut draw = || usize::from(u8::arbitrary_in(&mut g, FLEET as u8));
+    let mut ledgers = vec![Ledger::default(); FLEET];
+    let mut received_bytes = vec![0; FLEET];
+    let mut known_ms = None;
+    for round in 0..100 {
+        let now_ms = 100_000 + round * ROUND_MS;
+        // Ten crashes in the first second, at ten daemons.
+        if round.is_multiple_of(5) && round < 50 {
+            let number = round / 5;
+            ledgers[draw()].record_crash(crash(number, &[&["s", "bad", "x"]]), now_ms);
+        }
+        for from in 0..FLEET {
+            // New evidence goes to four daemons at once, and known evidence to one each 500 ms.
+            let is_repeat = (from as u64 + round).is_multiple_of(25);
+            let fanout = match (ledgers[from].has_unsent(), is_repeat) {
+                (true, _) => 4,
+                (false, true) => 1,
+                (false, false) => continue,
+            };
+            let evidence = ledgers[from].evidence(1_100, draw(), now_ms);
+            let size_bytes = postcard::to_allocvec(&evidence).unwrap().len();
+            for _ in 0..fanout {
+                let to = draw();
+                received_bytes[to] += size_bytes;
+                ledgers[to].merge(evidence.clone(), now_ms);
+            }
+        }
+        let knows = |ledger: &Ledger| !ledger.verdicts().is_empty();
+        if known_ms.is_none() && ledgers.iter().all(knows) {
+            known_ms = Some(round * ROUND_MS);
+        }
+    }
+    let most_bytes = received_bytes.iter().max().unwrap() / 2;
+    println!("known_ms={known_ms:?} most_bytes_per_s={most_bytes}");
+    assert!(known_ms.is_some(), "a daemon does not know the part 1.6 s after the fifth crash");
+    assert!(most_bytes <= 13_000, "{most_bytes} bytes/s");
+}
