Test verdicts soon again while engines survive no request at all

Engines that crash on any request, as after a faulty release, would condemn the parts that most requests share for ten minutes, although the parts are sound. A verdict now notes whether engines survived other requests since the first of its crashes. Without that contrast the first trial comes after 5 s, and one a second in the fleet. engines_that_crash_on_any_request_are_tried_again_soon guards against it.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -524,9 +524,6 @@
 
     /// Records that an engine answers a request without a crash.
     pub(crate) fn record_survival(&self, inbound: &Inbound) {
-        if inbound.shared_parts.is_empty() {
-            return;
-        }
         let now_ms = self.clock.now_ms();
         if self.quarantine.record_survival(&inbound.service, &inbound.shared_parts, now_ms) {
             self.notify_instances_changed();
--- a/crates/ingress/src/prompt_quarantine.rs
+++ b/crates/ingress/src/prompt_quarantine.rs
@@ -139,11 +139,13 @@
             };
             metrics::counter!(counter).increment(1);
             log::info!(
-                "quarantine: {what} service={service} parts={} engines={} first_age_ms={} last_age_ms={}",
+                "quarantine: {what} service={service} parts={} engines={} first_age_ms={} last_age_ms={} \
+                 contrast={}",
                 verdict.parts.join(","),
                 engine_names(verdict),
                 ledger_ms(now_ms).saturating_sub(verdict.first_ms),
                 age_ms(verdict, now_ms),
+                verdict.has_contrast,
             );
         }
         if ledger.has_unsent() {
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -8,6 +8,8 @@
 pub struct Evidence {
     pub crashes: Vec<Crash>,
     pub survivals: Vec<Survival>,
+    /// Time since an engine last survived any request; `None` if that is not known.
+    pub any_survival_age_ms: Option<u64>,
 }
 
 impl Evidence {
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -29,6 +29,11 @@
 /// hear of its outcome before the next one.
 const TRIAL_INTERVAL_MS: u64 = 10_000;
 
+/// Like `VERDICT_MS` and `TRIAL_INTERVAL_MS`, while engines survive no other requests either. Such engines have probably
+/// another fault, and requests are to be served soon after it has ended.
+const UNCONTRASTED_VERDICT_MS: u64 = 5_000;
+const UNCONTRASTED_TRIAL_INTERVAL_MS: u64 = 1_000;
+
 /// Time in milliseconds for which a crash is remembered that belongs to no verdict.
 const CRASH_RETENTION_MS: u64 = 600_000;
 
@@ -55,6 +60,8 @@
     crashes: HashMap<CrashedEngine, CrashRecord>,
     /// When an engine last survived a request with a part; only for parts of remembered crashes.
     survived_ms: HashMap<PartId, u64>,
+    /// When an engine last survived any request; 0 if none has.
+    any_survived_ms: u64,
     verdicts: Vec<Verdict>,
     /// Parts that were reported as suspected.
     suspected: HashSet<Vec<PartId>>,
@@ -98,7 +105,7 @@
     /// Records that an engine survived a request with these shared parts. Parts that no remembered crash has are
     /// ignored.
     pub fn record_survival(&mut self, parts: &[PartId], now_ms: u64) -> Vec<Change> {
-        let mut is_known = false;
+        let mut is_known = self.add_any_survival(now_ms);
         for part in parts {
             is_known |= self.add_survival(Survival { part: part.clone(), age_ms: 0 }, now_ms);
         }
@@ -113,6 +120,9 @@
         for survival in evidence.survivals {
             self.add_survival(survival, now_ms);
         }
+        if let Some(age_ms) = evidence.any_survival_age_ms {
+            self.add_any_survival(now_ms.saturating_sub(age_ms));
+        }
         self.update(now_ms)
     }
 
@@ -132,7 +142,9 @@
         parts.sort();
         rotate(&mut engines, offset);
         rotate(&mut parts, offset);
-        let mut evidence = Evidence::default();
+        let any_survived = (self.any_survived_ms > 0).then_some(self.any_survived_ms);
+        let any_survival_age_ms = any_survived.map(|at_ms| now_ms.saturating_sub(at_ms));
+        let mut evidence = Evidence { any_survival_age_ms, ..Evidence::default() };
         let mut left_bytes = max_bytes;
         let mut sent_parts = HashSet::default();
         for part in unsent_survivals.iter().chain(parts) {
@@ -170,7 +182,7 @@
 
     /// Decides whether a request with these shared parts may be sent to an engine.
     ///
-    /// Some time after the last crash, one request is let through to find out whether the parts still crash engines.
+    /// Some time after the last crash, and soon if engines survive no other requests either, one request is let through to find out whether the parts still crash engines.
     /// Each of the `daemons` daemons does so at another time, which its number `spread` from 0 to 1 selects, so that few
     /// engines are lost if they do.
     pub fn admit(
@@ -183,9 +195,13 @@
         let Some(verdict) = self.verdicts.iter().find(|verdict| verdict.applies_to(parts)) else {
             return Admission::Allowed;
         };
-        let fleet_interval_ms = TRIAL_INTERVAL_MS * daemons.max(1) as u64;
+        let (verdict_ms, interval_ms) = match verdict.has_contrast {
+            true => (VERDICT_MS, TRIAL_INTERVAL_MS),
+            false => (UNCONTRASTED_VERDICT_MS, UNCONTRASTED_TRIAL_INTERVAL_MS),
+        };
+        let fleet_interval_ms = interval_ms * daemons.max(1) as u64;
         let first_trial_ms =
-            verdict.last_ms + VERDICT_MS + (fleet_interval_ms as f64 * spread) as u64;
+            verdict.last_ms + verdict_ms + (fleet_interval_ms as f64 * spread) as u64;
         let last_trial_ms = self.trials_ms.get(&verdict.parts);
         let next_trial_ms =
             last_trial_ms.map_or(0, |at_ms| at_ms + fleet_interval_ms).max(first_trial_ms);
@@ -221,6 +237,15 @@
         }
     }
 
+    /// Records that an engine survived some request at `at_ms`. Returns whether that gives a verdict its contrast.
+    fn add_any_survival(&mut self, at_ms: u64) -> bool {
+        let before_ms = self.any_survived_ms;
+        self.any_survived_ms = before_ms.max(at_ms);
+        let gains_contrast =
+            |verdict: &Verdict| before_ms <= verdict.first_ms && at_ms > verdict.first_ms;
+        self.verdicts.iter().any(gains_contrast)
+    }
+
     /// Adds a survival, and returns whether a remembered crash has the part.
     fn add_survival(&mut self, survival: Survival, now_ms: u64) -> bool {
         let mut suspects = self.crashes.values().flat_map(|record| &record.suspects).flatten();
@@ -284,7 +309,7 @@
             if count < MIN_SUSPECTED_CRASHES {
                 break;
             }
-            let verdict = verdict(longest, &all);
+            let verdict = verdict(longest, &all, self.any_survived_ms);
             explained.extend(longest.crashes.iter().map(|(engine, _)| *engine));
             match count >= MIN_CRASHES {
                 true => verdicts.push(verdict),
@@ -381,7 +406,7 @@
 }
 
 /// Creates the verdict on the part of `series` and on the parts that accompanied it in each of its crashes.
-fn verdict(series: &Series<'_>, all: &[Series<'_>]) -> Verdict {
+fn verdict(series: &Series<'_>, all: &[Series<'_>], any_survived_ms: u64) -> Verdict {
     let accompanies = |other: &&Series<'_>| {
         series.crashes.iter().all(|(engine, record)| {
             other.contains(engine)
@@ -402,6 +427,7 @@
         engines: series.crashes.iter().map(|(engine, _)| (*engine).clone()).collect(),
         first_ms: at_ms(series.crashes.first()),
         last_ms: at_ms(series.crashes.last()),
+        has_contrast: any_survived_ms > at_ms(series.crashes.first()),
     }
 }
 
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -13,6 +13,9 @@
     pub first_ms: u64,
     /// Time of the last of the crashes, on the clock of the ledger.
     pub last_ms: u64,
+    /// Whether engines have survived other requests since the first of the crashes. Otherwise they may crash on any
+    /// request.
+    pub has_contrast: bool,
 }
 
 impl Verdict {
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -128,6 +128,7 @@
     for number in 0..5 {
         ledger.record_crash(crash(number, &[&["bad"]]), number * 700);
     }
+    ledger.record_survival(&parts(&["good"]), 2_800);
     let trial_ms = 2_800 + VERDICT_MS + 30_000;
     assert!(is_refused(&mut ledger, &["bad"], trial_ms - 1));
     assert!(matches!(ledger.admit(&parts(&["bad"]), 6, 0.5, trial_ms), Admission::Trial(_)));
@@ -140,6 +141,25 @@
     assert!(!is_refused(&mut ledger, &["bad"], trial_ms + 1_001));
 }
 
+/// Guards against parts that are refused for long because engines crashed on any request, as with a faulty release.
+#[test]
+fn engines_that_crash_on_any_request_are_tried_again_soon() {
+    let mut ledger = Ledger::default();
+    ledger.record_survival(&parts(&["s", "y"]), 10);
+    for number in 0..30 {
+        ledger.record_crash(crash(number, &[&["s", "x"]]), 1_000 + number * 300);
+    }
+    let last_ms = 1_000 + 29 * 300;
+    assert!(is_refused(&mut ledger, &["s", "x"], last_ms + 4_900));
+    let trial = ledger.admit(&parts(&["s", "x"]), 6, 0.5, last_ms + 8_000);
+    assert!(matches!(trial, Admission::Trial(_)));
+    let mut crashing = ledger.clone();
+    crashing.record_survival(&parts(&["good"]), last_ms + 9_000);
+    assert!(is_refused(&mut crashing, &["s", "x"], last_ms + 60_000), "others are survived");
+    ledger.record_survival(&parts(&["s", "x"]), last_ms + 9_500);
+    assert!(!is_refused(&mut ledger, &["s", "x"], last_ms + 9_600));
+}
+
 /// Guards against a fleet whose daemons all test a verdict at the same time.
 #[test]
 fn trials_of_a_large_fleet_are_spread_over_time() {
@@ -150,6 +170,7 @@
         for crashed in 0..4 {
             ledger.record_crash(crash(crashed, &[&["bad"]]), crashed * 700);
         }
+        ledger.record_survival(&parts(&["good"]), 2_200);
         let spread = number as f64 / daemons as f64;
         let first_ms =
             (VERDICT_MS / 1_000..6 * VERDICT_MS / 1_000).map(|s| s * 1_000).find(|&now_ms| {
@@ -314,7 +335,11 @@
             let delay = u64::from(*delays.get(position).unwrap_or(&0));
             let mut report = reports[usize::from(number % 3)].clone();
             report.age_ms = 5_000;
-            let evidence = Evidence { crashes: vec![report], survivals: Vec::new() };
+            let evidence = Evidence {
+                crashes: vec![report],
+                survivals: Vec::new(),
+                any_survival_age_ms: None,
+            };
             ledger.merge(evidence, 100_000 + delay);
         }
         // Three crashes are not enough for a verdict, however often they are reported.
