--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -509,7 +509,7 @@
             let now_ms = core.clock.now_ms();
             let crash = Crash {
                 engine: CrashedEngine {
-                    instance: Arc::clone(&entry.id).as_ref().into(),
+                    instance: (&*entry.id).into(),
                     started_unix_ms: entry.started_unix_ms,
                 },
                 domain: entry.domain.clone(),
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -1,4 +1,4 @@
-//! Messages between daemons, by which they lend each other retries.
+//! Exchange of messages between daemons: loans of retries and requests, and evidence on crashes.
 
 use crate::{
     core::Core,
@@ -31,8 +31,10 @@
 /// Shortest time between two messages with new evidence, which collects the crashes of a burst.
 const EVIDENCE_PAUSE_MS: u64 = 20;
 
-/// Number of times that a daemon which has started asks others for their evidence, and how many it asks each time.
+/// Number of requests for evidence that a daemon sends after its start, until one is answered.
 const EVIDENCE_REQUESTS: u32 = 20;
+
+/// Number of daemons that are asked for evidence at a time.
 const EVIDENCE_REQUEST_FANOUT: usize = 2;
 
 /// UDP socket for messages between daemons.
@@ -109,6 +111,7 @@
         }
     }
 
+    /// Receives messages of other daemons and answers their questions.
     async fn receive(&self, core: &Core) {
         let mut buffer = [0; MESSAGE_SIZE_BYTES];
         loop {
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -29,9 +29,11 @@
 /// hear of its outcome before the next one.
 const TRIAL_INTERVAL_MS: u64 = 10_000;
 
-/// Like `VERDICT_MS` and `TRIAL_INTERVAL_MS`, while engines survive no other requests either. Such engines have probably
-/// another fault, and requests are to be served soon after it has ended.
+/// Like `VERDICT_MS`, while engines survive no other requests either. Such engines have probably another fault, and
+/// requests are to be served soon after it has ended.
 const UNCONTRASTED_VERDICT_MS: u64 = 5_000;
+
+/// Like `TRIAL_INTERVAL_MS`, while engines survive no other requests either.
 const UNCONTRASTED_TRIAL_INTERVAL_MS: u64 = 1_000;
 
 /// Time in milliseconds for which a crash is remembered that belongs to no verdict.
@@ -102,8 +104,8 @@
         self.update(now_ms)
     }
 
-    /// Records that an engine survived a request with these shared parts. Parts that no remembered crash has are
-    /// ignored.
+    /// Records that an engine survived a request with these shared parts. Parts that no remembered crash has are not
+    /// kept.
     pub fn record_survival(&mut self, parts: &[PartId], now_ms: u64) -> Vec<Change> {
         let mut is_known = self.add_any_survival(now_ms);
         for part in parts {
@@ -182,9 +184,9 @@
 
     /// Decides whether a request with these shared parts may be sent to an engine.
     ///
-    /// Some time after the last crash, and soon if engines survive no other requests either, one request is let through to find out whether the parts still crash engines.
-    /// Each of the `daemons` daemons does so at another time, which its number `spread` from 0 to 1 selects, so that few
-    /// engines are lost if they do.
+    /// Some time after the last crash, and soon if engines survive no other requests either, one request is let through
+    /// to find out whether the parts still crash engines. Each of the `daemons` daemons does so at another time, which
+    /// its number `spread` from 0 to 1 selects, so that few engines are lost if they do.
     pub fn admit(
         &mut self,
         parts: &[PartId],
