--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -165,8 +165,8 @@
         self.has_caught_up.send_replace(true);
     }
 
-    /// Active configuration; `None` until the daemon has caught up with the platform. The first list that a daemon reads
-    /// may be old, and hold keys that were withdrawn and instances that have left.
+    /// Active configuration; `None` until the daemon has caught up with the platform. The first list that a daemon
+    /// reads may be old, and hold keys that were withdrawn and instances that have left.
     pub(crate) fn current_config(&self) -> Option<Arc<Config>> {
         self.config().filter(|_| *self.has_caught_up.borrow())
     }
@@ -274,8 +274,8 @@
         placement.choose(&open, domain, &losses, now_ms, &mut *rng)
     }
 
-    /// The instance of a service that meets the constraints and takes a request soonest, and the time until then; `None`
-    /// if none meets the constraints, or this daemon has no share in their limits.
+    /// The instance of a service that meets the constraints and takes a request soonest, and the time until then;
+    /// `None` if none meets the constraints, or this daemon has no share in their limits.
     pub(crate) fn soonest_instance(
         &self,
         service: &ServiceName,
@@ -289,8 +289,8 @@
         waits.min_by_key(|(_, wait_ms)| *wait_ms)
     }
 
-    /// Borrows a request from another daemon for an instance of a service whose limit leaves none to this daemon. Returns
-    /// that instance; `None` if no request was lent.
+    /// Borrows a request from another daemon for an instance of a service whose limit leaves none to this daemon.
+    /// Returns that instance; `None` if no request was lent.
     pub(crate) async fn borrow_instance(
         &self,
         service: &ServiceName,
@@ -492,8 +492,8 @@
         self.quarantine.admit(&inbound.service, &inbound.shared_parts, self.fleet_size(), now_ms)
     }
 
-    /// Finds out whether an engine has crashed that had just begun to answer a request, and records it if so. The loss of
-    /// the connection alone does not show that.
+    /// Finds out whether an engine has crashed that had just begun to answer a request, and records it if so. The loss
+    /// of the connection alone does not show that.
     pub(crate) fn check_crash(self: &Arc<Self>, instance: &Arc<Instance>, inbound: &Inbound) {
         if inbound.shared_parts.is_empty() {
             return;
--- a/crates/ingress/src/instance_limits.rs
+++ b/crates/ingress/src/instance_limits.rs
@@ -9,8 +9,8 @@
     sync::Mutex,
 };
 
-/// Time after a request could not be borrowed in which none is asked for again, so that a fleet without spare requests is
-/// not busy with asking.
+/// Time after a request could not be borrowed in which none is asked for again, so that a fleet without spare requests
+/// is not busy with asking.
 const BORROW_PAUSE_MS: u64 = 200;
 
 /// Limits of instances, with the log lines of their changes.
@@ -148,7 +148,8 @@
     }
 }
 
-/// Identifier of the daemon with the peer address `addr`. The hasher has fixed keys, so that all daemons compute the same.
+/// Identifier of the daemon with the peer address `addr`. The hasher has fixed keys, so that all daemons compute the
+/// same.
 fn daemon_id(addr: SocketAddr) -> u64 {
     let mut hasher = DefaultHasher::new();
     addr.hash(&mut hasher);
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -39,8 +39,8 @@
 
 /// UDP socket for messages between daemons.
 ///
-/// Borrows retries from other daemons when this daemon's retry budget is exhausted, and requests to an upstream when its
-/// share in the upstream's limit is used up, and lends them both. Exchanges evidence on prompts that crash engines.
+/// Borrows retries from other daemons when this daemon's retry budget is exhausted, and requests to an upstream when
+/// its share in the upstream's limit is used up, and lends them both. Exchanges evidence on prompts that crash engines.
 ///
 /// The loss of a failure domain affects some daemons more than others, while the retry budget holds for the whole
 /// fleet. A lent retry is withdrawn from the lender's budget, so the sum of the budgets never grows. An answer that is
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -16,8 +16,8 @@
 /// Multiple of the target latency after which an idempotent call is retried at another instance.
 const RETRY_LATENCY_FACTOR: u64 = 3;
 
-/// Part of the time until the target latency that a call may wait for the share in a limit, as a divisor. The rest is for
-/// the upstream.
+/// Part of the time until the target latency that a call may wait for the share in a limit, as a divisor. The rest is
+/// for the upstream.
 const IN_TIME_WAIT_DIVISOR: u64 = 2;
 
 /// Outcome of sending a call to one instance.
@@ -201,8 +201,8 @@
     }
 }
 
-/// Logs a failed attempt and records the outcome in the state of the instance. An engine that cut a whole answer off may
-/// have crashed on its prompt: such an answer has no events that show when it began.
+/// Logs a failed attempt and records the outcome in the state of the instance. An engine that cut a whole answer off
+/// may have crashed on its prompt: such an answer has no events that show when it began.
 fn record_outcome(
     core: &Arc<Core>,
     inbound: &Inbound,
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,4 +1,5 @@
-//! Admission control: rate limits of client accounts and of upstreams, bounded queues with deadlines, and retry budgets.
+//! Admission control: rate limits of client accounts and of upstreams, bounded queues with deadlines, and retry
+//! budgets.
 //!
 //! An entry is a process that accepts client requests. A client account may use all entries at the same time, so its
 //! rate limit is shared among them. The crate does no I/O and reads no clock; callers pass the current time.
--- a/crates/limit/src/upstream_limits.rs
+++ b/crates/limit/src/upstream_limits.rs
@@ -3,12 +3,12 @@
 use crate::{fleet_share::FleetShare, upstream_limit_change::UpstreamLimitChange};
 use base::HashMap;
 
-/// Requests that a daemon may send at once after a pause, in seconds of its share. The bursts of all daemons together add
-/// to what an upstream gets in a few seconds.
+/// Requests that a daemon may send at once after a pause, in seconds of its share. The bursts of all daemons together
+/// add to what an upstream gets in a few seconds.
 const BURST_S: f64 = 0.25;
 
-/// Smallest rate in requests per second. An upstream that names a lower one still gets a request from time to time, because
-/// only an answer shows that the limit has ended.
+/// Smallest rate in requests per second. An upstream that names a lower one still gets a request from time to time,
+/// because only an answer shows that the limit has ended.
 const MIN_RATE_PER_S: f64 = 0.1;
 
 /// Longest time in milliseconds for which a request may be planned ahead.
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -321,8 +321,8 @@
         (verdicts, suspected)
     }
 
-    /// Returns, for each part of several crashes, those since a request with the part was last survived, without those of
-    /// `explained`.
+    /// Returns, for each part of several crashes, those since a request with the part was last survived, without those
+    /// of `explained`.
     fn all_series<'a>(&'a self, explained: &HashSet<&CrashedEngine>) -> Vec<Series<'a>> {
         let mut by_part: HashMap<&PartId, Vec<(&CrashedEngine, &CrashRecord)>> = HashMap::default();
         for (engine, record) in &self.crashes {
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -2,7 +2,8 @@
 
 use crate::{crash::CrashedEngine, part_id::PartId};
 
-/// Parts that every one of a series of crashes has in common. A request that holds all of them is not sent to an engine.
+/// Parts that every one of a series of crashes has in common. A request that holds all of them is not sent to an
+/// engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Verdict {
     /// The parts, sorted. There are several only as long as each crash had all of them.
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -348,8 +348,8 @@
     QuickCheck::new().quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
 }
 
-/// Guards against evidence that reaches a large fleet late, or takes more than a small part of the 13 KB that a daemon may
-/// receive in a second.
+/// Guards against evidence that reaches a large fleet late, or takes more than a small part of the 13 KB that a daemon
+/// may receive in a second.
 #[test]
 fn evidence_reaches_195_daemons_soon_and_in_few_bytes() {
     const FLEET: usize = 195;
