Name what the quarantine check does, and send all requests of the soak by one method

refuse_if_condemned fails the relay, which is_refused did not say. The multiplier of the hash has a name. The soak's crashing streams use the method that sends all other requests. No behaviour changes.

--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -275,7 +275,7 @@
     }
 
     fn on_instance_change(&mut self) {
-        if !self.attempts.iter().any(Attempt::has_event) && self.is_refused() {
+        if !self.attempts.iter().any(Attempt::has_event) && self.refuse_if_condemned() {
             return;
         }
         for attempt in &mut self.attempts {
@@ -326,7 +326,7 @@
 
     /// Fails the relay if parts of the prompt are known to crash engines, unless this request is to find out whether
     /// they still do. Returns whether it has failed.
-    fn is_refused(&mut self) -> bool {
+    fn refuse_if_condemned(&mut self) -> bool {
         if self.is_trial {
             return false;
         }
@@ -571,7 +571,7 @@
             self.fail(Failure::Attempts);
             return;
         }
-        if self.is_refused() {
+        if self.refuse_if_condemned() {
             return;
         }
         let replica = self.replicator.take().filter(|replica| replica.instance.accepts_requests());
@@ -643,7 +643,7 @@
                 return;
             }
         };
-        if self.is_refused() {
+        if self.refuse_if_condemned() {
             return;
         }
         self.wait_reason = None;
--- a/crates/limit/src/fleet_share.rs
+++ b/crates/limit/src/fleet_share.rs
@@ -60,10 +60,15 @@
     (hasher.finish(), daemon)
 }
 
-/// Parameters of the hash function FNV-1a with 64 bits.
+/// Initial value of the hash function FNV-1a with 64 bits.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Multiplier of the hash function FNV-1a with 64 bits.
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
+/// Odd multiplier of the final step, 2^64 divided by the golden ratio, which spreads the low bits over all others.
+const MIX_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Hash function FNV-1a, which is the same in every process, unlike that of hash maps.
 struct Fnv(u64);
 
@@ -76,7 +81,7 @@
 
     fn finish(&self) -> u64 {
         // The last bytes reach the high bits only by a further step.
-        let mixed = (self.0 ^ (self.0 >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ (self.0 >> 32)).wrapping_mul(MIX_MULTIPLIER);
         mixed ^ (mixed >> 29)
     }
 }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -64,18 +64,20 @@
         }
     }
 
-    /// Sends a request to a randomly chosen daemon. Returns `None` without a response within `RESPONSE_TIMEOUT`.
+    /// Sends a request to a randomly chosen daemon, with `part` in its prompt. Returns `None` without a response within
+    /// `RESPONSE_TIMEOUT`.
     async fn send(
         &self,
         method: &str,
         path: &str,
         id: &str,
+        part: &str,
         last_event: Option<u64>,
         rng: &mut SmallRng,
     ) -> Option<Reply> {
         let entry_addr = self.entry_addrs[rng.random_range(0..self.entry_addrs.len())];
         let last_event_id = last_event.map(|event| event.to_string());
-        let prompt = format!("50:200,{}:300,{id}:4000", self.number);
+        let prompt = format!("50:200,{part}:300,{id}:4000");
         let mut headers = vec![
             ("Credential", "key-1"),
             ("Deadline-Remaining", "9000"),
@@ -86,18 +88,15 @@
         tokio::time::timeout(RESPONSE_TIMEOUT, reply).await.ok().flatten()
     }
 
+    /// Part of the prompts of this client's sound requests.
+    fn own_part(&self) -> String {
+        self.number.to_string()
+    }
+
     /// Sends a stream whose prompt crashes engines. Only a refusal or a failure can be the response.
     async fn send_crashing_stream(&self, id: &str, rng: &mut SmallRng) {
         let Some(part) = lock(&self.crashing_part).clone() else { return };
-        let entry_addr = self.entry_addrs[rng.random_range(0..self.entry_addrs.len())];
-        let prompt = format!("50:200,{part}:300,{id}:4000");
-        let headers = [
-            ("Credential", "key-1"),
-            ("Deadline-Remaining", "9000"),
-            ("Prompt-Prefix", prompt.as_str()),
-        ];
-        let reply = call_with(entry_addr, "POST", "/long/x", id, &headers);
-        let reply = tokio::time::timeout(RESPONSE_TIMEOUT, reply).await.ok().flatten();
+        let reply = self.send("POST", "/long/x", id, &part, None, rng).await;
         let mut findings = lock(&self.findings);
         if reply.is_some_and(|reply| reply.status == 503 && reply.is_complete) {
             findings.report.refused += 1;
@@ -107,7 +106,7 @@
 
     /// Sends a call to a plain service and records its response.
     async fn send_call(&self, id: &str, method: &str, path: &str, rng: &mut SmallRng) {
-        let reply = self.send(method, path, id, None, rng).await;
+        let reply = self.send(method, path, id, &self.own_part(), None, rng).await;
         let mut findings = lock(&self.findings);
         let Findings { report, checks } = &mut *findings;
         if method == "POST" {
@@ -141,8 +140,8 @@
         let mut events: Vec<u64> = Vec::new();
         for attempt in 0..MAX_STREAM_ATTEMPTS {
             let attempt_id = format!("{id}-{attempt}");
-            let reply =
-                self.send("POST", "/long/x", &attempt_id, events.last().copied(), rng).await;
+            let (part, last_event) = (self.own_part(), events.last().copied());
+            let reply = self.send("POST", "/long/x", &attempt_id, &part, last_event, rng).await;
             if reply.is_some_and(|reply| {
                 self.record_stream_attempt(attempt_id, attempt, reply, &mut events)
             }) {
