Discard what a refused caller still sends before its connection is closed

A response that left request bytes unread was followed by close(): the kernel answered the rest of the body with a reset, and a caller that treats a failed write as the end of its connection, or that had not got the response yet, lost the refusal. Reading the body before the refusal was the alternative; it would hold the handler, delay the refusal and not help with a body beyond the limit.

Callers that only read are not affected on loopback, since Linux keeps the received bytes after a reset.

--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -1,12 +1,12 @@
 //! Timeouts of the connections on which callers send requests.
 
-use crate::{in_flight_requests::InFlightRequests, server_limits::ServerLimits};
+use crate::{in_flight_requests::InFlightRequests, linger::Linger, server_limits::ServerLimits};
 use std::{
     future::Future,
     io::{ErrorKind, IoSlice, Result as IoResult},
     net::SocketAddr,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::{
@@ -41,6 +41,8 @@
     /// Start of the current phase, or of the latest request if that is later.
     phase_start: Instant,
     timer: Pin<Box<Sleep>>,
+    /// Set after the last response, when the direction to the caller has been closed.
+    linger: Option<Linger>,
 }
 
 impl CallerStream {
@@ -62,6 +64,7 @@
             phase: Phase::Idle,
             phase_start,
             timer,
+            linger: None,
         }
     }
 
@@ -156,7 +159,13 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
+    /// Closes the direction to the caller, and discards what the caller still sends before the connection is closed.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<IoResult<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        let linger = this.linger.get_or_insert_with(Linger::start);
+        linger.poll_end(&mut this.stream, cx).map(Ok)
     }
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -16,6 +16,7 @@
 mod framing_limit;
 mod in_flight_requests;
 mod json_request;
+mod linger;
 mod server;
 mod server_limits;
 mod tcp_keepalive;
