Don't count an answer that the caller still reads as idle time

The idle timeout ran from the moment when the answer was handed to hyper. A caller that read a large answer more slowly than that was cut off in the middle. While bytes of an answer wait for the kernel, a timeout of 60 s without progress applies now, and the idle time starts at the last write. It still starts before the caller has read what the kernel holds.

Failed before: a_slow_reader_gets_its_whole_answer (ended after 5.8 of 24 MB). Could not be made to fail, and is kept: requests_before_the_idle_timeout_are_answered_beside_its_changes.

--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -16,6 +16,10 @@
     time::{Instant, Sleep, sleep_until},
 };
 
+/// Longest wait until a caller takes more of an answer that is complete at the server, in milliseconds. The kernel
+/// accepts more bytes only once a large part of its buffer is free, so this exceeds a usual idle timeout.
+const WRITE_TIMEOUT_MS: u64 = 60_000;
+
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -41,6 +45,10 @@
     /// Start of the current phase, or of the latest request if that is later.
     phase_start: Instant,
     timer: Pin<Box<Sleep>>,
+    /// Whether bytes of a response wait until the kernel accepts them.
+    is_write_blocked: bool,
+    /// When the kernel last accepted bytes.
+    last_write: Instant,
     /// Set after the last response, when the direction to the caller has been closed.
     linger: Option<Linger>,
 }
@@ -64,6 +72,8 @@
             phase: Phase::Idle,
             phase_start,
             timer,
+            is_write_blocked: false,
+            last_write: phase_start,
             linger: None,
         }
     }
@@ -91,12 +101,13 @@
     fn poll_expired(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             let limits = *self.limits.borrow();
-            let wait_ms = match self.phase {
+            let (start, wait_ms) = match self.phase {
                 Phase::Response => return Poll::Pending,
-                Phase::Headers => limits.headers_timeout_ms,
-                Phase::Idle => limits.idle_timeout_ms,
+                _ if self.is_write_blocked => (self.last_write, WRITE_TIMEOUT_MS),
+                Phase::Headers => (self.phase_start, limits.headers_timeout_ms),
+                Phase::Idle => (self.phase_start.max(self.last_write), limits.idle_timeout_ms),
             };
-            let deadline = self.phase_start + Duration::from_millis(wait_ms);
+            let deadline = start + Duration::from_millis(wait_ms);
             if self.timer.deadline() == deadline && self.timer.is_elapsed() {
                 return Poll::Ready(());
             }
@@ -110,6 +121,23 @@
             }
         }
     }
+
+    /// Records whether the kernel has accepted bytes.
+    fn record_write(
+        &mut self,
+        write: Poll<IoResult<usize>>,
+        cx: &Context<'_>,
+    ) -> Poll<IoResult<usize>> {
+        if self.is_write_blocked && write.is_ready() {
+            // The next read sets the timer for the phase that follows.
+            cx.waker().wake_by_ref();
+        }
+        self.is_write_blocked = write.is_pending();
+        if let Poll::Ready(Ok(_)) = write {
+            self.last_write = Instant::now();
+        }
+        write
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -140,7 +168,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<IoResult<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let write = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(write, cx)
     }
 
     fn poll_write_vectored(
@@ -148,7 +177,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<IoResult<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let write = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(write, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/web/tests/waits.rs
+++ b/crates/web/tests/waits.rs
@@ -19,11 +19,17 @@
 /// Pause before each part of the slow response, in milliseconds.
 const PART_PAUSE_MS: u64 = 120;
 
-/// Answers `/slow` with five parts after a pause each, and any other path at once with `ok`.
+/// Size of the response to `/large`, in bytes. It exceeds what the kernel buffers for a connection.
+const LARGE_BYTES: usize = 24_000_000;
+
+/// Answers `/slow` with five parts after a pause each, `/large` with a large body, and any other path at once with `ok`.
 struct PartsHandler;
 
 impl Handler for PartsHandler {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        if request.uri().path() == "/large" {
+            return Response::new(web::full(vec![b'x'; LARGE_BYTES]));
+        }
         if request.uri().path() != "/slow" {
             return Response::new(web::full("ok"));
         }
@@ -141,3 +147,53 @@
     assert!(get(&mut stream, "/").await.ends_with("ok"));
     running.close().await;
 }
+
+/// Guards against cutting an answer off that the caller reads more slowly than the idle timeout.
+#[tokio::test]
+async fn a_slow_reader_gets_its_whole_answer() {
+    let running = RunningServer::start(100, 300).await;
+    let mut stream = TcpStream::connect(running.addr).await.unwrap();
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    let mut received_bytes = 0;
+    let mut buffer = vec![0; 1_500_000];
+    while received_bytes < LARGE_BYTES {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let size = stream.read(&mut buffer).await.expect("the connection is not reset");
+        assert!(size > 0, "the answer ended after {received_bytes} bytes");
+        received_bytes += size;
+        if buffer.len() > 400_000 && received_bytes > 3_000_000 {
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            buffer.truncate(400_000);
+        }
+    }
+    assert!(closed_after_ms(&mut stream).await.is_some(), "the connection stays open");
+    running.close().await;
+}
+
+/// Guards against closing a connection under a request that arrives before the end of the idle timeout, beside changes
+/// of that timeout.
+#[tokio::test]
+async fn requests_before_the_idle_timeout_are_answered_beside_its_changes() {
+    const SHORT_MS: u64 = 400;
+    const LONG_MS: u64 = 800;
+    let running = RunningServer::start(100, SHORT_MS).await;
+    let addr = running.addr;
+    let callers = (0..40_u64).map(|caller| async move {
+        tokio::time::sleep(Duration::from_millis(caller * 9)).await;
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        for round in 0..10 {
+            let answer = get(&mut stream, "/").await;
+            assert!(answer.ends_with("ok"), "caller={caller} round={round}: {answer:?}");
+            tokio::time::sleep(Duration::from_millis(SHORT_MS * 4 / 5)).await;
+        }
+    });
+    let changes = async {
+        for round in 0..25 {
+            tokio::time::sleep(Duration::from_millis(131)).await;
+            let timeout_ms = if round % 2 == 0 { LONG_MS } else { SHORT_MS };
+            running.limits.send_modify(|limits| limits.idle_timeout_ms = timeout_ms);
+        }
+    };
+    futures::future::join(futures::future::join_all(callers), changes).await;
+    running.close().await;
+}
