Apply a raised limit for headers to connections that are open already

hyper's limit is fixed when a connection is accepted. A request that the new configuration allows got hyper's own 431 on an older connection. hyper's limit is at least 256 KiB now; the handler checks the exact one.

Failed before: a_larger_limit_for_headers_applies_to_open_connections (431).

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -17,8 +17,9 @@
     time::Instant,
 };
 
-/// Smallest limit on the size of the headers that `hyper` accepts.
-const MIN_HEADERS_SIZE_BYTES: usize = 8 * 1024;
+/// Smallest size of the headers above which `hyper` refuses a request by itself. `hyper` cannot change its limit on an
+/// open connection, so it is set above the limits to which a new configuration may raise that of the handler.
+const MIN_HEADERS_SIZE_BYTES: usize = 256 * 1024;
 
 /// Pause after a failed `accept`, in milliseconds. It prevents a busy loop while file descriptors are exhausted.
 const ACCEPT_PAUSE_MS: u64 = 20;
--- a/crates/web/tests/waits.rs
+++ b/crates/web/tests/waits.rs
@@ -197,3 +197,21 @@
     futures::future::join(futures::future::join_all(callers), changes).await;
     running.close().await;
 }
+
+/// Guards against refusing headers that the new limit allows on a connection from before the change.
+#[tokio::test]
+async fn a_larger_limit_for_headers_applies_to_open_connections() {
+    let running = RunningServer::start(1_000, 5_000).await;
+    running.limits.send_modify(|limits| limits.headers_size_bytes = 9_000);
+    let mut stream = TcpStream::connect(running.addr).await.unwrap();
+    assert!(get(&mut stream, "/").await.ends_with("ok"));
+    running.limits.send_modify(|limits| limits.headers_size_bytes = 60_000);
+    let padding = "x".repeat(50_000);
+    let request = format!("GET / HTTP/1.1\r\nHost: a\r\nPadding: {padding}\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut buffer = [0; 1024];
+    let size = stream.read(&mut buffer).await.unwrap();
+    let answer = String::from_utf8_lossy(&buffer[..size]);
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    running.close().await;
+}
