--- a/crates/ingress/src/route_table.rs
+++ b/crates/ingress/src/route_table.rs
@@ -30,13 +30,14 @@
 impl Route {
     /// Picks a service at random by weight; `None` if no weight is above zero.
     pub fn pick_service(&self, rng: &mut impl Rng) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
+        let total: u64 = self.services.iter().map(|(_, weight)| u64::from(*weight)).sum();
         if total == 0 {
             return None;
         }
         let mut draw = rng.random_range(0..total);
         for (service, weight) in &self.services {
-            if draw < *weight {
+            let weight = u64::from(*weight);
+            if draw < weight {
                 return Some(service);
             }
             draw -= weight;
