Keep the attempt of a silent engine until another one has taken it over

Callers saw streams that broke off, or 502 before the first event, because their engine was silent for one or two seconds and then would have gone on.

Cause: a silent attempt was cancelled (silence timeout) or counted as lost (health check without an answer in 80 ms) before a replacement existed. If the attempts were used up, the request may not be sent again, the retry budget was empty, or no other engine took the request, nothing was left.

Now the state machine suspects the attempt, searches a replacement at the same time as before, and cancels the suspected attempt when the replacement is accepted, or 150 ms after its send, below the 400 ms in which a request must not run twice. An event of the suspected attempt before that cancels the replacement or ends the search; the retry of an ended search is refunded. Without a replacement, the attempt stays until it goes on, fails by proof (closed, reset or refused connection, other start time) or the deadline passes. Such pauses do not raise the usual gap, as before.

The property tests of recovery now also draw EVENTS, refused permissions, accepted requests and unanswered health checks, and check that no sent attempt is cancelled for silence unless another sent one runs. a_working_engine_gets_a_longer_silence_timeout checks the start of the next attempt and the suspicion, since the cancellation comes later.

--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -213,8 +213,8 @@
     }
 }
 
-/// Lists the attempts whose log line states a result (failed, cancelled, answered or gave), in order, each with its
-/// instance and this result. Returns `no attempt failed` if there is none.
+/// Lists the attempts whose log line states a result (failed, cancelled, is silent, answered or gave), in order, each
+/// with its instance and this result. Returns `no attempt failed` if there is none.
 fn failed_attempts(request_lines: &[&LogLine<'_>]) -> String {
     let failures: Vec<String> = request_lines
         .iter()
@@ -227,7 +227,7 @@
                 .split_once(' ')
                 .filter(|(word, _)| word.starts_with("domain="))
                 .map_or(result, |(_, rest)| rest);
-            let failure_words = ["failed", "cancelled", "answered", "gave"];
+            let failure_words = ["failed", "cancelled", "is silent", "answered", "gave"];
             failure_words
                 .iter()
                 .any(|word| result.starts_with(word))
--- a/crates/geraniumctl/src/losses.rs
+++ b/crates/geraniumctl/src/losses.rs
@@ -185,10 +185,10 @@
     })
 }
 
-/// Whether the line says that an attempt was lost.
+/// Whether the line says that an attempt was lost or suspected.
 fn is_failure(line: &LogLine<'_>) -> bool {
     line.component == "attempt"
-        && [" failed: ", " cancelled", " answered ", " gave "]
+        && [" failed: ", " cancelled", " is silent", " answered ", " gave "]
             .iter()
             .any(|word| line.text.contains(word))
 }
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -30,6 +30,9 @@
 /// Time without an event after which the engine's health is checked if another engine of its failure domain was lost.
 const CHECK_AFTER_LOSS_MS: u64 = 60;
 
+/// Time between the health checks of an engine that did not respond to one, or that is silent beyond its timeout.
+const CHECK_SUSPECTED_MS: u64 = 900;
+
 /// Time since the head of the response in which a crash of the engine is put down to the request. An engine that a
 /// prompt crashes ends about 0.1 s after the head, and a slow one later.
 const BEGIN_MS: u64 = 600;
@@ -54,6 +57,8 @@
     begun_ms: Option<u64>,
     /// Whether an event has arrived from the engine.
     has_event: bool,
+    /// Whether the state machine suspects the attempt, which then runs until another one has replaced it.
+    is_suspected: bool,
     /// Whether `take_survival` has returned `true`.
     has_survived: bool,
     /// Counts the prefill as pending at the engine; `None` before the request is sent and after the first event.
@@ -88,6 +93,8 @@
     /// The response of the engine has ended after a complete event.
     End,
     Failed(AttemptError),
+    /// The health check got no report in time.
+    Unresponsive,
     /// The health check found the engine alive; `is_working` tells whether the engine reports the request as running.
     Checked {
         is_working: bool,
@@ -110,6 +117,7 @@
             check: None,
             begun_ms: None,
             has_event: false,
+            is_suspected: false,
             has_survived: false,
             prefill: None,
         }
@@ -134,6 +142,17 @@
         self.has_event
     }
 
+    /// Whether the state machine suspects the attempt.
+    pub fn is_suspected(&self) -> bool {
+        self.is_suspected
+    }
+
+    /// Records whether the state machine suspects the attempt. Returns whether it has begun to suspect it.
+    pub fn set_suspected(&mut self, is_suspected: bool) -> bool {
+        let was_suspected = std::mem::replace(&mut self.is_suspected, is_suspected);
+        is_suspected && !was_suspected
+    }
+
     /// Time since the engine began its answer; `None` if it has not.
     pub fn answering_ms(&self, now_ms: u64) -> Option<u64> {
         self.begun_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
@@ -157,7 +176,11 @@
     /// When the next health check is due; `None` while one is in progress or no engine is chosen.
     pub fn check_due_ms(&self) -> Option<u64> {
         self.instance.as_ref()?;
-        let after_ms = if self.has_event { CHECK_AFTER_MS } else { CHECK_PREFILL_MS };
+        let after_ms = match (self.is_suspected, self.has_event) {
+            (true, _) => CHECK_SUSPECTED_MS,
+            (false, true) => CHECK_AFTER_MS,
+            (false, false) => CHECK_PREFILL_MS,
+        };
         self.check.is_none().then(|| self.last_activity_ms.max(self.checked_ms) + after_ms)
     }
 
@@ -167,10 +190,11 @@
         let Some(instance) = &self.instance else { return };
         let now_ms = core.clock.now_ms();
         let is_due = self.check_due_ms().is_some_and(|at_ms| now_ms >= at_ms);
-        let is_suspect = has_loss
+        let is_due_after_loss = has_loss
+            && !self.is_suspected
             && self.check.is_none()
             && now_ms >= self.last_activity_ms.max(self.checked_ms) + CHECK_AFTER_LOSS_MS;
-        if !is_due && !is_suspect {
+        if !is_due && !is_due_after_loss {
             return;
         }
         self.checked_ms = now_ms;
@@ -201,7 +225,8 @@
         let health = ready!(check.poll_unpin(cx));
         self.check = None;
         Poll::Ready(match health {
-            EngineHealth::Dead => lost(LossCause::Silent),
+            EngineHealth::Dead => lost(LossCause::Connect),
+            EngineHealth::Unresponsive => Step::Unresponsive,
             EngineHealth::Alive => Step::Checked { is_working: false },
             EngineHealth::Working => Step::Checked { is_working: true },
         })
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -7,6 +7,7 @@
     kv_replica::KvReplica,
     placement::Placement,
     probe::{is_alive, probe_all},
+    retry_permit::RetryPermit,
 };
 use base::ServiceName;
 use futures::future::join;
@@ -41,6 +42,8 @@
         replica_target: Option<Arc<Instance>>,
         /// Whether another daemon lent the request that the limit of the engine leaves no more to this daemon.
         is_borrowed: bool,
+        /// Retry that was withdrawn for the attempt; `None` if it needs none.
+        retry: Option<RetryPermit>,
     },
     /// The attempt cannot start yet.
     Wait {
@@ -80,23 +83,31 @@
 ///
 /// The retry budget is checked first, because probing costs engine time as well. If the attempt has to wait after that,
 /// the withdrawn retry is refunded.
-pub(crate) async fn choose_engine(core: &Core, requirements: EngineRequirements) -> EngineChoice {
+pub(crate) async fn choose_engine(
+    core: &Arc<Core>,
+    requirements: EngineRequirements,
+) -> EngineChoice {
     let EngineRequirements { service, candidates, replica, retry, may_wait, excluded } =
         requirements;
-    if let Some(urgency) = retry
-        && !core.withdraw(&service, urgency).await
-    {
-        return EngineChoice::Wait { reason: WaitReason::Budget, replica };
-    }
+    let retry = match retry {
+        Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
+            Some(permit) => Some(permit),
+            None => return EngineChoice::Wait { reason: WaitReason::Budget, replica },
+        },
+        None => None,
+    };
     let replica = replica.filter(|replica| core.allows_request(&replica.instance));
     let placement = Placement { excluded: &excluded, ..Placement::default() };
     if candidates.is_empty() && replica.is_none() && core.is_limited(&service, &placement) {
         if let Some(instance) = core.borrow_instance(&service, &placement).await {
             let (replica, replica_target) = (None, None);
-            return EngineChoice::Engine { instance, replica, replica_target, is_borrowed: true };
-        }
-        if retry.is_some() {
-            core.refund(&service);
+            return EngineChoice::Engine {
+                instance,
+                replica,
+                replica_target,
+                is_borrowed: true,
+                retry,
+            };
         }
         return EngineChoice::Wait { reason: WaitReason::Limit, replica };
     }
@@ -116,12 +127,15 @@
         Some(instance) => {
             let instance = Arc::clone(instance);
             let replica_target = probed.replica_target(&instance, &core.options.domain).cloned();
-            return EngineChoice::Engine { instance, replica, replica_target, is_borrowed: false };
+            return EngineChoice::Engine {
+                instance,
+                replica,
+                replica_target,
+                is_borrowed: false,
+                retry,
+            };
         }
         None => WaitReason::NoEngine,
     };
-    if retry.is_some() {
-        core.refund(&service);
-    }
     EngineChoice::Wait { reason, replica }
 }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -57,7 +57,8 @@
     pub retries: RetryBudgetLimits,
     /// Policy by which a stream is given up at one engine and resumes at another.
     pub stream_policy: Policy,
-    /// Longest wait for an engine's load report. An engine that does not respond in this time counts as dead.
+    /// Longest wait for an engine's load report. An engine that does not respond in this time gets no new request, and
+    /// is replaced if another one can go on with its requests.
     pub report_timeout_ms: u64,
     /// Time within which a change of the configuration or the instances must be active. Changes are collected into
     /// batches for a quarter of this time, but for at least 100 ms and at most 1,000 ms.
--- a/crates/ingress/src/instance_guards.rs
+++ b/crates/ingress/src/instance_guards.rs
@@ -31,6 +31,12 @@
     }
 }
 
+impl Clone for InFlightGuard {
+    fn clone(&self) -> Self {
+        Self::new(Arc::clone(&self.0))
+    }
+}
+
 impl Deref for InFlightGuard {
     type Target = Instance;
 
--- a/crates/ingress/src/kv_replica.rs
+++ b/crates/ingress/src/kv_replica.rs
@@ -5,7 +5,7 @@
 
 /// Replica of a running request's KV cache. The engine that holds the replica can resume the request without a new
 /// prefill.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct KvReplica {
     /// Engine that holds the replica.
     pub instance: Arc<Instance>,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -42,6 +42,7 @@
 mod probe;
 mod registry;
 mod response_head;
+mod retry_permit;
 mod route_kind;
 mod route_table;
 mod short_call;
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -88,8 +88,10 @@
 /// Result of the health check of an engine that sends no events for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum EngineHealth {
-    /// The engine does not respond.
+    /// The engine has ended: it refuses connections or closes them, or another one now has its address.
     Dead,
+    /// The engine gave no valid report in time. It may be silent only for a while.
+    Unresponsive,
     /// The engine responds, and its report does not list the request.
     Alive,
     /// The engine's report lists the request as running.
@@ -102,7 +104,10 @@
     instance: &Arc<Instance>,
     request_id: &str,
 ) -> EngineHealth {
-    let Some(report) = probe(core, instance).await else { return EngineHealth::Dead };
+    let report = match request_report(core, instance).await {
+        Ok(report) => report,
+        Err(health) => return health,
+    };
     match report.runs.iter().any(|id| **id == *request_id) {
         true => EngineHealth::Working,
         false => EngineHealth::Alive,
@@ -147,6 +152,18 @@
 /// Requests the load report of an engine; `None` if the engine does not respond, or if its start time shows that
 /// another one now has the address of the registry entry.
 pub(crate) async fn probe(core: &Core, instance: &Arc<Instance>) -> Option<EngineReport> {
+    request_report(core, instance).await.ok()
+}
+
+/// Requests the load report of an engine.
+///
+/// # Errors
+///
+/// `Dead` or `Unresponsive`, if the engine does not respond or is another one.
+async fn request_report(
+    core: &Core,
+    instance: &Arc<Instance>,
+) -> Result<EngineReport, EngineHealth> {
     let _guard = InFlightGuard::new(Arc::clone(instance));
     let path = core.dialect.report_path;
     let timeout_ms = core.options.report_timeout_ms;
@@ -154,12 +171,16 @@
     let (head, report) = match response {
         Ok(response) => {
             let (head, report) = response.into_parts();
-            (head, (core.dialect.decode_report)(&report)?)
+            let report = (core.dialect.decode_report)(&report);
+            (head, report.ok_or(EngineHealth::Unresponsive)?)
         }
         Err(err) => {
             log::info!("probe: instance={} failed: {err}", instance.entry.id);
             core.record_loss(instance);
-            return None;
+            return Err(match is_silence(&err) {
+                true => EngineHealth::Unresponsive,
+                false => EngineHealth::Dead,
+            });
         }
     };
     if report.started_unix_ms.is_some() && report.started_unix_ms != instance.entry.started_unix_ms
@@ -167,9 +188,18 @@
         log::info!("probe: instance={} was replaced at its address", instance.entry.id);
         instance.retire();
         core.notify_instances_changed();
-        return None;
+        return Err(EngineHealth::Dead);
     }
     instance.record_response(core.clock.now_ms());
     core.record_statements(instance, head.status, &head.headers);
-    Some(report)
+    Ok(report)
+}
+
+/// Whether a call failed only because the upstream sent nothing in time, which does not show that it has ended.
+fn is_silence(err: &ClientError) -> bool {
+    match err {
+        ClientError::Timeout(_) => true,
+        ClientError::Connect(err) => err.kind() == ErrorKind::TimedOut,
+        _ => false,
+    }
 }
--- a/crates/recovery/src/fail_cause.rs
+++ b/crates/recovery/src/fail_cause.rs
@@ -14,6 +14,10 @@
         AttemptsExhausted {
             display("too many attempts failed without a new token")
         }
+        /// The request may not be sent to another engine, and no attempt is left.
+        NotPermitted {
+            display("no further attempt is permitted")
+        }
         /// The limits on recovery attempts did not admit an attempt in time.
         NotAdmitted {
             display("no recovery attempt was admitted in time")
--- a/crates/recovery/src/input.rs
+++ b/crates/recovery/src/input.rs
@@ -35,11 +35,27 @@
         /// Number of the attempt that was requested.
         attempt: AttemptId,
     },
+    /// The driver may send no further request for an attempt that was requested, for example because the request is not
+    /// idempotent and an engine may still run it.
+    NotPermitted {
+        /// Number of the attempt that was requested.
+        attempt: AttemptId,
+    },
     /// The request of an attempt was sent to an engine. Until then the attempt waits for admission.
     Sent {
         /// Number of the attempt whose request was sent.
         attempt: AttemptId,
     },
+    /// The engine has accepted the request of an attempt, and no longer refuses it.
+    Accepted {
+        /// Number of the attempt whose request was accepted.
+        attempt: AttemptId,
+    },
+    /// The engine of an attempt did not respond to a health check in time. It may be silent only for a while.
+    Unresponsive {
+        /// Number of the attempt that the engine runs.
+        attempt: AttemptId,
+    },
     /// The signal about the engine of an attempt changed.
     Signal {
         /// Number of the attempt that the engine runs.
--- a/crates/recovery/src/policy.rs
+++ b/crates/recovery/src/policy.rs
@@ -16,6 +16,10 @@
 /// Maximum number of times that the backoff between attempts is doubled.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
+/// Time in which a suspected attempt and its replacement may both run. A request must not run at two engines for
+/// 400 ms, and the cancelled engine needs some of that time to notice; most refusals arrive within milliseconds.
+const HANDOVER_MS: u64 = 150;
+
 /// Decides when another attempt starts and when a generation fails.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
@@ -31,8 +35,14 @@
     pub first_token_factor: f64,
     /// Maximum of the first-token timeout, and its value until the usual wait is known.
     pub first_token_cap_ms: u64,
-    /// Whether a suspected attempt keeps running as a hedge alongside the next one.
+    /// Whether a suspected attempt keeps running as a hedge alongside the next one. Otherwise it runs only until the
+    /// next one has replaced it.
     pub keeps_suspected_attempt: bool,
+    /// Time after the send of a replacement in which a suspected attempt still runs, unless the replacement is accepted
+    /// earlier. If the replacement is refused in this time, the suspected attempt may still go on.
+    pub handover_ms: u64,
+    /// Silence after which the generation fails if the suspected attempt could not be replaced.
+    pub max_silence_ms: u64,
     /// Where a new attempt starts in the answer.
     pub restart: RestartMode,
     /// Number of consecutive attempts without a new token after which the generation fails.
@@ -54,6 +64,8 @@
         first_token_factor: 3.0,
         first_token_cap_ms: 2_500,
         keeps_suspected_attempt: true,
+        handover_ms: HANDOVER_MS,
+        max_silence_ms: 10_000,
         restart: RestartMode::Continue,
         max_attempts_without_token: 12,
         retry_backoff_ms: 50,
@@ -69,6 +81,8 @@
         first_token_factor: 6.0,
         first_token_cap_ms: 8_000,
         keeps_suspected_attempt: false,
+        handover_ms: HANDOVER_MS,
+        max_silence_ms: 15_000,
         restart: RestartMode::Continue,
         max_attempts_without_token: 12,
         retry_backoff_ms: 100,
@@ -76,7 +90,8 @@
     };
 
     /// Preset for streams whose events hold several tokens and whose prompts are long. It does not hedge, because a
-    /// second attempt alongside a suspected one would execute the same request twice.
+    /// second attempt alongside a suspected one would execute the same request twice: a suspected attempt runs only
+    /// until its replacement is accepted.
     pub const EVENTS: Self = Self {
         silence_floor_ms: 600,
         silence_factor: 2.0,
@@ -85,6 +100,9 @@
         first_token_factor: 3.0,
         first_token_cap_ms: 8_000,
         keeps_suspected_attempt: false,
+        handover_ms: HANDOVER_MS,
+        // The deadline of the request ends the stream long before.
+        max_silence_ms: 3_600_000,
         restart: RestartMode::Continue,
         max_attempts_without_token: 12,
         retry_backoff_ms: 100,
