Keep the exchange of a silent call until another upstream has taken the call

Callers got 502 for an idempotent call whose upstream was silent beyond the retry timeout (three times the target latency) and answered later, because no other upstream was left, the retry budget was empty, or the other one refused the call.

Cause: the exchange was dropped at the retry timeout, before a replacement was found. Now it is kept during the search, and until another upstream has had the call for 150 ms (a request must not run at two upstreams for 400 ms). Without a replacement it is kept until it is answered, fails or the deadline passes. The states of the call do not change: a silent send still counts as one that may have run, so the call is never reported as not run. A retry whose search ended early is refunded.

Failed before (platform/tests/silent_upstreams.rs), all with 502: a_call_gets_the_late_answer_of_its_only_upstream (idempotent route), a_call_gets_the_late_answer_if_it_cannot_be_retried, a_call_gets_the_late_answer_after_a_change_of_the_configuration. Passed before and after: a_call_still_moves_to_another_upstream_quickly.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -46,6 +46,7 @@
 mod route_kind;
 mod route_table;
 mod short_call;
+mod silent_call;
 mod stream_relay;
 
 pub use crate::{
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -6,11 +6,12 @@
     caller_error::CallerError,
     core::Core,
     crash_quarantine::{Subject, log_refusal},
-    exchange::Exchange,
     inbound::Inbound,
     instance::Instance,
     instance_entry::InstanceId,
     placement::Placement,
+    retry_permit::RetryPermit,
+    silent_call::SilentCall,
 };
 use call::{Call, Idempotency, LostCall, Unknown, Unsent};
 use hyper::Response;
@@ -28,7 +29,7 @@
 const IN_TIME_WAIT_DIVISOR: u64 = 2;
 
 /// Outcome of sending a call to one instance.
-enum Outcome {
+pub(crate) enum Outcome {
     /// A valid response arrived, possibly with an error status.
     Answered(BufferedResponse),
     /// No valid response can arrive any more.
@@ -48,11 +49,14 @@
 ) -> Result<Response<ResponseBody>, CallerError> {
     let mut call = Call::new(inbound.kind.idempotency(), inbound.max_attempts - 1);
     let mut excluded: Vec<InstanceId> = Vec::new();
-    let mut error_response: Option<BufferedResponse> = None;
+    let mut silent = SilentCall::new(core, inbound);
     core.deposit(&inbound.service);
     loop {
         let (subject, admission) = core.admit(inbound);
         if let Admission::Refused { verdict, retry_after_ms } = admission {
+            if let Some(response) = silent.wait().await {
+                return Ok(response.into_response());
+            }
             let now_ms = core.clock.now_ms();
             log_refusal("call", inbound, subject, &verdict, excluded.len(), now_ms);
             return Err(end_quarantined(call, subject, retry_after_ms));
@@ -63,32 +67,48 @@
         let left_ms = inbound.left_ms(core.clock.now_ms());
         let chosen = match left_ms {
             0 => Err(core.call_retry_after_ms()),
-            _ => choose(core, inbound, &placement).await,
+            _ => match silent.unless_answered(choose(core, inbound, &placement)).await {
+                Ok(chosen) => chosen,
+                Err(response) => return Ok(response.into_response()),
+            },
         };
         let is_retry = !excluded.is_empty();
         let instance = match chosen {
             Ok(instance) => instance,
-            Err(retry_after_ms) => {
-                return give_up(core, inbound, call, error_response, retry_after_ms);
-            }
+            // If the silent instance fails before the deadline, another one may be usable by then.
+            Err(_) if silent.is_pending() => match silent.wait().await {
+                Some(response) => return Ok(response.into_response()),
+                None => continue,
+            },
+            Err(retry_after_ms) => return give_up(silent, call, retry_after_ms).await,
         };
         let is_in_time = core.clock.now_ms() < inbound.arrived_ms + inbound.target_latency_ms;
         let urgency = if is_in_time { Urgency::Urgent } else { Urgency::Late };
-        if is_retry && !core.withdraw(&inbound.service, urgency).await {
-            let retry_after_ms = core.call_retry_after_ms();
-            return give_up(core, inbound, call, error_response, retry_after_ms);
+        let mut permit = None;
+        if is_retry {
+            let withdrawal = RetryPermit::withdraw(core, &inbound.service, urgency);
+            permit = match silent.unless_answered(withdrawal).await {
+                Ok(permit) => permit,
+                Err(response) => return Ok(response.into_response()),
+            };
+            if permit.is_none() {
+                return give_up(silent, call, core.call_retry_after_ms()).await;
+            }
         }
         // Other daemons may have reported crashes while the instance and the retry were waited for.
         if !is_trial
             && let (subject, Admission::Refused { verdict, retry_after_ms }) = core.admit(inbound)
         {
-            if is_retry {
-                core.refund(&inbound.service);
+            if let Some(response) = silent.wait().await {
+                return Ok(response.into_response());
             }
             let now_ms = core.clock.now_ms();
             log_refusal("call", inbound, subject, &verdict, excluded.len(), now_ms);
             return Err(end_quarantined(call, subject, retry_after_ms));
         }
+        if let Some(permit) = permit {
+            permit.spend();
+        }
         excluded.push(Arc::clone(&instance.entry.id));
         let sent = call.send();
         let may_retry = sent.idempotency() == Idempotency::Idempotent && sent.has_retries();
@@ -96,7 +116,10 @@
             true => left_ms.min((inbound.target_latency_ms * RETRY_LATENCY_FACTOR).max(1)),
             false => left_ms,
         };
-        let outcome = attempt(core, inbound, &instance, timeout_ms).await;
+        let outcome = match silent.send(&instance, timeout_ms).await {
+            Ok(outcome) => outcome,
+            Err(response) => return Ok(response.into_response()),
+        };
         record_outcome(core, inbound, &instance, &outcome);
         call = match outcome {
             Outcome::Answered(response) if !response.status.is_server_error() || !may_retry => {
@@ -111,20 +134,17 @@
             Outcome::Failed(AttemptError::Misdirected) => sent.refused(),
             Outcome::Failed(AttemptError::Refused(_)) => match sent.refused().retry() {
                 Ok(call) => call,
-                Err(call) => {
-                    let retry_after_ms = core.call_retry_after_ms();
-                    return give_up(core, inbound, call, error_response, retry_after_ms);
-                }
+                Err(call) => return give_up(silent, call, core.call_retry_after_ms()).await,
             },
             lost @ (Outcome::Answered(_)
             | Outcome::Failed(AttemptError::Answered(_) | AttemptError::Lost(_))
             | Outcome::TimedOut) => {
                 if let Outcome::Answered(response) = lost {
-                    error_response = Some(response);
+                    silent.error_response = Some(response);
                 }
                 match sent.lost() {
                     LostCall::Retry(call) => call,
-                    LostCall::Unknown(_) => return outcome_unknown(core, inbound, error_response),
+                    LostCall::Unknown(_) => return outcome_unknown(silent).await,
                 }
             }
         };
@@ -184,45 +204,44 @@
     Err(retry_after_ms)
 }
 
-/// Ends a call that is not retried. A caller whose call has not run may retry after `retry_after_ms`.
+/// Ends a call that is not retried, once no silent instance can answer it any more. A caller whose call has not run may
+/// retry after `retry_after_ms`.
 ///
 /// # Errors
 ///
 /// `Busy` if the call has not run, else the errors of `outcome_unknown`.
-fn give_up(
-    core: &Core,
-    inbound: &Inbound,
+async fn give_up(
+    silent: SilentCall<'_>,
     call: Call<Unsent>,
-    error_response: Option<BufferedResponse>,
     retry_after_ms: u64,
 ) -> Result<Response<ResponseBody>, CallerError> {
     let closed: Result<_, Call<Unknown>> = call.close();
     match closed {
         Ok(_) => Err(CallerError::Busy(retry_after_ms)),
-        Err(_) => outcome_unknown(core, inbound, error_response),
+        Err(_) => outcome_unknown(silent).await,
     }
 }
 
-/// Ends a call that may have run without a valid answer. The caller gets the error response of an instance, if any.
+/// Ends a call that may have run without a valid answer, once no silent instance can answer it any more. The caller
+/// gets the error response of an instance, if any.
 ///
 /// # Errors
 ///
 /// `TimedOut` after the deadline, `OutcomeUnknown` before it.
-fn outcome_unknown(
-    core: &Core,
-    inbound: &Inbound,
-    error_response: Option<BufferedResponse>,
+async fn outcome_unknown(
+    mut silent: SilentCall<'_>,
 ) -> Result<Response<ResponseBody>, CallerError> {
-    match error_response {
+    let response = silent.wait().await;
+    match response.or(silent.error_response.take()) {
         Some(response) => Ok(response.into_response()),
-        None if inbound.left_ms(core.clock.now_ms()) == 0 => Err(CallerError::TimedOut),
+        None if silent.left_ms() == 0 => Err(CallerError::TimedOut),
         None => Err(CallerError::OutcomeUnknown),
     }
 }
 
 /// Logs a failed attempt and records the outcome in the state of the instance. An upstream that cut a whole answer off
 /// may have crashed on the request: such an answer has no events that show when it began.
-fn record_outcome(
+pub(crate) fn record_outcome(
     core: &Arc<Core>,
     inbound: &Inbound,
     instance: &Arc<Instance>,
@@ -260,21 +279,3 @@
         }
     }
 }
-
-/// Sends the call to `instance` and waits up to `timeout_ms` for the response.
-async fn attempt(
-    core: &Core,
-    inbound: &Inbound,
-    instance: &Arc<Instance>,
-    timeout_ms: u64,
-) -> Outcome {
-    let exchange = async {
-        let exchange = Exchange::open(core, inbound, Arc::clone(instance), &[]).await?;
-        BufferedResponse::read(core, exchange, inbound.deadline_ms).await
-    };
-    match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
-        Ok(Ok(response)) => Outcome::Answered(response),
-        Ok(Err(err)) => Outcome::Failed(err),
-        Err(_) => Outcome::TimedOut,
-    }
-}
--- /dev/null
+++ b/crates/ingress/src/silent_call.rs
@@ -0,0 +1,162 @@
+//! Exchange of a call whose instance is silent, kept until another instance has taken its place.
+
+use crate::{
+    attempt_error::AttemptError,
+    buffered_response::BufferedResponse,
+    core::Core,
+    exchange::Exchange,
+    inbound::Inbound,
+    instance::Instance,
+    short_call::{Outcome, record_outcome},
+};
+use futures::{FutureExt, future::BoxFuture};
+use std::{sync::Arc, time::Duration};
+
+/// Time after the send to another instance in which the silent exchange is still kept: if the other one refuses the
+/// call, the silent one may still answer. A call must not run at two instances for 400 ms.
+const HANDOVER_MS: u64 = 150;
+
+/// Exchange in progress at an instance.
+struct Pending<'r> {
+    instance: Arc<Instance>,
+    exchange: BoxFuture<'r, Result<BufferedResponse, AttemptError>>,
+}
+
+/// Exchanges of one call: the current one, and an earlier one whose instance is silent.
+pub(crate) struct SilentCall<'r> {
+    core: &'r Arc<Core>,
+    inbound: &'r Inbound,
+    /// Exchange that got no answer in its time and was not replaced; `None` if there is none.
+    silent: Option<Pending<'r>>,
+    /// Last error response of an instance, which the caller gets if no other one answers; `None` if there is none.
+    pub error_response: Option<BufferedResponse>,
+}
+
+impl<'r> SilentCall<'r> {
+    pub fn new(core: &'r Arc<Core>, inbound: &'r Inbound) -> Self {
+        Self { core, inbound, silent: None, error_response: None }
+    }
+
+    /// Whether an instance is silent that may still answer.
+    pub fn is_pending(&self) -> bool {
+        self.silent.is_some()
+    }
+
+    /// Time until the deadline of the call.
+    pub fn left_ms(&self) -> u64 {
+        self.inbound.left_ms(self.core.clock.now_ms())
+    }
+
+    /// Waits for `search`, which looks for a replacement.
+    ///
+    /// # Errors
+    ///
+    /// The response of the silent instance, if it arrives earlier.
+    pub async fn unless_answered<T>(
+        &mut self,
+        search: impl Future<Output = T>,
+    ) -> Result<T, BufferedResponse> {
+        tokio::pin!(search);
+        loop {
+            tokio::select! {
+                biased;
+                answer = self.late_answer(), if self.is_pending() => {
+                    if let Some(response) = answer {
+                        return Err(response);
+                    }
+                }
+                found = &mut search => return Ok(found),
+            }
+        }
+    }
+
+    /// Sends the call to `instance` and waits up to `timeout_ms` for the response. After the timeout, the instance is
+    /// the silent one.
+    ///
+    /// # Errors
+    ///
+    /// The response of the instance that was silent before, if it arrives earlier and within the handover time.
+    pub async fn send(
+        &mut self,
+        instance: &Arc<Instance>,
+        timeout_ms: u64,
+    ) -> Result<Outcome, BufferedResponse> {
+        let (core, inbound) = (self.core, self.inbound);
+        let target = Arc::clone(instance);
+        let exchange = async move {
+            let exchange = Exchange::open(core, inbound, target, &[]).await?;
+            BufferedResponse::read(core, exchange, inbound.deadline_ms).await
+        };
+        let mut current = Pending { instance: Arc::clone(instance), exchange: exchange.boxed() };
+        let timeout = tokio::time::sleep(Duration::from_millis(timeout_ms));
+        let handover = tokio::time::sleep(Duration::from_millis(HANDOVER_MS));
+        tokio::pin!(timeout, handover);
+        loop {
+            tokio::select! {
+                biased;
+                result = &mut current.exchange => {
+                    return Ok(result.map_or_else(Outcome::Failed, Outcome::Answered));
+                }
+                answer = self.late_answer(), if self.is_pending() => {
+                    if let Some(response) = answer {
+                        self.log(&current.instance, "cancelled, reason=superseded");
+                        return Err(response);
+                    }
+                }
+                () = &mut handover, if self.is_pending() => self.cancel_replaced(),
+                () = &mut timeout => {
+                    self.cancel_replaced();
+                    self.silent = Some(current);
+                    return Ok(Outcome::TimedOut);
+                }
+            }
+        }
+    }
+
+    /// Waits for the silent instance until the deadline of the call, because the call cannot be sent again. Returns
+    /// `None` at once if no instance is silent.
+    pub async fn wait(&mut self) -> Option<BufferedResponse> {
+        let left_ms = self.left_ms();
+        let instance = Arc::clone(&self.silent.as_ref()?.instance);
+        if left_ms > 0 {
+            self.log(&instance, "is silent, kept because it cannot be replaced");
+        }
+        let timeout = Duration::from_millis(left_ms);
+        let answer = tokio::time::timeout(timeout, self.late_answer()).await;
+        self.silent = None;
+        answer.ok().flatten()
+    }
+
+    /// Waits for the end of the silent exchange. Returns its response; `None` if it failed or is an error response.
+    async fn late_answer(&mut self) -> Option<BufferedResponse> {
+        let pending = self.silent.as_mut()?;
+        let result = (&mut pending.exchange).await;
+        let instance = self.silent.take()?.instance;
+        let outcome = result.map_or_else(Outcome::Failed, Outcome::Answered);
+        record_outcome(self.core, self.inbound, &instance, &outcome);
+        match outcome {
+            Outcome::Answered(response) if response.status.is_server_error() => {
+                self.error_response = Some(response);
+                None
+            }
+            Outcome::Answered(response) => Some(response),
+            Outcome::Failed(_) | Outcome::TimedOut => None,
+        }
+    }
+
+    /// Cancels the silent exchange, because another one has taken its place.
+    fn cancel_replaced(&mut self) {
+        if let Some(replaced) = self.silent.take() {
+            self.log(&replaced.instance, "cancelled, reason=replaced");
+        }
+    }
+
+    fn log(&self, instance: &Instance, what: &str) {
+        log::info!(
+            "attempt: id={} instance={} domain={} {what}",
+            self.inbound.id_text(),
+            instance.entry.id,
+            instance.entry.domain
+        );
+    }
+}
