Answer a request whose handling panics

A panic ended the task of the connection: the caller got no answer, and no line named the request. The gateway answers 500 with the code panicked, which promises nothing, logs the identifier and counts the failure; a stream that panics is cut off and logged. The server answers 500 for other handlers, and closes the connection after it.

--- a/crates/ingress/src/caller_error.rs
+++ b/crates/ingress/src/caller_error.rs
@@ -73,6 +73,10 @@
         OutcomeUnknown {
             display("the upstream gave no valid answer; the request may have run")
         }
+        /// The daemon panicked while it served the request, which may have run.
+        Panicked {
+            display("the daemon failed; the request may have run")
+        }
         /// No upstream responded before the deadline, and the request may have run.
         TimedOut {
             display("no answer came in time; the request may have run")
@@ -109,6 +113,7 @@
             Self::OutcomeUnknown | Self::PromptCrashed | Self::RequestCrashed => {
                 StatusCode::BAD_GATEWAY
             }
+            Self::Panicked => StatusCode::INTERNAL_SERVER_ERROR,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -130,6 +135,7 @@
             Self::RequestQuarantined(_) => "request_quarantined",
             Self::RequestCrashed => "request_crashed",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::Panicked => "panicked",
             Self::TimedOut => "timed_out",
         }
     }
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -10,15 +10,15 @@
     short_call,
     stream_relay::{StreamRelay, StreamStart},
 };
-use futures::stream;
+use futures::{FutureExt, StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Request, Response,
     body::{Frame, Incoming},
     header::{CONNECTION, HOST, HeaderValue},
 };
-use std::{sync::Arc, time::Duration};
-use web::{Handler, ReadBodyError, ResponseBody, StatusCode, read_body};
+use std::{panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use web::{AbortedBody, Handler, ReadBodyError, ResponseBody, StatusCode, read_body};
 
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -91,7 +91,8 @@
     }
 
     async fn serve_stream(&self, inbound: Inbound) -> Result<Response<ResponseBody>, CallerError> {
-        let mut relay = StreamRelay::new(Arc::clone(&self.core), Arc::new(inbound));
+        let inbound = Arc::new(inbound);
+        let mut relay = StreamRelay::new(Arc::clone(&self.core), Arc::clone(&inbound));
         let headers = match relay.start().await? {
             StreamStart::Events(headers) => headers,
             StreamStart::Error(response) => return Ok(response.into_response()),
@@ -103,6 +104,13 @@
                 Err(err) => Some((Err(err), None)),
             }
         });
+        let events = AssertUnwindSafe(events).catch_unwind().map(move |event| {
+            event.unwrap_or_else(|_| {
+                log::error!("stream: id={} panicked", inbound.id_text());
+                metrics::counter!("streams_panicked_total").increment(1);
+                Err(AbortedBody::Aborted)
+            })
+        });
         let mut response = Response::new(StreamBody::new(events).boxed_unsync());
         *response.headers_mut() = headers;
         Ok(response)
@@ -213,7 +221,8 @@
 impl Handler for Gateway {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let id = request.headers().get(&self.core.dialect.request_id).cloned();
-        let mut response = match self.serve(request).await {
+        let serving = AssertUnwindSafe(self.serve(request)).catch_unwind();
+        let mut response = match serving.await.unwrap_or(Err(CallerError::Panicked)) {
             Ok(response) => response,
             Err(err) => {
                 let id_text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,14 +1,24 @@
 //! HTTP/1.1 server with graceful shutdown.
 
 use crate::{
-    body::ResponseBody, caller_stream::CallerStream, in_flight_requests::InFlightRequests,
-    server_limits::ServerLimits, tcp_keepalive::enable_tcp_keepalive,
+    body::{ResponseBody, empty},
+    caller_stream::CallerStream,
+    in_flight_requests::InFlightRequests,
+    server_limits::ServerLimits,
+    tcp_keepalive::enable_tcp_keepalive,
+};
+use futures::FutureExt;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
 };
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use std::{
-    convert::Infallible, future::Future, io::Result as IoResult, net::SocketAddr, sync::Arc,
-    time::Duration,
+    convert::Infallible, future::Future, io::Result as IoResult, net::SocketAddr,
+    panic::AssertUnwindSafe, sync::Arc, time::Duration,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -163,7 +173,11 @@
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         let guard = in_flight.start_request();
-        async move { Ok::<_, Infallible>(guard.attach_to(handler.handle(request).await)) }
+        async move {
+            let handling = AssertUnwindSafe(handler.handle(request)).catch_unwind();
+            let response = handling.await.unwrap_or_else(|_| panic_response(peer));
+            Ok::<_, Infallible>(guard.attach_to(response))
+        }
     });
     // A connection that is accepted after the stop serves a single request.
     let is_after_stop = *stop.borrow();
@@ -183,6 +197,15 @@
     let _ = connection.await;
 }
 
+/// Response to a request of `peer` whose handler has panicked, after which the connection is closed.
+fn panic_response(peer: SocketAddr) -> Response<ResponseBody> {
+    log::error!("web: the handler of a request from {peer} panicked");
+    let mut response = Response::new(empty());
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// Waits until `stop` becomes true or its sender is dropped.
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|&is_stopped| is_stopped).await;
--- a/crates/web/tests/refusals.rs
+++ b/crates/web/tests/refusals.rs
@@ -18,11 +18,12 @@
 /// Size of a large body, in bytes.
 const BODY_BYTES: usize = 400_000;
 
-/// Refuses every request: `/now` before its body is read, any other path once the body exceeds 10,000 bytes.
+/// Panics on `/panic`, and refuses every other request: `/now` before its body is read, any other path once the body exceeds 10,000 bytes.
 struct RefusingHandler;
 
 impl Handler for RefusingHandler {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        assert!(request.uri().path() != "/panic", "this panic is part of the test");
         let mut status = StatusCode::NOT_FOUND;
         if request.uri().path() != "/now" && read_body(request.into_body(), 10_000).await.is_err() {
             status = StatusCode::PAYLOAD_TOO_LARGE;
@@ -213,3 +214,19 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(caller.write_all(b"GET").await.is_err(), "the request was read");
 }
+
+/// Guards against a panic of the handler that ends the connection without an answer.
+#[tokio::test]
+async fn a_panic_of_the_handler_is_answered() {
+    let running = RunningServer::start().await;
+    for _ in 0..5 {
+        let mut caller = TcpStream::connect(running.addr).await.unwrap();
+        caller.write_all(b"GET /panic HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        let answer = read_all(&mut caller).await;
+        assert!(answer.starts_with("HTTP/1.1 500 "), "{answer:?}");
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer:?}");
+        let other = answer_after_all_is_sent(running.addr, "/now", false, Duration::ZERO).await;
+        assert!(other.starts_with("HTTP/1.1 404 "), "{other:?}");
+    }
+    running.close().await;
+}
