Refuse or answer the requests that a planned stop would cut off

Three cases ended at the end of the grace without an answer: streams accepted late by twice their usual duration, streams that may not be resumed, and requests whose deadline lies beyond the grace (silent upstream, no free upstream, body not arrived). Later than 2.9 s after SIGTERM a request is accepted only if its deadline fits, a stream that may not be resumed at any time of the stop. 200 ms before the abort, a request without an answer gets one: 503 if it was not sent to an upstream, else 502 or 504.

Failed before: requests_without_an_answer_get_one_before_the_cut, a_stream_that_waits_for_an_engine_is_refused_before_the_cut, requests_in_the_grace_are_answered_or_refused (no answer).

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -48,6 +48,14 @@
 /// Time from the start of the daemon in which requests wait for the first configuration.
 const START_WAIT_MS: u64 = 300;
 
+/// Time before the abort of the requests in flight at which those without an answer get one, in milliseconds. It is for
+/// writing the answers.
+const LAST_ANSWERS_MS: u64 = 200;
+
+/// Time from the start of the shutdown in which a request is accepted if it will probably end in time, in milliseconds.
+/// The load balancer needs about 3 s to send no more requests; later ones must be sure to end.
+const PROBABLE_MS: u64 = 2_900;
+
 /// Options of a daemon, from its settings and the platform's limits.
 #[derive(Clone, Debug)]
 pub struct CoreOptions {
@@ -81,8 +89,8 @@
     registry: Mutex<Registry>,
     /// Whether the configuration and the instances have been up to date since the daemon started.
     has_caught_up: watch::Sender<bool>,
-    /// Start of the shutdown on `clock`; unset before it.
-    stopped_ms: OnceLock<u64>,
+    /// Start of the shutdown on `clock`; `None` before it.
+    stopped_ms: watch::Sender<Option<u64>>,
     fleet_size: Mutex<FleetSize>,
     /// Peer addresses of all listed daemons, including this one.
     daemons: Mutex<Vec<SocketAddr>>,
@@ -122,7 +130,7 @@
             config: Mutex::default(),
             registry: Mutex::default(),
             has_caught_up: watch::Sender::new(false),
-            stopped_ms: OnceLock::new(),
+            stopped_ms: watch::Sender::new(None),
             fleet_size: Mutex::default(),
             daemons: Mutex::default(),
             peer_socket: OnceLock::new(),
@@ -238,18 +246,49 @@
 
     /// Starts the shutdown: the daemon is no longer ready for new connections.
     pub fn stop(&self) {
-        self.stopped_ms.get_or_init(|| self.clock.now_ms());
+        self.stopped_ms.send_if_modified(|stopped_ms| {
+            let is_first = stopped_ms.is_none();
+            stopped_ms.get_or_insert_with(|| self.clock.now_ms());
+            is_first
+        });
     }
 
     /// Whether the daemon is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stopped_ms.get().is_some()
+        self.stopped_ms.borrow().is_some()
+    }
+
+    /// Whether the shutdown has lasted so long that a request is accepted only if it is sure to end in time.
+    pub(crate) fn is_late_in_shutdown(&self) -> bool {
+        let stopped_ms = *self.stopped_ms.borrow();
+        stopped_ms.is_some_and(|at_ms| self.clock.now_ms() > at_ms + PROBABLE_MS)
+    }
+
+    /// Time on `clock` at which requests get their last answers, for a shutdown that started at `stopped_ms`.
+    fn last_answers_ms(&self, stopped_ms: u64) -> u64 {
+        stopped_ms + self.options.cut_after_stop_ms.saturating_sub(LAST_ANSWERS_MS)
+    }
+
+    /// Time until requests get their last answers before they are aborted; `None` if the daemon is not shutting down.
+    pub(crate) fn time_until_last_answers_ms(&self) -> Option<u64> {
+        let at_ms = self.last_answers_ms((*self.stopped_ms.borrow())?);
+        Some(at_ms.saturating_sub(self.clock.now_ms()))
+    }
+
+    /// Waits until requests get their last answers before the shutdown aborts them. Never returns without a shutdown.
+    pub(crate) async fn wait_for_last_answers(&self) {
+        let mut stopped = self.stopped_ms.subscribe();
+        let stopped_ms = stopped.wait_for(Option::is_some).await.ok().and_then(|at_ms| *at_ms);
+        if let Some(stopped_ms) = stopped_ms {
+            let at = self.clock.instant_at(self.last_answers_ms(stopped_ms));
+            tokio::time::sleep_until(Instant::from_std(at)).await;
+        }
     }
 
-    /// Time until requests in flight are aborted; `None` if the daemon is not shutting down.
-    pub(crate) fn time_until_abort_ms(&self) -> Option<u64> {
-        let abort_ms = self.stopped_ms.get()? + self.options.cut_after_stop_ms;
-        Some(abort_ms.saturating_sub(self.clock.now_ms()))
+    /// Time until a request must have its answer: its deadline, or the last answers of a shutdown.
+    pub(crate) fn left_ms(&self, inbound: &Inbound) -> u64 {
+        let left_ms = inbound.left_ms(self.clock.now_ms());
+        self.time_until_last_answers_ms().map_or(left_ms, |ms| ms.min(left_ms))
     }
 
     /// Whether the daemon is ready for new connections: it has a configuration and the instances, and is not shutting
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -23,7 +23,7 @@
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
-/// During a shutdown, a stream is accepted if this multiple of the usual duration of streams is left. A stream that
+/// Early in a shutdown, a stream is accepted if this multiple of the usual duration of streams is left. A stream that
 /// resumes at another engine takes longer than usual.
 const SHUTDOWN_DURATION_FACTOR: u64 = 2;
 
@@ -57,7 +57,14 @@
             Duration::from_millis(BODY_TIMEOUT_MS.min(route.timeout_ms)),
             read_body(body, config.limits.max_body_bytes),
         );
-        let body = match body.await {
+        let body = tokio::select! {
+            biased;
+            body = body => body,
+            () = self.core.wait_for_last_answers() => {
+                return Err(CallerError::Busy(self.core.call_retry_after_ms()));
+            }
+        };
+        let body = match body {
             Ok(Ok(body)) => body,
             Ok(Err(ReadBodyError::TooLarge(_))) => return Err(CallerError::TooLarge),
             Ok(Err(ReadBodyError::Transport(_))) => return Err(CallerError::IncompleteBody),
@@ -93,7 +100,12 @@
     async fn serve_stream(&self, inbound: Inbound) -> Result<Response<ResponseBody>, CallerError> {
         let inbound = Arc::new(inbound);
         let mut relay = StreamRelay::new(Arc::clone(&self.core), Arc::clone(&inbound));
-        let headers = match relay.start().await? {
+        let start = tokio::select! {
+            biased;
+            start = relay.start() => start,
+            () = self.core.wait_for_last_answers() => relay.give_up(),
+        };
+        let headers = match start? {
             StreamStart::Events(headers) => headers,
             StreamStart::Error(response) => return Ok(response.into_response()),
         };
@@ -116,19 +128,24 @@
         Ok(response)
     }
 
-    /// Refuses a request that would probably not finish before the shutdown aborts it. The caller can retry at another
-    /// daemon.
+    /// Refuses a request that may not finish before the shutdown aborts it. The caller can retry at another daemon. Early
+    /// in the shutdown, a stream that may be resumed is accepted if it will probably finish.
     ///
     /// # Errors
     ///
     /// `Busy` if the time until the abort is shorter than the request needs.
     fn check_shutdown(&self, inbound: &Inbound) -> Result<(), CallerError> {
-        let Some(left_ms) = self.core.time_until_abort_ms() else { return Ok(()) };
+        let Some(left_ms) = self.core.time_until_last_answers_ms() else { return Ok(()) };
         let deadline_ms = inbound.left_ms(self.core.clock.now_ms());
         let (needed_ms, retry_after_ms) = match inbound.kind {
             RouteKind::Idempotent | RouteKind::NonIdempotent => {
                 (deadline_ms, self.core.call_retry_after_ms())
             }
+            RouteKind::Streaming { is_resumable, .. }
+                if !is_resumable || self.core.is_late_in_shutdown() =>
+            {
+                (deadline_ms, self.core.stream_retry_after_ms())
+            }
             RouteKind::Streaming { .. } => {
                 let usual_ms = self.core.timing(&inbound.service).generation_ms;
                 let needed_ms = usual_ms.map(|ms| ms as u64 * SHUTDOWN_DURATION_FACTOR);
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -64,7 +64,7 @@
         let is_trial = matches!(admission, Admission::Trial(_));
         let placement =
             Placement { excluded: &excluded, prefers_local: true, ..Placement::default() };
-        let left_ms = inbound.left_ms(core.clock.now_ms());
+        let left_ms = core.left_ms(inbound);
         let chosen = match left_ms {
             0 => Err(core.call_retry_after_ms()),
             _ => match silent.unless_answered(choose(core, inbound, &placement)).await {
@@ -181,6 +181,7 @@
     }
     let target_ms = inbound.arrived_ms + inbound.target_latency_ms;
     let max_wait_ms = target_ms.saturating_sub(core.clock.now_ms()) / IN_TIME_WAIT_DIVISOR;
+    let max_wait_ms = max_wait_ms.min(core.left_ms(inbound));
     let soonest = core.soonest_instance(service, placement);
     if let Some((instance, wait_ms)) = &soonest
         && *wait_ms <= max_wait_ms
--- a/crates/ingress/src/silent_call.rs
+++ b/crates/ingress/src/silent_call.rs
@@ -42,9 +42,9 @@
         self.silent.is_some()
     }
 
-    /// Time until the deadline of the call.
+    /// Time until the call must be answered.
     pub fn left_ms(&self) -> u64 {
-        self.inbound.left_ms(self.core.clock.now_ms())
+        self.core.left_ms(self.inbound)
     }
 
     /// Waits for `search`, which looks for a replacement.
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Sends the call to `instance` and waits up to `timeout_ms` for the response. After the timeout, the instance is
-    /// the silent one.
+    /// Sends the call to `instance` and waits up to `timeout_ms` for the response, but not longer than a shutdown lets
+    /// it. After the timeout, the instance is the silent one.
     ///
     /// # Errors
     ///
@@ -90,7 +90,8 @@
         let mut current = Pending { instance: Arc::clone(instance), exchange: exchange.boxed() };
         let timeout = tokio::time::sleep(Duration::from_millis(timeout_ms));
         let handover = tokio::time::sleep(Duration::from_millis(HANDOVER_MS));
-        tokio::pin!(timeout, handover);
+        let last_answers = core.wait_for_last_answers();
+        tokio::pin!(timeout, handover, last_answers);
         loop {
             tokio::select! {
                 biased;
@@ -103,6 +104,10 @@
                         return Err(response);
                     }
                 }
+                () = &mut last_answers => {
+                    self.silent = None;
+                    return Ok(Outcome::TimedOut);
+                }
                 () = &mut handover, if self.is_pending() => self.cancel_replaced(),
                 () = &mut timeout => {
                     self.cancel_replaced();
@@ -113,7 +118,7 @@
         }
     }
 
-    /// Waits for the silent instance until the deadline of the call, because the call cannot be sent again. Returns
+    /// Waits for the silent instance until the call must be answered, because the call cannot be sent again. Returns
     /// `None` at once if no instance is silent.
     pub async fn wait(&mut self) -> Option<BufferedResponse> {
         let left_ms = self.left_ms();
@@ -121,10 +126,15 @@
         if left_ms > 0 {
             self.log(&instance, "is silent, kept because it cannot be replaced");
         }
+        let core = self.core;
         let timeout = Duration::from_millis(left_ms);
-        let answer = tokio::time::timeout(timeout, self.late_answer()).await;
+        let answer = tokio::select! {
+            biased;
+            answer = tokio::time::timeout(timeout, self.late_answer()) => answer.ok().flatten(),
+            () = core.wait_for_last_answers() => None,
+        };
         self.silent = None;
-        answer.ok().flatten()
+        answer
     }
 
     /// Waits for the end of the silent exchange. Returns its response; `None` if it failed or is an error response.
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -199,6 +199,17 @@
         self.head.take().map(StreamStart::Events).ok_or(CallerError::OutcomeUnknown)
     }
 
+    /// Ends a stream that has not started before the shutdown aborts it, like a failed `start`.
+    ///
+    /// # Errors
+    ///
+    /// `Busy` only if the request has not run and never will.
+    pub fn give_up(&mut self) -> Result<StreamStart, CallerError> {
+        self.fail(Failure::Deadline);
+        let response = self.error_response.take();
+        response.map(StreamStart::Error).ok_or_else(|| self.caller_error(Failure::Deadline))
+    }
+
     /// Waits for the next events and returns their bytes; `None` at the end of the stream.
     ///
     /// # Errors
