State that the connection closes with a refusal before the body

A request that was refused after its head (404, 401, 413, 431, 503) while its body was still on the way got an answer without 'Connection: close'. hyper closed the connection all the same, and the next request of the caller on it got neither an answer nor a refusal: beside a change of the configuration that removes routes or keys, this hits every caller with kept connections and a body that arrives after the head.

Failed before: a_refusal_before_the_body_does_not_cost_the_next_request, each_request_has_one_answer_beside_changes_of_the_configuration.

--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Request, Response,
-    body::{Frame, Incoming},
+    body::{Body, Frame, Incoming},
     header::{CONNECTION, HOST, HeaderValue},
 };
 use std::{panic::AssertUnwindSafe, sync::Arc, time::Duration};
@@ -39,9 +39,11 @@
         Self { core }
     }
 
+    /// Serves a request. Sets `has_body_read` once its body was read to the end.
     async fn serve(
         &self,
         request: Request<Incoming>,
+        has_body_read: &mut bool,
     ) -> Result<Response<ResponseBody>, CallerError> {
         let arrived_ms = self.core.clock.now_ms();
         let config = self.core.wait_for_config().await.ok_or(CallerError::NoConfig)?;
@@ -70,6 +72,7 @@
             Ok(Err(ReadBodyError::Transport(_))) => return Err(CallerError::IncompleteBody),
             Err(_) => return Err(CallerError::BodyTimeout),
         };
+        *has_body_read = true;
         let inbound = head.with_body(parts.method, parts.uri, &parts.headers, body)?;
         self.check_shutdown(&inbound)?;
         match inbound.kind {
@@ -128,8 +131,8 @@
         Ok(response)
     }
 
-    /// Refuses a request that may not finish before the shutdown aborts it. The caller can retry at another daemon. Early
-    /// in the shutdown, a stream that may be resumed is accepted if it will probably finish.
+    /// Refuses a request that may not finish before the shutdown aborts it. The caller can retry at another daemon.
+    /// Early in the shutdown, a stream that may be resumed is accepted if it will probably finish.
     ///
     /// # Errors
     ///
@@ -238,7 +241,8 @@
 impl Handler for Gateway {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let id = request.headers().get(&self.core.dialect.request_id).cloned();
-        let serving = AssertUnwindSafe(self.serve(request)).catch_unwind();
+        let mut has_body_read = request.body().is_end_stream();
+        let serving = AssertUnwindSafe(self.serve(request, &mut has_body_read)).catch_unwind();
         let mut response = match serving.await.unwrap_or(Err(CallerError::Panicked)) {
             Ok(response) => response,
             Err(err) => {
@@ -253,7 +257,9 @@
                 err.response(&self.core.dialect, id.as_ref())
             }
         };
-        if self.core.is_stopping() {
+        // The server closes a connection with an unread body. Without the header, the caller would send its next request
+        // on that connection.
+        if self.core.is_stopping() || !has_body_read {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
