State at the entry that the connection closes with a refusal before the body

The handler of the entry had the same fault as the gateway: a refusal before the body was read did not say that the server closes the connection, and the next request on it got no answer.

Failed before: a_refusal_before_the_body_does_not_cost_the_next_request (crates/entry/tests/bad_input.rs).

--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -22,7 +22,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, CONTENT_TYPE, HeaderValue},
 };
 use limit::Class;
@@ -51,12 +51,15 @@
 
 impl Handler for CallerHandler {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        let mut response = self.route(request).await.unwrap_or_else(|error| {
+        let mut has_body_read = request.body().is_end_stream();
+        let routed = self.route(request, &mut has_body_read).await;
+        let mut response = routed.unwrap_or_else(|error| {
             metrics::counter!("caller_errors_total", "code" => error.code()).increment(1);
             error.response()
         });
-        // The header makes callers with open connections move to other entries before the listener closes.
-        if self.shared.is_draining.load(Ordering::Relaxed) {
+        // The header makes callers with open connections move to other entries before the listener closes. The server
+        // also closes a connection with an unread body.
+        if self.shared.is_draining.load(Ordering::Relaxed) || !has_body_read {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -64,7 +67,12 @@
 }
 
 impl CallerHandler {
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<ResponseBody>, ApiError> {
+    /// Serves a request. Sets `has_body_read` once its body was read to the end.
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        has_body_read: &mut bool,
+    ) -> Result<Response<ResponseBody>, ApiError> {
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
         match path.as_str() {
@@ -79,10 +87,10 @@
             }
             "/v1/completions" | "/v1/chat/completions" => {
                 require_method(&method, &Method::POST, "POST")?;
-                self.generate(&path, request).await
+                self.generate(&path, request, has_body_read).await
             }
             _ => match path.strip_prefix("/services/") {
-                Some(rest) => self.call_service(method, rest, request).await,
+                Some(rest) => self.call_service(method, rest, request, has_body_read).await,
                 None => Err(ApiError::UnknownRoute),
             },
         }
@@ -92,12 +100,14 @@
         &self,
         path: &str,
         request: Request<Incoming>,
+        has_body_read: &mut bool,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
         let account = authenticate(request.headers(), &config)?;
         let last_event_id = request.headers().get(LAST_EVENT_ID).cloned();
         let key = idempotency_key(request.headers())?;
         let body = self.read_body(request).await?;
+        *has_body_read = true;
         let digest = RequestDigest::of(&[path.as_bytes(), &body]);
         let job = if path == "/v1/completions" {
             completion_job(&body, account, &config, &self.shared)?
@@ -172,6 +182,7 @@
         method: Method,
         rest: &str,
         request: Request<Incoming>,
+        has_body_read: &mut bool,
     ) -> Result<Response<ResponseBody>, ApiError> {
         let config = self.shared.config();
         let account = authenticate(request.headers(), &config)?;
@@ -185,6 +196,7 @@
         let request_id = request_id(request.headers())?;
         let headers = request.headers().clone();
         let body = self.read_body(request).await?;
+        *has_body_read = true;
         let permit = self.shared.admission.admit(account, &service, Class::Short, 0).await?;
         let account = account.name.clone();
         let request =
--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -211,3 +211,33 @@
     assert!(fixture.is_serving().await);
     fixture.close().await;
 }
+
+/// Guards against a refusal after which the entry closes the connection without saying so: the caller loses the next
+/// request that it sends on the connection.
+#[tokio::test]
+async fn a_refusal_before_the_body_does_not_cost_the_next_request() {
+    let fixture = Fixture::start().await;
+    for (path, key, length) in
+        [("/none", KEY, 10), ("/v1/completions", "unknown", 10), ("/v1/completions", KEY, 100_000)]
+    {
+        let mut stream = TcpStream::connect(fixture.addr()).await.unwrap();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n\
+             Content-Length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        stream.write_all(&vec![b'x'; length]).await.unwrap();
+        let mut buffer = [0; 4096];
+        let size = stream.read(&mut buffer).await.unwrap();
+        let answer = String::from_utf8_lossy(&buffer[..size]).to_lowercase();
+        assert!(answer.starts_with("http/1.1 4"), "{path}: {answer:?}");
+        if answer.contains("connection: close") {
+            continue;
+        }
+        stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        let size = stream.read(&mut buffer).await.unwrap();
+        let next = String::from_utf8_lossy(&buffer[..size]);
+        assert!(next.starts_with("HTTP/1.1 200 "), "{path}: {answer:?}, then {next:?}");
+    }
+}
