Keep open connections until their next response after a stop

A planned stop closed all idle connections at once. A caller that sent its next request before it noticed got no answer.

Failed before: a_kept_connection_is_closed_with_an_answer.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -87,8 +87,8 @@
     }
 
     /// Serves requests until `stop` becomes true or its sender is dropped. Then the server stops accepting connections,
-    /// at once or after the time that `ServerLimits` sets, and returns when every request in flight has been answered
-    /// or aborted.
+    /// at once or after the time that `ServerLimits` sets, and closes each open one after its next response. Returns when
+    /// every request in flight has been answered or aborted.
     pub async fn run<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
         let mut connections = JoinSet::new();
         let limits = self.limits;
@@ -168,14 +168,19 @@
     enable_tcp_keepalive(&stream);
     let in_flight = InFlightRequests::default();
     let headers_size_bytes = limits.borrow().headers_size_bytes.max(MIN_HEADERS_SIZE_BYTES);
+    let accept_limits = limits.clone();
     let stream = CallerStream::new(stream, peer, limits, in_flight.clone());
     let requests = in_flight.clone();
+    let service_stop = stop.clone();
     let service = service_fn(move |request| {
-        let handler = Arc::clone(&handler);
+        let (handler, stop) = (Arc::clone(&handler), service_stop.clone());
         let guard = in_flight.start_request();
         async move {
             let handling = AssertUnwindSafe(handler.handle(request)).catch_unwind();
-            let response = handling.await.unwrap_or_else(|_| panic_response(peer));
+            let mut response = handling.await.unwrap_or_else(|_| panic_response(peer));
+            if *stop.borrow() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(guard.attach_to(response))
         }
     });
@@ -186,10 +191,17 @@
         .header_read_timeout(None)
         .max_buf_size(headers_size_bytes)
         .serve_connection(TokioIo::new(stream), service);
+    // The next response on an open connection states that it closes, so an idle connection is closed without one only
+    // when no new connections are accepted any more.
+    let end_of_accepting = async {
+        wait_for_stop(&mut stop).await;
+        let accept_ms = accept_limits.borrow().accept_after_stop_ms;
+        tokio::time::sleep(Duration::from_millis(accept_ms)).await;
+    };
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = wait_for_stop(&mut stop), if !is_after_stop => {
+        () = end_of_accepting, if !is_after_stop => {
             requests.record_close();
             connection.as_mut().graceful_shutdown();
         }
