Log an odd item once, in a line of bounded length

A registry entry or a configuration that cannot be decoded was logged with the whole of the odd value, which may have a megabyte, and again at each list and each heartbeat. A line break in a key or value began a further line of the log. The follower now logs each such entry once until it can be decoded or is removed, and each revision of the configuration once; texts of unknown origin are cut after 200 characters with control characters escaped, also in the errors of the decoders.

--- /dev/null
+++ b/crates/base/src/excerpt.rs
@@ -0,0 +1,43 @@
+//! Text of bounded length for log lines and error messages.
+
+use std::fmt::{Display, Formatter, Result as FmtResult, Write};
+
+/// Number of characters after which the text is cut.
+const MAX_CHARS: usize = 200;
+
+/// Displays the beginning of a text of unknown origin on one line: control characters are escaped, and a longer text is
+/// cut and ends with `...`.
+#[derive(Clone, Copy, Debug)]
+pub struct Excerpt<T>(pub T);
+
+/// Writer that passes on a limited number of characters.
+struct Limited<'a, 'b> {
+    f: &'a mut Formatter<'b>,
+    left_chars: usize,
+    is_cut: bool,
+}
+
+impl Write for Limited<'_, '_> {
+    fn write_str(&mut self, text: &str) -> FmtResult {
+        for character in text.chars() {
+            if self.left_chars == 0 {
+                self.is_cut = true;
+                return Ok(());
+            }
+            self.left_chars -= 1;
+            match character.is_control() {
+                true => write!(self.f, "{}", character.escape_default())?,
+                false => self.f.write_char(character)?,
+            }
+        }
+        Ok(())
+    }
+}
+
+impl<T: Display> Display for Excerpt<T> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        let mut limited = Limited { f, left_chars: MAX_CHARS, is_cut: false };
+        write!(limited, "{}", self.0)?;
+        if limited.is_cut { f.write_str("...") } else { Ok(()) }
+    }
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod clock;
 mod collections;
+mod excerpt;
 mod key_hash;
 mod key_hash_error;
 mod lock;
@@ -18,6 +19,7 @@
 pub use crate::{
     clock::Clock,
     collections::{HashMap, HashSet},
+    excerpt::Excerpt,
     key_hash::KeyHash,
     key_hash_error::KeyHashError,
     lock::lock,
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -6,7 +6,7 @@
     departures::{Departures, Standing},
     instance_entry::InstanceEntry,
 };
-use base::{HashMap, HashSet};
+use base::{Excerpt, HashMap, HashSet};
 use plat::{Change, Source, SourceError, WatchHandler, list_and_watch};
 use std::{fmt::Display, net::SocketAddr, sync::Arc};
 
@@ -54,6 +54,8 @@
         daemons: HashMap::default(),
         departures: Departures::default(),
         is_restored: false,
+        undecodable: HashSet::default(),
+        undecodable_config: None,
     };
     list_and_watch(source, "", batch_ms, follower).await;
 }
@@ -69,27 +71,45 @@
     departures: Departures,
     /// Whether the next list is the first one since the store was restored from an older copy.
     is_restored: bool,
+    /// Identifiers of the entries that cannot be decoded. Each is logged once, although it comes with each list.
+    undecodable: HashSet<Box<str>>,
+    /// Revision of the last configuration that could not be decoded.
+    undecodable_config: Option<u64>,
 }
 
 impl<E: Display> PlatformFollower<E> {
     /// Decodes and installs a configuration. One that was removed or cannot be decoded leaves the active one unchanged.
-    fn install(&self, change: &Change) {
+    fn install(&mut self, change: &Change) {
         let Some(value) = &change.value else {
             log::warn!("config: the item was removed, the active version stays");
             return;
         };
         match (self.decoders.config)(value) {
             Ok(config) => self.core.install(config),
-            Err(err) => log::warn!("config: revision={} cannot be decoded: {err}", change.revision),
+            Err(err) => {
+                if self.undecodable_config.replace(change.revision) != Some(change.revision) {
+                    let revision = change.revision;
+                    log::warn!("config: revision={revision} cannot be decoded: {}", Excerpt(err));
+                }
+            }
         }
     }
 
     /// Decodes the registry entry of an instance; `None` if the entry is malformed.
-    fn decode_entry(&self, id: &str, value: &[u8]) -> Option<InstanceEntry> {
+    fn decode_entry(&mut self, id: &str, value: &[u8]) -> Option<InstanceEntry> {
         match (self.decoders.instance)(id, value) {
-            Ok(entry) => Some(entry),
+            Ok(entry) => {
+                self.undecodable.remove(id);
+                Some(entry)
+            }
             Err(err) => {
-                log::warn!("instances: the entry of {id} cannot be decoded: {err}");
+                if self.undecodable.insert(id.into()) {
+                    log::warn!(
+                        "instances: the entry of {} cannot be decoded: {}",
+                        Excerpt(id),
+                        Excerpt(err)
+                    );
+                }
                 None
             }
         }
@@ -100,6 +120,7 @@
         let instances = self.keys.instances;
         let ids: HashSet<&str> =
             items.iter().filter_map(|item| item.key.strip_prefix(instances)).collect();
+        self.undecodable.retain(|id| ids.contains(&**id));
         if self.is_restored {
             self.departures.begin_era();
         } else {
@@ -131,6 +152,7 @@
     /// Decodes an entry that an instance has written since the last list.
     fn written_entry(&mut self, id: &str, change: &Change) -> Option<InstanceEntry> {
         let Some(value) = change.value.as_deref() else {
+            self.undecodable.remove(id);
             self.departures.record_removal(id);
             return None;
         };
