--- a/crates/ingress/tests/routes.rs
+++ b/crates/ingress/tests/routes.rs
@@ -42,3 +42,15 @@
     let two = (0..10_000).filter(|_| is_two(&mut rng)).count();
     assert!((900..1_100).contains(&two), "{two} of 10,000");
 }
+
+/// Guards against a sum of weights that overflows.
+#[test]
+fn large_weights_are_added_without_overflow() {
+    let services =
+        vec![("one".try_into().unwrap(), u32::MAX), ("two".try_into().unwrap(), u32::MAX)];
+    let route = Route { services, ..route("split", "a.example", "/") };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let is_two = |rng: &mut SmallRng| route.pick_service(rng).unwrap().as_str() == "two";
+    let two = (0..10_000).filter(|_| is_two(&mut rng)).count();
+    assert!((4_700..5_300).contains(&two), "{two} of 10,000");
+}
