Remember each run of an instance that has stated that it leaves

The registry remembered one leaving run of an instance. A late answer of an earlier run replaced the later one, and a list or entry of another run between removed the record: a run that had stated that it leaves could take requests again. An answer at a request that was sent before the entry of the same run changed closed only the earlier object of the instance, not the listed one. The registry now keeps the last eight leaving runs of each instance, and closes the listed instance if it is of the same run.

Found by a property test over drawn orders of answers, entries, lists, runs and outages. Failed before: no_run_takes_requests_after_it_has_stated_that_it_leaves (crates/ingress/tests/registry.rs), with Leave of run 1, Write of run 2, Write of run 1. It was not seen on sockets.

--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -14,6 +14,10 @@
 /// Number of leaving instances from which those that are no longer listed are forgotten.
 const MAX_LEAVING: usize = 4_096;
 
+/// Number of leaving runs of one instance that are remembered, so that answers and entries of earlier runs may still
+/// arrive after later ones.
+const MAX_LEAVING_RUNS: usize = 8;
+
 /// Shortest platform outage in which a registry entry can expire. An entry expires after three missed heartbeats, which
 /// are more than a second apart, and the last heartbeat may precede the outage by up to one interval.
 const MIN_EXPIRY_OUTAGE_MS: u64 = 2_000;
@@ -27,9 +31,9 @@
 pub struct Registry {
     instances: HashMap<InstanceId, Listed>,
     by_service: HashMap<ServiceName, Vec<Arc<Instance>>>,
-    /// Start times of the instances that have stated that they leave. They take no requests until another run of the
-    /// process is listed.
-    leaving: HashMap<InstanceId, Option<u64>>,
+    /// Start times of the runs of each instance that have stated that they leave, the last one last. These runs take no
+    /// requests; others do.
+    leaving: HashMap<InstanceId, Vec<Option<u64>>>,
     /// When the platform stopped responding; `None` while it responds.
     outage_since_ms: Option<u64>,
     /// End of the grace period after the last outage or restoration.
@@ -65,13 +69,24 @@
         self.instances.is_empty()
     }
 
-    /// Records that the instance of a registry entry has stated that it leaves.
+    /// Records that the instance of a registry entry has stated that it leaves. The entry may be an earlier one of the
+    /// same run, or of an earlier run, than the listed one.
     pub fn record_leaving(&mut self, entry: &InstanceEntry) {
         if self.leaving.len() >= MAX_LEAVING {
             let instances = &self.instances;
             self.leaving.retain(|id, _| instances.contains_key(id));
         }
-        self.leaving.insert(Arc::clone(&entry.id), entry.started_unix_ms);
+        let runs = self.leaving.entry(Arc::clone(&entry.id)).or_default();
+        runs.retain(|run| *run != entry.started_unix_ms);
+        if runs.len() >= MAX_LEAVING_RUNS {
+            runs.remove(0);
+        }
+        runs.push(entry.started_unix_ms);
+        if let Some(listed) = self.instances.get(&entry.id)
+            && listed.instance.entry.started_unix_ms == entry.started_unix_ms
+        {
+            listed.instance.leave();
+        }
     }
 
     /// Records that the platform does not respond.
@@ -118,14 +133,13 @@
             entry.is_draining
         );
         let instance = Arc::new(Instance::new(entry));
-        match self.leaving.get(&id) {
-            Some(started_unix_ms) if *started_unix_ms == instance.entry.started_unix_ms => {
+        if let Some(runs) = self.leaving.get_mut(&id) {
+            if runs.contains(&instance.entry.started_unix_ms) {
                 instance.leave();
+            } else {
+                // Runs whose start times are not known cannot be told apart, so a later one may be meant next time.
+                runs.retain(Option::is_some);
             }
-            Some(_) => {
-                self.leaving.remove(&id);
-            }
-            None => {}
         }
         if !is_last {
             instance.retire();
@@ -208,8 +222,8 @@
     /// Removes an instance whose entry is gone. If its start time is not known, the next entry counts as another run.
     fn end_run(&mut self, id: &str) {
         self.remove_now(id);
-        if self.leaving.get(id).is_some_and(Option::is_none) {
-            self.leaving.remove(id);
+        if let Some(runs) = self.leaving.get_mut(id) {
+            runs.retain(Option::is_some);
         }
     }
 
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -1,7 +1,8 @@
 //! Tests of the registry of instances: changed entries and platform outages.
 
 use ingress::{InstanceEntry, Registry};
-use std::sync::Arc;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::{collections::HashSet, sync::Arc};
 
 fn entry(id: &str, port: u16) -> InstanceEntry {
     InstanceEntry {
@@ -136,3 +137,97 @@
     registry.upsert(unknown);
     assert_eq!(accepting_ids(&registry), ["x", "y"]);
 }
+
+/// What happens to the registry. Instances are given by a number, and their runs by start times.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An entry is written.
+    Write { instance: u8, run: u64, slots: u32 },
+    /// An entry is removed.
+    Remove { instance: u8 },
+    /// A list with the entry of the first instance only, which is of this run.
+    List { run: u64 },
+    /// An answer of this run states that it leaves. It may be of an earlier run than the one that is listed.
+    Leave { instance: u8, run: u64 },
+    /// The platform does not respond for this time.
+    Outage { length_ms: u64 },
+    /// The platform's store is restored from an older copy.
+    Restore,
+    /// Time passes.
+    Wait { length_ms: u64 },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let instance = u8::arbitrary(g) % 2;
+        let run = u64::arbitrary(g) % 3;
+        let length_ms = u64::arbitrary(g) % 5_000;
+        match u8::arbitrary(g) % 10 {
+            0..=2 => Self::Write { instance, run, slots: u32::arbitrary(g) % 2 },
+            3 => Self::Remove { instance },
+            4 => Self::List { run },
+            5..=6 => Self::Leave { instance, run },
+            7 => Self::Outage { length_ms },
+            8 => Self::Restore,
+            _ => Self::Wait { length_ms },
+        }
+    }
+}
+
+/// Guards against a run that takes requests again after it has stated that it leaves, and against one that takes none
+/// because another run has left, in any order of answers, entries and outages.
+#[test]
+fn no_run_takes_requests_after_it_has_stated_that_it_leaves() {
+    fn property(steps: Vec<Step>) -> bool {
+        let drawn_entry = |instance: u8, run: u64, slots: u32| InstanceEntry {
+            started_unix_ms: Some(run),
+            slots,
+            ..entry(&instance.to_string(), u16::from(instance))
+        };
+        let mut registry = Registry::default();
+        let mut left = HashSet::new();
+        let mut now_ms = 0;
+        for step in steps {
+            let mut written = None;
+            match step {
+                Step::Write { instance, run, slots } => {
+                    registry.upsert(drawn_entry(instance, run, slots));
+                    written = Some((instance, run));
+                }
+                Step::Remove { instance } => registry.remove(&instance.to_string(), now_ms),
+                Step::List { run } => {
+                    registry.replace(vec![drawn_entry(0, run, 0)], now_ms);
+                    written = Some((0, run));
+                }
+                Step::Leave { instance, run } => {
+                    registry.record_leaving(&drawn_entry(instance, run, 0));
+                    left.insert((instance.to_string(), Some(run)));
+                }
+                Step::Outage { length_ms } => {
+                    registry.platform_lost(now_ms);
+                    now_ms += length_ms;
+                    registry.platform_recovered(now_ms);
+                }
+                Step::Restore => registry.platform_restored(now_ms),
+                Step::Wait { length_ms } => {
+                    now_ms += length_ms;
+                    registry.expire(now_ms);
+                }
+            }
+            let instances = registry.of_service(&"engines".try_into().unwrap());
+            let accepting: HashSet<(String, Option<u64>)> = instances
+                .iter()
+                .filter(|instance| instance.accepts_requests())
+                .map(|instance| (instance.entry.id.to_string(), instance.entry.started_unix_ms))
+                .collect();
+            let written = written.map(|(instance, run)| (instance.to_string(), Some(run)));
+            let is_closed =
+                written.is_some_and(|run| !left.contains(&run) && !accepting.contains(&run));
+            if is_closed || !accepting.is_disjoint(&left) {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new().tests(20_000).quickcheck(property as fn(Vec<Step>) -> bool);
+}
