Name leaving and waiting instances in explain and losses

An operator who asked why a request was refused read 'the upstreams' limits left no request', also if the instances had asked for a pause, and in the table of losses it counted as 'request refused for its form'. A request that failed at an instance which had stated that it leaves did not show this. Both commands now read the lines 'states that it leaves' and 'wants no requests for'.

Failed before: statements_of_instances_are_named (geraniumctl/tests/explain.rs), statements_of_instances_are_causes (geraniumctl/tests/losses.rs).

--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -1,6 +1,6 @@
 //! Explains the outcome of one request from the logs of the daemons.
 
-use crate::log_line::LogLine;
+use crate::{log_line::LogLine, statements::Statements};
 use std::fmt::Write;
 
 /// Maximum time in milliseconds between a failed attempt and a line on a failure domain, the platform or the daemon
@@ -46,7 +46,11 @@
             let _ = writeln!(explanation, "{at_ms:>7} ms  {}: {}", line.component, line.text);
         }
     }
-    let _ = write!(explanation, "cause: {}", cause(&request_lines));
+    let statements = Statements::new(&lines);
+    let _ = write!(explanation, "cause: {}", cause(&request_lines, &statements));
+    if let Some(leaving) = leaving_instances(&request_lines, &statements) {
+        let _ = write!(explanation, "; before that, {leaving} had stated that it leaves");
+    }
     Some(explanation)
 }
 
@@ -110,8 +114,27 @@
     context
 }
 
+/// Lists the instances of failed attempts that had stated to the daemon that they leave; `None` if there is none.
+fn leaving_instances(
+    request_lines: &[&LogLine<'_>],
+    statements: &Statements<'_>,
+) -> Option<String> {
+    let attempts = request_lines.iter().filter(|line| line.component == "attempt");
+    let mut leaving: Vec<&str> = attempts
+        .filter(|line| {
+            ["failed", "cancelled", "answered", "gave"].iter().any(|word| line.text.contains(word))
+        })
+        .filter_map(|line| {
+            let id = line.field("instance")?;
+            statements.is_leaving(line.vm, id, line.time_ms).then_some(id)
+        })
+        .collect();
+    leaving.dedup();
+    (!leaving.is_empty()).then(|| leaving.join(", "))
+}
+
 /// Describes the cause of the request's outcome in one phrase.
-fn cause(request_lines: &[&LogLine<'_>]) -> String {
+fn cause(request_lines: &[&LogLine<'_>], statements: &Statements<'_>) -> String {
     if let Some(line) = request_lines.iter().find(|line| line.field("reason") == Some("shutdown")) {
         let field = |name| line.field(name).unwrap_or("?");
         return format!(
@@ -138,10 +161,17 @@
         .find(|line| line.field("reason") == Some("limit") && line.text.contains("refused"))
     {
         let retry_after_ms = line.field("retry_after_ms").unwrap_or("?");
-        return format!(
-            "the upstreams' limits left no request for {retry_after_ms} ms ({})",
-            failed_attempts(request_lines),
-        );
+        let failures = failed_attempts(request_lines);
+        let pausing = statements.pausing(line.vm, line.time_ms);
+        return match pausing.is_empty() {
+            true => format!(
+                "the upstreams' limits left no request for {retry_after_ms} ms ({failures})"
+            ),
+            false => format!(
+                "{} wanted no requests, and no other upstream took one for {retry_after_ms} ms ({failures})",
+                pausing.join(", ")
+            ),
+        };
     }
     if let Some(line) = request_lines.iter().find(|line| line.component == "request") {
         return refusal_cause(line, request_lines);
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -21,6 +21,7 @@
 mod loss_group;
 mod losses;
 mod render;
+mod statements;
 
 pub use crate::{
     cli::{Cli, Command},
--- a/crates/geraniumctl/src/loss_cause.rs
+++ b/crates/geraniumctl/src/loss_cause.rs
@@ -17,6 +17,12 @@
     RetryBudget,
     /// The stream waited because the engines had too many prompts to read.
     EngineQueue,
+    /// The upstreams wanted no requests for some time, as they had stated.
+    UpstreamsPausing,
+    /// The limits of the upstreams left no request to the daemon.
+    UpstreamLimits,
+    /// The upstream failed after it had stated that it leaves.
+    UpstreamLeft,
     /// No engine answered when the stream needed one.
     NoEngine,
     /// The engine was lost before the first event.
@@ -50,6 +56,9 @@
             Self::DomainCutOff => "failure domain cut off",
             Self::RetryBudget => "waited for the retry budget",
             Self::EngineQueue => "waited for an engine's queue",
+            Self::UpstreamsPausing => "upstreams wanted no requests",
+            Self::UpstreamLimits => "limits of the upstreams",
+            Self::UpstreamLeft => "upstream had stated that it leaves",
             Self::NoEngine => "no engine answered",
             Self::LostBeforeFirstEvent => "engine lost before the first event",
             Self::UnusableCopy => "engine lost, copy not usable",
--- a/crates/geraniumctl/src/losses.rs
+++ b/crates/geraniumctl/src/losses.rs
@@ -5,6 +5,7 @@
     log_line::LogLine,
     loss_cause::LossCause,
     loss_group::LossGroup,
+    statements::Statements,
 };
 use base::HashMap;
 use std::{collections::BTreeMap, fmt::Write};
@@ -45,12 +46,13 @@
         }
     }
     let cuts = Cuts::new(&lines);
+    let statements = Statements::new(&lines);
     let mut groups: BTreeMap<(u64, LossCause), (LossGroup, HashMap<String, usize>)> =
         BTreeMap::new();
     let mut ids: Vec<&str> = requests.keys().copied().collect();
     ids.sort_unstable();
     for id in ids {
-        let Some(loss) = loss(&requests[id], &cuts) else { continue };
+        let Some(loss) = loss(&requests[id], &cuts, &statements) else { continue };
         let window_ms = loss.start_ms.saturating_sub(first_ms) / WINDOW_MS * WINDOW_MS;
         let (group, places) = groups.entry((window_ms, loss.cause)).or_insert_with(|| {
             let group = LossGroup {
@@ -136,7 +138,7 @@
 }
 
 /// Returns what was lost of a request; `None` if it was answered in time.
-fn loss(lines: &[&LogLine<'_>], cuts: &Cuts<'_>) -> Option<Loss> {
+fn loss(lines: &[&LogLine<'_>], cuts: &Cuts<'_>, statements: &Statements<'_>) -> Option<Loss> {
     let end = lines.iter().rev().find(|line| {
         matches!(line.component, "call" | "request" | "stream") && line.field("outcome").is_some()
     });
@@ -179,7 +181,7 @@
     let place = failure.and_then(|line| line.field("domain")).unwrap_or(end.vm).to_owned();
     Some(Loss {
         start_ms: end.time_ms.saturating_sub(took_ms.max(0) as u64),
-        cause: cause(lines, end, cuts),
+        cause: cause(lines, end, cuts, statements),
         is_failed: !is_answered,
         place,
     })
@@ -194,7 +196,12 @@
 }
 
 /// Finds the cause of a failed or late request whose end is the line `end`.
-fn cause(lines: &[&LogLine<'_>], end: &LogLine<'_>, cuts: &Cuts<'_>) -> LossCause {
+fn cause(
+    lines: &[&LogLine<'_>],
+    end: &LogLine<'_>,
+    cuts: &Cuts<'_>,
+    statements: &Statements<'_>,
+) -> LossCause {
     let reason = |text: &str| lines.iter().any(|line| line.field("reason") == Some(text));
     match end.field("outcome") {
         _ if reason("shutdown") => return LossCause::Shutdown,
@@ -206,6 +213,19 @@
     if failures.iter().any(|line| cuts.includes(line.vm, line.time_ms)) {
         return LossCause::DomainCutOff;
     }
+    let is_leaving = |line: &LogLine<'_>| {
+        let instance = line.field("instance");
+        instance.is_some_and(|id| statements.is_leaving(line.vm, id, line.time_ms))
+    };
+    if failures.last().is_some_and(|line| is_leaving(line)) {
+        return LossCause::UpstreamLeft;
+    }
+    if reason("limit") {
+        return match statements.pausing(end.vm, end.time_ms).is_empty() {
+            true => LossCause::UpstreamLimits,
+            false => LossCause::UpstreamsPausing,
+        };
+    }
     if reason("budget") {
         return LossCause::RetryBudget;
     }
--- a/crates/geraniumctl/tests/explain.rs
+++ b/crates/geraniumctl/tests/explain.rs
@@ -91,3 +91,33 @@
         assert_eq!(LogLine::parse(other), None, "{other}");
     }
 }
+
+/// Guards against explanations that leave out what instances had stated of themselves: that they leave, or that they
+/// want no requests for some time.
+#[test]
+fn statements_of_instances_are_named() {
+    let logs = "\
+1785784684000 INFO vm=a-1 limit: instance=i-1 wants no requests for 2000 ms
+1785784684000 INFO vm=b-1 limit: instance=i-2 wants no requests for 2000 ms
+1785784684500 INFO vm=a-1 call: id=early refused, reason=limit retry_after_ms=1500
+1785784684500 INFO vm=a-1 request: id=early status=503 outcome=not_run config=2
+1785784686500 INFO vm=a-1 call: id=later refused, reason=limit retry_after_ms=700
+1785784686500 INFO vm=a-1 request: id=later status=503 outcome=not_run config=2
+1785784687000 INFO vm=a-1 instances: i-3 states that it leaves, service=desk
+1785784687100 INFO vm=a-1 attempt: id=left instance=i-3 failed: lost: closed; request=1
+1785784687100 INFO vm=a-1 request: id=left status=502 outcome=outcome_unknown config=2
+";
+    let cause = |id| explain(id, logs).unwrap().lines().last().unwrap().to_owned();
+    assert_eq!(
+        cause("early"),
+        "cause: i-1 wanted no requests, and no other upstream took one for 1500 ms (no attempt failed)"
+    );
+    assert_eq!(
+        cause("later"),
+        "cause: the upstreams' limits left no request for 700 ms (no attempt failed)"
+    );
+    assert_eq!(
+        cause("left"),
+        "cause: no upstream gave a valid answer (i-3 failed: lost: closed); before that, i-3 had stated that it leaves"
+    );
+}
--- a/crates/geraniumctl/tests/losses.rs
+++ b/crates/geraniumctl/tests/losses.rs
@@ -53,3 +53,27 @@
     assert!(text.contains("clyde") || text.contains("lothian (1)"), "{text}");
     assert_eq!(losses("no log line\n"), []);
 }
+
+/// Guards against a refusal for a limit or a pause that counts as one for its form, and against an upstream that had
+/// stated that it leaves and counts as failed without notice.
+#[test]
+fn statements_of_instances_are_causes() {
+    let logs = "\
+1785784684000 INFO vm=a-1 limit: instance=i-1 wants no requests for 1000 ms
+1785784684500 INFO vm=a-1 call: id=paused refused, reason=limit retry_after_ms=500
+1785784684500 INFO vm=a-1 request: id=paused status=503 outcome=not_run config=2
+1785784685500 INFO vm=a-1 call: id=limited refused, reason=limit retry_after_ms=700
+1785784685500 INFO vm=a-1 request: id=limited status=503 outcome=not_run config=2
+1785784685700 INFO vm=a-1 instances: i-3 states that it leaves, service=desk
+1785784685800 INFO vm=a-1 attempt: id=left instance=i-3 failed: lost: closed; request=1
+1785784685800 INFO vm=a-1 request: id=left status=502 outcome=outcome_unknown config=2
+";
+    let found: Vec<_> =
+        losses(logs).into_iter().map(|group| (group.cause, group.ids.join(" "))).collect();
+    let expected = [
+        ("upstreams wanted no requests", "paused".to_owned()),
+        ("limits of the upstreams", "limited".to_owned()),
+        ("upstream had stated that it leaves", "left".to_owned()),
+    ];
+    assert_eq!(found, expected);
+}
