--- a/crates/base/src/excerpt.rs
+++ b/crates/base/src/excerpt.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{Display, Formatter, Result as FmtResult, Write};
 
-/// Number of characters after which the text is cut.
+/// Number of characters after which the text is cut. Each character of an escape counts.
 const MAX_CHARS: usize = 200;
 
 /// Displays the beginning of a text of unknown origin on one line: control characters are escaped, and a longer text is
@@ -20,11 +20,15 @@
 impl Write for Limited<'_, '_> {
     fn write_str(&mut self, text: &str) -> FmtResult {
         for character in text.chars() {
-            if self.left_chars == 0 {
+            let size_chars = match character.is_control() {
+                true => character.escape_default().len(),
+                false => 1,
+            };
+            if self.is_cut || self.left_chars < size_chars {
                 self.is_cut = true;
                 return Ok(());
             }
-            self.left_chars -= 1;
+            self.left_chars -= size_chars;
             match character.is_control() {
                 true => write!(self.f, "{}", character.escape_default())?,
                 false => self.f.write_char(character)?,
