--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -17,6 +17,7 @@
     registry::Registry,
     response_head::{stated_pause_ms, states_leaving},
     route_table::Route,
+    version_affinity::VersionAffinity,
 };
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
@@ -96,6 +97,8 @@
     pub(crate) part_quarantine: CrashQuarantine,
     /// Requests that crash upstreams.
     pub(crate) request_quarantine: CrashQuarantine,
+    /// Software versions at which streams began.
+    pub(crate) versions: VersionAffinity,
     /// Time on `clock` until which more losses are expected.
     losses_until_ms: AtomicU64,
     /// Notifies stream relays that instances were lost, replaced or removed.
@@ -114,6 +117,7 @@
             limits: InstanceLimits::default(),
             part_quarantine: CrashQuarantine::new(Subject::Parts, spread),
             request_quarantine: CrashQuarantine::new(Subject::Requests, spread),
+            versions: VersionAffinity::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
             budgets: RetryBudgets::new(options.retries),
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -17,6 +17,8 @@
     pub account: HeaderName,
     /// Identifier of the last event that the sender of the request has received; the stream resumes after it.
     pub last_event_id: HeaderName,
+    /// Identifier of the caller's attempt that brought the first event of the stream which the request resumes.
+    pub resumed_request_id: HeaderName,
     /// Identifier of the instance that the request is meant for.
     pub expected_instance: HeaderName,
     /// Identifier of the instance that responded.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -49,6 +49,8 @@
     /// Identifier of the last event that the caller has received, after which the stream resumes; `None` for a new
     /// request.
     pub last_event_id: Option<u64>,
+    /// Identifier of the caller's attempt that brought the first event of the stream; `None` if the caller names none.
+    pub resumes: Option<Box<str>>,
     /// See `fingerprint`.
     fingerprint: OnceLock<Box<str>>,
 }
@@ -124,6 +126,10 @@
             shared_parts: self.shared_parts(headers),
             prompt: headers.get(&dialect.prompt_parts).cloned(),
             last_event_id: number(headers, &dialect.last_event_id, "last event")?,
+            resumes: headers
+                .get(&dialect.resumed_request_id)
+                .and_then(|value| value.to_str().ok())
+                .map(Into::into),
             fingerprint: OnceLock::new(),
         })
     }
--- a/crates/ingress/src/instance_entry.rs
+++ b/crates/ingress/src/instance_entry.rs
@@ -1,5 +1,6 @@
 //! Registry entry of an instance.
 
+use affinity::SoftwareVersion;
 use base::{DomainName, ServiceName};
 use std::{net::SocketAddr, sync::Arc};
 
@@ -17,6 +18,8 @@
     pub addr: SocketAddr,
     /// Failure domain that the instance runs in.
     pub domain: DomainName,
+    /// Version of the software that the instance runs.
+    pub software_version: SoftwareVersion,
     /// Number of requests that the instance serves concurrently.
     pub slots: u32,
     /// Whether the instance is shutting down and takes no new requests.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -46,6 +46,7 @@
 mod route_table;
 mod short_call;
 mod stream_relay;
+mod version_affinity;
 
 pub use crate::{
     caller_error::CallerError,
--- a/crates/ingress/tests/departures.rs
+++ b/crates/ingress/tests/departures.rs
@@ -10,6 +10,7 @@
         service: "engines".try_into().unwrap(),
         addr: ([10, 0, 0, 1], 1).into(),
         domain: "a".try_into().unwrap(),
+        software_version: "v1".try_into().unwrap(),
         slots: 12,
         is_draining,
         started_unix_ms,
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -9,6 +9,7 @@
         service: "engines".try_into().unwrap(),
         addr: ([10, 0, 0, 1], port).into(),
         domain: "a".try_into().unwrap(),
+        software_version: "v1".try_into().unwrap(),
         slots: 12,
         is_draining: false,
         started_unix_ms: Some(1),
