Decide at which software version a stream may go on

A daemon that a caller comes back to does not know which version began the stream. The crate affinity decides it from what the store holds: an item for each version at which streams may begin, and, only while several versions of a service are in play, records of the streams. A daemon begins streams at a version only if the store holds its item, so one that reads the items later finds the version of the stream among them; if there is only one, it is known without a record.

--- /dev/null
+++ b/crates/affinity/src/begun_streams.rs
@@ -0,0 +1,182 @@
+//! Streams with the versions at which they began.
+
+use crate::{
+    item_error::ItemError,
+    origin::Origin,
+    record_item::{self, MAX_ID_BYTES},
+    service_version::ServiceVersion,
+    stream_versions::STREAM_LIFE_MS,
+};
+use base::{HashMap, ServiceName};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+/// Number of streams begun by this daemon that it remembers.
+const MAX_OWN: usize = 4_096;
+
+/// Number of streams begun by other daemons that this daemon remembers. The store has the others.
+const MAX_OTHERS: usize = 16_384;
+
+/// Streams with the versions at which they began, as far as this daemon knows them.
+#[derive(Debug, Default)]
+pub(crate) struct BegunStreams {
+    own: HashMap<Arc<str>, Own>,
+    /// Streams begun by this daemon in the order of their begin.
+    own_order: BTreeMap<u64, Arc<str>>,
+    /// Streams begun by this daemon that the store does not hold.
+    unwritten: BTreeSet<u64>,
+    next_sequence: u64,
+    /// Versions of the streams begun by other daemons; `None` if two records contradict each other.
+    others: HashMap<Arc<str>, Option<Arc<ServiceVersion>>>,
+    /// Streams begun by other daemons, each with the time at which it was first read.
+    others_order: VecDeque<(u64, Arc<str>)>,
+}
+
+/// Stream that this daemon has begun.
+#[derive(Debug)]
+struct Own {
+    sequence: u64,
+    software: ServiceVersion,
+    begun_ms: u64,
+    /// Number of the item that holds the stream; `None` if the store has not acknowledged one.
+    item: Option<u64>,
+}
+
+impl BegunStreams {
+    /// Records a stream that this daemon has begun.
+    pub fn record(&mut self, id: &str, software: ServiceVersion, now_ms: u64) {
+        let id: Arc<str> = id.into();
+        self.forget(&id);
+        if self.own.len() >= MAX_OWN
+            && let Some((_, oldest)) = self.own_order.pop_first()
+        {
+            self.forget(&oldest);
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if id.len() <= MAX_ID_BYTES {
+            self.unwritten.insert(sequence);
+        }
+        self.own_order.insert(sequence, Arc::clone(&id));
+        self.own.insert(id, Own { sequence, software, begun_ms: now_ms, item: None });
+    }
+
+    /// Adds the streams in an item of another daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the item cannot be read.
+    pub fn merge(&mut self, value: &[u8], now_ms: u64) -> Result<(), ItemError> {
+        for (software, ids) in record_item::decode(value)? {
+            let software = Arc::new(software);
+            for id in ids.into_iter().filter(|id| id.len() <= MAX_ID_BYTES) {
+                self.insert_other(id.into(), &software, now_ms);
+            }
+        }
+        Ok(())
+    }
+
+    /// Version at which a stream of `service` began; `None` if there is no record of the stream.
+    pub fn origin(&self, id: &str, service: &ServiceName) -> Option<Origin> {
+        let recorded = match self.own.get(id) {
+            Some(own) => Some(&own.software),
+            None => self.others.get(id)?.as_deref(),
+        };
+        let of_service = recorded.filter(|software| software.service == *service);
+        Some(of_service.map_or(Origin::Unknown, |software| Origin::Known(software.version.clone())))
+    }
+
+    /// Forgets the streams that began before the longest life of a stream.
+    pub fn prune(&mut self, now_ms: u64) {
+        while let Some(id) = self.own_order.first_key_value().map(|(_, id)| Arc::clone(id)) {
+            if self.own.get(&id).is_some_and(|own| now_ms < own.begun_ms + STREAM_LIFE_MS) {
+                break;
+            }
+            self.own_order.pop_first();
+            self.forget(&id);
+        }
+        while let Some((read_ms, _)) = self.others_order.front() {
+            if now_ms < read_ms + STREAM_LIFE_MS {
+                break;
+            }
+            self.forget_oldest_other();
+        }
+    }
+
+    /// Sequence numbers of the streams to be written, newest first, of the services for which `is_written` holds.
+    pub fn unwritten(
+        &self,
+        is_written: impl Fn(&ServiceName) -> bool,
+    ) -> impl Iterator<Item = u64> {
+        self.unwritten.iter().rev().copied().filter(move |sequence| {
+            self.get(*sequence).is_some_and(|(_, own)| is_written(&own.software.service))
+        })
+    }
+
+    /// Value of an item with the given streams, without those that are forgotten.
+    pub fn encode(&self, sequences: &[u64]) -> String {
+        let streams = sequences.iter().filter_map(|sequence| self.get(*sequence));
+        record_item::encode(streams.map(|(id, own)| (id, &own.software)))
+    }
+
+    /// Records that the store has acknowledged the item `number` with the given streams.
+    pub fn mark_written(&mut self, sequences: &[u64], number: u64) {
+        for sequence in sequences {
+            let own = self.own_order.get(sequence).and_then(|id| self.own.get_mut(id));
+            if let Some(own) = own {
+                own.item = Some(number);
+                self.unwritten.remove(sequence);
+            }
+        }
+    }
+
+    /// Records that the store holds only those of the items for which `is_held` holds. The streams in the others are to
+    /// be written again.
+    pub fn retain_items(&mut self, is_held: impl Fn(u64) -> bool) {
+        for own in self.own.values_mut() {
+            if own.item.is_some_and(|number| !is_held(number)) {
+                own.item = None;
+                self.unwritten.insert(own.sequence);
+            }
+        }
+    }
+
+    /// Number of streams that this daemon remembers: its own and those of other daemons.
+    pub fn len(&self) -> (usize, usize) {
+        (self.own.len(), self.others.len())
+    }
+
+    fn get(&self, sequence: u64) -> Option<(&str, &Own)> {
+        let id = self.own_order.get(&sequence)?;
+        Some((id, self.own.get(id)?))
+    }
+
+    fn forget(&mut self, id: &str) {
+        if let Some(own) = self.own.remove(id) {
+            self.own_order.remove(&own.sequence);
+            self.unwritten.remove(&own.sequence);
+        }
+    }
+
+    fn insert_other(&mut self, id: Arc<str>, software: &Arc<ServiceVersion>, now_ms: u64) {
+        if let Some(recorded) = self.others.get_mut(&id) {
+            if recorded.as_ref().is_some_and(|recorded| recorded != software) {
+                *recorded = None;
+            }
+            return;
+        }
+        if self.others.len() >= MAX_OTHERS {
+            self.forget_oldest_other();
+        }
+        self.others_order.push_back((now_ms, Arc::clone(&id)));
+        self.others.insert(id, Some(Arc::clone(software)));
+    }
+
+    fn forget_oldest_other(&mut self) {
+        if let Some((_, id)) = self.others_order.pop_front() {
+            self.others.remove(&id);
+        }
+    }
+}
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decides at which software version of an upstream a stream may go on.
+//! Decides at which software version of an upstream a stream may go on, and what the fleet records of it.
 //!
 //! The crate does no I/O and reads no clock; callers pass the current time.
 #![deny(
@@ -9,8 +9,26 @@
     future_incompatible
 )]
 
+mod begun_streams;
+mod item_error;
 mod origin;
+mod record_item;
+mod service_version;
 mod software_version;
+mod step;
+mod stream_versions;
+mod version_change;
 mod version_error;
+mod versions_in_play;
 
-pub use crate::{origin::Origin, software_version::SoftwareVersion, version_error::VersionError};
+pub use crate::{
+    item_error::ItemError,
+    origin::Origin,
+    record_item::{RecordBatch, RecordItem},
+    service_version::ServiceVersion,
+    software_version::SoftwareVersion,
+    step::Step,
+    stream_versions::{LEASE_MS, STREAM_LIFE_MS, StreamVersions},
+    version_change::VersionChange,
+    version_error::VersionError,
+};
--- /dev/null
+++ b/crates/affinity/src/record_item.rs
@@ -0,0 +1,81 @@
+//! Items of the store that record at which versions streams began.
+
+use crate::{
+    item_error::ItemError, service_version::ServiceVersion, software_version::SoftwareVersion,
+};
+use base::ServiceName;
+use serde::{Deserialize, Serialize};
+
+/// Longest identifier of a stream that is recorded, in bytes. Callers choose the identifiers.
+pub(crate) const MAX_ID_BYTES: usize = 64;
+
+/// Items that are written together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordBatch {
+    /// Number of the lease under which the items are written. A new number needs a new lease.
+    pub lease: u64,
+    /// Items, each with new streams.
+    pub items: Vec<RecordItem>,
+}
+
+impl RecordBatch {
+    /// Number of streams in all items.
+    pub fn len(&self) -> usize {
+        self.items.iter().map(|item| item.sequences.len()).sum()
+    }
+
+    /// Whether there is no stream in any item.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Item that records streams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordItem {
+    /// Last part of the item's key.
+    pub name: String,
+    /// Value of the item.
+    pub value: String,
+    pub(crate) number: u64,
+    /// Sequence numbers of the streams, which only this daemon knows.
+    pub(crate) sequences: Vec<u64>,
+}
+
+/// Streams that began at one version of a service.
+#[derive(Deserialize, Serialize)]
+struct Group<T> {
+    service: ServiceName,
+    version: SoftwareVersion,
+    ids: Vec<T>,
+}
+
+/// Encodes streams as the value of an item.
+pub(crate) fn encode<'a>(streams: impl Iterator<Item = (&'a str, &'a ServiceVersion)>) -> String {
+    let mut groups: Vec<Group<&str>> = Vec::new();
+    for (id, software) in streams {
+        let has_software = |group: &&mut Group<&str>| {
+            group.service == software.service && group.version == software.version
+        };
+        match groups.iter_mut().find(has_software) {
+            Some(group) => group.ids.push(id),
+            None => groups.push(Group {
+                service: software.service.clone(),
+                version: software.version.clone(),
+                ids: vec![id],
+            }),
+        }
+    }
+    serde_json::json!(groups).to_string()
+}
+
+/// Decodes the value of an item to the versions and the identifiers of the streams that began there.
+pub(crate) fn decode(
+    value: &[u8],
+) -> Result<impl Iterator<Item = (ServiceVersion, Vec<Box<str>>)>, ItemError> {
+    let groups: Vec<Group<Box<str>>> = serde_json::from_slice(value)?;
+    Ok(groups.into_iter().map(|group| {
+        let software = ServiceVersion { service: group.service, version: group.version };
+        (software, group.ids)
+    }))
+}
