--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -16,6 +16,7 @@
 mod platform;
 mod platform_error;
 mod read_path;
+mod record_store;
 mod relay;
 mod relay_options;
 mod relayed_source;
@@ -31,6 +32,7 @@
     platform::Platform,
     platform_error::PlatformError,
     read_path::{ReadPath, choose_read_path},
+    record_store::RecordStore,
     relay::Relay,
     relay_options::RelayOptions,
     relayed_source::RelayedSource,
