Record in the store at which software versions streams began

The daemon that a caller comes back to has never seen the stream, and all daemons may have been killed since. Each daemon registers the software versions of its streaming services, and, while several versions of a service are in play, writes the streams that it has begun in batches under leases; those in flight when the second version appears are written as well. A take-up without a record leads to one read of these items, which concurrent take-ups share; if it fails, the version is unknown.

Tests on sockets: a single version writes no records; after all daemons were stopped and the old version has left, a new daemon knows the streams of both versions; with the store down unrecorded streams are unknown; records come back after a restoration.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -1,7 +1,10 @@
 //! Command `serve`: runs the daemon on the deployment platform (its store, load balancer and machines).
 
 use crate::{line_log, run_error::RunError, supervisor::keep_running};
-use ingress::{Core, CoreOptions, Decoders, Gateway, PeerSocket, ReadyProbe, follow_platform};
+use ingress::{
+    Core, CoreOptions, Decoders, Gateway, PeerSocket, ReadyProbe, follow_platform,
+    record_stream_versions,
+};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use plat::{ItemCache, Relay, RelayOptions, RelayedSource, announce};
 use platform::{
@@ -128,6 +131,11 @@
         let (announced, eras) = (announced.clone(), eras.clone());
         async move { announce(Store::new(store_addr), &announced, eras).await }
     }));
+    let recording = Arc::clone(core);
+    tokio::spawn(keep_running("versions", move || {
+        let (writer, reader) = (Store::new(store_addr), Store::new(store_addr));
+        record_stream_versions(Arc::clone(&recording), writer, reader, KEYS)
+    }));
     let receiving = Arc::clone(core);
     tokio::spawn(keep_running("peers", move || {
         Arc::clone(&peer_socket).run(Arc::clone(&receiving))
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -19,6 +19,7 @@
     route_table::Route,
     version_affinity::VersionAffinity,
 };
+use affinity::{Origin, ServiceVersion};
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -117,7 +118,7 @@
             limits: InstanceLimits::default(),
             part_quarantine: CrashQuarantine::new(Subject::Parts, spread),
             request_quarantine: CrashQuarantine::new(Subject::Requests, spread),
-            versions: VersionAffinity::default(),
+            versions: VersionAffinity::new(options.seed),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
             budgets: RetryBudgets::new(options.retries),
@@ -192,6 +193,39 @@
         self.current_config()
     }
 
+    /// Waits until the configuration and the instances have been up to date once.
+    pub(crate) async fn wait_until_caught_up(&self) {
+        let mut has_caught_up = self.has_caught_up.subscribe();
+        // The sender lives as long as `self`.
+        let _ = has_caught_up.wait_for(|&is_done| is_done).await;
+    }
+
+    /// Takes note of the software versions that the instances of services with streams have.
+    pub(crate) fn update_listed_versions(&self) {
+        let Some(config) = self.config() else { return };
+        let registry = lock(&self.registry);
+        let listed = config.routes.streaming_services().flat_map(|service| {
+            registry.versions_of(service).map(|version| ServiceVersion {
+                service: service.clone(),
+                version: version.clone(),
+            })
+        });
+        let listed = listed.collect();
+        drop(registry);
+        self.versions.set_listed(listed);
+    }
+
+    /// Records that the stream `id` began at a software version.
+    pub fn record_stream(&self, id: &str, software: ServiceVersion) {
+        self.versions.record(id, software);
+    }
+
+    /// Finds out at which software version the stream `id` of a service began. `None` stands for a stream without a
+    /// record.
+    pub async fn stream_origin(&self, service: &ServiceName, id: Option<&str>) -> Origin {
+        self.versions.find_origin(service, id).await
+    }
+
     /// Replaces the list of daemons. `daemons` holds their peer addresses, including that of this daemon.
     pub fn set_daemons(&self, daemons: Vec<SocketAddr>) {
         lock(&self.fleet_size).set(daemons.len(), self.clock.now_ms());
@@ -210,6 +244,11 @@
         }
     }
 
+    /// Number of listed daemons; at least 1.
+    pub(crate) fn listed_daemons(&self) -> usize {
+        lock(&self.daemons).len().max(1)
+    }
+
     /// Whether a listed daemon has the peer address `addr`.
     pub(crate) fn is_peer(&self, addr: SocketAddr) -> bool {
         lock(&self.daemons).contains(&addr)
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -26,6 +26,12 @@
     pub instances: &'static str,
     /// Prefix of the keys of daemons. The rest of each key is the name of the daemon's VM.
     pub daemons: &'static str,
+    /// Prefix of the keys of all items on the software versions of streams.
+    pub streams: &'static str,
+    /// Prefix of the keys of the software versions at which streams may begin.
+    pub stream_versions: &'static str,
+    /// Prefix of the keys of the streams that have begun.
+    pub begun_streams: &'static str,
 }
 
 /// Decoders of the items in the platform's store.
@@ -168,7 +174,9 @@
             }
         }
         self.publish_daemons();
+        self.core.versions.replace(&items, self.keys);
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
+        self.core.update_listed_versions();
         self.core.forget_limits();
     }
 
@@ -194,11 +202,14 @@
                 });
             } else if let Some(name) = change.key.strip_prefix(self.keys.daemons) {
                 have_daemons_changed |= self.update_daemon(name, change.value.as_deref());
+            } else if change.key.starts_with(self.keys.streams) {
+                self.core.versions.apply(change, self.keys);
             }
         }
         if have_daemons_changed {
             self.publish_daemons();
         }
+        self.core.update_listed_versions();
         self.core.forget_limits();
         self.core.notify_instances_changed();
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -47,6 +47,7 @@
 mod short_call;
 mod stream_relay;
 mod version_affinity;
+mod version_recorder;
 
 pub use crate::{
     caller_error::CallerError,
@@ -69,4 +70,5 @@
     registry::Registry,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
+    version_recorder::record_stream_versions,
 };
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -4,6 +4,7 @@
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
 };
+use affinity::SoftwareVersion;
 use base::{HashMap, HashSet, ServiceName};
 use std::{net::SocketAddr, sync::Arc};
 
@@ -50,6 +51,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Software versions of the instances of a service, including draining ones.
+    pub fn versions_of(&self, service: &ServiceName) -> impl Iterator<Item = &SoftwareVersion> {
+        self.of_service(service).iter().map(|instance| &instance.entry.software_version)
+    }
+
     /// Number of instances of all services, including those that are kept for the grace period.
     pub fn len(&self) -> usize {
         self.instances.len()
--- a/crates/ingress/src/route_table.rs
+++ b/crates/ingress/src/route_table.rs
@@ -75,6 +75,13 @@
         routes.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Services that answer with streams.
+    pub fn streaming_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let routes = self.by_host.values().flatten();
+        let streaming = routes.filter(|route| matches!(route.kind, RouteKind::Streaming { .. }));
+        streaming.flat_map(|route| route.services.iter().map(|(service, _)| service))
+    }
+
     /// Number of routes of all hosts.
     pub fn len(&self) -> usize {
         self.by_host.values().map(Vec::len).sum()
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -1,31 +1,237 @@
 //! Software versions at which the streams of this service's callers began.
 
-use crate::{core::Core, inbound::Inbound, instance::Instance};
-use affinity::{Origin, SoftwareVersion};
-use base::{HashMap, lock};
-use std::sync::Mutex;
+use crate::{core::Core, follow::PlatformKeys, inbound::Inbound, instance::Instance};
+use affinity::{ItemError, Origin, ServiceVersion, StreamVersions, VersionChange};
+use base::{Clock, HashSet, ServiceName, lock};
+use plat::Change;
+use std::{
+    hash::{BuildHasher, RandomState},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{Notify, watch};
+
+/// Longest wait for a read of the records. A caller is better refused than kept waiting.
+const ORIGIN_WAIT_MS: u64 = 800;
+
+/// Shortest time between two log lines on items that cannot be read.
+const LOG_INTERVAL_MS: u64 = 10_000;
 
 /// Software versions at which streams began, by the identifier of the caller's attempt that brought the first event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct VersionAffinity {
-    begun: Mutex<HashMap<Box<str>, SoftwareVersion>>,
+    pub(crate) clock: Clock,
+    versions: Mutex<StreamVersions>,
+    /// Wakes the recorder.
+    pub(crate) changed: Notify,
+    /// Wakes the reader of the records.
+    pub(crate) requested: Notify,
+    /// Reads of the records at the store.
+    reads: watch::Sender<Reads>,
+    /// When an item that cannot be read was last logged, plus one.
+    logged_ms: AtomicU64,
+}
+
+/// Reads of the records at the store, of which there is at most one at a time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reads {
+    /// Whether the records can be read.
+    has_reader: bool,
+    started: u64,
+    finished: u64,
+    /// Number of the last read that has succeeded.
+    succeeded: u64,
 }
 
 impl VersionAffinity {
+    /// Creates the state of a daemon that knows of no version and no stream. `seed` differs between daemons.
+    pub fn new(seed: u64) -> Self {
+        // Records must not replace those of the daemon's former lifetime.
+        let lifetime = RandomState::new().hash_one(seed);
+        Self {
+            clock: Clock::start(),
+            versions: Mutex::new(StreamVersions::new(format!("{lifetime:016x}"), seed)),
+            changed: Notify::new(),
+            requested: Notify::new(),
+            reads: watch::Sender::default(),
+            logged_ms: AtomicU64::new(0),
+        }
+    }
+
     /// Records that `instance` has sent the first event of a new stream. Call it before the event is released.
     pub fn record_begun(&self, inbound: &Inbound, instance: &Instance) {
-        let id = inbound.id_text().into();
-        lock(&self.begun).insert(id, instance.entry.software_version.clone());
+        if let Ok(id) = inbound.id.to_str() {
+            self.record(id, software(instance));
+        }
     }
 
-    /// Finds out at which version the stream began that `inbound` takes up.
+    /// Finds out at which version the stream began that `inbound` takes up. If the daemon has no record of the stream,
+    /// it reads the records of the others from the store; if that fails, the version is unknown.
     pub async fn origin(&self, _core: &Core, inbound: &Inbound) -> Origin {
-        let Some(first_id) = &inbound.resumes else { return Origin::Unknown };
-        lock(&self.begun).get(&**first_id).cloned().map_or(Origin::Unknown, Origin::Known)
+        self.find_origin(&inbound.service, inbound.resumes.as_deref()).await
     }
 
     /// Whether new streams may begin at the version of `instance`. Until then, other instances are preferred.
-    pub fn may_begin_at(&self, _instance: &Instance) -> bool {
-        true
+    pub fn may_begin_at(&self, instance: &Instance) -> bool {
+        self.state().may_begin_at(&software(instance), self.clock.now_ms())
+    }
+
+    /// Records that the stream `id` has begun.
+    pub(crate) fn record(&self, id: &str, software: ServiceVersion) {
+        if self.state().record_begun(id, software, self.clock.now_ms()) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Finds out at which version the stream `id` of a service began; `None` stands for a stream without a record.
+    pub(crate) async fn find_origin(&self, service: &ServiceName, id: Option<&str>) -> Origin {
+        let recorded = || id.and_then(|id| self.state().recorded_origin(id, service));
+        if let Some(origin) = recorded() {
+            return origin;
+        }
+        let has_read = self.read_records().await;
+        let origin = match recorded() {
+            Some(origin) => origin,
+            None if has_read => self.state().unrecorded_origin(service, self.clock.now_ms()),
+            None => Origin::Unknown,
+        };
+        if origin == Origin::Unknown {
+            metrics::counter!("stream_origins_unknown_total").increment(1);
+            log::info!(
+                "versions: the version of the stream {} of {service} is not known, read={has_read}",
+                id.unwrap_or("?")
+            );
+        }
+        origin
+    }
+
+    /// Reads the records from the store. Returns whether a read that began after this call has succeeded: an earlier one
+    /// may lack the version of a stream that has begun since.
+    async fn read_records(&self) -> bool {
+        let mut reads = self.reads.subscribe();
+        let Reads { has_reader, started, .. } = *reads.borrow();
+        if !has_reader {
+            return false;
+        }
+        self.requested.notify_one();
+        let wait = Duration::from_millis(ORIGIN_WAIT_MS);
+        let finished = reads.wait_for(|reads| reads.finished > started);
+        let outcome = tokio::time::timeout(wait, finished).await;
+        matches!(outcome, Ok(Ok(reads)) if reads.succeeded > started)
+    }
+
+    /// Enables reads of the records.
+    pub(crate) fn set_reader(&self) {
+        self.reads.send_modify(|reads| reads.has_reader = true);
+    }
+
+    /// Records the start of a read.
+    pub(crate) fn start_read(&self) {
+        self.reads.send_modify(|reads| reads.started += 1);
+    }
+
+    /// Records the end of a read, with the items if it has succeeded.
+    pub(crate) fn finish_read(&self, items: Option<&[Change]>, keys: PlatformKeys) {
+        for item in items.unwrap_or_default() {
+            self.apply(item, keys);
+        }
+        self.reads.send_modify(|reads| {
+            reads.finished = reads.started;
+            if items.is_some() {
+                reads.succeeded = reads.started;
+            }
+        });
+    }
+
+    /// Replaces what the store holds by a complete list of items.
+    pub(crate) fn replace(&self, items: &[Change], keys: PlatformKeys) {
+        let now_ms = self.clock.now_ms();
+        let registered = items.iter().filter_map(|item| {
+            let key = item.key.strip_prefix(keys.stream_versions)?;
+            let software = ServiceVersion::decode(key, item.value.as_deref()?);
+            Some((self.readable(&item.key, software)?, item.revision))
+        });
+        self.state().set_registered(registered.collect::<Vec<_>>(), now_ms);
+        let names = items.iter().filter_map(|item| item.key.strip_prefix(keys.begun_streams));
+        self.state().set_records(names);
+        for item in items.iter().filter(|item| item.key.starts_with(keys.begun_streams)) {
+            self.apply(item, keys);
+        }
+        self.changed.notify_one();
+    }
+
+    /// Applies the write or the removal of one item.
+    pub(crate) fn apply(&self, item: &Change, keys: PlatformKeys) {
+        let now_ms = self.clock.now_ms();
+        if let Some(key) = item.key.strip_prefix(keys.stream_versions) {
+            match &item.value {
+                Some(value) => {
+                    let software = self.readable(&item.key, ServiceVersion::decode(key, value));
+                    if let Some(software) = software {
+                        self.state().insert_registered(software, item.revision, now_ms);
+                    }
+                }
+                None => self.state().remove_registered(key, item.revision, now_ms),
+            }
+        } else if let Some(name) = item.key.strip_prefix(keys.begun_streams) {
+            match &item.value {
+                Some(value) => {
+                    let merged = self.state().merge_record(name, value, now_ms);
+                    self.readable(&item.key, merged);
+                }
+                None => self.state().remove_record(name),
+            }
+        }
+    }
+
+    /// Replaces the versions of the listed instances.
+    pub(crate) fn set_listed(&self, listed: HashSet<ServiceVersion>) {
+        let changes = self.state().set_listed(listed, self.clock.now_ms());
+        for change in &changes {
+            match change {
+                VersionChange::Appeared { software, in_play, unwritten } => log::info!(
+                    "versions: {} of {} is listed, in_play={in_play} streams={unwritten}",
+                    software.version,
+                    software.service
+                ),
+                VersionChange::Left(software) => log::info!(
+                    "versions: {} of {} is no longer listed",
+                    software.version,
+                    software.service
+                ),
+            }
+        }
+        if !changes.is_empty() {
+            self.changed.notify_one();
+        }
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, StreamVersions> {
+        lock(&self.versions)
+    }
+
+    /// Result of reading an item; `None` if the item cannot be read, which is logged from time to time.
+    fn readable<T>(&self, key: &str, read: Result<T, ItemError>) -> Option<T> {
+        let err = match read {
+            Ok(read) => return Some(read),
+            Err(err) => err,
+        };
+        let now_ms = self.clock.now_ms();
+        let logged_ms = self.logged_ms.load(Ordering::Relaxed);
+        if logged_ms == 0 || now_ms >= logged_ms + LOG_INTERVAL_MS {
+            self.logged_ms.store(now_ms + 1, Ordering::Relaxed);
+            log::warn!("versions: the item {key:?} cannot be read: {err}");
+        }
+        None
+    }
+}
+
+fn software(instance: &Instance) -> ServiceVersion {
+    ServiceVersion {
+        service: instance.entry.service.clone(),
+        version: instance.entry.software_version.clone(),
     }
 }
--- /dev/null
+++ b/crates/ingress/src/version_recorder.rs
@@ -0,0 +1,151 @@
+//! Writes to the store at which software versions streams began, and reads it for streams of other daemons.
+
+use crate::{core::Core, follow::PlatformKeys};
+use affinity::{LEASE_MS, RecordBatch, ServiceVersion, Step};
+use plat::{Freshness, Lease, RecordStore, SourceError};
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Longest duration of a read of the records.
+const READ_TIMEOUT_MS: u64 = 500;
+
+/// Keeps the records of streams in the store and reads those of other daemons, as long as the future is polled. `writer`
+/// and `reader` use separate connections, so that a slow write does not delay a caller.
+pub async fn record_stream_versions(
+    core: Arc<Core>,
+    writer: impl RecordStore,
+    reader: impl RecordStore,
+    keys: PlatformKeys,
+) {
+    core.wait_until_caught_up().await;
+    let recorder = Recorder { core: &core, store: writer, keys, lease: None, is_failing: false };
+    tokio::join!(recorder.run(), read_on_request(&core, reader, keys));
+}
+
+/// Reads the records each time this is requested. Requests that arrive during a read are answered by the next one.
+async fn read_on_request(core: &Core, mut store: impl RecordStore, keys: PlatformKeys) {
+    let versions = &core.versions;
+    versions.set_reader();
+    loop {
+        versions.requested.notified().await;
+        versions.start_read();
+        metrics::counter!("stream_origin_reads_total").increment(1);
+        let timeout = Duration::from_millis(READ_TIMEOUT_MS);
+        let read = tokio::time::timeout(timeout, store.list(keys.streams, Freshness::Latest)).await;
+        match read {
+            Ok(Ok(read)) => versions.finish_read(Some(&read.changes), keys),
+            Ok(Err(err)) => {
+                log::info!("versions: the records were not read: {err}");
+                versions.finish_read(None, keys);
+            }
+            Err(_) => {
+                log::info!("versions: the records were not read in {READ_TIMEOUT_MS} ms");
+                versions.finish_read(None, keys);
+            }
+        }
+    }
+}
+
+/// Makes the steps that `StreamVersions` decides on.
+struct Recorder<'a, S> {
+    core: &'a Core,
+    store: S,
+    keys: PlatformKeys,
+    /// Lease with its number in the batches.
+    lease: Option<(u64, Lease)>,
+    /// Whether the last call to the store has failed.
+    is_failing: bool,
+}
+
+impl<S: RecordStore> Recorder<'_, S> {
+    async fn run(mut self) {
+        let versions = &self.core.versions;
+        loop {
+            let step =
+                versions.state().next_step(self.core.listed_daemons(), versions.clock.now_ms());
+            let outcome = match step {
+                Step::Register(software) => self.register(software).await,
+                Step::Unregister(software, revision) => self.unregister(software, revision).await,
+                Step::Write(batch) => self.write(batch).await,
+                Step::Wait(until_ms) => {
+                    let until = Instant::from_std(versions.clock.instant_at(until_ms));
+                    // Both outcomes lead to the next step.
+                    let _ = tokio::time::timeout_at(until, versions.changed.notified()).await;
+                    continue;
+                }
+            };
+            self.report(outcome);
+        }
+    }
+
+    async fn register(&mut self, software: ServiceVersion) -> Result<(), SourceError> {
+        let key = format!("{}{}", self.keys.stream_versions, software.key());
+        let created = self.store.create(&key, &software.encode()).await?;
+        let versions = &self.core.versions;
+        log::info!(
+            "versions: {} of {} is registered, created={}",
+            software.version,
+            software.service,
+            created.is_some()
+        );
+        // The watch brings the revision of an item that another daemon has created.
+        versions.state().insert_registered(software, created.unwrap_or(0), versions.clock.now_ms());
+        Ok(())
+    }
+
+    async fn unregister(
+        &mut self,
+        software: ServiceVersion,
+        revision: u64,
+    ) -> Result<(), SourceError> {
+        let key = software.key();
+        self.store.remove(&format!("{}{key}", self.keys.stream_versions), revision).await?;
+        log::info!("versions: {} of {} was removed", software.version, software.service);
+        let versions = &self.core.versions;
+        versions.state().remove_registered(&key, revision, versions.clock.now_ms());
+        Ok(())
+    }
+
+    async fn write(&mut self, batch: RecordBatch) -> Result<(), SourceError> {
+        let lease = match self.lease {
+            Some((number, lease)) if number == batch.lease => lease,
+            _ => {
+                let lease = self.store.grant(LEASE_MS).await?;
+                self.lease = Some((batch.lease, lease));
+                lease
+            }
+        };
+        let key = |name: &str| format!("{}{name}", self.keys.begun_streams);
+        let items: Vec<(String, String)> =
+            batch.items.iter().map(|item| (key(&item.name), item.value.clone())).collect();
+        let is_written = self.store.put(&items, lease).await?;
+        let versions = &self.core.versions;
+        let now_ms = versions.clock.now_ms();
+        if is_written {
+            metrics::counter!("stream_records_written_total").increment(batch.len() as u64);
+            log::debug!("versions: wrote {} streams in {} items", batch.len(), items.len());
+            versions.state().mark_written(&batch, now_ms);
+        } else {
+            log::info!("versions: the lease of the records has ended, they are written again");
+            self.lease = None;
+            versions.state().mark_lease_lost(now_ms);
+        }
+        Ok(())
+    }
+
+    /// Records the outcome of a call. Only the first one of a series of failures is logged.
+    fn report(&mut self, outcome: Result<(), SourceError>) {
+        let versions = &self.core.versions;
+        match outcome {
+            Ok(()) => self.is_failing = false,
+            Err(err) => {
+                metrics::counter!("stream_record_failures_total").increment(1);
+                if !self.is_failing {
+                    log::warn!("versions: the records were not written, they are retried: {err}");
+                }
+                self.is_failing = true;
+                versions.state().mark_failed(versions.clock.now_ms());
+            }
+        }
+    }
+}
