Look up registered versions without copying names, and name the records apart

A relay asks for each instance of a request whether streams may begin at its version. The type of what a daemon knows of all streams is now VersionRecords, because StreamVersion is the version of one stream.

--- a/crates/affinity/src/begun_streams.rs
+++ b/crates/affinity/src/begun_streams.rs
@@ -5,7 +5,7 @@
     origin::Origin,
     record_item::{self, MAX_ID_BYTES},
     service_version::ServiceVersion,
-    stream_versions::STREAM_LIFE_MS,
+    version_records::STREAM_LIFE_MS,
 };
 use base::{HashMap, ServiceName};
 use std::{
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -16,9 +16,9 @@
 mod service_version;
 mod software_version;
 mod step;
-mod stream_versions;
 mod version_change;
 mod version_error;
+mod version_records;
 mod versions_in_play;
 
 pub use crate::{
@@ -28,7 +28,7 @@
     service_version::ServiceVersion,
     software_version::SoftwareVersion,
     step::Step,
-    stream_versions::{LEASE_MS, STREAM_LIFE_MS, StreamVersions},
     version_change::VersionChange,
     version_error::VersionError,
+    version_records::{LEASE_MS, STREAM_LIFE_MS, VersionRecords},
 };
--- a/crates/affinity/src/stream_versions.rs
+++ b/crates/affinity/src/version_records.rs
@@ -6,6 +6,7 @@
     origin::Origin,
     record_item::{RecordBatch, RecordItem},
     service_version::ServiceVersion,
+    software_version::SoftwareVersion,
     step::Step,
     version_change::VersionChange,
     versions_in_play::VersionsInPlay,
@@ -49,7 +50,7 @@
 /// Daemons begin streams only at versions that are registered in the store, as far as others are available. So a daemon
 /// that reads the registered versions after a stream began finds the version of this stream among them.
 #[derive(Debug)]
-pub struct StreamVersions {
+pub struct VersionRecords {
     /// First part of the names of this daemon's items, which no other daemon and no other lifetime of this one uses.
     writer: Box<str>,
     in_play: VersionsInPlay,
@@ -67,7 +68,7 @@
     paused_until_ms: u64,
 }
 
-impl StreamVersions {
+impl VersionRecords {
     /// Creates the state of a daemon that has just started. `writer` names the items that it writes and must be unique;
     /// `seed` must differ between daemons.
     pub fn new(writer: impl Into<Box<str>>, seed: u64) -> Self {
@@ -144,8 +145,13 @@
 
     /// Whether streams may begin at a version: the store holds its item. If there is no such version, streams begin at
     /// others, and are known only by their records.
-    pub fn may_begin_at(&self, software: &ServiceVersion, now_ms: u64) -> bool {
-        self.in_play.may_begin_at(software, now_ms)
+    pub fn may_begin_at(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        now_ms: u64,
+    ) -> bool {
+        self.in_play.may_begin_at(service, version, now_ms)
     }
 
     /// Records that the stream `id` has begun at a version, before its first event is released. Returns whether the
--- a/crates/affinity/src/versions_in_play.rs
+++ b/crates/affinity/src/versions_in_play.rs
@@ -1,6 +1,9 @@
 //! Software versions at which the streams that can still be taken up may have begun.
 
-use crate::{service_version::ServiceVersion, stream_versions::STREAM_LIFE_MS};
+use crate::{
+    service_version::ServiceVersion, software_version::SoftwareVersion,
+    version_records::STREAM_LIFE_MS,
+};
 use base::{HashMap, HashSet, ServiceName};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -23,8 +26,8 @@
     /// When each version was last known to be listed. For one that this daemon has only seen registered, that is when it
     /// first saw the item.
     last_listed: HashMap<ServiceVersion, u64>,
-    /// Registered versions by the key of the item, with its revision.
-    registered: HashMap<Box<str>, (ServiceVersion, u64)>,
+    /// Registered versions with the revisions of their items.
+    registered: HashMap<ServiceVersion, u64>,
     /// When the item of a version in play was first missing.
     missing_since: HashMap<ServiceVersion, u64>,
     /// When the list of instances was last known to be up to date.
@@ -82,17 +85,19 @@
     pub fn insert_registered(&mut self, software: ServiceVersion, revision: u64, now_ms: u64) {
         self.last_listed.entry(software.clone()).or_insert(now_ms);
         self.missing_since.remove(&software);
-        self.registered.insert(software.key(), (software, revision));
+        self.registered.insert(software, revision);
     }
 
     /// Records that the item with the given key was removed at `revision`, unless the item is known to be newer. Another
     /// daemon removes the item of a version that was not listed for the longest life of a stream, so the version is no
     /// longer in play here either, unless it is listed.
     pub fn remove_registered(&mut self, key: &str, revision: u64, now_ms: u64) {
-        if self.registered.get(key).is_none_or(|(_, written)| *written > revision) {
+        let removed = self.registered.iter().find(|(software, _)| *software.key() == *key);
+        let Some((software, _)) = removed.filter(|(_, written)| **written <= revision) else {
             return;
-        }
-        let Some((software, _)) = self.registered.remove(key) else { return };
+        };
+        let software = software.clone();
+        self.registered.remove(&software);
         if !self.listed.contains(&software) {
             self.last_listed.remove(&software);
         }
@@ -100,8 +105,16 @@
     }
 
     /// Whether the store holds the item of a version, and will not lose it before this daemon learns of it.
-    pub fn may_begin_at(&self, software: &ServiceVersion, now_ms: u64) -> bool {
-        !self.is_older_than(MAX_REGISTERED_AGE_MS, now_ms) && self.is_registered(software)
+    pub fn may_begin_at(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        now_ms: u64,
+    ) -> bool {
+        let is_same = |software: &ServiceVersion| {
+            software.version == *version && software.service == *service
+        };
+        !self.is_older_than(MAX_REGISTERED_AGE_MS, now_ms) && self.registered.keys().any(is_same)
     }
 
     /// Records that a stream began at a version.
@@ -143,16 +156,14 @@
         now_ms: u64,
     ) -> Result<(ServiceVersion, u64), Option<u64>> {
         let is_current = !self.is_older_than(MAX_LIST_AGE_MS, now_ms);
-        let unlisted = self
-            .registered
-            .values()
-            .filter(|(software, _)| is_current && !self.listed.contains(software));
-        let due = unlisted.map(|(software, _)| {
+        let unlisted =
+            self.registered.keys().filter(|software| is_current && !self.listed.contains(software));
+        let due = unlisted.map(|software| {
             let last_ms = self.last_listed.get(software).copied().unwrap_or(now_ms);
             (software, last_ms + STREAM_LIFE_MS + self.delay_ms(software, daemons))
         });
         let software = earliest(due, now_ms)?;
-        let revision = self.registered.get(&software.key()).map_or(0, |(_, revision)| *revision);
+        let revision = self.registered.get(&software).copied().unwrap_or(0);
         Ok((software, revision))
     }
 
@@ -176,7 +187,7 @@
     }
 
     fn is_registered(&self, software: &ServiceVersion) -> bool {
-        self.registered.contains_key(&software.key())
+        self.registered.contains_key(software)
     }
 
     fn is_in_play(&self, software: &ServiceVersion, now_ms: u64) -> bool {
@@ -194,7 +205,7 @@
         let (registered, last_listed) = (&self.registered, &self.last_listed);
         self.missing_since.retain(|software, _| last_listed.contains_key(software));
         for software in last_listed.keys() {
-            if !registered.contains_key(&software.key()) {
+            if !registered.contains_key(software) {
                 self.missing_since.entry(software.clone()).or_insert(now_ms);
             }
         }
--- a/crates/affinity/tests/common/mod.rs
+++ b/crates/affinity/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use affinity::{
-    LEASE_MS, Origin, STREAM_LIFE_MS, ServiceVersion, SoftwareVersion, Step, StreamVersions,
+    LEASE_MS, Origin, STREAM_LIFE_MS, ServiceVersion, SoftwareVersion, Step, VersionRecords,
 };
 use base::{HashMap, HashSet, ServiceName};
 
@@ -56,7 +56,7 @@
 }
 
 pub struct Daemon {
-    pub versions: StreamVersions,
+    pub versions: VersionRecords,
     /// Versions that the daemon believes to be listed; `None` before it has read them.
     pub listed: Option<HashSet<ServiceVersion>>,
     /// Number of restorations of the store that it has seen.
@@ -128,7 +128,7 @@
 
     fn new_daemon(&mut self) -> Daemon {
         self.lifetimes += 1;
-        let versions = StreamVersions::new(format!("vm/{:x}", self.lifetimes), self.lifetimes);
+        let versions = VersionRecords::new(format!("vm/{:x}", self.lifetimes), self.lifetimes);
         Daemon { versions, listed: None, restorations: 0, lease: None }
     }
 
@@ -221,7 +221,9 @@
         let registered: Vec<&ServiceVersion> = candidates
             .iter()
             .copied()
-            .filter(|software| daemon.versions.may_begin_at(software, self.now_ms))
+            .filter(|software| {
+                daemon.versions.may_begin_at(&software.service, &software.version, self.now_ms)
+            })
             .collect();
         let is_registered = !registered.is_empty();
         let candidates = if is_registered { registered } else { candidates };
@@ -328,7 +330,7 @@
     }
 }
 
-fn merge(versions: &mut StreamVersions, store: &Store, now_ms: u64) {
+fn merge(versions: &mut VersionRecords, store: &Store, now_ms: u64) {
     for (name, (value, _)) in &store.records {
         versions.merge_record(name, value.as_bytes(), now_ms).unwrap();
     }
--- a/crates/affinity/tests/stream_versions.rs
+++ b/crates/affinity/tests/version_records.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use affinity::{Origin, STREAM_LIFE_MS, ServiceVersion, Step, StreamVersions};
+use affinity::{Origin, STREAM_LIFE_MS, ServiceVersion, Step, VersionRecords};
 use base::HashSet;
 use common::{CallOutcome, Fleet, service, version};
 use quickcheck::{Gen, QuickCheck, TestResult};
@@ -196,7 +196,7 @@
 /// Guards against memory that grows with a burst, and against a burst of writes.
 #[test]
 fn a_burst_of_streams_is_bounded_in_memory_and_in_writes() {
-    let mut versions = StreamVersions::new("vm/1", 1);
+    let mut versions = VersionRecords::new("vm/1", 1);
     let both = HashSet::from_iter([version(0), version(1)]);
     versions.set_registered([(version(0), 1), (version(1), 2)], 0);
     versions.set_listed(both, 0);
@@ -226,7 +226,7 @@
 /// Guards against an odd item of another writer.
 #[test]
 fn odd_items_are_errors_and_change_nothing() {
-    let mut versions = StreamVersions::new("vm/1", 1);
+    let mut versions = VersionRecords::new("vm/1", 1);
     let nested = "[".repeat(100_000);
     let odd: [&[u8]; 6] = [
         b"",
@@ -249,7 +249,7 @@
 /// Guards against joining streams whose identifier two callers have chosen.
 #[test]
 fn contradicting_records_make_the_version_unknown() {
-    let mut versions = StreamVersions::new("vm/1", 1);
+    let mut versions = VersionRecords::new("vm/1", 1);
     for number in 0..2 {
         let value = format!(r#"[{{"service":"engines","version":"v{number}","ids":["a"]}}]"#);
         versions.merge_record("vm-2/1-1", value.as_bytes(), 0).unwrap();
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -1,7 +1,7 @@
 //! Software versions at which the streams of this service's callers began.
 
 use crate::{core::Core, follow::PlatformKeys, inbound::Inbound, instance::Instance};
-use affinity::{ItemError, Origin, ServiceVersion, StreamVersions, VersionChange};
+use affinity::{ItemError, Origin, ServiceVersion, VersionChange, VersionRecords};
 use base::{Clock, HashSet, ServiceName, lock};
 use plat::Change;
 use std::{
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub(crate) struct VersionAffinity {
     pub(crate) clock: Clock,
-    versions: Mutex<StreamVersions>,
+    versions: Mutex<VersionRecords>,
     /// Wakes the recorder.
     pub(crate) changed: Notify,
     /// Wakes the reader of the records.
@@ -53,7 +53,7 @@
         let lifetime = RandomState::new().hash_one(seed);
         Self {
             clock: Clock::start(),
-            versions: Mutex::new(StreamVersions::new(format!("{lifetime:016x}"), seed)),
+            versions: Mutex::new(VersionRecords::new(format!("{lifetime:016x}"), seed)),
             changed: Notify::new(),
             requested: Notify::new(),
             reads: watch::Sender::default(),
@@ -76,7 +76,8 @@
 
     /// Whether new streams may begin at the version of `instance`. Until then, other instances are preferred.
     pub fn may_begin_at(&self, instance: &Instance) -> bool {
-        self.state().may_begin_at(&software(instance), self.clock.now_ms())
+        let entry = &instance.entry;
+        self.state().may_begin_at(&entry.service, &entry.software_version, self.clock.now_ms())
     }
 
     /// Records that the stream `id` has begun.
@@ -209,7 +210,7 @@
         }
     }
 
-    pub(crate) fn state(&self) -> MutexGuard<'_, StreamVersions> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, VersionRecords> {
         lock(&self.versions)
     }
 
--- a/crates/ingress/src/version_recorder.rs
+++ b/crates/ingress/src/version_recorder.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Makes the steps that `StreamVersions` decides on.
+/// Makes the steps that `VersionRecords` decides on.
 struct Recorder<'a, S> {
     core: &'a Core,
     store: S,
