Bound the reads of the fleet for take-ups without a record

After all daemons were killed, each of them can have many such take-ups at once, and a read may return all records. A pause between two reads that grows with the fleet keeps it below 500 reads a second.

--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, watch};
 
 /// Longest wait for a read of the records. A caller is better refused than kept waiting.
-const ORIGIN_WAIT_MS: u64 = 800;
+const ORIGIN_WAIT_MS: u64 = 1_000;
 
 /// Shortest time between two log lines on items that cannot be read.
 const LOG_INTERVAL_MS: u64 = 10_000;
@@ -102,7 +102,7 @@
         if origin == Origin::Unknown {
             metrics::counter!("stream_origins_unknown_total").increment(1);
             log::info!(
-                "versions: the version of the stream {} of {service} is not known, read={has_read}",
+                "versions: the version of the stream {:.64} of {service} is not known, read={has_read}",
                 id.unwrap_or("?")
             );
         }
--- a/crates/ingress/src/version_recorder.rs
+++ b/crates/ingress/src/version_recorder.rs
@@ -9,6 +9,9 @@
 /// Longest duration of a read of the records.
 const READ_TIMEOUT_MS: u64 = 500;
 
+/// Pause after a read, for each daemon of the fleet. After all daemons were killed, each of them has many take-ups.
+const READ_PAUSE_PER_DAEMON_MS: u64 = 2;
+
 /// Keeps the records of streams in the store and reads those of other daemons, as long as the future is polled. `writer`
 /// and `reader` use separate connections, so that a slow write does not delay a caller.
 pub async fn record_stream_versions(
@@ -43,6 +46,8 @@
                 versions.finish_read(None, keys);
             }
         }
+        let pause_ms = core.listed_daemons() as u64 * READ_PAUSE_PER_DAEMON_MS;
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
