Let streams go on only at the software version that began them

While instances of two software versions served, callers got streams whose first events came from one version and the rest from another: after a failed engine, from a copy of engine memory, or when they took a broken stream up.

affinity::StreamVersion decides which version may send the next events. All choosers get it as a constraint of Placement, the send and each received event check it again, and copies go to engines of the same version only. A begun stream whose version has no instance left ends at once. A take-up is refused before any send if its version is not known (stream_version_unknown) or has left (stream_version_gone): 503 with Retry-After. The version is in the lines of attempts, take-ups and refusals.

--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -11,6 +11,11 @@
 
 mod origin;
 mod software_version;
+mod stream_version;
+mod take_up_error;
 mod version_error;
 
-pub use crate::{origin::Origin, software_version::SoftwareVersion, version_error::VersionError};
+pub use crate::{
+    origin::Origin, software_version::SoftwareVersion, stream_version::StreamVersion,
+    take_up_error::TakeUpError, version_error::VersionError,
+};
--- a/crates/ingress/src/attempt_error.rs
+++ b/crates/ingress/src/attempt_error.rs
@@ -1,5 +1,6 @@
 //! Error of one attempt at an upstream.
 
+use affinity::SoftwareVersion;
 use quick_error::quick_error;
 use recovery::LossCause;
 
@@ -16,6 +17,10 @@
         NotAccepting {
             display("not sent: the instance takes no more requests")
         }
+        /// The request was not sent, because the stream began at another software version. It has not run.
+        OtherVersion(version: SoftwareVersion) {
+            display("not sent: the instance has the software version {version}")
+        }
         /// The upstream states that the request has not run and never will.
         Refused(status: u16) {
             display("refused with status {status}")
@@ -40,9 +45,11 @@
     pub fn loss_cause(&self) -> LossCause {
         match self {
             Self::NotSent(_) => LossCause::Connect,
-            Self::Answered(_) | Self::Misdirected | Self::NotAccepting | Self::Refused(_) => {
-                LossCause::Refused
-            }
+            Self::Answered(_)
+            | Self::Misdirected
+            | Self::NotAccepting
+            | Self::OtherVersion(_)
+            | Self::Refused(_) => LossCause::Refused,
             Self::Lost(cause) => *cause,
         }
     }
--- a/crates/ingress/src/caller_error.rs
+++ b/crates/ingress/src/caller_error.rs
@@ -11,8 +11,8 @@
 quick_error! {
     /// Why a caller gets no response of an upstream.
     ///
-    /// `Busy`, `Quarantined`, `RequestQuarantined`, `NoConfig` and `BodyTimeout` guarantee that the request has not run and
-    /// never will.
+    /// `Busy`, `Quarantined`, `RequestQuarantined`, `StreamVersionGone`, `StreamVersionUnknown`, `NoConfig` and
+    /// `BodyTimeout` guarantee that the request has not run and never will.
     #[derive(Clone, Copy, Debug, Eq, PartialEq)]
     pub enum CallerError {
         /// The daemon has not received a configuration yet.
@@ -69,6 +69,16 @@
         RequestCrashed {
             display("the request crashes upstreams; it may have run")
         }
+        /// The request has not run, because it is not known at which software version the stream began that it takes up.
+        /// The caller may begin a new stream after the given time.
+        StreamVersionUnknown(retry_after_ms: u64) {
+            display("the request has not run, since the software version that began the stream is not known")
+        }
+        /// The request has not run, because no upstream has the software version at which the stream began. The caller may
+        /// begin a new stream after the given time.
+        StreamVersionGone(retry_after_ms: u64) {
+            display("the request has not run, since no upstream has the software version that began the stream")
+        }
         /// No upstream returned a valid response, and the request may have run.
         OutcomeUnknown {
             display("the upstream gave no valid answer; the request may have run")
@@ -97,9 +107,12 @@
     /// HTTP status of the response to the caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::Busy(_) | Self::Quarantined(_) | Self::RequestQuarantined(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfig
+            | Self::Busy(_)
+            | Self::Quarantined(_)
+            | Self::RequestQuarantined(_)
+            | Self::StreamVersionGone(_)
+            | Self::StreamVersionUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Header(_) | Self::IncompleteBody => StatusCode::BAD_REQUEST,
@@ -129,6 +142,8 @@
             Self::PromptCrashed => "prompt_crashed",
             Self::RequestQuarantined(_) => "request_quarantined",
             Self::RequestCrashed => "request_crashed",
+            Self::StreamVersionGone(_) => "stream_version_gone",
+            Self::StreamVersionUnknown(_) => "stream_version_unknown",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
         }
@@ -155,7 +170,9 @@
         let retry_after_ms = match self {
             Self::Busy(retry_after_ms)
             | Self::Quarantined(retry_after_ms)
-            | Self::RequestQuarantined(retry_after_ms) => Some(retry_after_ms),
+            | Self::RequestQuarantined(retry_after_ms)
+            | Self::StreamVersionGone(retry_after_ms)
+            | Self::StreamVersionUnknown(retry_after_ms) => Some(retry_after_ms),
             Self::NoConfig => Some(NO_CONFIG_RETRY_AFTER_MS),
             _ => None,
         };
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -8,6 +8,7 @@
     placement::Placement,
     probe::{is_alive, probe_all},
 };
+use affinity::StreamVersion;
 use base::ServiceName;
 use futures::future::join;
 use limit::Urgency;
@@ -27,6 +28,8 @@
     pub may_wait: bool,
     /// Engines that the request was sent to before.
     pub excluded: Vec<InstanceId>,
+    /// Software version at which the stream may go on.
+    pub version: StreamVersion,
 }
 
 /// Decision on where an attempt starts, or why it has to wait.
@@ -81,7 +84,7 @@
 /// The retry budget is checked first, because probing costs engine time as well. If the attempt has to wait after that,
 /// the withdrawn retry is refunded.
 pub(crate) async fn choose_engine(core: &Core, requirements: EngineRequirements) -> EngineChoice {
-    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded } =
+    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded, version } =
         requirements;
     if let Some(urgency) = retry
         && !core.withdraw(&service, urgency).await
@@ -89,7 +92,11 @@
         return EngineChoice::Wait { reason: WaitReason::Budget, replica };
     }
     let replica = replica.filter(|replica| core.allows_request(&replica.instance));
-    let placement = Placement { excluded: &excluded, ..Placement::default() };
+    let placement = Placement {
+        excluded: &excluded,
+        required_version: version.required(),
+        ..Placement::default()
+    };
     if candidates.is_empty() && replica.is_none() && core.is_limited(&service, &placement) {
         if let Some(instance) = core.borrow_instance(&service, &placement).await {
             let (replica, replica_target) = (None, None);
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -19,6 +19,7 @@
     route_table::Route,
     version_affinity::VersionAffinity,
 };
+use affinity::{SoftwareVersion, StreamVersion, TakeUpError};
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -417,29 +418,69 @@
         chosen
     }
 
+    /// Whether an instance of a service takes requests at the version that a stream needs.
+    pub(crate) fn serves_version(&self, service: &ServiceName, version: &StreamVersion) -> bool {
+        version.is_served_by(serving_versions(&lock(&self.registry), service))
+    }
+
+    /// Decides at which version a stream goes on that a caller takes up.
+    ///
+    /// # Errors
+    ///
+    /// As `StreamVersion::take_up`.
+    pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
+        let origin = self.versions.origin(self, inbound).await;
+        StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
+    }
+
+    /// Chooses up to `count` engines of a service for a stream. A new stream, which requires no version, begins at a
+    /// version that takes new streams if there is such an engine.
+    pub(crate) fn choose_stream_candidates(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+        count: usize,
+    ) -> Vec<Arc<Instance>> {
+        if placement.required_version.is_none() {
+            let usable = self.usable_instances(service, placement);
+            let avoided = usable.iter().filter(|instance| !self.versions.may_begin_at(instance));
+            let avoided: Vec<InstanceId> =
+                avoided.map(|instance| Arc::clone(&instance.entry.id)).collect();
+            if !avoided.is_empty() {
+                let excluded = [placement.excluded, &avoided].concat();
+                let placement = Placement { excluded: &excluded, ..*placement };
+                let chosen = self.choose_spread(service, &placement, count);
+                if !chosen.is_empty() {
+                    return chosen;
+                }
+            }
+        }
+        self.choose_spread(service, placement, count)
+    }
+
     /// Chooses up to `count` engines of a service for a stream, of which one is in the daemon's own failure domain and
     /// the others are outside it, as far as there are such engines.
     ///
     /// The stream and its KV cache replica can then be in two domains of which one is that of the daemon, so that the
     /// stream survives both the loss of the own domain's engines and a partition of the own domain from the others.
-    pub(crate) fn choose_stream_candidates(
+    fn choose_spread(
         &self,
         service: &ServiceName,
-        excluded: &[InstanceId],
+        placement: &Placement<'_>,
         count: usize,
     ) -> Vec<Arc<Instance>> {
         let own = &self.options.domain;
         let has_own_failed = lock(&self.losses).has_failed(own, self.clock.now_ms());
-        let local = Placement { excluded, required_domain: Some(own), ..Placement::default() };
+        let local = Placement { required_domain: Some(own), ..*placement };
         let mut chosen = match has_own_failed {
             true => Vec::new(),
             false => self.choose_instances(service, &local, 1),
         };
-        let remote = Placement { excluded, excluded_domain: Some(own), ..Placement::default() };
+        let remote = Placement { excluded_domain: Some(own), ..*placement };
         chosen.extend(self.choose_instances(service, &remote, count - chosen.len()));
         let ids = chosen.iter().map(|instance| Arc::clone(&instance.entry.id));
-        let excluded: Vec<InstanceId> = excluded.iter().cloned().chain(ids).collect();
-        let any = Placement { excluded: &excluded, ..Placement::default() };
+        let excluded: Vec<InstanceId> = placement.excluded.iter().cloned().chain(ids).collect();
+        let any = Placement { excluded: &excluded, ..*placement };
         chosen.extend(self.choose_instances(service, &any, count - chosen.len()));
         chosen
     }
@@ -674,6 +715,16 @@
     }
 }
 
+/// Software versions of the instances of a service that take requests.
+fn serving_versions<'a>(
+    registry: &'a Registry,
+    service: &ServiceName,
+) -> impl Iterator<Item = &'a SoftwareVersion> {
+    let instances = registry.of_service(service).iter();
+    let accepting = instances.filter(|instance| instance.accepts_requests());
+    accepting.map(|instance| &instance.entry.software_version)
+}
+
 /// Limits of the HTTP server for the given configuration and options.
 fn server_limits(limits: ClientLimits, options: &CoreOptions) -> ServerLimits {
     ServerLimits {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -8,6 +8,7 @@
     instance_guards::InFlightGuard,
     response_head::{ResponseClass, classify_response, keep_alive_s, named_limit_per_s},
 };
+use affinity::StreamVersion;
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::{BodyExt, Full};
@@ -50,19 +51,27 @@
 impl Exchange {
     /// Sends `inbound` to `instance` with the additional headers `extra_headers` and waits for the response head.
     ///
+    /// `stream_version` is the software version at which a stream may go on; `None` for a call.
+    ///
     /// # Errors
     ///
-    /// `NotAccepting`, `NotSent`, `Refused` and `Misdirected` if the request has not run, `Lost` if it may have run.
+    /// `NotAccepting`, `NotSent`, `OtherVersion`, `Refused` and `Misdirected` if the request has not run, `Lost` if it may
+    /// have run.
     pub async fn open(
         core: &Core,
         inbound: &Inbound,
         instance: Arc<Instance>,
         extra_headers: &[(HeaderName, HeaderValue)],
+        stream_version: Option<&StreamVersion>,
     ) -> Result<Self, AttemptError> {
         // Every request passes here, whatever was known when its instance was chosen.
         if !core.may_send(&instance) {
             return Err(AttemptError::NotAccepting);
         }
+        let version = &instance.entry.software_version;
+        if stream_version.is_some_and(|stream_version| !stream_version.allows(version)) {
+            return Err(AttemptError::OtherVersion(version.clone()));
+        }
         let guard = InFlightGuard::new(Arc::clone(&instance));
         let pooled = instance.connections.take(core.clock.now_ms());
         let mut is_reused = pooled.is_some();
--- a/crates/ingress/src/kv_replicator.rs
+++ b/crates/ingress/src/kv_replicator.rs
@@ -8,9 +8,9 @@
     instance::Instance,
     instance_entry::InstanceId,
     kv_replica::{KvReplica, KvReplicaOrigin},
+    placement::Placement,
     probe::{is_alive, probe_all},
 };
-use base::DomainName;
 use futures::{FutureExt, future::BoxFuture};
 use hyper::{Method, StatusCode};
 use std::{
@@ -121,7 +121,7 @@
         let holder = self.replica.as_ref().map(|replica| Arc::clone(&replica.instance));
         let candidates = match holder {
             Some(instance) => vec![instance],
-            None => snapshot_candidates(core, inbound, &source.entry.domain, excluded),
+            None => snapshot_candidates(core, inbound, source, excluded),
         };
         let core = Arc::clone(core);
         let inbound = Arc::clone(inbound);
@@ -177,17 +177,20 @@
     }
 }
 
-/// Chooses engines that can hold a snapshot. They are in other failure domains than the source, because the engines of
-/// one failure domain tend to fail together. One of them is in the daemon's own domain, unless that is the source's.
+/// Chooses engines that can hold a snapshot. They have the software version of the source, because the stream cannot go on
+/// at another one, and are in other failure domains, because the engines of one failure domain tend to fail together. One
+/// of them is in the daemon's own domain, unless that is the source's.
 fn snapshot_candidates(
     core: &Core,
     inbound: &Inbound,
-    domain: &DomainName,
+    source: &Instance,
     excluded: &[InstanceId],
 ) -> Vec<Arc<Instance>> {
+    let required_version = Some(&source.entry.software_version);
+    let placement = Placement { excluded, required_version, ..Placement::default() };
     let mut candidates =
-        core.choose_stream_candidates(&inbound.service, excluded, PROBED_ENGINES + 1);
-    candidates.retain(|candidate| candidate.entry.domain != *domain);
+        core.choose_stream_candidates(&inbound.service, &placement, PROBED_ENGINES + 1);
+    candidates.retain(|candidate| candidate.entry.domain != source.entry.domain);
     candidates.truncate(PROBED_ENGINES);
     candidates
 }
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -1,6 +1,7 @@
 //! Choice of an instance by what this daemon knows about its load and its failures.
 
 use crate::{domain_losses::DomainLosses, instance::Instance, instance_entry::InstanceId};
+use affinity::SoftwareVersion;
 use base::DomainName;
 use rand::Rng;
 use route::{Candidate, Policy, choose};
@@ -15,6 +16,8 @@
     pub excluded_domain: Option<&'a DomainName>,
     /// Failure domain that the instance must be in; `None` if it may be in any.
     pub required_domain: Option<&'a DomainName>,
+    /// Software version that the instance must have; `None` if it may have any.
+    pub required_version: Option<&'a SoftwareVersion>,
     /// Whether instances in the daemon's own failure domain are preferred. Long requests are spread over all domains
     /// instead: the loss of one domain then hits only a few of them at each daemon, and the retry budget suffices.
     pub prefers_local: bool,
@@ -51,6 +54,9 @@
             && !self.excluded.contains(&instance.entry.id)
             && self.excluded_domain != Some(&instance.entry.domain)
             && self.required_domain.is_none_or(|domain| *domain == instance.entry.domain)
+            && self
+                .required_version
+                .is_none_or(|version| *version == instance.entry.software_version)
     }
 
     /// Describes an instance for the routing policy. The load is that of this daemon's requests alone.
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -39,8 +39,8 @@
     }
 
     /// The least loaded engine with capacity for a KV cache replica of a request at `instance`; `None` if there is
-    /// none. The engine is in another failure domain than `instance`, because the engines of one failure domain tend to
-    /// fail together.
+    /// none. The engine has the software version of `instance`, because the request cannot go on at another one, and is
+    /// in another failure domain, because the engines of one failure domain tend to fail together.
     ///
     /// An engine in the daemon's own failure domain `own_domain` is preferred, because it stays reachable if the domain
     /// is partitioned from the others.
@@ -56,7 +56,10 @@
         let targets = || {
             let with_capacity = self.engines.iter().filter(|(load, _)| has_capacity(load));
             let targets = with_capacity.map(|(_, target)| target);
-            targets.filter(|target| target.entry.domain != instance.entry.domain)
+            targets.filter(|target| {
+                target.entry.domain != instance.entry.domain
+                    && target.entry.software_version == instance.entry.software_version
+            })
         };
         targets().find(|target| target.entry.domain == *own_domain).or_else(|| targets().next())
     }
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -102,7 +102,11 @@
             Outcome::Answered(response) if !response.status.is_server_error() || !may_retry => {
                 return Ok(response.into_response());
             }
-            Outcome::Failed(AttemptError::NotAccepting | AttemptError::NotSent(_)) => {
+            Outcome::Failed(
+                AttemptError::NotAccepting
+                | AttemptError::NotSent(_)
+                | AttemptError::OtherVersion(_),
+            ) => {
                 if is_retry {
                     core.refund(&inbound.service);
                 }
@@ -269,7 +273,7 @@
     timeout_ms: u64,
 ) -> Outcome {
     let exchange = async {
-        let exchange = Exchange::open(core, inbound, Arc::clone(instance), &[]).await?;
+        let exchange = Exchange::open(core, inbound, Arc::clone(instance), &[], None).await?;
         BufferedResponse::read(core, exchange, inbound.deadline_ms).await
     };
     match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -20,6 +20,7 @@
     response_head::forwarded_headers,
     route_kind::RouteKind,
 };
+use affinity::{SoftwareVersion, StreamVersion, TakeUpError};
 use bytes::{Bytes, BytesMut};
 use call::Idempotency;
 use futures::FutureExt;
@@ -68,6 +69,10 @@
     Attempts,
     /// The limits that the engines name leave no request to this daemon in time.
     Limit { retry_after_ms: u64 },
+    /// It is not known at which software version the stream began.
+    VersionUnknown,
+    /// No instance has the software version at which the stream began.
+    VersionGone,
     /// The request or a part of its prompt crashes engines. It is sent again after the given time.
     Quarantine { subject: Subject, retry_after_ms: u64 },
 }
@@ -98,6 +103,8 @@
     head: Option<HeaderMap>,
     /// Last error response of an engine; `None` if no engine has sent one.
     error_response: Option<BufferedResponse>,
+    /// Software version at which the stream may go on.
+    version: StreamVersion,
     /// Version of the model weights that created the events so far; `None` if the engine did not state it.
     weights_version: Option<HeaderValue>,
     /// Identifier of the last event that the caller has received; `None` before the first event that has one.
@@ -141,6 +148,7 @@
             wait_reason: None,
             head: None,
             error_response: None,
+            version: StreamVersion::default(),
             weights_version: None,
             last_event_id: inbound.last_event_id,
             released: BytesMut::new(),
@@ -163,8 +171,11 @@
     ///
     /// # Errors
     ///
-    /// `Busy` only if the request has not run and never will.
+    /// `Busy`, `StreamVersionGone` and `StreamVersionUnknown` only if the request has not run and never will.
     pub async fn start(&mut self) -> Result<StreamStart, CallerError> {
+        if self.inbound.last_event_id.is_some() {
+            self.take_up().await?;
+        }
         self.generation.start(self.core.clock.now_ms(), &mut self.actions);
         self.perform();
         while self.released.is_empty() && !self.is_done {
@@ -197,6 +208,63 @@
         }
     }
 
+    /// Finds out at which software version the stream goes on that the caller takes up.
+    ///
+    /// # Errors
+    ///
+    /// `StreamVersionUnknown` or `StreamVersionGone` if it cannot go on; nothing was sent.
+    async fn take_up(&mut self) -> Result<(), CallerError> {
+        metrics::counter!("stream_takeups_total").increment(1);
+        match self.core.take_up(&self.inbound).await {
+            Ok(version) => {
+                self.version = version;
+                log::info!(
+                    "stream: id={} is taken up, resumes={} after={:?} version={}",
+                    self.inbound.id_text(),
+                    self.inbound.resumes.as_deref().unwrap_or("-"),
+                    self.last_event_id,
+                    self.version_text(),
+                );
+                Ok(())
+            }
+            Err(TakeUpError::Gone(version)) => {
+                self.version.begin(&version);
+                self.fail_without_version(Failure::VersionGone);
+                Err(self.caller_error(Failure::VersionGone))
+            }
+            Err(TakeUpError::Unknown) => {
+                self.fail_without_version(Failure::VersionUnknown);
+                Err(self.caller_error(Failure::VersionUnknown))
+            }
+        }
+    }
+
+    /// Fails the relay because no instance may send the next events.
+    fn fail_without_version(&mut self, failure: Failure) {
+        let reason = match failure {
+            Failure::VersionUnknown => "version_unknown",
+            _ => "version_gone",
+        };
+        let is_refusal = self.inbound.last_event_id.is_some() && self.open_sends == 0;
+        log::info!(
+            "stream: id={} {}, reason={reason} resumes={} after={:?} version={}",
+            self.inbound.id_text(),
+            if is_refusal { "refused" } else { "ends" },
+            self.inbound.resumes.as_deref().unwrap_or("-"),
+            self.last_event_id,
+            self.version_text(),
+        );
+        if is_refusal {
+            metrics::counter!("stream_takeups_refused_total", "reason" => reason).increment(1);
+        }
+        self.fail(failure);
+    }
+
+    /// Software version of the stream for logs.
+    fn version_text(&self) -> &str {
+        self.version.required().map_or("-", SoftwareVersion::as_str)
+    }
+
     fn caller_error(&self, failure: Failure) -> CallerError {
         let may_have_run = self.open_sends > 0;
         match failure {
@@ -204,9 +272,18 @@
             Failure::Quarantine { subject, retry_after_ms } => {
                 CallerError::quarantined(subject, may_have_run, retry_after_ms)
             }
+            Failure::VersionUnknown if !may_have_run => {
+                CallerError::StreamVersionUnknown(self.core.stream_retry_after_ms())
+            }
+            Failure::VersionGone if !may_have_run => {
+                CallerError::StreamVersionGone(self.core.stream_retry_after_ms())
+            }
             _ if !may_have_run => CallerError::Busy(self.core.stream_retry_after_ms()),
             Failure::Deadline => CallerError::TimedOut,
-            Failure::Attempts | Failure::Limit { .. } => CallerError::OutcomeUnknown,
+            Failure::Attempts
+            | Failure::Limit { .. }
+            | Failure::VersionGone
+            | Failure::VersionUnknown => CallerError::OutcomeUnknown,
         }
     }
 
@@ -389,6 +466,18 @@
             self.released.extend_from_slice(&event.bytes);
             return;
         }
+        let Some(instance) = self.instance_of(id) else { return };
+        let version = &instance.entry.software_version;
+        if !self.version.allows(version) {
+            log::warn!(
+                "stream: id={} attempt={id} event of version={version}, began at version={}",
+                self.inbound.id_text(),
+                self.version_text(),
+            );
+            self.cancel(id);
+            self.input(Input::Lost { attempt: id, cause: LossCause::Refused });
+            return;
+        }
         let index = self.generation.journal().len();
         if let Some(last_id) = self.last_event_id
             && event.id != last_id.checked_add(1)
@@ -410,6 +499,7 @@
             self.released.truncate(length_before);
             return;
         }
+        self.record_version(&instance);
         if let Some(sample) = self.generation.take_sample() {
             self.core.observe(&self.inbound.service, sample);
         }
@@ -423,18 +513,33 @@
         self.events += 1;
     }
 
+    /// Instance of a current attempt; `None` if there is no such attempt, or none is chosen.
+    fn instance_of(&self, id: AttemptId) -> Option<Arc<Instance>> {
+        self.attempts.iter().find(|attempt| attempt.id == id)?.instance.clone()
+    }
+
+    /// Binds the stream to the software version of the instance that sent its first event.
+    fn record_version(&mut self, instance: &Instance) {
+        if self.version != StreamVersion::Any {
+            return;
+        }
+        self.version.begin(&instance.entry.software_version);
+        self.core.versions.record_begun(&self.inbound, instance);
+    }
+
     /// Handles the failure of an attempt, after which the state machine decides on the next one.
     fn on_failed(&mut self, position: usize, err: &AttemptError) {
         let lost = self.attempts.swap_remove(position);
         let Some(instance) = &lost.instance else { return };
         let now_ms = self.core.clock.now_ms();
         log::info!(
-            "attempt: id={} attempt={} instance={} domain={} failed: {err}; events={} silent_ms={} \
+            "attempt: id={} attempt={} instance={} domain={} failed: {err}; version={} events={} silent_ms={} \
              answering_ms={} parts={} request={}",
             self.inbound.id_text(),
             lost.id,
             instance.entry.id,
             instance.entry.domain,
+            instance.entry.software_version,
             self.events,
             now_ms.saturating_sub(self.last_release_ms),
             lost.answering_ms(now_ms).map_or(-1, |ms| ms as i64),
@@ -442,7 +547,10 @@
             self.inbound.fingerprint(),
         );
         match err {
-            AttemptError::NotAccepting | AttemptError::NotSent(_) | AttemptError::Misdirected => {
+            AttemptError::Misdirected
+            | AttemptError::NotAccepting
+            | AttemptError::NotSent(_)
+            | AttemptError::OtherVersion(_) => {
                 if self.sends > 1 && !matches!(err, AttemptError::Misdirected) {
                     self.core.refund(&self.inbound.service);
                 }
@@ -517,10 +625,12 @@
         let Some(instance) = attempt.instance else { return };
         let silent_ms = self.core.clock.now_ms().saturating_sub(self.last_release_ms);
         log::info!(
-            "attempt: id={} attempt={id} instance={} domain={} cancelled; events={} silent_ms={silent_ms}",
+            "attempt: id={} attempt={id} instance={} domain={} cancelled; version={} events={} \
+             silent_ms={silent_ms}",
             self.inbound.id_text(),
             instance.entry.id,
             instance.entry.domain,
+            instance.entry.software_version,
             self.events,
         );
         self.losses += 1;
@@ -570,10 +680,17 @@
         if self.refuse_if_condemned() {
             return;
         }
-        let replica = self.replicator.take().filter(|replica| replica.instance.accepts_requests());
+        if !self.core.serves_version(&self.inbound.service, &self.version) {
+            self.fail_without_version(Failure::VersionGone);
+            return;
+        }
+        let replica = self.replicator.take().filter(|replica| {
+            replica.instance.accepts_requests()
+                && self.version.allows(&replica.instance.entry.software_version)
+        });
         let candidates = self.core.choose_stream_candidates(
             &self.inbound.service,
-            &self.excluded,
+            &self.placement(),
             PROBED_ENGINES,
         );
         let core = Arc::clone(&self.core);
@@ -585,11 +702,21 @@
             may_wait: now_ms < self.last_release_ms + MAX_BUSY_WAIT_MS,
             replica,
             excluded: self.excluded.clone(),
+            version: self.version.clone(),
         };
         let choosing = async move { choose_engine(&core, requirements).await };
         self.attempts.push(Attempt::choosing(id, choosing.boxed(), now_ms));
     }
 
+    /// Constraints on the engine of the next attempt.
+    fn placement(&self) -> Placement<'_> {
+        Placement {
+            excluded: &self.excluded,
+            required_version: self.version.required(),
+            ..Placement::default()
+        }
+    }
+
     /// Urgency of a retry. Before the first event, the retry is urgent if that event can still arrive within the target
     /// latency.
     ///
@@ -648,10 +775,11 @@
         self.excluded.push(Arc::clone(&instance.entry.id));
         let extra_headers = self.attempt_headers(replica.as_ref(), replica_target);
         log::info!(
-            "attempt: id={} attempt={id} instance={} domain={} after={:?} copy_from={} copy_to={}",
+            "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={}",
             self.inbound.id_text(),
             instance.entry.id,
             instance.entry.domain,
+            instance.entry.software_version,
             self.last_event_id,
             replica
                 .as_ref()
@@ -661,8 +789,10 @@
         let core = Arc::clone(&self.core);
         let inbound = Arc::clone(&self.inbound);
         let target = Arc::clone(&instance);
+        let version = self.version.clone();
         let opening = async move {
-            let exchange = Exchange::open(&core, &inbound, target, &extra_headers).await?;
+            let exchange =
+                Exchange::open(&core, &inbound, target, &extra_headers, Some(&version)).await?;
             if exchange.status.is_success() {
                 return Ok(Opened::Stream(exchange));
             }
@@ -677,8 +807,7 @@
     fn wait_for_engine(&mut self, position: usize, reason: WaitReason, replica: Option<KvReplica>) {
         let id = self.attempts[position].id;
         if reason == WaitReason::Limit && self.sends == 0 {
-            let placement = Placement { excluded: &self.excluded, ..Placement::default() };
-            let soonest = self.core.soonest_instance(&self.inbound.service, &placement);
+            let soonest = self.core.soonest_instance(&self.inbound.service, &self.placement());
             let wait_ms = soonest.map(|(_, wait_ms)| wait_ms);
             let latest_ms = (self.inbound.arrived_ms + self.inbound.target_latency_ms)
                 .saturating_sub(PREFILL_MS);
@@ -745,15 +874,18 @@
             (false, Some(Failure::Attempts)) => "attempts",
             (false, Some(Failure::Limit { .. })) => "limit",
             (false, Some(Failure::Quarantine { .. })) => "quarantine",
+            (false, Some(Failure::VersionGone)) => "version_gone",
+            (false, Some(Failure::VersionUnknown)) => "version_unknown",
             (false, None) => "caller_gone",
         };
         let now_ms = self.core.clock.now_ms();
         let first_ms = self.first_event_ms.map(|at_ms| at_ms - self.inbound.arrived_ms);
         log::info!(
-            "stream: id={} route={} outcome={outcome} events={} sends={} losses={} first_ms={} \
+            "stream: id={} route={} outcome={outcome} version={} events={} sends={} losses={} first_ms={} \
              longest_pause_ms={} total_ms={}",
             self.inbound.id_text(),
             self.inbound.route,
+            self.version_text(),
             self.events,
             self.sends,
             self.losses,
