Send streams only to the process of the registry entry

An engine can restart under its identifier and address with another software version while its old entry is still listed. The path of borrowed requests has no probe at all.

A connection does not outlive its process. A load report marks the connection that it arrived on as verified if it states the start time of the entry, and streams are sent on verified connections only; if none is idle, a report is requested on a new one first.

--- a/crates/ingress/src/connection_pool.rs
+++ b/crates/ingress/src/connection_pool.rs
@@ -1,8 +1,8 @@
 //! Reuse of the connections to an instance.
 
+use crate::instance_connection::InstanceConnection;
 use base::lock;
 use std::sync::{Mutex, MutexGuard};
-use web::Connection;
 
 /// Largest number of idle connections that are kept for each instance.
 const MAX_IDLE: usize = 4;
@@ -22,22 +22,36 @@
 
 #[derive(Debug)]
 struct Idle {
-    connection: Connection,
+    connection: InstanceConnection,
     /// Time on the daemon's clock from which the connection is not reused.
     expires_ms: u64,
 }
 
 impl ConnectionPool {
     /// Removes and returns the connection that was used last; `None` if no open connection is left.
-    pub fn take(&self, now_ms: u64) -> Option<Connection> {
+    pub fn take(&self, now_ms: u64) -> Option<InstanceConnection> {
+        self.take_last(now_ms, |_| true)
+    }
+
+    /// Like `take`, for connections of the process of the registry entry only.
+    pub fn take_verified(&self, now_ms: u64) -> Option<InstanceConnection> {
+        self.take_last(now_ms, |connection| connection.is_verified)
+    }
+
+    fn take_last(
+        &self,
+        now_ms: u64,
+        is_usable: impl Fn(&InstanceConnection) -> bool,
+    ) -> Option<InstanceConnection> {
         let mut idle = self.idle();
-        idle.retain(|pooled| pooled.expires_ms > now_ms && pooled.connection.is_idle());
-        idle.pop().map(|pooled| pooled.connection)
+        idle.retain(|pooled| pooled.expires_ms > now_ms && pooled.connection.connection.is_idle());
+        let position = idle.iter().rposition(|pooled| is_usable(&pooled.connection))?;
+        Some(idle.remove(position).connection)
     }
 
     /// Adds a connection whose last exchange has ended, unless the pool is full. `keep_alive_s` is the keep-alive
     /// timeout that the instance states, 0 if it closes the connection.
-    pub fn put(&self, connection: Connection, keep_alive_s: Option<u64>, now_ms: u64) {
+    pub fn put(&self, connection: InstanceConnection, keep_alive_s: Option<u64>, now_ms: u64) {
         let idle_ms = match keep_alive_s {
             Some(seconds) => (seconds * 1_000).saturating_sub(KEEP_ALIVE_MARGIN_MS),
             None => DEFAULT_KEEP_ALIVE_MS,
@@ -48,6 +62,7 @@
         let mut idle = self.idle();
         idle.retain(|pooled| pooled.expires_ms > now_ms);
         if idle.len() < MAX_IDLE {
+            let connection = InstanceConnection { is_reused: true, ..connection };
             idle.push(Idle { connection, expires_ms: now_ms + idle_ms });
         }
     }
--- a/crates/ingress/src/engine_call.rs
+++ b/crates/ingress/src/engine_call.rs
@@ -4,6 +4,7 @@
     core::Core,
     exchange::{connect, return_connection},
     instance::Instance,
+    instance_connection::InstanceConnection,
 };
 use bytes::Bytes;
 use hyper::{Method, Response, StatusCode};
@@ -27,17 +28,42 @@
     timeout_ms: u64,
 ) -> Result<Response<Bytes>, ClientError> {
     let call = async {
-        let mut connection = match instance.connections.take(core.clock.now_ms()) {
+        let pooled = instance.connections.take(core.clock.now_ms());
+        let mut connection = match pooled {
             Some(connection) => connection,
-            None => connect(instance).await?,
+            None => connect(instance).await?.into(),
         };
-        let response = exchange(&mut connection, instance, method, path, body).await?;
+        let response = exchange(&mut connection.connection, instance, method, path, body).await?;
         return_connection(core, instance, connection, response.headers());
         Ok(response)
     };
     within(timeout_ms, call).await
 }
 
+/// Requests the load report of an engine on `connection`, or on a new connection. Returns the response and the
+/// connection, which is not in the pool.
+///
+/// # Errors
+///
+/// No complete response arrived within the timeout of reports.
+pub(crate) async fn report_call(
+    core: &Core,
+    instance: &Arc<Instance>,
+    connection: Option<InstanceConnection>,
+) -> Result<(Response<Bytes>, InstanceConnection), ClientError> {
+    let call = async {
+        let mut connection = match connection {
+            Some(connection) => connection,
+            None => connect(instance).await?.into(),
+        };
+        let path = core.dialect.report_path;
+        let response =
+            exchange(&mut connection.connection, instance, Method::GET, path, Vec::new()).await?;
+        Ok((response, connection))
+    };
+    within(core.options.report_timeout_ms, call).await
+}
+
 /// Makes a call like `engine_call`, on a connection that is used for nothing else.
 ///
 /// The response to such a call does not identify the call. On a connection that has carried another exchange, a late
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -5,7 +5,9 @@
     core::Core,
     inbound::Inbound,
     instance::Instance,
+    instance_connection::InstanceConnection,
     instance_guards::InFlightGuard,
+    probe::connect_verified,
     response_head::{ResponseClass, classify_response, keep_alive_s, named_limit_per_s},
 };
 use affinity::StreamVersion;
@@ -45,13 +47,14 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Incoming,
-    connection: Connection,
+    connection: InstanceConnection,
 }
 
 impl Exchange {
     /// Sends `inbound` to `instance` with the additional headers `extra_headers` and waits for the response head.
     ///
-    /// `stream_version` is the software version at which a stream may go on; `None` for a call.
+    /// `stream_version` is the software version at which a stream may go on; `None` for a call. A stream is sent only to
+    /// the process of the registry entry, because another one under the same identifier may have another version.
     ///
     /// # Errors
     ///
@@ -72,19 +75,25 @@
         if stream_version.is_some_and(|stream_version| !stream_version.allows(version)) {
             return Err(AttemptError::OtherVersion(version.clone()));
         }
+        let is_stream = stream_version.is_some();
         let guard = InFlightGuard::new(Arc::clone(&instance));
-        let pooled = instance.connections.take(core.clock.now_ms());
-        let mut is_reused = pooled.is_some();
+        let now_ms = core.clock.now_ms();
+        let pooled = match is_stream {
+            true => instance.connections.take_verified(now_ms),
+            false => instance.connections.take(now_ms),
+        };
+        let is_pooled = pooled.is_some();
         let mut connection = match pooled {
             Some(connection) => connection,
-            None => connect(&instance).await.map_err(AttemptError::NotSent)?,
+            None => open_connection(core, &instance, is_stream).await?,
         };
-        let mut sent = connection.send(request(core, inbound, &instance, extra_headers)).await;
+        let first = request(core, inbound, &instance, extra_headers);
+        let mut sent = connection.connection.send(first).await;
         // A pooled connection may have been closed by the instance meanwhile.
-        if is_reused && matches!(sent, Err(ClientError::Unsent(_))) {
-            connection = connect(&instance).await.map_err(AttemptError::NotSent)?;
-            is_reused = false;
-            sent = connection.send(request(core, inbound, &instance, extra_headers)).await;
+        if is_pooled && matches!(sent, Err(ClientError::Unsent(_))) {
+            connection = open_connection(core, &instance, is_stream).await?;
+            let second = request(core, inbound, &instance, extra_headers);
+            sent = connection.connection.send(second).await;
         }
         let response = match sent {
             Ok(response) => response,
@@ -97,7 +106,8 @@
             }
         };
         let (head, body) = response.into_parts();
-        connection.limit_framing();
+        connection.connection.limit_framing();
+        let is_reused = connection.is_reused;
         let exchange = Self { guard, status: head.status, headers: head.headers, body, connection };
         let (status, headers) = (exchange.status, &exchange.headers);
         let class = classify_response(status, headers, &inbound.id, is_reused, &core.dialect);
@@ -150,7 +160,7 @@
     /// `Lost` if the connection fails before the end of the body.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
         let frame = ready!(self.body.frame().poll_unpin(cx));
-        self.connection.limit_framing();
+        self.connection.connection.limit_framing();
         Poll::Ready(frame.map(|frame| match frame {
             Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
             Err(_) => Err(AttemptError::Lost(LossCause::Closed)),
@@ -158,6 +168,23 @@
     }
 }
 
+/// Opens a new connection to an instance for a request. With `is_stream`, the process of the registry entry has accepted
+/// it.
+///
+/// # Errors
+///
+/// `NotSent` or `NotAccepting` if there is no such connection.
+async fn open_connection(
+    core: &Core,
+    instance: &Arc<Instance>,
+    is_stream: bool,
+) -> Result<InstanceConnection, AttemptError> {
+    match is_stream {
+        true => connect_verified(core, instance).await,
+        false => connect(instance).await.map(Into::into).map_err(AttemptError::NotSent),
+    }
+}
+
 /// Opens a new connection to an instance.
 ///
 /// # Errors
@@ -172,7 +199,7 @@
 pub(crate) fn return_connection(
     core: &Core,
     instance: &Instance,
-    connection: Connection,
+    connection: InstanceConnection,
     headers: &HeaderMap,
 ) {
     instance.connections.put(connection, keep_alive_s(headers), core.clock.now_ms());
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,6 +31,7 @@
 mod gateway;
 mod inbound;
 mod instance;
+mod instance_connection;
 mod instance_entry;
 mod instance_guards;
 mod instance_limits;
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -1,12 +1,20 @@
 //! Probes of engines for their load, and health checks.
 
 use crate::{
-    core::Core, engine_call::engine_call, engine_report::EngineReport, exchange::connect,
-    instance::Instance, instance_guards::InFlightGuard,
+    attempt_error::AttemptError,
+    core::Core,
+    engine_call::report_call,
+    engine_report::EngineReport,
+    exchange::{connect, return_connection},
+    instance::Instance,
+    instance_connection::InstanceConnection,
+    instance_guards::InFlightGuard,
+    response_head::keep_alive_s,
 };
 use base::DomainName;
+use bytes::Bytes;
 use futures::future::join_all;
-use hyper::Method;
+use hyper::Response;
 use std::{io::ErrorKind, sync::Arc};
 use web::ClientError;
 
@@ -17,6 +25,10 @@
 /// few seconds for the first event.
 const BUSY_PREFILLS: u32 = 3;
 
+/// Number of connections on which a load report is requested before a request, because engines close some connections
+/// after a response.
+const MAX_VERIFICATIONS: usize = 3;
+
 /// Engines that responded to a probe.
 #[derive(Debug, Default)]
 pub(crate) struct ProbedEngines {
@@ -151,20 +163,52 @@
 /// another one now has the address of the registry entry.
 pub(crate) async fn probe(core: &Core, instance: &Arc<Instance>) -> Option<EngineReport> {
     let _guard = InFlightGuard::new(Arc::clone(instance));
-    let path = core.dialect.report_path;
-    let timeout_ms = core.options.report_timeout_ms;
-    let response = engine_call(core, instance, Method::GET, path, Vec::new(), timeout_ms).await;
-    let (head, report) = match response {
-        Ok(response) => {
-            let (head, report) = response.into_parts();
-            (head, (core.dialect.decode_report)(&report)?)
+    let pooled = instance.connections.take(core.clock.now_ms());
+    match report_call(core, instance, pooled).await {
+        Ok((response, connection)) => {
+            let (report, connection) = accept_report(core, instance, &response, connection)?;
+            return_connection(core, instance, connection, response.headers());
+            Some(report)
         }
         Err(err) => {
             log::info!("probe: instance={} failed: {err}", instance.entry.id);
             core.record_loss(instance);
-            return None;
+            None
         }
-    };
+    }
+}
+
+/// Opens a connection to an engine and makes sure by a load report that the process of the registry entry has accepted
+/// it.
+///
+/// # Errors
+///
+/// `NotSent` if no report arrives, and `NotAccepting` if another process has the address or closes all connections.
+pub(crate) async fn connect_verified(
+    core: &Core,
+    instance: &Arc<Instance>,
+) -> Result<InstanceConnection, AttemptError> {
+    for _ in 0..MAX_VERIFICATIONS {
+        let call = report_call(core, instance, None).await;
+        let (response, connection) = call.map_err(AttemptError::NotSent)?;
+        let accepted = accept_report(core, instance, &response, connection);
+        let (_, connection) = accepted.ok_or(AttemptError::NotAccepting)?;
+        if keep_alive_s(response.headers()) != Some(0) {
+            return Ok(connection);
+        }
+    }
+    Err(AttemptError::NotAccepting)
+}
+
+/// Decodes a load report and records what it states about the instance. Returns the report and the connection, which is
+/// verified by it; `None` if the report is malformed or from another process.
+fn accept_report(
+    core: &Core,
+    instance: &Instance,
+    response: &Response<Bytes>,
+    connection: InstanceConnection,
+) -> Option<(EngineReport, InstanceConnection)> {
+    let report = (core.dialect.decode_report)(response.body())?;
     if report.started_unix_ms.is_some() && report.started_unix_ms != instance.entry.started_unix_ms
     {
         log::info!("probe: instance={} was replaced at its address", instance.entry.id);
@@ -173,6 +217,6 @@
         return None;
     }
     instance.record_response(core.clock.now_ms());
-    core.record_statements(instance, head.status, &head.headers);
-    Some(report)
+    core.record_statements(instance, response.status(), response.headers());
+    Some((report, InstanceConnection { is_reused: true, is_verified: true, ..connection }))
 }
