Explain streams that found no instance of their software version

The lines of listed instances state their version.

Failed before: streams_without_an_instance_of_their_version_are_explained (crates/geraniumctl/tests/explain.rs).

--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -143,6 +143,9 @@
             failed_attempts(request_lines),
         );
     }
+    if let Some(cause) = request_lines.iter().find_map(|line| version_cause(line)) {
+        return format!("{cause} ({})", failed_attempts(request_lines));
+    }
     if let Some(line) = request_lines.iter().find(|line| line.component == "request") {
         return refusal_cause(line, request_lines);
     }
@@ -157,6 +160,25 @@
     "the log holds no end of the request: the daemon was stopped, or the lines are elsewhere".into()
 }
 
+/// Describes why no instance could send the next events of a stream, from the log line that says so; `None` for another
+/// line.
+fn version_cause(line: &LogLine<'_>) -> Option<String> {
+    let field = |name| line.field(name).unwrap_or("?");
+    match line.field("reason") {
+        Some("version_gone") => {
+            let version = field("version");
+            Some(format!("no instance had the version {version}, at which the stream began"))
+        }
+        Some("version_unknown") => {
+            let first_id = field("resumes");
+            Some(format!(
+                "the version at which the stream of the attempt {first_id} began was not known"
+            ))
+        }
+        _ => None,
+    }
+}
+
 /// Returns whether the line reports the end of its stream.
 fn has_outcome(line: &LogLine<'_>) -> bool {
     line.field("outcome").is_some()
--- a/crates/geraniumctl/tests/explain.rs
+++ b/crates/geraniumctl/tests/explain.rs
@@ -21,6 +21,14 @@
   9.8500 front-b-1 1785784685350 INFO vm=front-b-1 call: id=c0ffee11 refused, reason=quarantine request=4f0e engines=i-1,i-2,i-3 last_age_ms=900 sends=0
   9.9000 front-b-1 1785784685400 INFO vm=front-b-1 call: id=11a17ed0 refused, reason=limit retry_after_ms=740
   9.9000 front-b-1 1785784685400 INFO vm=front-b-1 request: id=11a17ed0 status=503 outcome=not_run config=2
+  9.9100 front-b-1 1785784685410 INFO vm=front-b-1 stream: id=7a4e0001 refused, reason=version_unknown resumes=7a4e0000 after=Some(12) version=-
+  9.9100 front-b-1 1785784685410 INFO vm=front-b-1 request: id=7a4e0001 status=503 outcome=stream_version_unknown config=2
+  9.9200 front-b-1 1785784685420 INFO vm=front-b-1 stream: id=7a4e0002 refused, reason=version_gone resumes=7a4e0000 after=Some(12) version=v7
+  9.9200 front-b-1 1785784685420 INFO vm=front-b-1 request: id=7a4e0002 status=503 outcome=stream_version_gone config=2
+  9.9300 front-b-1 1785784685430 INFO vm=front-b-1 attempt: id=7a4e0003 attempt=1 instance=i-04a6 domain=lothian version=v7 after=None copy_from=- copy_to=-
+  9.9400 front-b-1 1785784685440 INFO vm=front-b-1 attempt: id=7a4e0003 attempt=1 instance=i-04a6 domain=lothian failed: lost: closed; version=v7 events=3 silent_ms=26
+  9.9400 front-b-1 1785784685440 INFO vm=front-b-1 stream: id=7a4e0003 ends, reason=version_gone resumes=- after=Some(3) version=v7
+  9.9400 front-b-1 1785784685440 INFO vm=front-b-1 stream: id=7a4e0003 route=r-vbg outcome=version_gone version=v7 events=3 sends=1 losses=1 first_ms=5 longest_pause_ms=6 total_ms=10
 a line of something else id=e9a9b4d8
 ";
 
@@ -38,6 +46,24 @@
     );
 }
 
+/// Guards against explanations that do not name the software version which a stream needed.
+#[test]
+fn streams_without_an_instance_of_their_version_are_explained() {
+    let cause = |id| explain(id, LOGS).unwrap().lines().last().unwrap().to_owned();
+    assert_eq!(
+        cause("7a4e0001"),
+        "cause: the version at which the stream of the attempt 7a4e0000 began was not known (no attempt failed)"
+    );
+    assert_eq!(
+        cause("7a4e0002"),
+        "cause: no instance had the version v7, at which the stream began (no attempt failed)"
+    );
+    assert_eq!(
+        cause("7a4e0003"),
+        "cause: no instance had the version v7, at which the stream began (i-04a6 failed: lost: closed)"
+    );
+}
+
 /// Guards against explanations that omit or misstate why a request was refused or failed.
 #[test]
 fn refused_and_failed_requests_are_explained() {
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -111,9 +111,10 @@
             self.retire_at(&entry);
         }
         log::info!(
-            "instances: {id} is listed, service={} domain={} addr={} draining={}",
+            "instances: {id} is listed, service={} domain={} version={} addr={} draining={}",
             entry.service,
             entry.domain,
+            entry.software_version,
             entry.addr,
             entry.is_draining
         );
