Soak releases of engine versions and kill all daemons at once

Engines state a software version and mark their events with it; a release replaces or restarts them one after the other, and clients take broken streams up with Resumes at any daemon. The soak judges that no stream holds events of two versions.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -78,11 +78,11 @@
         path: &str,
         id: &str,
         part: &str,
-        last_event: Option<u64>,
+        take_up: Option<TakeUp<'_>>,
         rng: &mut SmallRng,
     ) -> Option<Reply> {
         let entry_addr = self.entry_addrs[rng.random_range(0..self.entry_addrs.len())];
-        let last_event_id = last_event.map(|event| event.to_string());
+        let last_event_id = take_up.map(|take_up| take_up.last_event.to_string());
         let prompt = format!("50:200,{part}:300,{id}:4000");
         let mut headers = vec![
             ("Credential", "key-1"),
@@ -90,6 +90,7 @@
             ("Prompt-Prefix", prompt.as_str()),
         ];
         headers.extend(last_event_id.as_deref().map(|event| ("Last-Event-Id", event)));
+        headers.extend(take_up.map(|take_up| ("Resumes", take_up.first_id)));
         let reply = call_with(entry_addr, method, path, id, &headers);
         tokio::time::timeout(RESPONSE_TIMEOUT, reply).await.ok().flatten()
     }
@@ -156,16 +157,17 @@
         }
     }
 
-    /// Reads one stream and, after a failed attempt, resumes it at a randomly chosen daemon.
+    /// Reads one stream and, after a failed attempt, takes it up at a randomly chosen daemon. The stream begins anew if its
+    /// software version is unknown or has left.
     async fn read_stream(&self, id: &str, rng: &mut SmallRng) {
-        let mut events: Vec<u64> = Vec::new();
+        let mut stream = ReceivedStream::default();
         for attempt in 0..MAX_STREAM_ATTEMPTS {
             let attempt_id = format!("{id}-{attempt}");
-            let (part, last_event) = (self.own_part(), events.last().copied());
-            let reply = self.send("POST", "/long/x", &attempt_id, &part, last_event, rng).await;
-            if reply.is_some_and(|reply| {
-                self.record_stream_attempt(attempt_id, attempt, reply, &mut events)
-            }) {
+            let part = self.own_part();
+            let take_up = stream.take_up();
+            let reply = self.send("POST", "/long/x", &attempt_id, &part, take_up, rng).await;
+            if reply.is_some_and(|reply| self.record_stream_attempt(attempt_id, reply, &mut stream))
+            {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
@@ -173,21 +175,20 @@
         lock(&self.findings).report.failed += 1;
     }
 
-    /// Records the response to one attempt of a stream and appends its event ids to `events`. Returns whether the
-    /// stream is complete.
-    fn record_stream_attempt(
-        &self,
-        id: String,
-        attempt: u32,
-        reply: Reply,
-        events: &mut Vec<u64>,
-    ) -> bool {
+    /// Records the response to one attempt of a stream and appends its events to `stream`. Returns whether the stream is
+    /// complete.
+    fn record_stream_attempt(&self, id: String, reply: Reply, stream: &mut ReceivedStream) -> bool {
         let mut findings = lock(&self.findings);
         let Findings { report, checks } = &mut *findings;
         check_origin(report, &id, &reply);
+        report.take_ups += u64::from(stream.take_up().is_some());
         if reply.status == 503 && reply.is_complete {
             report.refused += 1;
             checks.refused.push(id);
+            if reply.body.contains("stream_version_") {
+                report.refused_take_ups += 1;
+                *stream = ReceivedStream::default();
+            }
             return false;
         }
         if reply.status != 200 {
@@ -196,19 +197,62 @@
         if !reply.body.is_empty() && !reply.body.ends_with("\n\n") {
             report.violations.push(format!("{id} got a part of an event"));
         }
-        events.extend(reply.event_ids());
+        let is_resumed = stream.take_up().is_some();
+        stream.append(&id, &reply);
+        if stream.versions.len() > 1 {
+            let versions = &stream.versions;
+            report.violations.push(format!("{id} got events of the versions {versions:?}"));
+        }
         if !reply.is_complete {
             return false;
         }
+        let events = &stream.events;
         if events.iter().copied().ne(1..=STREAM_EVENTS) {
             report.violations.push(format!("{id} got the events {events:?}"));
         }
         report.whole_streams += 1;
-        report.resumed_streams += u64::from(attempt > 0);
+        report.resumed_streams += u64::from(is_resumed);
         true
     }
 }
 
+/// Events that a client has received of one stream, over all attempts since it began.
+#[derive(Debug, Default)]
+struct ReceivedStream {
+    events: Vec<u64>,
+    /// Software versions of the engines that sent the events.
+    versions: Vec<String>,
+    /// Id of the attempt that brought the first event; empty before it.
+    first_id: String,
+}
+
+impl ReceivedStream {
+    /// What the next attempt takes up; `None` if there is no event yet.
+    fn take_up(&self) -> Option<TakeUp<'_>> {
+        let last_event = *self.events.last()?;
+        Some(TakeUp { first_id: &self.first_id, last_event })
+    }
+
+    /// Appends the events of the response to the attempt `id`.
+    fn append(&mut self, id: &str, reply: &Reply) {
+        let events = reply.event_ids();
+        if self.events.is_empty() && !events.is_empty() {
+            self.first_id = id.to_owned();
+        }
+        self.events.extend(events);
+        self.versions.extend(reply.event_versions().into_iter().map(str::to_owned));
+        self.versions.dedup();
+    }
+}
+
+/// Position in a stream from which another attempt goes on.
+#[derive(Clone, Copy, Debug)]
+struct TakeUp<'a> {
+    /// Id of the attempt that brought the first event.
+    first_id: &'a str,
+    last_event: u64,
+}
+
 /// Records a violation if a response with the status 200 does not come from an upstream, or if an upstream's response
 /// belongs to another request. Responses of upstreams have the header `server-stamp`.
 fn check_origin(report: &mut SoakReport, id: &str, reply: &Reply) {
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -20,6 +20,18 @@
 /// Fault that restores the store from an older copy.
 const RESTORATION: u32 = 13;
 
+/// Fault that releases another software version of the engines.
+const RELEASE: u32 = 14;
+
+/// Fault that kills all daemons at once.
+const MASS_KILL: u32 = 15;
+
+/// Number of the fault that is always a release, so that each soak has one.
+const FIRST_RELEASE: u64 = 2;
+
+/// Number of the fault that always kills all daemons.
+const FIRST_MASS_KILL: u64 = 3;
+
 /// Number of the fault that is always an episode, so that each soak has one.
 const FIRST_EPISODE: u64 = 4;
 
@@ -70,8 +82,10 @@
         // The daemons of an episode are in contact with each other and with the upstreams all the time.
         let fault = match self.episode_end {
             Some(_) => EPISODE_FAULTS[self.rng.random_range(0..EPISODE_FAULTS.len())],
+            None if self.count == FIRST_RELEASE => RELEASE,
+            None if self.count == FIRST_MASS_KILL => MASS_KILL,
             None if self.count == FIRST_EPISODE => EPISODE,
-            None => self.rng.random_range(0..=RESTORATION),
+            None => self.rng.random_range(0..=MASS_KILL),
         };
         match fault {
             0 => daemons[daemon].kill(),
@@ -102,6 +116,8 @@
                 self.episode_end = Some(Instant::now() + EPISODE_TIME);
             }
             RESTORATION => environment.restore_store().await,
+            RELEASE => environment.release_version(&mut self.rng).await?,
+            MASS_KILL => daemons.iter_mut().for_each(DaemonProcess::kill),
             _ => environment.inject_upstream_faults(&mut self.rng),
         }
         environment.copy_store();
--- a/crates/soak/src/soak_report.rs
+++ b/crates/soak/src/soak_report.rs
@@ -7,8 +7,12 @@
 pub struct SoakReport {
     /// Number of streams that arrived completely.
     pub whole_streams: u64,
-    /// Number of complete streams that needed more than one attempt.
+    /// Number of complete streams that were taken up.
     pub resumed_streams: u64,
+    /// Number of attempts that took up a stream.
+    pub take_ups: u64,
+    /// Number of these attempts that were refused because of the software version of the stream.
+    pub refused_take_ups: u64,
     /// Number of calls that succeeded.
     pub answered_calls: u64,
     /// Number of requests that got the status 503, by which the daemon promises that no upstream executed them.
@@ -55,9 +59,12 @@
     /// Returns one line with all counts as `name=value`; `broken` is the number of violations.
     pub fn summary(&self) -> String {
         format!(
-            "whole_streams={} resumed_streams={} answered_calls={} refused={} failed={} faults={} broken={}",
+            "whole_streams={} resumed_streams={} take_ups={} refused_take_ups={} answered_calls={} refused={} \
+             failed={} faults={} broken={}",
             self.whole_streams,
             self.resumed_streams,
+            self.take_ups,
+            self.refused_take_ups,
             self.answered_calls,
             self.refused,
             self.failed,
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -32,6 +32,10 @@
 /// Age from which a copy of the store is replaced by a newer one.
 const COPY_AGE: Duration = Duration::from_secs(3);
 
+/// Shortest and longest time between two engines of a release, and until an engine that was restarted in place writes its
+/// registry entry, in milliseconds.
+const RELEASE_GAP_MS: std::ops::Range<u64> = 20..250;
+
 /// Number of engines in each failure domain.
 const ENGINES_PER_DOMAIN: usize = 3;
 
@@ -48,6 +52,8 @@
     proxy_faults: Vec<(Arc<Proxy>, Instant)>,
     /// Version of the configuration that was written last.
     config_version: u64,
+    /// Software version of the engines that are started next, as a number.
+    version: u64,
     /// Number of upstreams started so far, part of their ids.
     started_upstreams: u64,
     /// Current episode; `None` if there is none.
@@ -95,6 +101,7 @@
             store_proxies: Vec::new(),
             proxy_faults: Vec::new(),
             config_version: 0,
+            version: 1,
             started_upstreams: 0,
             episode: None,
             episodes: 0,
@@ -125,6 +132,7 @@
         self.started_upstreams += 1;
         let upstream =
             FakeUpstream::start(&format!("{service}-{domain}-{}", self.started_upstreams)).await;
+        upstream.set_version(&format!("v{}", self.version));
         let proxy = Arc::new(Proxy::start(ProxySettings::new(upstream.addr)).await?);
         if let Some(episode) = &self.episode {
             crash_upstream_on(&upstream, service, &episode.part);
@@ -343,7 +351,14 @@
 
     /// Marks a random upstream as draining in the store, and starts another one of the same service and failure domain.
     pub async fn drain_upstream(&mut self, rng: &mut impl Rng) -> IoResult<()> {
-        let mut proxied = self.upstreams.swap_remove(rng.random_range(0..self.upstreams.len()));
+        let position = rng.random_range(0..self.upstreams.len());
+        self.drain_at(position).await
+    }
+
+    /// Marks the upstream at `position` as draining in the store, and starts another one of the same service and failure
+    /// domain.
+    async fn drain_at(&mut self, position: usize) -> IoResult<()> {
+        let mut proxied = self.upstreams.swap_remove(position);
         let (service, domain) = (proxied.service, proxied.domain);
         self.store.put(&proxied.key(), &proxied.registry_entry("draining"));
         proxied.upstream.set_leaving(true);
@@ -352,6 +367,30 @@
         self.add_upstream(service, domain).await
     }
 
+    /// Releases another software version at a random number of engines, one after the other. An engine is drained and
+    /// replaced by another one, or restarted in place while its old registry entry is still listed.
+    pub async fn release_version(&mut self, rng: &mut impl Rng) -> IoResult<()> {
+        self.version += 1;
+        let version = format!("v{}", self.version);
+        for _ in 0..rng.random_range(1..=ENGINES_PER_DOMAIN * DOMAINS.len()) {
+            let engines: Vec<usize> = (0..self.upstreams.len())
+                .filter(|&position| self.upstreams[position].service == "engines")
+                .collect();
+            let position = engines[rng.random_range(0..engines.len())];
+            let gap = Duration::from_millis(rng.random_range(RELEASE_GAP_MS));
+            if rng.random_bool(0.5) {
+                self.drain_at(position).await?;
+                tokio::time::sleep(gap).await;
+            } else {
+                self.upstreams[position].upstream.restart_as(&version);
+                tokio::time::sleep(gap).await;
+                let proxied = &self.upstreams[position];
+                self.store.put(&proxied.key(), &proxied.registry_entry("ready"));
+            }
+        }
+        Ok(())
+    }
+
     /// Injects a random fault into the next two requests of each of three randomly chosen upstreams.
     pub fn inject_upstream_faults(&self, rng: &mut impl Rng) {
         let all = [
