--- a/crates/affinity/src/stream_version.rs
+++ b/crates/affinity/src/stream_version.rs
@@ -13,8 +13,8 @@
 }
 
 impl StreamVersion {
-    /// Decides at which version a stream goes on that a caller takes up. `serving` are the versions of the instances that
-    /// take requests.
+    /// Decides at which version a stream goes on that a caller takes up. `serving` are the versions of the instances
+    /// that take requests.
     ///
     /// # Errors
     ///
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Whether one of the versions `serving` may send the next events. A stream without events can wait for any version,
-    /// also if none serves.
+    /// Whether one of the versions `serving` may send the next events. A stream without events can wait for any
+    /// version, also if none serves.
     pub fn is_served_by<'a>(&self, serving: impl IntoIterator<Item = &'a SoftwareVersion>) -> bool {
         *self == Self::Any || serving.into_iter().any(|version| self.allows(version))
     }
--- a/crates/ingress/src/caller_error.rs
+++ b/crates/ingress/src/caller_error.rs
@@ -69,13 +69,13 @@
         RequestCrashed {
             display("the request crashes upstreams; it may have run")
         }
-        /// The request has not run, because it is not known at which software version the stream began that it takes up.
-        /// The caller may begin a new stream after the given time.
+        /// The request has not run, because it is not known at which software version the stream began that it takes
+        /// up. The caller may begin a new stream after the given time.
         StreamVersionUnknown(retry_after_ms: u64) {
             display("the request has not run, since the software version that began the stream is not known")
         }
-        /// The request has not run, because no upstream has the software version at which the stream began. The caller may
-        /// begin a new stream after the given time.
+        /// The request has not run, because no upstream has the software version at which the stream began. The caller
+        /// may begin a new stream after the given time.
         StreamVersionGone(retry_after_ms: u64) {
             display("the request has not run, since no upstream has the software version that began the stream")
         }
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -53,13 +53,13 @@
 impl Exchange {
     /// Sends `inbound` to `instance` with the additional headers `extra_headers` and waits for the response head.
     ///
-    /// `stream_version` is the software version at which a stream may go on; `None` for a call. A stream is sent only to
-    /// the process of the registry entry, because another one under the same identifier may have another version.
+    /// `stream_version` is the software version at which a stream may go on; `None` for a call. A stream is sent only
+    /// to the process of the registry entry, because another one under the same identifier may have another version.
     ///
     /// # Errors
     ///
-    /// `NotAccepting`, `NotSent`, `OtherVersion`, `Refused` and `Misdirected` if the request has not run, `Lost` if it may
-    /// have run.
+    /// `NotAccepting`, `NotSent`, `OtherVersion`, `Refused` and `Misdirected` if the request has not run, `Lost` if it
+    /// may have run.
     pub async fn open(
         core: &Core,
         inbound: &Inbound,
@@ -168,8 +168,8 @@
     }
 }
 
-/// Opens a new connection to an instance for a request. With `is_stream`, the process of the registry entry has accepted
-/// it.
+/// Opens a new connection to an instance for a request. With `is_stream`, the process of the registry entry has
+/// accepted it.
 ///
 /// # Errors
 ///
--- a/crates/ingress/src/kv_replicator.rs
+++ b/crates/ingress/src/kv_replicator.rs
@@ -177,9 +177,9 @@
     }
 }
 
-/// Chooses engines that can hold a snapshot. They have the software version of the source, because the stream cannot go on
-/// at another one, and are in other failure domains, because the engines of one failure domain tend to fail together. One
-/// of them is in the daemon's own domain, unless that is the source's.
+/// Chooses engines that can hold a snapshot. They have the software version of the source, because the stream cannot
+/// go on at another one, and are in other failure domains, because the engines of one failure domain tend to fail
+/// together. One of them is in the daemon's own domain, unless that is the source's.
 fn snapshot_candidates(
     core: &Core,
     inbound: &Inbound,
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -157,8 +157,8 @@
         }
     }
 
-    /// Reads one stream and, after a failed attempt, takes it up at a randomly chosen daemon. The stream begins anew if its
-    /// software version is unknown or has left.
+    /// Reads one stream and, after a failed attempt, takes it up at a randomly chosen daemon. The stream begins anew
+    /// if its software version is unknown or has left.
     async fn read_stream(&self, id: &str, rng: &mut SmallRng) {
         let mut stream = ReceivedStream::default();
         for attempt in 0..MAX_STREAM_ATTEMPTS {
@@ -175,8 +175,8 @@
         lock(&self.findings).report.failed += 1;
     }
 
-    /// Records the response to one attempt of a stream and appends its events to `stream`. Returns whether the stream is
-    /// complete.
+    /// Records the response to one attempt of a stream and appends its events to `stream`. Returns whether the stream
+    /// is complete.
     fn record_stream_attempt(&self, id: String, reply: Reply, stream: &mut ReceivedStream) -> bool {
         let mut findings = lock(&self.findings);
         let Findings { report, checks } = &mut *findings;
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -32,8 +32,8 @@
 /// Age from which a copy of the store is replaced by a newer one.
 const COPY_AGE: Duration = Duration::from_secs(3);
 
-/// Shortest and longest time between two engines of a release, and until an engine that was restarted in place writes its
-/// registry entry, in milliseconds.
+/// Shortest and longest time between two engines of a release, and until an engine that was restarted in place writes
+/// its registry entry, in milliseconds.
 const RELEASE_GAP_MS: std::ops::Range<u64> = 20..250;
 
 /// Number of engines in each failure domain.
@@ -355,8 +355,8 @@
         self.drain_at(position).await
     }
 
-    /// Marks the upstream at `position` as draining in the store, and starts another one of the same service and failure
-    /// domain.
+    /// Marks the upstream at `position` as draining in the store, and starts another one of the same service and
+    /// failure domain.
     async fn drain_at(&mut self, position: usize) -> IoResult<()> {
         let mut proxied = self.upstreams.swap_remove(position);
         let (service, domain) = (proxied.service, proxied.domain);
