--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -16,6 +16,8 @@
 mod service_version;
 mod software_version;
 mod step;
+mod stream_version;
+mod take_up_error;
 mod version_change;
 mod version_error;
 mod version_records;
@@ -28,6 +30,8 @@
     service_version::ServiceVersion,
     software_version::SoftwareVersion,
     step::Step,
+    stream_version::StreamVersion,
+    take_up_error::TakeUpError,
     version_change::VersionChange,
     version_error::VersionError,
     version_records::{LEASE_MS, STREAM_LIFE_MS, VersionRecords},
