--- /dev/null
+++ b/crates/affinity/src/lib.rs
@@ -0,0 +1,38 @@
+//! Decides at which software version of an upstream a stream may go on, and what the fleet records of it.
+//!
+//! The crate does no I/O and reads no clock; callers pass the current time.
+#![deny(
+    clippy::all,
+    clippy::if_not_else,
+    clippy::enum_glob_use,
+    rust_2018_idioms,
+    future_incompatible
+)]
+
+mod begun_streams;
+mod item_error;
+mod origin;
+mod record_item;
+mod service_version;
+mod software_version;
+mod step;
+mod stream_version;
+mod take_up_error;
+mod version_change;
+mod version_error;
+mod version_records;
+mod versions_in_play;
+
+pub use crate::{
+    item_error::ItemError,
+    origin::Origin,
+    record_item::{RecordBatch, RecordItem},
+    service_version::ServiceVersion,
+    software_version::SoftwareVersion,
+    step::Step,
+    stream_version::StreamVersion,
+    take_up_error::TakeUpError,
+    version_change::VersionChange,
+    version_error::VersionError,
+    version_records::{LEASE_MS, STREAM_LIFE_MS, VersionRecords},
+};
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -9,6 +9,7 @@
     probe::{is_alive, probe_all},
     retry_permit::RetryPermit,
 };
+use affinity::StreamVersion;
 use base::ServiceName;
 use futures::future::join;
 use limit::Urgency;
@@ -28,6 +29,8 @@
     pub may_wait: bool,
     /// Engines that the request was sent to before.
     pub excluded: Vec<InstanceId>,
+    /// Software version at which the stream may go on.
+    pub version: StreamVersion,
 }
 
 /// Decision on where an attempt starts, or why it has to wait.
@@ -87,7 +90,7 @@
     core: &Arc<Core>,
     requirements: EngineRequirements,
 ) -> EngineChoice {
-    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded } =
+    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded, version } =
         requirements;
     let retry = match retry {
         Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
@@ -97,7 +100,11 @@
         None => None,
     };
     let replica = replica.filter(|replica| core.allows_request(&replica.instance));
-    let placement = Placement { excluded: &excluded, ..Placement::default() };
+    let placement = Placement {
+        excluded: &excluded,
+        required_version: version.required(),
+        ..Placement::default()
+    };
     if candidates.is_empty() && replica.is_none() && core.is_limited(&service, &placement) {
         if let Some(instance) = core.borrow_instance(&service, &placement).await {
             let (replica, replica_target) = (None, None);
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -17,7 +17,9 @@
     registry::Registry,
     response_head::{stated_pause_ms, states_leaving},
     route_table::Route,
+    version_affinity::VersionAffinity,
 };
+use affinity::{Origin, ServiceVersion, SoftwareVersion, StreamVersion, TakeUpError};
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -105,6 +107,8 @@
     pub(crate) part_quarantine: CrashQuarantine,
     /// Requests that crash upstreams.
     pub(crate) request_quarantine: CrashQuarantine,
+    /// Software versions at which streams began.
+    pub(crate) versions: VersionAffinity,
     /// Time on `clock` until which more losses are expected.
     losses_until_ms: AtomicU64,
     /// Notifies stream relays that instances were lost, replaced or removed.
@@ -123,6 +127,7 @@
             limits: InstanceLimits::default(),
             part_quarantine: CrashQuarantine::new(Subject::Parts, spread),
             request_quarantine: CrashQuarantine::new(Subject::Requests, spread),
+            versions: VersionAffinity::new(options.seed),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
             budgets: RetryBudgets::new(options.retries),
@@ -197,6 +202,39 @@
         self.current_config()
     }
 
+    /// Waits until the configuration and the instances have been up to date once.
+    pub(crate) async fn wait_until_caught_up(&self) {
+        let mut has_caught_up = self.has_caught_up.subscribe();
+        // The sender lives as long as `self`.
+        let _ = has_caught_up.wait_for(|&is_done| is_done).await;
+    }
+
+    /// Takes note of the software versions that the instances of services with streams have.
+    pub(crate) fn update_listed_versions(&self) {
+        let Some(config) = self.config() else { return };
+        let registry = lock(&self.registry);
+        let listed = config.routes.streaming_services().flat_map(|service| {
+            registry.versions_of(service).map(|version| ServiceVersion {
+                service: service.clone(),
+                version: version.clone(),
+            })
+        });
+        let listed = listed.collect();
+        drop(registry);
+        self.versions.set_listed(listed);
+    }
+
+    /// Records that the stream `id` began at a software version.
+    pub fn record_stream(&self, id: &str, software: ServiceVersion) {
+        self.versions.record(id, software);
+    }
+
+    /// Finds out at which software version the stream `id` of a service began. `None` stands for a stream without a
+    /// record.
+    pub async fn stream_origin(&self, service: &ServiceName, id: Option<&str>) -> Origin {
+        self.versions.find_origin(service, id).await
+    }
+
     /// Replaces the list of daemons. `daemons` holds their peer addresses, including that of this daemon.
     pub fn set_daemons(&self, daemons: Vec<SocketAddr>) {
         lock(&self.fleet_size).set(daemons.len(), self.clock.now_ms());
@@ -215,6 +253,11 @@
         }
     }
 
+    /// Number of listed daemons; at least 1.
+    pub(crate) fn listed_daemons(&self) -> usize {
+        lock(&self.daemons).len().max(1)
+    }
+
     /// Whether a listed daemon has the peer address `addr`.
     pub(crate) fn is_peer(&self, addr: SocketAddr) -> bool {
         lock(&self.daemons).contains(&addr)
@@ -453,29 +496,69 @@
         chosen
     }
 
+    /// Whether an instance of a service takes requests at the version that a stream needs.
+    pub(crate) fn serves_version(&self, service: &ServiceName, version: &StreamVersion) -> bool {
+        version.is_served_by(serving_versions(&lock(&self.registry), service))
+    }
+
+    /// Decides at which version a stream goes on that a caller takes up.
+    ///
+    /// # Errors
+    ///
+    /// As `StreamVersion::take_up`.
+    pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
+        let origin = self.versions.origin(self, inbound).await;
+        StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
+    }
+
+    /// Chooses up to `count` engines of a service for a stream. A new stream, which requires no version, begins at a
+    /// version that takes new streams if there is such an engine.
+    pub(crate) fn choose_stream_candidates(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+        count: usize,
+    ) -> Vec<Arc<Instance>> {
+        if placement.required_version.is_none() {
+            let usable = self.usable_instances(service, placement);
+            let avoided = usable.iter().filter(|instance| !self.versions.may_begin_at(instance));
+            let avoided: Vec<InstanceId> =
+                avoided.map(|instance| Arc::clone(&instance.entry.id)).collect();
+            if !avoided.is_empty() {
+                let excluded = [placement.excluded, &avoided].concat();
+                let placement = Placement { excluded: &excluded, ..*placement };
+                let chosen = self.choose_spread(service, &placement, count);
+                if !chosen.is_empty() {
+                    return chosen;
+                }
+            }
+        }
+        self.choose_spread(service, placement, count)
+    }
+
     /// Chooses up to `count` engines of a service for a stream, of which one is in the daemon's own failure domain and
     /// the others are outside it, as far as there are such engines.
     ///
     /// The stream and its KV cache replica can then be in two domains of which one is that of the daemon, so that the
     /// stream survives both the loss of the own domain's engines and a partition of the own domain from the others.
-    pub(crate) fn choose_stream_candidates(
+    fn choose_spread(
         &self,
         service: &ServiceName,
-        excluded: &[InstanceId],
+        placement: &Placement<'_>,
         count: usize,
     ) -> Vec<Arc<Instance>> {
         let own = &self.options.domain;
         let has_own_failed = lock(&self.losses).has_failed(own, self.clock.now_ms());
-        let local = Placement { excluded, required_domain: Some(own), ..Placement::default() };
+        let local = Placement { required_domain: Some(own), ..*placement };
         let mut chosen = match has_own_failed {
             true => Vec::new(),
             false => self.choose_instances(service, &local, 1),
         };
-        let remote = Placement { excluded, excluded_domain: Some(own), ..Placement::default() };
+        let remote = Placement { excluded_domain: Some(own), ..*placement };
         chosen.extend(self.choose_instances(service, &remote, count - chosen.len()));
         let ids = chosen.iter().map(|instance| Arc::clone(&instance.entry.id));
-        let excluded: Vec<InstanceId> = excluded.iter().cloned().chain(ids).collect();
-        let any = Placement { excluded: &excluded, ..Placement::default() };
+        let excluded: Vec<InstanceId> = placement.excluded.iter().cloned().chain(ids).collect();
+        let any = Placement { excluded: &excluded, ..*placement };
         chosen.extend(self.choose_instances(service, &any, count - chosen.len()));
         chosen
     }
@@ -710,6 +793,16 @@
     }
 }
 
+/// Software versions of the instances of a service that take requests.
+fn serving_versions<'a>(
+    registry: &'a Registry,
+    service: &ServiceName,
+) -> impl Iterator<Item = &'a SoftwareVersion> {
+    let instances = registry.of_service(service).iter();
+    let accepting = instances.filter(|instance| instance.accepts_requests());
+    accepting.map(|instance| &instance.entry.software_version)
+}
+
 /// Limits of the HTTP server for the given configuration and options.
 fn server_limits(limits: ClientLimits, options: &CoreOptions) -> ServerLimits {
     ServerLimits {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,6 +31,7 @@
 mod gateway;
 mod inbound;
 mod instance;
+mod instance_connection;
 mod instance_entry;
 mod instance_guards;
 mod instance_limits;
@@ -48,6 +49,8 @@
 mod short_call;
 mod silent_call;
 mod stream_relay;
+mod version_affinity;
+mod version_recorder;
 
 pub use crate::{
     caller_error::CallerError,
@@ -70,4 +73,5 @@
     registry::Registry,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
+    version_recorder::record_stream_versions,
 };
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -1,12 +1,20 @@
 //! Probes of engines for their load, and health checks.
 
 use crate::{
-    core::Core, engine_call::engine_call, engine_report::EngineReport, exchange::connect,
-    instance::Instance, instance_guards::InFlightGuard,
+    attempt_error::AttemptError,
+    core::Core,
+    engine_call::report_call,
+    engine_report::EngineReport,
+    exchange::{connect, return_connection},
+    instance::Instance,
+    instance_connection::InstanceConnection,
+    instance_guards::InFlightGuard,
+    response_head::keep_alive_s,
 };
 use base::DomainName;
+use bytes::Bytes;
 use futures::future::join_all;
-use hyper::Method;
+use hyper::Response;
 use std::{io::ErrorKind, sync::Arc};
 use web::ClientError;
 
@@ -17,6 +25,10 @@
 /// few seconds for the first event.
 const BUSY_PREFILLS: u32 = 3;
 
+/// Number of connections on which a load report is requested before a request, because engines close some connections
+/// after a response.
+const MAX_VERIFICATIONS: usize = 3;
+
 /// Engines that responded to a probe.
 #[derive(Debug, Default)]
 pub(crate) struct ProbedEngines {
@@ -39,8 +51,8 @@
     }
 
     /// The least loaded engine with capacity for a KV cache replica of a request at `instance`; `None` if there is
-    /// none. The engine is in another failure domain than `instance`, because the engines of one failure domain tend to
-    /// fail together.
+    /// none. The engine has the software version of `instance`, because the request cannot go on at another one, and is
+    /// in another failure domain, because the engines of one failure domain tend to fail together.
     ///
     /// An engine in the daemon's own failure domain `own_domain` is preferred, because it stays reachable if the domain
     /// is partitioned from the others.
@@ -56,7 +68,10 @@
         let targets = || {
             let with_capacity = self.engines.iter().filter(|(load, _)| has_capacity(load));
             let targets = with_capacity.map(|(_, target)| target);
-            targets.filter(|target| target.entry.domain != instance.entry.domain)
+            targets.filter(|target| {
+                target.entry.domain != instance.entry.domain
+                    && target.entry.software_version == instance.entry.software_version
+            })
         };
         targets().find(|target| target.entry.domain == *own_domain).or_else(|| targets().next())
     }
@@ -165,24 +180,59 @@
     instance: &Arc<Instance>,
 ) -> Result<EngineReport, EngineHealth> {
     let _guard = InFlightGuard::new(Arc::clone(instance));
-    let path = core.dialect.report_path;
-    let timeout_ms = core.options.report_timeout_ms;
-    let response = engine_call(core, instance, Method::GET, path, Vec::new(), timeout_ms).await;
-    let (head, report) = match response {
-        Ok(response) => {
-            let (head, report) = response.into_parts();
-            let report = (core.dialect.decode_report)(&report);
-            (head, report.ok_or(EngineHealth::Unresponsive)?)
+    let pooled = instance.connections.take(core.clock.now_ms());
+    match report_call(core, instance, pooled).await {
+        Ok((response, connection)) => {
+            let (report, connection) = accept_report(core, instance, &response, connection)?;
+            return_connection(core, instance, connection, response.headers());
+            Ok(report)
         }
         Err(err) => {
             log::info!("probe: instance={} failed: {err}", instance.entry.id);
             core.record_loss(instance);
-            return Err(match is_silence(&err) {
+            Err(match is_silence(&err) {
                 true => EngineHealth::Unresponsive,
                 false => EngineHealth::Dead,
-            });
+            })
         }
-    };
+    }
+}
+
+/// Opens a connection to an engine and makes sure by a load report that the process of the registry entry has accepted
+/// it.
+///
+/// # Errors
+///
+/// `NotSent` if no report arrives, and `NotAccepting` if another process has the address or closes all connections.
+pub(crate) async fn connect_verified(
+    core: &Core,
+    instance: &Arc<Instance>,
+) -> Result<InstanceConnection, AttemptError> {
+    for _ in 0..MAX_VERIFICATIONS {
+        let call = report_call(core, instance, None).await;
+        let (response, connection) = call.map_err(AttemptError::NotSent)?;
+        let accepted = accept_report(core, instance, &response, connection);
+        let (_, connection) = accepted.map_err(|_| AttemptError::NotAccepting)?;
+        if keep_alive_s(response.headers()) != Some(0) {
+            return Ok(connection);
+        }
+    }
+    Err(AttemptError::NotAccepting)
+}
+
+/// Decodes a load report and records what it states about the instance. Returns the report and the connection, which is
+/// verified by it.
+///
+/// # Errors
+///
+/// `Unresponsive` if the report is malformed, and `Dead` if it is from another process.
+fn accept_report(
+    core: &Core,
+    instance: &Instance,
+    response: &Response<Bytes>,
+    connection: InstanceConnection,
+) -> Result<(EngineReport, InstanceConnection), EngineHealth> {
+    let report = (core.dialect.decode_report)(response.body()).ok_or(EngineHealth::Unresponsive)?;
     if report.started_unix_ms.is_some() && report.started_unix_ms != instance.entry.started_unix_ms
     {
         log::info!("probe: instance={} was replaced at its address", instance.entry.id);
@@ -191,8 +241,8 @@
         return Err(EngineHealth::Dead);
     }
     instance.record_response(core.clock.now_ms());
-    core.record_statements(instance, head.status, &head.headers);
-    Ok(report)
+    core.record_statements(instance, response.status(), response.headers());
+    Ok((report, InstanceConnection { is_reused: true, is_verified: true, ..connection }))
 }
 
 /// Whether a call failed only because the upstream sent nothing in time, which does not show that it has ended.
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -4,6 +4,7 @@
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
 };
+use affinity::SoftwareVersion;
 use base::{HashMap, HashSet, ServiceName};
 use std::{net::SocketAddr, sync::Arc};
 
@@ -54,6 +55,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Software versions of the instances of a service, including draining ones.
+    pub fn versions_of(&self, service: &ServiceName) -> impl Iterator<Item = &SoftwareVersion> {
+        self.of_service(service).iter().map(|instance| &instance.entry.software_version)
+    }
+
     /// Number of instances of all services, including those that are kept for the grace period.
     pub fn len(&self) -> usize {
         self.instances.len()
@@ -126,9 +132,10 @@
             self.retire_at(&entry);
         }
         log::info!(
-            "instances: {id} is listed, service={} domain={} addr={} draining={}",
+            "instances: {id} is listed, service={} domain={} version={} addr={} draining={}",
             entry.service,
             entry.domain,
+            entry.software_version,
             entry.addr,
             entry.is_draining
         );
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -125,7 +125,11 @@
             Outcome::Answered(response) if !response.status.is_server_error() || !may_retry => {
                 return Ok(response.into_response());
             }
-            Outcome::Failed(AttemptError::NotAccepting | AttemptError::NotSent(_)) => {
+            Outcome::Failed(
+                AttemptError::NotAccepting
+                | AttemptError::NotSent(_)
+                | AttemptError::OtherVersion(_),
+            ) => {
                 if is_retry {
                     core.refund(&inbound.service);
                 }
--- a/crates/ingress/src/silent_call.rs
+++ b/crates/ingress/src/silent_call.rs
@@ -84,7 +84,7 @@
         let (core, inbound) = (self.core, self.inbound);
         let target = Arc::clone(instance);
         let exchange = async move {
-            let exchange = Exchange::open(core, inbound, target, &[]).await?;
+            let exchange = Exchange::open(core, inbound, target, &[], None).await?;
             BufferedResponse::read(core, exchange, inbound.deadline_ms).await
         };
         let mut current = Pending { instance: Arc::clone(instance), exchange: exchange.boxed() };
