--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -25,9 +25,8 @@
 /// Number of requests with a part that may reach engines later than `CONTACT` after the fifth crash on it.
 const MAX_LATE_REQUESTS: usize = 3;
 
-/// Time after an upstream was drained from which no daemon may send it a request: the users' `drain_ms`, and as much again
-/// for the restorations of the store in an episode.
-const DRAIN: Duration = Duration::from_secs(4);
+/// Time after an upstream was drained from which no daemon may send it a request: the users' `drain_ms`.
+const DRAIN: Duration = Duration::from_secs(2);
 
 /// Age from which a copy of the store is replaced by a newer one.
 const COPY_AGE: Duration = Duration::from_secs(3);
