Don't take a reset health check for the end of an engine

A sound engine that pauses may reset the connection of its health check, since it is at its limit of connections, or close an idle one. The attempt counted as lost at once, and the stream broke off if no other engine could take it. Only a refused connection and another start time show that the process has ended; anything else raises suspicion, and the attempt runs on until it is replaced.

Found by review.

--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -160,8 +160,7 @@
 /// Whether an upstream refuses a new connection, so that its process has ended. One that gives no answer may be
 /// partitioned.
 pub(crate) async fn refuses_connections(instance: &Instance) -> bool {
-    let outcome = connect(instance).await;
-    matches!(outcome, Err(ClientError::Connect(err)) if err.kind() == ErrorKind::ConnectionRefused)
+    connect(instance).await.is_err_and(|err| shows_end(&err))
 }
 
 /// Requests the load report of an engine; `None` if the engine does not respond, or if its start time shows that
@@ -190,9 +189,9 @@
         Err(err) => {
             log::info!("probe: instance={} failed: {err}", instance.entry.id);
             core.record_loss(instance);
-            Err(match is_silence(&err) {
-                true => EngineHealth::Unresponsive,
-                false => EngineHealth::Dead,
+            Err(match shows_end(&err) {
+                true => EngineHealth::Dead,
+                false => EngineHealth::Unresponsive,
             })
         }
     }
@@ -245,11 +244,8 @@
     Ok((report, InstanceConnection { is_reused: true, is_verified: true, ..connection }))
 }
 
-/// Whether a call failed only because the upstream sent nothing in time, which does not show that it has ended.
-fn is_silence(err: &ClientError) -> bool {
-    match err {
-        ClientError::Timeout(_) => true,
-        ClientError::Connect(err) => err.kind() == ErrorKind::TimedOut,
-        _ => false,
-    }
+/// Whether a failed call shows that the upstream has ended. One that lives may send nothing in time, reset connections
+/// beyond its limit, or close an idle connection just when it is used.
+fn shows_end(err: &ClientError) -> bool {
+    matches!(err, ClientError::Connect(err) if err.kind() == ErrorKind::ConnectionRefused)
 }
