Look for an engine again while a silent attempt has none of its version

The search of a replacement ended for good if no engine of the stream's version was listed when the attempt was suspected: an engine of that version that joined later was not used, and the stream broke off at its deadline.

Found by review. Failed before: a_silent_stream_moves_to_an_engine_of_its_version_that_joins_later.

--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -774,7 +774,7 @@
             if self.attempts.is_empty() {
                 self.fail_without_version(Failure::VersionGone);
             } else {
-                self.withdraw_attempt(id);
+                self.input(Input::NoUpstream { attempt: id });
             }
             return;
         }
