Refuse a take-up at once if all engines of its version have refused it

Engines that a request was sent to are not chosen again, but still counted as serving the stream's version: the take-up waited until its deadline, and so did a begun stream after its only engine of that version. They now end at once if engines of other versions could be chosen and none of the stream's version. If no engine at all can be chosen, the stream waits as without versions.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -496,9 +496,17 @@
         chosen
     }
 
-    /// Whether an instance of a service takes requests at the version that a stream needs.
-    pub(crate) fn serves_version(&self, service: &ServiceName, version: &StreamVersion) -> bool {
-        version.is_served_by(serving_versions(&lock(&self.registry), service))
+    /// Whether instances of a service meet the constraints except for the software version, and none has the required
+    /// one. Without any instance, the version may return with the instances.
+    pub(crate) fn has_only_other_versions(
+        &self,
+        service: &ServiceName,
+        placement: &Placement<'_>,
+    ) -> bool {
+        let any_version = Placement { required_version: None, ..*placement };
+        placement.required_version.is_some()
+            && self.usable_instances(service, placement).is_empty()
+            && !self.usable_instances(service, &any_version).is_empty()
     }
 
     /// Decides at which version a stream goes on that a caller takes up.
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -770,7 +770,7 @@
         if self.refuse_attempt_if_condemned(id) {
             return;
         }
-        if !self.core.serves_version(&self.inbound.service, &self.version) {
+        if self.core.has_only_other_versions(&self.inbound.service, &self.placement()) {
             if self.attempts.is_empty() {
                 self.fail_without_version(Failure::VersionGone);
             } else {
