Send a take-up to the service that began the stream

If the daemon knows the stream, its service is chosen among those of the route.

Found by review. Failed before: a_stream_is_taken_up_at_the_service_that_began_it (503, version not known).

--- a/crates/affinity/src/begun_streams.rs
+++ b/crates/affinity/src/begun_streams.rs
@@ -78,6 +78,15 @@
         Ok(())
     }
 
+    /// Service at which a stream began; `None` if there is no record of the stream.
+    pub fn service(&self, id: &str) -> Option<&ServiceName> {
+        let software = match self.own.get(id) {
+            Some(own) => &own.software,
+            None => self.others.get(id)?.as_deref()?,
+        };
+        Some(&software.service)
+    }
+
     /// Version at which a stream of `service` began; `None` if there is no record of the stream.
     pub fn origin(&self, id: &str, service: &ServiceName) -> Option<Origin> {
         let recorded = match self.own.get(id) {
--- a/crates/affinity/src/version_records.rs
+++ b/crates/affinity/src/version_records.rs
@@ -164,6 +164,11 @@
         is_written
     }
 
+    /// Service at which the stream `id` began, by the records; `None` if there is no record of it.
+    pub fn recorded_service(&self, id: &str) -> Option<&ServiceName> {
+        self.streams.service(id)
+    }
+
     /// Version at which the stream `id` of a service began, by the records; `None` if there is no record of it.
     pub fn recorded_origin(&self, id: &str, service: &ServiceName) -> Option<Origin> {
         self.streams.origin(id, service)
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -795,9 +795,20 @@
         lock(&self.rng).random_range(low_ms..=high_ms.max(low_ms))
     }
 
-    /// Picks the service of a request at random by weight; `None` if no weight is above zero.
-    pub(crate) fn pick_service<'a>(&self, route: &'a Route) -> Option<&'a ServiceName> {
-        route.pick_service(&mut *lock(&self.rng))
+    /// Picks the service of a request at random by weight; `None` if no weight is above zero. A request that takes up the
+    /// stream of the caller's attempt `resumes` goes to the service at which the stream began.
+    pub(crate) fn pick_service<'a>(
+        &self,
+        route: &'a Route,
+        resumes: Option<&str>,
+    ) -> Option<&'a ServiceName> {
+        let begun_at = resumes.and_then(|id| self.versions.service(id));
+        let mut services = route.services.iter().filter(|(_, weight)| *weight > 0);
+        let recorded = services.find(|(service, _)| Some(service) == begun_at.as_ref());
+        match recorded {
+            Some((service, _)) => Some(service),
+            None => route.pick_service(&mut *lock(&self.rng)),
+        }
     }
 }
 
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -52,7 +52,9 @@
         }
         let route = route_of(&config, &request)?;
         let account = self.account(&config, route, request.headers())?;
-        let service = self.core.pick_service(route).ok_or(CallerError::NoRoute)?;
+        let resumes = request.headers().get(&self.core.dialect.resumed_request_id);
+        let resumes = resumes.and_then(|id| id.to_str().ok());
+        let service = self.core.pick_service(route, resumes).ok_or(CallerError::NoRoute)?;
         let head = InboundHead { dialect: &self.core.dialect, route, service, account, arrived_ms };
         let (parts, body) = request.into_parts();
         let body = tokio::time::timeout(
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Service at which the stream `id` began; `None` if this daemon has no record of it.
+    pub fn service(&self, id: &str) -> Option<ServiceName> {
+        self.state().recorded_service(id).cloned()
+    }
+
     /// Finds out at which version the stream began that `inbound` takes up. If the daemon has no record of the stream,
     /// it reads the records of the others from the store; if that fails, the version is unknown.
     pub async fn origin(&self, _core: &Core, inbound: &Inbound) -> Origin {
