--- /dev/null
+++ b/review/stand/main.rs
@@ -0,0 +1,31 @@
+//! The scripts of the review's cases. `case NAME FOLDER` runs one from the root of the repository, writes `record.txt`
+//! into FOLDER and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+
+mod bed;
+mod big_bodies;
+mod crash_prompts;
+mod crash_trials;
+mod silent_store;
+
+use std::path::PathBuf;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(name), Some(folder)) = (arguments.next(), arguments.next()) else {
+        println!("usage: case NAME FOLDER");
+        std::process::exit(2);
+    };
+    let folder = PathBuf::from(folder);
+    bed::limit_time(115);
+    let is_broken = match &*name {
+        "silent_store" => silent_store::run(&folder),
+        "big_bodies" => big_bodies::run(&folder),
+        "crash_prompts" => crash_prompts::run(&folder),
+        "crash_trials" => crash_trials::run(&folder),
+        _ => {
+            println!("no case {name}");
+            std::process::exit(2);
+        }
+    };
+    bed::end(i32::from(is_broken))
+}
