--- a/review/stand/bed.rs
+++ b/review/stand/bed.rs
@@ -407,6 +407,13 @@
         self.changed.notify_all();
     }
 
+    /// Removes an item whose writer has fallen silent.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        write_item(&mut state, key, None, 0);
+        self.changed.notify_all();
+    }
+
     fn expire(&self) {
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
@@ -664,6 +671,9 @@
 
 // ---------------------------------------------------------------- runners
 
+/// Time between two entries of a runner, as in the settings.
+const HEARTBEAT_MS: u64 = 1_200;
+
 /// Request that reached a runner.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -680,8 +690,12 @@
 pub enum Act {
     /// Works for so many milliseconds and answers with success.
     Serve(u64),
+    /// Like `Serve`, and names the requests a second that the runner takes from all machines together.
+    ServeLimited { work_ms: u64, limit: &'static str },
     /// Its process ends as it begins to run the request; it is back after so many milliseconds.
     Crash(u64),
+    /// Sends the head of a stream after `head_ms`, and its process ends `crash_ms` later.
+    CrashInAnswer { head_ms: u64, crash_ms: u64, down_ms: u64 },
     /// Answers with a stream of so many events. The first one comes after `first_ms`.
     Stream { first_ms: u64, events: u64, pause_ms: u64 },
 }
@@ -699,6 +713,8 @@
     /// Connections of lifetimes before this one are closed.
     lifetime: AtomicU64,
     is_down: AtomicBool,
+    /// Whether the runner does not reach the store.
+    pub is_cut_off: AtomicBool,
     open: Mutex<Vec<TcpStream>>,
     behaviour: Behaviour,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -726,6 +742,7 @@
             crashes: AtomicU64::new(0),
             lifetime: AtomicU64::new(0),
             is_down: AtomicBool::new(false),
+            is_cut_off: AtomicBool::new(false),
             open: Mutex::default(),
             behaviour,
             arrivals: Arc::clone(arrivals),
@@ -736,11 +753,18 @@
         runner.beat();
         let beating = Arc::clone(&runner);
         thread::spawn(move || {
+            let mut last_beat = Instant::now();
             loop {
-                sleep_ms(1_200);
-                if !beating.is_down.load(Ordering::SeqCst) {
+                sleep_ms(HEARTBEAT_MS);
+                let is_silent = beating.is_down.load(Ordering::SeqCst)
+                    || beating.is_cut_off.load(Ordering::SeqCst);
+                if !is_silent {
                     beating.sequence.fetch_add(1, Ordering::SeqCst);
                     beating.beat();
+                    last_beat = Instant::now();
+                } else if last_beat.elapsed() >= Duration::from_millis(3 * HEARTBEAT_MS) {
+                    // The store removes the entry after three intervals of silence.
+                    beating.store.remove(&format!("servers/{}", beating.id));
                 }
             }
         });
@@ -808,6 +832,29 @@
         });
     }
 
+    fn serve_call(
+        &self,
+        wire: &mut Wire,
+        headers: &str,
+        id: &str,
+        work_ms: u64,
+        lifetime: u64,
+    ) -> Result<()> {
+        sleep_ms(work_ms);
+        if self.lifetime.load(Ordering::SeqCst) != lifetime {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
+        let headers = format!("{headers}Server-Stamp: {}.{id}\r\n", self.id);
+        wire.answer("200 OK", &headers, format!("answer {id} of {}\n", self.service).as_bytes())
+    }
+
+    fn stream_head(&self, echo: &str, id: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\n{echo}Server-Stamp: {}.{id}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        )
+    }
+
     fn serve(self: Arc<Self>, mut wire: Wire, lifetime: u64) {
         while let Ok(request) = wire.read() {
             if !request.is_whole || self.lifetime.load(Ordering::SeqCst) != lifetime {
@@ -852,11 +899,11 @@
                 b"",
             );
         }
+        let act = (self.behaviour)(request);
         arrival.ran = true;
         let note = format!("runner {} ({}) runs {id} {path}", self.id, self.service);
         self.record.note_at(arrival.at, &note);
-        let act = (self.behaviour)(request);
-        arrival.has_crashed = matches!(act, Act::Crash(_));
+        arrival.has_crashed = matches!(act, Act::Crash(_) | Act::CrashInAnswer { .. });
         self.arrivals.lock().unwrap().push(arrival);
         match act {
             Act::Crash(down_ms) => {
@@ -864,23 +911,27 @@
                 self.crash(down_ms);
                 Err(ErrorKind::ConnectionAborted.into())
             }
-            Act::Serve(work_ms) => {
-                sleep_ms(work_ms);
+            Act::Serve(work_ms) => self.serve_call(wire, &echo, &id, work_ms, lifetime),
+            Act::ServeLimited { work_ms, limit } => {
+                let headers = format!("{echo}Server-Limit: {limit}\r\n");
+                self.serve_call(wire, &headers, &id, work_ms, lifetime)
+            }
+            Act::CrashInAnswer { head_ms, crash_ms, down_ms } => {
+                sleep_ms(head_ms);
                 if self.lifetime.load(Ordering::SeqCst) != lifetime {
                     return Err(ErrorKind::ConnectionAborted.into());
                 }
-                let headers = format!("{echo}Server-Stamp: {}.{id}\r\n", self.id);
-                let body = format!("answer {id} of {}\n", self.service);
-                wire.answer("200 OK", &headers, body.as_bytes())
+                wire.write(&self.stream_head(&echo, &id))?;
+                sleep_ms(crash_ms);
+                self.record.note(&format!("runner {} crashes on {id}", self.id));
+                self.crash(down_ms);
+                Err(ErrorKind::ConnectionAborted.into())
             }
             Act::Stream { first_ms, events, pause_ms } => {
                 let after: u64 =
                     request.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
                 sleep_ms(first_ms);
-                wire.write(&format!(
-                    "HTTP/1.1 200 OK\r\n{echo}Server-Stamp: {}.{id}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                    self.id
-                ))?;
+                wire.write(&self.stream_head(&echo, &id))?;
                 for number in after + 1..=events {
                     if self.lifetime.load(Ordering::SeqCst) != lifetime {
                         return Err(ErrorKind::ConnectionAborted.into());
--- a/review/stand/big_bodies.rs
+++ b/review/stand/big_bodies.rs
@@ -23,7 +23,7 @@
 const UPLOADS: usize = 30;
 
 /// Number of clients with small requests on kept connections.
-const SMALL_CLIENTS: usize = 12;
+const SMALL_CLIENTS: usize = 30;
 
 pub fn run(folder: &Path) -> bool {
     let record = Record::create(folder);
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -3,8 +3,9 @@
 
 mod bed;
 mod big_bodies;
-mod crash_prompts;
+mod crash_parts;
 mod crash_trials;
+mod lapsed_entry;
 mod silent_store;
 
 use std::path::PathBuf;
@@ -18,9 +19,10 @@
     let folder = PathBuf::from(folder);
     bed::limit_time(115);
     let is_broken = match &*name {
+        "lapsed_entry" => lapsed_entry::run(&folder),
         "silent_store" => silent_store::run(&folder),
         "big_bodies" => big_bodies::run(&folder),
-        "crash_prompts" => crash_prompts::run(&folder),
+        "crash_parts" => crash_parts::run(&folder),
         "crash_trials" => crash_trials::run(&folder),
         _ => {
             println!("no case {name}");
--- a/review/stand/silent_store.rs
+++ b/review/stand/silent_store.rs
@@ -20,10 +20,14 @@
 struct Sent {
     at: f64,
     daemon: String,
+    key: &'static str,
     id: String,
     status: u16,
 }
 
+/// Keys of the clients. The second one is taken away.
+const KEYS: [&str; 2] = ["key-of-kirk", "key-of-dairy"];
+
 pub fn run(folder: &Path) -> bool {
     let record = Record::create(folder);
     let files = temporary_folder();
@@ -54,17 +58,24 @@
                 (Arc::clone(&record), Arc::clone(&sent), Arc::clone(&is_over));
             thread::spawn(move || {
                 let mut wire = None;
-                while !is_over.load(Ordering::SeqCst) {
+                for key in KEYS.into_iter().cycle() {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
                     let mut open = match wire.take().map_or_else(|| Wire::connect(front), Ok) {
                         Ok(open) => open,
                         Err(_) => continue,
                     };
                     let (at, id) = (record.now(), attempt_id());
-                    let headers = "Deadline-Remaining: 1000\r\nCredential: key-of-kirk\r\n";
-                    let answer = exchange(&mut open, "GET", "/free/1", &id, headers, b"");
+                    let headers = format!("Deadline-Remaining: 1000\r\nCredential: {key}\r\n");
+                    let answer = exchange(&mut open, "GET", "/free/1", &id, &headers, b"");
                     let status = answer.as_ref().map_or(0, Message::status);
-                    record.note_at(at, &format!("client at {name} sends {id}, answer {status}"));
-                    sent.lock().unwrap().push(Sent { at, daemon: name.clone(), id, status });
+                    record.note_at(
+                        at,
+                        &format!("client at {name} with {key} sends {id}, answer {status}"),
+                    );
+                    let request = Sent { at, daemon: name.clone(), key, id, status };
+                    sent.lock().unwrap().push(request);
                     if answer.is_ok_and(|answer| answer.get("connection").is_none()) {
                         wire = Some(open);
                     }
@@ -82,10 +93,12 @@
         ));
     }
     sleep_ms(100);
-    store.put("op/config", &config(9, &routes("desk-new"), &["desk-old", "desk-new"]));
+    let changed = config(9, &routes("desk-new"), &["desk-old", "desk-new"]);
+    store.put("op/config", &changed.replace(&format!("\"{}\"", KEYS[1]), ""));
     let acked_at = record.now();
     record.say(&format!(
-        "{acked_at:.3} the store acknowledges version 9: the route goes to desk-new"
+        "{acked_at:.3} the store acknowledges version 9: the route goes to desk-new, {} is taken away",
+        KEYS[1]
     ));
     sleep_ms(9_000);
     is_over.store(true, Ordering::SeqCst);
@@ -98,30 +111,39 @@
     // The machines are in touch again `contact_ms` after the connections went silent.
     let from =
         (acked_at + CONFIG_APPLY_S).max(if has_trouble() { silenced_at + CONTACT_S } else { 0.0 });
-    let stale: Vec<&Sent> = sent
-        .iter()
-        .filter(|sent| sent.at > from)
-        .filter(|sent| arrivals.iter().any(|a| a.ran && a.id == sent.id && a.service == "desk-old"))
-        .collect();
+    let run_by =
+        |sent: &Sent| arrivals.iter().find(|a| a.ran && a.id == sent.id).map(|a| &*a.service);
+    let late = || sent.iter().filter(|sent| sent.at > from);
+    let by_old: Vec<&Sent> = late().filter(|sent| run_by(sent) == Some("desk-old")).collect();
+    let with_key: Vec<&Sent> =
+        late().filter(|sent| sent.key == KEYS[1] && run_by(sent).is_some()).collect();
     let answered = sent.iter().filter(|sent| sent.status == 200).count();
-    record.say(&format!("{} requests sent, {answered} answered 200", sent.len()));
-    for sent in &stale {
-        record.note(&format!(
-            "CONFIG: {} at {} sent {:.3} s after the ack ({:.3} s after the silence) was run by desk-old",
-            sent.id,
-            sent.daemon,
-            sent.at - acked_at,
-            sent.at - silenced_at
-        ));
-    }
-    let last = stale.iter().map(|sent| sent.at - acked_at).fold(0.0, f64::max);
+    let refused = sent.iter().filter(|sent| sent.status == 401).count();
     record.say(&format!(
-        "requests sent by machines in touch over 2 s after the ack and run by the old service: {}; the last one {last:.3} s after it",
-        stale.len()
+        "{} requests sent, {answered} answered 200, {refused} answered 401",
+        sent.len()
     ));
-    if !all_run || answered * 10 < sent.len() * 9 {
+    for (stale, what) in
+        [(&by_old, "run by the old service"), (&with_key, "run with the key taken away")]
+    {
+        for sent in stale {
+            record.note(&format!(
+                "CONFIG: {} at {} sent {:.3} s after the ack ({:.3} s after the silence) was {what}",
+                sent.id,
+                sent.daemon,
+                sent.at - acked_at,
+                sent.at - silenced_at
+            ));
+        }
+        let last = stale.iter().map(|sent| sent.at - acked_at).fold(0.0, f64::max);
+        record.say(&format!(
+            "requests sent by machines in touch over 2 s after the ack and {what}: {}; the last one {last:.3} s after it",
+            stale.len()
+        ));
+    }
+    if !all_run || (answered + refused) * 10 < sent.len() * 9 {
         record.say("the deployment did not serve: the case could not run");
         end(2);
     }
-    !stale.is_empty()
+    !by_old.is_empty() || !with_key.is_empty()
 }
