--- a/review/stand/bed.rs
+++ b/review/stand/bed.rs
@@ -360,7 +360,7 @@
     lease: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreState {
     items: BTreeMap<String, Item>,
     revision: u64,
@@ -373,6 +373,12 @@
     pub addr: SocketAddr,
     state: Mutex<StoreState>,
     changed: Condvar,
+    /// Copy from which the store can be restored.
+    copy: Mutex<StoreState>,
+    /// Rises with each restoration.
+    era: AtomicU64,
+    /// Whether the store is away: it answers nothing and closes connections.
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -382,6 +388,9 @@
             addr: listener.local_addr().unwrap(),
             state: Mutex::new(StoreState { revision: 100, ..StoreState::default() }),
             changed: Condvar::new(),
+            copy: Mutex::default(),
+            era: AtomicU64::new(1),
+            is_away: AtomicBool::new(false),
         });
         let serving = Arc::clone(&store);
         thread::spawn(move || {
@@ -400,8 +409,28 @@
         store
     }
 
-    /// Writes an item as the operator or a runner does.
+    pub fn save_copy(&self) {
+        *self.copy.lock().unwrap() = self.state.lock().unwrap().clone();
+    }
+
+    /// The store is away from now on.
+    pub fn leave(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    /// The store is back, with the state of the copy.
+    pub fn restore_copy(&self) {
+        *self.state.lock().unwrap() = self.copy.lock().unwrap().clone();
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
+    /// Writes an item as the operator or a runner does. Nothing is written while the store is away.
     pub fn put(&self, key: &str, value: &str) {
+        if self.is_away.load(Ordering::SeqCst) {
+            return;
+        }
         let mut state = self.state.lock().unwrap();
         write_item(&mut state, key, Some(base64(value.as_bytes())), 0);
         self.changed.notify_all();
@@ -439,10 +468,17 @@
             if !request.is_whole {
                 return;
             }
+            if self.is_away.load(Ordering::SeqCst) {
+                return;
+            }
+            let era = self.era.load(Ordering::SeqCst);
             let (status, body) = self.handle(&request);
-            let headers = "Content-Type: application/json\r\nStore-Era: 1\r\n";
+            if self.is_away.load(Ordering::SeqCst) || self.era.load(Ordering::SeqCst) != era {
+                return;
+            }
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
             sleep_ms(2);
-            if wire.answer(status, headers, body.as_bytes()).is_err() {
+            if wire.answer(status, &headers, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -493,6 +529,9 @@
             ("GET", "/v1/kv-watch") => {
                 let after: u64 = parameter("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap_or(0));
+                if after > self.state.lock().unwrap().revision {
+                    return ("410 Gone", "{}".into());
+                }
                 ("200 OK", self.watch(&parameter("path_prefix"), after, wait))
             }
             ("POST", "/v1/kv-lease") => {
@@ -538,7 +577,7 @@
                 .map(|(key, item)| (item.revision, item_text(key, item)))
                 .collect();
             let now = Instant::now();
-            if !events.is_empty() || now >= end {
+            if !events.is_empty() || now >= end || self.is_away.load(Ordering::SeqCst) {
                 events.sort();
                 let events: Vec<String> = events.into_iter().map(|(_, text)| text).collect();
                 return format!(
@@ -672,7 +711,7 @@
 // ---------------------------------------------------------------- runners
 
 /// Time between two entries of a runner, as in the settings.
-const HEARTBEAT_MS: u64 = 1_200;
+pub const HEARTBEAT_MS: u64 = 1_200;
 
 /// Request that reached a runner.
 #[derive(Clone, Debug)]
@@ -706,6 +745,8 @@
     pub id: String,
     pub service: String,
     zone: String,
+    /// Version of the runner's software.
+    version: String,
     pub addr: SocketAddr,
     born: AtomicU64,
     sequence: AtomicU64,
@@ -730,12 +771,25 @@
         record: &Arc<Record>,
         arrivals: &Arc<Mutex<Vec<Arrival>>>,
         behaviour: Behaviour,
+    ) -> Arc<Self> {
+        Self::start_version("v1", service, zone, store, record, arrivals, behaviour)
+    }
+
+    pub fn start_version(
+        version: &str,
+        service: &str,
+        zone: &str,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        arrivals: &Arc<Mutex<Vec<Arrival>>>,
+        behaviour: Behaviour,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let runner = Arc::new(Self {
             id: format!("i-{:08x}", unique() >> 32),
             service: service.into(),
             zone: zone.into(),
+            version: version.into(),
             addr: listener.local_addr().unwrap(),
             born: AtomicU64::new(unix_ms()),
             sequence: AtomicU64::new(1),
@@ -774,10 +828,11 @@
     /// Writes the entry into the store.
     pub fn beat(&self) {
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":12,"state":"ready","cold_remaining_ms":0,"sequence":{},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":12,"state":"ready","cold_remaining_ms":0,"sequence":{},"born":{}}}"#,
             self.service,
             self.addr,
             self.zone,
+            self.version,
             self.sequence.load(Ordering::SeqCst),
             self.born.load(Ordering::SeqCst)
         );
@@ -936,7 +991,8 @@
                     if self.lifetime.load(Ordering::SeqCst) != lifetime {
                         return Err(ErrorKind::ConnectionAborted.into());
                     }
-                    let event = format!("id: {number}\ndata: piece {number}\n\n");
+                    let event =
+                        format!("id: {number}\ndata: piece {number} of {}\n\n", self.version);
                     wire.write(&format!("{:x}\r\n{event}\r\n", event.len()))?;
                     sleep_ms(pause_ms);
                 }
@@ -991,6 +1047,29 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     process: u32,
+    file: PathBuf,
+}
+
+/// Starts the program with the command of the deploy file and the given settings file. Returns the process's number.
+fn spawn(file: &Path) -> u32 {
+    let log = fs::OpenOptions::new().create(true).append(true).open(file.with_extension("log"));
+    let log = log.expect("the log can be written");
+    let child = Command::new("target/release/geraniumroad")
+        .arg("serve")
+        .env_clear()
+        .env("PATH", std::env::var_os("PATH").unwrap_or_default())
+        .env("GERANIUMROAD_NODE_FILE", file)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap_or_else(|err| {
+            println!("target/release/geraniumroad does not start: {err}");
+            end(2)
+        });
+    let process = child.id();
+    STARTED.lock().unwrap().push(child);
+    process
 }
 
 impl Daemon {
@@ -1015,23 +1094,13 @@
         );
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings).expect("the settings can be written");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("the log can be written");
-        let child = Command::new("target/release/geraniumroad")
-            .arg("serve")
-            .env_clear()
-            .env("PATH", std::env::var_os("PATH").unwrap_or_default())
-            .env("GERANIUMROAD_NODE_FILE", &file)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap_or_else(|err| {
-                println!("target/release/geraniumroad does not start: {err}");
-                end(2)
-            });
-        let process = child.id();
-        STARTED.lock().unwrap().push(child);
-        Self { name: name.into(), front: at(base), ready: at(base + 1), process }
+        let process = spawn(&file);
+        Self { name: name.into(), front: at(base), ready: at(base + 1), process, file }
+    }
+
+    /// Starts the process again after its end, with the same settings.
+    pub fn start_again(&mut self) {
+        self.process = spawn(&self.file);
     }
 
     pub fn is_ready(&self) -> bool {
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -5,6 +5,7 @@
 mod big_bodies;
 mod crash_parts;
 mod crash_trials;
+mod joined_versions;
 mod lapsed_entry;
 mod silent_store;
 
@@ -19,6 +20,7 @@
     let folder = PathBuf::from(folder);
     bed::limit_time(115);
     let is_broken = match &*name {
+        "joined_versions" => joined_versions::run(&folder),
         "lapsed_entry" => lapsed_entry::run(&folder),
         "silent_store" => silent_store::run(&folder),
         "big_bodies" => big_bodies::run(&folder),
