--- a/review/stand/crash_trials.rs
+++ b/review/stand/crash_trials.rs
@@ -111,7 +111,7 @@
 fn late_arrivals(arrivals: &[Arrival], runners: &[Arc<Runner>], contact_s: f64) -> Vec<Arrival> {
     let is_desk = |arrival: &&Arrival| runners.iter().any(|runner| runner.id == arrival.runner);
     let poison: Vec<&Arrival> =
-        arrivals.iter().filter(is_desk).filter(|arrival| arrival.ran).collect();
+        arrivals.iter().filter(is_desk).filter(|arrival| arrival.has_crashed).collect();
     let Some(third) = poison.get(2) else { return Vec::new() };
     let late = poison.iter().filter(|arrival| arrival.at > third.at + contact_s);
     late.map(|arrival| (*arrival).clone()).collect()
--- a/review/stand/joined_versions.rs
+++ b/review/stand/joined_versions.rs
@@ -9,10 +9,10 @@
 };
 
 /// Streams that are begun before the disruption.
-const STREAMS: usize = 36;
+const STREAMS: usize = 60;
 
 /// How long the store is away.
-const AWAY_MS: u64 = 300;
+const AWAY_MS: u64 = 200;
 
 struct Stream {
     /// Versions of the runners whose events arrived, over all tries.
