Ingress: check all versions that new streams avoid under one lock

A new stream took the lock of the version records once for each instance of the service. Now it takes it once.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -93,7 +93,7 @@
     /// The response of the engine has ended after a complete event.
     End,
     Failed(AttemptError),
-    /// The health check got no report in time.
+    /// The health check got no valid report.
     Unresponsive,
     /// The health check found the engine alive; `is_working` tells whether the engine reports the request as running.
     Checked {
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -515,7 +515,7 @@
     ///
     /// As `StreamVersion::take_up`.
     pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
-        let origin = self.versions.origin(self, inbound).await;
+        let origin = self.versions.origin(inbound).await;
         StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
     }
 
@@ -528,10 +528,7 @@
         count: usize,
     ) -> Vec<Arc<Instance>> {
         if placement.required_version.is_none() {
-            let usable = self.usable_instances(service, placement);
-            let avoided = usable.iter().filter(|instance| !self.versions.may_begin_at(instance));
-            let avoided: Vec<InstanceId> =
-                avoided.map(|instance| Arc::clone(&instance.entry.id)).collect();
+            let avoided = self.versions.avoided(&self.usable_instances(service, placement));
             if !avoided.is_empty() {
                 let excluded = [placement.excluded, &avoided].concat();
                 let placement = Placement { excluded: &excluded, ..*placement };
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -103,9 +103,9 @@
 /// Result of the health check of an engine that sends no events for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum EngineHealth {
-    /// The engine has ended: it refuses connections or closes them, or another one now has its address.
+    /// The engine has ended: it refuses connections, or another one now has its address.
     Dead,
-    /// The engine gave no valid report in time. It may be silent only for a while.
+    /// The engine gave no valid report. It may be silent only for a while, or have reset the connection at its limit.
     Unresponsive,
     /// The engine responds, and its report does not list the request.
     Alive,
--- a/crates/ingress/src/silent_call.rs
+++ b/crates/ingress/src/silent_call.rs
@@ -10,11 +10,12 @@
     short_call::{Outcome, record_outcome},
 };
 use futures::{FutureExt, future::BoxFuture};
+use recovery::Policy;
 use std::{sync::Arc, time::Duration};
 
 /// Time after the send to another instance in which the silent exchange is still kept: if the other one refuses the
 /// call, the silent one may still answer. A call must not run at two instances for 400 ms.
-const HANDOVER_MS: u64 = 150;
+const HANDOVER_MS: u64 = Policy::EVENTS.handover_ms;
 
 /// Exchange in progress at an instance.
 struct Pending<'r> {
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -1,13 +1,15 @@
 //! Software versions at which the streams of this service's callers began.
 
-use crate::{core::Core, follow::PlatformKeys, inbound::Inbound, instance::Instance};
+use crate::{
+    follow::PlatformKeys, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
+};
 use affinity::{ItemError, Origin, ServiceVersion, VersionChange, VersionRecords};
 use base::{Clock, HashSet, ServiceName, lock};
 use plat::Change;
 use std::{
     hash::{BuildHasher, RandomState},
     sync::{
-        Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -75,14 +77,19 @@
 
     /// Finds out at which version the stream began that `inbound` takes up. If the daemon has no record of the stream,
     /// it reads the records of the others from the store; if that fails, the version is unknown.
-    pub async fn origin(&self, _core: &Core, inbound: &Inbound) -> Origin {
+    pub async fn origin(&self, inbound: &Inbound) -> Origin {
         self.find_origin(&inbound.service, inbound.resumes.as_deref()).await
     }
 
-    /// Whether new streams may begin at the version of `instance`. Until then, other instances are preferred.
-    pub fn may_begin_at(&self, instance: &Instance) -> bool {
-        let entry = &instance.entry;
-        self.state().may_begin_at(&entry.service, &entry.software_version, self.clock.now_ms())
+    /// Those of `instances` at whose versions new streams may not begin yet, so that others are preferred.
+    pub fn avoided(&self, instances: &[Arc<Instance>]) -> Vec<InstanceId> {
+        let now_ms = self.clock.now_ms();
+        let state = self.state();
+        let avoided = instances
+            .iter()
+            .map(|instance| &instance.entry)
+            .filter(|entry| !state.may_begin_at(&entry.service, &entry.software_version, now_ms));
+        avoided.map(|entry| Arc::clone(&entry.id)).collect()
     }
 
     /// Records that the stream `id` has begun.
