--- a/crates/affinity/src/begun_streams.rs
+++ b/crates/affinity/src/begun_streams.rs
@@ -3,7 +3,8 @@
 use crate::{
     item_error::ItemError,
     origin::Origin,
-    record_item::{self, MAX_ID_BYTES},
+    record_item::{self, MAX_ID_BYTES, RecordedStream},
+    replica_record::ReplicaRecord,
     service_version::ServiceVersion,
     version_records::STREAM_LIFE_MS,
 };
@@ -28,8 +29,7 @@
     /// Streams begun by this daemon that the store does not hold.
     unwritten: BTreeSet<u64>,
     next_sequence: u64,
-    /// Versions of the streams begun by other daemons; `None` if two records contradict each other.
-    others: HashMap<Arc<str>, Option<Arc<ServiceVersion>>>,
+    others: HashMap<Arc<str>, Other>,
     /// Streams begun by other daemons, each with the time at which it was first read.
     others_order: VecDeque<(u64, Arc<str>)>,
 }
@@ -42,6 +42,15 @@
     begun_ms: u64,
     /// Number of the item that holds the stream; `None` if the store has not acknowledged one.
     item: Option<u64>,
+    replica: Option<ReplicaRecord>,
+}
+
+/// Stream that another daemon has begun.
+#[derive(Debug)]
+struct Other {
+    /// Version at which the stream began; `None` if two records contradict each other.
+    software: Option<Arc<ServiceVersion>>,
+    replica: Option<ReplicaRecord>,
 }
 
 impl BegunStreams {
@@ -60,7 +69,37 @@
             self.unwritten.insert(sequence);
         }
         self.own_order.insert(sequence, Arc::clone(&id));
-        self.own.insert(id, Own { sequence, software, begun_ms: now_ms, item: None });
+        let own = Own { sequence, software, begun_ms: now_ms, item: None, replica: None };
+        self.own.insert(id, own);
+    }
+
+    /// Records the KV cache replica of a stream that runs at this daemon, whichever daemon has begun it. `software` is
+    /// the version at which it began.
+    pub fn record_replica(
+        &mut self,
+        id: &str,
+        software: ServiceVersion,
+        replica: ReplicaRecord,
+        now_ms: u64,
+    ) {
+        if self.own.get(id).is_none_or(|own| own.software != software) {
+            self.record(id, software, now_ms);
+        }
+        let Some(own) = self.own.get_mut(id).filter(|_| replica.is_valid()) else { return };
+        own.replica = Some(replica);
+        if id.len() <= MAX_ID_BYTES {
+            self.unwritten.insert(own.sequence);
+        }
+    }
+
+    /// Last recorded KV cache replica of a stream; `None` if none is recorded.
+    pub fn replica(&self, id: &str) -> Option<&ReplicaRecord> {
+        let own = self.own.get(id).and_then(|own| own.replica.as_ref());
+        let other = self.others.get(id).and_then(|other| other.replica.as_ref());
+        match own {
+            Some(replica) if replica.supersedes(other) => Some(replica),
+            _ => other,
+        }
     }
 
     /// Adds the streams in an item of another daemon.
@@ -69,10 +108,10 @@
     ///
     /// Returns an error if the item cannot be read.
     pub fn merge(&mut self, value: &[u8], now_ms: u64) -> Result<(), ItemError> {
-        for (software, ids) in record_item::decode(value)? {
+        for (software, streams) in record_item::decode(value)? {
             let software = Arc::new(software);
-            for id in ids.into_iter().filter(|id| id.len() <= MAX_ID_BYTES) {
-                self.insert_other(id.into(), &software, now_ms);
+            for stream in streams.into_iter().filter(|stream| stream.id.len() <= MAX_ID_BYTES) {
+                self.insert_other(stream, &software, now_ms);
             }
         }
         Ok(())
@@ -82,7 +121,7 @@
     pub fn service(&self, id: &str) -> Option<&ServiceName> {
         let software = match self.own.get(id) {
             Some(own) => &own.software,
-            None => self.others.get(id)?.as_deref()?,
+            None => self.others.get(id)?.software.as_deref()?,
         };
         Some(&software.service)
     }
@@ -91,7 +130,7 @@
     pub fn origin(&self, id: &str, service: &ServiceName) -> Option<Origin> {
         let recorded = match self.own.get(id) {
             Some(own) => Some(&own.software),
-            None => self.others.get(id)?.as_deref(),
+            None => self.others.get(id)?.software.as_deref(),
         };
         let of_service = recorded.filter(|software| software.service == *service);
         Some(of_service.map_or(Origin::Unknown, |software| Origin::Known(software.version.clone())))
@@ -127,7 +166,7 @@
     /// Value of an item with the given streams, without those that are forgotten.
     pub fn encode(&self, sequences: &[u64]) -> String {
         let streams = sequences.iter().filter_map(|sequence| self.get(*sequence));
-        record_item::encode(streams.map(|(id, own)| (id, &own.software)))
+        record_item::encode(streams.map(|(id, own)| (id, &own.software, own.replica.as_ref())))
     }
 
     /// Records that the store has acknowledged the item `number` with the given streams.
@@ -169,18 +208,30 @@
         }
     }
 
-    fn insert_other(&mut self, id: Arc<str>, software: &Arc<ServiceVersion>, now_ms: u64) {
-        if let Some(recorded) = self.others.get_mut(&id) {
-            if recorded.as_ref().is_some_and(|recorded| recorded != software) {
-                *recorded = None;
+    fn insert_other(
+        &mut self,
+        stream: RecordedStream,
+        software: &Arc<ServiceVersion>,
+        now_ms: u64,
+    ) {
+        let RecordedStream { id, replica } = stream;
+        if let Some(recorded) = self.others.get_mut(&*id) {
+            if recorded.software.as_ref().is_some_and(|recorded| recorded != software) {
+                recorded.software = None;
+            }
+            if let Some(replica) = replica
+                && replica.supersedes(recorded.replica.as_ref())
+            {
+                recorded.replica = Some(replica);
             }
             return;
         }
+        let id: Arc<str> = id.into();
         if self.others.len() >= MAX_OTHERS {
             self.forget_oldest_other();
         }
         self.others_order.push_back((now_ms, Arc::clone(&id)));
-        self.others.insert(id, Some(Arc::clone(software)));
+        self.others.insert(id, Other { software: Some(Arc::clone(software)), replica });
     }
 
     fn forget_oldest_other(&mut self) {
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -13,6 +13,7 @@
 mod item_error;
 mod origin;
 mod record_item;
+mod replica_record;
 mod service_version;
 mod software_version;
 mod step;
@@ -27,6 +28,7 @@
     item_error::ItemError,
     origin::Origin,
     record_item::{RecordBatch, RecordItem},
+    replica_record::ReplicaRecord,
     service_version::ServiceVersion,
     software_version::SoftwareVersion,
     step::Step,
--- /dev/null
+++ b/crates/affinity/src/replica_record.rs
@@ -0,0 +1,34 @@
+//! Record of the KV cache replica from which a stream can be resumed.
+
+use serde::{Deserialize, Serialize};
+
+/// Longest text in a record, in bytes.
+const MAX_TEXT_BYTES: usize = 128;
+
+/// Record of the KV cache replica from which any daemon can resume a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaRecord {
+    /// Identifier of the instance that holds the replica.
+    pub holder: Box<str>,
+    /// Fingerprint of the request that the replica belongs to. Callers choose the identifiers of streams, and a request
+    /// must not go on from the KV cache of another one.
+    pub fingerprint: Box<str>,
+    /// Text by which the holder is asked to resume from the replica.
+    pub reference: Box<str>,
+    /// Identifier of the stream's last event when the replica was recorded. Of two records the one with the higher
+    /// identifier is the later one.
+    pub last_event_id: u64,
+}
+
+impl ReplicaRecord {
+    /// Whether the record is small enough to be kept.
+    pub(crate) fn is_valid(&self) -> bool {
+        let texts = [&self.holder, &self.fingerprint, &self.reference];
+        texts.iter().all(|text| text.len() <= MAX_TEXT_BYTES)
+    }
+
+    /// Whether the record is not older than `other`.
+    pub(crate) fn supersedes(&self, other: Option<&Self>) -> bool {
+        other.is_none_or(|other| self.last_event_id >= other.last_event_id)
+    }
+}
--- a/crates/affinity/src/version_records.rs
+++ b/crates/affinity/src/version_records.rs
@@ -5,6 +5,7 @@
     item_error::ItemError,
     origin::Origin,
     record_item::{RecordBatch, RecordItem},
+    replica_record::ReplicaRecord,
     service_version::ServiceVersion,
     software_version::SoftwareVersion,
     step::Step,
@@ -164,6 +165,25 @@
         is_written
     }
 
+    /// Records the KV cache replica of the stream `id` that runs at this daemon, whichever daemon has begun it.
+    /// `software` is the version at which it began. Returns whether the record has to be written.
+    pub fn record_replica(
+        &mut self,
+        id: &str,
+        software: ServiceVersion,
+        replica: ReplicaRecord,
+        now_ms: u64,
+    ) -> bool {
+        let is_written = self.has_several_versions(&software.service, now_ms);
+        self.streams.record_replica(id, software, replica, now_ms);
+        is_written
+    }
+
+    /// Last recorded KV cache replica of the stream `id`; `None` if none is recorded.
+    pub fn replica(&self, id: &str) -> Option<&ReplicaRecord> {
+        self.streams.replica(id)
+    }
+
     /// Service at which the stream `id` began, by the records; `None` if there is no record of it.
     pub fn recorded_service(&self, id: &str) -> Option<&ServiceName> {
         self.streams.service(id)
@@ -271,6 +291,8 @@
                 self.next_item += 1;
                 (self.next_item, Vec::new())
             });
+            // An item is encoded anew, and so holds the current records of the streams that it had before.
+            unwritten.retain(|sequence| !sequences.contains(sequence));
             let count = (MAX_ITEM_STREAMS - sequences.len()).min(unwritten.len());
             sequences.extend(unwritten.drain(..count));
             items.push(RecordItem {
--- /dev/null
+++ b/crates/affinity/tests/replica_records.rs
@@ -0,0 +1,95 @@
+//! Tests of the records of KV cache replicas.
+
+use affinity::{RecordBatch, ReplicaRecord, ServiceVersion, SoftwareVersion, Step, VersionRecords};
+use base::HashSet;
+
+fn version(number: u8) -> ServiceVersion {
+    let version = SoftwareVersion::try_from(format!("v{number}")).unwrap();
+    ServiceVersion { service: "engines".try_into().unwrap(), version }
+}
+
+fn replica(holder: &str, last_event_id: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        holder: holder.into(),
+        fingerprint: "f".into(),
+        reference: format!("{holder}/run").into(),
+        last_event_id,
+    }
+}
+
+/// State of a daemon while two versions are in play.
+fn records(writer: &str) -> VersionRecords {
+    let mut records = VersionRecords::new(writer, 1);
+    records.set_registered([(version(1), 1), (version(2), 2)], 0);
+    records.set_listed(HashSet::from_iter([version(1), version(2)]), 0);
+    records
+}
+
+/// Next batch that `records` writes at `now_ms`, after it was acknowledged.
+fn write(records: &mut VersionRecords, now_ms: u64) -> RecordBatch {
+    let Step::Write(batch) = records.next_step(1, now_ms) else { panic!("nothing to write") };
+    records.mark_written(&batch, now_ms);
+    batch
+}
+
+fn merge(records: &mut VersionRecords, batch: &RecordBatch) {
+    for item in &batch.items {
+        records.merge_record(&item.name, item.value.as_bytes(), 0).unwrap();
+    }
+}
+
+/// Guards against a daemon that does not learn of the replica of another daemon's stream.
+#[test]
+fn another_daemon_reads_the_last_replica_of_a_stream() {
+    let (mut first, mut second) = (records("vm-1/1"), records("vm-2/1"));
+    first.record_begun("a", version(1), 0);
+    first.record_begun("b", version(1), 0);
+    first.record_replica("a", version(1), replica("h1", 1), 0);
+    merge(&mut second, &write(&mut first, 1_000));
+    assert_eq!(second.replica("a"), Some(&replica("h1", 1)));
+    assert_eq!(second.replica("b"), None);
+    first.record_replica("a", version(1), replica("h2", 9), 1_500);
+    let batch = write(&mut first, 2_000);
+    assert_eq!(batch.len(), 2, "each stream stands in its item once");
+    merge(&mut second, &batch);
+    assert_eq!(second.replica("a"), Some(&replica("h2", 9)));
+}
+
+/// Guards against a replica that was used up and hides the one of a later run, whichever is read first.
+#[test]
+fn the_replica_of_the_later_run_counts() {
+    let mut begun_at = records("vm-1/1");
+    begun_at.record_begun("a", version(1), 0);
+    begun_at.record_replica("a", version(1), replica("h1", 1), 0);
+    let early = write(&mut begun_at, 1_000);
+    let mut resumed_at = records("vm-2/1");
+    resumed_at.record_replica("a", version(1), replica("h2", 7), 0);
+    let late = write(&mut resumed_at, 1_000);
+    for batches in [[&early, &late], [&late, &early]] {
+        let mut reader = records("vm-3/1");
+        batches.iter().for_each(|batch| merge(&mut reader, batch));
+        assert_eq!(reader.replica("a"), Some(&replica("h2", 7)));
+    }
+    merge(&mut begun_at, &late);
+    assert_eq!(begun_at.replica("a"), Some(&replica("h2", 7)));
+    merge(&mut resumed_at, &early);
+    assert_eq!(resumed_at.replica("a"), Some(&replica("h2", 7)));
+}
+
+/// Guards against records of earlier releases that cannot be read, and against odd replicas in an item.
+#[test]
+fn items_without_replicas_and_with_odd_ones_are_read() {
+    let mut reader = records("vm-2/1");
+    let long = "x".repeat(10_000);
+    let odd = format!(
+        r#"[{{"service":"engines","version":"v1","ids":["a"],"replicas":[
+            [0,{{"holder":"{long}","fingerprint":"f","reference":"r","last_event_id":1}}],
+            [7,{{"holder":"h","fingerprint":"f","reference":"r","last_event_id":1}}]]}}]"#
+    );
+    let plain = r#"[{"service":"engines","version":"v1","ids":["b"]}]"#;
+    for (name, value) in [("vm-1/1-1", &*odd), ("vm-1/1-2", plain)] {
+        reader.merge_record(name, value.as_bytes(), 0).unwrap();
+    }
+    assert_eq!(reader.len(), (0, 2));
+    assert_eq!((reader.replica("a"), reader.replica("b")), (None, None));
+}
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -10,6 +10,7 @@
     instance::Instance,
     instance_entry::InstanceId,
     instance_limits::InstanceLimits,
+    kv_replica::{KvReplica, KvReplicaOrigin},
     peer_message::PeerMessage,
     peer_socket::PeerSocket,
     placement::Placement,
@@ -19,7 +20,9 @@
     route_table::Route,
     version_affinity::VersionAffinity,
 };
-use affinity::{Origin, ServiceVersion, SoftwareVersion, StreamVersion, TakeUpError};
+use affinity::{
+    Origin, ReplicaRecord, ServiceVersion, SoftwareVersion, StreamVersion, TakeUpError,
+};
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -519,6 +522,24 @@
         StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
     }
 
+    /// KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if none is recorded, if it
+    /// belongs to another request, or if its holder takes no requests.
+    pub(crate) fn recorded_replica(&self, inbound: &Inbound) -> Option<KvReplica> {
+        let ReplicaRecord { holder, fingerprint, reference, .. } =
+            self.versions.replica(inbound.resumes.as_deref()?)?;
+        if *fingerprint != *inbound.fingerprint() {
+            return None;
+        }
+        let registry = lock(&self.registry);
+        let instances = registry.of_service(&inbound.service);
+        let instance = instances.iter().find(|instance| *instance.entry.id == *holder)?;
+        if !self.may_send(instance) {
+            return None;
+        }
+        let origin = KvReplicaOrigin::Recorded(reference);
+        Some(KvReplica::new(Arc::clone(instance), origin, self.clock.now_ms()))
+    }
+
     /// Chooses up to `count` engines of a service for a stream. A new stream, which requires no version, begins at a
     /// version that takes new streams if there is such an engine.
     pub(crate) fn choose_stream_candidates(
--- a/crates/ingress/src/kv_replica.rs
+++ b/crates/ingress/src/kv_replica.rs
@@ -16,9 +16,11 @@
     _guard: InFlightGuard,
 }
 
-/// How a replica is created.
+/// How a replica was created.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum KvReplicaOrigin {
+    /// Another request of the same stream created the replica, which the holder knows by this reference.
+    Recorded(Box<str>),
     /// The engine that runs the request sends each change of the KV cache to the engine that holds the replica.
     Continuous,
     /// The engine that runs the request copied the KV cache once, when the daemon asked it to.
@@ -41,6 +43,7 @@
     /// request.
     pub fn reference(&self, request_id: &str) -> String {
         match &self.origin {
+            KvReplicaOrigin::Recorded(reference) => reference.to_string(),
             KvReplicaOrigin::Continuous => format!("{}/{request_id}", self.instance.entry.addr),
             KvReplicaOrigin::Snapshot { source, handle } => format!("{source}/{handle}"),
         }
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -20,7 +20,7 @@
     response_head::forwarded_headers,
     route_kind::RouteKind,
 };
-use affinity::{SoftwareVersion, StreamVersion, TakeUpError};
+use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
 use bytes::{Bytes, BytesMut};
 use call::Idempotency;
 use futures::FutureExt;
@@ -122,6 +122,8 @@
     engine_config: Option<EngineConfig>,
     /// Maintains the KV cache replica from which the next attempt can resume.
     replicator: KvReplicator,
+    /// When the replica was requested that was last recorded; `None` if none was.
+    recorded_replica_ms: Option<u64>,
     /// Why the next attempt has to wait; `None` if no attempt has to.
     wait_reason: Option<WaitReason>,
     /// Headers for the caller, from the attempt that sent the first event.
@@ -170,6 +172,7 @@
             open_sends: 0,
             engine_config: core.engine_config(&inbound.service),
             replicator: KvReplicator::default(),
+            recorded_replica_ms: None,
             wait_reason: None,
             head: None,
             error_response: None,
@@ -254,13 +257,18 @@
         match self.core.take_up(&self.inbound).await {
             Ok(version) => {
                 self.version = version;
+                let replica = self.core.recorded_replica(&self.inbound);
+                let has_copy = replica.is_some().to_string();
+                metrics::counter!("stream_takeups_accepted_total", "copy" => has_copy).increment(1);
                 log::info!(
-                    "stream: id={} is taken up, resumes={} after={:?} version={}",
+                    "stream: id={} is taken up, resumes={} after={:?} version={} copy_at={}",
                     self.inbound.id_text(),
                     self.inbound.resumes.as_deref().unwrap_or("-"),
                     self.last_event_id,
                     self.version_text(),
+                    replica.as_ref().map_or("-", |replica| &*replica.instance.entry.id),
                 );
+                self.replicator.set(replica);
                 Ok(())
             }
             Err(TakeUpError::Gone(version)) => {
@@ -558,6 +566,27 @@
         self.first_event_ms.get_or_insert(now_ms);
         self.last_release_ms = now_ms;
         self.events += 1;
+        self.record_replica(&instance);
+    }
+
+    /// Records the KV cache replica of the stream if it is a new one, so that another daemon can resume from it after the
+    /// loss of this one. `source` is the engine that runs the request.
+    fn record_replica(&mut self, source: &Instance) {
+        let Some(replica) = self.replicator.replica() else { return };
+        let (Some(last_event_id), false) =
+            (self.last_event_id, self.recorded_replica_ms == Some(replica.requested_ms))
+        else {
+            return;
+        };
+        self.recorded_replica_ms = Some(replica.requested_ms);
+        let record = ReplicaRecord {
+            holder: (*replica.instance.entry.id).into(),
+            fingerprint: self.inbound.fingerprint().into(),
+            reference: replica.reference(self.inbound.id_text()).into(),
+            last_event_id,
+        };
+        let stream_id = self.inbound.resumes.as_deref().unwrap_or(self.inbound.id_text());
+        self.core.versions.record_replica(stream_id, source, record);
     }
 
     /// Instance of a current attempt; `None` if there is no such attempt, or none is chosen.
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -3,7 +3,7 @@
 use crate::{
     follow::PlatformKeys, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
 };
-use affinity::{ItemError, Origin, ServiceVersion, VersionChange, VersionRecords};
+use affinity::{ItemError, Origin, ReplicaRecord, ServiceVersion, VersionChange, VersionRecords};
 use base::{Clock, HashSet, ServiceName, lock};
 use plat::Change;
 use std::{
@@ -70,6 +70,19 @@
         }
     }
 
+    /// Records the KV cache replica of the stream `id`, which runs at `instance`, so that each daemon can resume it.
+    pub fn record_replica(&self, id: &str, instance: &Instance, replica: ReplicaRecord) {
+        let now_ms = self.clock.now_ms();
+        if self.state().record_replica(id, software(instance), replica, now_ms) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Last recorded KV cache replica of the stream `id`; `None` if this daemon has no record of one.
+    pub fn replica(&self, id: &str) -> Option<ReplicaRecord> {
+        self.state().replica(id).cloned()
+    }
+
     /// Service at which the stream `id` began; `None` if this daemon has no record of it.
     pub fn service(&self, id: &str) -> Option<ServiceName> {
         self.state().recorded_service(id).cloned()
