Ingress: an engine without the copy may run the take-up from its prompt (LOST)

The engine that refused the request because it held no copy was excluded from the next attempt, and its refusal used up one of the route's attempts. If it was the only engine of the version, the stream was refused as version_gone.

Fix: such a refusal excludes the engine from nothing and does not count as an attempt, since the request has not run. The next attempt has no copy to go on from, and still needs a retry from the budget.

--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -21,7 +21,7 @@
     pub service: ServiceName,
     /// Engines that are probed for their load, from which one is chosen.
     pub candidates: Vec<Arc<Instance>>,
-    /// KV cache replica that the engine of the previous attempt has created; `None` if there is none.
+    /// KV cache replica of the stream's last run; `None` if there is none.
     pub replica: Option<KvReplica>,
     /// Urgency of a retry; `None` for the first attempt, which needs no retry budget.
     pub retry: Option<Urgency>,
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -124,6 +124,10 @@
     replicator: KvReplicator,
     /// When the replica was requested that was last recorded; `None` if none was.
     recorded_replica_ms: Option<u64>,
+    /// Last attempt that was sent to the holder of a replica; `None` if none was.
+    replica_attempt: Option<AttemptId>,
+    /// Number of sends that were refused by the holder of a replica, which may have lost it.
+    refused_replicas: u32,
     /// Why the next attempt has to wait; `None` if no attempt has to.
     wait_reason: Option<WaitReason>,
     /// Headers for the caller, from the attempt that sent the first event.
@@ -173,6 +177,8 @@
             engine_config: core.engine_config(&inbound.service),
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
+            replica_attempt: None,
+            refused_replicas: 0,
             wait_reason: None,
             head: None,
             error_response: None,
@@ -633,7 +639,14 @@
                 self.sends = self.sends.saturating_sub(1);
                 self.open_sends = self.open_sends.saturating_sub(1);
             }
-            AttemptError::Refused(_) => self.open_sends = self.open_sends.saturating_sub(1),
+            AttemptError::Refused(_) => {
+                self.open_sends = self.open_sends.saturating_sub(1);
+                if self.replica_attempt == Some(lost.id) {
+                    // The engine may take the request without the replica.
+                    self.refused_replicas += 1;
+                    self.excluded.retain(|id| *id != instance.entry.id);
+                }
+            }
             AttemptError::Answered(_) | AttemptError::Lost(_) => {}
         }
         let may_have_run = matches!(err, AttemptError::Lost(_));
@@ -792,7 +805,8 @@
     fn start_attempt(&mut self, id: AttemptId) {
         let may_send_again =
             self.inbound.kind.idempotency() == Idempotency::Idempotent || self.open_sends == 0;
-        if !may_send_again || self.sends >= self.inbound.max_attempts {
+        let sends = self.sends.saturating_sub(self.refused_replicas);
+        if !may_send_again || sends >= self.inbound.max_attempts {
             self.withdraw_attempt(id);
             return;
         }
@@ -928,6 +942,9 @@
         self.sends += 1;
         self.open_sends += 1;
         self.excluded.push(Arc::clone(&instance.entry.id));
+        if replica.is_some() {
+            self.replica_attempt = Some(id);
+        }
         let extra_headers = self.attempt_headers(replica.as_ref(), replica_target);
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={}",
