--- a/crates/affinity/src/begun_streams.rs
+++ b/crates/affinity/src/begun_streams.rs
@@ -14,7 +14,7 @@
     sync::Arc,
 };
 
-/// Number of streams begun by this daemon that it remembers.
+/// Number of streams begun or resumed by this daemon that it remembers.
 const MAX_OWN: usize = 4_096;
 
 /// Number of streams begun by other daemons that this daemon remembers. The store has the others.
@@ -23,10 +23,11 @@
 /// Streams with the versions at which they began, as far as this daemon knows them.
 #[derive(Debug, Default)]
 pub(crate) struct BegunStreams {
+    /// Streams begun by this daemon, and resumed ones with a KV cache replica.
     own: HashMap<Arc<str>, Own>,
-    /// Streams begun by this daemon in the order of their begin.
+    /// Streams in `own` in the order in which they were recorded.
     own_order: BTreeMap<u64, Arc<str>>,
-    /// Streams begun by this daemon that the store does not hold.
+    /// Streams in `own` whose last record the store does not hold.
     unwritten: BTreeSet<u64>,
     next_sequence: u64,
     others: HashMap<Arc<str>, Other>,
@@ -34,7 +35,7 @@
     others_order: VecDeque<(u64, Arc<str>)>,
 }
 
-/// Stream that this daemon has begun.
+/// Stream that this daemon has begun or resumed.
 #[derive(Debug)]
 struct Own {
     sequence: u64,
@@ -74,7 +75,8 @@
     }
 
     /// Records the KV cache replica of a stream that runs at this daemon, whichever daemon has begun it. `software` is
-    /// the version at which it began.
+    /// the version at which it began. A replica that contradicts the recorded version, or is older than the recorded
+    /// one, is ignored.
     pub fn record_replica(
         &mut self,
         id: &str,
@@ -82,16 +84,28 @@
         replica: ReplicaRecord,
         now_ms: u64,
     ) {
-        if self.own.get(id).is_none_or(|own| own.software != software) {
-            self.record(id, software, now_ms);
+        let is_contradicted = match self.own.get(id) {
+            Some(own) => own.software != software,
+            None => self
+                .others
+                .get(id)
+                .is_some_and(|other| other.software.as_deref() != Some(&software)),
+        };
+        if is_contradicted || !replica.is_valid() || !replica.supersedes(self.replica(id)) {
+            return;
         }
-        let Some(own) = self.own.get_mut(id).filter(|_| replica.is_valid()) else { return };
-        own.replica = Some(replica);
-        if id.len() <= MAX_ID_BYTES {
-            self.unwritten.insert(own.sequence);
+        // The new sequence number keeps a write in progress, which holds the earlier record, from counting for this one.
+        self.record(id, software, now_ms);
+        if let Some(own) = self.own.get_mut(id) {
+            own.replica = Some(replica);
         }
     }
 
+    /// Whether a sequence number belongs to a stream that is remembered.
+    pub fn holds(&self, sequence: u64) -> bool {
+        self.own_order.contains_key(&sequence)
+    }
+
     /// Last recorded KV cache replica of a stream; `None` if none is recorded.
     pub fn replica(&self, id: &str) -> Option<&ReplicaRecord> {
         let own = self.own.get(id).and_then(|own| own.replica.as_ref());
--- a/crates/affinity/src/record_item.rs
+++ b/crates/affinity/src/record_item.rs
@@ -1,4 +1,4 @@
-//! Items of the store that record at which versions streams began.
+//! Items of the store that record at which versions streams began, and their KV cache replicas.
 
 use crate::{
     item_error::ItemError, replica_record::ReplicaRecord, service_version::ServiceVersion,
--- a/crates/affinity/src/replica_record.rs
+++ b/crates/affinity/src/replica_record.rs
@@ -15,8 +15,10 @@
     pub fingerprint: Box<str>,
     /// Text by which the holder is asked to resume from the replica.
     pub reference: Box<str>,
-    /// Identifier of the stream's last event when the replica was recorded. Of two records the one with the higher
-    /// identifier is the later one.
+    /// Number of times that the stream had been taken up when the replica was recorded.
+    pub take_ups: u32,
+    /// Identifier of the last event that the daemon had released when the replica was recorded. The caller may have
+    /// received fewer events.
     pub last_event_id: u64,
 }
 
@@ -27,8 +29,12 @@
         texts.iter().all(|text| text.len() <= MAX_TEXT_BYTES)
     }
 
-    /// Whether the record is not older than `other`.
+    /// Whether the record belongs to the same request as `other` and is not older.
     pub(crate) fn supersedes(&self, other: Option<&Self>) -> bool {
-        other.is_none_or(|other| self.last_event_id >= other.last_event_id)
+        other.is_none_or(|other| {
+            let is_older =
+                (self.take_ups, self.last_event_id) < (other.take_ups, other.last_event_id);
+            self.fingerprint == other.fingerprint && !is_older
+        })
     }
 }
--- a/crates/affinity/src/version_records.rs
+++ b/crates/affinity/src/version_records.rs
@@ -1,4 +1,5 @@
-//! What a daemon knows of the software versions at which streams began, and what it has to write to the store.
+//! What a daemon knows of the software versions at which streams began and of their KV cache replicas, and what it has to
+//! write to the store.
 
 use crate::{
     begun_streams::BegunStreams,
@@ -291,8 +292,8 @@
                 self.next_item += 1;
                 (self.next_item, Vec::new())
             });
-            // An item is encoded anew, and so holds the current records of the streams that it had before.
-            unwritten.retain(|sequence| !sequences.contains(sequence));
+            // Streams that were recorded again since have other sequence numbers.
+            sequences.retain(|sequence| self.streams.holds(*sequence));
             let count = (MAX_ITEM_STREAMS - sequences.len()).min(unwritten.len());
             sequences.extend(unwritten.drain(..count));
             items.push(RecordItem {
--- a/crates/affinity/tests/replica_records.rs
+++ b/crates/affinity/tests/replica_records.rs
@@ -1,6 +1,8 @@
 //! Tests of the records of KV cache replicas.
 
-use affinity::{RecordBatch, ReplicaRecord, ServiceVersion, SoftwareVersion, Step, VersionRecords};
+use affinity::{
+    Origin, RecordBatch, ReplicaRecord, ServiceVersion, SoftwareVersion, Step, VersionRecords,
+};
 use base::HashSet;
 
 fn version(number: u8) -> ServiceVersion {
@@ -8,11 +10,12 @@
     ServiceVersion { service: "engines".try_into().unwrap(), version }
 }
 
-fn replica(holder: &str, last_event_id: u64) -> ReplicaRecord {
+fn replica(holder: &str, take_ups: u32, last_event_id: u64) -> ReplicaRecord {
     ReplicaRecord {
         holder: holder.into(),
         fingerprint: "f".into(),
         reference: format!("{holder}/run").into(),
+        take_ups,
         last_event_id,
     }
 }
@@ -44,15 +47,15 @@
     let (mut first, mut second) = (records("vm-1/1"), records("vm-2/1"));
     first.record_begun("a", version(1), 0);
     first.record_begun("b", version(1), 0);
-    first.record_replica("a", version(1), replica("h1", 1), 0);
+    first.record_replica("a", version(1), replica("h1", 0, 1), 0);
     merge(&mut second, &write(&mut first, 1_000));
-    assert_eq!(second.replica("a"), Some(&replica("h1", 1)));
+    assert_eq!(second.replica("a"), Some(&replica("h1", 0, 1)));
     assert_eq!(second.replica("b"), None);
-    first.record_replica("a", version(1), replica("h2", 9), 1_500);
+    first.record_replica("a", version(1), replica("h2", 0, 9), 1_500);
     let batch = write(&mut first, 2_000);
     assert_eq!(batch.len(), 2, "each stream stands in its item once");
     merge(&mut second, &batch);
-    assert_eq!(second.replica("a"), Some(&replica("h2", 9)));
+    assert_eq!(second.replica("a"), Some(&replica("h2", 0, 9)));
 }
 
 /// Guards against a replica that was used up and hides the one of a later run, whichever is read first.
@@ -60,20 +63,20 @@
 fn the_replica_of_the_later_run_counts() {
     let mut begun_at = records("vm-1/1");
     begun_at.record_begun("a", version(1), 0);
-    begun_at.record_replica("a", version(1), replica("h1", 1), 0);
+    begun_at.record_replica("a", version(1), replica("h1", 0, 1), 0);
     let early = write(&mut begun_at, 1_000);
     let mut resumed_at = records("vm-2/1");
-    resumed_at.record_replica("a", version(1), replica("h2", 7), 0);
+    resumed_at.record_replica("a", version(1), replica("h2", 1, 7), 0);
     let late = write(&mut resumed_at, 1_000);
     for batches in [[&early, &late], [&late, &early]] {
         let mut reader = records("vm-3/1");
         batches.iter().for_each(|batch| merge(&mut reader, batch));
-        assert_eq!(reader.replica("a"), Some(&replica("h2", 7)));
+        assert_eq!(reader.replica("a"), Some(&replica("h2", 1, 7)));
     }
     merge(&mut begun_at, &late);
-    assert_eq!(begun_at.replica("a"), Some(&replica("h2", 7)));
+    assert_eq!(begun_at.replica("a"), Some(&replica("h2", 1, 7)));
     merge(&mut resumed_at, &early);
-    assert_eq!(resumed_at.replica("a"), Some(&replica("h2", 7)));
+    assert_eq!(resumed_at.replica("a"), Some(&replica("h2", 1, 7)));
 }
 
 /// Guards against records of earlier releases that cannot be read, and against odd replicas in an item.
@@ -83,8 +86,8 @@
     let long = "x".repeat(10_000);
     let odd = format!(
         r#"[{{"service":"engines","version":"v1","ids":["a"],"replicas":[
-            [0,{{"holder":"{long}","fingerprint":"f","reference":"r","last_event_id":1}}],
-            [7,{{"holder":"h","fingerprint":"f","reference":"r","last_event_id":1}}]]}}]"#
+            [0,{{"holder":"{long}","fingerprint":"f","reference":"r","take_ups":0,"last_event_id":1}}],
+            [7,{{"holder":"h","fingerprint":"f","reference":"r","take_ups":0,"last_event_id":1}}]]}}]"#
     );
     let plain = r#"[{"service":"engines","version":"v1","ids":["b"]}]"#;
     for (name, value) in [("vm-1/1-1", &*odd), ("vm-1/1-2", plain)] {
@@ -93,3 +96,45 @@
     assert_eq!(reader.len(), (0, 2));
     assert_eq!((reader.replica("a"), reader.replica("b")), (None, None));
 }
+
+/// Guards against a replica that is recorded while an older record of its stream is being written, and is never written.
+#[test]
+fn a_replica_recorded_during_a_write_is_written() {
+    let mut first = records("vm-1/1");
+    first.record_begun("a", version(1), 0);
+    let Step::Write(batch) = first.next_step(1, 1_000) else { panic!("nothing to write") };
+    first.record_replica("a", version(1), replica("h1", 0, 1), 1_001);
+    first.mark_written(&batch, 1_050);
+    let mut second = records("vm-2/1");
+    merge(&mut second, &write(&mut first, 2_000));
+    assert_eq!(second.replica("a"), Some(&replica("h1", 0, 1)));
+}
+
+/// Guards against a stream whose version changes because another request names it.
+#[test]
+fn a_replica_of_another_version_leaves_the_version_of_the_stream() {
+    let mut first = records("vm-1/1");
+    first.record_begun("a", version(1), 0);
+    first.record_replica("a", version(2), replica("h1", 0, 1), 1);
+    let origin = first.recorded_origin("a", &"engines".try_into().unwrap());
+    assert_eq!(origin, Some(Origin::Known(version(1).version)));
+}
+
+/// Guards against a used-up replica that hides the one of a later run, because its daemon had released more events than
+/// the caller received before the stream broke.
+#[test]
+fn events_that_the_caller_has_not_received_do_not_hide_the_later_run() {
+    let mut begun_at = records("vm-1/1");
+    begun_at.record_begun("a", version(1), 0);
+    begun_at.record_replica("a", version(1), replica("h1", 0, 50), 0);
+    let early = write(&mut begun_at, 1_000);
+    let mut resumed_at = records("vm-2/1");
+    merge(&mut resumed_at, &early);
+    // The caller has received 40 events.
+    resumed_at.record_replica("a", version(1), replica("h2", 1, 41), 2_000);
+    let late = write(&mut resumed_at, 3_000);
+    let mut reader = records("vm-3/1");
+    merge(&mut reader, &early);
+    merge(&mut reader, &late);
+    assert_eq!(reader.replica("a"), Some(&replica("h2", 1, 41)));
+}
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -522,12 +522,15 @@
         StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
     }
 
-    /// KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if none is recorded, if it
+    /// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if the record
     /// belongs to another request, or if its holder takes no requests.
-    pub(crate) fn recorded_replica(&self, inbound: &Inbound) -> Option<KvReplica> {
-        let ReplicaRecord { holder, fingerprint, reference, .. } =
-            self.versions.replica(inbound.resumes.as_deref()?)?;
-        if *fingerprint != *inbound.fingerprint() {
+    pub(crate) fn recorded_replica(
+        &self,
+        inbound: &Inbound,
+        record: ReplicaRecord,
+    ) -> Option<KvReplica> {
+        let ReplicaRecord { holder, fingerprint, reference, .. } = record;
+        if fingerprint != inbound.fingerprint().into() {
             return None;
         }
         let registry = lock(&self.registry);
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -124,6 +124,8 @@
     replicator: KvReplicator,
     /// When the replica was requested that was last recorded; `None` if none was.
     recorded_replica_ms: Option<u64>,
+    /// Number of times that the stream was taken up, including this one.
+    take_ups: u32,
     /// Last attempt that was sent to the holder of a replica; `None` if none was.
     replica_attempt: Option<AttemptId>,
     /// Number of sends that were refused by the holder of a replica, which may have lost it.
@@ -177,6 +179,7 @@
             engine_config: core.engine_config(&inbound.service),
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
+            take_ups: 0,
             replica_attempt: None,
             refused_replicas: 0,
             wait_reason: None,
@@ -263,7 +266,11 @@
         match self.core.take_up(&self.inbound).await {
             Ok(version) => {
                 self.version = version;
-                let replica = self.core.recorded_replica(&self.inbound);
+                let resumes = self.inbound.resumes.as_deref();
+                let record = resumes.and_then(|id| self.core.versions.replica(id));
+                self.take_ups = record.as_ref().map_or(1, |record| record.take_ups + 1);
+                let replica =
+                    record.and_then(|record| self.core.recorded_replica(&self.inbound, record));
                 let has_copy = replica.is_some().to_string();
                 metrics::counter!("stream_takeups_accepted_total", "copy" => has_copy).increment(1);
                 log::info!(
@@ -589,10 +596,17 @@
             holder: (*replica.instance.entry.id).into(),
             fingerprint: self.inbound.fingerprint().into(),
             reference: replica.reference(self.inbound.id_text()).into(),
+            take_ups: self.take_ups,
             last_event_id,
         };
-        let stream_id = self.inbound.resumes.as_deref().unwrap_or(self.inbound.id_text());
-        self.core.versions.record_replica(stream_id, source, record);
+        // Only a request that was taken up goes on with the stream that it names.
+        let stream_id = match self.inbound.last_event_id {
+            Some(_) => self.inbound.resumes.as_deref(),
+            None => self.inbound.id.to_str().ok(),
+        };
+        if let Some(stream_id) = stream_id {
+            self.core.versions.record_replica(stream_id, source, record);
+        }
     }
 
     /// Instance of a current attempt; `None` if there is no such attempt, or none is chosen.
