--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -530,7 +530,7 @@
         record: ReplicaRecord,
     ) -> Option<KvReplica> {
         let ReplicaRecord { holder, fingerprint, reference, .. } = record;
-        if fingerprint != inbound.fingerprint().into() {
+        if fingerprint != inbound.run_fingerprint(&self.dialect) {
             return None;
         }
         let registry = lock(&self.registry);
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -39,6 +39,10 @@
     pub upstream_limit: HeaderName,
     /// States in a response, with the value 1, that the instance leaves and takes no more requests.
     pub leaving: HeaderName,
+    /// Name of the model that the request is for.
+    pub model: HeaderName,
+    /// Numbers of tokens of the prompt and, at most, of the answer.
+    pub token_counts: HeaderName,
     /// Parts of the request's prompt, in order.
     pub prompt_parts: HeaderName,
     /// Decodes the identifiers of the parts from the value of `prompt_parts`; empty if the value is malformed.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -71,6 +71,17 @@
         })
     }
 
+    /// Like `fingerprint`, with the model and the numbers of tokens. Only a request with the same value may resume from
+    /// the KV cache of a run.
+    pub fn run_fingerprint(&self, dialect: &Dialect) -> Box<str> {
+        let mut hasher = DefaultHasher::new();
+        self.fingerprint().hash(&mut hasher);
+        for name in [&dialect.model, &dialect.token_counts] {
+            self.headers.get(name).map(HeaderValue::as_bytes).hash(&mut hasher);
+        }
+        format!("{:016x}", hasher.finish()).into()
+    }
+
     /// Identifier of the caller's attempt as text for logs and engines; `?` if `id` is not visible ASCII.
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -594,7 +594,7 @@
         self.recorded_replica_ms = Some(replica.requested_ms);
         let record = ReplicaRecord {
             holder: (*replica.instance.entry.id).into(),
-            fingerprint: self.inbound.fingerprint().into(),
+            fingerprint: self.inbound.run_fingerprint(&self.core.dialect),
             reference: replica.reference(self.inbound.id_text()).into(),
             take_ups: self.take_ups,
             last_event_id,
