Web: reset connections whose request is given up before its response

What callers saw: a call was answered 504 at its deadline, and its upstream ran it seconds later, after a partition had ended and more than drain_ms after the upstream had stated that it leaves (DRAIN). This held for non-idempotent calls too.

Cause: a request was written to a socket in the first moments of a partition. When the daemon gave the exchange up, the socket was closed in the ordinary way, and the kernel went on sending what it held for seconds.

Fix: the socket of a client connection has SO_LINGER 0 when it is dropped while a request awaits its response, so the kernel sends a reset and discards its send buffer. Connections of completed exchanges, and of exchanges whose response has begun, close in the ordinary way: the upstream has the request then, and the kernel repeats an ordinary close until it is acknowledged, but not a reset. All clients of the crate are covered: requests, engine calls, reports and calls to the store.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -3,7 +3,8 @@
 use crate::{
     body::read_body,
     client_error::ClientError,
-    framing_limit::{FramingLimit, FramingLimitedStream},
+    client_stream::ClientStream,
+    exchange_state::ExchangeState,
     tcp_keepalive::{enable_fast_tcp_keepalive, enable_tcp_keepalive},
 };
 use bytes::Bytes;
@@ -18,12 +19,12 @@
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// HTTP/1.1 connection to a server. Its methods never retry a request. Dropping the value closes the connection
-/// immediately.
+/// immediately. If a request awaits its response then, the connection is reset, so that the kernel does not deliver the
+/// request later.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    /// Limit on the bytes that are no response.
-    framing_limit: FramingLimit,
+    exchange: ExchangeState,
     /// Task that reads from and writes to the socket.
     driver: AbortHandle,
 }
@@ -63,10 +64,11 @@
         };
         let _ = stream.set_nodelay(true);
         enable_keepalive(&stream);
-        let framing_limit = FramingLimit::new();
+        let exchange = ExchangeState::new();
+        let stream = ClientStream::new(stream, exchange.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(FramingLimitedStream::new(stream, framing_limit.clone())))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(ClientError::Transport)?;
         let driver = tokio::spawn(async move {
@@ -74,7 +76,7 @@
                 log::debug!("web: a connection to {addr} failed: {err}");
             }
         });
-        Ok(Self { sender, framing_limit, driver: driver.abort_handle() })
+        Ok(Self { sender, exchange, driver: driver.abort_handle() })
     }
 
     /// Returns whether another request can be sent now: the last exchange has ended and the server has kept the
@@ -98,7 +100,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ClientError> {
-        self.framing_limit.start();
+        self.exchange.begin();
         let response =
             self.sender.try_send_request(request).await.map_err(|mut error| {
                 match error.take_message() {
@@ -106,14 +108,14 @@
                     None => ClientError::Transport(error.into_error()),
                 }
             })?;
-        self.framing_limit.stop();
+        self.exchange.unlimit_framing();
         Ok(response)
     }
 
     /// Limits the bytes that are read until the next call. Call it for each part of a body whose reader does not limit
     /// the size of the body, so that bytes which are no part of it do not arrive without end.
     pub fn limit_framing(&self) {
-        self.framing_limit.start();
+        self.exchange.limit_framing();
     }
 
     /// Sends a request and reads the complete response, whose body may have at most `limit_bytes`.
