Platform: notice silent connections to the store within the change bound

What callers saw: when the open connections to the store went silent and new ones worked, daemons sent requests to the old service, half of them with a key that had been taken away, until 4.3 s after the acknowledgement (CONFIG).

Cause: a watch waited 3 s at the store, and its answer 1 s more, before the connection was given up and all items were listed again. The half second in which changes are collected comes before that.

Fix: a watch waits for half of the change bound (1 s of 2 s).

--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -7,13 +7,21 @@
     instance_entry::InstanceEntry,
 };
 use base::{Excerpt, HashMap, HashSet};
-use plat::{Change, Source, SourceError, WatchHandler, list_and_watch};
+use plat::{Change, Source, SourceError, WatchHandler, WatchTiming, list_and_watch};
 use std::{fmt::Display, net::SocketAddr, sync::Arc};
 
 /// Changes are collected into a batch for the time within which they must be active, divided by this number. The rest
 /// of the time remains for a watch that receives nothing for a second and for a read that has to be retried.
 const BATCH_DIVISOR: u64 = 4;
 
+/// Watches wait for the time within which changes must be active, divided by this number. A connection to the store that
+/// has gone silent is noticed at the end of a watch; together with the batch before it, this leaves a quarter of the time
+/// for a read on a new connection.
+const WATCH_DIVISOR: u64 = 2;
+
+/// Shortest and longest wait of a watch.
+const WATCH_MS: (u64, u64) = (500, 3_000);
+
 /// Shortest and longest time for which changes are collected before they are read.
 const BATCH_MS: (u64, u64) = (100, 1_000);
 
@@ -52,7 +60,11 @@
     keys: PlatformKeys,
     decoders: Decoders<E>,
 ) {
-    let batch_ms = (core.options.change_bound_ms / BATCH_DIVISOR).clamp(BATCH_MS.0, BATCH_MS.1);
+    let bound_ms = core.options.change_bound_ms;
+    let timing = WatchTiming {
+        wait_ms: (bound_ms / WATCH_DIVISOR).clamp(WATCH_MS.0, WATCH_MS.1),
+        batch_ms: (bound_ms / BATCH_DIVISOR).clamp(BATCH_MS.0, BATCH_MS.1),
+    };
     let follower = PlatformFollower {
         core,
         keys,
@@ -63,7 +75,7 @@
         undecodable: HashSet::default(),
         undecodable_config: None,
     };
-    list_and_watch(source, "", batch_ms, follower).await;
+    list_and_watch(source, "", timing, follower).await;
 }
 
 /// Applies the items of the platform's store and their changes to `core`.
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -22,6 +22,7 @@
 mod relayed_source;
 mod source;
 mod swap_outcome;
+mod watch_timing;
 
 pub use crate::{
     announce::{Lease, LeaseClient, announce},
@@ -38,4 +39,5 @@
     relayed_source::RelayedSource,
     source::{Change, Changes, Freshness, Source, SourceError},
     swap_outcome::SwapOutcome,
+    watch_timing::WatchTiming,
 };
--- a/crates/plat/src/list_and_watch.rs
+++ b/crates/plat/src/list_and_watch.rs
@@ -1,13 +1,12 @@
 //! Lists the items of a key-value service and watches their changes, through outages of the service.
 
-use crate::source::{Change, Freshness, Source, SourceError};
+use crate::{
+    source::{Change, Freshness, Source, SourceError},
+    watch_timing::WatchTiming,
+};
 use base::Clock;
 use std::time::Duration;
 
-/// Duration of one watch. It is short, because a connection that has stopped delivering anything is noticed only after
-/// this time, and a draining instance must get no more requests after a few seconds.
-const WATCH_WAIT_MS: u64 = 3_000;
-
 /// Duration of the watch that brings a stale list up to date. It is short, because the watch must return at once even
 /// if nothing has changed.
 const CATCH_UP_WAIT_MS: u64 = 1;
@@ -40,16 +39,19 @@
     fn on_answer(&mut self, outage_ms: Option<u64>);
 }
 
-/// Reads the items whose keys begin with `prefix` and then their changes, until the future is dropped. After
-/// changes, or a list of the latest state, it waits for `batch_ms`, so that changes in quick succession are read with
-/// one call.
+/// Reads the items whose keys begin with `prefix` and then their changes, until the future is dropped. Each watch waits up
+/// to `wait_ms` for changes. After changes, or a list of the latest state, the next one starts `batch_ms` later, so that
+/// changes in quick succession are read with one call.
+///
+/// A connection that has stopped delivering anything is noticed only at the end of a watch, so `wait_ms` must be shorter
+/// than the time within which changes must be active.
 ///
 /// The first list may be stale: if a whole fleet starts at once, lists of the latest state would exceed the rate limit
 /// of the service. The watch that follows brings the list up to date.
 pub async fn list_and_watch(
     mut source: impl Source,
     prefix: &str,
-    batch_ms: u64,
+    WatchTiming { wait_ms, batch_ms }: WatchTiming,
     mut handler: impl WatchHandler,
 ) {
     let clock = Clock::start();
@@ -62,7 +64,7 @@
     loop {
         let outcome = match revision {
             None => source.list(prefix, freshness).await,
-            Some(revision) if is_current => source.watch(prefix, revision, WATCH_WAIT_MS).await,
+            Some(revision) if is_current => source.watch(prefix, revision, wait_ms).await,
             Some(revision) => source.watch(prefix, revision, CATCH_UP_WAIT_MS).await,
         };
         match outcome {
