Quarantine: recognize a part of a prompt wherever it stands

What callers saw: a part that crashes engines, the ninth of a prompt, was never condemned. Each request with it crashed up to five engines, and sound requests were not served meanwhile.

Cause: Inbound kept the first eight parts of a prompt only, to bound messages and log lines.

Now a part is known by 8 bytes: the caller's identifier, or its hash if it is longer. Up to 4,096 parts of a request count, as many as a header of 16,384 bytes can name. A ledger remembers 65,536 parts and 128 crashes; when it is full, it forgets the first crashes of a verdict before the newest, so that a later crash still renews the verdict. Evidence that does not fit into a datagram follows in the next ones. A survival is sent on only until 2 s after the last crash. Parts with the same crashes are judged as one series, so that the time does not grow with the square of the parts.

Tests that held identifiers as text use the new types; no bound of them changed. A daemon before this commit does not read the evidence of one after it, and the other way round.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -26,7 +26,7 @@
 use base::{Clock, DomainName, HashMap, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
-use quarantine::{Admission, Crash, CrashedEngine};
+use quarantine::{Admission, Crash, CrashedEngine, Suspect};
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
 use recovery::{Policy, Timing, TimingSample, TimingTracker};
 use std::{
@@ -675,7 +675,7 @@
         let now_ms = self.clock.now_ms();
         let service = &inbound.service;
         if !self.request_quarantine.is_empty(service) {
-            let request = [inbound.fingerprint().into()];
+            let request = [inbound.fingerprint()];
             let daemons = self.fleet_size();
             let admission = self.request_quarantine.admit(service, &request, daemons, now_ms);
             if admission != Admission::Allowed {
@@ -699,7 +699,7 @@
     ) {
         let lost_ms = self.clock.now_ms();
         let (core, instance) = (Arc::clone(self), Arc::clone(instance));
-        let (service, request) = (inbound.service.clone(), inbound.fingerprint().into());
+        let (service, request) = (inbound.service.clone(), inbound.fingerprint());
         let parts = if blames_parts { inbound.shared_parts.clone() } else { Vec::new() };
         tokio::spawn(async move {
             let has_crashed = match core.engine_config(&service) {
@@ -718,7 +718,7 @@
                 },
                 domain: entry.domain.clone(),
                 age_ms: now_ms - lost_ms,
-                suspects: vec![suspect],
+                suspects: vec![Suspect::new(suspect)],
             };
             let on_request = crash(vec![request]);
             let mut is_judged = core.request_quarantine.record_crash(&service, on_request, now_ms);
@@ -738,7 +738,7 @@
         let mut is_judged =
             self.part_quarantine.record_survival(service, &inbound.shared_parts, now_ms);
         if !self.request_quarantine.is_empty(service) {
-            let request = [inbound.fingerprint().into()];
+            let request = [inbound.fingerprint()];
             is_judged |= self.request_quarantine.record_survival(service, &request, now_ms);
         }
         if is_judged {
--- a/crates/ingress/src/crash_quarantine.rs
+++ b/crates/ingress/src/crash_quarantine.rs
@@ -2,7 +2,7 @@
 
 use crate::inbound::Inbound;
 use base::{HashMap, ServiceName, lock};
-use quarantine::{Admission, Change, Crash, Evidence, Ledger, PartId, Verdict};
+use quarantine::{Admission, Change, Crash, Evidence, Ledger, PartId, PartNames, Verdict};
 use serde::{Deserialize, Serialize};
 use std::sync::{
     Mutex,
@@ -13,6 +13,9 @@
 /// Space for the evidence in one datagram, which must fit into one packet.
 const MAX_EVIDENCE_BYTES: usize = 1_100;
 
+/// Largest number of services in one datagram, each of which has space for a crash and some of its parts then.
+const MAX_EVIDENCE_SERVICES: usize = 2;
+
 /// Offset of the time in the ledgers from the daemon's clock, which starts at 0 with the daemon. Evidence of other
 /// daemons is older than that, up to the hour for which a ledger remembers it.
 const LEDGER_OFFSET_MS: u64 = 24 * 3_600_000;
@@ -148,10 +151,20 @@
     /// Evidence for another daemon, as much as fits into a datagram. `offset` selects the older evidence.
     pub fn evidence(&self, offset: usize, now_ms: u64) -> Vec<ServiceEvidence> {
         let mut ledgers = lock(&self.ledgers);
-        let count = ledgers.values().filter(|ledger| !ledger.is_empty()).count().max(1);
+        let mut known: Vec<(&ServiceName, &mut Ledger)> =
+            ledgers.iter_mut().filter(|(_, ledger)| !ledger.is_empty()).collect();
+        known.sort_by_key(|(service, _)| *service);
+        if !known.is_empty() {
+            let middle = offset % known.len();
+            known.rotate_left(middle);
+        }
+        // New evidence goes first. The services that do not fit follow in a later message.
+        known.sort_by_key(|(_, ledger)| !ledger.has_unsent());
+        known.truncate(MAX_EVIDENCE_SERVICES);
+        let max_bytes = MAX_EVIDENCE_BYTES / known.len().max(1);
         let mut message = Vec::new();
-        for (service, ledger) in ledgers.iter_mut().filter(|(_, ledger)| !ledger.is_empty()) {
-            let evidence = ledger.evidence(MAX_EVIDENCE_BYTES / count, offset, ledger_ms(now_ms));
+        for (service, ledger) in known {
+            let evidence = ledger.evidence(max_bytes, offset, ledger_ms(now_ms));
             message.push(ServiceEvidence { service: service.clone(), evidence });
         }
         message
@@ -184,7 +197,7 @@
             log::info!(
                 "quarantine: {what} service={service} {name}={} engines={} first_age_ms={} last_age_ms={} \
                  contrast={}",
-                verdict.parts.join(","),
+                PartNames(&verdict.parts),
                 engine_names(verdict),
                 ledger_ms(now_ms).saturating_sub(verdict.first_ms),
                 ledger_ms(now_ms).saturating_sub(verdict.last_ms),
@@ -216,7 +229,7 @@
         "{kind}: id={} refused, reason=quarantine {}={} engines={} last_age_ms={} sends={sends}",
         inbound.id_text(),
         subject.field(),
-        verdict.parts.join(","),
+        PartNames(&verdict.parts),
         engine_names(verdict),
         ledger_ms(now_ms).saturating_sub(verdict.last_ms),
     );
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -10,14 +10,15 @@
     HeaderMap, Method, Uri,
     header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue},
 };
+use quarantine::PartId;
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     sync::OnceLock,
 };
 use web::end_to_end_headers;
 
-/// Largest number of a prompt's parts that are considered, which bounds log lines and messages between daemons.
-const MAX_SHARED_PARTS: usize = 8;
+/// Largest number of a prompt's parts that are considered, as many as a header of 16,384 bytes can name.
+const MAX_SHARED_PARTS: usize = 4_096;
 
 /// Request of a caller, with the properties of its route that decide how it is served.
 #[derive(Debug)]
@@ -43,7 +44,7 @@
     /// Deadline of the caller or of the route, whichever is earlier, on the daemon's clock.
     pub deadline_ms: u64,
     /// Identifiers of the prompt's parts that other requests may share, which are all but the last one, in order.
-    pub shared_parts: Vec<Box<str>>,
+    pub shared_parts: Vec<PartId>,
     /// Parts of the prompt as the caller stated them; `None` for a request without a prompt.
     prompt: Option<HeaderValue>,
     /// Identifier of the last event that the caller has received, after which the stream resumes; `None` for a new
@@ -52,14 +53,14 @@
     /// Identifier of the caller's attempt that brought the first event of the stream; `None` if the caller names none.
     pub resumes: Option<Box<str>>,
     /// See `fingerprint`.
-    fingerprint: OnceLock<Box<str>>,
+    fingerprint: OnceLock<PartId>,
 }
 
 impl Inbound {
     /// Identifier of what is requested: the method, the target, the client account, the prompt and the body. It is the
     /// same for each attempt of a caller and at each daemon, because the hasher has fixed keys.
-    pub fn fingerprint(&self) -> &str {
-        self.fingerprint.get_or_init(|| {
+    pub fn fingerprint(&self) -> PartId {
+        *self.fingerprint.get_or_init(|| {
             let mut hasher = DefaultHasher::new();
             self.method.hash(&mut hasher);
             self.target.hash(&mut hasher);
@@ -67,7 +68,7 @@
             self.account.hash(&mut hasher);
             self.prompt.as_ref().map(HeaderValue::as_bytes).hash(&mut hasher);
             self.body.hash(&mut hasher);
-            format!("{:016x}", hasher.finish()).into()
+            hasher.finish().into()
         })
     }
 
@@ -146,12 +147,11 @@
     }
 
     /// Identifiers of the prompt's parts but the last one, which belongs to this request or its session alone.
-    fn shared_parts(&self, headers: &HeaderMap) -> Vec<Box<str>> {
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<PartId> {
         let value = headers.get(&self.dialect.prompt_parts).and_then(|value| value.to_str().ok());
         let mut parts = value.map(self.dialect.decode_prompt_parts).unwrap_or_default();
         parts.pop();
-        parts.truncate(MAX_SHARED_PARTS);
-        parts
+        parts.iter().take(MAX_SHARED_PARTS).map(|part| PartId::from(&**part)).collect()
     }
 
     /// Headers of the caller without those that this system sets itself, plus one with the name of the client account.
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -98,7 +98,10 @@
                     () = core.request_quarantine.wait_for_unsent() => {}
                 }
             };
-            let _ = tokio::time::timeout(repeat, unsent).await;
+            // What did not fit into the last messages is sent without another notice.
+            if !core.has_unsent_evidence() {
+                let _ = tokio::time::timeout(repeat, unsent).await;
+            }
             if requests < EVIDENCE_REQUESTS && !core.has_heard_evidence() {
                 for peer in core.random_peers(EVIDENCE_REQUEST_FANOUT) {
                     requests += 1;
@@ -108,9 +111,6 @@
             let fanout = if core.has_unsent_evidence() { EVIDENCE_FANOUT } else { 1 };
             let mut messages = core.evidence();
             messages.retain(PeerMessage::has_content);
-            if messages.is_empty() {
-                continue;
-            }
             for peer in core.random_peers(fanout) {
                 for message in &messages {
                     self.send(message, peer).await;
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -29,7 +29,7 @@
     header::{HeaderName, HeaderValue},
 };
 use limit::Urgency;
-use quarantine::{Admission, Verdict};
+use quarantine::{Admission, PartNames, Verdict};
 use recovery::{Action, AttemptId, EngineSignal, Generation, Input, Journal, LossCause};
 use std::{future::poll_fn, sync::Arc, task::Poll};
 use tokio::{sync::watch, time::Instant};
@@ -485,7 +485,7 @@
                 log::info!(
                     "quarantine: trial id={} parts={}",
                     self.inbound.id_text(),
-                    verdict.parts.join(",")
+                    PartNames(&verdict.parts)
                 );
                 self.is_trial = true;
                 None
@@ -639,7 +639,7 @@
             self.events,
             now_ms.saturating_sub(self.last_release_ms),
             lost.answering_ms(now_ms).map_or(-1, |ms| ms as i64),
-            self.inbound.shared_parts.join(","),
+            PartNames(&self.inbound.shared_parts),
             self.inbound.fingerprint(),
         );
         match err {
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -1,6 +1,6 @@
 //! Report of an engine that crashed right after it began to answer.
 
-use crate::part_id::PartId;
+use crate::suspect::Suspect;
 use base::DomainName;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,6 @@
     pub domain: DomainName,
     /// Time since the crash.
     pub age_ms: u64,
-    /// Shared parts of the prompt of each request that the engine had just begun to answer.
-    pub suspects: Vec<Vec<PartId>>,
+    /// Requests that the engine had just begun to answer.
+    pub suspects: Vec<Suspect>,
 }
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -4,15 +4,20 @@
     admission::Admission,
     change::Change,
     crash::{Crash, CrashedEngine},
+    crash_record::CrashRecord,
     evidence::Evidence,
+    evidence_writer::EvidenceWriter,
     part_id::PartId,
+    series::{CrashSet, KnownCrash, Series},
     survival::Survival,
+    suspect::Suspect,
     verdict::Verdict,
 };
-use base::{DomainName, HashMap, HashSet};
+use base::{HashMap, HashSet};
+use std::{cmp::Reverse, collections::BTreeSet};
 
 /// Number of crashes in series from which parts of prompts are condemned. Crashes of one failure domain within
-/// `DOMAIN_BURST_MS` count once.
+/// a short time count once.
 const MIN_CRASHES_ON_PART: usize = 4;
 
 /// Number of crashes in series from which a whole request is condemned, counted in the same way. It is smaller than for
@@ -22,10 +27,6 @@
 /// Number of crashes in series from which parts are reported as suspected.
 const MIN_SUSPECTED_CRASHES: usize = 2;
 
-/// Time in milliseconds within which several crashes in one failure domain count once, because the engines of a domain
-/// tend to fail together.
-const DOMAIN_BURST_MS: u64 = 600;
-
 /// Time in milliseconds after the last crash for which no request with condemned parts is sent.
 const VERDICT_MS: u64 = 600_000;
 
@@ -46,8 +47,23 @@
 /// Time in milliseconds after the last crash at which a verdict lapses without a trial.
 const VERDICT_RETENTION_MS: u64 = 6 * VERDICT_MS;
 
-/// Largest number of crashes that are remembered.
-const MAX_CRASHES: usize = 128;
+/// Largest number of crashes that are remembered, one for each bit of a `CrashSet`.
+const MAX_CRASHES: usize = CrashSet::BITS as usize;
+
+/// Number of the last crashes of a verdict that are forgotten after all others.
+const KEPT_CRASHES: usize = 8;
+
+/// Largest number of parts that are remembered for all crashes together. The oldest crashes are forgotten first.
+const MAX_PARTS: usize = 65_536;
+
+/// Largest number of series that are judged, the longest ones. Parts that accompany each other share one.
+const MAX_SERIES: usize = 256;
+
+/// Time in milliseconds within which daemons in touch hear of a crash.
+const CRASH_DELAY_MS: u64 = 2_000;
+
+/// Longest time in milliseconds for which known evidence that changes nothing leaves the verdicts as they are.
+const UPDATE_INTERVAL_MS: u64 = 1_000;
 
 /// Largest number of requests that are remembered for a crash.
 const MAX_SUSPECTS: usize = 8;
@@ -69,6 +85,10 @@
     /// Number of crashes in series from which parts are condemned.
     min_crashes: usize,
     crashes: HashMap<CrashedEngine, CrashRecord>,
+    /// Time of the last crash.
+    last_crash_ms: u64,
+    /// Parts of all remembered crashes.
+    parts: HashSet<PartId>,
     /// When an engine last survived a request with a part; only for parts of remembered crashes.
     survived_ms: HashMap<PartId, u64>,
     /// When an engine last survived any request; 0 if none has.
@@ -79,21 +99,10 @@
     /// When this daemon last sent a trial with the parts of a verdict.
     trials_ms: HashMap<Vec<PartId>, u64>,
     /// Evidence that was not sent to other daemons yet.
-    unsent_crashes: Vec<CrashedEngine>,
-    unsent_survivals: Vec<PartId>,
-}
-
-#[derive(Clone, Debug)]
-struct CrashRecord {
-    domain: DomainName,
-    at_ms: u64,
-    suspects: Vec<Vec<PartId>>,
-}
-
-/// Crashes in series on one part, in the order of their times.
-struct Series<'a> {
-    part: &'a PartId,
-    crashes: Vec<(&'a CrashedEngine, &'a CrashRecord)>,
+    unsent_crashes: Vec<(CrashedEngine, Suspect)>,
+    unsent_survivals: BTreeSet<PartId>,
+    /// When the verdicts were last computed.
+    updated_ms: u64,
 }
 
 impl Ledger {
@@ -111,13 +120,16 @@
         Self {
             min_crashes,
             crashes: HashMap::default(),
+            last_crash_ms: 0,
+            parts: HashSet::default(),
             survived_ms: HashMap::default(),
             any_survived_ms: 0,
             verdicts: Vec::new(),
             suspected: HashSet::default(),
             trials_ms: HashMap::default(),
             unsent_crashes: Vec::new(),
-            unsent_survivals: Vec::new(),
+            unsent_survivals: BTreeSet::new(),
+            updated_ms: 0,
         }
     }
 
@@ -140,25 +152,26 @@
     /// Records that an engine survived a request with these shared parts. Parts that no remembered crash has are not
     /// kept.
     pub fn record_survival(&mut self, parts: &[PartId], now_ms: u64) -> Vec<Change> {
-        let mut is_known = self.add_any_survival(now_ms);
-        for part in parts {
-            is_known |= self.add_survival(Survival { part: part.clone(), age_ms: 0 }, now_ms);
+        let mut is_new = self.add_any_survival(now_ms);
+        for &part in parts {
+            is_new |= self.add_survival(Survival { part, age_ms: 0 }, now_ms);
         }
-        if is_known { self.update(now_ms) } else { Vec::new() }
+        if is_new { self.update(now_ms) } else { Vec::new() }
     }
 
     /// Merges the evidence of another daemon.
     pub fn merge(&mut self, evidence: Evidence, now_ms: u64) -> Vec<Change> {
+        let mut is_new = now_ms >= self.updated_ms + UPDATE_INTERVAL_MS;
         for crash in evidence.crashes {
-            self.add_crash(crash, now_ms);
+            is_new |= self.add_crash(crash, now_ms);
         }
         for survival in evidence.survivals {
-            self.add_survival(survival, now_ms);
+            is_new |= self.add_survival(survival, now_ms);
         }
         if let Some(age_ms) = evidence.any_survival_age_ms {
-            self.add_any_survival(now_ms.saturating_sub(age_ms));
+            is_new |= self.add_any_survival(now_ms.saturating_sub(age_ms));
         }
-        self.update(now_ms)
+        if is_new { self.update(now_ms) } else { Vec::new() }
     }
 
     /// Whether some evidence was not returned by `evidence` yet.
@@ -166,53 +179,90 @@
         !self.unsent_crashes.is_empty() || !self.unsent_survivals.is_empty()
     }
 
-    /// Returns evidence for other daemons of about `max_bytes`: first what was not returned before, then the rest,
-    /// starting at a position that `offset` selects.
+    /// Returns evidence for other daemons of about `max_bytes`: first what was not returned before, as far as it fits,
+    /// then the rest, starting at a position that `offset` selects.
     pub fn evidence(&mut self, max_bytes: usize, offset: usize, now_ms: u64) -> Evidence {
-        let unsent_crashes = std::mem::take(&mut self.unsent_crashes);
-        let unsent_survivals = std::mem::take(&mut self.unsent_survivals);
-        let mut engines: Vec<&CrashedEngine> = self.crashes.keys().collect();
-        engines.sort();
-        let mut parts: Vec<&PartId> = self.survived_ms.keys().collect();
-        parts.sort();
-        rotate(&mut engines, offset);
-        rotate(&mut parts, offset);
+        let mut writer = EvidenceWriter::new(max_bytes);
         let any_survived = (self.any_survived_ms > 0).then_some(self.any_survived_ms);
-        let any_survival_age_ms = any_survived.map(|at_ms| now_ms.saturating_sub(at_ms));
-        let mut evidence = Evidence { any_survival_age_ms, ..Evidence::default() };
-        let mut left_bytes = max_bytes;
-        let mut sent_parts = HashSet::default();
-        for part in unsent_survivals.iter().chain(parts) {
-            let Some(&at_ms) = self.survived_ms.get(part) else { continue };
-            let size_bytes = part.len() + 12;
-            // Half of the space remains for crashes.
-            if left_bytes < max_bytes / 2 + size_bytes || !sent_parts.insert(part) {
-                continue;
+        writer.evidence.any_survival_age_ms =
+            any_survived.map(|at_ms| now_ms.saturating_sub(at_ms));
+        self.write_survivals(&mut writer, max_bytes / 2, offset, now_ms);
+        let sent = self.write_unsent_crashes(&mut writer, now_ms);
+        let mut known: Vec<(&CrashedEngine, &CrashRecord, &Suspect)> = Vec::new();
+        for (engine, record) in &self.crashes {
+            known.extend(record.suspects.iter().map(|suspect| (engine, record, suspect)));
+        }
+        known.retain(|(engine, _, suspect)| {
+            !sent.iter().any(|(other, id)| other == *engine && *id == suspect.id())
+        });
+        known.sort_by_key(|(engine, _, suspect)| (*engine, suspect.id()));
+        rotate(&mut known, offset);
+        for (engine, record, suspect) in known {
+            let mut parts = suspect.parts().to_vec();
+            // Any of the parts may be the one that another daemon lacks.
+            rotate(&mut parts, offset);
+            if writer.add_suspect(engine, record, suspect, &parts, now_ms) == 0 {
+                break;
             }
-            left_bytes -= size_bytes;
-            let age_ms = now_ms.saturating_sub(at_ms);
-            evidence.survivals.push(Survival { part: part.clone(), age_ms });
         }
-        let mut sent_engines = HashSet::default();
-        for engine in unsent_crashes.iter().chain(engines) {
-            let Some(record) = self.crashes.get(engine) else { continue };
-            let suspect_bytes = record.suspects.iter().flatten().map(|part| part.len() + 2);
-            let size_bytes = engine.instance.len()
-                + record.domain.as_str().len()
-                + 32
-                + suspect_bytes.sum::<usize>();
-            if left_bytes < size_bytes || !sent_engines.insert(engine) {
+        writer.evidence
+    }
+
+    /// Writes survivals until only `reserved_bytes` are left for crashes.
+    fn write_survivals(
+        &mut self,
+        writer: &mut EvidenceWriter,
+        reserved_bytes: usize,
+        offset: usize,
+        now_ms: u64,
+    ) {
+        let survived_ms = &self.survived_ms;
+        self.unsent_survivals.retain(|part| survived_ms.contains_key(part));
+        let mut parts: Vec<PartId> = survived_ms.keys().copied().collect();
+        parts.sort_unstable();
+        rotate(&mut parts, offset);
+        let mut sent = HashSet::default();
+        let unsent: Vec<PartId> = self.unsent_survivals.iter().copied().collect();
+        for part in unsent.into_iter().chain(parts) {
+            if sent.contains(&part) {
                 continue;
             }
-            left_bytes -= size_bytes;
-            evidence.crashes.push(Crash {
-                engine: engine.clone(),
-                domain: record.domain.clone(),
-                age_ms: now_ms.saturating_sub(record.at_ms),
-                suspects: record.suspects.clone(),
-            });
+            let at_ms = self.survived_ms.get(&part).copied().unwrap_or_default();
+            let survival = Survival { part, age_ms: now_ms.saturating_sub(at_ms) };
+            if !writer.add_survival(survival, reserved_bytes) {
+                break;
+            }
+            sent.insert(part);
+            self.unsent_survivals.remove(&part);
         }
-        evidence
+    }
+
+    /// Writes crashes that were not sent, and keeps what does not fit for the next message. Returns what was written.
+    fn write_unsent_crashes(
+        &mut self,
+        writer: &mut EvidenceWriter,
+        now_ms: u64,
+    ) -> Vec<(CrashedEngine, u32)> {
+        let mut sent = Vec::new();
+        let mut left = Vec::new();
+        for (engine, suspect) in std::mem::take(&mut self.unsent_crashes) {
+            let Some(record) = self.crashes.get(&engine) else { continue };
+            let is_first =
+                writer.evidence.crashes.is_empty() && writer.evidence.survivals.is_empty();
+            let parts = suspect.parts();
+            let count = writer.add_suspect(&engine, record, &suspect, parts, now_ms);
+            let rest = &parts[count..];
+            // What does not fit into an empty message never will.
+            if !rest.is_empty() && (count > 0 || !is_first) {
+                let rest = suspect.piece(rest.to_vec());
+                left.push((engine.clone(), rest));
+            }
+            if count > 0 {
+                sent.push((engine, suspect.id()));
+            }
+        }
+        self.unsent_crashes = left;
+        sent
     }
 
     /// Decides whether a request with these shared parts may be sent to an engine.
@@ -248,28 +298,40 @@
         Admission::Trial(verdict)
     }
 
-    fn add_crash(&mut self, crash: Crash, now_ms: u64) {
-        if crash.suspects.iter().all(Vec::is_empty) {
-            return;
+    /// Adds a crash, and returns whether something of it was not known.
+    fn add_crash(&mut self, crash: Crash, now_ms: u64) -> bool {
+        if crash.suspects.iter().all(|suspect| suspect.parts().is_empty()) {
+            return false;
         }
         let at_ms = now_ms.saturating_sub(crash.age_ms);
-        let is_new = !self.crashes.contains_key(&crash.engine);
+        let mut is_new = !self.crashes.contains_key(&crash.engine);
         let record = self.crashes.entry(crash.engine.clone()).or_insert_with(|| CrashRecord {
             domain: crash.domain,
             at_ms,
             suspects: Vec::new(),
         });
         // A message that was delayed states too small an age.
+        is_new |= at_ms < record.at_ms;
         record.at_ms = record.at_ms.min(at_ms);
-        let known = record.suspects.len();
+        self.last_crash_ms = self.last_crash_ms.max(record.at_ms);
         for suspect in crash.suspects {
-            if record.suspects.len() < MAX_SUSPECTS && !record.suspects.contains(&suspect) {
-                record.suspects.push(suspect);
+            let known = record.suspects.iter().position(|known| known.id() == suspect.id());
+            let position = match known {
+                Some(position) => position,
+                None if record.suspects.len() >= MAX_SUSPECTS => continue,
+                None => {
+                    record.suspects.push(suspect.piece(Vec::new()));
+                    record.suspects.len() - 1
+                }
+            };
+            let added = record.suspects[position].add(suspect.parts());
+            if !added.is_empty() {
+                is_new = true;
+                self.parts.extend(added.iter().copied());
+                self.unsent_crashes.push((crash.engine.clone(), suspect.piece(added)));
             }
         }
-        if is_new || record.suspects.len() > known {
-            self.unsent_crashes.push(crash.engine);
-        }
+        is_new
     }
 
     /// Records that an engine survived some request at `at_ms`. Returns whether that gives a verdict its contrast.
@@ -281,24 +343,27 @@
         self.verdicts.iter().any(gains_contrast)
     }
 
-    /// Adds a survival, and returns whether a remembered crash has the part.
+    /// Adds a survival of a part that a remembered crash has. Returns whether it may change a verdict.
     fn add_survival(&mut self, survival: Survival, now_ms: u64) -> bool {
-        let mut suspects = self.crashes.values().flat_map(|record| &record.suspects).flatten();
-        if !suspects.any(|part| *part == survival.part) {
+        if !self.parts.contains(&survival.part) {
             return false;
         }
         let at_ms = now_ms.saturating_sub(survival.age_ms);
-        let last_ms = self.survived_ms.entry(survival.part.clone()).or_default();
-        // Repetitions within a second change no verdict soon enough to be worth a message.
-        if at_ms >= *last_ms + 1_000 || *last_ms == 0 {
-            self.unsent_survivals.push(survival.part);
+        let last_ms = self.survived_ms.entry(survival.part).or_default();
+        let before_ms = *last_ms;
+        // Repetitions within a second change no verdict soon enough to be worth a message, and those long after the last
+        // crash change none.
+        let is_news = before_ms < self.last_crash_ms + CRASH_DELAY_MS;
+        if is_news && (at_ms >= before_ms + 1_000 || before_ms == 0) {
+            self.unsent_survivals.insert(survival.part);
         }
-        *last_ms = at_ms.max(*last_ms);
-        true
+        *last_ms = at_ms.max(before_ms);
+        at_ms > before_ms && before_ms < self.last_crash_ms
     }
 
     /// Forgets old evidence, computes the verdicts again and returns how they have changed.
     fn update(&mut self, now_ms: u64) -> Vec<Change> {
+        self.updated_ms = now_ms;
         self.forget(now_ms);
         let (verdicts, suspected) = self.judge();
         let mut changes = Vec::new();
@@ -329,61 +394,60 @@
     /// The crashes that a verdict explains then count for no other part, so that parts which only accompany a condemned
     /// one are not condemned as well.
     fn judge(&self) -> (Vec<Verdict>, Vec<Verdict>) {
-        let mut explained: HashSet<&CrashedEngine> = HashSet::default();
+        let mut crashes: Vec<KnownCrash<'_>> = self.crashes.iter().collect();
+        crashes.sort_by_key(|(engine, record)| (record.at_ms, *engine));
+        let mut by_part = self.crashes_by_part(&crashes);
         let mut verdicts = Vec::new();
         let mut suspected = Vec::new();
         loop {
-            let all = self.all_series(&explained);
-            let candidates =
-                all.iter().filter(|series| !series.is_explained_by_others(&all, self.min_crashes));
-            let longest = candidates.max_by(|a, b| {
-                let key = |series: &Series<'_>| (series.count(), series.crashes.len());
-                key(a).cmp(&key(b)).then_with(|| b.part.cmp(a.part))
+            let all = all_series(&by_part, &crashes);
+            let candidates = all.iter().filter(|series| {
+                !series.is_explained_by_others(&all, self.min_crashes, MIN_SUSPECTED_CRASHES)
             });
+            let longest = candidates
+                .max_by_key(|series| (series.count, series.len(), Reverse(&series.parts)));
             let Some(longest) = longest else { break };
-            let count = longest.count();
-            if count < MIN_SUSPECTED_CRASHES {
+            if longest.count < MIN_SUSPECTED_CRASHES {
                 break;
             }
-            let verdict = verdict(longest, &all, self.any_survived_ms);
-            explained.extend(longest.crashes.iter().map(|(engine, _)| *engine));
-            match count >= self.min_crashes {
+            let verdict = longest.verdict(&all, &crashes, self.any_survived_ms);
+            match longest.count >= self.min_crashes {
                 true => verdicts.push(verdict),
                 false => suspected.push(verdict),
             }
+            let explained = longest.crashes;
+            by_part.values_mut().for_each(|set| *set &= !explained);
         }
         (verdicts, suspected)
     }
 
-    /// Returns, for each part of several crashes, those since a request with the part was last survived, without those
-    /// of `explained`.
-    fn all_series<'a>(&'a self, explained: &HashSet<&CrashedEngine>) -> Vec<Series<'a>> {
-        let mut by_part: HashMap<&PartId, Vec<(&CrashedEngine, &CrashRecord)>> = HashMap::default();
-        for (engine, record) in &self.crashes {
-            if explained.contains(engine) {
-                continue;
-            }
-            let parts: HashSet<&PartId> = record.suspects.iter().flatten().collect();
-            for part in parts {
+    /// Returns, for each part of several crashes, those since a request with the part was last survived.
+    fn crashes_by_part(&self, crashes: &[KnownCrash<'_>]) -> HashMap<PartId, CrashSet> {
+        let mut by_part: HashMap<PartId, CrashSet> = HashMap::default();
+        for (number, (_, record)) in crashes.iter().enumerate().take(MAX_CRASHES) {
+            for part in record.parts() {
                 if self.survived_ms.get(part).is_none_or(|&at_ms| at_ms < record.at_ms) {
-                    by_part.entry(part).or_default().push((engine, record));
+                    *by_part.entry(*part).or_default() |= 1 << number;
                 }
             }
         }
         // Most parts belong to one request, and are in one crash at most.
-        by_part.retain(|_, crashes| crashes.len() >= MIN_SUSPECTED_CRASHES);
-        let mut all: Vec<Series<'_>> =
-            by_part.into_iter().map(|(part, crashes)| Series { part, crashes }).collect();
-        for series in &mut all {
-            series.crashes.sort_by_key(|(engine, record)| (record.at_ms, *engine));
-        }
-        all
+        by_part.retain(|_, set| set.count_ones() as usize >= MIN_SUSPECTED_CRASHES);
+        by_part
     }
 
     fn forget(&mut self, now_ms: u64) {
         let verdicts = &self.verdicts;
-        let is_of_verdict = |engine: &CrashedEngine| {
-            verdicts.iter().any(|verdict| verdict.engines.contains(engine))
+        // A crash after the last one of all verdicts may renew a verdict, so earlier ones are forgotten first.
+        let last_ms = verdicts.iter().map(|verdict| verdict.last_ms).max().unwrap_or_default();
+        let rank = |engine: &CrashedEngine, record: &CrashRecord| {
+            let is_kept = |verdict: &Verdict| {
+                verdict.engines.iter().rev().take(KEPT_CRASHES).any(|kept| kept == engine)
+            };
+            match verdicts.iter().any(is_kept) {
+                true => 2,
+                false => u32::from(record.at_ms > last_ms),
+            }
         };
         self.crashes.retain(|engine, record| {
             let verdict = verdicts.iter().find(|verdict| verdict.engines.contains(engine));
@@ -393,78 +457,39 @@
             };
             now_ms < end_ms
         });
-        while self.crashes.len() > MAX_CRASHES {
+        let mut parts: usize = self.crashes.values().map(|record| record.parts().count()).sum();
+        while self.crashes.len() > MAX_CRASHES || parts > MAX_PARTS {
             let oldest = self
                 .crashes
                 .iter()
-                .min_by_key(|(engine, record)| (is_of_verdict(engine), record.at_ms, *engine))
+                .min_by_key(|(engine, record)| (rank(engine, record), record.at_ms, *engine))
                 .map(|(engine, _)| engine.clone());
             let Some(oldest) = oldest else { break };
-            self.crashes.remove(&oldest);
+            let forgotten = self.crashes.remove(&oldest);
+            parts -= forgotten.map_or(0, |record| record.parts().count());
         }
-        let parts: HashSet<&PartId> =
-            self.crashes.values().flat_map(|record| &record.suspects).flatten().collect();
+        let known = self.crashes.values().flat_map(CrashRecord::parts).copied();
+        self.parts = known.collect();
+        let parts = &self.parts;
         self.survived_ms.retain(|part, _| parts.contains(part));
         let crashes = &self.crashes;
-        self.unsent_crashes.retain(|engine| crashes.contains_key(engine));
+        self.unsent_crashes.retain(|(engine, _)| crashes.contains_key(engine));
     }
 }
 
-impl Series<'_> {
-    /// Number of crashes, where those of one failure domain in quick succession count once.
-    fn count(&self) -> usize {
-        let mut counted_ms: HashMap<&DomainName, u64> = HashMap::default();
-        let mut count = 0;
-        for (_, record) in &self.crashes {
-            let last_ms = counted_ms.get(&record.domain);
-            if last_ms.is_none_or(|&at_ms| record.at_ms >= at_ms + DOMAIN_BURST_MS) {
-                counted_ms.insert(&record.domain, record.at_ms);
-                count += 1;
-            }
+/// Returns the longest series, given the crashes of each part.
+fn all_series(by_part: &HashMap<PartId, CrashSet>, crashes: &[KnownCrash<'_>]) -> Vec<Series> {
+    let mut by_crashes: HashMap<CrashSet, Vec<PartId>> = HashMap::default();
+    for (part, set) in by_part {
+        if set.count_ones() as usize >= MIN_SUSPECTED_CRASHES {
+            by_crashes.entry(*set).or_default().push(*part);
         }
-        count
-    }
-
-    /// Whether shorter series that suffice for verdicts of their own hold these crashes, apart from single ones.
-    fn is_explained_by_others(&self, all: &[Series<'_>], min_crashes: usize) -> bool {
-        let is_sufficient = |other: &&Series<'_>| {
-            other.crashes.len() < self.crashes.len() && other.count() >= min_crashes
-        };
-        let others: Vec<&Series<'_>> = all.iter().filter(is_sufficient).collect();
-        let is_unexplained = |engine: &CrashedEngine| !others.iter().any(|o| o.contains(engine));
-        let rest = self.crashes.iter().filter(|(engine, _)| is_unexplained(engine));
-        !others.is_empty() && rest.count() < MIN_SUSPECTED_CRASHES
-    }
-
-    fn contains(&self, engine: &CrashedEngine) -> bool {
-        self.crashes.iter().any(|(other, _)| *other == engine)
-    }
-}
-
-/// Creates the verdict on the part of `series` and on the parts that accompanied it in each of its crashes.
-fn verdict(series: &Series<'_>, all: &[Series<'_>], any_survived_ms: u64) -> Verdict {
-    let accompanies = |other: &&Series<'_>| {
-        series.crashes.iter().all(|(engine, record)| {
-            other.contains(engine)
-                && record
-                    .suspects
-                    .iter()
-                    .any(|parts| parts.contains(series.part) && parts.contains(other.part))
-        })
-    };
-    let mut parts: Vec<PartId> =
-        all.iter().filter(accompanies).map(|other| other.part.clone()).collect();
-    parts.sort();
-    let at_ms = |crash: Option<&(&CrashedEngine, &CrashRecord)>| {
-        crash.map_or(0, |(_, record)| record.at_ms)
-    };
-    Verdict {
-        parts,
-        engines: series.crashes.iter().map(|(engine, _)| (*engine).clone()).collect(),
-        first_ms: at_ms(series.crashes.first()),
-        last_ms: at_ms(series.crashes.last()),
-        has_contrast: any_survived_ms > at_ms(series.crashes.first()),
     }
+    let mut all: Vec<Series> =
+        by_crashes.into_iter().map(|(set, parts)| Series::new(set, parts, crashes)).collect();
+    all.sort_by_key(|series| Reverse((series.count, series.len(), series.crashes)));
+    all.truncate(MAX_SERIES);
+    all
 }
 
 fn rotate<T>(items: &mut [T], offset: usize) {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -12,10 +12,15 @@
 mod admission;
 mod change;
 mod crash;
+mod crash_record;
 mod evidence;
+mod evidence_writer;
 mod ledger;
 mod part_id;
+mod part_names;
+mod series;
 mod survival;
+mod suspect;
 mod verdict;
 
 pub use crate::{
@@ -25,6 +30,8 @@
     evidence::Evidence,
     ledger::Ledger,
     part_id::PartId,
+    part_names::PartNames,
     survival::Survival,
+    suspect::Suspect,
     verdict::Verdict,
 };
--- /dev/null
+++ b/crates/quarantine/src/suspect.rs
@@ -0,0 +1,61 @@
+//! Request that an engine had just begun to answer when it crashed.
+
+use crate::part_id::PartId;
+use serde::{Deserialize, Serialize};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Largest number of parts of one request that are remembered, as many as a header of 16,384 bytes can name.
+const MAX_PARTS: usize = 4_096;
+
+/// Shared parts of the prompt of a request that an engine had just begun to answer when it crashed. A message may hold
+/// some of the parts only.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspect {
+    /// Identifier of the request among those of one crash, the same in each message.
+    id: u32,
+    parts: Vec<PartId>,
+}
+
+impl Suspect {
+    /// Creates the suspect for a request with these shared parts.
+    pub fn new(mut parts: Vec<PartId>) -> Self {
+        let mut hasher = DefaultHasher::new();
+        parts.hash(&mut hasher);
+        parts.sort_unstable();
+        parts.dedup();
+        parts.truncate(MAX_PARTS);
+        Self { id: hasher.finish() as u32, parts }
+    }
+
+    /// Identifier of the request among those of one crash.
+    pub(crate) fn id(&self) -> u32 {
+        self.id
+    }
+
+    /// Parts of the prompt, sorted unless another daemon sent them.
+    pub fn parts(&self) -> &[PartId] {
+        &self.parts
+    }
+
+    /// Whether the request holds the part. The parts must be sorted.
+    pub(crate) fn contains(&self, part: &PartId) -> bool {
+        self.parts.binary_search(part).is_ok()
+    }
+
+    /// Creates a suspect with some of the parts of the request.
+    pub(crate) fn piece(&self, parts: Vec<PartId>) -> Self {
+        Self { id: self.id, parts }
+    }
+
+    /// Adds parts of the same request, and returns those that were not known. The parts stay sorted.
+    pub(crate) fn add(&mut self, parts: &[PartId]) -> Vec<PartId> {
+        let mut added: Vec<PartId> =
+            parts.iter().filter(|part| !self.contains(part)).copied().collect();
+        added.sort_unstable();
+        added.dedup();
+        added.truncate(MAX_PARTS.saturating_sub(self.parts.len()));
+        self.parts.extend_from_slice(&added);
+        self.parts.sort_unstable();
+        added
+    }
+}
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! Tests of verdicts on parts of prompts, beside a model that knows which parts crash engines.
 
-use quarantine::{Admission, Change, Crash, CrashedEngine, Evidence, Ledger, PartId};
+use quarantine::{Admission, Change, Crash, CrashedEngine, Evidence, Ledger, PartId, Suspect};
 use quickcheck::{Gen, QuickCheck};
 
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
@@ -21,7 +21,7 @@
         },
         domain: DOMAINS[number as usize % 3].try_into().unwrap(),
         age_ms: 0,
-        suspects: suspects.iter().map(|ids| parts(ids)).collect(),
+        suspects: suspects.iter().map(|ids| Suspect::new(parts(ids))).collect(),
     }
 }
 
@@ -201,7 +201,8 @@
     assert!(evidence.crashes.len() <= 128, "{} crashes", evidence.crashes.len());
     assert!(evidence.survivals.len() <= 128 * 8, "{} survivals", evidence.survivals.len());
     let message = ledger.evidence(1_100, 7, 10_000);
-    let size_bytes: usize = message.crashes.iter().map(|crash| crash.suspects[0].len() * 8).sum();
+    let size_bytes: usize =
+        message.crashes.iter().map(|crash| crash.suspects[0].parts().len() * 8).sum();
     assert!(size_bytes < 1_100, "{size_bytes} bytes of parts");
 }
 
@@ -461,3 +462,84 @@
         assert!(bad_crashes <= 3, "seed {seed}: {bad_crashes} crashes");
     }
 }
+
+/// Prompt with many parts, of which all but the last two are the same in each request.
+fn long_prompt(parts: usize, own: u64) -> Vec<PartId> {
+    let shared = (0..parts).map(|part| PartId::from(&*format!("shared part {part}")));
+    shared.chain(["bad".into(), PartId::from(&*format!("own part {own}"))]).collect()
+}
+
+/// Guards against evidence on prompts with many parts that does not fit into one message and is never sent on, and
+/// against a message that becomes too large for a datagram.
+#[test]
+fn evidence_on_prompts_with_many_parts_is_sent_in_pieces() {
+    for parts_of_prompt in [9, 100, 400, 4_000] {
+        let mut from = Ledger::of_parts();
+        let mut to = Ledger::of_parts();
+        let mut messages = 0;
+        let mut size_bytes = 0;
+        for number in 0..4 {
+            let now_ms = 1_000 + number * 700;
+            let suspects = vec![Suspect::new(long_prompt(parts_of_prompt, number))];
+            from.record_crash(Crash { suspects, ..crash(number, &[]) }, now_ms);
+            while from.has_unsent() {
+                let evidence = from.evidence(1_100, 0, now_ms);
+                let encoded = postcard::to_allocvec(&evidence).unwrap().len();
+                assert!(encoded <= 1_100, "{encoded} bytes in a message");
+                messages += 1;
+                size_bytes += encoded;
+                to.merge(evidence, now_ms);
+            }
+        }
+        println!("parts={parts_of_prompt} messages={messages} size_bytes={size_bytes}");
+        assert_eq!(to.verdicts(), from.verdicts(), "{parts_of_prompt} parts");
+        assert_eq!(to.verdicts()[0].parts.len(), parts_of_prompt + 1);
+        // Sound requests share all parts but one, so that their survival leaves the part that crashes engines.
+        let mut sound = long_prompt(parts_of_prompt, 9);
+        sound.retain(|part| *part != PartId::from("bad"));
+        from.record_survival(&sound, 4_000);
+        while from.has_unsent() {
+            to.merge(from.evidence(1_100, 0, 4_000), 4_000);
+        }
+        for ledger in [&mut from, &mut to] {
+            assert_eq!(ledger.verdicts()[0].parts, parts(&["bad"]), "{parts_of_prompt} parts");
+            assert!(matches!(ledger.admit(&sound, 6, 0.5, 4_100), Admission::Allowed));
+            assert!(is_refused(ledger, &["bad"], 4_100));
+        }
+    }
+}
+
+/// Guards against messages without end on survivals that tell nothing new, while sound requests with many parts go on.
+#[test]
+fn survivals_long_after_a_crash_are_no_news() {
+    let mut ledger = Ledger::of_parts();
+    let suspects = vec![Suspect::new(long_prompt(400, 1))];
+    ledger.record_crash(Crash { suspects, ..crash(1, &[]) }, 1_000);
+    let mut messages = 0;
+    for now_ms in (1_000..60_000).step_by(20) {
+        ledger.record_survival(&long_prompt(400, 2), now_ms);
+        if ledger.has_unsent() {
+            ledger.evidence(1_100, 0, now_ms);
+            messages += 1;
+        }
+    }
+    assert!(messages <= 150, "{messages} messages on one crash");
+    assert!(!ledger.has_unsent());
+}
+
+/// Guards against a memory and a time of judging that grow with the parts of prompts, and against a verdict that a later
+/// crash does not renew because the memory is full.
+#[test]
+fn many_crashes_on_prompts_with_many_parts_are_bounded() {
+    let mut ledger = Ledger::of_parts();
+    for number in 0..40 {
+        let suspects = vec![Suspect::new(long_prompt(4_000, number))];
+        ledger.record_crash(Crash { suspects, ..crash(number, &[]) }, 1_000 + number * 700);
+    }
+    let evidence = all_evidence(&mut ledger, 29_000);
+    let suspects = evidence.crashes.iter().flat_map(|crash| &crash.suspects);
+    let count: usize = suspects.map(|suspect| suspect.parts().len()).sum();
+    assert!((4_000..=65_536).contains(&count), "{count} parts");
+    let admission = ledger.admit(&long_prompt(4_000, 999), 6, 0.5, 29_000);
+    assert!(matches!(admission, Admission::Refused { .. }), "{admission:?}");
+}
