Limits: keep what a run of an instance has stated while its entry lapses

What callers saw: an instance that named a limit got far more requests after its registry entry had lapsed for a moment, and one that had asked for a pause got requests in the pause.

Cause: limits and pauses were dropped as soon as the registry did not list the instance. An entry lapses when its instance does not reach the platform, while the run goes on and comes back under the same start time.

Now there is one record for each run, at most four limits an instance and 4,096 instances and pauses. A pause is kept until its end, a limit until ten minutes after its last use; the registry is not asked. An answer of an earlier run no longer ends the limit of a later one.

The two unit tests that asked for the removal with the registry's list asked for the fault; tests of the ages, the runs and the bounds replace those lines.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -470,10 +470,9 @@
         self.limits.lend(instance, self.fleet_size(), self.clock.now_ms())
     }
 
-    /// Forgets the limits of instances that are no longer listed.
+    /// Forgets what instances stated a long time ago on the requests that they want.
     pub(crate) fn forget_limits(&self) {
-        let registry = lock(&self.registry);
-        self.limits.retain(|id| registry.contains(id));
+        self.limits.forget(self.clock.now_ms());
     }
 
     /// Number of daemons among which the limits of the fleet are divided.
--- a/crates/ingress/src/instance_limits.rs
+++ b/crates/ingress/src/instance_limits.rs
@@ -98,11 +98,12 @@
         lock(&self.pauses).wait_ms(&entry.id, entry.started_unix_ms, now_ms)
     }
 
-    /// Forgets the limits of instances that are not in the registry.
-    pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
-        lock(&self.pauses).retain(&is_listed);
-        lock(&self.limits).retain(&is_listed);
-        lock(&self.borrow_pauses).retain(|instance, _| is_listed(instance));
+    /// Forgets what instances stated a long time ago. Whether they are listed does not matter: the entry of one that does
+    /// not reach the platform lapses, and comes back for the same run.
+    pub fn forget(&self, now_ms: u64) {
+        lock(&self.pauses).forget(now_ms);
+        lock(&self.limits).forget(now_ms);
+        lock(&self.borrow_pauses).retain(|_, until_ms| *until_ms > now_ms);
     }
 
     /// Whether no instance has a limit or wants no requests.
--- a/crates/limit/src/upstream_limits.rs
+++ b/crates/limit/src/upstream_limits.rs
@@ -14,13 +14,25 @@
 /// Longest time in milliseconds for which a request may be planned ahead.
 const MAX_WAIT_MS: u64 = 60_000;
 
+/// Time in milliseconds after the last use of a limit at which it is forgotten. It is long, because the daemons of a
+/// large fleet have small shares, and each that forgets a limit sends a request to find out.
+const RETENTION_MS: u64 = 600_000;
+
+/// Largest number of processes of one upstream whose limits are remembered, so that an answer of an earlier process does
+/// not end the limit of a later one.
+const MAX_PROCESSES: usize = 4;
+
+/// Largest number of upstreams whose limits are remembered. Those that were not used for longest are forgotten first.
+const MAX_UPSTREAMS: usize = 4_096;
+
 /// Limits of the upstreams that name one, with what this daemon may send to each of them.
 ///
 /// Each daemon keeps to its share in the limit, so that the fleet keeps the limit without a message for each request.
 /// A daemon that has used up its share can be lent a request of another daemon's share.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLimits {
-    limits: HashMap<Box<str>, UpstreamLimit>,
+    /// Limits of the processes of each upstream, the one that was named last at the end.
+    limits: HashMap<Box<str>, Vec<UpstreamLimit>>,
 }
 
 /// Limit of one process of an upstream.
@@ -32,6 +44,8 @@
     /// Requests that may be sent now; negative while requests are planned ahead.
     level: f64,
     refilled_ms: u64,
+    /// When the limit was last named or asked for.
+    used_ms: u64,
 }
 
 impl UpstreamLimits {
@@ -48,29 +62,51 @@
         rate_per_s: Option<f64>,
         now_ms: u64,
     ) -> Option<UpstreamLimitChange> {
-        let known = self.limits.get_mut(instance);
         let Some(rate_per_s) = rate_per_s.map(|rate| rate.max(MIN_RATE_PER_S)) else {
-            let old = self.limits.remove(instance)?;
+            let known = self.limits.get_mut(instance)?;
+            let is_named = |limit: &UpstreamLimit| limit.started_unix_ms == started_unix_ms;
+            let old = known.remove(known.iter().position(is_named)?);
+            if known.is_empty() {
+                self.limits.remove(instance);
+            }
             return Some(UpstreamLimitChange::Ended { old_per_s: old.rate_per_s });
         };
-        match known.filter(|limit| limit.started_unix_ms == started_unix_ms) {
-            Some(limit) if limit.rate_per_s == rate_per_s => None,
-            Some(limit) => {
-                let old_per_s = std::mem::replace(&mut limit.rate_per_s, rate_per_s);
-                Some(UpstreamLimitChange::Changed { old_per_s, new_per_s: rate_per_s })
-            }
-            None => {
-                let limit =
-                    UpstreamLimit { started_unix_ms, rate_per_s, level: 1.0, refilled_ms: now_ms };
-                self.limits.insert(instance.into(), limit);
-                Some(UpstreamLimitChange::Named { new_per_s: rate_per_s })
-            }
+        if let Some(limit) = self.limit(instance, started_unix_ms) {
+            limit.used_ms = now_ms;
+            let old_per_s = std::mem::replace(&mut limit.rate_per_s, rate_per_s);
+            let is_changed = old_per_s != rate_per_s;
+            return is_changed
+                .then_some(UpstreamLimitChange::Changed { old_per_s, new_per_s: rate_per_s });
+        }
+        self.forget(now_ms);
+        let limit = UpstreamLimit {
+            started_unix_ms,
+            rate_per_s,
+            level: 1.0,
+            refilled_ms: now_ms,
+            used_ms: now_ms,
+        };
+        let known = self.limits.entry(instance.into()).or_default();
+        if known.len() >= MAX_PROCESSES {
+            known.remove(0);
         }
+        known.push(limit);
+        Some(UpstreamLimitChange::Named { new_per_s: rate_per_s })
     }
 
-    /// Forgets the limits of upstreams for which `is_listed` is false.
-    pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
-        self.limits.retain(|instance, _| is_listed(instance));
+    /// Forgets the limits that were not used for some time. An upstream that is not listed keeps its limit until then,
+    /// because the same process may be listed again.
+    pub fn forget(&mut self, now_ms: u64) {
+        self.limits.retain(|_, known| {
+            known.retain(|limit| now_ms < limit.used_ms + RETENTION_MS);
+            !known.is_empty()
+        });
+        while self.limits.len() >= MAX_UPSTREAMS {
+            let used_ms = |known: &Vec<UpstreamLimit>| known.iter().map(|l| l.used_ms).max();
+            let oldest = self.limits.iter().min_by_key(|(id, known)| (used_ms(known), *id));
+            let Some(oldest) = oldest.map(|(id, _)| id.clone()) else { break };
+            self.limits.remove(&oldest);
+        }
     }
 
     /// Whether a request may be sent to `instance` now. An upstream without a limit takes any request.
@@ -93,6 +129,7 @@
         now_ms: u64,
     ) -> Option<u64> {
         let Some(limit) = self.limit(instance, started_unix_ms) else { return Some(0) };
+        limit.used_ms = now_ms.max(limit.used_ms);
         let own_per_s = limit.refill(instance, share, now_ms);
         if limit.level >= 1.0 {
             return Some(0);
@@ -111,7 +148,9 @@
 
     /// Uses up one request of this daemon's share for another daemon. Returns whether there was one.
     pub fn lend(&mut self, instance: &str, share: &FleetShare<'_>, now_ms: u64) -> bool {
-        let Some(limit) = self.limits.get_mut(instance) else { return false };
+        let Some(limit) = self.limits.get_mut(instance).and_then(|known| known.last_mut()) else {
+            return false;
+        };
         limit.refill(instance, share, now_ms);
         if limit.level < 1.0 {
             return false;
@@ -120,13 +159,14 @@
         true
     }
 
-    /// Limit of a process of `instance`, in requests per second; `None` if it has none.
+    /// Limit that a process of `instance` has named last, in requests per second; `None` if it has none.
     pub fn rate_per_s(&self, instance: &str) -> Option<f64> {
-        self.limits.get(instance).map(|limit| limit.rate_per_s)
+        self.limits.get(instance).and_then(|known| known.last()).map(|limit| limit.rate_per_s)
     }
 
     fn limit(&mut self, instance: &str, started: Option<u64>) -> Option<&mut UpstreamLimit> {
-        self.limits.get_mut(instance).filter(|limit| limit.started_unix_ms == started)
+        let known = self.limits.get_mut(instance)?;
+        known.iter_mut().find(|limit| limit.started_unix_ms == started)
     }
 }
 
--- a/crates/limit/tests/upstream_limits.rs
+++ b/crates/limit/tests/upstream_limits.rs
@@ -153,11 +153,46 @@
     let ended = limits.record("i-1", Some(100), None, 30);
     assert_eq!(ended, Some(UpstreamLimitChange::Ended { old_per_s: 4.0 }));
     assert!(limits.allows("i-1", Some(100), &share, 30) && limits.is_empty());
-    limits.record("i-1", Some(100), Some(2.0), 40);
-    limits.retain(|_| false);
+}
+
+/// Guards against a limit that is forgotten while requests are still sent by it, and against one that is remembered for
+/// ever for an upstream that is gone.
+#[test]
+fn a_limit_is_forgotten_ten_minutes_after_its_last_use() {
+    let daemons = [1, 2];
+    let share = FleetShare { own: 1, listed: &daemons, daemons: 2 };
+    let mut limits = UpstreamLimits::default();
+    limits.record("i-1", Some(100), Some(0.1), 0);
+    limits.take("i-1", Some(100));
+    limits.wait_ms("i-1", Some(100), &share, 500_000);
+    limits.forget(1_099_999);
+    assert!(!limits.is_empty());
+    limits.forget(1_100_000);
     assert!(limits.is_empty());
 }
 
+/// Guards against an answer of an earlier process that ends or replaces the limit of a later one, and against a memory
+/// that grows with the upstreams that name limits.
+#[test]
+fn each_process_has_its_own_limit_within_a_bounded_memory() {
+    let daemons = [1, 2];
+    let share = FleetShare { own: 1, listed: &daemons, daemons: 2 };
+    let mut limits = UpstreamLimits::default();
+    limits.record("i-1", Some(200), Some(2.0), 0);
+    limits.take("i-1", Some(200));
+    assert_eq!(limits.record("i-1", Some(100), None, 10), None);
+    assert!(!limits.allows("i-1", Some(200), &share, 20));
+    limits.record("i-1", Some(100), Some(50.0), 30);
+    assert!(!limits.allows("i-1", Some(200), &share, 40));
+    for number in 0..5_000 {
+        let started = Some(1_000 + number);
+        limits.record(&format!("i-{number}"), started, Some(2.0), 100 + number);
+    }
+    let known = (0..5_000).filter(|number| limits.rate_per_s(&format!("i-{number}")).is_some());
+    assert!((1..=4_096).contains(&known.count()));
+    assert!(limits.rate_per_s("i-4999").is_some(), "the last one is remembered");
+}
+
 /// Guards against a limit of zero that no answer could ever end, because none is asked for.
 #[test]
 fn an_upstream_with_a_limit_of_zero_gets_a_request_now_and_then() {
--- a/crates/limit/tests/upstream_pauses.rs
+++ b/crates/limit/tests/upstream_pauses.rs
@@ -16,8 +16,27 @@
     assert!(pauses.is_empty(2_500));
     pauses.record("i-1", Some(1), u64::MAX, 3_000);
     assert_eq!(pauses.wait_ms("i-1", Some(1), 3_000), 120_000);
-    pauses.retain(|_| false);
-    assert!(pauses.is_empty(3_000));
+    pauses.forget(122_999);
+    assert_eq!(pauses.wait_ms("i-1", Some(1), 122_999), 1);
+    pauses.forget(123_000);
+    assert!(pauses.is_empty(3_000), "a pause that has ended is remembered");
+}
+
+/// Guards against an answer of an earlier process that ends the pause of a later one, and against a memory that grows
+/// with the processes that ask for pauses.
+#[test]
+fn each_process_has_its_own_pause_within_a_bounded_memory() {
+    let mut pauses = UpstreamPauses::default();
+    pauses.record("i-1", Some(2), 60_000, 0);
+    pauses.record("i-1", Some(1), 1_000, 10);
+    assert_eq!(pauses.wait_ms("i-1", Some(2), 20), 59_980);
+    for number in 0..5_000 {
+        pauses.record(&format!("i-{number}"), Some(10 + number), 100_000, 100 + number);
+    }
+    let waiting =
+        (0..5_000).filter(|n| pauses.wait_ms(&format!("i-{n}"), Some(10 + n), 11_000) > 0);
+    assert!((1..=4_096).contains(&waiting.count()));
+    assert!(pauses.wait_ms("i-4999", Some(5_009), 11_000) > 0, "the last one is remembered");
 }
 
 /// Guards, over drawn orders of answers, against a pause that an earlier or repeated answer shortens.
