Registry: give an instance its address back when it writes its entry again

What callers saw: three entries of another service at the addresses of live instances stopped the service, also after the entries had been removed.

Cause: the entry that was written last with other content owned the address. The heartbeats of a running instance don't change its entry, and unchanged entries were skipped.

Now each write of an entry counts, changed or not. A process that runs writes its entry again and again, and an entry that was left behind does not, so the running instance owns its address after its next heartbeat. In a list the last revision counts, as before.

--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -47,6 +47,8 @@
     instance: Arc<Instance>,
     /// When the instance is removed unless its registry entry is written again; `None` while the entry exists.
     expires_ms: Option<u64>,
+    /// Whether an entry of another instance at the same address was written later, which retires this one.
+    is_replaced: bool,
 }
 
 impl Registry {
@@ -113,7 +115,9 @@
         self.grace_until_ms = now_ms + EXPIRY_GRACE_MS;
     }
 
-    /// Adds the instance of a registry entry, or replaces the instance if the entry has changed.
+    /// Adds the instance of a registry entry, or replaces the instance if the entry has changed. An instance whose entry
+    /// is written again unchanged keeps its address, or gets it back if another entry has named it meanwhile: a process
+    /// that runs writes its entry again and again, and an entry that another writer has left does not.
     pub fn upsert(&mut self, entry: InstanceEntry) {
         self.write(entry, true);
     }
@@ -123,7 +127,12 @@
         let id = Arc::clone(&entry.id);
         if let Some(listed) = self.instances.get_mut(&id) {
             listed.expires_ms = None;
-            if listed.instance.entry == entry {
+            if listed.instance.entry == entry && listed.is_replaced != is_last {
+                return;
+            }
+            if listed.instance.entry == entry && !is_last {
+                listed.is_replaced = true;
+                listed.instance.retire();
                 return;
             }
             self.remove_now(&id);
@@ -153,7 +162,7 @@
         }
         let service = instance.entry.service.clone();
         self.by_service.entry(service).or_default().push(Arc::clone(&instance));
-        self.instances.insert(id, Listed { instance, expires_ms: None });
+        self.instances.insert(id, Listed { instance, expires_ms: None, is_replaced: !is_last });
     }
 
     /// Removes an instance whose registry entry is missing. Within the grace period, an instance that accepts requests
@@ -216,11 +225,12 @@
     }
 
     /// Retires the instance whose address now belongs to the instance of `entry`.
-    fn retire_at(&self, entry: &InstanceEntry) {
-        for listed in self.instances.values() {
+    fn retire_at(&mut self, entry: &InstanceEntry) {
+        for listed in self.instances.values_mut() {
             let old = &listed.instance.entry;
-            if old.addr == entry.addr && old.id != entry.id {
+            if old.addr == entry.addr && old.id != entry.id && !listed.is_replaced {
                 log::info!("instances: {} was replaced at its address by {}", old.id, entry.id);
+                listed.is_replaced = true;
                 listed.instance.retire();
             }
         }
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -55,6 +55,27 @@
     assert_eq!(accepting_ids(&registry), ["x2"]);
 }
 
+/// Guards against an instance that is closed for good because another writer has left an entry at its address.
+#[test]
+fn an_instance_that_writes_its_entry_again_gets_its_address_back() {
+    let foreign = || InstanceEntry { service: "other".try_into().unwrap(), ..entry("odd", 1) };
+    let mut registry = Registry::default();
+    registry.upsert(entry("x", 1));
+    registry.upsert(foreign());
+    registry.upsert(entry("x", 1));
+    assert_eq!(accepting_ids(&registry), ["x"]);
+    let odd = Arc::clone(&registry.of_service(&"other".try_into().unwrap())[0]);
+    assert!(!odd.accepts_requests());
+    registry.replace(vec![foreign(), entry("x", 1)], 1_000);
+    assert_eq!(accepting_ids(&registry), ["x"]);
+    registry.replace(vec![entry("x", 1), foreign()], 2_000);
+    assert!(accepting_ids(&registry).is_empty(), "the last entry at the address counts");
+    registry.replace(vec![foreign(), entry("x", 1)], 3_000);
+    assert_eq!(accepting_ids(&registry), ["x"]);
+    registry.remove("odd", 4_000);
+    assert_eq!(accepting_ids(&registry), ["x"]);
+}
+
 /// Guards against the removal of all instances because their entries expired during a platform outage, and against
 /// keeping an instance whose entry is not written again.
 #[test]
