Ingress: count the crash of a server that listens a moment longer than its connections

Cause: a server whose connection was reset counted as crashed only if it refused the next connection at once. A process that ends may cut its connections first and stop to listen some milliseconds later.

Now the server is asked again after 50 and 250 ms. A reset alone is still no crash.

--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hyper::Response;
-use std::{io::ErrorKind, sync::Arc};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 use web::ClientError;
 
 /// How long after a response an engine counts as alive without another probe.
@@ -29,6 +29,9 @@
 /// after a response.
 const MAX_VERIFICATIONS: usize = 3;
 
+/// Waits before each of the checks whether an upstream that reset a connection has ended.
+const END_CHECK_WAITS_MS: [u64; 3] = [0, 50, 200];
+
 /// Engines that responded to a probe.
 #[derive(Debug, Default)]
 pub(crate) struct ProbedEngines {
@@ -158,9 +161,15 @@
 }
 
 /// Whether an upstream refuses a new connection, so that its process has ended. One that gives no answer may be
-/// partitioned.
+/// partitioned. A process that ends may reset its connections before it stops to listen, so that it is asked again.
 pub(crate) async fn refuses_connections(instance: &Instance) -> bool {
-    connect(instance).await.is_err_and(|err| shows_end(&err))
+    for wait_ms in END_CHECK_WAITS_MS {
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        if connect(instance).await.is_err_and(|err| shows_end(&err)) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Requests the load report of an engine; `None` if the engine does not respond, or if its start time shows that
