Quarantine: try a condemned request ever more rarely

What callers saw: at a service without other requests, a request that crashes upstreams was let through once a second from 5 s after the last crash on, without end.

Cause: while engines survive no other requests, the wait for a trial was 5 s after each crash, whatever earlier trials had shown.

Now each trial that crashes an engine makes the wait longer: by 8 for whole requests (5, 40, 320, 2,560 s), by 4 for parts, which all requests of a service may hold, and by 2 (from ten minutes on) if engines survive other requests. Every daemon counts the same trials, as crashes 4 s or more after the one before. A trial without an outcome makes that daemon's own next one rarer. No wait exceeds the hour after which a verdict lapses, and a survival ends it, so that sound requests are not condemned for ever.

--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -34,6 +34,9 @@
 /// hear of its outcome before the next one.
 const TRIAL_INTERVAL_MS: u64 = 10_000;
 
+/// Factor by which the wait grows after each crash of a trial. With it, three trials crash engines in about an hour.
+const TRIAL_FACTOR: u64 = 2;
+
 /// Like `VERDICT_MS`, while engines survive no other requests either. Such engines have probably another fault, and
 /// requests are to be served soon after it has ended.
 const UNCONTRASTED_VERDICT_MS: u64 = 5_000;
@@ -41,6 +44,18 @@
 /// Like `TRIAL_INTERVAL_MS`, while engines survive no other requests either.
 const UNCONTRASTED_TRIAL_INTERVAL_MS: u64 = 1_000;
 
+/// Like `TRIAL_FACTOR` for parts, while engines survive no other requests either. All requests of a service may hold a
+/// part, so they are to be tried soon after another fault has ended.
+const UNCONTRASTED_PART_FACTOR: u64 = 4;
+
+/// Like `UNCONTRASTED_PART_FACTOR` for requests. A verdict concerns one request only, and three trials crash engines in
+/// the first 48 minutes.
+const UNCONTRASTED_REQUEST_FACTOR: u64 = 8;
+
+/// Time in milliseconds after a crash from which a further one is the outcome of a trial, because requests with the parts
+/// are not sent in between.
+const MIN_TRIAL_GAP_MS: u64 = 4_000;
+
 /// Time in milliseconds for which a crash is remembered that belongs to no verdict.
 const CRASH_RETENTION_MS: u64 = 600_000;
 
@@ -84,6 +99,8 @@
 pub struct Ledger {
     /// Number of crashes in series from which parts are condemned.
     min_crashes: usize,
+    /// Factor by which the wait for a trial grows after each crash of one, while engines survive no other requests.
+    uncontrasted_factor: u64,
     crashes: HashMap<CrashedEngine, CrashRecord>,
     /// Time of the last crash.
     last_crash_ms: u64,
@@ -96,8 +113,8 @@
     verdicts: Vec<Verdict>,
     /// Parts that were reported as suspected.
     suspected: HashSet<Vec<PartId>>,
-    /// When this daemon last sent a trial with the parts of a verdict.
-    trials_ms: HashMap<Vec<PartId>, u64>,
+    /// When this daemon last sent a trial with the parts of a verdict, and how many it has sent.
+    trials: HashMap<Vec<PartId>, (u64, u32)>,
     /// Evidence that was not sent to other daemons yet.
     unsent_crashes: Vec<(CrashedEngine, Suspect)>,
     unsent_survivals: BTreeSet<PartId>,
@@ -108,17 +125,18 @@
 impl Ledger {
     /// Creates a ledger that judges parts of prompts.
     pub fn of_parts() -> Self {
-        Self::with_min_crashes(MIN_CRASHES_ON_PART)
+        Self::new(MIN_CRASHES_ON_PART, UNCONTRASTED_PART_FACTOR)
     }
 
     /// Creates a ledger that judges whole requests.
     pub fn of_requests() -> Self {
-        Self::with_min_crashes(MIN_CRASHES_ON_REQUEST)
+        Self::new(MIN_CRASHES_ON_REQUEST, UNCONTRASTED_REQUEST_FACTOR)
     }
 
-    fn with_min_crashes(min_crashes: usize) -> Self {
+    fn new(min_crashes: usize, uncontrasted_factor: u64) -> Self {
         Self {
             min_crashes,
+            uncontrasted_factor,
             crashes: HashMap::default(),
             last_crash_ms: 0,
             parts: HashSet::default(),
@@ -126,7 +144,7 @@
             any_survived_ms: 0,
             verdicts: Vec::new(),
             suspected: HashSet::default(),
-            trials_ms: HashMap::default(),
+            trials: HashMap::default(),
             unsent_crashes: Vec::new(),
             unsent_survivals: BTreeSet::new(),
             updated_ms: 0,
@@ -269,7 +287,8 @@
     ///
     /// Some time after the last crash, and soon if engines survive no other requests either, one request is let through
     /// to find out whether the parts still crash engines. Each of the `daemons` daemons does so at another time, which
-    /// its number `spread` from 0 to 1 selects, so that few engines are lost if they do.
+    /// its number `spread` from 0 to 1 selects, so that few engines are lost if they do. The wait grows with each trial that
+    /// crashes an engine, which all daemons count alike, and with each trial of this daemon.
     pub fn admit(
         &mut self,
         parts: &[PartId],
@@ -280,24 +299,45 @@
         let Some(verdict) = self.verdicts.iter().find(|verdict| verdict.applies_to(parts)) else {
             return Admission::Allowed;
         };
-        let (verdict_ms, interval_ms) = match verdict.has_contrast {
-            true => (VERDICT_MS, TRIAL_INTERVAL_MS),
-            false => (UNCONTRASTED_VERDICT_MS, UNCONTRASTED_TRIAL_INTERVAL_MS),
+        let (verdict_ms, interval_ms, factor) = match verdict.has_contrast {
+            true => (VERDICT_MS, TRIAL_INTERVAL_MS, TRIAL_FACTOR),
+            false => {
+                (UNCONTRASTED_VERDICT_MS, UNCONTRASTED_TRIAL_INTERVAL_MS, self.uncontrasted_factor)
+            }
         };
+        let crashed_trials = self.crashed_trials(verdict);
+        let verdict_ms = verdict_ms.saturating_mul(factor.saturating_pow(crashed_trials));
+        let verdict_ms = verdict_ms.min(VERDICT_RETENTION_MS);
         let fleet_interval_ms = interval_ms * daemons.max(1) as u64;
         let first_trial_ms =
             verdict.last_ms + verdict_ms + (fleet_interval_ms as f64 * spread) as u64;
-        let last_trial_ms = self.trials_ms.get(&verdict.parts);
-        let next_trial_ms =
-            last_trial_ms.map_or(0, |at_ms| at_ms + fleet_interval_ms).max(first_trial_ms);
+        let (last_trial_ms, trials) = self.trials.get(&verdict.parts).copied().unwrap_or_default();
+        let pause_ms = fleet_interval_ms.saturating_mul(factor.saturating_pow(trials));
+        let next_trial_ms = match trials {
+            0 => first_trial_ms,
+            _ => first_trial_ms.max(last_trial_ms + pause_ms.min(VERDICT_RETENTION_MS)),
+        };
         let verdict = verdict.clone();
         if now_ms < next_trial_ms {
             return Admission::Refused { verdict, retry_after_ms: next_trial_ms - now_ms };
         }
-        self.trials_ms.insert(verdict.parts.clone(), now_ms);
+        self.trials.insert(verdict.parts.clone(), (now_ms, trials.saturating_add(1)));
         Admission::Trial(verdict)
     }
 
+    /// Number of trials that have crashed an engine: crashes some time after the one before, without those that led to the
+    /// verdict.
+    fn crashed_trials(&self, verdict: &Verdict) -> u32 {
+        let at_ms: Vec<u64> = verdict
+            .engines
+            .iter()
+            .filter_map(|engine| Some(self.crashes.get(engine)?.at_ms))
+            .skip(self.min_crashes - 1)
+            .collect();
+        let is_trial = |pair: &&[u64]| pair[1].saturating_sub(pair[0]) >= MIN_TRIAL_GAP_MS;
+        at_ms.windows(2).filter(is_trial).count() as u32
+    }
+
     /// Adds a crash, and returns whether something of it was not known.
     fn add_crash(&mut self, crash: Crash, now_ms: u64) -> bool {
         if crash.suspects.iter().all(|suspect| suspect.parts().is_empty()) {
@@ -375,7 +415,7 @@
         for old in &self.verdicts {
             if !verdicts.iter().any(|verdict| verdict.parts == old.parts) {
                 changes.push(Change::Released(old.clone()));
-                self.trials_ms.remove(&old.parts);
+                self.trials.remove(&old.parts);
             }
         }
         for verdict in &suspected {
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -160,6 +160,61 @@
     assert!(!is_refused(&mut ledger, &["s", "x"], last_ms + 9_600));
 }
 
+/// Guards against a request that is let through to server after server without end because its service gets no others,
+/// and against one that is refused for ever after its servers have become sound.
+#[test]
+fn a_request_without_contrast_is_tried_a_few_times_in_the_first_half_hour() {
+    let mut ledgers = vec![Ledger::of_requests(); 6];
+    let mut evidence = Vec::new();
+    let mut trials_ms = Vec::new();
+    let mut crashes = 0;
+    let mut crash_at = |ledger: &mut Ledger, now_ms: u64| {
+        ledger.record_crash(crash(crashes, &[&["bad"]]), now_ms);
+        crashes += 1;
+        all_evidence(ledger, now_ms)
+    };
+    for number in 0..3 {
+        evidence.push(crash_at(&mut ledgers[number as usize], 1_000 + number * 700));
+    }
+    for now_ms in (2_500..1_800_000).step_by(500) {
+        for ledger in &mut ledgers {
+            for evidence in &evidence {
+                ledger.merge(evidence.clone(), now_ms);
+            }
+        }
+        evidence.clear();
+        let daemon = (now_ms / 500) as usize % ledgers.len();
+        let ledger = &mut ledgers[daemon];
+        let spread = daemon as f64 / 6.0;
+        if let Admission::Trial(_) = ledger.admit(&parts(&["bad"]), 6, spread, now_ms) {
+            trials_ms.push(now_ms);
+            evidence.push(crash_at(ledger, now_ms));
+        }
+    }
+    assert!((2..=3).contains(&trials_ms.len()), "trials at {trials_ms:?}");
+    let mut trial_ms = 1_800_000;
+    while is_refused(&mut ledgers[0], &["bad"], trial_ms) {
+        trial_ms += 1_000;
+        assert!(trial_ms < 2 * 3_600_000, "no trial in two hours");
+    }
+    ledgers[0].record_survival(&parts(&["bad"]), trial_ms);
+    assert!(ledgers[0].verdicts().is_empty());
+}
+
+/// Guards against a trial whose outcome is not known, sent again and again.
+#[test]
+fn trials_without_an_outcome_become_rare() {
+    let mut ledger = Ledger::of_requests();
+    for number in 0..3 {
+        ledger.record_crash(crash(number, &[&["bad"]]), 1_000 + number * 700);
+    }
+    let is_trial = |now_ms: &u64| {
+        matches!(ledger.admit(&parts(&["bad"]), 6, 0.5, *now_ms), Admission::Trial(_))
+    };
+    let trials = (3_000..600_000).step_by(500).filter(is_trial).count();
+    assert!((1..=4).contains(&trials), "{trials} trials");
+}
+
 /// Guards against a fleet whose daemons all test a verdict at the same time.
 #[test]
 fn trials_of_a_large_fleet_are_spread_over_time() {
