Take-ups: read the instances that joined while the daemon was out of step

Cause: a version is listed before its item is registered in the store. If no instance of a registered version takes requests (the old ones drain), streams begin at the new version before its item is written, and the write can be late when the store rejects writes. A daemon whose watch was late listed the old version only. The read for a take-up covered the items of versions and streams and not the instances, so the old version counted as the only one in play.

Fix: the read for a take-up also covers what was written to the entries of instances since the last answer to the daemon's own watch: a watch that returns at once, or a list if that history is gone. An instance is listed at the store before any daemon can begin a stream at its version, and the read begins after the take-up came, so the version is found however old the daemon's own list is. If the second call fails, a record still decides, and without one the version is unknown.

--- a/crates/affinity/src/version_records.rs
+++ b/crates/affinity/src/version_records.rs
@@ -103,6 +103,11 @@
         changes.into_iter().chain(left.into_iter().map(VersionChange::Left)).collect()
     }
 
+    /// Records that an instance of a version was found at the store, by a read that did not list all instances.
+    pub fn insert_listed(&mut self, software: ServiceVersion, now_ms: u64) {
+        self.in_play.insert_listed(software, now_ms);
+    }
+
     /// Replaces the registered versions by those of a complete list, each with the revision of its item.
     pub fn set_registered(
         &mut self,
@@ -195,8 +200,9 @@
         self.streams.origin(id, service)
     }
 
-    /// Version at which an unrecorded stream of a service began. Call it only after the registered versions were read
-    /// from the store, by a read that began after the stream was taken up and found no record of the stream.
+    /// Version at which an unrecorded stream of a service began. Call it only after the registered versions and those of
+    /// listed instances were read from the store, by a read that began after the stream was taken up and found no record
+    /// of the stream. A version is registered after its first instance is listed, and streams may begin at it meanwhile.
     pub fn unrecorded_origin(&self, service: &ServiceName, now_ms: u64) -> Origin {
         let mut versions = self.in_play.of_service(service, now_ms);
         match (versions.next(), versions.next()) {
--- a/crates/affinity/src/versions_in_play.rs
+++ b/crates/affinity/src/versions_in_play.rs
@@ -68,6 +68,12 @@
         (appeared, left)
     }
 
+    /// Records that an instance of a version was found at the store.
+    pub fn insert_listed(&mut self, software: ServiceVersion, now_ms: u64) {
+        self.last_listed.insert(software, now_ms);
+        self.update_missing(now_ms);
+    }
+
     /// Replaces the registered versions.
     pub fn set_registered(
         &mut self,
--- a/crates/affinity/tests/common/mod.rs
+++ b/crates/affinity/tests/common/mod.rs
@@ -167,6 +167,25 @@
         }
     }
 
+    /// Replaces all instances by those of one version while a daemon is cut off or stands still. The others begin streams
+    /// before the version is registered.
+    pub fn join_without(&mut self, cut_off: usize, number: u8) {
+        let before: Vec<ServiceVersion> = self.listed.iter().cloned().collect();
+        self.toggle(number);
+        if !self.listed.contains(&version(number)) {
+            return;
+        }
+        for software in before.iter().filter(|software| **software != version(number)) {
+            self.listed.remove(software);
+            self.unlisted_ms.insert(software.clone(), self.now_ms);
+        }
+        let others = (0..self.daemons.len()).filter(|daemon| *daemon != cut_off);
+        for daemon in others.collect::<Vec<_>>() {
+            self.sync(daemon);
+            self.begin(daemon, 0);
+        }
+    }
+
     /// Lets some time pass in which all daemons read the store and make their steps.
     pub fn settle(&mut self, seconds: u64) {
         for _ in 0..seconds * 2 {
@@ -318,14 +337,18 @@
             versions.insert_registered(software.clone(), *revision, self.now_ms);
         }
         merge(versions, &self.store, self.now_ms);
+        for software in &self.listed {
+            versions.insert_listed(software.clone(), self.now_ms);
+        }
         let recorded = versions.recorded_origin(&stream.id, &service());
         Some(recorded.unwrap_or_else(|| versions.unrecorded_origin(&service(), self.now_ms)))
     }
 
-    /// Whether the store lacks the version of the stream, because a restoration has lost it or because the stream began
-    /// when no version was registered.
+    /// Whether the store lacks the version of the stream, because a restoration has lost it, or because the stream began
+    /// when no version was registered and no instance of the version is listed any more.
     pub fn is_exempt(&self, stream: &Stream) -> bool {
-        let is_lost = !self.store.versions.contains_key(&stream.software.key());
+        let is_lost = !self.store.versions.contains_key(&stream.software.key())
+            && !self.listed.contains(&stream.software);
         is_lost && (!stream.is_registered || stream.restorations != self.restorations)
     }
 }
--- a/crates/affinity/tests/version_records.rs
+++ b/crates/affinity/tests/version_records.rs
@@ -29,7 +29,8 @@
         30 => fleet.pass(u64::from(value)),
         31 => fleet.pass(u64::from(value % 700)),
         32 => fleet.settle([1, 5, 40, 130][rest % 4]),
-        33..=39 if !fleet.streams.is_empty() => {
+        39 => fleet.join_without(daemon, (rest % 4) as u8),
+        33..=38 if !fleet.streams.is_empty() => {
             let recent = fleet.streams.len().min(64);
             return check(fleet, daemon, fleet.streams.len() - 1 - rest % recent);
         }
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -134,7 +134,7 @@
     let recording = Arc::clone(core);
     tokio::spawn(keep_running("versions", move || {
         let (writer, reader) = (Store::new(store_addr), Store::new(store_addr));
-        record_stream_versions(Arc::clone(&recording), writer, reader, KEYS)
+        record_stream_versions(Arc::clone(&recording), writer, reader, KEYS, decode_instance)
     }));
     let receiving = Arc::clone(core);
     tokio::spawn(keep_running("peers", move || {
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -8,7 +8,7 @@
     fleet_size::FleetSize,
     inbound::Inbound,
     instance::Instance,
-    instance_entry::InstanceId,
+    instance_entry::{InstanceEntry, InstanceId},
     instance_limits::InstanceLimits,
     kv_replica::{KvReplica, KvReplicaOrigin},
     peer_message::PeerMessage,
@@ -23,7 +23,7 @@
 use affinity::{
     Origin, ReplicaRecord, ServiceVersion, SoftwareVersion, StreamVersion, TakeUpError,
 };
-use base::{Clock, DomainName, HashMap, ServiceName, lock};
+use base::{Clock, DomainName, HashMap, HashSet, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
 use quarantine::{Admission, Crash, CrashedEngine, Suspect};
@@ -212,6 +212,18 @@
         let _ = has_caught_up.wait_for(|&is_done| is_done).await;
     }
 
+    /// Takes note of the software versions that `entries` of instances of services with streams have.
+    pub(crate) fn add_listed_versions(&self, entries: &[InstanceEntry]) {
+        let Some(config) = self.config() else { return };
+        let streaming: HashSet<&ServiceName> = config.routes.streaming_services().collect();
+        let of_streams = entries.iter().filter(|entry| streaming.contains(&entry.service));
+        let listed = of_streams.map(|entry| ServiceVersion {
+            service: entry.service.clone(),
+            version: entry.software_version.clone(),
+        });
+        self.versions.insert_listed(listed.collect());
+    }
+
     /// Takes note of the software versions that the instances of services with streams have.
     pub(crate) fn update_listed_versions(&self) {
         let Some(config) = self.config() else { return };
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -7,7 +7,7 @@
     instance_entry::InstanceEntry,
 };
 use base::{Excerpt, HashMap, HashSet};
-use plat::{Change, Source, SourceError, WatchHandler, WatchTiming, list_and_watch};
+use plat::{Change, Position, Source, SourceError, WatchHandler, WatchTiming, list_and_watch};
 use std::{fmt::Display, net::SocketAddr, sync::Arc};
 
 /// Changes are collected into a batch for the time within which they must be active, divided by this number. The rest
@@ -248,6 +248,10 @@
         self.core.notify_instances_changed();
     }
 
+    fn on_position(&mut self, position: Position) {
+        self.core.versions.set_position(position);
+    }
+
     fn on_outage(&mut self, err: &SourceError) {
         log::warn!("platform: the store does not respond: {err}");
         self.core.with_registry(|registry, now_ms| registry.platform_lost(now_ms));
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -5,7 +5,7 @@
 };
 use affinity::{ItemError, Origin, ReplicaRecord, ServiceVersion, VersionChange, VersionRecords};
 use base::{Clock, HashSet, ServiceName, lock};
-use plat::Change;
+use plat::{Change, Position};
 use std::{
     hash::{BuildHasher, RandomState},
     sync::{
@@ -31,6 +31,8 @@
     pub(crate) changed: Notify,
     /// Wakes the reader of the records.
     pub(crate) requested: Notify,
+    /// Position in the store's history up to which the listed instances are known; `None` before the first list.
+    position: Mutex<Option<Position>>,
     /// Reads of the records at the store.
     reads: watch::Sender<Reads>,
     /// When an item that cannot be read was last logged, plus one.
@@ -58,6 +60,7 @@
             versions: Mutex::new(VersionRecords::new(format!("{lifetime:016x}"), seed)),
             changed: Notify::new(),
             requested: Notify::new(),
+            position: Mutex::default(),
             reads: watch::Sender::default(),
             logged_ms: AtomicU64::new(0),
         }
@@ -159,19 +162,33 @@
         self.reads.send_modify(|reads| reads.started += 1);
     }
 
-    /// Records the end of a read, with the items if it has succeeded.
-    pub(crate) fn finish_read(&self, items: Option<&[Change]>, keys: PlatformKeys) {
-        for item in items.unwrap_or_default() {
-            self.apply(item, keys);
-        }
+    /// Records the end of a read. Unless `has_succeeded`, versions may be missing.
+    pub(crate) fn finish_read(&self, has_succeeded: bool) {
         self.reads.send_modify(|reads| {
             reads.finished = reads.started;
-            if items.is_some() {
+            if has_succeeded {
                 reads.succeeded = reads.started;
             }
         });
     }
 
+    /// Position in the store's history up to which the listed instances are known.
+    pub(crate) fn position(&self) -> Option<Position> {
+        *lock(&self.position)
+    }
+
+    /// Records that the listed instances are known up to `position`.
+    pub(crate) fn set_position(&self, position: Position) {
+        *lock(&self.position) = Some(position);
+    }
+
+    /// Records the versions of instances that a read has found at the store.
+    pub(crate) fn insert_listed(&self, listed: HashSet<ServiceVersion>) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state();
+        listed.into_iter().for_each(|software| state.insert_listed(software, now_ms));
+    }
+
     /// Replaces what the store holds by a complete list of items.
     pub(crate) fn replace(&self, items: &[Change], keys: PlatformKeys) {
         let now_ms = self.clock.now_ms();
--- a/crates/ingress/src/version_recorder.rs
+++ b/crates/ingress/src/version_recorder.rs
@@ -1,6 +1,6 @@
 //! Writes to the store at which software versions streams began, and reads it for streams of other daemons.
 
-use crate::{core::Core, follow::PlatformKeys};
+use crate::{core::Core, follow::PlatformKeys, instance_entry::InstanceEntry};
 use affinity::{LEASE_MS, RecordBatch, ServiceVersion, Step};
 use plat::{Freshness, Lease, RecordStore, SourceError};
 use std::{sync::Arc, time::Duration};
@@ -9,24 +9,37 @@
 /// Longest duration of a read of the records.
 const READ_TIMEOUT_MS: u64 = 500;
 
+/// Wait of the watch that reads which instances were listed since the last answer to the daemon's own watch. It is short,
+/// because the watch must return at once also if there are none.
+const JOINED_WAIT_MS: u64 = 1;
+
 /// Pause after a read, for each daemon of the fleet. After all daemons were killed, each of them has many take-ups.
 const READ_PAUSE_PER_DAEMON_MS: u64 = 2;
 
+/// Decodes the registry entry of the instance with the given identifier.
+type DecodeInstance<E> = fn(&str, &[u8]) -> Result<InstanceEntry, E>;
+
 /// Keeps the records of streams in the store and reads those of other daemons, as long as the future is polled. `writer`
 /// and `reader` use separate connections, so that a slow write does not delay a caller.
-pub async fn record_stream_versions(
+pub async fn record_stream_versions<E>(
     core: Arc<Core>,
     writer: impl RecordStore,
     reader: impl RecordStore,
     keys: PlatformKeys,
+    decode: DecodeInstance<E>,
 ) {
     core.wait_until_caught_up().await;
     let recorder = Recorder { core: &core, store: writer, keys, lease: None, is_failing: false };
-    tokio::join!(recorder.run(), read_on_request(&core, reader, keys));
+    tokio::join!(recorder.run(), read_on_request(&core, reader, keys, decode));
 }
 
 /// Reads the records each time this is requested. Requests that arrive during a read are answered by the next one.
-async fn read_on_request(core: &Core, mut store: impl RecordStore, keys: PlatformKeys) {
+async fn read_on_request<E>(
+    core: &Core,
+    mut store: impl RecordStore,
+    keys: PlatformKeys,
+    decode: DecodeInstance<E>,
+) {
     let versions = &core.versions;
     versions.set_reader();
     loop {
@@ -34,16 +47,16 @@
         versions.start_read();
         metrics::counter!("stream_origin_reads_total").increment(1);
         let timeout = Duration::from_millis(READ_TIMEOUT_MS);
-        let read = tokio::time::timeout(timeout, store.list(keys.streams, Freshness::Latest)).await;
-        match read {
-            Ok(Ok(read)) => versions.finish_read(Some(&read.changes), keys),
+        let read = tokio::time::timeout(timeout, read_versions(core, &mut store, keys, decode));
+        match read.await {
+            Ok(Ok(())) => versions.finish_read(true),
             Ok(Err(err)) => {
                 log::info!("versions: the records were not read: {err}");
-                versions.finish_read(None, keys);
+                versions.finish_read(false);
             }
             Err(_) => {
                 log::info!("versions: the records were not read in {READ_TIMEOUT_MS} ms");
-                versions.finish_read(None, keys);
+                versions.finish_read(false);
             }
         }
         let pause_ms = core.listed_daemons() as u64 * READ_PAUSE_PER_DAEMON_MS;
@@ -51,6 +64,37 @@
     }
 }
 
+/// Reads the records, the registered versions and the versions of instances that were listed since the last answer to
+/// this daemon's watch. The watch of a daemon that was cut off or stood still can be seconds late.
+async fn read_versions<E>(
+    core: &Core,
+    store: &mut impl RecordStore,
+    keys: PlatformKeys,
+    decode: DecodeInstance<E>,
+) -> Result<(), SourceError> {
+    let versions = &core.versions;
+    let position = versions.position();
+    let streams = store.list(keys.streams, Freshness::Latest).await?;
+    streams.changes.iter().for_each(|item| versions.apply(item, keys));
+    let watched = match position {
+        Some(position) if position.era == streams.era => {
+            let watched = store.watch(keys.instances, position.revision, JOINED_WAIT_MS).await;
+            watched.ok().filter(|watched| watched.era == streams.era)
+        }
+        _ => None,
+    };
+    let instances = match watched {
+        Some(watched) => watched,
+        None => store.list(keys.instances, Freshness::Latest).await?,
+    };
+    let entries = instances.changes.iter().filter_map(|change| {
+        let id = change.key.strip_prefix(keys.instances)?;
+        decode(id, change.value.as_deref()?).ok()
+    });
+    core.add_listed_versions(&entries.collect::<Vec<_>>());
+    Ok(())
+}
+
 /// Makes the steps that `VersionRecords` decides on.
 struct Recorder<'a, S> {
     core: &'a Core,
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -15,6 +15,7 @@
 mod list_and_watch;
 mod platform;
 mod platform_error;
+mod position;
 mod read_path;
 mod record_store;
 mod relay;
@@ -32,6 +33,7 @@
     list_and_watch::{WatchHandler, list_and_watch},
     platform::Platform,
     platform_error::PlatformError,
+    position::Position,
     read_path::{ReadPath, choose_read_path},
     record_store::RecordStore,
     relay::Relay,
--- a/crates/plat/src/list_and_watch.rs
+++ b/crates/plat/src/list_and_watch.rs
@@ -1,6 +1,7 @@
 //! Lists the items of a key-value service and watches their changes, through outages of the service.
 
 use crate::{
+    position::Position,
     source::{Change, Freshness, Source, SourceError},
     watch_timing::WatchTiming,
 };
@@ -31,6 +32,9 @@
     /// Applies the changes since the last call of `on_list` or `on_changes`; there may be none.
     fn on_changes(&mut self, changes: Vec<Change>);
 
+    /// Called after each call of `on_list` or `on_changes`, with the position up to which changes have been delivered.
+    fn on_position(&mut self, position: Position);
+
     /// Called once for each outage, with the first failed call.
     fn on_outage(&mut self, err: &SourceError);
 
@@ -103,7 +107,9 @@
                 if is_current {
                     handler.on_caught_up();
                 }
-                revision = Some(read.revision.max(revision.unwrap_or(0)));
+                let known = read.revision.max(revision.unwrap_or(0));
+                revision = Some(known);
+                handler.on_position(Position { era: read.era, revision: known });
                 if !is_empty && is_current {
                     tokio::time::sleep(Duration::from_millis(batch_ms)).await;
                 }
