Web: complete responses are limited in bytes without content

Callers were not affected on a single call, but load reports, KV cache calls, and answers of the store and of relays were read at full speed until the call timed out if the size of a chunk never ended.

Cause: Connection::fetch ended the limit on framing bytes after the head. Forwarded answers and streams renew that limit with each part of the body; complete responses did not. Nothing of these bytes was kept.

The limit now also runs while fetch reads a body, and starts anew with each part.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -8,7 +8,7 @@
     tcp_keepalive::{enable_fast_tcp_keepalive, enable_tcp_keepalive},
 };
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use std::{net::SocketAddr, time::Duration};
@@ -129,6 +129,12 @@
         limit_bytes: usize,
     ) -> Result<Response<Bytes>, ClientError> {
         let (head, body) = self.send(request).await?.into_parts();
+        self.framing_limit.start();
+        let framing_limit = self.framing_limit.clone();
+        let body = body.map_frame(move |frame| {
+            framing_limit.start();
+            frame
+        });
         Ok(Response::from_parts(head, read_body(body, limit_bytes).await?))
     }
 }
