Daemon: histograms are summarized each second

Cause: the recorder keeps each recorded value until it is summarized, which happened only when the metrics were rendered. `geraniumroad run` has the same cause and the same fix.

Both commands now start a task that summarizes once a second, so that at most the values of a second are kept.

--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -12,6 +12,7 @@
 mod dev;
 mod line_log;
 mod logging;
+mod metrics_upkeep;
 mod orders_adapter;
 mod run;
 mod run_error;
@@ -20,6 +21,7 @@
 
 pub use crate::{
     cli::{CheckOptions, Cli, Command, DevOptions, RunOptions, ServeOptions},
+    metrics_upkeep::maintain_metrics,
     run_error::RunError,
     supervisor::keep_running,
 };
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -1,6 +1,12 @@
 //! Commands `run`, which serves callers, and `check`, which validates a settings file.
 
-use crate::{admin_adapter::AdminAdapter, logging, orders_adapter, run_error::RunError};
+use crate::{
+    admin_adapter::AdminAdapter,
+    logging,
+    metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
+    orders_adapter,
+    run_error::RunError,
+};
 use admin::AdminServer;
 use conf::Settings;
 use entry::Entry;
@@ -36,6 +42,7 @@
     let runtime =
         Builder::new_multi_thread().worker_threads(worker_threads).enable_all().build()?;
     runtime.block_on(async {
+        tokio::spawn(maintain_metrics(metrics.clone(), UPKEEP_INTERVAL));
         let entry = Entry::start(&settings, Some(metrics)).await?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
         let orders = match &settings.orders {
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -1,6 +1,11 @@
 //! Command `serve`: runs the daemon on the deployment platform (its store, load balancer and machines).
 
-use crate::{line_log, run_error::RunError, supervisor::keep_running};
+use crate::{
+    line_log,
+    metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
+    run_error::RunError,
+    supervisor::keep_running,
+};
 use ingress::{
     Core, CoreOptions, Decoders, Gateway, PeerSocket, ReadyProbe, follow_platform,
     record_stream_versions,
@@ -75,6 +80,7 @@
     tokio::spawn(relay_server.run(Arc::new(relay), never_stopped.clone()));
     let probe = Arc::new(ReadyProbe::new(Arc::clone(&core)));
     tokio::spawn(ready.run(probe, never_stopped.clone()));
+    tokio::spawn(maintain_metrics(metrics.clone(), UPKEEP_INTERVAL));
     tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), never_stopped));
     log::info!(
         "daemon: started vm={} domain={} entry={} store={}",
