Ingress: bodies of all requests in flight share one limit

Cause: each body was read completely before an upstream was chosen, and nothing limited the sum of the bodies.

A body is read once there is room for its stated size, or for the largest one if the size is not stated; an amount is held completely or not at all, so that no two bodies wait for each other. Until then the socket is not read. After half of the time until the deadline the request is refused as not run (503 memory_spent with Retry-After). The room is held until the last copy of the body is dropped, also by a connection that still writes it. Bodies of a stated size are read into one allocation.

The cost against the code before was not measured.

Heads, answers of the store, and logs are not counted.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -37,6 +37,10 @@
 /// Time in milliseconds before the platform sends SIGKILL at which the requests that are still in flight are aborted.
 const ABORT_BEFORE_KILL_MS: u64 = 600;
 
+/// Part of the VM's memory that is for what is kept of requests in flight, as a divisor. The rest is for the daemon
+/// itself, connections and allocations that are freed late.
+const KEPT_MEMORY_DIVISOR: usize = 2;
+
 /// Timeout of a request for the report of an engine, in milliseconds. Engines answer within 2 ms inside the site, and
 /// the rest of the pause that a caller accepts must suffice for resuming at the next engine.
 const REPORT_TIMEOUT_MS: u64 = 80;
@@ -81,7 +85,10 @@
     let probe = Arc::new(ReadyProbe::new(Arc::clone(&core)));
     tokio::spawn(ready.run(probe, never_stopped.clone()));
     tokio::spawn(maintain_metrics(metrics.clone(), UPKEEP_INTERVAL));
-    tokio::spawn(metrics_server.run(Arc::new(MetricsPage(metrics)), never_stopped));
+    tokio::spawn(
+        metrics_server
+            .run(Arc::new(MetricsPage { metrics, core: Arc::clone(&core) }), never_stopped),
+    );
     log::info!(
         "daemon: started vm={} domain={} entry={} store={}",
         settings.vm_name,
@@ -182,18 +189,23 @@
         change_bound_ms: settings.change_bound_ms,
         accept_after_stop_ms: ACCEPT_AFTER_STOP_MS,
         cut_after_stop_ms: settings.grace_ms.saturating_sub(ABORT_BEFORE_KILL_MS),
+        kept_bytes: settings.memory_bytes / KEPT_MEMORY_DIVISOR,
         seed: RandomState::new().hash_one(&settings.vm_name),
     }
 }
 
 /// Handler that renders the metrics in the text format of Prometheus.
-struct MetricsPage(PrometheusHandle);
+struct MetricsPage {
+    metrics: PrometheusHandle,
+    core: Arc<Core>,
+}
 
 impl Handler for MetricsPage {
     async fn handle(
         self: Arc<Self>,
         _request: hyper::Request<hyper::body::Incoming>,
     ) -> hyper::Response<ResponseBody> {
-        hyper::Response::new(web::full(self.0.render()))
+        self.core.record_gauges();
+        hyper::Response::new(web::full(self.metrics.render()))
     }
 }
--- a/crates/ingress/src/caller_error.rs
+++ b/crates/ingress/src/caller_error.rs
@@ -11,8 +11,8 @@
 quick_error! {
     /// Why a caller gets no response of an upstream.
     ///
-    /// `Busy`, `Quarantined`, `RequestQuarantined`, `StreamVersionGone`, `StreamVersionUnknown`, `NoConfig` and
-    /// `BodyTimeout` guarantee that the request has not run and never will.
+    /// `Busy`, `Quarantined`, `RequestQuarantined`, `StreamVersionGone`, `StreamVersionUnknown`, `NoConfig`,
+    /// `MemorySpent` and `BodyTimeout` guarantee that the request has not run and never will.
     #[derive(Clone, Copy, Debug, Eq, PartialEq)]
     pub enum CallerError {
         /// The daemon has not received a configuration yet.
@@ -47,6 +47,10 @@
         TooLarge {
             display("the body is larger than the limit")
         }
+        /// The request has not run, because there was no room for its body. The caller may retry after the given time.
+        MemorySpent(retry_after_ms: u64) {
+            display("the request has not run, since there is no room for its body")
+        }
         /// The request has not run. The caller may retry after the given time.
         Busy(retry_after_ms: u64) {
             display("the request has not run, since no upstream can take it now")
@@ -113,6 +117,7 @@
         match self {
             Self::NoConfig
             | Self::Busy(_)
+            | Self::MemorySpent(_)
             | Self::Quarantined(_)
             | Self::RequestQuarantined(_)
             | Self::StreamVersionGone(_)
@@ -143,6 +148,7 @@
             Self::BodyTimeout => "body_timeout",
             Self::TooLarge => "body_too_large",
             Self::Busy(_) => "not_run",
+            Self::MemorySpent(_) => "memory_spent",
             Self::Quarantined(_) => "prompt_quarantined",
             Self::PromptCrashed => "prompt_crashed",
             Self::RequestQuarantined(_) => "request_quarantined",
@@ -175,6 +181,7 @@
         }
         let retry_after_ms = match self {
             Self::Busy(retry_after_ms)
+            | Self::MemorySpent(retry_after_ms)
             | Self::Quarantined(retry_after_ms)
             | Self::RequestQuarantined(retry_after_ms)
             | Self::StreamVersionGone(retry_after_ms)
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -1,6 +1,7 @@
 //! Shared state of a daemon: active configuration, instances, retry budgets, timing statistics and recent losses.
 
 use crate::{
+    byte_account::ByteAccount,
     config::{ClientLimits, Config, EngineConfig},
     crash_quarantine::{CrashQuarantine, ServiceEvidence, Subject},
     dialect::Dialect,
@@ -80,6 +81,8 @@
     pub accept_after_stop_ms: u64,
     /// Timeout of requests in flight, counted from the start of the shutdown; they are aborted after it.
     pub cut_after_stop_ms: u64,
+    /// Largest number of bytes that are kept for all requests in flight.
+    pub kept_bytes: usize,
     /// Seed of the random number generator, which picks instances, peers and delays.
     pub seed: u64,
 }
@@ -104,6 +107,8 @@
     /// Timing statistics of the streams of each service.
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<DomainLosses>,
+    /// Bytes that are kept for requests in flight.
+    pub(crate) kept_bytes: Arc<ByteAccount>,
     /// Limits that instances name.
     limits: InstanceLimits,
     /// Parts of prompts that crash engines.
@@ -134,6 +139,7 @@
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
             budgets: RetryBudgets::new(options.retries),
+            kept_bytes: Arc::new(ByteAccount::new(options.kept_bytes)),
             options,
             config: Mutex::default(),
             registry: Mutex::default(),
@@ -149,6 +155,16 @@
         }
     }
 
+    /// Sets the gauges that describe the daemon at the moment.
+    pub fn record_gauges(&self) {
+        metrics::gauge!("kept_bytes").set(self.kept_bytes.held_bytes() as f64);
+    }
+
+    /// Number of bytes that are kept for requests in flight now.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes.held_bytes()
+    }
+
     /// Active configuration; `None` until one is installed.
     pub fn config(&self) -> Option<Arc<Config>> {
         lock(&self.config).clone()
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -10,6 +10,7 @@
     short_call,
     stream_relay::{StreamRelay, StreamStart},
 };
+use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
@@ -23,6 +24,10 @@
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
+/// Part of the time until the deadline that a request may wait for room for its body, as a divisor. The rest is for a
+/// retry at another daemon.
+const ROOM_WAIT_DIVISOR: u64 = 2;
+
 /// Early in a shutdown, a stream is accepted if this multiple of the usual duration of streams is left. A stream that
 /// resumes at another engine takes longer than usual.
 const SHUTDOWN_DURATION_FACTOR: u64 = 2;
@@ -57,23 +62,17 @@
         let service = self.core.pick_service(route, resumes).ok_or(CallerError::NoRoute)?;
         let head = InboundHead { dialect: &self.core.dialect, route, service, account, arrived_ms };
         let (parts, body) = request.into_parts();
-        let body = tokio::time::timeout(
-            Duration::from_millis(BODY_TIMEOUT_MS.min(route.timeout_ms)),
-            read_body(body, config.limits.max_body_bytes),
-        );
+        let body_end_ms = arrived_ms.saturating_add(route.timeout_ms);
+        // A malformed header is reported once the body has been read.
+        let room_wait_ms = head.time_left_ms(&parts.headers).unwrap_or(0) / ROOM_WAIT_DIVISOR;
+        let body = self.read_body(body, config.limits.max_body_bytes, room_wait_ms, body_end_ms);
         let body = tokio::select! {
             biased;
-            body = body => body,
+            body = body => body?,
             () = self.core.wait_for_last_answers() => {
                 return Err(CallerError::Busy(self.core.call_retry_after_ms()));
             }
         };
-        let body = match body {
-            Ok(Ok(body)) => body,
-            Ok(Err(ReadBodyError::TooLarge(_))) => return Err(CallerError::TooLarge),
-            Ok(Err(ReadBodyError::Transport(_))) => return Err(CallerError::IncompleteBody),
-            Err(_) => return Err(CallerError::BodyTimeout),
-        };
         *has_body_read = true;
         let inbound = head.with_body(parts.method, parts.uri, &parts.headers, body)?;
         self.check_shutdown(&inbound)?;
@@ -83,6 +82,55 @@
         }
     }
 
+    /// Reads a body of at most `max_bytes` until `body_end_ms` on the daemon's clock, after at most `room_wait_ms` until
+    /// there is room for it. The room is for the stated size, or for the largest one if the size is not stated, and is held until the last
+    /// copy of the body is dropped.
+    ///
+    /// # Errors
+    ///
+    /// `TooLarge`, `MemorySpent`, `IncompleteBody` and `BodyTimeout`. The request has not run.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        room_wait_ms: u64,
+        body_end_ms: u64,
+    ) -> Result<Bytes, CallerError> {
+        let kept_bytes = &self.core.kept_bytes;
+        let max_bytes = max_bytes.min(kept_bytes.largest_bytes());
+        let stated_bytes = body.size_hint().exact();
+        if stated_bytes.is_some_and(|bytes| bytes > max_bytes as u64) {
+            return Err(CallerError::TooLarge);
+        }
+        let size_bytes = stated_bytes.map_or(max_bytes, |bytes| bytes as usize);
+        let room_wait = Duration::from_millis(room_wait_ms);
+        let held = match kept_bytes.try_hold(size_bytes) {
+            Some(held) => Ok(held),
+            None => {
+                metrics::counter!("bodies_delayed_total").increment(1);
+                tokio::time::timeout(room_wait, kept_bytes.hold(size_bytes)).await
+            }
+        };
+        let Ok(mut held) = held else {
+            log::warn!(
+                "memory: no room for a body of {size_bytes} bytes within {room_wait_ms} ms, kept_bytes={}",
+                kept_bytes.held_bytes()
+            );
+            return Err(CallerError::MemorySpent(self.core.stream_retry_after_ms()));
+        };
+        let left_ms = body_end_ms.saturating_sub(self.core.clock.now_ms());
+        let body_wait = Duration::from_millis(BODY_TIMEOUT_MS.min(left_ms));
+        match tokio::time::timeout(body_wait, read_body(body, max_bytes)).await {
+            Ok(Ok(body)) => {
+                held.try_resize(body.len());
+                Ok(held.attach_to(body))
+            }
+            Ok(Err(ReadBodyError::TooLarge(_))) => Err(CallerError::TooLarge),
+            Ok(Err(ReadBodyError::Transport(_))) => Err(CallerError::IncompleteBody),
+            Err(_) => Err(CallerError::BodyTimeout),
+        }
+    }
+
     async fn serve_call(&self, inbound: &Inbound) -> Result<Response<ResponseBody>, CallerError> {
         let abandonment = AbandonmentLog { core: &self.core, inbound, is_disarmed: false };
         let outcome = short_call::serve(&self.core, inbound).await;
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -105,6 +105,16 @@
 }
 
 impl InboundHead<'_> {
+    /// Time from the arrival of the request to its deadline; that of the route if the caller states none.
+    ///
+    /// # Errors
+    ///
+    /// `Header` if the time that the caller states is malformed.
+    pub fn time_left_ms(&self, headers: &HeaderMap) -> Result<u64, CallerError> {
+        let caller_ms = number(headers, &self.dialect.time_left_ms, "time left")?;
+        Ok(caller_ms.unwrap_or(u64::MAX).min(self.route.timeout_ms))
+    }
+
     /// Combines the head with the body.
     ///
     /// # Errors
@@ -119,8 +129,7 @@
     ) -> Result<Inbound, CallerError> {
         let dialect = self.dialect;
         let id = headers.get(&dialect.request_id).ok_or(CallerError::Header("request id"))?;
-        let caller_ms = number(headers, &dialect.time_left_ms, "time left")?;
-        let left_ms = caller_ms.unwrap_or(u64::MAX).min(self.route.timeout_ms);
+        let left_ms = self.time_left_ms(headers)?;
         Ok(Inbound {
             id: id.clone(),
             method,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -112,7 +112,7 @@
     if body.size_hint().lower() > limit_bytes as u64 {
         return Err(ReadBodyError::TooLarge(limit_bytes));
     }
-    let mut content = BytesMut::new();
+    let mut content = BytesMut::with_capacity(body.size_hint().lower() as usize);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| ReadBodyError::Transport(err.to_string().into()))?;
         if let Ok(data) = frame.into_data() {
