--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -129,10 +129,10 @@
         limit_bytes: usize,
     ) -> Result<Response<Bytes>, ClientError> {
         let (head, body) = self.send(request).await?.into_parts();
-        self.framing_limit.start();
-        let framing_limit = self.framing_limit.clone();
+        self.limit_framing();
+        let exchange = self.exchange.clone();
         let body = body.map_frame(move |frame| {
-            framing_limit.start();
+            exchange.limit_framing();
             frame
         });
         Ok(Response::from_parts(head, read_body(body, limit_bytes).await?))
