Ingress: partial events and large answers use the account of kept bytes

Buffers of more than 4 KiB are now counted in ingress::ByteAccount, with their capacity. An answer without room is passed on as it arrives, as one above 64 KiB was before. An event without room ends its attempt. A whole answer stays counted until the caller's connection has written it. Smaller events and answers change no counter.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -72,7 +72,7 @@
     /// The request is being sent, or the head of the response is awaited.
     Opening(BoxFuture<'static, Result<Opened, AttemptError>>),
     /// Events are read from the body of the response.
-    Reading { exchange: Exchange, splitter: EventSplitter },
+    Reading { exchange: Box<Exchange>, splitter: EventSplitter },
 }
 
 /// Response of an engine: a stream whose head has arrived, or an error response.
@@ -240,6 +240,7 @@
                 }
                 Progress::Opening(opening) => match ready!(opening.poll_unpin(cx)) {
                     Ok(Opened::Stream(exchange)) => {
+                        let exchange = Box::new(exchange);
                         self.progress =
                             Progress::Reading { exchange, splitter: EventSplitter::default() };
                         return Poll::Ready(Step::Head);
@@ -256,7 +257,14 @@
                         Err(_) => return Poll::Ready(lost(LossCause::Malformed)),
                     }
                     match ready!(exchange.poll_data(cx)) {
-                        Some(Ok(data)) => splitter.push(&data),
+                        Some(Ok(data)) => {
+                            splitter.push(&data);
+                            let (bytes, capacity_bytes) = splitter.buffered_bytes();
+                            if !exchange.keep(bytes, capacity_bytes) {
+                                log::warn!("memory: no room for {bytes} bytes of an event");
+                                return Poll::Ready(lost(LossCause::Malformed));
+                            }
+                        }
                         Some(Err(err)) => return Poll::Ready(Step::Failed(err)),
                         // The end of a connection without an event does not show that the answer is complete.
                         None if splitter.has_partial()
--- a/crates/ingress/src/buffered_response.rs
+++ b/crates/ingress/src/buffered_response.rs
@@ -24,7 +24,7 @@
 }
 
 impl BufferedResponse {
-    /// Reads a response to its end, or until the body exceeds the buffer limit. A body that has not ended by
+    /// Reads a response to its end, or until the body exceeds the buffer limit or there is no room for it. A body that has not ended by
     /// `deadline_ms` on the daemon's clock is aborted then.
     ///
     /// # Errors
@@ -42,11 +42,13 @@
             match poll_fn(|cx| exchange.poll_data(cx)).await {
                 Some(data) => content.extend_from_slice(&data?),
                 None => {
-                    exchange.close(core);
-                    return Ok(Self { status, headers, body: web::full(content.freeze()) });
+                    let content = exchange.close(core).attach_to(content.freeze());
+                    return Ok(Self { status, headers, body: web::full(content) });
                 }
             }
-            if content.len() > MAX_BUFFERED_BYTES {
+            if content.len() > MAX_BUFFERED_BYTES
+                || !exchange.keep(content.len(), content.capacity())
+            {
                 let deadline = Instant::from_std(core.clock.instant_at(deadline_ms));
                 let body = forward(content.freeze(), exchange, deadline);
                 return Ok(Self { status, headers, body });
@@ -72,6 +74,7 @@
                 return Some((Ok(Frame::data(first)), (None, exchange)));
             }
             let mut exchange = exchange?;
+            exchange.keep(0, 0);
             let data =
                 tokio::time::timeout_at(deadline, poll_fn(|cx| exchange.poll_data(cx))).await;
             match data {
--- a/crates/ingress/src/byte_account.rs
+++ b/crates/ingress/src/byte_account.rs
@@ -47,6 +47,11 @@
         (self.limit_bytes / 100 * LARGE_PERCENT).max(self.limit_bytes.min(SMALL_BYTES))
     }
 
+    /// Creates a holder of no bytes.
+    pub fn hold_none(self: &Arc<Self>) -> HeldBytes {
+        HeldBytes::new(Arc::clone(self), 0)
+    }
+
     /// Holds `bytes`; `None` if there is no room for them now.
     pub fn try_hold(self: &Arc<Self>, bytes: usize) -> Option<HeldBytes> {
         self.add(0, bytes).then(|| HeldBytes::new(Arc::clone(self), bytes))
--- a/crates/ingress/src/event_splitter.rs
+++ b/crates/ingress/src/event_splitter.rs
@@ -50,6 +50,11 @@
         Ok(Some(Event { id: event_id(&bytes), bytes }))
     }
 
+    /// Number of bytes that are kept until their events are complete, and the size of their buffer.
+    pub fn buffered_bytes(&self) -> (usize, usize) {
+        (self.buffer.len(), self.buffer.capacity())
+    }
+
     /// Whether the buffer holds the start of an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::{
     attempt_error::AttemptError,
     core::Core,
+    held_bytes::HeldBytes,
     inbound::Inbound,
     instance::Instance,
     instance_connection::InstanceConnection,
@@ -35,6 +36,9 @@
 /// that the request has not run.
 const MAX_REFUSAL_BYTES: usize = 4 * 1024;
 
+/// Largest part of a response that is kept without being counted. Most calls and events are smaller.
+const UNCOUNTED_BYTES: usize = 4 * 1024;
+
 /// Longest wait for the body of a refusal.
 const REFUSAL_TIMEOUT_MS: u64 = 50;
 
@@ -48,6 +52,8 @@
     pub headers: HeaderMap,
     pub body: Incoming,
     connection: InstanceConnection,
+    /// Part of the body that is kept.
+    held: HeldBytes,
 }
 
 impl Exchange {
@@ -108,7 +114,9 @@
         let (head, body) = response.into_parts();
         connection.connection.limit_framing();
         let is_reused = connection.is_reused;
-        let exchange = Self { guard, status: head.status, headers: head.headers, body, connection };
+        let held = core.kept_bytes.hold_none();
+        let (status, headers) = (head.status, head.headers);
+        let exchange = Self { guard, status, headers, body, connection, held };
         let (status, headers) = (exchange.status, &exchange.headers);
         let class = classify_response(status, headers, &inbound.id, is_reused, &core.dialect);
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
@@ -133,9 +141,17 @@
         }
     }
 
-    /// Ends an exchange whose body was read to its end, and keeps its connection for reuse.
-    pub fn close(self, core: &Core) {
+    /// Ends an exchange whose body was read to its end, and keeps its connection for reuse. Returns the holder of the
+    /// part of the body that is kept.
+    pub fn close(self, core: &Core) -> HeldBytes {
         return_connection(core, &self.guard, self.connection, &self.headers);
+        self.held
+    }
+
+    /// Counts a buffer with `bytes` of the body, which takes `capacity_bytes`, as kept, in place of an earlier one.
+    /// Returns `false` if there is no room for it.
+    pub fn keep(&mut self, bytes: usize, capacity_bytes: usize) -> bool {
+        self.held.try_resize(if bytes > UNCOUNTED_BYTES { capacity_bytes } else { 0 })
     }
 
     /// Ends an exchange whose response is a refusal. The connection is kept for reuse if the body can be read within
@@ -144,7 +160,7 @@
         let timeout = Duration::from_millis(REFUSAL_TIMEOUT_MS);
         let body = read_body(&mut self.body, MAX_REFUSAL_BYTES);
         if matches!(tokio::time::timeout(timeout, body).await, Ok(Ok(_))) {
-            self.close(core);
+            drop(self.close(core));
         }
     }
 
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -810,7 +810,7 @@
             std::mem::take(&mut self.replicator).close(&self.core, &instance);
         }
         if let Progress::Reading { exchange, .. } = attempt.progress {
-            exchange.close(&self.core);
+            drop(exchange.close(&self.core));
         }
     }
 
