--- a/crates/ingress/src/buffered_response.rs
+++ b/crates/ingress/src/buffered_response.rs
@@ -24,8 +24,8 @@
 }
 
 impl BufferedResponse {
-    /// Reads a response to its end, or until the body exceeds the buffer limit or there is no room for it. A body that has not ended by
-    /// `deadline_ms` on the daemon's clock is aborted then.
+    /// Reads a response to its end, or until the body exceeds the buffer limit or there is no room for it. A body that
+    /// has not ended by `deadline_ms` on the daemon's clock is aborted then.
     ///
     /// # Errors
     ///
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -83,8 +83,8 @@
     }
 
     /// Reads a body of at most `max_bytes` until `body_end_ms` on the daemon's clock, after at most `room_wait_ms` until
-    /// there is room for it. The room is for the stated size, or for the largest one if the size is not stated, and is held until the last
-    /// copy of the body is dropped.
+    /// there is room for it. The room is for the stated size, or for the largest one if the size is not stated, and is
+    /// held until the last copy of the body is dropped.
     ///
     /// # Errors
     ///
