Priorities: routes and accounts have a priority, and engines are told the urgency

Cause: engines serve streams of the priority tier and of the standard tier in the order of arrival, although the configuration tells them apart.

The configuration's field `priority` of routes and accounts is decoded (0 to 9, other values are clamped; 5 if it is missing; the account's takes precedence) and reaches engines as `Request-Urgency`, only for services whose streams can have different priorities. Levels 0 to 7 are for streams that can be in time; a resumed one is one level more urgent than a new one of its priority. A stream that has missed a target, or can no longer have its first event in time when it is sent, gets level 8 or 9, so that it delays none that can be in time, whatever its priority.

Weighed: to cancel and resend a waiting request once it is late, so that its level changes; it would cost a retry of the budget for each. The level is chosen anew at each send instead. A streaming route without a target has its deadline as target for the question whether it is late; such streams counted as late at once before.

--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -1,7 +1,8 @@
 //! Configuration of routes, services, limits and client accounts.
 
-use crate::route_table::RouteTable;
-use base::{AccountName, HashMap, ServiceName};
+use crate::route_table::{Route, RouteTable};
+use base::{AccountName, HashMap, HashSet, ServiceName};
+use limit::Priority;
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
@@ -18,11 +19,43 @@
     pub accounts: Option<HashMap<Box<str>, ClientAccount>>,
 }
 
+impl Config {
+    /// Properties of a service; those of one without engines if it is unknown.
+    pub fn service(&self, name: &ServiceName) -> ServiceConfig {
+        self.services.get(name).copied().unwrap_or_default()
+    }
+
+    /// Sets `ServiceConfig::has_priorities` of all services by the priorities of their streaming routes and of the
+    /// client accounts.
+    pub fn mark_prioritized_services(&mut self) {
+        let mut priorities: HashMap<ServiceName, HashSet<Priority>> = HashMap::default();
+        for route in self.routes.streaming_routes() {
+            let of_route = self.priorities_of(route);
+            for (service, _) in route.services.iter().filter(|(_, weight)| *weight > 0) {
+                priorities.entry(service.clone()).or_default().extend(&of_route);
+            }
+        }
+        for (name, service) in &mut self.services {
+            service.has_priorities = priorities.get(name).is_some_and(|found| found.len() > 1);
+        }
+    }
+
+    /// All priorities that requests of a route can have.
+    fn priorities_of(&self, route: &Route) -> HashSet<Priority> {
+        let of_route = route.priority.unwrap_or_default();
+        let Some(accounts) = &self.accounts else { return HashSet::from_iter([of_route]) };
+        let of_accounts = accounts.values().map(|account| account.priority.unwrap_or(of_route));
+        of_accounts.chain(route.allows_anonymous.then_some(of_route)).collect()
+    }
+}
+
 /// Properties of one service that decide how its requests are served.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ServiceConfig {
     /// Properties of the service's model engines; `None` for a service without engines.
     pub engine: Option<EngineConfig>,
+    /// Whether streaming requests of the service can have different priorities.
+    pub has_priorities: bool,
 }
 
 /// Properties of a service's model engines.
@@ -67,4 +100,6 @@
 pub struct ClientAccount {
     /// Name of the account, which is sent to upstreams with each request.
     pub name: AccountName,
+    /// Priority of the account's requests, which takes precedence over that of the route; `None` if it has none.
+    pub priority: Option<Priority>,
 }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     byte_account::ByteAccount,
-    config::{ClientLimits, Config, EngineConfig},
+    config::{ClientLimits, Config, ServiceConfig},
     crash_quarantine::{CrashQuarantine, ServiceEvidence, Subject},
     dialect::Dialect,
     domain_losses::DomainLosses,
@@ -619,9 +619,9 @@
         chosen
     }
 
-    /// Properties of a service's model engines; `None` for an unknown service and for one without engines.
-    pub(crate) fn engine_config(&self, service: &ServiceName) -> Option<EngineConfig> {
-        self.config()?.services.get(service)?.engine
+    /// Properties of a service; those of one without engines if it is unknown.
+    pub(crate) fn service_config(&self, service: &ServiceName) -> ServiceConfig {
+        self.config().map_or_else(ServiceConfig::default, |config| config.service(service))
     }
 
     /// Counts a new request of a caller, which adds `retries.ratio` retries to the service's budget.
@@ -729,7 +729,7 @@
         let (service, request) = (inbound.service.clone(), inbound.fingerprint());
         let parts = if blames_parts { inbound.shared_parts.clone() } else { Vec::new() };
         tokio::spawn(async move {
-            let has_crashed = match core.engine_config(&service) {
+            let has_crashed = match core.service_config(&service).engine {
                 Some(_) => probe(&core, &instance).await.is_none(),
                 None => refuses_connections(&instance).await,
             };
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -41,6 +41,8 @@
     pub leaving: HeaderName,
     /// Name of the model that the request is for.
     pub model: HeaderName,
+    /// Urgency of a request at an engine, from 0, the first, to 9.
+    pub urgency: HeaderName,
     /// Numbers of tokens of the prompt and, at most, of the answer.
     pub token_counts: HeaderName,
     /// Parts of the request's prompt, in order.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -10,6 +10,7 @@
     HeaderMap, Method, Uri,
     header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue},
 };
+use limit::Priority;
 use quarantine::PartId;
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -37,6 +38,8 @@
     /// Name of the route, for logs.
     pub route: Box<str>,
     pub kind: RouteKind,
+    /// Priority of the client account, or else of the route.
+    pub priority: Priority,
     pub max_attempts: u32,
     pub target_latency_ms: u64,
     /// Time of arrival on the daemon's clock.
@@ -88,6 +91,14 @@
         self.id.to_str().unwrap_or("?")
     }
 
+    /// Time on the daemon's clock at which the first event of a stream is late; the deadline if the route has no target.
+    pub fn first_event_target_ms(&self) -> u64 {
+        match self.target_latency_ms {
+            0 => self.deadline_ms,
+            target_ms => self.arrived_ms.saturating_add(target_ms).min(self.deadline_ms),
+        }
+    }
+
     /// Time from `now_ms` to the deadline; 0 after it.
     pub fn left_ms(&self, now_ms: u64) -> u64 {
         self.deadline_ms.saturating_sub(now_ms)
@@ -140,6 +151,7 @@
             service: self.service.clone(),
             route: self.route.name.clone(),
             kind: self.route.kind,
+            priority: self.priority(),
             max_attempts: self.route.max_attempts.max(1),
             target_latency_ms: self.route.target_latency_ms,
             arrived_ms: self.arrived_ms,
@@ -155,6 +167,11 @@
         })
     }
 
+    fn priority(&self) -> Priority {
+        let of_account = self.account.and_then(|account| account.priority);
+        of_account.or(self.route.priority).unwrap_or_default()
+    }
+
     /// Identifiers of the prompt's parts but the last one, which belongs to this request or its session alone.
     fn shared_parts(&self, headers: &HeaderMap) -> Vec<PartId> {
         let value = headers.get(&self.dialect.prompt_parts).and_then(|value| value.to_str().ok());
@@ -175,6 +192,7 @@
             &dialect.key,
             &dialect.last_event_id,
             &dialect.time_left_ms,
+            &dialect.urgency,
         ];
         let mut forwarded = end_to_end_headers(headers);
         // The request to the upstream gets framing headers of its own.
--- a/crates/ingress/src/route_table.rs
+++ b/crates/ingress/src/route_table.rs
@@ -2,6 +2,7 @@
 
 use crate::route_kind::RouteKind;
 use base::{HashMap, ServiceName};
+use limit::Priority;
 use rand::{Rng, RngExt};
 
 /// Rule that maps requests to services.
@@ -25,6 +26,8 @@
     pub services: Vec<(ServiceName, u32)>,
     /// Whether requests are accepted without a known key.
     pub allows_anonymous: bool,
+    /// Priority of requests whose client account states none; `None` for the default one.
+    pub priority: Option<Priority>,
 }
 
 impl Route {
@@ -78,9 +81,13 @@
 
     /// Services that answer with streams.
     pub fn streaming_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.streaming_routes().flat_map(|route| route.services.iter().map(|(service, _)| service))
+    }
+
+    /// Routes whose requests are answered with streams.
+    pub fn streaming_routes(&self) -> impl Iterator<Item = &Route> {
         let routes = self.by_host.values().flatten();
-        let streaming = routes.filter(|route| matches!(route.kind, RouteKind::Streaming { .. }));
-        streaming.flat_map(|route| route.services.iter().map(|(service, _)| service))
+        routes.filter(|route| matches!(route.kind, RouteKind::Streaming { .. }))
     }
 
     /// Number of routes of all hosts.
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -28,7 +28,7 @@
     HeaderMap,
     header::{HeaderName, HeaderValue},
 };
-use limit::Urgency;
+use limit::{StreamProgress, Urgency};
 use quarantine::{Admission, PartNames, Verdict};
 use recovery::{Action, AttemptId, EngineSignal, Generation, Input, Journal, LossCause};
 use std::{future::poll_fn, sync::Arc, task::Poll};
@@ -120,6 +120,8 @@
     open_sends: u32,
     /// Properties of the service's engines; `None` if the configuration states none.
     engine_config: Option<EngineConfig>,
+    /// Whether streams of the service can have different priorities, so that engines are told the urgency.
+    has_priorities: bool,
     /// Maintains the KV cache replica from which the next attempt can resume.
     replicator: KvReplicator,
     /// When the replica was requested that was last recorded; `None` if none was.
@@ -168,6 +170,7 @@
     pub fn new(core: Arc<Core>, inbound: Arc<Inbound>) -> Self {
         core.deposit(&inbound.service);
         let policy = core.options.stream_policy;
+        let service_config = core.service_config(&inbound.service);
         let instance_changes = core.instance_changes();
         Self {
             generation: Generation::new(policy, Journal::default()),
@@ -176,7 +179,8 @@
             excluded: Vec::new(),
             sends: 0,
             open_sends: 0,
-            engine_config: core.engine_config(&inbound.service),
+            engine_config: service_config.engine,
+            has_priorities: service_config.has_priorities,
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
             take_ups: 0,
@@ -900,6 +904,32 @@
         }
     }
 
+    /// Whether the stream can still meet its targets, or has met them so far.
+    fn progress(&self, now_ms: u64) -> StreamProgress {
+        let target_ms = self.inbound.first_event_target_ms();
+        let gap_target_ms = match self.inbound.kind {
+            RouteKind::Streaming { gap_target_ms, .. } => gap_target_ms,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => u64::MAX,
+        };
+        let longest_pause_ms = self.longest_pause_ms.max(now_ms - self.last_release_ms);
+        match self.first_event_ms {
+            None if now_ms + PREFILL_MS > target_ms => StreamProgress::Late,
+            // The caller of a stream that is taken up waits in the middle of the answer.
+            None if self.inbound.last_event_id.is_some() => StreamProgress::Begun,
+            None => StreamProgress::New,
+            Some(first_ms) if first_ms <= target_ms && longest_pause_ms <= gap_target_ms => {
+                StreamProgress::Begun
+            }
+            Some(_) => StreamProgress::Late,
+        }
+    }
+
+    /// Urgency level that the engine is told; `None` if all streams of the service have the same priority.
+    fn urgency_level(&self) -> Option<u8> {
+        let progress = self.progress(self.core.clock.now_ms());
+        self.has_priorities.then(|| progress.urgency_level(self.inbound.priority))
+    }
+
     /// Urgency of a retry. Before the first event, the retry is urgent if that event can still arrive within the target
     /// latency.
     ///
@@ -907,17 +937,11 @@
     /// its targets so far or the replica may expire soon. Without the replica, a later retry would cost much more,
     /// because the whole prompt would need a new prefill.
     fn urgency(&self, has_replica: bool, now_ms: u64) -> Urgency {
-        let RouteKind::Streaming { gap_target_ms, .. } = self.inbound.kind else {
-            return Urgency::Urgent;
-        };
         let is_urgent = match self.first_event_ms {
-            None => now_ms + PREFILL_MS <= self.inbound.arrived_ms + self.inbound.target_latency_ms,
-            Some(first_ms) => {
-                let is_first_in_time =
-                    first_ms <= self.inbound.arrived_ms + self.inbound.target_latency_ms;
+            None => self.progress(now_ms) != StreamProgress::Late,
+            Some(_) => {
                 let pause_ms = now_ms - self.last_release_ms;
-                let is_in_time =
-                    is_first_in_time && self.longest_pause_ms.max(pause_ms) <= gap_target_ms;
+                let is_in_time = self.progress(now_ms) == StreamProgress::Begun;
                 let ttl_ms = self.engine_config.map_or(0, |config| config.snapshot_ttl_ms);
                 let is_replica_expiring = pause_ms * 2 > ttl_ms;
                 has_replica && (is_in_time || is_replica_expiring)
@@ -959,9 +983,11 @@
         if replica.is_some() {
             self.replica_attempt = Some(id);
         }
-        let extra_headers = self.attempt_headers(replica.as_ref(), replica_target);
+        let urgency = self.urgency_level();
+        let extra_headers = self.attempt_headers(replica.as_ref(), replica_target, urgency);
         log::info!(
-            "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={}",
+            "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={} \
+             urgency={}",
             self.inbound.id_text(),
             instance.entry.id,
             instance.entry.domain,
@@ -971,6 +997,7 @@
                 .as_ref()
                 .map_or("-".into(), |replica| replica.reference(self.inbound.id_text())),
             self.replicator.replica().map_or("-", |replica| &*replica.instance.entry.id),
+            urgency.map_or("-".into(), |level| level.to_string()),
         );
         let core = Arc::clone(&self.core);
         let inbound = Arc::clone(&self.inbound);
@@ -1027,9 +1054,13 @@
         &mut self,
         resume_from: Option<&KvReplica>,
         replica_target: Option<Arc<Instance>>,
+        urgency: Option<u8>,
     ) -> Vec<(HeaderName, HeaderValue)> {
         let dialect = &self.core.dialect;
         let mut headers = Vec::new();
+        if let Some(level) = urgency {
+            headers.push((dialect.urgency.clone(), HeaderValue::from(u16::from(level))));
+        }
         if let Some(id) = self.last_event_id {
             headers.push((dialect.last_event_id.clone(), HeaderValue::from(id)));
         }
--- a/crates/ingress/tests/routes.rs
+++ b/crates/ingress/tests/routes.rs
@@ -14,6 +14,7 @@
         max_attempts: 2,
         services: vec![("one".try_into().unwrap(), 90), ("two".try_into().unwrap(), 10)],
         allows_anonymous: false,
+        priority: None,
     }
 }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -20,8 +20,10 @@
 mod demand_rate;
 mod fleet_share;
 mod peer_demand;
+mod priority;
 mod retry_budget;
 mod retry_budgets;
+mod stream_progress;
 mod token_bucket;
 mod upstream_limit_change;
 mod upstream_limits;
@@ -36,8 +38,10 @@
     admission_queue_limits::AdmissionQueueLimits,
     class::Class,
     fleet_share::FleetShare,
+    priority::Priority,
     retry_budget::{RetryBudget, RetryBudgetLimits, Urgency},
     retry_budgets::RetryBudgets,
+    stream_progress::StreamProgress,
     upstream_limit_change::UpstreamLimitChange,
     upstream_limits::UpstreamLimits,
     upstream_pauses::UpstreamPauses,
