Balancing: calls by expected response time instead of own domain first

Cause: with 85 daemons, each has about 0.2 calls in flight, so a constant cost of two requests for other domains kept nearly all calls in the own domain, however long its only instance took.

Each daemon now learns a response time for each instance from its own calls (EWMA, decays within 2 s toward the service's usual value, kept across entries of one process). A call goes to the faster one of two random instances of the own domain, unless that one is slower than the faster one of two elsewhere plus 2.8 ms and a tolerance. Beyond it, the part of the calls that leaves grows with the excess up to 0.9, so that daemons which see the same rise do not all leave at once. An instance that refused is left out for 300 ms.

Weighed: full rise to each peak (sends up to 15% of the calls away from idle instances when work times vary as an exponential does); the mean of all instances as reference (several times more late calls at 330 calls/s); requests in flight alone (too few for each daemon).

--- a/crates/ingress/src/instance.rs
+++ b/crates/ingress/src/instance.rs
@@ -1,10 +1,13 @@
 //! Instance of a service, with the state that this daemon keeps on it.
 
-use crate::{connection_pool::ConnectionPool, instance_entry::InstanceEntry};
+use crate::{
+    connection_pool::ConnectionPool, instance_entry::InstanceEntry, instance_rates::InstanceRates,
+    service_rates::ServiceRates,
+};
 use base::lock;
 use route::Health;
 use std::sync::{
-    Mutex, MutexGuard,
+    Arc, Mutex, MutexGuard,
     atomic::{AtomicU32, Ordering},
 };
 
@@ -17,6 +20,8 @@
     /// Registry entry from which this `Instance` was created.
     pub entry: InstanceEntry,
     pub(crate) connections: ConnectionPool,
+    /// Learned rates of the process, shared with earlier and later entries of it.
+    pub rates: Arc<InstanceRates>,
     in_flight: AtomicU32,
     pending_prefills: AtomicU32,
     state: Mutex<State>,
@@ -37,6 +42,12 @@
 impl Instance {
     /// Creates an instance that has no requests in flight and has not failed.
     pub fn new(entry: InstanceEntry) -> Self {
+        let service = Arc::new(ServiceRates::new(entry.service.clone()));
+        Self::with_rates(entry, Arc::new(InstanceRates::new(service)))
+    }
+
+    /// Like `new`, with the learned rates of the process.
+    pub(crate) fn with_rates(entry: InstanceEntry, rates: Arc<InstanceRates>) -> Self {
         let state = State {
             health: Health::warm(),
             backoff_until_ms: 0,
@@ -47,6 +58,7 @@
         Self {
             entry,
             connections: ConnectionPool::default(),
+            rates,
             in_flight: AtomicU32::new(0),
             pending_prefills: AtomicU32::new(0),
             state: Mutex::new(state),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -37,6 +37,7 @@
 mod instance_entry;
 mod instance_guards;
 mod instance_limits;
+mod instance_rates;
 mod kv_replica;
 mod kv_replicator;
 mod peer_message;
@@ -48,6 +49,7 @@
 mod retry_permit;
 mod route_kind;
 mod route_table;
+mod service_rates;
 mod short_call;
 mod silent_call;
 mod stream_relay;
@@ -72,6 +74,7 @@
     held_bytes::HeldBytes,
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
+    instance_rates::InstanceRates,
     peer_message::PeerMessage,
     peer_socket::PeerSocket,
     registry::Registry,
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -4,7 +4,7 @@
 use affinity::SoftwareVersion;
 use base::DomainName;
 use rand::Rng;
-use route::{Candidate, Policy, choose};
+use route::{Candidate, Policy, TimedCandidate, choose, choose_by_time};
 use std::sync::Arc;
 
 /// Constraints on the instance that a request is sent to.
@@ -18,8 +18,8 @@
     pub required_domain: Option<&'a DomainName>,
     /// Software version that the instance must have; `None` if it may have any.
     pub required_version: Option<&'a SoftwareVersion>,
-    /// Whether instances in the daemon's own failure domain are preferred. Long requests are spread over all domains
-    /// instead: the loss of one domain then hits only a few of them at each daemon, and the retry budget suffices.
+    /// Whether instances in the daemon's own failure domain are preferred as long as they are not slower. Long requests
+    /// are spread over all domains instead: the loss of one domain then hits only a few of them at each daemon, and the retry budget suffices.
     pub prefers_local: bool,
 }
 
@@ -40,8 +40,11 @@
             instances.iter().filter(|instance| self.is_met_by(instance)).collect();
         prefer(&mut usable, |instance| !losses.has_failed(&instance.entry.domain, now_ms));
         prefer(&mut usable, |instance| !instance.has_failed_recently(now_ms));
+        if self.prefers_local {
+            return choose_for_call(usable, own_domain, now_ms, rng);
+        }
         let candidates: Vec<Candidate> =
-            usable.iter().map(|instance| self.candidate(instance, own_domain, now_ms)).collect();
+            usable.iter().map(|instance| candidate(instance, now_ms)).collect();
         let chosen = choose(Policy::Scored, &candidates, 0, rng)?;
         Some(Arc::clone(usable[chosen]))
     }
@@ -58,22 +61,49 @@
                 .required_version
                 .is_none_or(|version| *version == instance.entry.software_version)
     }
+}
 
-    /// Describes an instance for the routing policy. The load is that of this daemon's requests alone.
-    fn candidate(&self, instance: &Instance, own_domain: &DomainName, now_ms: u64) -> Candidate {
-        let in_flight = instance.in_flight();
-        Candidate {
-            in_flight,
-            reported_load: None,
-            corrected_load: in_flight,
-            report_age_ms: 0,
-            sent_since_report: 0,
-            batch_limit: instance.entry.slots,
-            missing_blocks: 0,
+/// Chooses an instance for a call by the expected response time, among those that did not refuse a call a moment ago.
+fn choose_for_call(
+    mut usable: Vec<&Arc<Instance>>,
+    own_domain: &DomainName,
+    now_ms: u64,
+    rng: &mut impl Rng,
+) -> Option<Arc<Instance>> {
+    let is_local = |instance: &Instance| instance.entry.domain == *own_domain;
+    let has_local = usable.iter().any(|instance| is_local(instance));
+    prefer(&mut usable, |instance| !instance.rates.has_refused_recently(now_ms));
+    let candidates: Vec<TimedCandidate> = usable
+        .iter()
+        .map(|instance| TimedCandidate {
+            response_ms: instance.rates.response_ms(now_ms),
+            in_flight: instance.in_flight(),
+            slots: instance.entry.slots,
             weight: instance.weight(now_ms),
-            is_local: !self.prefers_local || instance.entry.domain == *own_domain,
-            has_version: None,
-        }
+            is_local: is_local(instance),
+        })
+        .collect();
+    let chosen = usable[choose_by_time(&candidates, rng)?];
+    if has_local {
+        chosen.rates.service().count_call(is_local(chosen), now_ms);
+    }
+    Some(Arc::clone(chosen))
+}
+
+/// Describes an engine for the routing policy. The load is that of this daemon's requests alone.
+fn candidate(instance: &Instance, now_ms: u64) -> Candidate {
+    let in_flight = instance.in_flight();
+    Candidate {
+        in_flight,
+        reported_load: None,
+        corrected_load: in_flight,
+        report_age_ms: 0,
+        sent_since_report: 0,
+        batch_limit: instance.entry.slots,
+        missing_blocks: 0,
+        weight: instance.weight(now_ms),
+        is_local: true,
+        has_version: None,
     }
 }
 
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -3,6 +3,8 @@
 use crate::{
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
+    instance_rates::InstanceRates,
+    service_rates::ServiceRates,
 };
 use affinity::SoftwareVersion;
 use base::{HashMap, HashSet, ServiceName};
@@ -32,6 +34,8 @@
 pub struct Registry {
     instances: HashMap<InstanceId, Listed>,
     by_service: HashMap<ServiceName, Vec<Arc<Instance>>>,
+    /// Usual rates of the services that have or had instances.
+    rates: HashMap<ServiceName, Arc<ServiceRates>>,
     /// Start times of the runs of each instance that have stated that they leave, the last one last. These runs take no
     /// requests; others do.
     leaving: HashMap<InstanceId, Vec<Option<u64>>>,
@@ -125,6 +129,7 @@
     /// Adds or replaces the instance of a registry entry. `is_last` tells whether no later entry has its address.
     fn write(&mut self, entry: InstanceEntry, is_last: bool) {
         let id = Arc::clone(&entry.id);
+        let mut rates = None;
         if let Some(listed) = self.instances.get_mut(&id) {
             listed.expires_ms = None;
             if listed.instance.entry == entry && listed.is_replaced != is_last {
@@ -135,6 +140,7 @@
                 listed.instance.retire();
                 return;
             }
+            rates = known_rates(&listed.instance, &entry);
             self.remove_now(&id);
         }
         if is_last {
@@ -148,7 +154,8 @@
             entry.addr,
             entry.is_draining
         );
-        let instance = Arc::new(Instance::new(entry));
+        let rates = rates.unwrap_or_else(|| self.new_rates(&entry.service));
+        let instance = Arc::new(Instance::with_rates(entry, rates));
         if let Some(runs) = self.leaving.get_mut(&id) {
             if runs.contains(&instance.entry.started_unix_ms) {
                 instance.leave();
@@ -224,6 +231,13 @@
         self.instances.values().filter_map(|listed| listed.expires_ms).min()
     }
 
+    /// Rates of a process that has not been used yet.
+    fn new_rates(&mut self, service: &ServiceName) -> Arc<InstanceRates> {
+        let rates = self.rates.entry(service.clone());
+        let rates = rates.or_insert_with(|| Arc::new(ServiceRates::new(service.clone())));
+        Arc::new(InstanceRates::new(Arc::clone(rates)))
+    }
+
     /// Retires the instance whose address now belongs to the instance of `entry`.
     fn retire_at(&mut self, entry: &InstanceEntry) {
         for listed in self.instances.values_mut() {
@@ -253,3 +267,10 @@
         }
     }
 }
+
+/// Learned rates of `instance` if `entry` is a later entry of the same process; `None` otherwise.
+fn known_rates(instance: &Instance, entry: &InstanceEntry) -> Option<Arc<InstanceRates>> {
+    let old = &instance.entry;
+    let is_same_run = old.started_unix_ms.is_some() && old.started_unix_ms == entry.started_unix_ms;
+    (is_same_run && old.service == entry.service).then(|| Arc::clone(&instance.rates))
+}
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -116,11 +116,12 @@
             true => left_ms.min((inbound.target_latency_ms * RETRY_LATENCY_FACTOR).max(1)),
             false => left_ms,
         };
+        let sent_ms = core.clock.now_ms();
         let outcome = match silent.send(&instance, timeout_ms).await {
             Ok(outcome) => outcome,
             Err(response) => return Ok(response.into_response()),
         };
-        record_outcome(core, inbound, &instance, &outcome);
+        record_outcome(core, inbound, &instance, sent_ms, &outcome);
         call = match outcome {
             Outcome::Answered(response) if !response.status.is_server_error() || !may_retry => {
                 return Ok(response.into_response());
@@ -244,14 +245,16 @@
     }
 }
 
-/// Logs a failed attempt and records the outcome in the state of the instance. An upstream that cut a whole answer off
+/// Logs a failed attempt and records the outcome in the state of the instance, which got the call at `sent_ms`. An upstream that cut a whole answer off
 /// may have crashed on the request: such an answer has no events that show when it began.
 pub(crate) fn record_outcome(
     core: &Arc<Core>,
     inbound: &Inbound,
     instance: &Arc<Instance>,
+    sent_ms: u64,
     outcome: &Outcome,
 ) {
+    let now_ms = core.clock.now_ms();
     let id = inbound.id_text();
     let at = &instance.entry.id;
     match outcome {
@@ -263,7 +266,8 @@
             );
         }
         Outcome::Answered(_) => {
-            instance.record_success(core.clock.now_ms());
+            instance.record_success(now_ms);
+            instance.rates.observe_response(now_ms.saturating_sub(sent_ms), now_ms);
             core.record_survival(inbound);
         }
         Outcome::Failed(err) => {
@@ -274,13 +278,17 @@
             if err.is_fault() {
                 core.record_loss(instance);
             }
+            if matches!(err, AttemptError::Refused(_)) {
+                instance.rates.record_refusal(now_ms);
+            }
             if matches!(err, AttemptError::Lost(LossCause::Closed | LossCause::Reset)) {
                 core.check_crash(instance, inbound, true);
             }
         }
         Outcome::TimedOut => {
             log::info!("attempt: id={id} instance={at} gave no answer in time");
-            instance.record_failure(core.clock.now_ms());
+            instance.record_failure(now_ms);
+            instance.rates.observe_response(now_ms.saturating_sub(sent_ms), now_ms);
         }
     }
 }
--- a/crates/ingress/src/silent_call.rs
+++ b/crates/ingress/src/silent_call.rs
@@ -20,6 +20,7 @@
 /// Exchange in progress at an instance.
 struct Pending<'r> {
     instance: Arc<Instance>,
+    sent_ms: u64,
     exchange: BoxFuture<'r, Result<BufferedResponse, AttemptError>>,
 }
 
@@ -88,7 +89,11 @@
             let exchange = Exchange::open(core, inbound, target, &[], None).await?;
             BufferedResponse::read(core, exchange, inbound.deadline_ms).await
         };
-        let mut current = Pending { instance: Arc::clone(instance), exchange: exchange.boxed() };
+        let mut current = Pending {
+            instance: Arc::clone(instance),
+            sent_ms: core.clock.now_ms(),
+            exchange: exchange.boxed(),
+        };
         let timeout = tokio::time::sleep(Duration::from_millis(timeout_ms));
         let handover = tokio::time::sleep(Duration::from_millis(HANDOVER_MS));
         let last_answers = core.wait_for_last_answers();
@@ -142,9 +147,9 @@
     async fn late_answer(&mut self) -> Option<BufferedResponse> {
         let pending = self.silent.as_mut()?;
         let result = (&mut pending.exchange).await;
-        let instance = self.silent.take()?.instance;
+        let Pending { instance, sent_ms, .. } = self.silent.take()?;
         let outcome = result.map_or_else(Outcome::Failed, Outcome::Answered);
-        record_outcome(self.core, self.inbound, &instance, &outcome);
+        record_outcome(self.core, self.inbound, &instance, sent_ms, &outcome);
         match outcome {
             Outcome::Answered(response) if response.status.is_server_error() => {
                 self.error_response = Some(response);
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -46,6 +46,35 @@
     assert!(!held.accepts_requests());
 }
 
+/// Guards against learned rates that are lost with each change of a registry entry, or that outlast the process.
+#[test]
+fn learned_rates_belong_to_the_process() {
+    let service = "engines".try_into().unwrap();
+    let mut registry = Registry::default();
+    registry.upsert(entry("x", 1));
+    registry.upsert(entry("y", 2));
+    let response_ms = |registry: &Registry| {
+        let instances = registry.of_service(&service).iter();
+        let rates = instances.map(|instance| instance.rates.response_ms(10).unwrap());
+        rates.fold((f64::MAX, f64::MIN), |(low, high), ms| (low.min(ms), high.max(ms)))
+    };
+    for (instance, took_ms) in registry.of_service(&service).iter().zip([60, 500]) {
+        instance.rates.observe_response(took_ms, 10);
+    }
+    let learned = response_ms(&registry);
+    assert!(learned.1 > 2.0 * learned.0, "{learned:?}");
+    for id_and_port in [("x", 1), ("y", 2)] {
+        let changed = InstanceEntry { slots: 6, ..entry(id_and_port.0, id_and_port.1) };
+        registry.upsert(changed);
+    }
+    assert_eq!(response_ms(&registry), learned);
+    for (id, port) in [("x", 1), ("y", 2)] {
+        registry.upsert(InstanceEntry { started_unix_ms: Some(2), ..entry(id, port) });
+    }
+    let (low, high) = response_ms(&registry);
+    assert_eq!(low, high, "an instance that was started again has the usual rates");
+}
+
 /// Guards against requests to a dead instance whose address now belongs to another one.
 #[test]
 fn new_instance_at_an_address_replaces_the_old_one() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,15 +14,20 @@
 mod candidate;
 mod choice;
 mod health;
+mod learned_value;
+mod learning;
 mod load_history;
 mod load_report;
 mod policy;
 mod policy_error;
 mod prefix_set;
 mod short_reserve;
+mod timed_candidate;
+mod timed_choice;
 
 pub use crate::{
     block_hashes::block_hashes, candidate::Candidate, choice::choose, health::Health,
-    load_history::LoadHistory, load_report::LoadReport, policy::Policy, policy_error::PolicyError,
-    prefix_set::PrefixSet, short_reserve::short_reserve,
+    learned_value::LearnedValue, learning::Learning, load_history::LoadHistory,
+    load_report::LoadReport, policy::Policy, policy_error::PolicyError, prefix_set::PrefixSet,
+    short_reserve::short_reserve, timed_candidate::TimedCandidate, timed_choice::choose_by_time,
 };
--- /dev/null
+++ b/crates/route/tests/learned_values.rs
@@ -0,0 +1,99 @@
+//! Guards against learned values and selections by them that break a rule.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::{SeedableRng, rngs::SmallRng};
+use route::{LearnedValue, Learning, TimedCandidate, choose_by_time};
+
+fn seeded_checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(50, 1))
+}
+
+/// Fails if a learned value leaves the range of its samples and the usual value, or if a sample that is no number or
+/// far out of bounds makes it unusable.
+#[test]
+fn values_stay_among_their_samples() {
+    fn holds(samples: Vec<(f64, u16)>, usual: u16) -> bool {
+        let learning = &Learning::RESPONSE_MS;
+        let usual = f64::from(usual) + 1.0;
+        let (mut low, mut high, mut now_ms) = (usual, usual, 0);
+        let mut value = LearnedValue::default();
+        samples.into_iter().all(|(sample, wait_ms)| {
+            now_ms += u64::from(wait_ms);
+            value.observe(sample, Some(usual), learning, now_ms);
+            let counted = sample.clamp(learning.bounds.0, learning.bounds.1);
+            (low, high) = (low.min(counted), high.max(counted));
+            let learned = value.get(Some(usual), learning, now_ms).unwrap();
+            low - 1e-6 <= learned && learned <= high + 1e-6
+        })
+    }
+    seeded_checker().tests(500).quickcheck(holds as fn(Vec<(f64, u16)>, u16) -> bool);
+}
+
+/// Fails if a value does not return to the usual one, so that an instance that was slow once is never used again.
+#[test]
+fn values_return_to_the_usual_one() {
+    fn holds(sample: u16, usual: u16, ages_ms: (u16, u16)) -> bool {
+        let learning = &Learning::RESPONSE_MS;
+        let usual = f64::from(usual) + 1.0;
+        let mut value = LearnedValue::default();
+        value.observe(f64::from(sample), Some(usual), learning, 0);
+        let distance =
+            |age_ms: u64| (value.get(Some(usual), learning, age_ms).unwrap() - usual).abs();
+        let (young_ms, old_ms) = (ages_ms.0.min(ages_ms.1), ages_ms.0.max(ages_ms.1));
+        distance(old_ms.into()) <= distance(young_ms.into())
+            && distance(20 * learning.decay_ms) < 0.01
+    }
+    seeded_checker().quickcheck(holds as fn(u16, u16, (u16, u16)) -> bool);
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ArbitraryCandidate(TimedCandidate);
+
+impl Arbitrary for ArbitraryCandidate {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(TimedCandidate {
+            response_ms: Option::<u16>::arbitrary(g).map(f64::from),
+            in_flight: u32::from(u8::arbitrary(g)),
+            slots: u32::from(u8::arbitrary(g)),
+            weight: *g.choose(&[0.0, 0.1, 0.5, 1.0]).unwrap(),
+            is_local: bool::arbitrary(g),
+        })
+    }
+}
+
+/// Fails if no instance is selected although there is one, or an ejected one beside others.
+#[test]
+fn selection_by_time_avoids_ejected_instances() {
+    fn holds(raw: Vec<ArbitraryCandidate>, seed: u64) -> bool {
+        let candidates: Vec<TimedCandidate> = raw.into_iter().map(|raw| raw.0).collect();
+        match choose_by_time(&candidates, &mut SmallRng::seed_from_u64(seed)) {
+            None => candidates.is_empty(),
+            Some(chosen) => {
+                candidates[chosen].weight > 0.0 || candidates.iter().all(|c| c.weight <= 0.0)
+            }
+        }
+    }
+    seeded_checker().quickcheck(holds as fn(Vec<ArbitraryCandidate>, u64) -> bool);
+}
+
+/// Fails if equal instances of another domain get calls, or if a domain whose instances are much slower keeps all of
+/// them, or loses all of them so that nothing shows when its instances are fast again.
+#[test]
+fn selection_by_time_prefers_the_own_domain_unless_it_is_slow() {
+    let part_staying = |local_ms: f64| {
+        let candidate = |response_ms: f64, is_local: bool| TimedCandidate {
+            response_ms: Some(response_ms),
+            in_flight: 0,
+            slots: 6,
+            weight: 1.0,
+            is_local,
+        };
+        let candidates = [candidate(local_ms, true), candidate(60.0, false)];
+        let mut rng = SmallRng::seed_from_u64(1);
+        let stays = (0..1_000).filter(|_| choose_by_time(&candidates, &mut rng) == Some(0));
+        stays.count()
+    };
+    assert_eq!(part_staying(60.0), 1_000);
+    assert!((1..1_000).contains(&part_staying(100.0)));
+    assert!((50..150).contains(&part_staying(6_000.0)));
+}
