Scheduling: streams wait at their daemon in order, and are refused early if they cannot be in time

Cause: once a burst coincides with the loss of a domain, engines hold more requests than their memory is for. They preempt, read prompts again, and nearly all first events are late from then on.

One decision (`limit::StreamAsk::judge`) is asked at each search for an engine. An engine has room if it has less than three pending prefills and memory for the stream, for what waits there, and for two more streams of its size. Without room, a stream that can be in time waits at its daemon. A new one that no probed engine can begin in time is refused after an eighth of its target, with a `Retry-After` that follows from how late it would be. A stream that was sent or refused before is not refused. A full engine gets nothing until a stream has waited 10 s. `limit::StreamQueue` orders what waits: priority, begun before new, latest start; late ones are behind all others; a class more urgent each 2 s. One stream of a service looks for an engine at a time, others at least each 400 ms.

The estimate of the first event is `ProbedEngines::first_event_ms`; the wait for memory is added to it. The measured time to the first event contains queueing, so it counts as the time of one prefill only up to 1,200 ms. In force for services whose streams differ in priority or whose engines state `hold_ms`.

`AdmissionQueue` was not extended: it counts slots of three fixed classes first in first out, while engines arbitrate their slots between daemons themselves, and the order here is by class and time together.

--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -12,7 +12,7 @@
 use affinity::StreamVersion;
 use base::ServiceName;
 use futures::future::join;
-use limit::Urgency;
+use limit::{StreamAsk, StreamVerdict, Urgency};
 use std::sync::Arc;
 
 /// What one attempt requires of its engine.
@@ -25,8 +25,12 @@
     pub replica: Option<KvReplica>,
     /// Urgency of a retry; `None` for the first attempt, which needs no retry budget.
     pub retry: Option<Urgency>,
-    /// Whether the attempt may wait if all probed engines are busy.
+    /// Whether the attempt may wait if all probed engines are busy, unless `ask` decides.
     pub may_wait: bool,
+    /// Stream on which the scheduling decides; `None` if the service's streams are not scheduled.
+    pub ask: Option<StreamAsk>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
     /// Engines that the request was sent to before.
     pub excluded: Vec<InstanceId>,
     /// Software version at which the stream may go on.
@@ -48,6 +52,8 @@
         /// Retry that was withdrawn for the attempt; `None` if it needs none.
         retry: Option<RetryPermit>,
     },
+    /// The stream is refused, because its first event would be late by `late_ms`.
+    Refuse { late_ms: u64 },
     /// The attempt cannot start yet.
     Wait {
         reason: WaitReason,
@@ -90,8 +96,17 @@
     core: &Arc<Core>,
     requirements: EngineRequirements,
 ) -> EngineChoice {
-    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded, version } =
-        requirements;
+    let EngineRequirements {
+        service,
+        candidates,
+        replica,
+        retry,
+        may_wait,
+        ask,
+        prompt_tokens,
+        excluded,
+        version,
+    } = requirements;
     let retry = match retry {
         Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
             Some(permit) => Some(permit),
@@ -126,11 +141,22 @@
     };
     // The check and the probes run concurrently, so that a dead engine with the replica does not delay the attempt by a
     // second timeout.
-    let (is_replica_alive, probed) = join(check_replica, probe_all(core, candidates)).await;
+    let (is_replica_alive, probed) =
+        join(check_replica, probe_all(core, &service, candidates)).await;
     let replica = replica.filter(|_| is_replica_alive);
     let holder = replica.as_ref().map(|replica| &replica.instance);
-    let reason = match holder.or(probed.best()) {
-        Some(_) if holder.is_none() && probed.is_busy() && may_wait => WaitReason::Busy,
+    let verdict = ask.filter(|_| holder.is_none()).map(|ask| {
+        let offers = probed.offers(prompt_tokens, ask.tokens);
+        ask.judge(&offers, core.clock.now_ms())
+    });
+    let (chosen, is_busy) = match verdict {
+        Some(StreamVerdict::Refuse { late_ms }) => return EngineChoice::Refuse { late_ms },
+        Some(StreamVerdict::Send(position)) => (probed.get(position), false),
+        Some(StreamVerdict::Wait) => (probed.best(), true),
+        None => (probed.best(), probed.is_busy() && may_wait),
+    };
+    let reason = match holder.or(chosen) {
+        Some(_) if holder.is_none() && is_busy => WaitReason::Busy,
         Some(instance) => {
             let instance = Arc::clone(instance);
             let replica_target = probed.replica_target(&instance, &core.options.domain).cloned();
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -1,8 +1,12 @@
 //! Configuration of routes, services, limits and client accounts.
 
-use crate::route_table::{Route, RouteTable};
+use crate::{
+    core::CoreOptions,
+    route_table::{Route, RouteTable},
+};
 use base::{AccountName, HashMap, HashSet, ServiceName};
 use limit::Priority;
+use web::ServerLimits;
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
@@ -25,7 +29,7 @@
         self.services.get(name).copied().unwrap_or_default()
     }
 
-    /// Sets `ServiceConfig::has_priorities` of all services by the priorities of their streaming routes and of the
+    /// Sets `ServiceConfig::most_urgent` of all services by the priorities of their streaming routes and of the
     /// client accounts.
     pub fn mark_prioritized_services(&mut self) {
         let mut priorities: HashMap<ServiceName, HashSet<Priority>> = HashMap::default();
@@ -36,7 +40,8 @@
             }
         }
         for (name, service) in &mut self.services {
-            service.has_priorities = priorities.get(name).is_some_and(|found| found.len() > 1);
+            let found = priorities.get(name).filter(|found| found.len() > 1);
+            service.most_urgent = found.and_then(|found| found.iter().min().copied());
         }
     }
 
@@ -54,8 +59,17 @@
 pub struct ServiceConfig {
     /// Properties of the service's model engines; `None` for a service without engines.
     pub engine: Option<EngineConfig>,
-    /// Whether streaming requests of the service can have different priorities.
-    pub has_priorities: bool,
+    /// Most urgent priority of the service's streaming requests; `None` if all of them have the same.
+    pub most_urgent: Option<Priority>,
+}
+
+impl ServiceConfig {
+    /// Whether streams of the service wait in order, and are refused if they cannot be in time: its engines give
+    /// reservations, or its streams have different priorities.
+    pub fn schedules_streams(&self) -> bool {
+        let has_holds = self.engine.is_some_and(|engine| engine.hold_ms > 0);
+        self.engine.is_some() && (has_holds || self.most_urgent.is_some())
+    }
 }
 
 /// Properties of a service's model engines.
@@ -69,6 +83,8 @@
     pub snapshots_kv: bool,
     /// Minimum time for which an engine keeps a snapshot after it was created.
     pub snapshot_ttl_ms: u64,
+    /// Longest time for which an engine reserves memory for a request that is to come; 0 if it gives no reservations.
+    pub hold_ms: u64,
 }
 
 /// Limits on the requests and connections of callers.
@@ -84,6 +100,19 @@
     pub idle_timeout_ms: u64,
 }
 
+impl ClientLimits {
+    /// Limits of the HTTP server for callers.
+    pub(crate) fn server_limits(self, options: &CoreOptions) -> ServerLimits {
+        ServerLimits {
+            headers_timeout_ms: self.headers_timeout_ms,
+            idle_timeout_ms: self.idle_timeout_ms,
+            headers_size_bytes: self.max_headers_bytes,
+            accept_after_stop_ms: options.accept_after_stop_ms,
+            cut_after_stop_ms: Some(options.cut_after_stop_ms),
+        }
+    }
+}
+
 impl Default for ClientLimits {
     fn default() -> Self {
         Self {
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -19,6 +19,7 @@
     registry::Registry,
     response_head::{stated_pause_ms, states_leaving},
     route_table::Route,
+    stream_queues::StreamQueues,
     version_affinity::VersionAffinity,
 };
 use affinity::{
@@ -115,6 +116,8 @@
     pub(crate) part_quarantine: CrashQuarantine,
     /// Requests that crash upstreams.
     pub(crate) request_quarantine: CrashQuarantine,
+    /// Streams that wait for an engine.
+    pub(crate) stream_queues: Arc<StreamQueues>,
     /// Software versions at which streams began.
     pub(crate) versions: VersionAffinity,
     /// Time on `clock` until which more losses are expected.
@@ -135,9 +138,10 @@
             limits: InstanceLimits::default(),
             part_quarantine: CrashQuarantine::new(Subject::Parts, spread),
             request_quarantine: CrashQuarantine::new(Subject::Requests, spread),
+            stream_queues: Arc::default(),
             versions: VersionAffinity::new(options.seed),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
-            server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
+            server_limits: watch::Sender::new(ClientLimits::default().server_limits(&options)),
             budgets: RetryBudgets::new(options.retries),
             kept_bytes: Arc::new(ByteAccount::new(options.kept_bytes)),
             options,
@@ -158,6 +162,7 @@
     /// Sets the gauges that describe the daemon at the moment.
     pub fn record_gauges(&self) {
         metrics::gauge!("kept_bytes").set(self.kept_bytes.held_bytes() as f64);
+        metrics::gauge!("streams_waiting").set(self.stream_queues.len() as f64);
     }
 
     /// Number of bytes that are kept for requests in flight now.
@@ -186,7 +191,7 @@
             config.services.len()
         );
         metrics::gauge!("config_version").set(config.version as f64);
-        self.server_limits.send_replace(server_limits(config.limits, &self.options));
+        self.server_limits.send_replace(config.limits.server_limits(&self.options));
         *current = Some(Arc::new(config));
     }
 
@@ -869,14 +874,3 @@
     let accepting = instances.filter(|instance| instance.accepts_requests());
     accepting.map(|instance| &instance.entry.software_version)
 }
-
-/// Limits of the HTTP server for the given configuration and options.
-fn server_limits(limits: ClientLimits, options: &CoreOptions) -> ServerLimits {
-    ServerLimits {
-        headers_timeout_ms: limits.headers_timeout_ms,
-        idle_timeout_ms: limits.idle_timeout_ms,
-        headers_size_bytes: limits.max_headers_bytes,
-        accept_after_stop_ms: options.accept_after_stop_ms,
-        cut_after_stop_ms: Some(options.cut_after_stop_ms),
-    }
-}
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -45,6 +45,10 @@
     pub urgency: HeaderName,
     /// Numbers of tokens of the prompt and, at most, of the answer.
     pub token_counts: HeaderName,
+    /// Decodes the numbers of tokens of the prompt and, at most, of the answer; `None` if the value is malformed.
+    pub decode_token_counts: fn(&str) -> Option<(u64, u64)>,
+    /// Number of tokens of the answer as the caller expects it.
+    pub length_hint: HeaderName,
     /// Parts of the request's prompt, in order.
     pub prompt_parts: HeaderName,
     /// Decodes the identifiers of the parts from the value of `prompt_parts`; empty if the value is malformed.
--- a/crates/ingress/src/engine_report.rs
+++ b/crates/ingress/src/engine_report.rs
@@ -5,6 +5,8 @@
 pub struct EngineReport {
     /// Number of requests in the batch and in the queue.
     pub requests: u32,
+    /// Number of these requests that wait in the queue.
+    pub queued: u32,
     /// Number of these requests whose prefill is not finished. The prefill of a new request waits for them.
     pub pending_prefills: u32,
     /// Tokens in the KV cache that cannot be evicted.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -21,6 +21,10 @@
 /// Largest number of a prompt's parts that are considered, as many as a header of 16,384 bytes can name.
 const MAX_SHARED_PARTS: usize = 4_096;
 
+/// Part of the route's timeout from which on a caller that states less time has sent the request before. The shortest
+/// `Retry-After` is longer.
+const REPEATED_MS: u64 = 100;
+
 /// Request of a caller, with the properties of its route that decide how it is served.
 #[derive(Debug)]
 pub(crate) struct Inbound {
@@ -42,6 +46,12 @@
     pub priority: Priority,
     pub max_attempts: u32,
     pub target_latency_ms: u64,
+    /// Tokens of the prompt; `None` if the caller does not state them.
+    pub prompt_tokens: Option<u64>,
+    /// Tokens of the answer as far as they are known: the caller's estimate, or else the largest number that it asks for.
+    pub output_tokens: u64,
+    /// Whether the caller has probably sent the request before: it has used up a part of the route's timeout.
+    pub is_repeated: bool,
     /// Time of arrival on the daemon's clock.
     pub arrived_ms: u64,
     /// Deadline of the caller or of the route, whichever is earlier, on the daemon's clock.
@@ -141,6 +151,12 @@
         let dialect = self.dialect;
         let id = headers.get(&dialect.request_id).ok_or(CallerError::Header("request id"))?;
         let left_ms = self.time_left_ms(headers)?;
+        let counts = headers.get(&dialect.token_counts).and_then(|value| value.to_str().ok());
+        let counts = counts.and_then(dialect.decode_token_counts);
+        let hint = headers.get(&dialect.length_hint).and_then(|value| value.to_str().ok());
+        let hint = hint.and_then(|value| value.trim().parse().ok());
+        let output_tokens =
+            counts.map_or(0, |(_, most)| hint.map_or(most, |hint: u64| hint.min(most)));
         Ok(Inbound {
             id: id.clone(),
             method,
@@ -154,6 +170,9 @@
             priority: self.priority(),
             max_attempts: self.route.max_attempts.max(1),
             target_latency_ms: self.route.target_latency_ms,
+            prompt_tokens: counts.map(|(prompt, _)| prompt),
+            output_tokens,
+            is_repeated: left_ms + REPEATED_MS < self.route.timeout_ms,
             arrived_ms: self.arrived_ms,
             deadline_ms: self.arrived_ms.saturating_add(left_ms),
             shared_parts: self.shared_parts(headers),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -50,6 +50,7 @@
 mod route_table;
 mod short_call;
 mod silent_call;
+mod stream_queues;
 mod stream_relay;
 mod version_affinity;
 mod version_recorder;
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -11,10 +11,11 @@
     instance_guards::InFlightGuard,
     response_head::keep_alive_s,
 };
-use base::DomainName;
+use base::{DomainName, ServiceName};
 use bytes::Bytes;
 use futures::future::join_all;
 use hyper::Response;
+use limit::{EngineLoad, EngineOffer};
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 use web::ClientError;
 
@@ -25,6 +26,12 @@
 /// few seconds for the first event.
 const BUSY_PREFILLS: u32 = 3;
 
+/// Duration of a prefill at an engine that is not busy.
+pub(crate) const PREFILL_MS: u64 = 1_200;
+
+/// Duration of a whole stream until the durations of enough streams are known.
+const STREAM_MS: u64 = 6_000;
+
 /// Number of connections on which a load report is requested before a request, because engines close some connections
 /// after a response.
 const MAX_VERIFICATIONS: usize = 3;
@@ -40,9 +47,36 @@
     /// Whether instances were lost recently. A KV cache replica takes as much memory as the request that it replicates,
     /// so without losses a loaded engine serves more requests if it holds no replicas.
     has_losses: bool,
+    /// Usual time of one prefill.
+    prefill_ms: u64,
+    /// Usual duration of a stream.
+    stream_ms: u64,
 }
 
 impl ProbedEngines {
+    /// Expected time from the send of a request with `prompt_tokens` to the engine at `position` until the first event,
+    /// if the engine has memory for it.
+    pub fn first_event_ms(&self, position: usize, _prompt_tokens: u64) -> u64 {
+        let load = self.engines.get(position).map(|(load, _)| load);
+        let pending_prefills = load.map_or(0, |load| load.pending_prefills);
+        (u64::from(pending_prefills) + 1).saturating_mul(self.prefill_ms)
+    }
+
+    /// Describes the engines for a stream with `prompt_tokens` that takes up to `tokens` of memory.
+    pub fn offers(&self, prompt_tokens: u64, tokens: u64) -> Vec<EngineOffer> {
+        let offers = self.engines.iter().enumerate().map(|(position, (load, _))| {
+            let first_event_ms = self.first_event_ms(position, prompt_tokens);
+            let memory_wait_ms = load.detail.memory_wait_ms(tokens, self.stream_ms);
+            EngineOffer { load: load.detail, first_event_ms: first_event_ms + memory_wait_ms }
+        });
+        offers.collect()
+    }
+
+    /// Engine at a position in the order of their load; `None` beyond the last one.
+    pub fn get(&self, position: usize) -> Option<&Arc<Instance>> {
+        self.engines.get(position).map(|(_, instance)| instance)
+    }
+
     /// The least loaded engine; `None` if none responded.
     pub fn best(&self) -> Option<&Arc<Instance>> {
         self.engines.first().map(|(_, instance)| instance)
@@ -84,7 +118,11 @@
 ///
 /// A report shows what the daemon cannot know otherwise: the requests of other daemons, and whether the engine was
 /// restarted. A request to a restarted engine would be rejected, and its retry would use up retry budget of the fleet.
-pub(crate) async fn probe_all(core: &Core, candidates: Vec<Arc<Instance>>) -> ProbedEngines {
+pub(crate) async fn probe_all(
+    core: &Core,
+    service: &ServiceName,
+    candidates: Vec<Arc<Instance>>,
+) -> ProbedEngines {
     let probes = candidates.into_iter().map(|instance| async move {
         let report = probe(core, &instance).await?;
         // The report may be the first answer that states that the engine leaves.
@@ -94,7 +132,11 @@
     let mut engines: Vec<_> =
         responses.map(|(report, instance)| (Load::of(&report, &instance), instance)).collect();
     engines.sort_by_key(|(load, _)| *load);
-    ProbedEngines { engines, has_losses: core.has_recent_losses() }
+    let timing = core.timing(service);
+    // The measured wait for the first event contains the prefills of other requests, if there were any.
+    let prefill_ms = timing.first_token_ms.map_or(PREFILL_MS, |ms| (ms as u64).min(PREFILL_MS));
+    let stream_ms = timing.generation_ms.map_or(STREAM_MS, |ms| ms as u64);
+    ProbedEngines { engines, has_losses: core.has_recent_losses(), prefill_ms, stream_ms }
 }
 
 /// Whether an engine is alive: it responded recently, or responds to a probe now.
@@ -144,18 +186,29 @@
     requests: u32,
     /// Whether at least half of the KV cache is free.
     is_half_empty: bool,
+    /// Figures from which the wait of a stream is estimated.
+    detail: EngineLoad,
 }
 
 impl Load {
     /// Computes the load from a report and from the requests that this daemon has in flight, because a report lags
     /// behind.
     fn of(report: &EngineReport, instance: &Instance) -> Self {
+        let pending_prefills = report.pending_prefills.max(instance.pending_prefills());
+        let detail = EngineLoad {
+            running: report.requests.saturating_sub(report.queued),
+            queued: report.queued,
+            prefilling: pending_prefills.saturating_sub(report.queued),
+            used_tokens: report.kv_used_tokens,
+            capacity_tokens: report.kv_cache_tokens,
+        };
         Self {
             is_full: report.kv_used_tokens * 8 > report.kv_cache_tokens * 7,
-            pending_prefills: report.pending_prefills.max(instance.pending_prefills()),
+            pending_prefills,
             // The probe itself counts as in flight.
             requests: report.requests.max(instance.in_flight().saturating_sub(1)),
             is_half_empty: report.kv_used_tokens * 2 <= report.kv_cache_tokens,
+            detail,
         }
     }
 }
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -6,7 +6,7 @@
     buffered_response::BufferedResponse,
     caller_error::CallerError,
     choice::{EngineChoice, EngineRequirements, WaitReason, choose_engine},
-    config::EngineConfig,
+    config::{EngineConfig, ServiceConfig},
     core::Core,
     crash_quarantine::{Subject, log_refusal},
     event::Event,
@@ -17,8 +17,10 @@
     kv_replica::{KvReplica, KvReplicaOrigin},
     kv_replicator::KvReplicator,
     placement::Placement,
+    probe::PREFILL_MS,
     response_head::forwarded_headers,
     route_kind::RouteKind,
+    stream_queues::QueueTicket,
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
 use bytes::{Bytes, BytesMut};
@@ -28,7 +30,7 @@
     HeaderMap,
     header::{HeaderName, HeaderValue},
 };
-use limit::{StreamProgress, Urgency};
+use limit::{StreamAsk, StreamProgress, Urgency, WaitingStream};
 use quarantine::{Admission, PartNames, Verdict};
 use recovery::{Action, AttemptId, EngineSignal, Generation, Input, Journal, LossCause};
 use std::{future::poll_fn, sync::Arc, task::Poll};
@@ -38,8 +40,8 @@
 /// Number of engines that are probed for their load before one gets the request.
 const PROBED_ENGINES: usize = 3;
 
-/// Duration of a prefill at an engine that is not busy.
-const PREFILL_MS: u64 = 1_200;
+/// Part of an engine's memory that a request takes whose size is not stated, as a divisor.
+const USUAL_MEMORY_DIVISOR: u64 = 8;
 
 /// Longest wait of an attempt for an engine that is not busy, counted from the last event, or from the arrival of the
 /// request if there was none. The engines of a lost failure domain are usually back by then.
@@ -69,6 +71,8 @@
     Attempts,
     /// The limits that the engines name leave no request to this daemon in time.
     Limit { retry_after_ms: u64 },
+    /// No engine can begin the stream in time.
+    Late { retry_after_ms: u64 },
     /// It is not known at which software version the stream began.
     VersionUnknown,
     /// No instance has the software version at which the stream began.
@@ -118,10 +122,11 @@
     sends: u32,
     /// Number of engines that may have run the request.
     open_sends: u32,
-    /// Properties of the service's engines; `None` if the configuration states none.
-    engine_config: Option<EngineConfig>,
-    /// Whether streams of the service can have different priorities, so that engines are told the urgency.
-    has_priorities: bool,
+    service_config: ServiceConfig,
+    /// Place among the streams that wait for an engine; `None` while the stream looks for none.
+    ticket: Option<QueueTicket>,
+    /// When the stream began to look for an engine, since the last send.
+    search_since_ms: Option<u64>,
     /// Maintains the KV cache replica from which the next attempt can resume.
     replicator: KvReplicator,
     /// When the replica was requested that was last recorded; `None` if none was.
@@ -179,8 +184,9 @@
             excluded: Vec::new(),
             sends: 0,
             open_sends: 0,
-            engine_config: service_config.engine,
-            has_priorities: service_config.has_priorities,
+            service_config,
+            ticket: None,
+            search_since_ms: None,
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
             take_ups: 0,
@@ -329,7 +335,11 @@
     fn caller_error(&self, failure: Failure) -> CallerError {
         let may_have_run = self.open_sends > 0;
         match failure {
-            Failure::Limit { retry_after_ms } if !may_have_run => CallerError::Busy(retry_after_ms),
+            Failure::Late { retry_after_ms } | Failure::Limit { retry_after_ms }
+                if !may_have_run =>
+            {
+                CallerError::Busy(retry_after_ms)
+            }
             Failure::Quarantine { subject, retry_after_ms } => {
                 CallerError::quarantined(subject, may_have_run, retry_after_ms)
             }
@@ -342,6 +352,7 @@
             _ if !may_have_run => CallerError::Busy(self.core.stream_retry_after_ms()),
             Failure::Deadline => CallerError::TimedOut,
             Failure::Attempts
+            | Failure::Late { .. }
             | Failure::Limit { .. }
             | Failure::VersionGone
             | Failure::VersionUnknown => CallerError::OutcomeUnknown,
@@ -388,7 +399,7 @@
         let tick_ms = self.generation.deadline_ms(timing);
         let checks = self.attempts.iter().filter_map(Attempt::check_due_ms);
         let snapshot_ms =
-            self.source().and_then(|_| self.replicator.snapshot_due_ms(self.engine_config?));
+            self.source().and_then(|_| self.replicator.snapshot_due_ms(self.engine_config()?));
         let limits = [self.inbound.deadline_ms, now_ms + MAX_SLEEP_MS];
         limits.into_iter().chain(tick_ms).chain(checks).chain(snapshot_ms).min().unwrap_or(now_ms)
     }
@@ -428,7 +439,7 @@
 
     /// Starts to create or renew the KV cache snapshot of the request if that is due and an engine is sending events.
     fn snapshot_if_due(&mut self) {
-        let (Some(config), Some(source)) = (self.engine_config, self.source().cloned()) else {
+        let (Some(config), Some(source)) = (self.engine_config(), self.source().cloned()) else {
             return;
         };
         self.replicator.snapshot_if_due(&self.core, &self.inbound, &source, &self.excluded, config);
@@ -744,6 +755,7 @@
     fn fail(&mut self, failure: Failure) {
         self.failure.get_or_insert(failure);
         self.attempts.clear();
+        self.ticket = None;
     }
 
     /// Cancels an attempt that another one has replaced or has made unnecessary.
@@ -855,7 +867,12 @@
         );
         let core = Arc::clone(&self.core);
         let now_ms = core.clock.now_ms();
+        self.search_since_ms.get_or_insert(now_ms);
+        let ask = self.ask(now_ms);
+        let turn = ask.filter(|_| replica.is_none()).map(|ask| self.enter_queue(&ask).turn(&core));
         let requirements = EngineRequirements {
+            ask,
+            prompt_tokens: self.inbound.prompt_tokens.unwrap_or(0),
             service: self.inbound.service.clone(),
             candidates,
             retry: (self.sends > 0).then(|| self.urgency(replica.is_some(), now_ms)),
@@ -864,7 +881,12 @@
             excluded: self.excluded.clone(),
             version: self.version.clone(),
         };
-        let choosing = async move { choose_engine(&core, requirements).await };
+        let choosing = async move {
+            if let Some(turn) = turn {
+                turn.await;
+            }
+            choose_engine(&core, requirements).await
+        };
         self.attempts.push(Attempt::choosing(id, choosing.boxed(), now_ms));
     }
 
@@ -904,6 +926,45 @@
         }
     }
 
+    /// Properties of the service's engines; `None` if the configuration states none.
+    fn engine_config(&self) -> Option<EngineConfig> {
+        self.service_config.engine
+    }
+
+    /// The stream as the scheduling sees it; `None` if the service's streams are not scheduled.
+    fn ask(&self, now_ms: u64) -> Option<StreamAsk> {
+        let engine = self.engine_config().filter(|_| self.service_config.schedules_streams())?;
+        let inbound = &self.inbound;
+        let is_new = self.sends == 0 && self.events == 0 && inbound.last_event_id.is_none();
+        let usual_tokens = engine.kv_cache_tokens / USUAL_MEMORY_DIVISOR;
+        let tokens =
+            inbound.prompt_tokens.map(|prompt| prompt.saturating_add(inbound.output_tokens));
+        Some(StreamAsk {
+            progress: self.progress(now_ms),
+            is_refusable: is_new && !inbound.is_repeated,
+            since_ms: self.search_since_ms.unwrap_or(now_ms),
+            target_latency_ms: inbound.first_event_target_ms() - inbound.arrived_ms,
+            target_ms: inbound.first_event_target_ms(),
+            tokens: tokens.unwrap_or(usual_tokens),
+        })
+    }
+
+    /// Enters the queue of the streams that look for an engine.
+    fn enter_queue(&mut self, ask: &StreamAsk) -> &QueueTicket {
+        let stream = WaitingStream {
+            number: 0,
+            priority: self.inbound.priority,
+            progress: ask.progress,
+            latest_start_ms: ask.target_ms.saturating_sub(PREFILL_MS),
+            since_ms: ask.since_ms,
+            is_unconstrained: self.excluded.is_empty() && self.version == StreamVersion::Any,
+        };
+        let (core, service) = (&self.core, &self.inbound.service);
+        let ticket = self.ticket.get_or_insert_with(|| core.stream_queues.ticket(service));
+        ticket.enter(stream);
+        ticket
+    }
+
     /// Whether the stream can still meet its targets, or has met them so far.
     fn progress(&self, now_ms: u64) -> StreamProgress {
         let target_ms = self.inbound.first_event_target_ms();
@@ -927,7 +988,7 @@
     /// Urgency level that the engine is told; `None` if all streams of the service have the same priority.
     fn urgency_level(&self) -> Option<u8> {
         let progress = self.progress(self.core.clock.now_ms());
-        self.has_priorities.then(|| progress.urgency_level(self.inbound.priority))
+        self.service_config.most_urgent.map(|_| progress.urgency_level(self.inbound.priority))
     }
 
     /// Urgency of a retry. Before the first event, the retry is urgent if that event can still arrive within the target
@@ -942,7 +1003,7 @@
             Some(_) => {
                 let pause_ms = now_ms - self.last_release_ms;
                 let is_in_time = self.progress(now_ms) == StreamProgress::Begun;
-                let ttl_ms = self.engine_config.map_or(0, |config| config.snapshot_ttl_ms);
+                let ttl_ms = self.engine_config().map_or(0, |config| config.snapshot_ttl_ms);
                 let is_replica_expiring = pause_ms * 2 > ttl_ms;
                 has_replica && (is_in_time || is_replica_expiring)
             }
@@ -965,6 +1026,10 @@
                 }
                 (instance, replica, replica_target, retry)
             }
+            EngineChoice::Refuse { late_ms } => {
+                self.refuse_late(late_ms);
+                return;
+            }
             EngineChoice::Wait { reason, replica } => {
                 self.wait_for_engine(position, reason, replica);
                 return;
@@ -977,6 +1042,8 @@
             retry.spend();
         }
         self.wait_reason = None;
+        self.ticket = None;
+        self.search_since_ms = None;
         self.sends += 1;
         self.open_sends += 1;
         self.excluded.push(Arc::clone(&instance.entry.id));
@@ -1015,6 +1082,27 @@
         self.input(Input::Sent { attempt: id });
     }
 
+    /// Refuses a new stream whose first event would be late by `late_ms` at any of the probed engines. The time until the
+    /// caller may return is that in which the engines work off what makes it late.
+    fn refuse_late(&mut self, late_ms: u64) {
+        let now_ms = self.core.clock.now_ms();
+        let is_most_urgent = self.service_config.most_urgent == Some(self.inbound.priority);
+        let backlog_ms = if is_most_urgent { late_ms / 2 } else { late_ms };
+        let left_ms = self.inbound.first_event_target_ms().saturating_sub(now_ms);
+        let pause_ms = backlog_ms.min(left_ms / 2);
+        let retry_after_ms = pause_ms + self.core.stream_retry_after_ms();
+        log::info!(
+            "stream: id={} refused, reason=late priority={} late_ms={late_ms} waited_ms={} \
+             retry_after_ms={retry_after_ms}",
+            self.inbound.id_text(),
+            self.inbound.priority.level(),
+            now_ms.saturating_sub(self.inbound.arrived_ms),
+        );
+        let priority = self.inbound.priority.level().to_string();
+        metrics::counter!("streams_shed_total", "priority" => priority).increment(1);
+        self.fail(Failure::Late { retry_after_ms });
+    }
+
     /// Ends an attempt that cannot start yet. The state machine starts the next one after a pause, unless the limits of
     /// the engines leave no request to this daemon before the first event would be late.
     fn wait_for_engine(&mut self, position: usize, reason: WaitReason, replica: Option<KvReplica>) {
@@ -1073,7 +1161,7 @@
         {
             headers.push((dialect.expected_weights_version.clone(), version.clone()));
         }
-        let replicates_kv = self.engine_config.is_some_and(|config| config.replicates_kv);
+        let replicates_kv = self.engine_config().is_some_and(|config| config.replicates_kv);
         let target = replica_target.filter(|_| replicates_kv);
         let now_ms = self.core.clock.now_ms();
         self.replicator
@@ -1093,6 +1181,7 @@
             (true, _) => "whole",
             (false, Some(Failure::Deadline)) => "deadline",
             (false, Some(Failure::Attempts)) => "attempts",
+            (false, Some(Failure::Late { .. })) => "late",
             (false, Some(Failure::Limit { .. })) => "limit",
             (false, Some(Failure::Quarantine { .. })) => "quarantine",
             (false, Some(Failure::VersionGone)) => "version_gone",
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -18,12 +18,15 @@
 mod admission_queue_limits;
 mod class;
 mod demand_rate;
+mod engine_load;
 mod fleet_share;
 mod peer_demand;
 mod priority;
 mod retry_budget;
 mod retry_budgets;
+mod stream_admission;
 mod stream_progress;
+mod stream_queue;
 mod token_bucket;
 mod upstream_limit_change;
 mod upstream_limits;
@@ -37,11 +40,14 @@
     admission_queue::AdmissionQueue,
     admission_queue_limits::AdmissionQueueLimits,
     class::Class,
+    engine_load::EngineLoad,
     fleet_share::FleetShare,
     priority::Priority,
     retry_budget::{RetryBudget, RetryBudgetLimits, Urgency},
     retry_budgets::RetryBudgets,
+    stream_admission::{EngineOffer, StreamAsk, StreamVerdict},
     stream_progress::StreamProgress,
+    stream_queue::{StreamQueue, WaitingStream},
     upstream_limit_change::UpstreamLimitChange,
     upstream_limits::UpstreamLimits,
     upstream_pauses::UpstreamPauses,
--- /dev/null
+++ b/crates/limit/tests/stream_queue.rs
@@ -0,0 +1,91 @@
+//! Tests of the order in which streams look for engines while a burst fills all of them.
+
+use limit::{Priority, StreamProgress, StreamQueue, WaitingStream};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+/// Stream with arbitrary properties that decide on its place.
+#[derive(Clone, Copy, Debug)]
+struct AnyStream(WaitingStream);
+
+impl Arbitrary for AnyStream {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let all = [StreamProgress::New, StreamProgress::Begun, StreamProgress::Late];
+        Self(WaitingStream {
+            number: 0,
+            priority: Priority::clamped(*g.choose(&[0, 3, 5]).unwrap()),
+            progress: *g.choose(&all).unwrap(),
+            latest_start_ms: u64::arbitrary(g) % 10_000,
+            since_ms: u64::arbitrary(g) % 4_000,
+            is_unconstrained: *g.choose(&[true, true, false]).unwrap(),
+        })
+    }
+}
+
+/// Returns a queue of the streams, with their positions as numbers.
+fn queue_of(streams: &[AnyStream]) -> StreamQueue {
+    let mut queue = StreamQueue::default();
+    for (number, AnyStream(stream)) in (0..).zip(streams) {
+        queue.enter(WaitingStream { number, ..*stream });
+    }
+    queue
+}
+
+/// Fails if all streams wait for each other, or if two that could use any engine look at a time.
+#[test]
+fn exactly_one_unconstrained_stream_is_next() {
+    fn holds(streams: Vec<AnyStream>) -> bool {
+        let queue = queue_of(&streams);
+        let next = (0..).zip(&streams).filter(|(_, stream)| stream.0.is_unconstrained);
+        let count = next.filter(|&(number, _)| queue.is_next(number, 4_000)).count();
+        count == usize::from(streams.iter().any(|stream| stream.0.is_unconstrained))
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(12, 1)).tests(2_000);
+    checker.quickcheck(holds as fn(Vec<AnyStream>) -> bool);
+}
+
+/// Fails if a stream that can be in time waits behind one of the same age that is less urgent, new in place of begun, or
+/// late.
+#[test]
+fn the_order_is_by_class_then_begun_ones_then_the_latest_start() {
+    let new = WaitingStream {
+        number: 0,
+        priority: Priority::default(),
+        progress: StreamProgress::New,
+        latest_start_ms: 5_000,
+        since_ms: 0,
+        is_unconstrained: true,
+    };
+    let late = WaitingStream { progress: StreamProgress::Late, latest_start_ms: 0, ..new };
+    let late_urgent = WaitingStream { priority: Priority::MOST_URGENT, ..late };
+    let sooner = WaitingStream { latest_start_ms: 4_000, ..new };
+    let begun = WaitingStream { progress: StreamProgress::Begun, ..new };
+    let urgent = WaitingStream { priority: Priority::MOST_URGENT, latest_start_ms: 9_000, ..new };
+    let order = [urgent, begun, sooner, new, late_urgent, late];
+    let mut queue = queue_of(&order.map(AnyStream));
+    for number in 0..order.len() as u64 {
+        let next: Vec<u64> = (number..6).filter(|&other| queue.is_next(other, 10)).collect();
+        assert_eq!(next, [number]);
+        assert!(queue.leave(number));
+    }
+    assert!(queue.is_empty());
+}
+
+/// Fails if a stream starves because more urgent ones keep coming.
+#[test]
+fn a_stream_of_the_standard_tier_comes_before_new_urgent_ones_after_a_bounded_wait() {
+    let standard = WaitingStream {
+        number: 0,
+        priority: Priority::default(),
+        progress: StreamProgress::New,
+        latest_start_ms: 8_800,
+        since_ms: 0,
+        is_unconstrained: true,
+    };
+    let mut queue = StreamQueue::default();
+    queue.enter(standard);
+    let urgent = WaitingStream { number: 1, priority: Priority::MOST_URGENT, ..standard };
+    queue.enter(WaitingStream { since_ms: 9_000, latest_start_ms: 11_800, ..urgent });
+    assert!(!queue.is_next(0, 9_000));
+    queue.enter(WaitingStream { since_ms: 10_000, latest_start_ms: 12_800, ..urgent });
+    assert!(queue.is_next(0, 10_000));
+}
