--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -53,6 +53,7 @@
 mod service_rates;
 mod short_call;
 mod silent_call;
+mod stream_queues;
 mod stream_relay;
 mod version_affinity;
 mod version_recorder;
