Scheduling: engines are told the priority alone, not the progress of a stream

Cause: the level followed the progress (late streams last, begun ones first). The progress decides on the place in the daemon's queue only.

--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -992,10 +992,11 @@
         }
     }
 
-    /// Urgency level that the engine is told; `None` if all streams of the service have the same priority.
+    /// Urgency level that the engine is told; `None` if all streams of the service have the same priority. It does not
+    /// follow the progress of the stream: an engine preempts by this level, and each finer one costs prompts that are
+    /// prefilled again.
     fn urgency_level(&self) -> Option<u8> {
-        let progress = self.progress(self.core.clock.now_ms());
-        self.service_config.most_urgent.map(|_| progress.urgency_level(self.inbound.priority))
+        self.service_config.most_urgent.map(|_| self.inbound.priority.level())
     }
 
     /// Urgency of a retry. Before the first event, the retry is urgent if that event can still arrive within the target
--- a/crates/limit/src/stream_progress.rs
+++ b/crates/limit/src/stream_progress.rs
@@ -1,4 +1,4 @@
-//! Progress of a stream against its targets, which decides how urgent it is at an engine.
+//! Progress of a stream against its targets, which decides on its place in the queue of its daemon.
 
 use crate::priority::Priority;
 
@@ -23,9 +23,9 @@
 }
 
 impl StreamProgress {
-    /// Urgency level at engines, from 0 (first) to 9, of a stream with the given priority. A late stream of any
+    /// Level in the queue of a daemon, from 0 (first) to 9, of a stream with the given priority. A late stream of any
     /// priority is less urgent than every stream that can be in time.
-    pub fn urgency_level(self, priority: Priority) -> u8 {
+    pub fn queue_level(self, priority: Priority) -> u8 {
         let level = priority.level().min(LAST_IN_TIME_LEVEL);
         match self {
             Self::New => level,
--- a/crates/limit/src/stream_queue.rs
+++ b/crates/limit/src/stream_queue.rs
@@ -25,7 +25,7 @@
     fn rank(&self, now_ms: u64) -> (u64, bool, u64, u64) {
         let class = match self.progress {
             StreamProgress::New | StreamProgress::Begun => self.priority.level(),
-            StreamProgress::Late => self.progress.urgency_level(self.priority),
+            StreamProgress::Late => self.progress.queue_level(self.priority),
         };
         let aged_class =
             u64::from(class).saturating_sub(now_ms.saturating_sub(self.since_ms) / AGING_MS);
--- a/crates/limit/tests/burst/day.rs
+++ b/crates/limit/tests/burst/day.rs
@@ -190,11 +190,8 @@
         let stream = self.streams[id];
         let priority = stream.priority();
         if let Some(at) = stream.copy_at {
-            let urgency = if self.day.is_scheduled {
-                StreamProgress::Begun.urgency_level(priority)
-            } else {
-                5
-            };
+            let urgency =
+                if self.day.is_scheduled { StreamProgress::Begun.queue_level(priority) } else { 5 };
             self.engines[at].copies.retain(|&copy| copy != id);
             self.streams[id].copy_at = None;
             let generated = stream.generated.max(1.0);
@@ -263,7 +260,7 @@
                 stream.is_sent = true;
                 let generated = stream.generated;
                 let urgency =
-                    if self.day.is_scheduled { progress.urgency_level(priority) } else { 5 };
+                    if self.day.is_scheduled { progress.queue_level(priority) } else { 5 };
                 let run = Run { stream: id, urgency, prefill: PROMPT + generated, generated };
                 self.engines[probed[position]].queue.push(run);
                 self.queues[id % DAEMONS].leave(id as u64);
--- a/crates/limit/tests/stream_progress.rs
+++ b/crates/limit/tests/stream_progress.rs
@@ -1,4 +1,4 @@
-//! Tests of the urgency level that engines are told, on a heavy day with two tiers (priorities 0 and 5) on 142 engines.
+//! Tests of the level at which streams wait, on a heavy day with two tiers (priorities 0 and 5) on 142 engines.
 
 use limit::{Priority, StreamProgress};
 use quickcheck::{Gen, QuickCheck};
@@ -12,12 +12,12 @@
         let (high, low) = (one.min(other), one.max(other));
         let all = [StreamProgress::Begun, StreamProgress::New, StreamProgress::Late];
         let keeps_order = |progress: StreamProgress| {
-            progress.urgency_level(high) <= progress.urgency_level(low)
-                && progress.urgency_level(low) <= 9
+            progress.queue_level(high) <= progress.queue_level(low)
+                && progress.queue_level(low) <= 9
         };
-        let [begun, new, late] = all.map(|progress| progress.urgency_level(low));
-        let is_late_last = late > StreamProgress::New.urgency_level(Priority::clamped(9))
-            && StreamProgress::Late.urgency_level(high) > new;
+        let [begun, new, late] = all.map(|progress| progress.queue_level(low));
+        let is_late_last = late > StreamProgress::New.queue_level(Priority::clamped(9))
+            && StreamProgress::Late.queue_level(high) > new;
         all.into_iter().all(keeps_order) && begun <= new && is_late_last
     }
     let checker = QuickCheck::new().rng(Gen::from_size_and_seed(20, 1));
@@ -27,7 +27,7 @@
 /// Fails if the two tiers of a deployment get the same level, or if odd configured values wrap around.
 #[test]
 fn configured_priorities_map_to_distinct_levels() {
-    let level = |value| StreamProgress::New.urgency_level(Priority::clamped(value));
+    let level = |value| StreamProgress::New.queue_level(Priority::clamped(value));
     assert_eq!((level(0), level(5)), (0, 5));
     assert_eq!(Priority::default(), Priority::clamped(5));
     assert_eq!((level(-3), level(300)), (0, 7));
