--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -7,14 +7,14 @@
     supervisor::keep_running,
 };
 use ingress::{
-    Core, CoreOptions, Decoders, Gateway, PeerSocket, ReadyProbe, follow_platform,
-    record_stream_versions,
+    Core, CoreOptions, Decoders, Gateway, PeerSocket, ReadyProbe, RolloutDecoders, follow_platform,
+    record_rollouts, record_stream_versions,
 };
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use plat::{ItemCache, Relay, RelayOptions, RelayedSource, announce};
 use platform::{
-    KEYS, RELAY_KEYS, RelayService, Settings, Store, decode_config, decode_instance, dialect,
-    is_same_item,
+    KEYS, RELAY_KEYS, RelayService, Settings, Store, decode_config, decode_instance,
+    decode_rollout_order, decode_rollout_status, dialect, encode_rollout_status, is_same_item,
 };
 use recovery::Policy;
 use std::{
@@ -68,6 +68,9 @@
 
 async fn run(settings: Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
     let core = Arc::new(Core::new(dialect(), options(&settings)));
+    if let Some(bounds) = settings.rollouts {
+        core.rollouts.enable(bounds);
+    }
     let entry = Server::with_limits(settings.entry_addr, core.server_limits()).await?;
     let ready = Server::bind(settings.ready_addr).await?;
     let metrics_server = Server::bind(settings.metrics_addr).await?;
@@ -136,7 +139,14 @@
     tokio::spawn(keep_running("follow", move || {
         let store = Store::new(store_addr);
         let source = RelayedSource::new(store, Store::relay, options.clone(), Arc::clone(&items));
-        let decoders = Decoders { config: decode_config, instance: decode_instance };
+        let decoders = Decoders {
+            config: decode_config,
+            instance: decode_instance,
+            rollouts: RolloutDecoders {
+                order: decode_rollout_order,
+                status: decode_rollout_status,
+            },
+        };
         follow_platform(Arc::clone(&following), source, KEYS, decoders)
     }));
     let announced = announced_items(settings);
@@ -149,6 +159,15 @@
         let (writer, reader) = (Store::new(store_addr), Store::new(store_addr));
         record_stream_versions(Arc::clone(&recording), writer, reader, KEYS, decode_instance)
     }));
+    if settings.rollouts.is_some() {
+        let recording = Arc::clone(core);
+        tokio::spawn(keep_running("rollouts", move || {
+            let decoders =
+                RolloutDecoders { order: decode_rollout_order, status: decode_rollout_status };
+            let (core, store) = (Arc::clone(&recording), Store::new(store_addr));
+            record_rollouts(core, store, KEYS, decoders, encode_rollout_status)
+        }));
+    }
     let receiving = Arc::clone(core);
     tokio::spawn(keep_running("peers", move || {
         Arc::clone(&peer_socket).run(Arc::clone(&receiving))
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -218,6 +218,9 @@
             if matches!(step, Step::Event(_)) && !is_comment {
                 self.has_event = true;
                 self.prefill = None;
+                if let Progress::Reading { exchange, .. } = &self.progress {
+                    exchange.observe_event();
+                }
             }
             return Poll::Ready(step);
         }
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -8,6 +8,7 @@
     placement::Placement,
     probe::{is_alive, probe_all},
     retry_permit::RetryPermit,
+    version_rule::VersionRule,
 };
 use affinity::StreamVersion;
 use base::ServiceName;
@@ -31,6 +32,8 @@
     pub excluded: Vec<InstanceId>,
     /// Software version at which the stream may go on.
     pub version: StreamVersion,
+    /// Versions or instances that a rollout allows.
+    pub version_rule: VersionRule,
 }
 
 /// Decision on where an attempt starts, or why it has to wait.
@@ -90,8 +93,16 @@
     core: &Arc<Core>,
     requirements: EngineRequirements,
 ) -> EngineChoice {
-    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded, version } =
-        requirements;
+    let EngineRequirements {
+        service,
+        candidates,
+        replica,
+        retry,
+        may_wait,
+        excluded,
+        version,
+        version_rule,
+    } = requirements;
     let retry = match retry {
         Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
             Some(permit) => Some(permit),
@@ -103,6 +114,7 @@
     let placement = Placement {
         excluded: &excluded,
         required_version: version.required(),
+        version_rule: Some(&version_rule),
         ..Placement::default()
     };
     if candidates.is_empty() && replica.is_none() && core.is_limited(&service, &placement) {
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -18,12 +18,11 @@
     probe::{probe, refuses_connections},
     registry::Registry,
     response_head::{stated_pause_ms, states_leaving},
+    rollout_control::RolloutControl,
     route_table::Route,
     version_affinity::VersionAffinity,
 };
-use affinity::{
-    Origin, ReplicaRecord, ServiceVersion, SoftwareVersion, StreamVersion, TakeUpError,
-};
+use affinity::{Origin, ReplicaRecord, ServiceVersion, StreamVersion, TakeUpError};
 use base::{Clock, DomainName, HashMap, HashSet, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -117,6 +116,8 @@
     pub(crate) request_quarantine: CrashQuarantine,
     /// Software versions at which streams began.
     pub(crate) versions: VersionAffinity,
+    /// Rollouts of software versions.
+    pub rollouts: Arc<RolloutControl>,
     /// Time on `clock` until which more losses are expected.
     losses_until_ms: AtomicU64,
     /// Notifies stream relays that instances were lost, replaced or removed.
@@ -136,6 +137,7 @@
             part_quarantine: CrashQuarantine::new(Subject::Parts, spread),
             request_quarantine: CrashQuarantine::new(Subject::Requests, spread),
             versions: VersionAffinity::new(options.seed),
+            rollouts: Arc::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(server_limits(ClientLimits::default(), &options)),
             budgets: RetryBudgets::new(options.retries),
@@ -533,7 +535,7 @@
         service: &ServiceName,
         placement: &Placement<'_>,
     ) -> bool {
-        let any_version = Placement { required_version: None, ..*placement };
+        let any_version = Placement { required_version: None, version_rule: None, ..*placement };
         placement.required_version.is_some()
             && self.usable_instances(service, placement).is_empty()
             && !self.usable_instances(service, &any_version).is_empty()
@@ -546,7 +548,7 @@
     /// As `StreamVersion::take_up`.
     pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
         let origin = self.versions.origin(inbound).await;
-        StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
+        StreamVersion::take_up(origin, lock(&self.registry).serving_versions(&inbound.service))
     }
 
     /// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if the record
@@ -860,16 +862,6 @@
     }
 }
 
-/// Software versions of the instances of a service that take requests.
-fn serving_versions<'a>(
-    registry: &'a Registry,
-    service: &ServiceName,
-) -> impl Iterator<Item = &'a SoftwareVersion> {
-    let instances = registry.of_service(service).iter();
-    let accepting = instances.filter(|instance| instance.accepts_requests());
-    accepting.map(|instance| &instance.entry.software_version)
-}
-
 /// Limits of the HTTP server for the given configuration and options.
 fn server_limits(limits: ClientLimits, options: &CoreOptions) -> ServerLimits {
     ServerLimits {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -8,6 +8,7 @@
     instance::Instance,
     instance_connection::InstanceConnection,
     instance_guards::InFlightGuard,
+    observation::Observation,
     probe::connect_verified,
     response_head::{ResponseClass, classify_response, keep_alive_s, named_limit_per_s},
 };
@@ -54,6 +55,8 @@
     connection: InstanceConnection,
     /// Part of the body that is kept.
     held: HeldBytes,
+    /// Observation of the request for rollouts; `None` if they are not in force.
+    observation: Option<Observation>,
 }
 
 impl Exchange {
@@ -81,7 +84,13 @@
         if stream_version.is_some_and(|stream_version| !stream_version.allows(version)) {
             return Err(AttemptError::OtherVersion(version.clone()));
         }
+        let required = stream_version.and_then(StreamVersion::required);
+        if !core.rollouts.permits(inbound, &instance, required) {
+            return Err(AttemptError::NotAccepting);
+        }
         let is_stream = stream_version.is_some();
+        let is_resumed = required.is_some();
+        let observation = core.rollouts.observe(inbound, &instance, is_stream, is_resumed);
         let guard = InFlightGuard::new(Arc::clone(&instance));
         let now_ms = core.clock.now_ms();
         let pooled = match is_stream {
@@ -116,7 +125,7 @@
         let is_reused = connection.is_reused;
         let held = core.kept_bytes.hold_none();
         let (status, headers) = (head.status, head.headers);
-        let exchange = Self { guard, status, headers, body, connection, held };
+        let exchange = Self { guard, status, headers, body, connection, held, observation };
         let (status, headers) = (exchange.status, &exchange.headers);
         let class = classify_response(status, headers, &inbound.id, is_reused, &core.dialect);
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
@@ -124,7 +133,10 @@
             core.record_statements(&instance, status, headers);
         }
         match class {
-            ResponseClass::Valid => Ok(exchange),
+            ResponseClass::Valid => {
+                exchange.observe_head();
+                Ok(exchange)
+            }
             ResponseClass::Misdirected => {
                 let actual = exchange.headers.get(&core.dialect.instance);
                 if actual.is_some_and(|id| id.as_bytes() != instance.entry.id.as_bytes()) {
@@ -144,6 +156,9 @@
     /// Ends an exchange whose body was read to its end, and keeps its connection for reuse. Returns the holder of the
     /// part of the body that is kept.
     pub fn close(self, core: &Core) -> HeldBytes {
+        if let Some(observation) = &self.observation {
+            observation.answer(false);
+        }
         return_connection(core, &self.guard, self.connection, &self.headers);
         self.held
     }
@@ -164,6 +179,22 @@
         }
     }
 
+    /// Takes note of the status. An answer with 503 is a refusal and tells nothing of the version.
+    fn observe_head(&self) {
+        let has_failed =
+            self.status.is_server_error() && self.status != StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(observation) = self.observation.as_ref().filter(|_| has_failed) {
+            observation.answer(true);
+        }
+    }
+
+    /// Takes note of an event of the stream.
+    pub fn observe_event(&self) {
+        if let Some(observation) = &self.observation {
+            observation.event();
+        }
+    }
+
     /// Whether the body has neither a length nor chunks, so that it ends with the connection.
     pub fn ends_with_connection(&self) -> bool {
         !self.headers.contains_key(CONTENT_LENGTH) && !self.headers.contains_key(TRANSFER_ENCODING)
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -5,6 +5,7 @@
     core::Core,
     departures::{Departures, Standing},
     instance_entry::InstanceEntry,
+    rollout_items::{RolloutDecoders, RolloutItems},
 };
 use base::{Excerpt, HashMap, HashSet};
 use plat::{Change, Position, Source, SourceError, WatchHandler, WatchTiming, list_and_watch};
@@ -42,6 +43,10 @@
     pub complete_era: &'static str,
     /// Prefix of the keys of the streams that have begun.
     pub begun_streams: &'static str,
+    /// Prefix of the keys of operators' rollout orders. The rest of each key is the name of the service.
+    pub rollout_orders: &'static str,
+    /// Prefix of the keys of the statuses of rollouts. The rest of each key is the name of the service.
+    pub rollout_statuses: &'static str,
 }
 
 /// Decoders of the items in the platform's store.
@@ -51,6 +56,8 @@
     pub config: fn(&[u8]) -> Result<Config, E>,
     /// Decodes the registry entry of the instance with the given identifier.
     pub instance: fn(&str, &[u8]) -> Result<InstanceEntry, E>,
+    /// Decoders of the items of rollouts.
+    pub rollouts: RolloutDecoders<E>,
 }
 
 /// Keeps `core` up to date with the platform, as long as the future is polled.
@@ -70,7 +77,9 @@
     let follower = PlatformFollower {
         core,
         keys,
-        decoders,
+        decode_config: decoders.config,
+        decode_instance: decoders.instance,
+        rollout_items: RolloutItems::new(keys, decoders.rollouts),
         daemons: HashMap::default(),
         departures: Departures::default(),
         is_restored: false,
@@ -84,7 +93,9 @@
 struct PlatformFollower<E> {
     core: Arc<Core>,
     keys: PlatformKeys,
-    decoders: Decoders<E>,
+    decode_config: fn(&[u8]) -> Result<Config, E>,
+    decode_instance: fn(&str, &[u8]) -> Result<InstanceEntry, E>,
+    rollout_items: RolloutItems<E>,
     /// Peer addresses of the daemons, by name of the VM.
     daemons: HashMap<Box<str>, SocketAddr>,
     /// Instances that have left or are leaving.
@@ -104,7 +115,7 @@
             log::warn!("config: the item was removed, the active version stays");
             return;
         };
-        match (self.decoders.config)(value) {
+        match (self.decode_config)(value) {
             Ok(config) => self.core.install(config),
             Err(err) => {
                 if self.undecodable_config.replace(change.revision) != Some(change.revision) {
@@ -117,7 +128,7 @@
 
     /// Decodes the registry entry of an instance; `None` if the entry is malformed.
     fn decode_entry(&mut self, id: &str, value: &[u8]) -> Option<InstanceEntry> {
-        match (self.decoders.instance)(id, value) {
+        match (self.decode_instance)(id, value) {
             Ok(entry) => {
                 self.undecodable.remove(id);
                 Some(entry)
@@ -193,12 +204,16 @@
     }
 
     fn publish_daemons(&self) {
-        self.core.set_daemons(self.daemons.values().copied().collect());
+        let daemons: Vec<SocketAddr> = self.daemons.values().copied().collect();
+        self.core.rollouts.set_daemons(daemons.clone());
+        self.core.set_daemons(daemons);
     }
 }
 
 impl<E: Display> WatchHandler for PlatformFollower<E> {
     fn on_list(&mut self, items: Vec<Change>) {
+        // Orders are applied before instances, which must get no request without the limits of their order.
+        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
         let entries = self.listed_entries(&items);
         self.is_restored = false;
         self.daemons.clear();
@@ -222,11 +237,15 @@
     }
 
     fn on_caught_up(&mut self) {
+        self.core.rollouts.confirm_list();
         self.core.mark_caught_up();
     }
 
     fn on_changes(&mut self, changes: Vec<Change>) {
         let mut have_daemons_changed = false;
+        for change in &changes {
+            self.rollout_items.apply(&self.core.rollouts, change);
+        }
         for change in &changes {
             if &*change.key == self.keys.config {
                 self.install(change);
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -11,9 +11,10 @@
     header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue},
 };
 use quarantine::PartId;
+use rollout::Pass;
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
-    sync::OnceLock,
+    sync::{Mutex, OnceLock},
 };
 use web::end_to_end_headers;
 
@@ -52,6 +53,8 @@
     pub last_event_id: Option<u64>,
     /// Identifier of the caller's attempt that brought the first event of the stream; `None` if the caller names none.
     pub resumes: Option<Box<str>>,
+    /// Decision on the request during a rollout.
+    pub rollout: Mutex<Pass>,
     /// See `fingerprint`.
     fingerprint: OnceLock<PartId>,
 }
@@ -151,6 +154,7 @@
                 .get(&dialect.resumed_request_id)
                 .and_then(|value| value.to_str().ok())
                 .map(Into::into),
+            rollout: Mutex::default(),
             fingerprint: OnceLock::new(),
         })
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -39,6 +39,7 @@
 mod instance_limits;
 mod kv_replica;
 mod kv_replicator;
+mod observation;
 mod peer_message;
 mod peer_socket;
 mod placement;
@@ -46,6 +47,9 @@
 mod registry;
 mod response_head;
 mod retry_permit;
+mod rollout_control;
+mod rollout_items;
+mod rollout_recorder;
 mod route_kind;
 mod route_table;
 mod short_call;
@@ -53,6 +57,7 @@
 mod stream_relay;
 mod version_affinity;
 mod version_recorder;
+mod version_rule;
 
 pub use crate::{
     byte_account::ByteAccount,
@@ -75,6 +80,9 @@
     peer_message::PeerMessage,
     peer_socket::PeerSocket,
     registry::Registry,
+    rollout_control::RolloutControl,
+    rollout_items::RolloutDecoders,
+    rollout_recorder::record_rollouts,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
     version_recorder::record_stream_versions,
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -3,6 +3,7 @@
 use crate::crash_quarantine::ServiceEvidence;
 use base::ServiceName;
 use limit::Urgency;
+use rollout::{RolloutReply, RolloutReport};
 use serde::{Deserialize, Serialize};
 
 /// Largest size of an encoded message. The rest of a longer datagram is cut off when it is received.
@@ -40,6 +41,10 @@
     },
     /// Tells which upstreams crashed on requests, and which survived them.
     RequestEvidence(Vec<ServiceEvidence>),
+    /// Tells a judge what a daemon has counted during a rollout.
+    RolloutReport(RolloutReport),
+    /// Tells how a rollout stands at a judge.
+    RolloutReply(RolloutReply),
 }
 
 impl PeerMessage {
@@ -50,7 +55,9 @@
             Self::Ask { .. }
             | Self::Answer { .. }
             | Self::EvidenceRequest
-            | Self::AskRequest { .. } => true,
+            | Self::AskRequest { .. }
+            | Self::RolloutReport(_)
+            | Self::RolloutReply(_) => true,
         }
     }
 
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -38,6 +38,9 @@
 /// Number of daemons that are asked for evidence at a time.
 const EVIDENCE_REQUEST_FANOUT: usize = 2;
 
+/// Time between two judgements of running rollouts, and so the shortest time between two reports.
+const ROLLOUT_TICK_MS: u64 = 50;
+
 /// UDP socket for messages between daemons.
 ///
 /// Borrows retries from other daemons when this daemon's retry budget is exhausted, and requests to an upstream when
@@ -83,7 +86,7 @@
 
     /// Receives and answers messages of other daemons and sends evidence, as long as the future is polled.
     pub async fn run(self: Arc<Self>, core: Arc<Core>) {
-        tokio::join!(self.receive(&core), self.share_evidence(&core));
+        tokio::join!(self.receive(&core), self.share_evidence(&core), self.share_rollouts(&core));
     }
 
     /// Sends new evidence to other daemons at once, and repeats known evidence from time to time.
@@ -120,6 +123,28 @@
         }
     }
 
+    /// Sends the counts of running rollouts to their judges, and verdicts to all daemons.
+    async fn share_rollouts(&self, core: &Core) {
+        let own = self.local_addr().ok();
+        loop {
+            if !core.rollouts.is_active() {
+                core.rollouts.started.notified().await;
+            }
+            let (reports, verdicts) = core.rollouts.tick(own);
+            for (judges, report) in reports {
+                for judge in judges {
+                    self.send(&PeerMessage::RolloutReport(report.clone()), judge).await;
+                }
+            }
+            for (daemons, verdict) in verdicts {
+                for daemon in daemons {
+                    self.send(&PeerMessage::RolloutReply(verdict.clone()), daemon).await;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(ROLLOUT_TICK_MS)).await;
+        }
+    }
+
     /// Receives messages of other daemons and answers their questions.
     async fn receive(&self, core: &Core) {
         let mut buffer = [0; MESSAGE_SIZE_BYTES];
@@ -156,6 +181,14 @@
                         self.send(&message, from).await;
                     }
                 }
+                Some(PeerMessage::RolloutReport(report)) if core.is_peer(from) => {
+                    if let Some(reply) = core.rollouts.merge_report(report) {
+                        self.send(&PeerMessage::RolloutReply(reply), from).await;
+                    }
+                }
+                Some(PeerMessage::RolloutReply(reply)) if core.is_peer(from) => {
+                    core.rollouts.merge_reply(&reply);
+                }
                 _ => log::info!(
                     "loan: ignored a message from {from}, invalid or from an unlisted daemon"
                 ),
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -1,6 +1,9 @@
 //! Choice of an instance by what this daemon knows about its load and its failures.
 
-use crate::{domain_losses::DomainLosses, instance::Instance, instance_entry::InstanceId};
+use crate::{
+    domain_losses::DomainLosses, instance::Instance, instance_entry::InstanceId,
+    version_rule::VersionRule,
+};
 use affinity::SoftwareVersion;
 use base::DomainName;
 use rand::Rng;
@@ -18,6 +21,8 @@
     pub required_domain: Option<&'a DomainName>,
     /// Software version that the instance must have; `None` if it may have any.
     pub required_version: Option<&'a SoftwareVersion>,
+    /// Versions or instances that a rollout allows; `None` for all of them.
+    pub version_rule: Option<&'a VersionRule>,
     /// Whether instances in the daemon's own failure domain are preferred. Long requests are spread over all domains
     /// instead: the loss of one domain then hits only a few of them at each daemon, and the retry budget suffices.
     pub prefers_local: bool,
@@ -54,6 +59,7 @@
             && !self.excluded.contains(&instance.entry.id)
             && self.excluded_domain != Some(&instance.entry.domain)
             && self.required_domain.is_none_or(|domain| *domain == instance.entry.domain)
+            && self.version_rule.is_none_or(|rule| rule.allows(instance))
             && self
                 .required_version
                 .is_none_or(|version| *version == instance.entry.software_version)
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -62,6 +62,16 @@
         self.of_service(service).iter().map(|instance| &instance.entry.software_version)
     }
 
+    /// Software versions of the instances of a service that take requests.
+    pub fn serving_versions(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        let instances = self.of_service(service).iter();
+        let accepting = instances.filter(|instance| instance.accepts_requests());
+        accepting.map(|instance| &instance.entry.software_version)
+    }
+
     /// Number of instances of all services, including those that are kept for the grace period.
     pub fn len(&self) -> usize {
         self.instances.len()
--- /dev/null
+++ b/crates/ingress/src/rollout_control.rs
@@ -0,0 +1,290 @@
+//! Rollouts of software versions: which requests may go to the target version, and what is observed of them.
+
+use crate::{
+    core::Core, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
+    observation::Observation, registry::Registry, version_rule::VersionRule,
+};
+use affinity::SoftwareVersion;
+use base::{Clock, HashMap, HashSet, ServiceName, lock};
+use rollout::{
+    NewRequest, OrderChange, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport,
+    RolloutStatus, Rollouts, RouteKey, StatusWrite, UsableVersions, VersionChoice,
+};
+use std::{
+    hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+use tokio::sync::Notify;
+
+/// Number of instances that get the requests for a version under evaluation, as a multiple of those that would run at the
+/// usual load of the old ones. The slack is spent early, which is more than the share.
+const LOAD_MARGIN: f64 = 1.0;
+
+/// Message with the daemons that get it.
+type Addressed<T> = (Vec<SocketAddr>, T);
+
+/// Rollouts of a daemon. Without limits from the settings, no request is restricted or observed.
+#[derive(Debug)]
+pub struct RolloutControl {
+    clock: Clock,
+    enabled: OnceLock<Enabled>,
+    /// Whether the last list of items may lack orders that were written before it.
+    is_unconfirmed: AtomicBool,
+    /// Peer addresses of all listed daemons, including this one.
+    daemons: Mutex<Vec<SocketAddr>>,
+    /// Wakes the exchange of reports.
+    pub(crate) started: Notify,
+}
+
+/// State of a daemon whose settings state limits of rollouts.
+#[derive(Debug)]
+struct Enabled {
+    bounds: RolloutBounds,
+    rollouts: Mutex<Rollouts>,
+}
+
+impl Default for RolloutControl {
+    fn default() -> Self {
+        Self {
+            clock: Clock::start(),
+            enabled: OnceLock::new(),
+            is_unconfirmed: AtomicBool::new(false),
+            daemons: Mutex::default(),
+            started: Notify::new(),
+        }
+    }
+}
+
+impl RolloutControl {
+    /// Puts rollouts in force. Only the first call has an effect.
+    pub fn enable(&self, bounds: RolloutBounds) {
+        // Two lifetimes of a daemon must not be taken for one.
+        let lifetime = RandomState::new().hash_one(bounds.rollback_ms);
+        let rollouts = Mutex::new(Rollouts::new(bounds, lifetime));
+        // A second call changes nothing.
+        let _ = self.enabled.set(Enabled { bounds, rollouts });
+    }
+
+    /// Returns what `change` returns for the rollouts and the current time; `None` if rollouts are not in force.
+    pub(crate) fn with<T>(&self, change: impl FnOnce(&mut Rollouts, u64) -> T) -> Option<T> {
+        let enabled = self.enabled.get()?;
+        let now_ms = self.clock.now_ms();
+        let mut rollouts = lock(&enabled.rollouts);
+        let result = change(&mut rollouts, now_ms);
+        for (service, text) in rollouts.take_changes(now_ms) {
+            log::info!("rollout: service={service} {text}");
+            metrics::counter!("rollout_phase_changes_total").increment(1);
+        }
+        Some(result)
+    }
+
+    /// Decides which instances a request may be sent to. `required` is the version at which a stream began, and `excluded`
+    /// are the instances that the request was sent to before.
+    pub(crate) fn rule(
+        &self,
+        core: &Core,
+        inbound: &Inbound,
+        required: Option<&SoftwareVersion>,
+        excluded: &[InstanceId],
+    ) -> VersionRule {
+        let service = &inbound.service;
+        let Some(enabled) = self.enabled.get() else { return VersionRule::Any };
+        let state =
+            self.with(|rollouts, _| rollouts.state(service).map(|(target, _)| target.clone()));
+        let Some(target) = state.flatten() else {
+            return match self.is_unconfirmed.load(Ordering::Relaxed) && required.is_none() {
+                true => core.with_registry(|registry, _| most_common(registry, service)),
+                false => VersionRule::Any,
+            };
+        };
+        let is_target = |instance: &&Arc<Instance>| instance.entry.software_version == target;
+        let (mut targets, old) = core.with_registry(|registry, now_ms| {
+            let instances = registry.of_service(service).iter();
+            let usable = instances.filter(|instance| {
+                instance.accepts_requests() && !instance.has_failed_recently(now_ms)
+            });
+            let (targets, others): (Vec<_>, Vec<_>) = usable.partition(is_target);
+            let ids = targets.iter().map(|instance| Arc::clone(&instance.entry.id));
+            (ids.collect::<Vec<InstanceId>>(), others.len())
+        });
+        let usable = UsableVersions {
+            old: old > 0,
+            target: targets.iter().any(|id| !excluded.contains(id)),
+        };
+        let route = RouteKey::from(&*inbound.route);
+        let choice = self.with(|rollouts, now_ms| {
+            let mut pass = lock(&inbound.rollout);
+            rollouts.choose(service, route, &mut pass, required, usable, now_ms)
+        });
+        match choice {
+            Some(VersionChoice::Without(version)) => VersionRule::Without(version),
+            Some(VersionChoice::Prefer { is_concentrated, .. }) if usable.target => {
+                targets.sort_by_cached_key(|id| (instance_hash(id), Arc::clone(id)));
+                if is_concentrated {
+                    let count = old as f64 * enabled.bounds.exposure_share * LOAD_MARGIN;
+                    targets.retain(|id| !excluded.contains(id));
+                    targets.truncate((count.ceil() as usize).max(1));
+                }
+                VersionRule::Among(targets)
+            }
+            _ => VersionRule::Any,
+        }
+    }
+
+    /// Whether a request may be sent to `instance` now, whatever was decided before. Counts the send.
+    pub(crate) fn permits(
+        &self,
+        inbound: &Inbound,
+        instance: &Instance,
+        required: Option<&SoftwareVersion>,
+    ) -> bool {
+        let version = &instance.entry.software_version;
+        let permitted = self.with(|rollouts, _| {
+            let mut pass = lock(&inbound.rollout);
+            let route = RouteKey::from(&*inbound.route);
+            rollouts.permit(&inbound.service, route, &mut pass, version, required)
+        });
+        permitted.unwrap_or(true)
+    }
+
+    /// Observes a request that is sent to `instance`; `None` if rollouts are not in force.
+    pub(crate) fn observe(
+        self: &Arc<Self>,
+        inbound: &Inbound,
+        instance: &Instance,
+        is_stream: bool,
+        is_resumed: bool,
+    ) -> Option<Observation> {
+        let request = || NewRequest {
+            service: inbound.service.clone(),
+            route: RouteKey::from(&*inbound.route),
+            version: instance.entry.software_version.clone(),
+            instance: Arc::clone(&instance.entry.id),
+            is_stream,
+            is_resumed,
+            target_latency_ms: inbound.target_latency_ms,
+        };
+        let number = self.with(|rollouts, now_ms| rollouts.begin(request(), now_ms))?;
+        Some(Observation::new(Arc::clone(self), number))
+    }
+
+    /// Takes note of the services whose orders are in a list of all items, before they are applied.
+    pub(crate) fn begin_list(&self, listed: &HashSet<ServiceName>, is_restored: bool) {
+        self.is_unconfirmed.store(true, Ordering::Relaxed);
+        self.with(|rollouts, _| {
+            rollouts.clear_statuses();
+            rollouts.note_listed(listed, is_restored);
+        });
+    }
+
+    /// Takes note that all changes up to now were applied.
+    pub(crate) fn confirm_list(&self) {
+        self.is_unconfirmed.store(false, Ordering::Relaxed);
+        for service in self.with(|rollouts, _| rollouts.confirm_list()).unwrap_or_default() {
+            log::info!("rollout: service={service} ends, its order was removed");
+        }
+    }
+
+    /// Applies an order that was written at `revision`.
+    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64) {
+        let RolloutOrder { service, target, duration_ms } = order.clone();
+        match self.with(|rollouts, now_ms| rollouts.apply_order(order, revision, now_ms)) {
+            Some(OrderChange::Started) => {
+                log::info!(
+                    "rollout: service={service} begins, target={target} duration_ms={duration_ms} revision={revision}"
+                );
+                metrics::counter!("rollouts_started_total").increment(1);
+                self.started.notify_one();
+            }
+            Some(OrderChange::Continued) => {
+                log::info!("rollout: service={service} goes on, revision={revision}");
+            }
+            Some(OrderChange::Removed | OrderChange::None) | None => {}
+        }
+    }
+
+    /// Removes the order of a service.
+    pub(crate) fn remove_order(&self, service: &ServiceName) {
+        if self.with(|rollouts, _| rollouts.remove_order(service)) == Some(OrderChange::Removed) {
+            log::info!("rollout: service={service} ends, its order was removed");
+        }
+    }
+
+    /// Takes note of the status of a service in the store; `None` if there is none that can be read.
+    pub(crate) fn apply_status(
+        &self,
+        service: &ServiceName,
+        status: Option<RolloutStatus>,
+        revision: u64,
+    ) {
+        self.with(|rollouts, now_ms| {
+            rollouts.apply_status(service, status, revision, now_ms);
+        });
+    }
+
+    /// Replaces the list of daemons.
+    pub(crate) fn set_daemons(&self, daemons: Vec<SocketAddr>) {
+        *lock(&self.daemons) = daemons;
+    }
+
+    /// Whether a rollout runs, so that reports are exchanged.
+    pub(crate) fn is_active(&self) -> bool {
+        self.with(|rollouts, _| rollouts.is_active()).unwrap_or(false)
+    }
+
+    /// Judges the rollouts. Returns the reports and the verdicts that are to be sent, with the daemons that get them.
+    pub(crate) fn tick(
+        &self,
+        own: Option<SocketAddr>,
+    ) -> (Vec<Addressed<RolloutReport>>, Vec<Addressed<RolloutReply>>) {
+        let daemons = lock(&self.daemons).clone();
+        let due = self.with(|rollouts, now_ms| {
+            let reports = rollouts.tick(&daemons, own, now_ms);
+            (reports, rollouts.take_broadcasts(now_ms))
+        });
+        let (reports, verdicts) = due.unwrap_or_default();
+        let others = || daemons.iter().copied().filter(|addr| Some(*addr) != own).collect();
+        (reports, verdicts.into_iter().map(|verdict| (others(), verdict)).collect())
+    }
+
+    /// Keeps the report of another daemon. Returns the reply.
+    pub(crate) fn merge_report(&self, report: RolloutReport) -> Option<RolloutReply> {
+        self.with(|rollouts, now_ms| rollouts.merge_report(report, now_ms)).flatten()
+    }
+
+    /// Takes over what a judge knows.
+    pub(crate) fn merge_reply(&self, reply: &RolloutReply) {
+        self.with(|rollouts, now_ms| rollouts.merge_reply(reply, now_ms));
+    }
+
+    /// Write of a status that is due; `None` if none is.
+    pub(crate) fn due_write(&self) -> Option<StatusWrite> {
+        self.with(|rollouts, now_ms| rollouts.due_write(now_ms)).flatten()
+    }
+}
+
+/// Rule for a service whose order may be missing: instances of the version that has the most.
+fn most_common(registry: &Registry, service: &ServiceName) -> VersionRule {
+    let mut ids: HashMap<&SoftwareVersion, Vec<InstanceId>> = HashMap::default();
+    for instance in registry.of_service(service).iter() {
+        let of_version = ids.entry(&instance.entry.software_version).or_default();
+        of_version.push(Arc::clone(&instance.entry.id));
+    }
+    let has_several = ids.len() > 1;
+    let largest = ids.into_iter().max_by_key(|(version, ids)| (ids.len(), version.as_str()));
+    match largest {
+        Some((_, ids)) if has_several => VersionRule::Among(ids),
+        _ => VersionRule::Any,
+    }
+}
+
+/// Hash of an instance's identifier, which is the same at all daemons.
+fn instance_hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -62,8 +62,13 @@
             return Err(end_quarantined(call, subject, retry_after_ms));
         }
         let is_trial = matches!(admission, Admission::Trial(_));
-        let placement =
-            Placement { excluded: &excluded, prefers_local: true, ..Placement::default() };
+        let version_rule = core.rollouts.rule(core, inbound, None, &excluded);
+        let placement = Placement {
+            excluded: &excluded,
+            version_rule: Some(&version_rule),
+            prefers_local: true,
+            ..Placement::default()
+        };
         let left_ms = core.left_ms(inbound);
         let chosen = match left_ms {
             0 => Err(core.call_retry_after_ms()),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -19,6 +19,7 @@
     placement::Placement,
     response_head::forwarded_headers,
     route_kind::RouteKind,
+    version_rule::VersionRule,
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
 use bytes::{Bytes, BytesMut};
@@ -138,6 +139,8 @@
     error_response: Option<BufferedResponse>,
     /// Software version at which the stream may go on.
     version: StreamVersion,
+    /// Versions or instances that a rollout allows for the next attempt.
+    version_rule: VersionRule,
     /// Version of the model weights that created the events so far; `None` if the engine did not state it.
     weights_version: Option<HeaderValue>,
     /// Identifier of the last event that the caller has received; `None` before the first event that has one.
@@ -186,6 +189,7 @@
             head: None,
             error_response: None,
             version: StreamVersion::default(),
+            version_rule: VersionRule::default(),
             weights_version: None,
             last_event_id: inbound.last_event_id,
             released: BytesMut::new(),
@@ -827,6 +831,8 @@
         if self.refuse_attempt_if_condemned(id) {
             return;
         }
+        let (required, excluded) = (self.version.required(), &self.excluded[..]);
+        self.version_rule = self.core.rollouts.rule(&self.core, &self.inbound, required, excluded);
         if self.core.has_only_other_versions(&self.inbound.service, &self.placement()) {
             if self.attempts.is_empty() {
                 self.fail_without_version(Failure::VersionGone);
@@ -859,6 +865,7 @@
             replica,
             excluded: self.excluded.clone(),
             version: self.version.clone(),
+            version_rule: self.version_rule.clone(),
         };
         let choosing = async move { choose_engine(&core, requirements).await };
         self.attempts.push(Attempt::choosing(id, choosing.boxed(), now_ms));
@@ -896,6 +903,7 @@
         Placement {
             excluded: &self.excluded,
             required_version: self.version.required(),
+            version_rule: Some(&self.version_rule),
             ..Placement::default()
         }
     }
--- /dev/null
+++ b/crates/ingress/src/version_rule.rs
@@ -0,0 +1,27 @@
+//! Versions or instances that a request may be sent to during a rollout.
+
+use crate::{instance::Instance, instance_entry::InstanceId};
+use affinity::SoftwareVersion;
+
+/// Versions or instances that a request may be sent to during a rollout.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) enum VersionRule {
+    /// All of them.
+    #[default]
+    Any,
+    /// Instances of any version but this one.
+    Without(SoftwareVersion),
+    /// These instances.
+    Among(Vec<InstanceId>),
+}
+
+impl VersionRule {
+    /// Whether a request may be sent to `instance`.
+    pub fn allows(&self, instance: &Instance) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Without(version) => instance.entry.software_version != *version,
+            Self::Among(ids) => ids.contains(&instance.entry.id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/rollout.rs
@@ -0,0 +1,620 @@
+//! One rollout, as one daemon knows it.
+
+use crate::{
+    allocation::{SHARE_MARGIN, SLACK_MARGIN, SLACK_PART, allocate, shift_share},
+    bounds::RolloutBounds,
+    counts::Counts,
+    finding::Finding,
+    instance_set::InstanceSet,
+    open_request::{Answer, NewRequest},
+    order::RolloutOrder,
+    pass::Pass,
+    phase::Phase,
+    reply::RolloutReply,
+    report::RolloutReport,
+    route_counts::RouteCounts,
+    route_key::RouteKey,
+    status::RolloutState,
+    totals::Totals,
+    version_choice::{UsableVersions, VersionChoice},
+};
+use affinity::SoftwareVersion;
+use base::HashMap;
+use std::{
+    collections::VecDeque,
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+/// Time between two reports to the judges if there is nothing urgent.
+const REPORT_MS: u64 = 500;
+
+/// Shortest time between two reports after bad answers.
+const URGENT_REPORT_MS: u64 = 50;
+
+/// Time between two states of the totals that are kept for comparison.
+const SNAPSHOT_MS: u64 = 500;
+
+/// Ages of the states since which the answers are tested as well, in numbers of states. A version may become bad some
+/// seconds after its start.
+const PERIODS: [usize; 3] = [4, 7, 10];
+
+/// Number of states that are kept.
+const MAX_SNAPSHOTS: usize = 48;
+
+/// Shortest period whose answers must be good on their own, and as a part of the order's duration.
+const RECENT_MS: u64 = 4_000;
+const RECENT_PART: f64 = 0.4;
+
+/// Shortest age of an order whose target version can be found good.
+const MIN_AGE_MS: u64 = 5_000;
+
+/// Time before the end of the duration at which a rollout is completed or rolled back at the latest. It covers the write
+/// of the status and the time from the write of the order to the first daemon that reads it.
+const END_MARGIN_MS: u64 = 1_500;
+
+/// Time for which no request must be reported at old versions before the rollout is completed.
+const QUIET_MS: u64 = 1_000;
+
+/// Age of a report from which its daemon counts as silent.
+const SILENT_MS: u64 = 2_500;
+
+/// Part of the listed daemons that must have reported a short time ago before a version is found good. A failure domain of
+/// three may be lost.
+const MIN_REPORTING: f64 = 0.6;
+
+/// Additional evidence, as a natural logarithm, by which a daemon that is no judge stops by itself.
+const OWN_EVIDENCE: f64 = 2.3;
+
+/// Largest credit of a route. More would send a series of requests to the target version.
+const MAX_CREDIT: f64 = 2.0;
+
+/// Largest number of routes that are told apart, as many as fit into a datagram.
+const MAX_ROUTES: usize = 16;
+
+/// Largest number of daemon lifetimes whose reports are kept.
+const MAX_REPORTS: usize = 4_096;
+
+/// Largest number of revisions by which an order is known.
+const MAX_REVISIONS: usize = 16;
+
+/// Number of times that a verdict is sent to all daemons.
+const BROADCASTS: u32 = 3;
+
+/// Unit of shares in replies.
+const SHARE_UNIT: f64 = 10_000.0;
+
+/// Credit of one route, from which a request to the target version takes 1.
+#[derive(Debug)]
+struct Credit {
+    amount: f64,
+    /// Part of the slack that was added.
+    slack: f64,
+}
+
+/// One rollout, as one daemon knows it.
+#[derive(Debug)]
+pub(crate) struct Rollout {
+    pub order: RolloutOrder,
+    /// Revisions at which the order was written, the first one first.
+    revisions: Vec<u64>,
+    /// Number of the rollout at this daemon.
+    number: u64,
+    lifetime: u64,
+    bounds: RolloutBounds,
+    seen_ms: u64,
+    /// Age of the order when this daemon saw it.
+    first_age_ms: u64,
+    pub phase: Phase,
+    phase_ms: u64,
+    /// Number of daemons among which the slack is divided.
+    daemons: usize,
+    /// Position among the judges; `None` if this daemon is none.
+    pub rank: Option<usize>,
+    credits: HashMap<RouteKey, Credit>,
+    shares: HashMap<RouteKey, f64>,
+    default_share: f64,
+    routes: HashMap<RouteKey, RouteCounts>,
+    used: InstanceSet,
+    bad: InstanceSet,
+    reports_sent: u64,
+    reported_ms: Option<u64>,
+    has_bad_news: bool,
+    /// Last report of each daemon lifetime, with the time at which it arrived.
+    reports: HashMap<u64, (RolloutReport, u64)>,
+    snapshots: VecDeque<(u64, Totals)>,
+    /// Since when no request is reported at old versions.
+    quiet_since_ms: Option<u64>,
+    broadcasts: u32,
+    broadcast_ms: u64,
+    /// State that is to be written to the store, and since when.
+    wanted: Option<(RolloutState, u64)>,
+    /// What the last verdict was based on.
+    pub finding: Option<Finding>,
+}
+
+/// What a daemon that takes note of an order knows besides.
+#[derive(Debug)]
+pub(crate) struct RolloutStart {
+    pub revision: u64,
+    pub number: u64,
+    pub lifetime: u64,
+    pub bounds: RolloutBounds,
+    pub before: Vec<(RouteKey, Counts)>,
+    pub now_ms: u64,
+}
+
+impl Rollout {
+    pub fn new(order: RolloutOrder, start: RolloutStart) -> Self {
+        let RolloutStart { revision, number, lifetime, bounds, before, now_ms } = start;
+        let counts = |before| RouteCounts { before, ..RouteCounts::default() };
+        let routes = before.into_iter().take(MAX_ROUTES).map(|(key, before)| (key, counts(before)));
+        Self {
+            order,
+            revisions: vec![revision],
+            number,
+            lifetime,
+            bounds,
+            seen_ms: now_ms,
+            first_age_ms: 0,
+            phase: Phase::Evaluating,
+            phase_ms: now_ms,
+            daemons: 1,
+            rank: None,
+            credits: HashMap::default(),
+            shares: HashMap::default(),
+            default_share: bounds.exposure_share * SHARE_MARGIN,
+            routes: routes.collect(),
+            used: InstanceSet::default(),
+            bad: InstanceSet::default(),
+            reports_sent: 0,
+            reported_ms: None,
+            has_bad_news: false,
+            reports: HashMap::default(),
+            snapshots: VecDeque::new(),
+            quiet_since_ms: None,
+            broadcasts: 0,
+            broadcast_ms: 0,
+            wanted: None,
+            finding: None,
+        }
+    }
+
+    /// Age of the order.
+    pub fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.seen_ms) + self.first_age_ms
+    }
+
+    /// Takes over the age that another daemon knows, if that is larger.
+    fn learn_age(&mut self, age_ms: u64, now_ms: u64) {
+        let own_ms = now_ms.saturating_sub(self.seen_ms);
+        // A larger age than that is an error, and must not end the rollout at once everywhere.
+        let age_ms = age_ms.min(self.order.duration_ms.saturating_mul(2));
+        self.first_age_ms = self.first_age_ms.max(age_ms.saturating_sub(own_ms));
+    }
+
+    /// Takes note that the order was written again with the same content.
+    pub fn add_revision(&mut self, revision: u64) {
+        if self.revisions.contains(&revision) {
+            return;
+        }
+        if self.revisions.len() >= MAX_REVISIONS {
+            self.revisions.remove(1);
+        }
+        self.revisions.push(revision);
+    }
+
+    /// Whether `revision` is one of the order's.
+    pub fn has_revision(&self, revision: u64) -> bool {
+        self.revisions.contains(&revision)
+    }
+
+    /// Whether a status that was written at `revision` is about this order.
+    pub fn precedes(&self, revision: u64) -> bool {
+        self.revisions.iter().any(|own| *own < revision)
+    }
+
+    fn last_revisions(&self) -> [u64; 2] {
+        let first = self.revisions.first().copied().unwrap_or(0);
+        [first, self.revisions.last().copied().unwrap_or(first)]
+    }
+
+    fn is_same(&self, target: &SoftwareVersion, revisions: [u64; 2]) -> bool {
+        *target == self.order.target && revisions.iter().any(|at| self.revisions.contains(at))
+    }
+
+    /// Changes the phase. Returns whether it is another one than before.
+    pub fn set_phase(&mut self, phase: Phase, now_ms: u64) -> bool {
+        if self.phase == phase {
+            return false;
+        }
+        self.phase = phase;
+        self.phase_ms = now_ms;
+        true
+    }
+
+    /// Key by which a route is counted.
+    fn counted(&self, route: RouteKey) -> RouteKey {
+        match self.routes.contains_key(&route) || self.routes.len() < MAX_ROUTES {
+            true => route,
+            // Routes beyond the limit are counted with one that exists.
+            false => self.routes.keys().copied().min().unwrap_or(route),
+        }
+    }
+
+    fn share(&self, route: RouteKey) -> f64 {
+        self.shares.get(&route).copied().unwrap_or(self.default_share)
+    }
+
+    fn is_full(&self, route: RouteKey) -> bool {
+        self.phase == Phase::Shifting && self.share(route) >= 1.0
+    }
+
+    /// Decides at which versions a request may run. `required` is the version at which a stream began.
+    pub fn choose(
+        &mut self,
+        pass: &mut Pass,
+        route: RouteKey,
+        required: Option<&SoftwareVersion>,
+        usable: UsableVersions,
+        now_ms: u64,
+    ) -> VersionChoice {
+        let target = self.order.target.clone();
+        let preferred = |is_concentrated| VersionChoice::Prefer {
+            version: self.order.target.clone(),
+            is_concentrated,
+        };
+        match self.phase {
+            Phase::RolledBack => return VersionChoice::Without(target),
+            _ if required.is_some() => return VersionChoice::Any,
+            Phase::Completed => return preferred(false),
+            Phase::Evaluating | Phase::Shifting => {}
+        }
+        let route = self.counted(route);
+        if pass.rollout != self.number {
+            let is_new = self.draw(route, usable, now_ms);
+            *pass = Pass { rollout: self.number, is_new, is_sent: false };
+        }
+        let is_over = self.age_ms(now_ms) > self.order.duration_ms;
+        if is_over && self.phase == Phase::Evaluating {
+            if usable.old {
+                return VersionChoice::Without(target);
+            }
+            // The rollout was completed, and this daemon has not been told.
+            *pass = Pass { is_new: true, is_sent: false, ..*pass };
+            return VersionChoice::Any;
+        }
+        let is_new = pass.is_new && !pass.is_sent || self.is_full(route);
+        match is_new && usable.target {
+            true => VersionChoice::Prefer {
+                version: target,
+                is_concentrated: self.phase == Phase::Evaluating,
+            },
+            false => VersionChoice::Without(target),
+        }
+    }
+
+    /// Counts a request of a caller, and draws whether it goes to the target version, by systematic sampling.
+    fn draw(&mut self, route: RouteKey, usable: UsableVersions, now_ms: u64) -> bool {
+        self.routes.entry(route).or_default().requests += 1;
+        if !usable.target {
+            return false;
+        }
+        let slack = self.slack_of_route(now_ms);
+        let share = self.share(route);
+        let start = self.start_of(route);
+        let credit = self.credits.entry(route).or_insert(Credit { amount: start, slack: 0.0 });
+        credit.amount += share + (slack - credit.slack).max(0.0);
+        credit.slack = credit.slack.max(slack);
+        credit.amount = credit.amount.min(MAX_CREDIT);
+        if credit.amount < 1.0 {
+            return false;
+        }
+        credit.amount -= 1.0;
+        true
+    }
+
+    /// Part of the slack that a route of this daemon may have used by now.
+    fn slack_of_route(&self, now_ms: u64) -> f64 {
+        let spend_ms = (self.order.duration_ms as f64 * SLACK_PART).max(1.0);
+        let part = (self.age_ms(now_ms) as f64 / spend_ms).min(1.0);
+        let routes = self.routes.len().max(self.shares.len()).max(1) as f64;
+        self.bounds.exposure_slack * SLACK_MARGIN * part / self.daemons.max(1) as f64 / routes
+    }
+
+    /// Start of the sampling on a route, which is random in [0, 1) and independent between daemons.
+    fn start_of(&self, route: RouteKey) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (self.lifetime, self.number, route).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Whether a request may be sent to an instance of `version` now. Counts the send.
+    pub fn permit(
+        &mut self,
+        pass: &mut Pass,
+        route: RouteKey,
+        version: &SoftwareVersion,
+        required: Option<&SoftwareVersion>,
+    ) -> bool {
+        if *version != self.order.target {
+            return true;
+        }
+        match self.phase {
+            Phase::RolledBack => return false,
+            Phase::Completed => return true,
+            Phase::Evaluating | Phase::Shifting => {}
+        }
+        let route = self.counted(route);
+        let is_resumed = required == Some(version);
+        let is_drawn = pass.rollout == self.number && pass.is_new && !pass.is_sent;
+        if !is_resumed && !is_drawn && !self.is_full(route) {
+            return false;
+        }
+        pass.is_sent = true;
+        self.routes.entry(route).or_default().sends += 1;
+        if is_resumed && let Some(credit) = self.credits.get_mut(&route) {
+            credit.amount -= 1.0;
+        }
+        true
+    }
+
+    /// Counts an answer to a request.
+    pub fn count(&mut self, request: &NewRequest, answer: Answer) {
+        let route = self.counted(request.route);
+        let is_target = request.version == self.order.target;
+        let counts = self.routes.entry(route).or_default();
+        answer.add_to(if is_target { &mut counts.target } else { &mut counts.old });
+        if is_target {
+            self.used.insert(&request.instance);
+        }
+        if is_target && answer.is_bad() {
+            self.bad.insert(&request.instance);
+            self.has_bad_news = true;
+        }
+    }
+
+    /// Creates the report of this daemon. `overdue` are requests without an answer that are slow already.
+    pub fn report(
+        &mut self,
+        overdue: &[NewRequest],
+        old_running: u32,
+        now_ms: u64,
+    ) -> RolloutReport {
+        self.reports_sent += 1;
+        let mut routes = self.routes.clone();
+        let (mut used, mut bad) = (self.used, self.bad);
+        for request in overdue {
+            let counts = routes.entry(self.counted(request.route)).or_default();
+            let is_target = request.version == self.order.target;
+            Answer::Slow.add_to(if is_target { &mut counts.target } else { &mut counts.old });
+            if is_target {
+                used.insert(&request.instance);
+                bad.insert(&request.instance);
+            }
+        }
+        RolloutReport {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            revisions: self.last_revisions(),
+            lifetime: self.lifetime,
+            number: self.reports_sent,
+            age_ms: self.age_ms(now_ms),
+            old_running,
+            used,
+            bad,
+            routes: routes.into_iter().collect(),
+        }
+    }
+
+    /// Whether a report is due.
+    pub fn is_report_due(&self, now_ms: u64) -> bool {
+        let interval_ms = if self.has_bad_news { URGENT_REPORT_MS } else { REPORT_MS };
+        self.reported_ms.is_none_or(|at_ms| now_ms >= at_ms + interval_ms)
+    }
+
+    /// Records that the due report was sent.
+    pub fn mark_reported(&mut self, now_ms: u64) {
+        self.reported_ms = Some(now_ms);
+        self.has_bad_news = false;
+    }
+
+    /// Keeps the report of a daemon. Returns whether it is about this order.
+    pub fn merge_report(&mut self, report: RolloutReport, now_ms: u64) -> bool {
+        if !self.is_same(&report.target, report.revisions) {
+            return false;
+        }
+        self.learn_age(report.age_ms, now_ms);
+        let known = self.reports.get(&report.lifetime);
+        let is_new = known.is_none_or(|(known, _)| known.number < report.number);
+        if is_new && (known.is_some() || self.reports.len() < MAX_REPORTS) {
+            self.reports.insert(report.lifetime, (report, now_ms));
+        }
+        true
+    }
+
+    /// State of the rollout for other daemons.
+    pub fn reply(&self, now_ms: u64) -> RolloutReply {
+        let units = |share: f64| (share * SHARE_UNIT) as u16;
+        RolloutReply {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            revisions: self.last_revisions(),
+            age_ms: self.age_ms(now_ms),
+            phase: self.phase,
+            default_share: units(self.default_share),
+            shares: self.shares.iter().map(|(key, share)| (*key, units(*share))).collect(),
+        }
+    }
+
+    /// Takes over what a judge knows. Returns whether the phase has changed.
+    pub fn merge_reply(&mut self, reply: &RolloutReply, now_ms: u64) -> bool {
+        if !self.is_same(&reply.target, reply.revisions) {
+            return false;
+        }
+        self.learn_age(reply.age_ms, now_ms);
+        let has_changed = match (self.phase, reply.phase) {
+            (Phase::Completed, _) => false,
+            (_, Phase::Completed | Phase::RolledBack) => self.set_phase(reply.phase, now_ms),
+            (Phase::Evaluating, Phase::Shifting) => self.set_phase(reply.phase, now_ms),
+            _ => false,
+        };
+        if reply.phase == self.phase && self.rank.is_none() {
+            let share = |units: u16| f64::from(units) / SHARE_UNIT;
+            self.default_share = share(reply.default_share);
+            self.shares = reply.shares.iter().map(|(key, units)| (*key, share(*units))).collect();
+        }
+        has_changed
+    }
+
+    /// Judges the target version: as a judge by all reports, and else by this daemon's own. Returns whether the phase has
+    /// changed.
+    pub fn judge(&mut self, daemons: usize, rank: Option<usize>, now_ms: u64) -> bool {
+        self.daemons = daemons.max(1);
+        self.rank = rank;
+        if self.phase.is_final() {
+            return false;
+        }
+        let totals = self.totals();
+        if rank.is_none() {
+            self.finding = totals.finding(std::iter::empty(), OWN_EVIDENCE);
+            return self.finding.is_some() && self.set_phase(Phase::RolledBack, now_ms);
+        }
+        let snapshots = &self.snapshots;
+        let earlier = PERIODS.iter().filter_map(|states| {
+            snapshots.len().checked_sub(*states).and_then(|at| snapshots.get(at))
+        });
+        self.finding = totals.finding(earlier.map(|(_, totals)| totals), 0.0);
+        if self.finding.is_some() {
+            return self.set_phase(Phase::RolledBack, now_ms);
+        }
+        let last_ms = self.snapshots.back().map(|(at_ms, _)| *at_ms);
+        if last_ms.is_none_or(|at_ms| now_ms >= at_ms + SNAPSHOT_MS) {
+            self.snapshots.push_back((now_ms, totals.clone()));
+            if self.snapshots.len() > MAX_SNAPSHOTS {
+                self.snapshots.pop_front();
+            }
+        }
+        let age_ms = self.age_ms(now_ms);
+        let end_ms = self.order.duration_ms.saturating_sub(END_MARGIN_MS);
+        if self.phase == Phase::Evaluating {
+            self.shares = allocate(&self.bounds, &totals).into_iter().collect();
+            let may_be_good = age_ms >= (self.order.duration_ms / 2).max(MIN_AGE_MS);
+            if may_be_good
+                && age_ms < end_ms
+                && self.is_heard(now_ms)
+                && totals.is_good(&self.recent(now_ms))
+            {
+                self.set_phase(Phase::Shifting, now_ms);
+                self.update_shift(now_ms);
+                return true;
+            }
+            return age_ms >= end_ms && self.set_phase(Phase::RolledBack, now_ms);
+        }
+        self.update_shift(now_ms);
+        let is_quiet =
+            totals.old_running == 0 && self.default_share >= 1.0 && self.is_heard(now_ms);
+        match is_quiet {
+            true => _ = self.quiet_since_ms.get_or_insert(now_ms),
+            false => self.quiet_since_ms = None,
+        }
+        false
+    }
+
+    fn update_shift(&mut self, now_ms: u64) {
+        self.shares.clear();
+        self.default_share = shift_share(now_ms.saturating_sub(self.phase_ms));
+    }
+
+    /// Whether all traffic has moved, or must be counted as moved because the time is over.
+    fn is_complete(&self, now_ms: u64) -> bool {
+        let end_ms = self.order.duration_ms.saturating_sub(END_MARGIN_MS);
+        let is_quiet = self.quiet_since_ms.is_some_and(|at_ms| now_ms >= at_ms + QUIET_MS);
+        self.phase == Phase::Completed
+            || self.phase == Phase::Shifting && (is_quiet || self.age_ms(now_ms) >= end_ms)
+    }
+
+    /// State that the store should hold by now and since when; `None` if this daemon is no judge.
+    pub fn wanted(&mut self, now_ms: u64) -> Option<(RolloutState, u64)> {
+        self.rank?;
+        let state = match self.phase {
+            Phase::RolledBack => RolloutState::RolledBack,
+            _ if self.is_complete(now_ms) => RolloutState::Completed,
+            _ => RolloutState::Running,
+        };
+        match self.wanted {
+            Some((known, _)) if known == state => {}
+            _ => self.wanted = Some((state, now_ms)),
+        }
+        self.wanted
+    }
+
+    /// Whether the rollout has not ended, or its verdict is still to be sent to all daemons.
+    pub fn is_active(&self) -> bool {
+        let is_telling = self.phase == Phase::RolledBack && self.broadcasts < BROADCASTS;
+        !self.phase.is_final() || self.rank.is_some() && is_telling
+    }
+
+    /// Whether the verdict is due to be sent to all daemons.
+    pub fn take_broadcast(&mut self, now_ms: u64) -> bool {
+        let is_due = self.phase == Phase::RolledBack
+            && self.rank.is_some()
+            && self.broadcasts < BROADCASTS
+            && (self.broadcasts == 0 || now_ms >= self.broadcast_ms + REPORT_MS);
+        if is_due {
+            self.broadcasts += 1;
+            self.broadcast_ms = now_ms;
+        }
+        is_due
+    }
+
+    /// Whether enough daemons have reported a short time ago.
+    fn is_heard(&self, now_ms: u64) -> bool {
+        let is_recent = |at_ms: u64| now_ms < at_ms + SILENT_MS;
+        let heard = self.reports.values().filter(|(_, at_ms)| is_recent(*at_ms)).count();
+        heard as f64 >= MIN_REPORTING * self.daemons as f64
+    }
+
+    /// Totals at the start of the period whose answers must be good on their own.
+    fn recent(&self, now_ms: u64) -> Totals {
+        let period_ms = RECENT_MS.max((self.order.duration_ms as f64 * RECENT_PART) as u64);
+        let mut states = self.snapshots.iter().rev();
+        let start = states.find(|(at_ms, _)| *at_ms + period_ms <= now_ms);
+        start.map(|(_, totals)| totals.clone()).unwrap_or_default()
+    }
+
+    /// Sum of all reports.
+    pub fn totals(&self) -> Totals {
+        let mut totals = Totals::default();
+        for (report, _) in self.reports.values() {
+            totals.add(report);
+        }
+        totals
+    }
+
+    /// What led to the present phase, as fields of a log line.
+    pub fn describe(&self, now_ms: u64) -> String {
+        let totals = self.totals();
+        let sum = |value: fn(&RouteCounts) -> u32| totals.routes.values().map(value).sum::<u32>();
+        let evidence = self.finding.map_or_else(
+            || String::from("-"),
+            |finding| {
+                let Finding { fault, bad, answers, usual, .. } = finding;
+                let route = if finding.route.is_some() { "one" } else { "all" };
+                format!("{bad}/{answers} {} on {route} routes, usual {usual:.3}", fault.as_str())
+            },
+        );
+        format!(
+            "target={} phase={:?} age_ms={} reports={} requests={} sends={} answers={} failures={} slow={} \
+             evidence={evidence:?}",
+            self.order.target,
+            self.phase,
+            self.age_ms(now_ms),
+            self.reports.len(),
+            sum(|counts| counts.requests),
+            sum(|counts| counts.sends),
+            sum(|counts| counts.target.answers),
+            sum(|counts| counts.target.failures),
+            sum(|counts| counts.target.slow),
+        )
+    }
+}
