Rollout: judges plan the share by what was sent so far

The judges now close the loop: their replies carry the share of each route, so that what is spent by half of the duration is what the share allows for the whole of it. The slack serves as an advance, and beyond that only without a verdict at 0.6 of the duration. Small routes may be sent to the target version whole if their usual answers are known from before the order. Without advice for 1.5 s a daemon keeps to the share of the settings. Slots of the target's instances limit the shift.

--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -102,18 +102,22 @@
             };
         };
         let is_target = |instance: &&Arc<Instance>| instance.entry.software_version == target;
-        let (mut targets, old) = core.with_registry(|registry, now_ms| {
+        let (mut targets, old, slots_ratio) = core.with_registry(|registry, now_ms| {
             let instances = registry.of_service(service).iter();
-            let usable = instances.filter(|instance| {
-                instance.accepts_requests() && !instance.has_failed_recently(now_ms)
-            });
-            let (targets, others): (Vec<_>, Vec<_>) = usable.partition(is_target);
-            let ids = targets.iter().map(|instance| Arc::clone(&instance.entry.id));
-            (ids.collect::<Vec<InstanceId>>(), others.len())
+            let serving = instances.filter(|instance| instance.accepts_requests());
+            let (targets, others): (Vec<_>, Vec<_>) = serving.partition(is_target);
+            let slots = |instances: &[&Arc<Instance>]| -> f64 {
+                instances.iter().map(|instance| f64::from(instance.entry.slots)).sum()
+            };
+            let slots_ratio = slots(&targets) / slots(&others).max(1.0);
+            let healthy = targets.iter().filter(|instance| !instance.has_failed_recently(now_ms));
+            let ids = healthy.map(|instance| Arc::clone(&instance.entry.id));
+            (ids.collect::<Vec<InstanceId>>(), others.len(), slots_ratio)
         });
         let usable = UsableVersions {
             old: old > 0,
             target: targets.iter().any(|id| !excluded.contains(id)),
+            slots_ratio,
         };
         let route = RouteKey::from(&*inbound.route);
         let choice = self.with(|rollouts, now_ms| {
--- a/crates/rollout/src/allocation.rs
+++ b/crates/rollout/src/allocation.rs
@@ -3,38 +3,83 @@
 use crate::{bounds::RolloutBounds, route_key::RouteKey, totals::Totals};
 
 /// Part of `exposure_share` that new requests use. The rest is for retries, resumed streams and swings of the demand.
-pub(crate) const SHARE_MARGIN: f64 = 0.85;
+const SHARE_MARGIN: f64 = 0.9;
+
+/// Part of `exposure_share` that a daemon uses without the advice of a judge.
+const OWN_MARGIN: f64 = 0.85;
 
 /// Part of `exposure_slack` that new requests use.
-pub(crate) const SLACK_MARGIN: f64 = 0.5;
+const SLACK_MARGIN: f64 = 0.7;
+
+/// Part of the order's duration over which the slack is spent. Early evidence is worth more than late evidence, because
+/// the old version's streams need the rest of the time to end.
+const SLACK_PART: f64 = 0.35;
+
+/// Part of the order's duration over which the share of all requests until the time limit is spent. Most verdicts are
+/// possible at half of the duration.
+const SPEND_PART: f64 = 0.48;
 
-/// Part of the order's duration over which the slack is spent. Early evidence is worth more than late evidence.
-pub(crate) const SLACK_PART: f64 = 0.4;
+/// Parts of the order's duration between which the slack is spent beyond that, if there is no verdict by then.
+const LATE_PARTS: (f64, f64) = (0.6, 0.8);
 
-/// Largest share of a route. The rest shows how the old version does in the same period.
-const MAX_ROUTE_SHARE: f64 = 0.85;
+/// Largest share of all requests, also while slack is spent.
+const MAX_SHARE: f64 = 0.6;
+
+/// Largest share of a route whose usual answers are not known from before the order, so that the old version can be
+/// compared.
+const MAX_UNKNOWN_SHARE: f64 = 0.85;
+
+/// Number of answers before the order from which the usual answers of a route are known.
+const KNOWN_ANSWERS: u32 = 30;
 
 /// Times after the verdict *good* from which the share of the target version has the given value.
-const SHIFT_STEPS: [(u64, f64); 3] = [(0, 0.3), (500, 0.6), (1_000, 1.0)];
-
-/// Divides the exposure among the routes, in equal parts as far as their traffic allows that, so that a route with
-/// little traffic yields as much evidence as the others. Returns the share of each route.
-pub fn allocate(bounds: &RolloutBounds, totals: &Totals) -> Vec<(RouteKey, f64)> {
-    let mut routes: Vec<(RouteKey, f64)> =
-        totals.routes.iter().map(|(key, counts)| (*key, f64::from(counts.traffic()))).collect();
-    routes.retain(|(_, traffic)| *traffic > 0.0);
-    routes.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
-    let all: f64 = routes.iter().map(|(_, traffic)| traffic).sum();
-    let requests: f64 = totals.routes.values().map(|counts| f64::from(counts.requests)).sum();
-    let sends: f64 = totals.routes.values().map(|counts| f64::from(counts.sends)).sum();
-    let allowed = bounds.exposure_share * requests + bounds.exposure_slack * 0.8;
-    let margin = if sends < allowed { SHARE_MARGIN } else { SHARE_MARGIN / 4.0 };
-    let mut left = bounds.exposure_share * margin;
+const SHIFT_STEPS: [(u64, f64); 3] = [(0, 0.3), (300, 0.6), (600, 1.0)];
+
+/// Share of a route that a daemon uses without the advice of a judge.
+pub(crate) fn own_share(bounds: &RolloutBounds) -> f64 {
+    bounds.exposure_share * OWN_MARGIN
+}
+
+/// Share of all requests that may go to the target version in the next `horizon_ms`, if `rate_per_s` requests arrive.
+pub(crate) fn next_share(
+    bounds: &RolloutBounds,
+    totals: &Totals,
+    part_of_duration: f64,
+    rate_per_s: f64,
+    horizon_ms: u64,
+) -> f64 {
+    let expected = rate_per_s * horizon_ms as f64 / 1_000.0;
+    if expected <= 0.0 {
+        return own_share(bounds);
+    }
+    let share = bounds.exposure_share * SHARE_MARGIN;
+    let requests = f64::from(totals.requests()) + expected;
+    let slack = bounds.exposure_slack * SLACK_MARGIN * (part_of_duration / SLACK_PART).min(1.0);
+    // The slack is used only as an advance on later requests, as far as these are expected.
+    let planned = requests / part_of_duration.clamp(0.01, 1.0);
+    let advance = share * planned * (part_of_duration / SPEND_PART).min(1.0);
+    let (from, to) = LATE_PARTS;
+    let late = slack * ((part_of_duration - from) / (to - from)).clamp(0.0, 1.0);
+    let allowed = (share * requests + slack).min(advance + late);
+    ((allowed - f64::from(totals.sends())) / expected).clamp(0.0, MAX_SHARE)
+}
+
+/// Divides a share of all requests among the routes, in equal parts as far as their traffic allows that, so that a route
+/// with little traffic yields as much evidence as the others. Returns the share of each route.
+pub fn allocate(share: f64, totals: &Totals) -> Vec<(RouteKey, f64)> {
+    let traffic = |key: &RouteKey| f64::from(totals.routes[key].traffic());
+    let mut routes: Vec<RouteKey> =
+        totals.routes.keys().copied().filter(|key| traffic(key) > 0.0).collect();
+    routes.sort_by(|a, b| traffic(a).total_cmp(&traffic(b)).then(a.cmp(b)));
+    let all: f64 = routes.iter().map(&traffic).sum();
+    let mut left = share;
     let mut count = routes.len();
     let mut shares = Vec::with_capacity(count);
-    for (key, traffic) in routes {
-        let part = traffic / all;
-        let amount = (left / count as f64).min(part * MAX_ROUTE_SHARE);
+    for key in routes {
+        let part = traffic(&key) / all;
+        let is_known = totals.routes[&key].before.answers >= KNOWN_ANSWERS;
+        let largest = if is_known { 1.0 } else { MAX_UNKNOWN_SHARE };
+        let amount = (left / count as f64).min(part * largest);
         shares.push((key, amount / part));
         left -= amount;
         count -= 1;
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -6,7 +6,7 @@
 const ALTERNATIVES: [f64; 4] = [0.12, 0.25, 0.45, 0.75];
 
 /// Additional share of bad answers that must be excluded before a version counts as good.
-const EXCLUDED: f64 = 0.25;
+const EXCLUDED: f64 = 0.28;
 
 /// Smallest usual share that is assumed, so that a few bad answers of a very reliable service are no evidence.
 const MIN_USUAL: f64 = 0.01;
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -1,7 +1,7 @@
 //! One rollout, as one daemon knows it.
 
 use crate::{
-    allocation::{SHARE_MARGIN, SLACK_MARGIN, SLACK_PART, allocate, shift_share},
+    allocation::{allocate, next_share, own_share, shift_share},
     bounds::RolloutBounds,
     counts::Counts,
     finding::Finding,
@@ -45,6 +45,9 @@
 const RECENT_MS: u64 = 4_000;
 const RECENT_PART: f64 = 0.4;
 
+/// Smallest number of answers of the target version in that period.
+const RECENT_ANSWERS: u32 = 16;
+
 /// Shortest age of an order whose target version can be found good.
 const MIN_AGE_MS: u64 = 5_000;
 
@@ -65,6 +68,18 @@
 /// Additional evidence, as a natural logarithm, by which a daemon that is no judge stops by itself.
 const OWN_EVIDENCE: f64 = 2.3;
 
+/// Time for which the shares that a judge advises hold. Without advice, a daemon keeps to the share of the settings.
+const ADVICE_MS: u64 = 1_500;
+
+/// Time for which a judge plans the next shares: the age of reports and the time until the advice is followed.
+const HORIZON_MS: u64 = 800;
+
+/// Period over which the rate of requests is measured.
+const RATE_MS: u64 = 1_000;
+
+/// Mean time that the answers before the order cover.
+const BEFORE_MS: f64 = 30_000.0;
+
 /// Largest credit of a route. More would send a series of requests to the target version.
 const MAX_CREDIT: f64 = 2.0;
 
@@ -77,20 +92,15 @@
 /// Largest number of revisions by which an order is known.
 const MAX_REVISIONS: usize = 16;
 
+/// Slots of the target's instances, as a part of those of the old ones, that suffice for all traffic.
+const ENOUGH_SLOTS: f64 = 0.7;
+
 /// Number of times that a verdict is sent to all daemons.
 const BROADCASTS: u32 = 3;
 
 /// Unit of shares in replies.
 const SHARE_UNIT: f64 = 10_000.0;
 
-/// Credit of one route, from which a request to the target version takes 1.
-#[derive(Debug)]
-struct Credit {
-    amount: f64,
-    /// Part of the slack that was added.
-    slack: f64,
-}
-
 /// One rollout, as one daemon knows it.
 #[derive(Debug)]
 pub(crate) struct Rollout {
@@ -110,8 +120,13 @@
     daemons: usize,
     /// Position among the judges; `None` if this daemon is none.
     pub rank: Option<usize>,
-    credits: HashMap<RouteKey, Credit>,
+    /// Credit of each route, from which a request to the target version takes 1.
+    credits: HashMap<RouteKey, f64>,
+    /// When a judge last advised the shares; `None` before the first time.
+    advised_ms: Option<u64>,
     shares: HashMap<RouteKey, f64>,
+    /// Largest share that the slots of the target's instances can serve.
+    capacity: f64,
     default_share: f64,
     routes: HashMap<RouteKey, RouteCounts>,
     used: InstanceSet,
@@ -161,8 +176,10 @@
             daemons: 1,
             rank: None,
             credits: HashMap::default(),
+            advised_ms: None,
             shares: HashMap::default(),
-            default_share: bounds.exposure_share * SHARE_MARGIN,
+            capacity: 1.0,
+            default_share: own_share(&bounds),
             routes: routes.collect(),
             used: InstanceSet::default(),
             bad: InstanceSet::default(),
@@ -242,7 +259,8 @@
     }
 
     fn share(&self, route: RouteKey) -> f64 {
-        self.shares.get(&route).copied().unwrap_or(self.default_share)
+        let share = self.shares.get(&route).copied().unwrap_or(self.default_share);
+        if self.phase == Phase::Shifting { share.min(self.capacity) } else { share }
     }
 
     fn is_full(&self, route: RouteKey) -> bool {
@@ -270,6 +288,7 @@
             Phase::Evaluating | Phase::Shifting => {}
         }
         let route = self.counted(route);
+        self.capacity = if usable.slots_ratio >= ENOUGH_SLOTS { 1.0 } else { usable.slots_ratio };
         if pass.rollout != self.number {
             let is_new = self.draw(route, usable, now_ms);
             *pass = Pass { rollout: self.number, is_new, is_sent: false };
@@ -299,26 +318,19 @@
         if !usable.target {
             return false;
         }
-        let slack = self.slack_of_route(now_ms);
+        if self.phase == Phase::Evaluating
+            && self.advised_ms.is_none_or(|at_ms| now_ms >= at_ms + ADVICE_MS)
+        {
+            self.shares.clear();
+            self.default_share = own_share(&self.bounds);
+        }
         let share = self.share(route);
         let start = self.start_of(route);
-        let credit = self.credits.entry(route).or_insert(Credit { amount: start, slack: 0.0 });
-        credit.amount += share + (slack - credit.slack).max(0.0);
-        credit.slack = credit.slack.max(slack);
-        credit.amount = credit.amount.min(MAX_CREDIT);
-        if credit.amount < 1.0 {
-            return false;
-        }
-        credit.amount -= 1.0;
-        true
-    }
-
-    /// Part of the slack that a route of this daemon may have used by now.
-    fn slack_of_route(&self, now_ms: u64) -> f64 {
-        let spend_ms = (self.order.duration_ms as f64 * SLACK_PART).max(1.0);
-        let part = (self.age_ms(now_ms) as f64 / spend_ms).min(1.0);
-        let routes = self.routes.len().max(self.shares.len()).max(1) as f64;
-        self.bounds.exposure_slack * SLACK_MARGIN * part / self.daemons.max(1) as f64 / routes
+        let credit = self.credits.entry(route).or_insert(start);
+        *credit = (*credit + share).min(MAX_CREDIT);
+        let is_new = *credit >= 1.0;
+        *credit -= f64::from(is_new);
+        is_new
     }
 
     /// Start of the sampling on a route, which is random in [0, 1) and independent between daemons.
@@ -353,7 +365,7 @@
         pass.is_sent = true;
         self.routes.entry(route).or_default().sends += 1;
         if is_resumed && let Some(credit) = self.credits.get_mut(&route) {
-            credit.amount -= 1.0;
+            *credit -= 1.0;
         }
         true
     }
@@ -459,6 +471,7 @@
             _ => false,
         };
         if reply.phase == self.phase && self.rank.is_none() {
+            self.advised_ms = Some(now_ms);
             let share = |units: u16| f64::from(units) / SHARE_UNIT;
             self.default_share = share(reply.default_share);
             self.shares = reply.shares.iter().map(|(key, units)| (*key, share(*units))).collect();
@@ -497,12 +510,12 @@
         let age_ms = self.age_ms(now_ms);
         let end_ms = self.order.duration_ms.saturating_sub(END_MARGIN_MS);
         if self.phase == Phase::Evaluating {
-            self.shares = allocate(&self.bounds, &totals).into_iter().collect();
+            self.plan_shares(&totals, now_ms);
             let may_be_good = age_ms >= (self.order.duration_ms / 2).max(MIN_AGE_MS);
             if may_be_good
                 && age_ms < end_ms
                 && self.is_heard(now_ms)
-                && totals.is_good(&self.recent(now_ms))
+                && totals.is_good(&self.recent(&totals, now_ms))
             {
                 self.set_phase(Phase::Shifting, now_ms);
                 self.update_shift(now_ms);
@@ -520,6 +533,25 @@
         false
     }
 
+    /// Plans the shares of the next moments, by what was sent so far.
+    fn plan_shares(&mut self, totals: &Totals, now_ms: u64) {
+        let mut states = self.snapshots.iter().rev();
+        let requests = f64::from(totals.requests());
+        let rate_per_s = match states.find(|(at_ms, _)| at_ms + RATE_MS <= now_ms) {
+            Some((at_ms, earlier)) => {
+                (requests - f64::from(earlier.requests())) * 1_000.0 / (now_ms - at_ms) as f64
+            }
+            None => {
+                let before = totals.routes.values().map(|counts| counts.before.answers);
+                f64::from(before.sum::<u32>()) * 1_000.0 / BEFORE_MS
+            }
+        };
+        let part = self.age_ms(now_ms) as f64 / self.order.duration_ms.max(1) as f64;
+        let share = next_share(&self.bounds, totals, part, rate_per_s, HORIZON_MS);
+        self.shares = allocate(share, totals).into_iter().collect();
+        self.advised_ms = Some(now_ms);
+    }
+
     fn update_shift(&mut self, now_ms: u64) {
         self.shares.clear();
         self.default_share = shift_share(now_ms.saturating_sub(self.phase_ms));
@@ -574,11 +606,14 @@
         heard as f64 >= MIN_REPORTING * self.daemons as f64
     }
 
-    /// Totals at the start of the period whose answers must be good on their own.
-    fn recent(&self, now_ms: u64) -> Totals {
+    /// Totals at the start of the last period whose answers must be good on their own. It is long enough to have some.
+    fn recent(&self, totals: &Totals, now_ms: u64) -> Totals {
         let period_ms = RECENT_MS.max((self.order.duration_ms as f64 * RECENT_PART) as u64);
+        let answers = totals.answers();
         let mut states = self.snapshots.iter().rev();
-        let start = states.find(|(at_ms, _)| *at_ms + period_ms <= now_ms);
+        let start = states.find(|(at_ms, earlier)| {
+            at_ms + period_ms <= now_ms && earlier.answers() + RECENT_ANSWERS <= answers
+        });
         start.map(|(_, totals)| totals.clone()).unwrap_or_default()
     }
 
--- a/crates/rollout/src/totals.rs
+++ b/crates/rollout/src/totals.rs
@@ -20,8 +20,8 @@
 /// Additional evidence that a period needs which is not the whole time since the order, as a natural logarithm.
 const LOG_PERIOD: f64 = 1.1;
 
-/// Odds against a bad version by which a route counts as good.
-const GOOD_ODDS: f64 = 50.0;
+/// Odds against a bad version by which a route, or all routes in the last seconds, count as good.
+const GOOD_ODDS: f64 = 30.0;
 
 /// Part of the traffic below which a route is judged together with the others only, because it cannot yield enough answers
 /// in the time of an order.
@@ -61,6 +61,21 @@
         self.old_running += report.old_running;
     }
 
+    /// Number of requests since the order.
+    pub fn requests(&self) -> u32 {
+        self.routes.values().map(|counts| counts.requests).sum()
+    }
+
+    /// Number of sends to the target version.
+    pub fn sends(&self) -> u32 {
+        self.routes.values().map(|counts| counts.sends).sum()
+    }
+
+    /// Number of answers of the target version.
+    pub fn answers(&self) -> u32 {
+        self.routes.values().map(|counts| counts.target.answers).sum()
+    }
+
     /// What shows that the target version is bad, by its answers since the order and since each of the earlier totals;
     /// `None` if it does not seem to be.
     pub fn finding<'a>(
