--- a/crates/rollout/src/allocation.rs
+++ b/crates/rollout/src/allocation.rs
@@ -33,7 +33,7 @@
 const KNOWN_ANSWERS: u32 = 30;
 
 /// Times after the verdict *good* from which the share of the target version has the given value.
-const SHIFT_STEPS: [(u64, f64); 3] = [(0, 0.3), (300, 0.6), (600, 1.0)];
+const SHIFT_STEPS: [(u64, f64); 2] = [(0, 0.5), (400, 1.0)];
 
 /// Share of a route that a daemon uses without the advice of a judge.
 pub(crate) fn own_share(bounds: &RolloutBounds) -> f64 {
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -71,6 +71,14 @@
 /// Time for which the shares that a judge advises hold. Without advice, a daemon keeps to the share of the settings.
 const ADVICE_MS: u64 = 1_500;
 
+/// Time after which a daemon that hears of no judge, or a judge that hears of too few daemons, sends nothing to the target
+/// version. It is shorter than the time that the settings allow between a version's bad answers and the last request,
+/// so that a daemon that cannot be told the verdict keeps to it.
+const UNINFORMED_MS: u64 = 3_000;
+
+/// Additional time in which a judge that hears of too few daemons leaves the verdict to the others.
+const UNHEARD_MARGIN_MS: u64 = 700;
+
 /// Time for which a judge plans the next shares: the age of reports and the time until the advice is followed.
 const HORIZON_MS: u64 = 800;
 
@@ -122,6 +130,8 @@
     pub rank: Option<usize>,
     /// Credit of each route, from which a request to the target version takes 1.
     credits: HashMap<RouteKey, f64>,
+    /// When this daemon, as a judge, last heard of enough daemons; `None` before the first time.
+    heard_ms: Option<u64>,
     /// When a judge last advised the shares; `None` before the first time.
     advised_ms: Option<u64>,
     shares: HashMap<RouteKey, f64>,
@@ -176,6 +186,7 @@
             daemons: 1,
             rank: None,
             credits: HashMap::default(),
+            heard_ms: None,
             advised_ms: None,
             shares: HashMap::default(),
             capacity: 1.0,
@@ -303,7 +314,8 @@
             return VersionChoice::Any;
         }
         let is_new = pass.is_new && !pass.is_sent || self.is_full(route);
-        match is_new && usable.target {
+        let is_allowed = self.is_informed(now_ms) || self.phase == Phase::Shifting && !usable.old;
+        match is_new && is_allowed && usable.target {
             true => VersionChoice::Prefer {
                 version: target,
                 is_concentrated: self.phase == Phase::Evaluating,
@@ -312,6 +324,15 @@
         }
     }
 
+    /// Whether this daemon would know by now if the version had been found bad a short time ago.
+    fn is_informed(&self, now_ms: u64) -> bool {
+        let since_ms = match self.rank {
+            Some(_) => self.heard_ms,
+            None => self.advised_ms,
+        };
+        now_ms < since_ms.unwrap_or(0).max(self.seen_ms) + UNINFORMED_MS
+    }
+
     /// Counts a request of a caller, and draws whether it goes to the target version, by systematic sampling.
     fn draw(&mut self, route: RouteKey, usable: UsableVersions, now_ms: u64) -> bool {
         self.routes.entry(route).or_default().requests += 1;
@@ -473,7 +494,9 @@
         if reply.phase == self.phase && self.rank.is_none() {
             self.advised_ms = Some(now_ms);
             let share = |units: u16| f64::from(units) / SHARE_UNIT;
-            self.default_share = share(reply.default_share);
+            // While the traffic shifts, judges may be at different steps.
+            let lowest = if self.phase == Phase::Shifting { self.default_share } else { 0.0 };
+            self.default_share = share(reply.default_share).max(lowest);
             self.shares = reply.shares.iter().map(|(key, units)| (*key, share(*units))).collect();
         }
         has_changed
@@ -509,23 +532,27 @@
         }
         let age_ms = self.age_ms(now_ms);
         let end_ms = self.order.duration_ms.saturating_sub(END_MARGIN_MS);
+        let is_heard = self.is_heard(now_ms);
+        if is_heard {
+            self.heard_ms = Some(now_ms);
+        }
         if self.phase == Phase::Evaluating {
             self.plan_shares(&totals, now_ms);
             let may_be_good = age_ms >= (self.order.duration_ms / 2).max(MIN_AGE_MS);
             if may_be_good
                 && age_ms < end_ms
-                && self.is_heard(now_ms)
+                && is_heard
                 && totals.is_good(&self.recent(&totals, now_ms))
             {
                 self.set_phase(Phase::Shifting, now_ms);
                 self.update_shift(now_ms);
                 return true;
             }
+            let end_ms = if is_heard { end_ms } else { end_ms + UNHEARD_MARGIN_MS };
             return age_ms >= end_ms && self.set_phase(Phase::RolledBack, now_ms);
         }
         self.update_shift(now_ms);
-        let is_quiet =
-            totals.old_running == 0 && self.default_share >= 1.0 && self.is_heard(now_ms);
+        let is_quiet = totals.old_running == 0 && self.default_share >= 1.0 && is_heard;
         match is_quiet {
             true => _ = self.quiet_since_ms.get_or_insert(now_ms),
             false => self.quiet_since_ms = None,
@@ -554,7 +581,8 @@
 
     fn update_shift(&mut self, now_ms: u64) {
         self.shares.clear();
-        self.default_share = shift_share(now_ms.saturating_sub(self.phase_ms));
+        let share = shift_share(now_ms.saturating_sub(self.phase_ms));
+        self.default_share = self.default_share.max(share);
     }
 
     /// Whether all traffic has moved, or must be counted as moved because the time is over.
--- /dev/null
+++ b/crates/rollout/tests/orders.rs
@@ -0,0 +1,158 @@
+//! Tests of what an order, a status and a message mean for the rollouts of one daemon.
+
+mod common;
+
+use crate::common::{BOUNDS, order, service};
+use affinity::SoftwareVersion;
+use base::HashSet;
+use quickcheck::quickcheck;
+use rollout::{
+    NewRequest, OrderChange, Pass, Phase, RolloutState, RolloutStatus, Rollouts, RouteKey,
+    StatusWrite, UsableVersions, VersionChoice, judges,
+};
+use std::net::SocketAddr;
+
+const USABLE: UsableVersions = UsableVersions { old: true, target: true, slots_ratio: 1.0 };
+
+fn version(text: &str) -> SoftwareVersion {
+    text.try_into().expect("the version is valid")
+}
+
+fn status(state: RolloutState) -> Option<RolloutStatus> {
+    Some(RolloutStatus { service: service(), target: version("v2"), state })
+}
+
+fn daemon(lifetime: u64) -> Rollouts {
+    let mut rollouts = Rollouts::new(BOUNDS, lifetime);
+    assert_eq!(rollouts.apply_order(order(12_000), 5, 0), OrderChange::Started);
+    rollouts
+}
+
+fn phase(rollouts: &Rollouts) -> Option<Phase> {
+    rollouts.state(&service()).map(|(_, phase)| phase)
+}
+
+/// Sends a request as the choice demands. Returns whether it went to the target version.
+fn send(rollouts: &mut Rollouts, required: Option<&SoftwareVersion>, now_ms: u64) -> bool {
+    let (service, route, mut pass) = (service(), RouteKey::from("r"), Pass::default());
+    let choice = rollouts.choose(&service, route, &mut pass, required, USABLE, now_ms);
+    let is_new = matches!(choice, VersionChoice::Prefer { .. }) || required.is_some();
+    is_new && rollouts.permit(&service, route, &mut pass, &version("v2"), required)
+}
+
+/// Guards against a rollout that loses its evidence because the order is written once more, and against a new order
+/// that inherits the verdict of an earlier one.
+#[test]
+fn the_same_content_continues_a_running_rollout_and_begins_a_new_one_after_its_end() {
+    let mut rollouts = daemon(1);
+    assert_eq!(rollouts.apply_order(order(12_000), 5, 10), OrderChange::None);
+    assert_eq!(rollouts.apply_order(order(12_000), 6, 20), OrderChange::Continued);
+    rollouts.apply_status(&service(), status(RolloutState::RolledBack), 7, 30);
+    assert_eq!(phase(&rollouts), Some(Phase::RolledBack));
+    assert_eq!(rollouts.apply_order(order(12_000), 6, 40), OrderChange::None);
+    assert_eq!(rollouts.apply_order(order(12_000), 8, 50), OrderChange::Started);
+    assert_eq!(phase(&rollouts), Some(Phase::Evaluating), "the status is of the earlier order");
+    assert_eq!(rollouts.apply_order(order(15_000), 9, 60), OrderChange::Started);
+}
+
+/// Guards against a verdict that is taken back by a message that is late or repeated, or by a status.
+#[test]
+fn a_verdict_is_final() {
+    let (mut first, mut second) = (daemon(1), daemon(2));
+    let early = second.merge_report(first.tick(&[], None, 100)[0].1.clone(), 100);
+    first.apply_status(&service(), status(RolloutState::RolledBack), 7, 200);
+    first.merge_reply(&early.expect("the order is known"), 300);
+    first.apply_status(&service(), status(RolloutState::Running), 8, 400);
+    assert_eq!(phase(&first), Some(Phase::RolledBack));
+    let target = version("v2");
+    assert!(!send(&mut first, None, 500) && !send(&mut first, Some(&target), 500));
+}
+
+/// Guards against a limit that ends because a list is older than its order, and against one that outlives its order.
+#[test]
+fn an_order_ends_only_once_its_removal_is_confirmed() {
+    let mut rollouts = daemon(1);
+    rollouts.note_listed(&HashSet::default(), false);
+    rollouts.apply_order(order(12_000), 5, 10);
+    assert!(rollouts.confirm_list().is_empty(), "the watch after the list brought the order");
+    rollouts.note_listed(&HashSet::default(), true);
+    assert!(rollouts.confirm_list().is_empty(), "the copy is older than the order");
+    rollouts.note_listed(&HashSet::default(), false);
+    assert_eq!(rollouts.confirm_list(), [service()]);
+    assert_eq!(phase(&rollouts), None);
+}
+
+/// Guards against a daemon that goes on sending while it cannot be told that the version is bad.
+#[test]
+fn a_daemon_without_news_of_a_judge_stops_sending_within_the_time_for_a_rollback() {
+    let daemons: Vec<SocketAddr> =
+        (1..9).map(|port| SocketAddr::from(([10, 0, 0, 1], port))).collect();
+    let own = daemons.iter().find(|addr| !judges(&service(), "v2", &daemons).contains(addr));
+    let mut rollouts = daemon(1);
+    let mut sends = Vec::new();
+    for now_ms in (0..10_000).step_by(10) {
+        rollouts.tick(&daemons, own.copied(), now_ms);
+        if send(&mut rollouts, None, now_ms) {
+            sends.push(now_ms);
+        }
+    }
+    let last_ms = sends.last().copied().unwrap_or(0);
+    assert!((10..=30).contains(&sends.len()), "{} of 300 requests", sends.len());
+    assert!(last_ms < BOUNDS.rollback_ms, "sent after {last_ms} ms");
+}
+
+/// Guards against three daemons that write one status at a time, and against none that does if the first is dead.
+#[test]
+fn the_judges_write_one_after_the_other() {
+    let daemons: Vec<SocketAddr> =
+        (1..9).map(|port| SocketAddr::from(([10, 0, 0, 1], port))).collect();
+    for (rank, judge) in judges(&service(), "v2", &daemons).into_iter().enumerate() {
+        let mut rollouts = daemon(1);
+        let due = |rollouts: &mut Rollouts, now_ms| {
+            rollouts.tick(&daemons, Some(judge), now_ms);
+            rollouts.due_write(now_ms)
+        };
+        assert_eq!(due(&mut rollouts, 10).is_some(), rank == 0);
+        let write = due(&mut rollouts, 10 + 1_000 * rank as u64);
+        let status = status(RolloutState::Running).expect("there is one");
+        assert_eq!(write, Some(StatusWrite { status: status.clone(), expected_revision: 0 }));
+        rollouts.apply_status(&service(), Some(status), 6, 3_000);
+        assert_eq!(due(&mut rollouts, 3_100), None);
+    }
+}
+
+quickcheck! {
+    /// Guards against a share that depends on how the requests are spread over daemons: with a random start at each, the
+    /// sum is the share however few requests each of them has.
+    fn the_sum_over_many_daemons_is_the_share(requests: u8) -> bool {
+        let requests = 1 + usize::from(requests) % 10;
+        let sends: usize = (0..2_000)
+            .map(|lifetime| {
+                let mut rollouts = daemon(lifetime);
+                (0..requests).filter(|_| send(&mut rollouts, None, 10)).count()
+            })
+            .sum();
+        let share = sends as f64 / (2_000 * requests) as f64;
+        (share - 0.085).abs() < 0.02
+    }
+
+    /// Guards against crashes of upstreams that count as bad answers.
+    fn requests_without_an_answer_are_no_evidence(count: u8) -> bool {
+        let mut rollouts = daemon(1);
+        for _ in 0..count {
+            let request = NewRequest {
+                service: service(),
+                route: RouteKey::from("r"),
+                version: version("v2"),
+                instance: "i".into(),
+                is_stream: true,
+                is_resumed: false,
+                target_latency_ms: 4_500,
+            };
+            let number = rollouts.begin(request, 0);
+            rollouts.end(number);
+        }
+        let report = &rollouts.tick(&[], None, 9_000)[0].1;
+        report.bad.is_empty() && report.routes.iter().all(|(_, counts)| counts.target.answers == 0)
+    }
+}
