--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -19,13 +19,12 @@
     registry::Registry,
     response_head::{stated_pause_ms, states_leaving},
     restarts::Restarts,
+    rollout_control::RolloutControl,
     route_table::Route,
     stream_queues::StreamQueues,
     version_affinity::VersionAffinity,
 };
-use affinity::{
-    Origin, ReplicaRecord, ServiceVersion, SoftwareVersion, StreamVersion, TakeUpError,
-};
+use affinity::{Origin, ReplicaRecord, ServiceVersion, StreamVersion, TakeUpError};
 use base::{Clock, DomainName, HashMap, HashSet, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -126,6 +125,8 @@
     pub(crate) versions: VersionAffinity,
     /// Instances that have restarted while the store does not respond.
     pub(crate) restarts: Restarts,
+    /// Rollouts of software versions.
+    pub rollouts: Arc<RolloutControl>,
     /// Time on `clock` until which more losses are expected.
     losses_until_ms: AtomicU64,
     /// Notifies stream relays that instances were lost, replaced or removed.
@@ -147,6 +148,7 @@
             stream_queues: Arc::default(),
             versions: VersionAffinity::new(options.seed),
             restarts: Restarts::new(options.reuse_after_ms),
+            rollouts: Arc::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             server_limits: watch::Sender::new(ClientLimits::default().server_limits(&options)),
             budgets: RetryBudgets::new(options.retries),
@@ -545,7 +547,7 @@
         service: &ServiceName,
         placement: &Placement<'_>,
     ) -> bool {
-        let any_version = Placement { required_version: None, ..*placement };
+        let any_version = Placement { required_version: None, version_rule: None, ..*placement };
         placement.required_version.is_some()
             && self.usable_instances(service, placement).is_empty()
             && !self.usable_instances(service, &any_version).is_empty()
@@ -558,7 +560,7 @@
     /// As `StreamVersion::take_up`.
     pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
         let origin = self.versions.origin(inbound).await;
-        StreamVersion::take_up(origin, serving_versions(&lock(&self.registry), &inbound.service))
+        StreamVersion::take_up(origin, lock(&self.registry).serving_versions(&inbound.service))
     }
 
     /// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if the record
@@ -871,13 +873,3 @@
         }
     }
 }
-
-/// Software versions of the instances of a service that take requests.
-fn serving_versions<'a>(
-    registry: &'a Registry,
-    service: &ServiceName,
-) -> impl Iterator<Item = &'a SoftwareVersion> {
-    let instances = registry.of_service(service).iter();
-    let accepting = instances.filter(|instance| instance.accepts_requests());
-    accepting.map(|instance| &instance.entry.software_version)
-}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -40,6 +40,7 @@
 mod instance_rates;
 mod kv_replica;
 mod kv_replicator;
+mod observation;
 mod peer_message;
 mod peer_socket;
 mod placement;
@@ -48,6 +49,9 @@
 mod response_head;
 mod restarts;
 mod retry_permit;
+mod rollout_control;
+mod rollout_items;
+mod rollout_recorder;
 mod route_kind;
 mod route_table;
 mod service_rates;
@@ -57,6 +61,7 @@
 mod stream_relay;
 mod version_affinity;
 mod version_recorder;
+mod version_rule;
 
 pub use crate::{
     byte_account::ByteAccount,
@@ -81,6 +86,9 @@
     peer_socket::PeerSocket,
     registry::Registry,
     restarts::{Restart, find_restarts},
+    rollout_control::RolloutControl,
+    rollout_items::RolloutDecoders,
+    rollout_recorder::record_rollouts,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
     version_recorder::record_stream_versions,
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -3,6 +3,7 @@
 use crate::{crash_quarantine::ServiceEvidence, restarts::Restart};
 use base::ServiceName;
 use limit::Urgency;
+use rollout::{RolloutReply, RolloutReport};
 use serde::{Deserialize, Serialize};
 
 /// Largest size of an encoded message. The rest of a longer datagram is cut off when it is received.
@@ -42,6 +43,10 @@
     RequestEvidence(Vec<ServiceEvidence>),
     /// Tells which instances have restarted under other identifiers while the store does not respond.
     Restarts(Vec<Restart>),
+    /// Tells a judge what a daemon has counted during a rollout.
+    RolloutReport(RolloutReport),
+    /// Tells how a rollout stands at a judge.
+    RolloutReply(RolloutReply),
 }
 
 impl PeerMessage {
@@ -53,7 +58,9 @@
             | Self::Answer { .. }
             | Self::EvidenceRequest
             | Self::Restarts(_)
-            | Self::AskRequest { .. } => true,
+            | Self::AskRequest { .. }
+            | Self::RolloutReport(_)
+            | Self::RolloutReply(_) => true,
         }
     }
 
