Scheduling: headroom and preemption for the most urgent class

Cause: all classes saw the same engines as busy, so the standard tier filled them to the brim and the priority tier waited with it.

Less urgent streams leave memory for two more streams at each engine; the most urgent of several classes uses this memory as well. Engines admit it before what waits there, so that only prompts that are being read count as pending for it. If there is no room after its short wait, it is sent to an engine at which less urgent running requests would have to give way, by the tokens and the urgency of the runs in the load report. A run whose urgency the report does not state never counts as giving way, and a report with an odd entry for it stays valid.

Classes between the first and the last have the headroom of the last; the engine and the order at the daemon still distinguish them.

--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -59,9 +59,18 @@
         reason: WaitReason,
         /// The replica from the requirements; `None` if its engine did not respond.
         replica: Option<KvReplica>,
+        /// Whether the stream would have been in time at one of the probed engines, as far as that is known.
+        is_in_time: bool,
     },
 }
 
+impl EngineChoice {
+    /// The attempt cannot start yet, for a reason other than the load of the engines.
+    fn wait(reason: WaitReason, replica: Option<KvReplica>) -> Self {
+        Self::Wait { reason, replica, is_in_time: true }
+    }
+}
+
 /// Why an attempt cannot start yet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum WaitReason {
@@ -110,7 +119,7 @@
     let retry = match retry {
         Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
             Some(permit) => Some(permit),
-            None => return EngineChoice::Wait { reason: WaitReason::Budget, replica },
+            None => return EngineChoice::wait(WaitReason::Budget, replica),
         },
         None => None,
     };
@@ -131,7 +140,7 @@
                 retry,
             };
         }
-        return EngineChoice::Wait { reason: WaitReason::Limit, replica };
+        return EngineChoice::wait(WaitReason::Limit, replica);
     }
     let check_replica = async {
         match &replica {
@@ -146,13 +155,14 @@
     let replica = replica.filter(|_| is_replica_alive);
     let holder = replica.as_ref().map(|replica| &replica.instance);
     let verdict = ask.filter(|_| holder.is_none()).map(|ask| {
-        let offers = probed.offers(prompt_tokens, ask.tokens);
+        let offers = probed.offers(&ask, prompt_tokens);
         ask.judge(&offers, core.clock.now_ms())
     });
+    let is_in_time = !matches!(verdict, Some(StreamVerdict::Wait { is_in_time: false }));
     let (chosen, is_busy) = match verdict {
         Some(StreamVerdict::Refuse { late_ms }) => return EngineChoice::Refuse { late_ms },
         Some(StreamVerdict::Send(position)) => (probed.get(position), false),
-        Some(StreamVerdict::Wait) => (probed.best(), true),
+        Some(StreamVerdict::Wait { .. }) => (probed.best(), true),
         None => (probed.best(), probed.is_busy() && may_wait),
     };
     let reason = match holder.or(chosen) {
@@ -170,5 +180,5 @@
         }
         None => WaitReason::NoEngine,
     };
-    EngineChoice::Wait { reason, replica }
+    EngineChoice::Wait { reason, replica, is_in_time }
 }
--- a/crates/ingress/src/engine_report.rs
+++ b/crates/ingress/src/engine_report.rs
@@ -15,6 +15,17 @@
     pub kv_cache_tokens: u64,
     /// Unix time at which the engine started, in milliseconds; `None` if the report does not state it.
     pub started_unix_ms: Option<u64>,
-    /// Identifiers of the running requests that have produced an event.
-    pub runs: Vec<Box<str>>,
+    /// Running requests that have produced an event.
+    pub runs: Vec<EngineRun>,
+}
+
+/// Running request in a load report.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineRun {
+    /// Identifier of the request.
+    pub request_id: Box<str>,
+    /// Tokens of the request in the KV cache.
+    pub kv_tokens: u64,
+    /// Urgency level of the request; `None` if the report does not state it.
+    pub urgency: Option<u8>,
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -64,7 +64,7 @@
     departures::{Departures, Standing},
     dialect::Dialect,
     domain_losses::DomainLosses,
-    engine_report::EngineReport,
+    engine_report::{EngineReport, EngineRun},
     event::Event,
     event_splitter::{EventSplitter, SplitError},
     fleet_size::FleetSize,
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hyper::Response;
-use limit::{EngineLoad, EngineOffer};
+use limit::{EngineLoad, EngineOffer, StreamAsk, URGENCY_LEVELS};
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 use web::ClientError;
 
@@ -62,12 +62,20 @@
         (u64::from(pending_prefills) + 1).saturating_mul(self.prefill_ms)
     }
 
-    /// Describes the engines for a stream with `prompt_tokens` that takes up to `tokens` of memory.
-    pub fn offers(&self, prompt_tokens: u64, tokens: u64) -> Vec<EngineOffer> {
+    /// Describes the engines for a stream with `prompt_tokens`.
+    pub fn offers(&self, ask: &StreamAsk, prompt_tokens: u64) -> Vec<EngineOffer> {
         let offers = self.engines.iter().enumerate().map(|(position, (load, _))| {
-            let first_event_ms = self.first_event_ms(position, prompt_tokens);
-            let memory_wait_ms = load.detail.memory_wait_ms(tokens, self.stream_ms);
-            EngineOffer { load: load.detail, first_event_ms: first_event_ms + memory_wait_ms }
+            let load = match ask.is_most_urgent {
+                true => load.detail.without_queue(),
+                false => load.detail,
+            };
+            let first_event_ms = match ask.is_most_urgent {
+                // Only the prompts that are being read come before the stream.
+                true => (u64::from(load.prefilling) + 1).saturating_mul(self.prefill_ms),
+                false => self.first_event_ms(position, prompt_tokens),
+            };
+            let memory_wait_ms = load.memory_wait_ms(ask.tokens, self.stream_ms);
+            EngineOffer { load, first_event_ms: first_event_ms + memory_wait_ms }
         });
         offers.collect()
     }
@@ -168,7 +176,7 @@
         Ok(report) => report,
         Err(health) => return health,
     };
-    match report.runs.iter().any(|id| **id == *request_id) {
+    match report.runs.iter().any(|run| *run.request_id == *request_id) {
         true => EngineHealth::Working,
         false => EngineHealth::Alive,
     }
@@ -201,6 +209,7 @@
             prefilling: pending_prefills.saturating_sub(report.queued),
             used_tokens: report.kv_used_tokens,
             capacity_tokens: report.kv_cache_tokens,
+            tokens_by_urgency: tokens_by_urgency(report),
         };
         Self {
             is_full: report.kv_used_tokens * 8 > report.kv_cache_tokens * 7,
@@ -213,6 +222,17 @@
     }
 }
 
+/// Tokens of the running requests by their urgency level.
+fn tokens_by_urgency(report: &EngineReport) -> [u64; URGENCY_LEVELS] {
+    let mut tokens = [0_u64; URGENCY_LEVELS];
+    for run in &report.runs {
+        if let Some(sum) = run.urgency.and_then(|level| tokens.get_mut(usize::from(level))) {
+            *sum = sum.saturating_add(run.kv_tokens);
+        }
+    }
+    tokens
+}
+
 /// Whether an upstream refuses a new connection, so that its process has ended. One that gives no answer may be
 /// partitioned. A process that ends may reset its connections before it stops to listen, so that it is asked again.
 pub(crate) async fn refuses_connections(instance: &Instance) -> bool {
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -127,6 +127,8 @@
     ticket: Option<QueueTicket>,
     /// When the stream began to look for an engine, since the last send.
     search_since_ms: Option<u64>,
+    /// Whether the last search found an engine at which the stream would have been in time.
+    was_in_time: bool,
     /// Maintains the KV cache replica from which the next attempt can resume.
     replicator: KvReplicator,
     /// When the replica was requested that was last recorded; `None` if none was.
@@ -187,6 +189,7 @@
             service_config,
             ticket: None,
             search_since_ms: None,
+            was_in_time: false,
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
             take_ups: 0,
@@ -939,9 +942,13 @@
         let usual_tokens = engine.kv_cache_tokens / USUAL_MEMORY_DIVISOR;
         let tokens =
             inbound.prompt_tokens.map(|prompt| prompt.saturating_add(inbound.output_tokens));
+        let progress = self.progress(now_ms);
         Some(StreamAsk {
-            progress: self.progress(now_ms),
+            progress,
+            urgency_level: progress.urgency_level(inbound.priority),
+            is_most_urgent: self.service_config.most_urgent == Some(inbound.priority),
             is_refusable: is_new && !inbound.is_repeated,
+            was_in_time: self.was_in_time,
             since_ms: self.search_since_ms.unwrap_or(now_ms),
             target_latency_ms: inbound.first_event_target_ms() - inbound.arrived_ms,
             target_ms: inbound.first_event_target_ms(),
@@ -1030,7 +1037,8 @@
                 self.refuse_late(late_ms);
                 return;
             }
-            EngineChoice::Wait { reason, replica } => {
+            EngineChoice::Wait { reason, replica, is_in_time } => {
+                self.was_in_time = is_in_time;
                 self.wait_for_engine(position, reason, replica);
                 return;
             }
--- a/crates/limit/src/engine_load.rs
+++ b/crates/limit/src/engine_load.rs
@@ -1,5 +1,8 @@
 //! Load of a model engine, as a stream that looks for an engine finds it.
 
+/// Number of urgency levels that engines distinguish.
+pub const URGENCY_LEVELS: usize = 10;
+
 /// Load of a model engine by its own report.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct EngineLoad {
@@ -13,6 +16,8 @@
     pub used_tokens: u64,
     /// Capacity of the KV cache in tokens.
     pub capacity_tokens: u64,
+    /// Tokens of the running requests by their urgency level, as far as the report states it.
+    pub tokens_by_urgency: [u64; URGENCY_LEVELS],
 }
 
 impl EngineLoad {
@@ -32,6 +37,20 @@
         needed_tokens <= self.capacity_tokens
     }
 
+    /// Whether the memory can hold a request of `tokens` with the urgency `level` if only less urgent ones give way.
+    pub fn can_preempt(&self, tokens: u64, level: u8) -> bool {
+        let less_urgent = self.tokens_by_urgency.iter().skip(usize::from(level) + 1);
+        let preemptible_tokens =
+            less_urgent.fold(0, |sum: u64, tokens| sum.saturating_add(*tokens));
+        let kept_tokens = self.used_tokens.saturating_sub(preemptible_tokens);
+        kept_tokens.saturating_add(tokens) <= self.capacity_tokens
+    }
+
+    /// The load as a stream of the most urgent class finds it, which engines admit before all that wait.
+    pub fn without_queue(self) -> Self {
+        Self { queued: 0, ..self }
+    }
+
     /// Time until the memory can hold another request of `tokens`, if one running request ends after the other and each
     /// takes `stream_ms` in all.
     pub fn memory_wait_ms(&self, tokens: u64, stream_ms: u64) -> u64 {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -40,7 +40,7 @@
     admission_queue::AdmissionQueue,
     admission_queue_limits::AdmissionQueueLimits,
     class::Class,
-    engine_load::EngineLoad,
+    engine_load::{EngineLoad, URGENCY_LEVELS},
     fleet_share::FleetShare,
     priority::Priority,
     retry_budget::{RetryBudget, RetryBudgetLimits, Urgency},
--- a/crates/limit/src/stream_admission.rs
+++ b/crates/limit/src/stream_admission.rs
@@ -23,15 +23,23 @@
 
 /// Memory that stays free at an engine beside a new stream, as a multiple of the stream's tokens. It is for the output
 /// of the running requests, for copies of other engines' requests, and for what other daemons send at the same time. In
-/// the model of `tests/burst`, preemptions waste 0.3 million prompt tokens in place of 1.7 million with it.
+/// the model of `tests/burst`, preemptions waste 0.3 million prompt tokens in place of 1.7 million with it. Streams of the
+/// most urgent class use this headroom, and make less urgent ones give way if it does not suffice.
 const RESERVED_STREAMS: u64 = 2;
 
 /// Stream that looks for an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamAsk {
     pub progress: StreamProgress,
+    /// Urgency level that the engine would be told.
+    pub urgency_level: u8,
+    /// Whether the stream is of the most urgent of several classes.
+    pub is_most_urgent: bool,
     /// Whether the stream may be refused: it was not sent yet, has no event, and was not refused before.
     pub is_refusable: bool,
+    /// Whether the search before this one found an engine at which the stream would have been in time. The engines of
+    /// one search may all be exceptions.
+    pub was_in_time: bool,
     /// When the stream began to look for an engine.
     pub since_ms: u64,
     /// Target for the time from the arrival to the first event.
@@ -55,8 +63,8 @@
 pub enum StreamVerdict {
     /// The stream is sent to the offered engine at this position.
     Send(usize),
-    /// The stream waits for a better engine.
-    Wait,
+    /// The stream waits for a better engine. `is_in_time` tells whether it would be in time at one of the engines.
+    Wait { is_in_time: bool },
     /// The stream is refused, because its first event would be late by `late_ms` at the best of the engines.
     Refuse { late_ms: u64 },
 }
@@ -70,7 +78,7 @@
     /// that has waited very long is sent to an engine whose memory is full.
     pub fn judge(&self, offers: &[EngineOffer], now_ms: u64) -> StreamVerdict {
         let best = (0..offers.len()).min_by_key(|&position| offers[position].first_event_ms);
-        let Some(best) = best else { return StreamVerdict::Wait };
+        let Some(best) = best else { return StreamVerdict::Wait { is_in_time: false } };
         let best_ms = offers[best].first_event_ms;
         let left_ms = self.target_ms.saturating_sub(now_ms);
         let waited_ms = now_ms.saturating_sub(self.since_ms);
@@ -80,19 +88,28 @@
         }
         let can_be_refused_now = self.is_refusable && self.progress == StreamProgress::Late;
         if waited_ms < self.short_wait_ms() && !can_be_refused_now {
-            return StreamVerdict::Wait;
+            return StreamVerdict::Wait { is_in_time };
         }
         // A stream that has waited for longer was expected to be in time, and is not refused late.
-        if self.is_refusable && !is_in_time && waited_ms < 2 * self.short_wait_ms() {
+        let is_hopeless = !is_in_time && !self.was_in_time;
+        if self.is_refusable && is_hopeless && waited_ms < 2 * self.short_wait_ms() {
             return StreamVerdict::Refuse { late_ms: best_ms.saturating_sub(left_ms) };
         }
+        let can_preempt =
+            |offer: &EngineOffer| offer.load.can_preempt(self.tokens, self.urgency_level);
+        if self.is_most_urgent
+            && self.progress != StreamProgress::Late
+            && let Some(position) = offers.iter().position(can_preempt)
+        {
+            return StreamVerdict::Send(position);
+        }
         if is_in_time && self.progress == StreamProgress::New {
-            return StreamVerdict::Wait;
+            return StreamVerdict::Wait { is_in_time };
         }
         let has_memory = |offer: &EngineOffer| offer.load.has_memory(self.tokens, 0);
         match offers.iter().position(has_memory) {
             Some(position) => StreamVerdict::Send(position),
-            None if waited_ms < MAX_WAIT_MS => StreamVerdict::Wait,
+            None if waited_ms < MAX_WAIT_MS => StreamVerdict::Wait { is_in_time },
             None => StreamVerdict::Send(best),
         }
     }
@@ -107,7 +124,9 @@
 
     /// Whether the engine can begin with the stream soon, and can hold it.
     fn has_room(&self, offer: &EngineOffer) -> bool {
+        let reserved_streams = if self.is_most_urgent { 0 } else { RESERVED_STREAMS };
+        let reserve_tokens = self.tokens.saturating_mul(reserved_streams);
         offer.load.pending_prefills() < BUSY_PREFILLS
-            && offer.load.has_memory(self.tokens, self.tokens.saturating_mul(RESERVED_STREAMS))
+            && offer.load.has_memory(self.tokens, reserve_tokens)
     }
 }
--- a/crates/limit/tests/burst/day.rs
+++ b/crates/limit/tests/burst/day.rs
@@ -33,6 +33,7 @@
     searched_ms: u64,
     is_sent: bool,
     is_shed: bool,
+    was_in_time: bool,
     generated: f64,
     first_ms: Option<u64>,
     is_done: bool,
@@ -235,24 +236,29 @@
         }
         let ask = StreamAsk {
             progress,
+            urgency_level: progress.urgency_level(priority),
+            is_most_urgent: stream.tier == 0,
             is_refusable: !stream.is_sent && !stream.is_shed && stream.first_ms.is_none(),
+            was_in_time: stream.was_in_time,
             since_ms: stream.since_ms,
             target_latency_ms: TIERS[stream.tier].1,
             target_ms: stream.target_ms(),
             tokens: (PROMPT + OUTPUT) as u64,
         };
-        let offers: Vec<EngineOffer> =
-            probed.iter().map(|&at| offer(reports[at], ask.tokens)).collect();
+        let offers: Vec<EngineOffer> = probed.iter().map(|&at| offer(reports[at], &ask)).collect();
         let is_busy =
             reports[probed[0]].pending_prefills() >= 3 && now_ms < stream.since_ms + 1_500;
         let verdict = match (self.day.is_scheduled, is_busy) {
             (true, _) => ask.judge(&offers, now_ms),
-            (false, true) => StreamVerdict::Wait,
+            (false, true) => StreamVerdict::Wait { is_in_time: true },
             (false, false) => StreamVerdict::Send(0),
         };
         let stream = &mut self.streams[id];
         match verdict {
-            StreamVerdict::Wait => false,
+            StreamVerdict::Wait { is_in_time } => {
+                stream.was_in_time = is_in_time;
+                false
+            }
             StreamVerdict::Refuse { late_ms } => {
                 stream.is_shed = true;
                 stream.since_ms = now_ms + 300 + late_ms.min(2_000);
@@ -302,7 +308,8 @@
     }
 }
 
-fn offer(load: EngineLoad, tokens: u64) -> EngineOffer {
+fn offer(load: EngineLoad, ask: &StreamAsk) -> EngineOffer {
+    let load = if ask.is_most_urgent { load.without_queue() } else { load };
     let prefills_ms = u64::from(load.pending_prefills() + 1) * PREFILL_MS;
-    EngineOffer { load, first_event_ms: prefills_ms + load.memory_wait_ms(tokens, STREAM_MS) }
+    EngineOffer { load, first_event_ms: prefills_ms + load.memory_wait_ms(ask.tokens, STREAM_MS) }
 }
--- a/crates/limit/tests/burst/engine.rs
+++ b/crates/limit/tests/burst/engine.rs
@@ -1,6 +1,6 @@
 //! Model of an engine of the lessons deployment: a queue by urgency, one prefill at a time, and decoding of the batch.
 
-use limit::EngineLoad;
+use limit::{EngineLoad, URGENCY_LEVELS};
 
 /// Tokens of a prompt and of the output of a stream.
 pub const PROMPT: f64 = 5_200.0;
@@ -44,12 +44,17 @@
 impl Engine {
     pub fn load(&self) -> EngineLoad {
         let prefilling = self.batch.iter().filter(|run| run.prefill > 0.0);
+        let mut tokens_by_urgency = [0; URGENCY_LEVELS];
+        for run in self.batch.iter().filter(|run| run.prefill <= 0.0) {
+            tokens_by_urgency[usize::from(run.urgency)] += (PROMPT + run.generated) as u64;
+        }
         EngineLoad {
             running: self.batch.len() as u32,
             queued: self.queue.len() as u32,
             prefilling: prefilling.count() as u32,
             used_tokens: self.used() as u64,
             capacity_tokens: KV_TOKENS as u64,
+            tokens_by_urgency,
         }
     }
 
--- a/crates/limit/tests/burst/main.rs
+++ b/crates/limit/tests/burst/main.rs
@@ -44,3 +44,13 @@
         assert_eq!(day.tiers[1].shed, 0, "{day:?}");
     }
 }
+
+/// Fails if the standard tier's burst takes the priority tier's place at the engines while domains are lost.
+#[test]
+fn the_priority_tier_keeps_its_headroom_in_a_burst() {
+    fn holds(seed: u64, swing: u8) -> bool {
+        let [plain, scheduled] = play_both(seed, swing);
+        scheduled.in_time_share(0) > 0.9 && scheduled.in_time_share(1) > plain.in_time_share(1)
+    }
+    check_days(holds);
+}
