Scheduling: streams reserve memory at the engine before they are sent

Cause: the reports of engines are some hundred milliseconds old, and several daemons can send to the same free memory.

An engine that answers 503 is skipped for the next probed one with room; without one, the stream waits. An engine that gives no valid answer gets the request without a reservation. A reservation that is not used is released.

With several classes, only the most urgent one reserves: an engine admits a request with a reservation before all that wait, and does not preempt it, so that reservations of less urgent streams would work against the priorities. Streams that are sent to a full engine reserve nothing. Weighed: a connection from the pool in place of a new one for each call; a late copy of an earlier answer would name another reservation.

--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     core::Core,
+    engine_hold::{EngineHold, HoldResult},
     instance::Instance,
     instance_entry::InstanceId,
     kv_replica::KvReplica,
     placement::Placement,
-    probe::{is_alive, probe_all},
+    probe::{ProbedEngines, is_alive, probe_all},
     retry_permit::RetryPermit,
 };
 use affinity::StreamVersion;
@@ -31,6 +32,8 @@
     pub ask: Option<StreamAsk>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Longest time of a reservation at the engine; 0 if the stream reserves none.
+    pub hold_ms: u64,
     /// Engines that the request was sent to before.
     pub excluded: Vec<InstanceId>,
     /// Software version at which the stream may go on.
@@ -47,6 +50,8 @@
         replica: Option<KvReplica>,
         /// Engine that is to hold the KV cache replica of the attempt; `None` if no probed engine can.
         replica_target: Option<Arc<Instance>>,
+        /// Reservation of the engine's memory for the request; `None` if it needs none.
+        hold: Option<EngineHold>,
         /// Whether another daemon lent the request that the limit of the engine leaves no more to this daemon.
         is_borrowed: bool,
         /// Retry that was withdrawn for the attempt; `None` if it needs none.
@@ -113,6 +118,7 @@
         may_wait,
         ask,
         prompt_tokens,
+        hold_ms,
         excluded,
         version,
     } = requirements;
@@ -136,6 +142,7 @@
                 instance,
                 replica,
                 replica_target,
+                hold: None,
                 is_borrowed: true,
                 retry,
             };
@@ -154,10 +161,13 @@
         join(check_replica, probe_all(core, &service, candidates)).await;
     let replica = replica.filter(|_| is_replica_alive);
     let holder = replica.as_ref().map(|replica| &replica.instance);
-    let verdict = ask.filter(|_| holder.is_none()).map(|ask| {
-        let offers = probed.offers(&ask, prompt_tokens);
-        ask.judge(&offers, core.clock.now_ms())
-    });
+    let (verdict, hold) = match ask.filter(|_| holder.is_none()) {
+        Some(ask) => {
+            let (verdict, hold) = schedule(core, &probed, &ask, prompt_tokens, hold_ms).await;
+            (Some(verdict), hold)
+        }
+        None => (None, None),
+    };
     let is_in_time = !matches!(verdict, Some(StreamVerdict::Wait { is_in_time: false }));
     let (chosen, is_busy) = match verdict {
         Some(StreamVerdict::Refuse { late_ms }) => return EngineChoice::Refuse { late_ms },
@@ -174,6 +184,7 @@
                 instance,
                 replica,
                 replica_target,
+                hold,
                 is_borrowed: false,
                 retry,
             };
@@ -182,3 +193,30 @@
     };
     EngineChoice::Wait { reason, replica, is_in_time }
 }
+
+/// Decides on a stream by the probed engines, and reserves memory at the engine that gets it. If an engine turns out to be
+/// full, the next one with room is asked.
+async fn schedule(
+    core: &Arc<Core>,
+    probed: &ProbedEngines,
+    ask: &StreamAsk,
+    prompt_tokens: u64,
+    hold_ms: u64,
+) -> (StreamVerdict, Option<EngineHold>) {
+    let offers = probed.offers(ask, prompt_tokens);
+    let verdict = ask.judge(&offers, core.clock.now_ms());
+    let StreamVerdict::Send(first) = verdict else { return (verdict, None) };
+    // Without room, the engine would refuse the reservation, and the stream is sent all the same.
+    if hold_ms == 0 || !ask.has_room(&offers[first]) {
+        return (verdict, None);
+    }
+    for position in (first..offers.len()).filter(|&position| ask.has_room(&offers[position])) {
+        let Some(instance) = probed.get(position) else { break };
+        match EngineHold::take(core, instance, ask.tokens, hold_ms).await {
+            HoldResult::Taken(hold) => return (StreamVerdict::Send(position), Some(hold)),
+            HoldResult::Unavailable => return (StreamVerdict::Send(position), None),
+            HoldResult::Full => {}
+        }
+    }
+    (StreamVerdict::Wait { is_in_time: true }, None)
+}
--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -55,6 +55,16 @@
     pub decode_prompt_parts: fn(&str) -> Vec<Box<str>>,
     /// Further headers that callers may not set; they are removed from requests.
     pub reserved: Vec<HeaderName>,
+    /// Reservation of memory at the engine that the request uses up.
+    pub hold: HeaderName,
+    /// Path of the call that reserves memory at an engine.
+    pub hold_path: &'static str,
+    /// Encodes the body of the call at `hold_path` from the number of tokens and the time in milliseconds.
+    pub encode_hold_request: fn(u64, u64) -> Vec<u8>,
+    /// Decodes the identifier of a reservation from the response to that call; `None` if the response is malformed.
+    pub decode_hold: fn(&[u8]) -> Option<Box<str>>,
+    /// Path of the call that releases a reservation, without the identifier at its end.
+    pub drop_hold_path: &'static str,
     /// Path of an engine's load report.
     pub report_path: &'static str,
     /// Decodes an engine's load report; `None` if the report is malformed.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -208,6 +208,7 @@
             &dialect.replica_to,
             &dialect.expected_instance,
             &dialect.expected_weights_version,
+            &dialect.hold,
             &dialect.key,
             &dialect.last_event_id,
             &dialect.time_left_ms,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -23,6 +23,7 @@
 mod dialect;
 mod domain_losses;
 mod engine_call;
+mod engine_hold;
 mod engine_report;
 mod event;
 mod event_splitter;
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -9,6 +9,7 @@
     config::{EngineConfig, ServiceConfig},
     core::Core,
     crash_quarantine::{Subject, log_refusal},
+    engine_hold::EngineHold,
     event::Event,
     exchange::Exchange,
     inbound::Inbound,
@@ -876,6 +877,7 @@
         let requirements = EngineRequirements {
             ask,
             prompt_tokens: self.inbound.prompt_tokens.unwrap_or(0),
+            hold_ms: self.hold_ms(),
             service: self.inbound.service.clone(),
             candidates,
             retry: (self.sends > 0).then(|| self.urgency(replica.is_some(), now_ms)),
@@ -956,6 +958,14 @@
         })
     }
 
+    /// Longest time of a reservation that the stream may take; 0 if it takes none. With several classes, a reservation of
+    /// a less urgent stream would be admitted before the most urgent class and could not give way to it.
+    fn hold_ms(&self) -> u64 {
+        let most_urgent = self.service_config.most_urgent;
+        let may_hold = most_urgent.is_none_or(|priority| priority == self.inbound.priority);
+        self.engine_config().filter(|_| may_hold).map_or(0, |engine| engine.hold_ms)
+    }
+
     /// Enters the queue of the streams that look for an engine.
     fn enter_queue(&mut self, ask: &StreamAsk) -> &QueueTicket {
         let stream = WaitingStream {
@@ -1021,8 +1031,15 @@
     /// Sends the request to the chosen engine, or ends the attempt if it has to wait.
     fn on_chosen(&mut self, position: usize, choice: EngineChoice) {
         let id = self.attempts[position].id;
-        let (instance, replica, replica_target, retry) = match choice {
-            EngineChoice::Engine { instance, replica, replica_target, is_borrowed, retry } => {
+        let (instance, replica, replica_target, hold, retry) = match choice {
+            EngineChoice::Engine {
+                instance,
+                replica,
+                replica_target,
+                hold,
+                is_borrowed,
+                retry,
+            } => {
                 if !is_borrowed && !self.core.allows_request(&instance) {
                     // Another request has used up the share in the limit meanwhile.
                     self.wait_for_engine(position, WaitReason::Limit, replica);
@@ -1031,7 +1048,7 @@
                 if !is_borrowed {
                     self.core.take_request(&instance);
                 }
-                (instance, replica, replica_target, retry)
+                (instance, replica, replica_target, hold, retry)
             }
             EngineChoice::Refuse { late_ms } => {
                 self.refuse_late(late_ms);
@@ -1059,7 +1076,10 @@
             self.replica_attempt = Some(id);
         }
         let urgency = self.urgency_level();
-        let extra_headers = self.attempt_headers(replica.as_ref(), replica_target, urgency);
+        let mut extra_headers = self.attempt_headers(replica.as_ref(), replica_target, urgency);
+        if let Some(id) = hold.and_then(EngineHold::spend) {
+            extra_headers.push((self.core.dialect.hold.clone(), id));
+        }
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={} \
              urgency={}",
--- a/crates/limit/src/stream_admission.rs
+++ b/crates/limit/src/stream_admission.rs
@@ -123,7 +123,7 @@
     }
 
     /// Whether the engine can begin with the stream soon, and can hold it.
-    fn has_room(&self, offer: &EngineOffer) -> bool {
+    pub fn has_room(&self, offer: &EngineOffer) -> bool {
         let reserved_streams = if self.is_most_urgent { 0 } else { RESERVED_STREAMS };
         let reserve_tokens = self.tokens.saturating_mul(reserved_streams);
         offer.load.pending_prefills() < BUSY_PREFILLS
