--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     core::Core,
+    engine_hold::{EngineHold, HoldResult},
     instance::Instance,
     instance_entry::InstanceId,
     kv_replica::KvReplica,
     placement::Placement,
-    probe::{is_alive, probe_all},
+    probe::{ProbedEngines, is_alive, probe_all},
     retry_permit::RetryPermit,
     version_rule::VersionRule,
 };
@@ -32,6 +33,8 @@
     pub ask: Option<StreamAsk>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Longest time of a reservation at the engine; 0 if the stream reserves none.
+    pub hold_ms: u64,
     /// Engines that the request was sent to before.
     pub excluded: Vec<InstanceId>,
     /// Software version at which the stream may go on.
@@ -50,6 +53,8 @@
         replica: Option<KvReplica>,
         /// Engine that is to hold the KV cache replica of the attempt; `None` if no probed engine can.
         replica_target: Option<Arc<Instance>>,
+        /// Reservation of the engine's memory for the request; `None` if it needs none.
+        hold: Option<EngineHold>,
         /// Whether another daemon lent the request that the limit of the engine leaves no more to this daemon.
         is_borrowed: bool,
         /// Retry that was withdrawn for the attempt; `None` if it needs none.
@@ -62,9 +67,18 @@
         reason: WaitReason,
         /// The replica from the requirements; `None` if its engine did not respond.
         replica: Option<KvReplica>,
+        /// Whether the stream would have been in time at one of the probed engines, as far as that is known.
+        is_in_time: bool,
     },
 }
 
+impl EngineChoice {
+    /// The attempt cannot start yet, for a reason other than the load of the engines.
+    fn wait(reason: WaitReason, replica: Option<KvReplica>) -> Self {
+        Self::Wait { reason, replica, is_in_time: true }
+    }
+}
+
 /// Why an attempt cannot start yet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum WaitReason {
@@ -107,6 +121,7 @@
         may_wait,
         ask,
         prompt_tokens,
+        hold_ms,
         excluded,
         version,
         version_rule,
@@ -114,7 +129,7 @@
     let retry = match retry {
         Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
             Some(permit) => Some(permit),
-            None => return EngineChoice::Wait { reason: WaitReason::Budget, replica },
+            None => return EngineChoice::wait(WaitReason::Budget, replica),
         },
         None => None,
     };
@@ -132,11 +147,12 @@
                 instance,
                 replica,
                 replica_target,
+                hold: None,
                 is_borrowed: true,
                 retry,
             };
         }
-        return EngineChoice::Wait { reason: WaitReason::Limit, replica };
+        return EngineChoice::wait(WaitReason::Limit, replica);
     }
     let check_replica = async {
         match &replica {
@@ -150,14 +166,18 @@
         join(check_replica, probe_all(core, &service, candidates)).await;
     let replica = replica.filter(|_| is_replica_alive);
     let holder = replica.as_ref().map(|replica| &replica.instance);
-    let verdict = ask.filter(|_| holder.is_none()).map(|ask| {
-        let offers = probed.offers(prompt_tokens, ask.tokens);
-        ask.judge(&offers, core.clock.now_ms())
-    });
+    let (verdict, hold) = match ask.filter(|_| holder.is_none()) {
+        Some(ask) => {
+            let (verdict, hold) = schedule(core, &probed, &ask, prompt_tokens, hold_ms).await;
+            (Some(verdict), hold)
+        }
+        None => (None, None),
+    };
+    let is_in_time = !matches!(verdict, Some(StreamVerdict::Wait { is_in_time: false }));
     let (chosen, is_busy) = match verdict {
         Some(StreamVerdict::Refuse { late_ms }) => return EngineChoice::Refuse { late_ms },
         Some(StreamVerdict::Send(position)) => (probed.get(position), false),
-        Some(StreamVerdict::Wait) => (probed.best(), true),
+        Some(StreamVerdict::Wait { .. }) => (probed.best(), true),
         None => (probed.best(), probed.is_busy() && may_wait),
     };
     let reason = match holder.or(chosen) {
@@ -169,11 +189,39 @@
                 instance,
                 replica,
                 replica_target,
+                hold,
                 is_borrowed: false,
                 retry,
             };
         }
         None => WaitReason::NoEngine,
     };
-    EngineChoice::Wait { reason, replica }
+    EngineChoice::Wait { reason, replica, is_in_time }
+}
+
+/// Decides on a stream by the probed engines, and reserves memory at the engine that gets it. If an engine turns out to be
+/// full, the next one with room is asked.
+async fn schedule(
+    core: &Arc<Core>,
+    probed: &ProbedEngines,
+    ask: &StreamAsk,
+    prompt_tokens: u64,
+    hold_ms: u64,
+) -> (StreamVerdict, Option<EngineHold>) {
+    let offers = probed.offers(ask, prompt_tokens);
+    let verdict = ask.judge(&offers, core.clock.now_ms());
+    let StreamVerdict::Send(first) = verdict else { return (verdict, None) };
+    // Without room, the engine would refuse the reservation, and the stream is sent all the same.
+    if hold_ms == 0 || !ask.has_room(&offers[first]) {
+        return (verdict, None);
+    }
+    for position in (first..offers.len()).filter(|&position| ask.has_room(&offers[position])) {
+        let Some(instance) = probed.get(position) else { break };
+        match EngineHold::take(core, instance, ask.tokens, hold_ms).await {
+            HoldResult::Taken(hold) => return (StreamVerdict::Send(position), Some(hold)),
+            HoldResult::Unavailable => return (StreamVerdict::Send(position), None),
+            HoldResult::Full => {}
+        }
+    }
+    (StreamVerdict::Wait { is_in_time: true }, None)
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -23,6 +23,7 @@
 mod dialect;
 mod domain_losses;
 mod engine_call;
+mod engine_hold;
 mod engine_report;
 mod event;
 mod event_splitter;
@@ -72,7 +73,7 @@
     departures::{Departures, Standing},
     dialect::Dialect,
     domain_losses::DomainLosses,
-    engine_report::EngineReport,
+    engine_report::{EngineReport, EngineRun},
     event::Event,
     event_splitter::{EventSplitter, SplitError},
     fleet_size::FleetSize,
