--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -962,7 +962,7 @@
         let progress = self.progress(now_ms);
         Some(StreamAsk {
             progress,
-            urgency_level: progress.urgency_level(inbound.priority),
+            urgency_level: inbound.priority.level(),
             is_most_urgent: self.service_config.most_urgent == Some(inbound.priority),
             is_refusable: is_new && !inbound.is_repeated,
             was_in_time: self.was_in_time,
--- a/crates/limit/tests/burst/day.rs
+++ b/crates/limit/tests/burst/day.rs
@@ -233,7 +233,7 @@
         }
         let ask = StreamAsk {
             progress,
-            urgency_level: progress.urgency_level(priority),
+            urgency_level: priority.level(),
             is_most_urgent: stream.tier == 0,
             is_refusable: !stream.is_sent && !stream.is_shed && stream.first_ms.is_none(),
             was_in_time: stream.was_in_time,
