--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -173,6 +173,13 @@
             ),
         };
     }
+    if let Some(line) = request_lines.iter().find(|line| line.field("reason") == Some("late")) {
+        let field = |name| line.field(name).unwrap_or("?");
+        let (late_ms, waited_ms) = (field("late_ms"), field("waited_ms"));
+        return format!(
+            "its first event would have been {late_ms} ms late at any engine; it had waited {waited_ms} ms"
+        );
+    }
     if let Some(cause) = request_lines.iter().find_map(|line| version_cause(line)) {
         return format!("{cause} ({})", failed_attempts(request_lines));
     }
--- a/crates/geraniumctl/src/losses.rs
+++ b/crates/geraniumctl/src/losses.rs
@@ -229,7 +229,7 @@
     if reason("budget") {
         return LossCause::RetryBudget;
     }
-    if reason("busy") {
+    if reason("busy") || reason("late") {
         return LossCause::EngineQueue;
     }
     if reason("no_engine") {
--- a/crates/geraniumctl/tests/explain.rs
+++ b/crates/geraniumctl/tests/explain.rs
@@ -147,3 +147,17 @@
         "cause: no upstream gave a valid answer (i-3 failed: lost: closed); before that, i-3 had stated that it leaves"
     );
 }
+
+/// Guards against a refusal under load whose explanation does not tell how late the stream would have been.
+#[test]
+fn a_stream_that_was_refused_under_load_is_explained() {
+    let logs = "\
+1785784684000 INFO vm=a-1 stream: id=shed waits, reason=busy
+1785784685260 INFO vm=a-1 stream: id=shed refused, reason=late priority=5 late_ms=2900 waited_ms=1260 retry_after_ms=3350
+1785784685260 INFO vm=a-1 request: id=shed status=503 outcome=not_run config=2
+";
+    let explanation = explain("shed", logs).unwrap();
+    assert!(
+        explanation.ends_with("would have been 2900 ms late at any engine; it had waited 1260 ms")
+    );
+}
