Scheduling: less headroom where all streams have the same priority

The headroom is now that of the stream's class: two streams for less urgent classes, one if there is only one class, none for the most urgent of several.

Tests: limit burst, stream_queue, stream_progress, retry_budget; platform scheduling, priorities passed.

--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hyper::Response;
-use limit::{EngineLoad, EngineOffer, StreamAsk, URGENCY_LEVELS};
+use limit::{EngineLoad, EngineOffer, StreamAsk, StreamClass, URGENCY_LEVELS};
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 use web::ClientError;
 
@@ -64,12 +64,13 @@
 
     /// Describes the engines for a stream with `prompt_tokens`.
     pub fn offers(&self, ask: &StreamAsk, prompt_tokens: u64) -> Vec<EngineOffer> {
+        let is_most_urgent = ask.class == StreamClass::MostUrgent;
         let offers = self.engines.iter().enumerate().map(|(position, (load, _))| {
-            let load = match ask.is_most_urgent {
+            let load = match is_most_urgent {
                 true => load.detail.without_queue(),
                 false => load.detail,
             };
-            let first_event_ms = match ask.is_most_urgent {
+            let first_event_ms = match is_most_urgent {
                 // Only the prompts that are being read come before the stream.
                 true => (u64::from(load.prefilling) + 1).saturating_mul(self.prefill_ms),
                 false => self.first_event_ms(position, prompt_tokens),
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -31,7 +31,7 @@
     HeaderMap,
     header::{HeaderName, HeaderValue},
 };
-use limit::{StreamAsk, StreamProgress, Urgency, WaitingStream};
+use limit::{StreamAsk, StreamClass, StreamProgress, Urgency, WaitingStream};
 use quarantine::{Admission, PartNames, Verdict};
 use recovery::{Action, AttemptId, EngineSignal, Generation, Input, Journal, LossCause};
 use std::{future::poll_fn, sync::Arc, task::Poll};
@@ -948,7 +948,7 @@
         Some(StreamAsk {
             progress,
             urgency_level: progress.urgency_level(inbound.priority),
-            is_most_urgent: self.service_config.most_urgent == Some(inbound.priority),
+            class: self.class(),
             is_refusable: is_new && !inbound.is_repeated,
             was_in_time: self.was_in_time,
             since_ms: self.search_since_ms.unwrap_or(now_ms),
@@ -958,11 +958,19 @@
         })
     }
 
+    /// Class of the stream among those of its service.
+    fn class(&self) -> StreamClass {
+        match self.service_config.most_urgent {
+            None => StreamClass::Only,
+            Some(priority) if priority == self.inbound.priority => StreamClass::MostUrgent,
+            Some(_) => StreamClass::LessUrgent,
+        }
+    }
+
     /// Longest time of a reservation that the stream may take; 0 if it takes none. With several classes, a reservation of
     /// a less urgent stream would be admitted before the most urgent class and could not give way to it.
     fn hold_ms(&self) -> u64 {
-        let most_urgent = self.service_config.most_urgent;
-        let may_hold = most_urgent.is_none_or(|priority| priority == self.inbound.priority);
+        let may_hold = self.class() != StreamClass::LessUrgent;
         self.engine_config().filter(|_| may_hold).map_or(0, |engine| engine.hold_ms)
     }
 
@@ -1114,8 +1122,10 @@
     /// caller may return is that in which the engines work off what makes it late.
     fn refuse_late(&mut self, late_ms: u64) {
         let now_ms = self.core.clock.now_ms();
-        let is_most_urgent = self.service_config.most_urgent == Some(self.inbound.priority);
-        let backlog_ms = if is_most_urgent { late_ms / 2 } else { late_ms };
+        let backlog_ms = match self.class() {
+            StreamClass::MostUrgent => late_ms / 2,
+            StreamClass::LessUrgent | StreamClass::Only => late_ms,
+        };
         let left_ms = self.inbound.first_event_target_ms().saturating_sub(now_ms);
         let pause_ms = backlog_ms.min(left_ms / 2);
         let retry_after_ms = pause_ms + self.core.stream_retry_after_ms();
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -25,6 +25,7 @@
 mod retry_budget;
 mod retry_budgets;
 mod stream_admission;
+mod stream_class;
 mod stream_progress;
 mod stream_queue;
 mod token_bucket;
@@ -46,6 +47,7 @@
     retry_budget::{RetryBudget, RetryBudgetLimits, Urgency},
     retry_budgets::RetryBudgets,
     stream_admission::{EngineOffer, StreamAsk, StreamVerdict},
+    stream_class::StreamClass,
     stream_progress::StreamProgress,
     stream_queue::{StreamQueue, WaitingStream},
     upstream_limit_change::UpstreamLimitChange,
--- a/crates/limit/src/stream_admission.rs
+++ b/crates/limit/src/stream_admission.rs
@@ -1,6 +1,6 @@
 //! Decision whether a stream is sent to one of the probed engines, waits, or is refused.
 
-use crate::{engine_load::EngineLoad, stream_progress::StreamProgress};
+use crate::{engine_load::EngineLoad, stream_class::StreamClass, stream_progress::StreamProgress};
 
 /// Part of the target within which a stream waits for an engine with room before it may be refused, as a divisor. A
 /// caller that is refused later has less time for its retry.
@@ -21,20 +21,13 @@
 /// few seconds for the first event.
 const BUSY_PREFILLS: u32 = 3;
 
-/// Memory that stays free at an engine beside a new stream, as a multiple of the stream's tokens. It is for the output
-/// of the running requests, for copies of other engines' requests, and for what other daemons send at the same time. In
-/// the model of `tests/burst`, preemptions waste 0.3 million prompt tokens in place of 1.7 million with it. Streams of the
-/// most urgent class use this headroom, and make less urgent ones give way if it does not suffice.
-const RESERVED_STREAMS: u64 = 2;
-
 /// Stream that looks for an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamAsk {
     pub progress: StreamProgress,
     /// Urgency level that the engine would be told.
     pub urgency_level: u8,
-    /// Whether the stream is of the most urgent of several classes.
-    pub is_most_urgent: bool,
+    pub class: StreamClass,
     /// Whether the stream may be refused: it was not sent yet, has no event, and was not refused before.
     pub is_refusable: bool,
     /// Whether the search before this one found an engine at which the stream would have been in time. The engines of
@@ -97,7 +90,7 @@
         }
         let can_preempt =
             |offer: &EngineOffer| offer.load.can_preempt(self.tokens, self.urgency_level);
-        if self.is_most_urgent
+        if self.class == StreamClass::MostUrgent
             && self.progress != StreamProgress::Late
             && let Some(position) = offers.iter().position(can_preempt)
         {
@@ -124,8 +117,7 @@
 
     /// Whether the engine can begin with the stream soon, and can hold it.
     pub fn has_room(&self, offer: &EngineOffer) -> bool {
-        let reserved_streams = if self.is_most_urgent { 0 } else { RESERVED_STREAMS };
-        let reserve_tokens = self.tokens.saturating_mul(reserved_streams);
+        let reserve_tokens = self.tokens.saturating_mul(self.class.reserved_streams());
         offer.load.pending_prefills() < BUSY_PREFILLS
             && offer.load.has_memory(self.tokens, reserve_tokens)
     }
--- a/crates/limit/tests/burst/day.rs
+++ b/crates/limit/tests/burst/day.rs
@@ -2,8 +2,8 @@
 
 use crate::engine::{Engine, OUTPUT, PROMPT, Run, TICK_MS};
 use limit::{
-    EngineLoad, EngineOffer, Priority, StreamAsk, StreamProgress, StreamQueue, StreamVerdict,
-    WaitingStream,
+    EngineLoad, EngineOffer, Priority, StreamAsk, StreamClass, StreamProgress, StreamQueue,
+    StreamVerdict, WaitingStream,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::collections::VecDeque;
@@ -237,7 +237,7 @@
         let ask = StreamAsk {
             progress,
             urgency_level: progress.urgency_level(priority),
-            is_most_urgent: stream.tier == 0,
+            class: if stream.tier == 0 { StreamClass::MostUrgent } else { StreamClass::LessUrgent },
             is_refusable: !stream.is_sent && !stream.is_shed && stream.first_ms.is_none(),
             was_in_time: stream.was_in_time,
             since_ms: stream.since_ms,
@@ -309,7 +309,7 @@
 }
 
 fn offer(load: EngineLoad, ask: &StreamAsk) -> EngineOffer {
-    let load = if ask.is_most_urgent { load.without_queue() } else { load };
+    let load = if ask.class == StreamClass::MostUrgent { load.without_queue() } else { load };
     let prefills_ms = u64::from(load.pending_prefills() + 1) * PREFILL_MS;
     EngineOffer { load, first_event_ms: prefills_ms + load.memory_wait_ms(ask.tokens, STREAM_MS) }
 }
