--- a/crates/geraniumctl/src/explain.rs
+++ b/crates/geraniumctl/src/explain.rs
@@ -156,6 +156,13 @@
             failed_attempts(request_lines),
         );
     }
+    if let Some(line) = request_lines.iter().find(|line| line.field("reason") == Some("rollout")) {
+        let version = line.field("version").unwrap_or("?");
+        return format!(
+            "a rollout excluded the version {version}, and no other instance took the request ({})",
+            failed_attempts(request_lines)
+        );
+    }
     if let Some(line) = request_lines
         .iter()
         .find(|line| line.field("reason") == Some("limit") && line.text.contains("refused"))
@@ -199,6 +206,10 @@
             let version = field("version");
             Some(format!("no instance had the version {version}, at which the stream began"))
         }
+        Some("rolled_back") => {
+            let version = field("version");
+            Some(format!("the version {version}, at which the stream began, was rolled back"))
+        }
         Some("version_unknown") => {
             let first_id = field("resumes");
             Some(format!(
--- a/crates/geraniumctl/src/loss_cause.rs
+++ b/crates/geraniumctl/src/loss_cause.rs
@@ -13,6 +13,8 @@
     NotAllowed,
     /// Engines of several failure domains were lost to the daemon at about the same time.
     DomainCutOff,
+    /// A rollout left no instance to the request.
+    Rollout,
     /// The stream waited for the retry budget.
     RetryBudget,
     /// The stream waited because the engines had too many prompts to read.
@@ -54,6 +56,7 @@
             Self::NoConfiguration => "no configuration",
             Self::NotAllowed => "no such route or key",
             Self::DomainCutOff => "failure domain cut off",
+            Self::Rollout => "left without an instance by a rollout",
             Self::RetryBudget => "waited for the retry budget",
             Self::EngineQueue => "waited for an engine's queue",
             Self::UpstreamsPausing => "upstreams wanted no requests",
--- a/crates/geraniumctl/src/losses.rs
+++ b/crates/geraniumctl/src/losses.rs
@@ -226,6 +226,9 @@
             false => LossCause::UpstreamsPausing,
         };
     }
+    if reason("rolled_back") || reason("rollout") {
+        return LossCause::Rollout;
+    }
     if reason("budget") {
         return LossCause::RetryBudget;
     }
--- a/crates/geraniumctl/tests/explain.rs
+++ b/crates/geraniumctl/tests/explain.rs
@@ -29,6 +29,10 @@
   9.9400 front-b-1 1785784685440 INFO vm=front-b-1 attempt: id=7a4e0003 attempt=1 instance=i-04a6 domain=lothian failed: lost: closed; version=v7 events=3 silent_ms=26
   9.9400 front-b-1 1785784685440 INFO vm=front-b-1 stream: id=7a4e0003 ends, reason=version_gone resumes=- after=Some(3) version=v7
   9.9400 front-b-1 1785784685440 INFO vm=front-b-1 stream: id=7a4e0003 route=r-vbg outcome=version_gone version=v7 events=3 sends=1 losses=1 first_ms=5 longest_pause_ms=6 total_ms=10
+  9.9500 front-b-1 1785784685450 INFO vm=front-b-1 stream: id=7a4e0004 refused, reason=rolled_back resumes=7a4e0000 after=Some(12) version=v8
+  9.9500 front-b-1 1785784685450 INFO vm=front-b-1 request: id=7a4e0004 status=503 outcome=stream_version_gone config=2
+  9.9600 front-b-1 1785784685460 INFO vm=front-b-1 call: id=7a4e0005 refused, reason=rollout version=v8
+  9.9600 front-b-1 1785784685460 INFO vm=front-b-1 request: id=7a4e0005 status=503 outcome=not_run config=2
 a line of something else id=e9a9b4d8
 ";
 
@@ -147,3 +151,17 @@
         "cause: no upstream gave a valid answer (i-3 failed: lost: closed); before that, i-3 had stated that it leaves"
     );
 }
+
+/// Guards against explanations that do not name the rollout which left a request without an instance.
+#[test]
+fn refusals_by_a_rollout_are_explained() {
+    let cause = |id| explain(id, LOGS).unwrap().lines().last().unwrap().to_owned();
+    assert_eq!(
+        cause("7a4e0004"),
+        "cause: the version v8, at which the stream began, was rolled back (no attempt failed)"
+    );
+    assert_eq!(
+        cause("7a4e0005"),
+        "cause: a rollout excluded the version v8, and no other instance took the request (no attempt failed)"
+    );
+}
--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -152,9 +152,21 @@
             let route = RouteKey::from(&*inbound.route);
             rollouts.permit(&inbound.service, route, &mut pass, version, required)
         });
+        if self.is_target(&inbound.service, version) {
+            let permitted = permitted.unwrap_or(true).to_string();
+            metrics::counter!("rollout_sends_total", "permitted" => permitted).increment(1);
+        }
         permitted.unwrap_or(true)
     }
 
+    /// Whether `version` is the target of the service's order.
+    fn is_target(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let is_target = self.with(|rollouts, _| {
+            rollouts.state(service).is_some_and(|(target, _)| target == version)
+        });
+        is_target.unwrap_or(false)
+    }
+
     /// Observes a request that is sent to `instance`; `None` if rollouts are not in force.
     pub(crate) fn observe(
         self: &Arc<Self>,
@@ -176,6 +188,19 @@
         Some(Observation::new(Arc::clone(self), number))
     }
 
+    /// Logs that a call finds no instance, if a rollout is the reason.
+    pub(crate) fn log_refusal(&self, core: &Core, inbound: &Inbound, rule: &VersionRule) {
+        let VersionRule::Without(version) = rule else { return };
+        let has_excluded = core.with_registry(|registry, _| {
+            registry.serving_versions(&inbound.service).any(|serving| serving == version)
+        });
+        if has_excluded {
+            let id = inbound.id_text();
+            log::info!("call: id={id} refused, reason=rollout version={version}");
+            metrics::counter!("rollout_refusals_total").increment(1);
+        }
+    }
+
     /// Takes note of the services whose orders are in a list of all items, before they are applied.
     pub(crate) fn begin_list(&self, listed: &HashSet<ServiceName>, is_restored: bool) {
         self.is_unconfirmed.store(true, Ordering::Relaxed);
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -85,7 +85,10 @@
                 Some(response) => return Ok(response.into_response()),
                 None => continue,
             },
-            Err(retry_after_ms) => return give_up(silent, call, retry_after_ms).await,
+            Err(retry_after_ms) => {
+                core.rollouts.log_refusal(core, inbound, &version_rule);
+                return give_up(silent, call, retry_after_ms).await;
+            }
         };
         let is_in_time = core.clock.now_ms() < inbound.arrived_ms + inbound.target_latency_ms;
         let urgency = if is_in_time { Urgency::Urgent } else { Urgency::Late };
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -304,6 +304,9 @@
     fn fail_without_version(&mut self, failure: Failure) {
         let reason = match failure {
             Failure::VersionUnknown => "version_unknown",
+            _ if self.version.required().is_some_and(|at| self.version_rule.excludes(at)) => {
+                "rolled_back"
+            }
             _ => "version_gone",
         };
         let is_refusal = self.inbound.last_event_id.is_some() && self.open_sends == 0;
--- a/crates/ingress/src/version_rule.rs
+++ b/crates/ingress/src/version_rule.rs
@@ -16,6 +16,11 @@
 }
 
 impl VersionRule {
+    /// Whether no request may be sent to instances of `version`.
+    pub fn excludes(&self, version: &SoftwareVersion) -> bool {
+        matches!(self, Self::Without(excluded) if excluded == version)
+    }
+
     /// Whether a request may be sent to `instance`.
     pub fn allows(&self, instance: &Instance) -> bool {
         match self {
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -88,7 +88,8 @@
 
     /// Whether a bad version was found in time.
     pub fn is_rolled_back(&self) -> bool {
-        self.is_exposure_kept() && self.state == Some(RolloutState::RolledBack)
+        let is_rolled_back = self.state == Some(RolloutState::RolledBack);
+        self.is_exposure_kept() && is_rolled_back && self.is_found_bad
     }
 }
 
