Relays: two tiers, changes in place of lists, a share of the link

Cause: a relay sent each change to all other daemons of its domain that chose it, so its traffic grew with readers and with changes, both with the fleet: 38, 172 and 1,482 kB/s at 30, 100 and 300 daemons fit readers x traffic of a reader (36 x 38). Each daemon that listed again after a failed call, and each reader of a relay that had listed again, read all items; on links of 10 Mbit/s this did not end. A list or the heartbeats since a stale list take longer than the timeout of a call on such a link, and a watch was made twice after 300 ms although its answer was arriving.

- Readers are spread over two tiers of relays if the first one would serve more than its links carry (relay_tree).
- A list of the era at hand is applied as changes; readers inside of the gap still list (item_cache).
- A daemon that lists again asks a relay for what changed since its own copy (relayed_source).
- Half of the link for changes, a quarter for lists, 503 beyond (serve_budget, served_items); lists have pages of 32 KiB.
- An answer of a stated size is awaited while parts of it arrive (answer_progress).
- Metrics relay_served_calls_total, relay_served_bytes_total, relay_resumed_lists_total, store_received_bytes_total, relay_received_bytes_total.

The rest of the busiest daemon's traffic is what a relay receives from the store, which the store's watch does not leave out.

Weighed: compression (processor time of 0.1 cores, one more package), more relays of the first tier (calls to the store), patches of values (the copies of readers differ in the heartbeat). Existing tests are unchanged and pass.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -73,7 +73,8 @@
     let metrics_server = Server::bind(settings.metrics_addr).await?;
     let (stop, stopped) = watch::channel(false);
     let items = Arc::new(ItemCache::new(is_same_item));
-    let relay = RelayService::new(Arc::clone(&items), settings.change_bound_ms / MAX_AGE_DIVISOR);
+    let max_age_ms = settings.change_bound_ms / MAX_AGE_DIVISOR;
+    let relay = RelayService::with_link(Arc::clone(&items), max_age_ms, settings.link_mbps);
     let relay_server = Server::bind(settings.relay_addr).await?;
     let peer_socket = Arc::new(PeerSocket::bind(settings.peer_addr).await?);
     core.set_peer_socket(Arc::clone(&peer_socket));
--- a/crates/plat/src/item_cache.rs
+++ b/crates/plat/src/item_cache.rs
@@ -1,7 +1,7 @@
 //! Copy of a key-value service's items, from which other processes can read instead of the service.
 
 use crate::source::{Change, Changes, SourceError};
-use base::{Clock, HashMap, lock};
+use base::{Clock, HashMap, HashSet, lock};
 use bytes::Bytes;
 use std::{
     collections::VecDeque,
@@ -12,6 +12,10 @@
 /// Number of removals that the cache remembers. A reader that missed more of them has to read all items again.
 const MAX_REMOVALS: usize = 4_096;
 
+/// Number of gaps in the history that the cache remembers. Each comes from a list that replaced the items, as after a
+/// failed call.
+const MAX_GAPS: usize = 16;
+
 /// Largest age that is told apart. Older items are of no use.
 const MAX_AGE_MS: u64 = 3_600_000;
 
@@ -43,6 +47,10 @@
     era: u64,
     /// Removals up to this revision are no longer remembered.
     forgotten_removals: u64,
+    /// Pairs of revisions, oldest first, between which keys may have been written and removed again unnoticed. A reader
+    /// that continues between the two may have learned of such a key elsewhere; one that continues at either of them
+    /// has not.
+    gaps: VecDeque<(u64, u64)>,
     /// Revision up to which all changes are included; 0 before the first update.
     revision: u64,
     /// When the items were last known to be the latest ones; `None` before that and during an outage. It is negative if
@@ -65,15 +73,22 @@
     /// Replaces all items, unless they are of an earlier era. `is_latest` tells whether they were the latest ones
     /// `list.age_ms` ago.
     ///
-    /// A list does not tell which keys were written and removed since the last read, and a reader may have learned of
-    /// such a key elsewhere. So readers that continue after an earlier revision have to read all items as well.
+    /// A later list of the same era is applied as the changes since the last read, so that readers that continue after
+    /// an earlier revision get changes instead of all items. It does not tell which keys were written and removed between the
+    /// two, and a reader may have learned of such a key elsewhere. So readers that continue between the two revisions have
+    /// to read all items, and so has every reader after any other list.
     pub fn replace(&self, list: &Changes, is_latest: bool) {
         if list.era < self.era() {
             return;
         }
         self.update(is_latest.then_some(list.age_ms), |state| {
+            if list.era == state.era && state.revision > 0 && list.revision >= state.revision {
+                state.merge(list, self.is_same);
+                return;
+            }
             state.items.clear();
             state.removals.clear();
+            state.gaps.clear();
             state.write(&list.changes, self.is_same);
             if list.era > state.era {
                 state.forgotten_removals = 0;
@@ -136,6 +151,41 @@
         Ok(state.answer(state.items_after(0), age_ms))
     }
 
+    /// Returns the items whose keys follow `after`, in the order of their keys and up to about `max_bytes`, and whether more
+    /// items follow. The pages of a list are not one snapshot: the changes after the revision of the first page complete
+    /// them.
+    ///
+    /// # Errors
+    ///
+    /// As for `list`.
+    pub fn page(
+        &self,
+        after: &str,
+        max_bytes: u64,
+        max_age_ms: u64,
+    ) -> Result<(Changes, bool), SourceError> {
+        let state = self.state();
+        let age_ms = state.age_ms(self.clock.now_ms(), max_age_ms)?;
+        let mut items = state.items_after(0);
+        items.retain(|item| &*item.key > after);
+        items.sort_unstable_by(|a, b| a.key.cmp(&b.key));
+        let mut size_bytes = 0;
+        let mut is_in_page = |item: &Change| {
+            let is_first = size_bytes == 0;
+            size_bytes += item.wire_bytes();
+            is_first || size_bytes <= max_bytes
+        };
+        let count = items.iter().take_while(|item| is_in_page(item)).count();
+        let has_more = count < items.len();
+        items.truncate(count);
+        Ok((state.answer(items, age_ms), has_more))
+    }
+
+    /// Size of a list of all items.
+    pub fn wire_bytes(&self) -> u64 {
+        self.state().items_after(0).iter().map(Change::wire_bytes).sum()
+    }
+
     /// Waits up to `wait_ms` for changes after `revision`, and returns them.
     ///
     /// # Errors
@@ -157,7 +207,7 @@
                 let state = self.state();
                 let now_ms = self.clock.now_ms();
                 let age_ms = state.age_ms(now_ms, max_age_ms)?;
-                if revision < state.forgotten_removals || state.era != era {
+                if state.has_forgotten(revision) || state.era != era {
                     return Err(SourceError::Compacted);
                 }
                 let changes = state.changes_after(revision);
@@ -231,6 +281,33 @@
         }
     }
 
+    /// Applies a list of all items as the changes since the last read.
+    fn merge(&mut self, list: &Changes, is_same: IsSame) {
+        let listed: HashSet<&str> = list.changes.iter().map(|item| &*item.key).collect();
+        let missing = self.items.keys().filter(|key| !listed.contains(&***key));
+        let mut missing: Vec<Box<str>> = missing.cloned().collect();
+        missing.sort_unstable();
+        for key in missing {
+            self.remove(key, list.revision);
+        }
+        self.write(&list.changes, is_same);
+        if list.revision > self.revision {
+            self.gaps.push_back((self.revision, list.revision));
+        }
+        if self.gaps.len() > MAX_GAPS
+            && let Some((_, end)) = self.gaps.pop_front()
+        {
+            self.forgotten_removals = self.forgotten_removals.max(end);
+        }
+        self.revision = list.revision;
+    }
+
+    /// Whether a reader that continues after `revision` may have an item whose removal is not remembered.
+    fn has_forgotten(&self, revision: u64) -> bool {
+        let is_in = |&(start, end): &(u64, u64)| start < revision && revision < end;
+        revision < self.forgotten_removals || self.gaps.iter().any(is_in)
+    }
+
     fn items_after(&self, revision: u64) -> Vec<Change> {
         let newer = self.items.iter().filter(|(_, (_, changed))| *changed > revision);
         let mut items: Vec<Change> = newer
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -20,7 +20,10 @@
 mod record_store;
 mod relay;
 mod relay_options;
+mod relay_tree;
 mod relayed_source;
+mod serve_budget;
+mod served_items;
 mod source;
 mod swap_outcome;
 mod watch_timing;
@@ -39,6 +42,8 @@
     relay::Relay,
     relay_options::RelayOptions,
     relayed_source::RelayedSource,
+    serve_budget::ServeBudget,
+    served_items::ServedItems,
     source::{Change, Changes, Freshness, Source, SourceError},
     swap_outcome::SwapOutcome,
     watch_timing::WatchTiming,
--- a/crates/plat/src/list_and_watch.rs
+++ b/crates/plat/src/list_and_watch.rs
@@ -111,7 +111,7 @@
                     handler.on_caught_up();
                 }
                 if !is_empty && is_current {
-                    tokio::time::sleep(Duration::from_millis(batch_ms)).await;
+                    tokio::time::sleep(Duration::from_millis(source.batch_ms(batch_ms))).await;
                 }
             }
             Err(SourceError::Compacted) => {
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -8,7 +8,7 @@
     source::{Changes, Freshness, Source, SourceError},
 };
 use base::Clock;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, slice, sync::Arc, time::Duration};
 
 /// How long a relay is not asked after it failed.
 const RELAY_BACKOFF_MS: u64 = 1_000;
@@ -24,10 +24,21 @@
 /// the changes that the relay did not deliver.
 const CATCH_UP_WAIT_MS: u64 = 1;
 
+/// Timeout for a list of all items by a relay. Its client has a shorter one for each page.
+const RELAY_LIST_MS: u64 = 4_000;
+
+/// Pause of a daemon that reads from a relay, as a divisor of the one of a daemon that reads the service. The relay has
+/// collected the changes already, and further ones come after its own pause. So two relays on the way of a change delay it
+/// no more than one did that was read after a whole pause.
+const RELAYED_BATCH_DIVISOR: u64 = 2;
+
+/// Wait of a relay's watch at another relay, as a divisor of the wait of other watches. The ages of both copies add up.
+const RELAYED_WAIT_DIVISOR: u64 = 2;
+
 /// Reads a key-value service for one daemon, and records in a cache what it reads, so that the daemon can be a relay
 /// for others.
 ///
-/// Most daemons of a failure domain read from two relays in this domain instead of the service, whose calls are limited
+/// Most daemons of a failure domain read from relays in this domain instead of the service, whose calls are limited
 /// and paid for. If a relay fails or says that its items are outdated, the same watch continues directly at the
 /// service, because eras and revisions are the same everywhere.
 pub struct RelayedSource<S> {
@@ -43,9 +54,13 @@
     failed: Vec<(SocketAddr, u64)>,
     /// Time until which the service is not called.
     direct_after_ms: u64,
-    /// Whether this daemon has had the latest items once. Until then it reads from the service: relays that have started
-    /// at the same time as this daemon would have to send all items again to bring an old list up to date.
+    /// Whether this daemon has had the latest items since its last list from the service. Until then it reads from the
+    /// service: relays that have started at the same time would have to send all items again to bring an old list up to
+    /// date. The pages of a list are not one snapshot, and relays do not remember keys that were written and removed
+    /// while they listed themselves.
     has_caught_up: bool,
+    /// Whether the last answer came from a relay.
+    is_relayed: bool,
 }
 
 /// Why no relay has answered a call.
@@ -55,6 +70,8 @@
     NoRelay,
     /// All relays that were asked failed.
     RelayFailed,
+    /// A relay that was asked did not answer in time.
+    Silent,
 }
 
 /// Call that is made at a relay or at the service.
@@ -84,10 +101,11 @@
         }
     }
 
-    fn wait_ms(self) -> u64 {
+    /// Timeout of the call at a relay.
+    fn timeout_ms(self) -> u64 {
         match self {
-            Self::List(..) => 0,
-            Self::Watch { wait_ms, .. } => wait_ms,
+            Self::List(..) => RELAY_LIST_MS,
+            Self::Watch { wait_ms, .. } => wait_ms + RELAY_ANSWER_MS,
         }
     }
 }
@@ -110,14 +128,12 @@
             failed: Vec::new(),
             direct_after_ms: 0,
             has_caught_up: false,
+            is_relayed: false,
         }
     }
 
     /// Decides where to read from, by the daemons that announce themselves in the service.
     fn read_path(&self) -> ReadPath {
-        if !self.has_caught_up {
-            return ReadPath::Direct;
-        }
         let prefix = self.options.prefix;
         let items = self.cache.values(prefix);
         let daemons: Vec<Relay> = items
@@ -142,7 +158,7 @@
     ///
     /// # Errors
     ///
-    /// `NoRelay` if there is no such relay, `RelayFailed` if one failed in this call.
+    /// `NoRelay` if there is no such relay, `RelayFailed` if one failed in this call, `Silent` if one did not answer.
     async fn read_from_relay(
         &mut self,
         relays: &[Relay],
@@ -160,7 +176,7 @@
             }
             let current = self.current.take().filter(|(current, _)| *current == addr);
             let mut source = current.map_or_else(|| (self.connect)(addr), |(_, source)| source);
-            let timeout = Duration::from_millis(read.wait_ms() + RELAY_ANSWER_MS);
+            let timeout = Duration::from_millis(read.timeout_ms());
             let answer = tokio::time::timeout(timeout, read.send(&mut source)).await;
             let has_timed_out = answer.is_err();
             let err = match answer {
@@ -178,37 +194,93 @@
             outcome = RelayError::RelayFailed;
             // A relay that does not answer has taken too much time to ask another one.
             if has_timed_out {
-                break;
+                return Err(RelayError::Silent);
             }
         }
         Err(outcome)
     }
 
+    /// Brings the items that this daemon has up to date at a relay, and returns them in place of a list, which would take
+    /// hundreds of times as many bytes. Returns `None` if no relay has all changes since then.
+    ///
+    /// # Errors
+    ///
+    /// `Silent` if a relay did not answer.
+    async fn resume_list(
+        &mut self,
+        relays: &[Relay],
+        prefix: &str,
+    ) -> Result<Option<Changes>, RelayError> {
+        let (era, revision) = (self.cache.era(), self.cache.revision());
+        if revision == 0 {
+            return Ok(None);
+        }
+        let read = Read::Watch { prefix, revision, wait_ms: CATCH_UP_WAIT_MS };
+        for relay in relays {
+            match self.read_from_relay(slice::from_ref(relay), read).await {
+                Ok(Ok(changes)) if changes.era == era && changes.revision >= revision => {
+                    metrics::counter!("relay_resumed_lists_total").increment(1);
+                    self.cache.apply(&changes);
+                    return Ok(self.cache.list(u64::MAX).ok());
+                }
+                Err(RelayError::Silent) => return Err(RelayError::Silent),
+                Ok(_) | Err(_) => {}
+            }
+        }
+        Ok(None)
+    }
+
+    /// Makes a call at a relay. A list becomes a watch if a relay has all changes since the last read.
+    ///
+    /// # Errors
+    ///
+    /// As for `read_from_relay`.
+    async fn read_relayed(
+        &mut self,
+        relays: &[Relay],
+        read: Read<'_>,
+    ) -> Result<Result<Changes, SourceError>, RelayError> {
+        if let Read::List(prefix, Freshness::Latest) = read
+            && let Some(list) = self.resume_list(relays, prefix).await?
+        {
+            return Ok(Ok(list));
+        }
+        self.read_from_relay(relays, read).await
+    }
+
     /// Makes a call at a relay, or at the service if there is no relay that works.
     async fn read(&mut self, read: Read<'_>) -> Result<Changes, SourceError> {
-        let direct = match self.read_path() {
-            ReadPath::Direct => read,
-            ReadPath::AsRelay => read.with_wait_up_to(self.options.wait_ms),
-            ReadPath::Through(relays) => {
-                let read = read.with_wait_up_to(self.options.wait_ms);
-                let relay_error = match self.read_from_relay(&relays, read).await {
-                    Ok(answer) => {
-                        metrics::counter!("relay_reads_total").increment(1);
-                        return answer;
-                    }
-                    Err(err) => err,
-                };
-                if self.clock.now_ms() < self.direct_after_ms {
-                    return Err(SourceError::Paused);
-                }
-                match relay_error {
-                    RelayError::NoRelay => read,
-                    RelayError::RelayFailed => read.with_wait_up_to(CATCH_UP_WAIT_MS),
-                }
+        let wait_ms = self.options.wait_ms;
+        let (relays, read) = match self.read_path() {
+            ReadPath::Direct => return self.read_service(read).await,
+            ReadPath::AsRelay => return self.read_service(read.with_wait_up_to(wait_ms)).await,
+            ReadPath::Through(relays) => (relays, read.with_wait_up_to(wait_ms)),
+            ReadPath::ThroughAsRelay(relays) => {
+                (relays, read.with_wait_up_to(wait_ms / RELAYED_WAIT_DIVISOR))
             }
         };
+        if !self.has_caught_up {
+            return self.read_service(read).await;
+        }
+        match self.read_relayed(&relays, read).await {
+            Ok(answer) => {
+                metrics::counter!("relay_reads_total").increment(1);
+                self.is_relayed = true;
+                answer
+            }
+            Err(_) if self.clock.now_ms() < self.direct_after_ms => Err(SourceError::Paused),
+            Err(RelayError::NoRelay) => self.read_service(read).await,
+            Err(RelayError::RelayFailed | RelayError::Silent) => {
+                self.read_service(read.with_wait_up_to(CATCH_UP_WAIT_MS)).await
+            }
+        }
+    }
+
+    /// Makes a call at the service.
+    async fn read_service(&mut self, read: Read<'_>) -> Result<Changes, SourceError> {
         metrics::counter!("store_reads_total").increment(1);
-        let outcome = direct.send(&mut self.service).await;
+        self.is_relayed = false;
+        let outcome = read.send(&mut self.service).await;
         if matches!(&outcome, Err(err) if !matches!(err, SourceError::Compacted)) {
             self.direct_after_ms = self.clock.now_ms() + DIRECT_BACKOFF_MS;
         }
@@ -222,7 +294,8 @@
         match &outcome {
             Ok(list) => {
                 self.cache.replace(list, freshness == Freshness::Latest);
-                self.has_caught_up |= freshness == Freshness::Latest;
+                // The pages of a list from the service are completed by a watch of the service.
+                self.has_caught_up = self.is_relayed;
             }
             Err(_) => self.cache.mark_outage(),
         }
@@ -246,4 +319,11 @@
         }
         outcome
     }
+
+    fn batch_ms(&self, batch_ms: u64) -> u64 {
+        match self.is_relayed {
+            true => batch_ms / RELAYED_BATCH_DIVISOR,
+            false => self.service.batch_ms(batch_ms),
+        }
+    }
 }
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use quick_error::quick_error;
 
+/// Size of the names of a change's fields, its revision and the padding of its value in an answer.
+const WIRE_OVERHEAD_BYTES: u64 = 48;
+
 quick_error! {
     /// Reason why a call to a key-value service failed.
     #[derive(Debug)]
@@ -29,6 +32,10 @@
         Paused {
             display("the service failed a moment ago")
         }
+        /// The relay has spent the share of its link for copies.
+        Busy {
+            display("the share of the link for copies is spent")
+        }
         /// The part `what` of the answer is not valid.
         Malformed(what: &'static str) {
             display("{what} of the answer is not valid")
@@ -47,6 +54,14 @@
     pub revision: u64,
 }
 
+impl Change {
+    /// Size of the change in an answer, in which values are in Base64.
+    pub fn wire_bytes(&self) -> u64 {
+        let value_bytes = self.value.as_ref().map_or(0, Bytes::len) as u64;
+        self.key.len() as u64 + value_bytes * 4 / 3 + WIRE_OVERHEAD_BYTES
+    }
+}
+
 /// Answer to a list or a watch: items or changes, and the revision up to which they are complete.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
@@ -88,4 +103,9 @@
         revision: u64,
         wait_ms: u64,
     ) -> impl Future<Output = Result<Changes, SourceError>> + Send;
+
+    /// Pause after changes before the next watch, if `batch_ms` is the one for reads of the service itself.
+    fn batch_ms(&self, batch_ms: u64) -> u64 {
+        batch_ms
+    }
 }
