--- a/crates/plat/examples/relay_traffic.rs
+++ b/crates/plat/examples/relay_traffic.rs
@@ -236,7 +236,8 @@
     }
 
     fn batch_ms(&self, batch_ms: u64) -> u64 {
-        batch_ms.saturating_sub(self.transfer_ms.saturating_sub(batch_ms / 4))
+        let is_slow = self.transfer_ms > batch_ms / 4;
+        if is_slow { batch_ms.saturating_sub(self.transfer_ms) } else { batch_ms }
     }
 }
 
