Balancing: engines by learned rates, which daemons tell each other (working state)

Each daemon learns the time per prompt token and per event of each engine from its own streams and tells the rates of engines that differ to one random daemon a second. Probed engines are ordered by the expected time to the first event, and sampled for probing in proportion to their speed.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -5,6 +5,7 @@
     buffered_response::BufferedResponse,
     choice::EngineChoice,
     core::Core,
+    engine_timing::EngineTiming,
     event::Event,
     event_splitter::EventSplitter,
     exchange::Exchange,
@@ -63,6 +64,8 @@
     has_survived: bool,
     /// Counts the prefill as pending at the engine; `None` before the request is sent and after the first event.
     prefill: Option<PrefillGuard>,
+    /// Timing of the run at the engine; `None` before the request is sent.
+    timing: Option<EngineTiming>,
 }
 
 /// What an attempt is waiting for.
@@ -120,16 +123,21 @@
             is_suspected: false,
             has_survived: false,
             prefill: None,
+            timing: None,
         }
     }
 
-    /// Starts to send the request to the chosen engine.
+    /// Starts to send the request to the chosen engine. `prompt_tokens` is the number of tokens that it reads before the
+    /// first event; `None` if that is not known.
     pub fn send(
         &mut self,
         instance: Arc<Instance>,
         opening: BoxFuture<'static, Result<Opened, AttemptError>>,
+        prompt_tokens: Option<u64>,
         now_ms: u64,
     ) {
+        let rates = Arc::clone(&instance.rates);
+        self.timing = Some(EngineTiming::new(rates, prompt_tokens, now_ms));
         self.prefill = Some(PrefillGuard::new(Arc::clone(&instance)));
         self.instance = Some(instance);
         self.progress = Progress::Opening(opening);
@@ -218,6 +226,9 @@
             if matches!(step, Step::Event(_)) && !is_comment {
                 self.has_event = true;
                 self.prefill = None;
+                if let Some(timing) = &mut self.timing {
+                    timing.on_event(now_ms);
+                }
             }
             return Poll::Ready(step);
         }
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -47,6 +47,8 @@
     pub shared_parts: Vec<PartId>,
     /// Parts of the prompt as the caller stated them; `None` for a request without a prompt.
     prompt: Option<HeaderValue>,
+    /// Number of tokens of the prompt as the caller stated it; `None` if it did not.
+    pub prompt_tokens: Option<u64>,
     /// Identifier of the last event that the caller has received, after which the stream resumes; `None` for a new
     /// request.
     pub last_event_id: Option<u64>,
@@ -146,6 +148,9 @@
             deadline_ms: self.arrived_ms.saturating_add(left_ms),
             shared_parts: self.shared_parts(headers),
             prompt: headers.get(&dialect.prompt_parts).cloned(),
+            prompt_tokens: headers
+                .get(&dialect.token_counts)
+                .and_then(|value| (dialect.decode_prompt_tokens)(value.to_str().ok()?)),
             last_event_id: number(headers, &dialect.last_event_id, "last event")?,
             resumes: headers
                 .get(&dialect.resumed_request_id)
--- a/crates/ingress/src/instance.rs
+++ b/crates/ingress/src/instance.rs
@@ -43,7 +43,8 @@
     /// Creates an instance that has no requests in flight and has not failed.
     pub fn new(entry: InstanceEntry) -> Self {
         let service = Arc::new(ServiceRates::new(entry.service.clone()));
-        Self::with_rates(entry, Arc::new(InstanceRates::new(service)))
+        let rates = Arc::new(InstanceRates::new(&entry, service));
+        Self::with_rates(entry, rates)
     }
 
     /// Like `new`, with the learned rates of the process.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -24,6 +24,7 @@
 mod domain_losses;
 mod engine_call;
 mod engine_report;
+mod engine_timing;
 mod event;
 mod event_splitter;
 mod exchange;
@@ -50,6 +51,7 @@
 mod route_kind;
 mod route_table;
 mod service_rates;
+mod shared_rates;
 mod short_call;
 mod silent_call;
 mod stream_relay;
@@ -80,5 +82,6 @@
     registry::Registry,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
+    shared_rates::{SharedRates, SharedTime},
     version_recorder::record_stream_versions,
 };
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons.
 
-use crate::crash_quarantine::ServiceEvidence;
+use crate::{crash_quarantine::ServiceEvidence, shared_rates::SharedRates};
 use base::ServiceName;
 use limit::Urgency;
 use serde::{Deserialize, Serialize};
@@ -40,6 +40,8 @@
     },
     /// Tells which upstreams crashed on requests, and which survived them.
     RequestEvidence(Vec<ServiceEvidence>),
+    /// Tells the rates of engines of one service that differ in speed, the latest ones first.
+    Rates(Vec<SharedRates>),
 }
 
 impl PeerMessage {
@@ -47,6 +49,7 @@
     pub(crate) fn has_content(&self) -> bool {
         match self {
             Self::Evidence(evidence) | Self::RequestEvidence(evidence) => !evidence.is_empty(),
+            Self::Rates(rates) => !rates.is_empty(),
             Self::Ask { .. }
             | Self::Answer { .. }
             | Self::EvidenceRequest
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -1,9 +1,10 @@
-//! Exchange of messages between daemons: loans of retries and requests, and evidence on crashes.
+//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, and rates of engines.
 
 use crate::{
     core::Core,
     crash_quarantine::Subject,
     peer_message::{MESSAGE_SIZE_BYTES, PeerMessage},
+    shared_rates::SharedRates,
 };
 use base::{HashMap, ServiceName, lock};
 use limit::Urgency;
@@ -38,6 +39,9 @@
 /// Number of daemons that are asked for evidence at a time.
 const EVIDENCE_REQUEST_FANOUT: usize = 2;
 
+/// Time between two messages with the rates of engines, each to one daemon that is picked at random.
+const RATES_INTERVAL_MS: u64 = 1_000;
+
 /// UDP socket for messages between daemons.
 ///
 /// Borrows retries from other daemons when this daemon's retry budget is exhausted, and requests to an upstream when
@@ -83,7 +87,7 @@
 
     /// Receives and answers messages of other daemons and sends evidence, as long as the future is polled.
     pub async fn run(self: Arc<Self>, core: Arc<Core>) {
-        tokio::join!(self.receive(&core), self.share_evidence(&core));
+        tokio::join!(self.receive(&core), self.share_evidence(&core), self.share_rates(&core));
     }
 
     /// Sends new evidence to other daemons at once, and repeats known evidence from time to time.
@@ -120,6 +124,20 @@
         }
     }
 
+    /// Tells another daemon the rates of engines, as long as there are engines that differ.
+    async fn share_rates(&self, core: &Core) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(RATES_INTERVAL_MS)).await;
+            let services = core.with_registry(|registry, now_ms| registry.shared_rates(now_ms));
+            for rates in services {
+                for peer in core.random_peers(1) {
+                    self.send(&rates_message(rates.clone()), peer).await;
+                    metrics::counter!("engine_rates_sent_total").increment(1);
+                }
+            }
+        }
+    }
+
     /// Receives messages of other daemons and answers their questions.
     async fn receive(&self, core: &Core) {
         let mut buffer = [0; MESSAGE_SIZE_BYTES];
@@ -151,6 +169,9 @@
                 Some(PeerMessage::RequestEvidence(message)) if core.is_peer(from) => {
                     core.merge_evidence(Subject::Requests, message);
                 }
+                Some(PeerMessage::Rates(rates)) if core.is_peer(from) => {
+                    core.with_registry(|registry, now_ms| registry.merge_rates(&rates, now_ms));
+                }
                 Some(PeerMessage::EvidenceRequest) if core.is_peer(from) => {
                     for message in core.evidence() {
                         self.send(&message, from).await;
@@ -235,3 +256,14 @@
         lock(&self.pending)
     }
 }
+
+/// Creates a message with as many of the rates, the latest ones first, as fit into a datagram.
+fn rates_message(mut rates: Vec<SharedRates>) -> PeerMessage {
+    loop {
+        let message = PeerMessage::Rates(rates.clone());
+        if rates.is_empty() || message.encode().len() <= MESSAGE_SIZE_BYTES {
+            return message;
+        }
+        rates.pop();
+    }
+}
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -4,9 +4,12 @@
 use affinity::SoftwareVersion;
 use base::DomainName;
 use rand::Rng;
-use route::{Candidate, Policy, TimedCandidate, choose, choose_by_time};
+use route::{Candidate, Policy, TimedCandidate, choose, choose_by_time, sample_by_speed};
 use std::sync::Arc;
 
+/// Number of instances that are sampled in proportion to their speeds, of which the least loaded one is chosen.
+const SPEED_SAMPLE: usize = 4;
+
 /// Constraints on the instance that a request is sent to.
 #[derive(Debug, Default)]
 pub(crate) struct Placement<'a> {
@@ -43,6 +46,10 @@
         if self.prefers_local {
             return choose_for_call(usable, own_domain, now_ms, rng);
         }
+        let speeds: Vec<f64> =
+            usable.iter().map(|instance| instance.rates.relative_speed(now_ms)).collect();
+        let sample = sample_by_speed(&speeds, SPEED_SAMPLE, rng);
+        let usable: Vec<&Arc<Instance>> = sample.into_iter().map(|i| usable[i]).collect();
         let candidates: Vec<Candidate> =
             usable.iter().map(|instance| candidate(instance, now_ms)).collect();
         let chosen = choose(Policy::Scored, &candidates, 0, rng)?;
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -40,6 +40,8 @@
     /// Whether instances were lost recently. A KV cache replica takes as much memory as the request that it replicates,
     /// so without losses a loaded engine serves more requests if it holds no replicas.
     has_losses: bool,
+    /// When the engines were probed.
+    probed_ms: u64,
 }
 
 impl ProbedEngines {
@@ -48,9 +50,19 @@
         self.engines.first().map(|(_, instance)| instance)
     }
 
-    /// Whether even the least loaded engine has at least `BUSY_PREFILLS` pending prefills.
+    /// Whether even at the least loaded engine, the pending prefills take as long as `BUSY_PREFILLS` at a usual one.
     pub fn is_busy(&self) -> bool {
-        self.engines.first().is_some_and(|(load, _)| load.pending_prefills >= BUSY_PREFILLS)
+        self.engines.first().is_some_and(|(load, _)| load.wait_per_mille >= BUSY_PREFILLS * 1_000)
+    }
+
+    /// Expected time to the first event of a request with `prompt_tokens` at the engine at `position`, in the order of
+    /// load; `u64::MAX` if there is no such engine.
+    #[allow(dead_code)]
+    pub fn first_event_ms(&self, position: usize, prompt_tokens: u64) -> u64 {
+        self.engines.get(position).map_or(u64::MAX, |(load, instance)| {
+            let (pending, prompt_tokens) = (load.pending_prefills, Some(prompt_tokens));
+            instance.rates.first_event_ms(pending, prompt_tokens, self.probed_ms)
+        })
     }
 
     /// The least loaded engine with capacity for a KV cache replica of a request at `instance`; `None` if there is
@@ -91,10 +103,17 @@
         instance.accepts_requests().then_some((report, instance))
     });
     let responses = join_all(probes).await.into_iter().flatten();
-    let mut engines: Vec<_> =
-        responses.map(|(report, instance)| (Load::of(&report, &instance), instance)).collect();
+    let responses: Vec<_> = responses.collect();
+    // All loads are computed for one time, so that equal engines have equal rates.
+    let probed_ms = core.clock.now_ms();
+    let loads = responses.into_iter().map(|(report, instance)| {
+        let load = Load::of(&report, &instance, probed_ms);
+        instance.rates.record_report(load.pending_prefills, probed_ms);
+        (load, instance)
+    });
+    let mut engines: Vec<_> = loads.collect();
     engines.sort_by_key(|(load, _)| *load);
-    ProbedEngines { engines, has_losses: core.has_recent_losses() }
+    ProbedEngines { engines, has_losses: core.has_recent_losses(), probed_ms }
 }
 
 /// Whether an engine is alive: it responded recently, or responds to a probe now.
@@ -135,24 +154,37 @@
 /// Load of an engine, ordered by its effect on a new request.
 ///
 /// Engines are compared by whether the KV cache has capacity for a typical request, which takes up to an eighth of it,
-/// then by the prefills that the request waits for, then by the requests that it slows down.
+/// then by the expected time to the first event, then by the time per event, then by the requests that it slows down. Of
+/// engines with the same rates, the first event is expected earlier at one with fewer pending prefills.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Load {
     /// Whether less than an eighth of the KV cache is free.
     is_full: bool,
-    pending_prefills: u32,
+    /// Expected time to the first event of a request with a usual prompt.
+    first_event_ms: u64,
+    /// Time per event in thousandths of the usual one.
+    event_time_per_mille: u32,
     requests: u32,
     /// Whether at least half of the KV cache is free.
     is_half_empty: bool,
+    pending_prefills: u32,
+    /// Time of the pending prefills, in thousandths of the usual time of one prefill.
+    wait_per_mille: u32,
 }
 
 impl Load {
     /// Computes the load from a report and from the requests that this daemon has in flight, because a report lags
     /// behind.
-    fn of(report: &EngineReport, instance: &Instance) -> Self {
+    fn of(report: &EngineReport, instance: &Instance, now_ms: u64) -> Self {
+        let pending_prefills = report.pending_prefills.max(instance.pending_prefills());
+        let rates = &instance.rates;
+        let prefill_time = rates.relative_prefill_time(now_ms);
         Self {
             is_full: report.kv_used_tokens * 8 > report.kv_cache_tokens * 7,
-            pending_prefills: report.pending_prefills.max(instance.pending_prefills()),
+            first_event_ms: rates.first_event_ms(pending_prefills, None, now_ms),
+            event_time_per_mille: (rates.relative_event_time(now_ms) * 1_000.0) as u32,
+            pending_prefills,
+            wait_per_mille: (f64::from(pending_prefills) * prefill_time * 1_000.0) as u32,
             // The probe itself counts as in flight.
             requests: report.requests.max(instance.in_flight().saturating_sub(1)),
             is_half_empty: report.kv_used_tokens * 2 <= report.kv_cache_tokens,
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -5,6 +5,7 @@
     instance_entry::{InstanceEntry, InstanceId},
     instance_rates::InstanceRates,
     service_rates::ServiceRates,
+    shared_rates::SharedRates,
 };
 use affinity::SoftwareVersion;
 use base::{HashMap, HashSet, ServiceName};
@@ -140,7 +141,8 @@
                 listed.instance.retire();
                 return;
             }
-            rates = known_rates(&listed.instance, &entry);
+            let known = &listed.instance.rates;
+            rates = known.are_of(&entry).then(|| Arc::clone(known));
             self.remove_now(&id);
         }
         if is_last {
@@ -154,7 +156,7 @@
             entry.addr,
             entry.is_draining
         );
-        let rates = rates.unwrap_or_else(|| self.new_rates(&entry.service));
+        let rates = rates.unwrap_or_else(|| self.new_rates(&entry));
         let instance = Arc::new(Instance::with_rates(entry, rates));
         if let Some(runs) = self.leaving.get_mut(&id) {
             if runs.contains(&instance.entry.started_unix_ms) {
@@ -232,10 +234,28 @@
     }
 
     /// Rates of a process that has not been used yet.
-    fn new_rates(&mut self, service: &ServiceName) -> Arc<InstanceRates> {
+    fn new_rates(&mut self, entry: &InstanceEntry) -> Arc<InstanceRates> {
+        let service = &entry.service;
         let rates = self.rates.entry(service.clone());
         let rates = rates.or_insert_with(|| Arc::new(ServiceRates::new(service.clone())));
-        Arc::new(InstanceRates::new(Arc::clone(rates)))
+        Arc::new(InstanceRates::new(entry, Arc::clone(rates)))
+    }
+
+    /// Rates of engines for other daemons, for each service whose engines differ.
+    pub(crate) fn shared_rates(&self, now_ms: u64) -> Vec<Vec<SharedRates>> {
+        let shared = self.rates.values().map(|rates| rates.shared(now_ms));
+        shared.filter(|rates| !rates.is_empty()).collect()
+    }
+
+    /// Takes over rates of engines that another daemon has learned later.
+    pub(crate) fn merge_rates(&self, shared: &[SharedRates], now_ms: u64) {
+        for rates in shared {
+            if let Some(listed) = self.instances.get(&*rates.instance)
+                && listed.instance.rates.merge(rates, now_ms)
+            {
+                metrics::counter!("engine_rates_merged_total").increment(1);
+            }
+        }
     }
 
     /// Retires the instance whose address now belongs to the instance of `entry`.
@@ -267,10 +287,3 @@
         }
     }
 }
-
-/// Learned rates of `instance` if `entry` is a later entry of the same process; `None` otherwise.
-fn known_rates(instance: &Instance, entry: &InstanceEntry) -> Option<Arc<InstanceRates>> {
-    let old = &instance.entry;
-    let is_same_run = old.started_unix_ms.is_some() && old.started_unix_ms == entry.started_unix_ms;
-    (is_same_run && old.service == entry.service).then(|| Arc::clone(&instance.rates))
-}
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -959,6 +959,9 @@
         if replica.is_some() {
             self.replica_attempt = Some(id);
         }
+        // A request that resumes reads its earlier events as well, or nothing if there is a replica.
+        let is_new = replica.is_none() && self.last_event_id.is_none();
+        let prompt_tokens = self.inbound.prompt_tokens.filter(|_| is_new);
         let extra_headers = self.attempt_headers(replica.as_ref(), replica_target);
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={}",
@@ -984,7 +987,8 @@
             }
             BufferedResponse::read(&core, exchange, inbound.deadline_ms).await.map(Opened::Error)
         };
-        self.attempts[position].send(instance, opening.boxed(), self.core.clock.now_ms());
+        let now_ms = self.core.clock.now_ms();
+        self.attempts[position].send(instance, opening.boxed(), prompt_tokens, now_ms);
         self.input(Input::Sent { attempt: id });
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,6 +13,7 @@
 mod block_hashes;
 mod candidate;
 mod choice;
+mod engine_rates;
 mod health;
 mod learned_value;
 mod learning;
@@ -22,12 +23,15 @@
 mod policy_error;
 mod prefix_set;
 mod short_reserve;
+mod speed_sample;
 mod timed_candidate;
 mod timed_choice;
+mod usual_engine_rates;
 
 pub use crate::{
-    block_hashes::block_hashes, candidate::Candidate, choice::choose, health::Health,
-    learned_value::LearnedValue, learning::Learning, load_history::LoadHistory,
+    block_hashes::block_hashes, candidate::Candidate, choice::choose, engine_rates::EngineRates,
+    health::Health, learned_value::LearnedValue, learning::Learning, load_history::LoadHistory,
     load_report::LoadReport, policy::Policy, policy_error::PolicyError, prefix_set::PrefixSet,
-    short_reserve::short_reserve, timed_candidate::TimedCandidate, timed_choice::choose_by_time,
+    short_reserve::short_reserve, speed_sample::sample_by_speed, timed_candidate::TimedCandidate,
+    timed_choice::choose_by_time, usual_engine_rates::UsualEngineRates,
 };
