--- a/crates/ingress/src/dialect.rs
+++ b/crates/ingress/src/dialect.rs
@@ -43,8 +43,8 @@
     pub model: HeaderName,
     /// Numbers of tokens of the prompt and, at most, of the answer.
     pub token_counts: HeaderName,
-    /// Decodes the number of tokens of the prompt from the value of `token_counts`; `None` if the value is malformed.
-    pub decode_prompt_tokens: fn(&str) -> Option<u64>,
+    /// Decodes the numbers of tokens of the prompt and, at most, of the answer; `None` if the value is malformed.
+    pub decode_token_counts: fn(&str) -> Option<(u64, u64)>,
     /// Parts of the request's prompt, in order.
     pub prompt_parts: HeaderName,
     /// Decodes the identifiers of the parts from the value of `prompt_parts`; empty if the value is malformed.
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -39,6 +39,8 @@
     pub kind: RouteKind,
     pub max_attempts: u32,
     pub target_latency_ms: u64,
+    /// Tokens of the prompt; `None` if the caller does not state them.
+    pub prompt_tokens: Option<u64>,
     /// Time of arrival on the daemon's clock.
     pub arrived_ms: u64,
     /// Deadline of the caller or of the route, whichever is earlier, on the daemon's clock.
@@ -47,8 +49,6 @@
     pub shared_parts: Vec<PartId>,
     /// Parts of the prompt as the caller stated them; `None` for a request without a prompt.
     prompt: Option<HeaderValue>,
-    /// Number of tokens of the prompt as the caller stated it; `None` if it did not.
-    pub prompt_tokens: Option<u64>,
     /// Identifier of the last event that the caller has received, after which the stream resumes; `None` for a new
     /// request.
     pub last_event_id: Option<u64>,
@@ -132,6 +132,8 @@
         let dialect = self.dialect;
         let id = headers.get(&dialect.request_id).ok_or(CallerError::Header("request id"))?;
         let left_ms = self.time_left_ms(headers)?;
+        let counts = headers.get(&dialect.token_counts).and_then(|value| value.to_str().ok());
+        let counts = counts.and_then(dialect.decode_token_counts);
         Ok(Inbound {
             id: id.clone(),
             method,
@@ -144,13 +146,11 @@
             kind: self.route.kind,
             max_attempts: self.route.max_attempts.max(1),
             target_latency_ms: self.route.target_latency_ms,
+            prompt_tokens: counts.map(|(prompt, _)| prompt),
             arrived_ms: self.arrived_ms,
             deadline_ms: self.arrived_ms.saturating_add(left_ms),
             shared_parts: self.shared_parts(headers),
             prompt: headers.get(&dialect.prompt_parts).cloned(),
-            prompt_tokens: headers
-                .get(&dialect.token_counts)
-                .and_then(|value| (dialect.decode_prompt_tokens)(value.to_str().ok()?)),
             last_event_id: number(headers, &dialect.last_event_id, "last event")?,
             resumes: headers
                 .get(&dialect.resumed_request_id)
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -39,8 +39,9 @@
 /// Number of daemons that are asked for evidence at a time.
 const EVIDENCE_REQUEST_FANOUT: usize = 2;
 
-/// Time between two messages with the rates of engines, each to one daemon that is picked at random.
-const RATES_INTERVAL_MS: u64 = 1_000;
+/// Time between two messages with the rates of engines, each to one daemon that is picked at random. Engines restart
+/// every half minute on bad days, and their rates should be known to most daemons within a few seconds.
+const RATES_INTERVAL_MS: u64 = 500;
 
 /// UDP socket for messages between daemons.
 ///
--- a/crates/ingress/src/service_rates.rs
+++ b/crates/ingress/src/service_rates.rs
@@ -13,7 +13,7 @@
 
 /// Number of engines whose rates are told to other daemons, those that were learned last. As many fit into a datagram
 /// with identifiers of usual length.
-const MAX_SHARED: usize = 40;
+const MAX_SHARED: usize = 36;
 
 /// Shortest time between two log lines on the speeds of engines.
 const SPEED_LOG_INTERVAL_MS: u64 = 30_000;
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Tests of the registry of instances: changed entries and platform outages.
 
-use ingress::{InstanceEntry, Registry};
+use ingress::{InstanceEntry, PeerMessage, Registry, SharedRates, SharedTime};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::{collections::HashSet, sync::Arc};
 
@@ -75,6 +75,21 @@
     assert_eq!(low, high, "an instance that was started again has the usual rates");
 }
 
+/// Guards against messages with the rates of engines that are cut off because they exceed a datagram.
+#[test]
+fn a_datagram_holds_the_rates_that_are_sent() {
+    let rates = |number: u64| SharedRates {
+        instance: format!("i-{number:010x}").into(),
+        started_unix_ms: Some(1_785_784_684_998),
+        prefill: Some(SharedTime { time_ns: 285_714, age_ms: 120_000 }),
+        event: Some(SharedTime { time_ns: 37_600_000, age_ms: 120_000 }),
+    };
+    let message = PeerMessage::Rates((0..36).map(rates).collect());
+    let encoded = message.encode();
+    assert!(encoded.len() <= 1_400, "{} bytes", encoded.len());
+    assert_eq!(PeerMessage::decode(&encoded), Some(message));
+}
+
 /// Guards against requests to a dead instance whose address now belongs to another one.
 #[test]
 fn new_instance_at_an_address_replaces_the_old_one() {
--- a/crates/route/tests/learned_values.rs
+++ b/crates/route/tests/learned_values.rs
@@ -2,7 +2,10 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{SeedableRng, rngs::SmallRng};
-use route::{LearnedValue, Learning, TimedCandidate, choose_by_time};
+use route::{
+    EngineRates, LearnedValue, Learning, TimedCandidate, UsualEngineRates, choose_by_time,
+    sample_by_speed,
+};
 
 fn seeded_checker() -> QuickCheck {
     QuickCheck::new().rng(Gen::from_size_and_seed(50, 1))
@@ -97,3 +100,59 @@
     assert!((1..1_000).contains(&part_staying(100.0)));
     assert!((50..150).contains(&part_staying(6_000.0)));
 }
+
+/// Fails if rates that daemons tell each other depend on the order, the loss or the repetition of messages, beyond which
+/// sample was the last one.
+#[test]
+fn merged_rates_are_those_of_the_last_sample() {
+    fn holds(told: Vec<(u16, u16)>) -> bool {
+        let rates = |(average, at_ms): (u16, u16)| {
+            let learned = Some((f64::from(average) + 1.0, u64::from(at_ms)));
+            EngineRates::from_learned(learned, learned)
+        };
+        let merge = |order: &[(u16, u16)]| {
+            let mut merged = EngineRates::default();
+            for &told in order {
+                merged.merge(&rates(told));
+                assert!(!merged.merge(&rates(told)), "a repeated message is not news");
+            }
+            merged.learned_prefill().map(|(_, at_ms)| at_ms)
+        };
+        let reversed: Vec<(u16, u16)> = told.iter().rev().copied().collect();
+        let last = told.iter().map(|(_, at_ms)| u64::from(*at_ms)).max();
+        merge(&told) == last && merge(&reversed) == last
+    }
+    seeded_checker().quickcheck(holds as fn(Vec<(u16, u16)>) -> bool);
+}
+
+/// Fails if a caller that states wrong numbers of tokens makes an engine look unusable, or the expected time useless.
+#[test]
+fn wrong_token_counts_have_a_bounded_effect() {
+    fn holds(counts: Vec<(u64, u32, u16)>) -> bool {
+        let (mut rates, mut usual) = (EngineRates::default(), UsualEngineRates::default());
+        usual.observe_prefill(0.2, 0);
+        usual.observe_prompt(5_000, 0);
+        for (prompt_tokens, pending, wait_ms) in counts {
+            rates.observe_first_event(wait_ms.into(), pending, prompt_tokens, &usual, 0);
+        }
+        let time = rates.relative_prefill_time(&usual, 0);
+        (0.24..=4.1).contains(&time) && rates.first_event_ms(3, 5_000, &usual, 0).is_finite()
+    }
+    seeded_checker().tests(500).quickcheck(holds as fn(Vec<(u64, u32, u16)>) -> bool);
+}
+
+/// Fails if an engine is probed twice for one request, or none although there are some.
+#[test]
+fn samples_are_different_engines() {
+    fn holds(speeds: Vec<f64>, count: u8, seed: u64) -> bool {
+        let count = usize::from(count);
+        let mut sample = sample_by_speed(&speeds, count, &mut SmallRng::seed_from_u64(seed));
+        let size = sample.len();
+        sample.sort_unstable();
+        sample.dedup();
+        sample.len() == size
+            && size == count.min(speeds.len())
+            && sample.iter().all(|&i| i < speeds.len())
+    }
+    seeded_checker().tests(500).quickcheck(holds as fn(Vec<f64>, u8, u64) -> bool);
+}
