--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -27,6 +27,8 @@
     pub retry: Option<Urgency>,
     /// Whether the attempt may wait if all probed engines are busy.
     pub may_wait: bool,
+    /// Tokens of the prompt; 0 if they are not known.
+    pub prompt_tokens: u64,
     /// Engines that the request was sent to before.
     pub excluded: Vec<InstanceId>,
     /// Software version at which the stream may go on.
@@ -90,8 +92,16 @@
     core: &Arc<Core>,
     requirements: EngineRequirements,
 ) -> EngineChoice {
-    let EngineRequirements { service, candidates, replica, retry, may_wait, excluded, version } =
-        requirements;
+    let EngineRequirements {
+        service,
+        candidates,
+        replica,
+        retry,
+        may_wait,
+        prompt_tokens,
+        excluded,
+        version,
+    } = requirements;
     let retry = match retry {
         Some(urgency) => match RetryPermit::withdraw(core, &service, urgency).await {
             Some(permit) => Some(permit),
@@ -126,7 +136,8 @@
     };
     // The check and the probes run concurrently, so that a dead engine with the replica does not delay the attempt by a
     // second timeout.
-    let (is_replica_alive, probed) = join(check_replica, probe_all(core, candidates)).await;
+    let (is_replica_alive, probed) =
+        join(check_replica, probe_all(core, candidates, prompt_tokens)).await;
     let replica = replica.filter(|_| is_replica_alive);
     let holder = replica.as_ref().map(|replica| &replica.instance);
     let reason = match holder.or(probed.best()) {
--- a/crates/ingress/src/instance_rates.rs
+++ b/crates/ingress/src/instance_rates.rs
@@ -126,11 +126,14 @@
     }
 
     /// Expected time to the first event of a request with `prompt_tokens` that waits for `pending` other prompts;
-    /// that of a usual prompt if `prompt_tokens` is `None`.
-    pub fn first_event_ms(&self, pending: u32, prompt_tokens: Option<u64>, now_ms: u64) -> u64 {
+    /// that of a usual prompt if `prompt_tokens` is 0, because they are not known.
+    pub fn first_event_ms(&self, pending: u32, prompt_tokens: u64, now_ms: u64) -> f64 {
         let usual = self.service.engine();
-        let prompt_tokens = prompt_tokens.unwrap_or(usual.prompt_tokens(now_ms) as u64);
-        self.learned().engine.first_event_ms(pending, prompt_tokens, &usual, now_ms) as u64
+        let prompt_tokens = match prompt_tokens {
+            0 => usual.prompt_tokens(now_ms) as u64,
+            _ => prompt_tokens,
+        };
+        self.learned().engine.first_event_ms(pending, prompt_tokens, &usual, now_ms)
     }
 
     /// Time per prompt token in parts of the usual one of the service.
--- a/crates/ingress/src/kv_replicator.rs
+++ b/crates/ingress/src/kv_replicator.rs
@@ -127,7 +127,7 @@
         let inbound = Arc::clone(inbound);
         let source = Arc::clone(source);
         let snapshotting = async move {
-            let probed = probe_all(&core, candidates).await;
+            let probed = probe_all(&core, candidates, inbound.prompt_tokens.unwrap_or(0)).await;
             let Some(target) = probed.replica_target(&source, &core.options.domain).cloned() else {
                 return Outcome::Failed;
             };
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -55,13 +55,14 @@
         self.engines.first().is_some_and(|(load, _)| load.wait_per_mille >= BUSY_PREFILLS * 1_000)
     }
 
-    /// Expected time to the first event of a request with `prompt_tokens` at the engine at `position`, in the order of
-    /// load; `u64::MAX` if there is no such engine.
+    /// Expected time to the first event of a request with `prompt_tokens`, 0 if they are not known, at the engine at
+    /// `position` in the order of load; `u64::MAX` if there is no such engine.
+    // The scheduling of streams asks for it.
     #[allow(dead_code)]
     pub fn first_event_ms(&self, position: usize, prompt_tokens: u64) -> u64 {
         self.engines.get(position).map_or(u64::MAX, |(load, instance)| {
-            let (pending, prompt_tokens) = (load.pending_prefills, Some(prompt_tokens));
-            instance.rates.first_event_ms(pending, prompt_tokens, self.probed_ms)
+            let pending = load.pending_prefills;
+            instance.rates.first_event_ms(pending, prompt_tokens, self.probed_ms) as u64
         })
     }
 
@@ -92,11 +93,15 @@
     }
 }
 
-/// Probes all candidates concurrently.
+/// Probes all candidates concurrently for a request with `prompt_tokens`; 0 if they are not known.
 ///
 /// A report shows what the daemon cannot know otherwise: the requests of other daemons, and whether the engine was
 /// restarted. A request to a restarted engine would be rejected, and its retry would use up retry budget of the fleet.
-pub(crate) async fn probe_all(core: &Core, candidates: Vec<Arc<Instance>>) -> ProbedEngines {
+pub(crate) async fn probe_all(
+    core: &Core,
+    candidates: Vec<Arc<Instance>>,
+    prompt_tokens: u64,
+) -> ProbedEngines {
     let probes = candidates.into_iter().map(|instance| async move {
         let report = probe(core, &instance).await?;
         // The report may be the first answer that states that the engine leaves.
@@ -107,7 +112,7 @@
     // All loads are computed for one time, so that equal engines have equal rates.
     let probed_ms = core.clock.now_ms();
     let loads = responses.into_iter().map(|(report, instance)| {
-        let load = Load::of(&report, &instance, probed_ms);
+        let load = Load::of(&report, &instance, prompt_tokens, probed_ms);
         instance.rates.record_report(load.pending_prefills, probed_ms);
         (load, instance)
     });
@@ -160,8 +165,8 @@
 struct Load {
     /// Whether less than an eighth of the KV cache is free.
     is_full: bool,
-    /// Expected time to the first event of a request with a usual prompt.
-    first_event_ms: u64,
+    /// Expected time to the first event of the request. Milliseconds would not tell pending short prompts apart.
+    first_event_us: u64,
     /// Time per event in thousandths of the usual one.
     event_time_per_mille: u32,
     requests: u32,
@@ -175,13 +180,14 @@
 impl Load {
     /// Computes the load from a report and from the requests that this daemon has in flight, because a report lags
     /// behind.
-    fn of(report: &EngineReport, instance: &Instance, now_ms: u64) -> Self {
+    fn of(report: &EngineReport, instance: &Instance, prompt_tokens: u64, now_ms: u64) -> Self {
         let pending_prefills = report.pending_prefills.max(instance.pending_prefills());
         let rates = &instance.rates;
         let prefill_time = rates.relative_prefill_time(now_ms);
+        let first_event_ms = rates.first_event_ms(pending_prefills, prompt_tokens, now_ms);
         Self {
             is_full: report.kv_used_tokens * 8 > report.kv_cache_tokens * 7,
-            first_event_ms: rates.first_event_ms(pending_prefills, None, now_ms),
+            first_event_us: (first_event_ms * 1_000.0) as u64,
             event_time_per_mille: (rates.relative_event_time(now_ms) * 1_000.0) as u32,
             pending_prefills,
             wait_per_mille: (f64::from(pending_prefills) * prefill_time * 1_000.0) as u32,
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -852,6 +852,7 @@
         let core = Arc::clone(&self.core);
         let now_ms = core.clock.now_ms();
         let requirements = EngineRequirements {
+            prompt_tokens: self.inbound.prompt_tokens.unwrap_or(0),
             service: self.inbound.service.clone(),
             candidates,
             retry: (self.sends > 0).then(|| self.urgency(replica.is_some(), now_ms)),
