--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -163,7 +163,7 @@
     // The check and the probes run concurrently, so that a dead engine with the replica does not delay the attempt by a
     // second timeout.
     let (is_replica_alive, probed) =
-        join(check_replica, probe_all(core, &service, candidates)).await;
+        join(check_replica, probe_all(core, &service, candidates, prompt_tokens)).await;
     let replica = replica.filter(|_| is_replica_alive);
     let holder = replica.as_ref().map(|replica| &replica.instance);
     let (verdict, hold) = match ask.filter(|_| holder.is_none()) {
--- a/crates/ingress/src/kv_replicator.rs
+++ b/crates/ingress/src/kv_replicator.rs
@@ -127,7 +127,8 @@
         let inbound = Arc::clone(inbound);
         let source = Arc::clone(source);
         let snapshotting = async move {
-            let probed = probe_all(&core, &inbound.service, candidates).await;
+            let prompt_tokens = inbound.prompt_tokens.unwrap_or(0);
+            let probed = probe_all(&core, &inbound.service, candidates, prompt_tokens).await;
             let Some(target) = probed.replica_target(&source, &core.options.domain).cloned() else {
                 return Outcome::Failed;
             };
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -25,6 +25,7 @@
 mod engine_call;
 mod engine_hold;
 mod engine_report;
+mod engine_timing;
 mod event;
 mod event_splitter;
 mod exchange;
@@ -56,6 +57,7 @@
 mod route_kind;
 mod route_table;
 mod service_rates;
+mod shared_rates;
 mod short_call;
 mod silent_call;
 mod stream_queues;
@@ -92,5 +94,6 @@
     rollout_recorder::record_rollouts,
     route_kind::RouteKind,
     route_table::{Route, RouteTable},
+    shared_rates::{SharedRates, SharedTime},
     version_recorder::record_stream_versions,
 };
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons.
 
-use crate::{crash_quarantine::ServiceEvidence, restarts::Restart};
+use crate::{crash_quarantine::ServiceEvidence, restarts::Restart, shared_rates::SharedRates};
 use base::ServiceName;
 use limit::Urgency;
 use rollout::{RolloutReply, RolloutReport};
@@ -47,6 +47,8 @@
     RolloutReport(RolloutReport),
     /// Tells how a rollout stands at a judge.
     RolloutReply(RolloutReply),
+    /// Tells the rates of engines of one service that differ in speed, the latest ones first.
+    Rates(Vec<SharedRates>),
 }
 
 impl PeerMessage {
@@ -54,6 +56,7 @@
     pub(crate) fn has_content(&self) -> bool {
         match self {
             Self::Evidence(evidence) | Self::RequestEvidence(evidence) => !evidence.is_empty(),
+            Self::Rates(rates) => !rates.is_empty(),
             Self::Ask { .. }
             | Self::Answer { .. }
             | Self::EvidenceRequest
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -47,34 +47,25 @@
     /// Whether instances were lost recently. A KV cache replica takes as much memory as the request that it replicates,
     /// so without losses a loaded engine serves more requests if it holds no replicas.
     has_losses: bool,
-    /// Usual time of one prefill.
-    prefill_ms: u64,
     /// Usual duration of a stream.
     stream_ms: u64,
+    /// When the engines were probed.
+    probed_ms: u64,
 }
 
 impl ProbedEngines {
-    /// Expected time from the send of a request with `prompt_tokens` to the engine at `position` until the first event,
-    /// if the engine has memory for it.
-    pub fn first_event_ms(&self, position: usize, _prompt_tokens: u64) -> u64 {
-        let load = self.engines.get(position).map(|(load, _)| load);
-        let pending_prefills = load.map_or(0, |load| load.pending_prefills);
-        (u64::from(pending_prefills) + 1).saturating_mul(self.prefill_ms)
-    }
-
     /// Describes the engines for a stream with `prompt_tokens`.
     pub fn offers(&self, ask: &StreamAsk, prompt_tokens: u64) -> Vec<EngineOffer> {
         let is_most_urgent = ask.class == StreamClass::MostUrgent;
-        let offers = self.engines.iter().enumerate().map(|(position, (load, _))| {
-            let load = match is_most_urgent {
-                true => load.detail.without_queue(),
-                false => load.detail,
-            };
-            let first_event_ms = match is_most_urgent {
-                // Only the prompts that are being read come before the stream.
-                true => (u64::from(load.prefilling) + 1).saturating_mul(self.prefill_ms),
-                false => self.first_event_ms(position, prompt_tokens),
+        let offers = self.engines.iter().map(|(load, instance)| {
+            // Only the prompts that are being read come before a stream of the most urgent class.
+            let (load, pending_prefills) = match is_most_urgent {
+                true => (load.detail.without_queue(), load.detail.prefilling),
+                false => (load.detail, load.pending_prefills),
             };
+            let rates = &instance.rates;
+            let first_event_ms =
+                rates.first_event_ms(pending_prefills, prompt_tokens, self.probed_ms) as u64;
             let memory_wait_ms = load.memory_wait_ms(ask.tokens, self.stream_ms);
             EngineOffer { load, first_event_ms: first_event_ms + memory_wait_ms }
         });
@@ -91,9 +82,9 @@
         self.engines.first().map(|(_, instance)| instance)
     }
 
-    /// Whether even the least loaded engine has at least `BUSY_PREFILLS` pending prefills.
+    /// Whether even at the least loaded engine, the pending prefills take as long as `BUSY_PREFILLS` at a usual one.
     pub fn is_busy(&self) -> bool {
-        self.engines.first().is_some_and(|(load, _)| load.pending_prefills >= BUSY_PREFILLS)
+        self.engines.first().is_some_and(|(load, _)| load.wait_per_mille >= BUSY_PREFILLS * 1_000)
     }
 
     /// The least loaded engine with capacity for a KV cache replica of a request at `instance`; `None` if there is
@@ -123,7 +114,7 @@
     }
 }
 
-/// Probes all candidates concurrently.
+/// Probes all candidates concurrently for a request with `prompt_tokens`; 0 if they are not known.
 ///
 /// A report shows what the daemon cannot know otherwise: the requests of other daemons, and whether the engine was
 /// restarted. A request to a restarted engine would be rejected, and its retry would use up retry budget of the fleet.
@@ -131,6 +122,7 @@
     core: &Core,
     service: &ServiceName,
     candidates: Vec<Arc<Instance>>,
+    prompt_tokens: u64,
 ) -> ProbedEngines {
     let probes = candidates.into_iter().map(|instance| async move {
         let report = probe(core, &instance).await?;
@@ -138,14 +130,18 @@
         instance.accepts_requests().then_some((report, instance))
     });
     let responses = join_all(probes).await.into_iter().flatten();
-    let mut engines: Vec<_> =
-        responses.map(|(report, instance)| (Load::of(&report, &instance), instance)).collect();
+    let responses: Vec<_> = responses.collect();
+    // All loads are computed for one time, so that equal engines have equal rates.
+    let probed_ms = core.clock.now_ms();
+    let loads = responses.into_iter().map(|(report, instance)| {
+        let load = Load::of(&report, &instance, prompt_tokens, probed_ms);
+        instance.rates.record_report(load.pending_prefills, probed_ms);
+        (load, instance)
+    });
+    let mut engines: Vec<_> = loads.collect();
     engines.sort_by_key(|(load, _)| *load);
-    let timing = core.timing(service);
-    // The measured wait for the first event contains the prefills of other requests, if there were any.
-    let prefill_ms = timing.first_token_ms.map_or(PREFILL_MS, |ms| (ms as u64).min(PREFILL_MS));
-    let stream_ms = timing.generation_ms.map_or(STREAM_MS, |ms| ms as u64);
-    ProbedEngines { engines, has_losses: core.has_recent_losses(), prefill_ms, stream_ms }
+    let stream_ms = core.timing(service).generation_ms.map_or(STREAM_MS, |ms| ms as u64);
+    ProbedEngines { engines, has_losses: core.has_recent_losses(), stream_ms, probed_ms }
 }
 
 /// Whether an engine is alive: it responded recently, or responds to a probe now.
@@ -186,15 +182,22 @@
 /// Load of an engine, ordered by its effect on a new request.
 ///
 /// Engines are compared by whether the KV cache has capacity for a typical request, which takes up to an eighth of it,
-/// then by the prefills that the request waits for, then by the requests that it slows down.
+/// then by the expected time to the first event, then by the time per event, then by the requests that it slows down. Of
+/// engines with the same rates, the first event is expected earlier at one with fewer pending prefills.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Load {
     /// Whether less than an eighth of the KV cache is free.
     is_full: bool,
-    pending_prefills: u32,
+    /// Expected time to the first event of the request. Milliseconds would not tell pending short prompts apart.
+    first_event_us: u64,
+    /// Time per event in thousandths of the usual one.
+    event_time_per_mille: u32,
     requests: u32,
     /// Whether at least half of the KV cache is free.
     is_half_empty: bool,
+    pending_prefills: u32,
+    /// Time of the pending prefills, in thousandths of the usual time of one prefill.
+    wait_per_mille: u32,
     /// Figures from which the wait of a stream is estimated.
     detail: EngineLoad,
 }
@@ -202,7 +205,7 @@
 impl Load {
     /// Computes the load from a report and from the requests that this daemon has in flight, because a report lags
     /// behind.
-    fn of(report: &EngineReport, instance: &Instance) -> Self {
+    fn of(report: &EngineReport, instance: &Instance, prompt_tokens: u64, now_ms: u64) -> Self {
         let pending_prefills = report.pending_prefills.max(instance.pending_prefills());
         let detail = EngineLoad {
             running: report.requests.saturating_sub(report.queued),
@@ -212,13 +215,19 @@
             capacity_tokens: report.kv_cache_tokens,
             tokens_by_urgency: tokens_by_urgency(report),
         };
+        let rates = &instance.rates;
+        let prefill_time = rates.relative_prefill_time(now_ms);
+        let first_event_ms = rates.first_event_ms(pending_prefills, prompt_tokens, now_ms);
         Self {
             is_full: report.kv_used_tokens * 8 > report.kv_cache_tokens * 7,
+            first_event_us: (first_event_ms * 1_000.0) as u64,
+            event_time_per_mille: (rates.relative_event_time(now_ms) * 1_000.0) as u32,
             pending_prefills,
+            wait_per_mille: (f64::from(pending_prefills) * prefill_time * 1_000.0) as u32,
+            detail,
             // The probe itself counts as in flight.
             requests: report.requests.max(instance.in_flight().saturating_sub(1)),
             is_half_empty: report.kv_used_tokens * 2 <= report.kv_cache_tokens,
-            detail,
         }
     }
 }
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -1107,6 +1107,9 @@
         if let Some(id) = hold.and_then(EngineHold::spend) {
             extra_headers.push((self.core.dialect.hold.clone(), id));
         }
+        // A request that resumes reads its earlier events as well, or nothing if there is a replica.
+        let is_new = replica.is_none() && self.last_event_id.is_none();
+        let prompt_tokens = self.inbound.prompt_tokens.filter(|_| is_new);
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} version={} after={:?} copy_from={} copy_to={} \
              urgency={}",
@@ -1133,7 +1136,8 @@
             }
             BufferedResponse::read(&core, exchange, inbound.deadline_ms).await.map(Opened::Error)
         };
-        self.attempts[position].send(instance, opening.boxed(), self.core.clock.now_ms());
+        let now_ms = self.core.clock.now_ms();
+        self.attempts[position].send(instance, opening.boxed(), prompt_tokens, now_ms);
         self.input(Input::Sent { attempt: id });
     }
 
