Tests: callers that read nothing outgrow a daemon's memory and descriptors

Real processes with 64 MB and 700 descriptors in their settings, and callers that send and never read.

--- /dev/null
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -0,0 +1,257 @@
+//! Guards against callers that pipeline requests and read nothing, by which a daemon outgrows the memory or the
+//! descriptors of its VM. Load addressed: the trial in which 700 such connections took 47 MB and 3,000 took 179 MB.
+//!
+//! The numbers of callers and the bounds were fixed on the code without an account of connections.
+
+mod common;
+
+use common::{DaemonProcess, FILE_DESCRIPTORS, MEMORY_MB, Sending, SilentCallers, Usage};
+use platform_stand::{Behaviour, FakeStore, FakeUpstream, config};
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{io::AsyncWriteExt, net::TcpListener, runtime::Runtime};
+
+/// Time for which callers send, in which the usage is observed.
+const ATTACK: Duration = Duration::from_secs(5);
+
+/// What a process may keep of a load that has ended: memory that the allocator does not return.
+const KEPT_MEMORY_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Descriptors that may stay open after a load: connections to upstreams and the store.
+const KEPT_DESCRIPTORS: usize = 40;
+
+/// Size of an answer of `LargeAnswers`.
+const LARGE_ANSWER_BYTES: usize = 300_000;
+
+/// The tests run one at a time, because each one observes a process under load.
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// Daemon process with a store, an engine and a plain service in this process.
+struct Stand {
+    daemon: DaemonProcess,
+    store: FakeStore,
+    engine: FakeUpstream,
+    desk: FakeUpstream,
+    start: Usage,
+    _runtime: Runtime,
+    _alone: MutexGuard<'static, ()>,
+}
+
+impl Stand {
+    fn start() -> Self {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+        let runtime = Runtime::new().unwrap();
+        let (store, engine, desk) = runtime.block_on(async {
+            let store = FakeStore::start().await;
+            let (engine, desk) = (FakeUpstream::start("e").await, FakeUpstream::start("d").await);
+            store.put("servers/e", &engine.entry("engines", "a", "ready"));
+            store.put("servers/d", &desk.entry("desk", "a", "ready"));
+            store.put(platform::KEYS.config, &config(1));
+            (store, engine, desk)
+        });
+        let daemon = DaemonProcess::serve(store.addr);
+        daemon.wait_for_answer(&ordinary("r0"));
+        let start = daemon.usage();
+        Self { daemon, store, engine, desk, start, _runtime: runtime, _alone: alone }
+    }
+
+    /// Lets `count` callers send, and checks that the process lives, stays within its limits, answers an ordinary
+    /// request beside them and after them, and is small again afterwards.
+    fn withstand(&self, addr: SocketAddr, count: usize, sending: Sending) {
+        self.withstand_with(addr, count, sending, || {});
+    }
+
+    /// Like `withstand`, with an event in the middle of the load.
+    fn withstand_with(
+        &self,
+        addr: SocketAddr,
+        count: usize,
+        sending: Sending,
+        event: impl FnOnce(),
+    ) {
+        let callers = SilentCallers::start(addr, count, sending);
+        let mut peak = self.daemon.peak_usage(ATTACK / 2);
+        event();
+        peak = peak.max(self.daemon.peak_usage(ATTACK / 2));
+        println!("start={:?} peak={peak:?}", self.start);
+        self.check(peak);
+        self.daemon.wait_for_answer(&ordinary("beside"));
+        drop(callers);
+        self.daemon.wait_for_answer(&ordinary("after"));
+        self.daemon.wait_until_below(Usage {
+            memory_bytes: self.start.memory_bytes + KEPT_MEMORY_BYTES,
+            descriptors: self.start.descriptors + KEPT_DESCRIPTORS,
+        });
+    }
+
+    fn check(&self, peak: Usage) {
+        assert!(peak.memory_bytes <= MEMORY_MB * 1024 * 1024, "{peak:?}");
+        // 200 of the descriptors are for files.
+        assert!(peak.descriptors <= FILE_DESCRIPTORS - 200, "{peak:?}");
+    }
+}
+
+/// Request of an ordinary caller.
+fn ordinary(id: &str) -> String {
+    request("GET", "/read/x", id, "")
+}
+
+fn request(method: &str, path: &str, id: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: a.example\r\nCredential: key-1\r\nRequest-Attempt-Id: {id}\r\n\
+         Deadline-Remaining: 6000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Few connections: while a request waits for its answer, the kernel takes more of them, each with large headers.
+#[test]
+fn many_requests_on_few_connections() {
+    let stand = Stand::start();
+    stand.engine.set_behaviours(&[Behaviour::StallAfter(3); 1_000]);
+    let large = request("POST", "/long/x", "p", "body").replacen(
+        "\r\n",
+        &format!("\r\nx: {}\r\n", "x".repeat(8_000)),
+        1,
+    );
+    stand.withstand(stand.daemon.addr, 150, Sending::Repeated(large, 8 << 20));
+}
+
+/// Many connections: the buffers of each one add up, and so do the descriptors.
+#[test]
+fn many_requests_on_many_connections() {
+    let stand = Stand::start();
+    let sending = Sending::Repeated(request("GET", "/read/x", "p", ""), 400_000);
+    stand.withstand(stand.daemon.addr, 600, sending);
+}
+
+/// Answers without a body, which the HTTP library collects without a limit.
+#[test]
+fn many_refused_requests() {
+    let stand = Stand::start();
+    let refused = "GET /none HTTP/1.1\r\nHost: x\r\n\r\n".to_owned();
+    stand.withstand(stand.daemon.addr, 200, Sending::Repeated(refused, 2 << 20));
+}
+
+#[test]
+fn many_requests_with_bodies() {
+    let stand = Stand::start();
+    let sending = Sending::Repeated(request("POST", "/book/x", "p", &"x".repeat(60_000)), 8 << 20);
+    stand.withstand(stand.daemon.addr, 300, sending);
+}
+
+#[test]
+fn streams_that_nobody_reads() {
+    let stand = Stand::start();
+    let sending = Sending::Repeated(request("POST", "/long/x", "p", "body"), 400_000);
+    stand.withstand(stand.daemon.addr, 400, sending);
+}
+
+/// Answers above 64 KiB, which the daemon passes on as they arrive.
+#[test]
+fn large_answers_that_nobody_reads() {
+    let stand = Stand::start();
+    let addr = stand._runtime.block_on(large_answers());
+    stand.store.put("servers/d", &stand.desk.entry_at(addr, "desk", "a", "ready"));
+    std::thread::sleep(Duration::from_secs(3));
+    let sending = Sending::Repeated(request("GET", "/read/x", "p", ""), 400_000);
+    stand.withstand(stand.daemon.addr, 200, sending);
+}
+
+/// Starts an upstream whose answers have `LARGE_ANSWER_BYTES`.
+async fn large_answers() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = Vec::new();
+                while let Some(head) = platform_stand::read_head(&mut stream, &mut buffer).await {
+                    let id = head.get("request-attempt-id").unwrap_or_default();
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Stamp: stamp-d\r\n\
+                         Content-Length: {LARGE_ANSWER_BYTES}\r\n\r\n{}",
+                        "x".repeat(LARGE_ANSWER_BYTES)
+                    );
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Heads that never end hold a descriptor each.
+#[test]
+fn heads_that_never_end() {
+    let stand = Stand::start();
+    let sending = Sending::Dribbled("GET /read/x HTTP/1.1\r\nx: ".to_owned());
+    stand.withstand(stand.daemon.addr, 900, sending);
+}
+
+#[test]
+fn idle_connections() {
+    let stand = Stand::start();
+    stand.withstand(stand.daemon.addr, 900, Sending::Once(ordinary("idle")));
+}
+
+/// The ports that are not for callers have the same limits together with theirs.
+#[test]
+fn many_requests_at_the_other_ports() {
+    let stand = Stand::start();
+    let metrics = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n".to_owned();
+    let sending = Sending::Repeated(metrics, 400_000);
+    let addrs = [&stand.daemon.internal_addrs[..], &[stand.daemon.ready_addr]].concat();
+    for addr in addrs {
+        stand.withstand(addr, 300, sending.clone());
+    }
+}
+
+#[test]
+fn a_change_of_the_configuration_beside_many_callers() {
+    let stand = Stand::start();
+    let sending = Sending::Repeated(request("GET", "/read/x", "p", ""), 400_000);
+    stand.withstand_with(stand.daemon.addr, 600, sending, || {
+        stand.store.put(platform::KEYS.config, &config(2));
+    });
+}
+
+/// A stop must end within its grace, although nobody reads the answers.
+#[test]
+fn a_stop_beside_many_callers() {
+    let mut stand = Stand::start();
+    stand.engine.set_behaviours(&[Behaviour::StallAfter(3); 1_000]);
+    let streams = Sending::Repeated(request("POST", "/long/x", "p", "body"), 400_000);
+    let calls = Sending::Repeated(request("GET", "/read/x", "p", ""), 400_000);
+    let _streams = SilentCallers::start(stand.daemon.addr, 300, streams);
+    let _calls = SilentCallers::start(stand.daemon.addr, 300, calls);
+    let peak = stand.daemon.peak_usage(ATTACK / 2);
+    println!("start={:?} peak={peak:?}", stand.start);
+    assert!(stand.daemon.stop().success());
+    stand.check(peak);
+}
+
+/// The product's own interface, whose limits are the defaults of its settings: 512 MB and 4,096 descriptors.
+#[test]
+fn many_requests_at_the_own_interface() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let daemon = DaemonProcess::run("", 4_096);
+    let start = daemon.usage();
+    let refused = "GET /none HTTP/1.1\r\nHost: x\r\n\r\n".to_owned();
+    let callers = SilentCallers::start(daemon.addr, 3_000, Sending::Repeated(refused, 1 << 20));
+    let peak = daemon.peak_usage(ATTACK);
+    println!("start={start:?} peak={peak:?}");
+    assert!(peak.memory_bytes <= 512 * 1024 * 1024, "{peak:?}");
+    assert!(peak.descriptors <= 4_096 - 200, "{peak:?}");
+    assert!(daemon.ask("GET /none HTTP/1.1\r\nHost: x\r\n\r\n").is_some());
+    drop(callers);
+    daemon.wait_until_below(Usage {
+        memory_bytes: start.memory_bytes + 64 * 1024 * 1024,
+        descriptors: start.descriptors + KEPT_DESCRIPTORS,
+    });
+}
