--- a/crates/geraniumroad/tests/silent_callers.rs
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -107,9 +107,9 @@
     )
 }
 
-/// Few connections: while a request waits for its answer, the kernel takes more of them, each with large headers.
+/// While a request waits for its answer, the kernel takes more of them, each with large headers.
 #[test]
-fn many_requests_on_few_connections() {
+fn many_requests_behind_a_waiting_one() {
     let stand = Stand::start();
     stand.engine.set_behaviours(&[Behaviour::StallAfter(3); 1_000]);
     let large = request("POST", "/long/x", "p", "body").replacen(
@@ -117,7 +117,7 @@
         &format!("\r\nx: {}\r\n", "x".repeat(8_000)),
         1,
     );
-    stand.withstand(stand.daemon.addr, 150, Sending::Repeated(large, 8 << 20));
+    stand.withstand(stand.daemon.addr, 400, Sending::Repeated(large, 8 << 20));
 }
 
 /// Many connections: the buffers of each one add up, and so do the descriptors.
