Connections: one account and one limit for the connections of a daemon (first state)

Callers that read nothing are closed when the account is exhausted, requests wait until earlier responses are read, kernel buffers have fixed sizes.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -28,7 +28,7 @@
     signal::unix::{SignalKind, signal},
     sync::watch,
 };
-use web::{Handler, ResponseBody, Server};
+use web::{ConnectionLimits, Connections, Handler, ResponseBody, Server};
 
 /// Time in milliseconds after SIGTERM or SIGINT in which new connections are still accepted, because the load balancer
 /// has not yet noticed that the readiness check fails.
@@ -37,10 +37,6 @@
 /// Time in milliseconds before the platform sends SIGKILL at which the requests that are still in flight are aborted.
 const ABORT_BEFORE_KILL_MS: u64 = 600;
 
-/// Part of the VM's memory that is for what is kept of requests in flight, as a divisor. The rest is for the daemon
-/// itself, connections and allocations that are freed late.
-const KEPT_MEMORY_DIVISOR: usize = 2;
-
 /// Timeout of a request for the report of an engine, in milliseconds. Engines answer within 2 ms inside the site, and
 /// the rest of the pause that a caller accepts must suffice for resuming at the next engine.
 const REPORT_TIMEOUT_MS: u64 = 80;
@@ -67,14 +63,18 @@
 }
 
 async fn run(settings: Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
-    let core = Arc::new(Core::new(dialect(), options(&settings)));
+    let limits = ConnectionLimits::for_vm(settings.memory_bytes, settings.file_descriptors);
+    let core = Arc::new(Core::new(dialect(), options(&settings, limits)));
+    let connections = Arc::new(Connections::new(Arc::clone(&core.kept_bytes)));
     let entry = Server::with_limits(settings.entry_addr, core.server_limits()).await?;
-    let ready = Server::bind(settings.ready_addr).await?;
+    let entry = entry.share(&connections, limits.callers);
+    let ready = Server::bind(settings.ready_addr).await?.share(&connections, limits.probes);
     let metrics_server = Server::bind(settings.metrics_addr).await?;
+    let metrics_server = metrics_server.share(&connections, limits.probes);
     let (stop, stopped) = watch::channel(false);
     let items = Arc::new(ItemCache::new(is_same_item));
     let relay = RelayService::new(Arc::clone(&items), settings.change_bound_ms / MAX_AGE_DIVISOR);
-    let relay_server = Server::bind(settings.relay_addr).await?;
+    let relay_server = Server::bind(settings.relay_addr).await?.share(&connections, limits.relay);
     let peer_socket = Arc::new(PeerSocket::bind(settings.peer_addr).await?);
     core.set_peer_socket(Arc::clone(&peer_socket));
     spawn_background_tasks(&settings, &core, items, peer_socket);
@@ -90,11 +90,13 @@
             .run(Arc::new(MetricsPage { metrics, core: Arc::clone(&core) }), never_stopped),
     );
     log::info!(
-        "daemon: started vm={} domain={} entry={} store={}",
+        "daemon: started vm={} domain={} entry={} store={} max_connections={} account_bytes={}",
         settings.vm_name,
         settings.domain,
         settings.entry_addr,
-        settings.store_addr
+        settings.store_addr,
+        limits.callers,
+        limits.account_bytes
     );
     let gateway = Arc::new(Gateway::new(Arc::clone(&core)));
     let serving = entry.run(gateway, stopped);
@@ -180,7 +182,7 @@
 }
 
 /// Derives the options of `ingress::Core` from the settings of the daemon.
-fn options(settings: &Settings) -> CoreOptions {
+fn options(settings: &Settings, limits: ConnectionLimits) -> CoreOptions {
     CoreOptions {
         domain: settings.domain.clone(),
         retries: settings.retries,
@@ -189,7 +191,7 @@
         change_bound_ms: settings.change_bound_ms,
         accept_after_stop_ms: ACCEPT_AFTER_STOP_MS,
         cut_after_stop_ms: settings.grace_ms.saturating_sub(ABORT_BEFORE_KILL_MS),
-        kept_bytes: settings.memory_bytes / KEPT_MEMORY_DIVISOR,
+        kept_bytes: limits.account_bytes,
         seed: RandomState::new().hash_one(&settings.vm_name),
     }
 }
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -1,7 +1,6 @@
 //! Shared state of a daemon: active configuration, instances, retry budgets, timing statistics and recent losses.
 
 use crate::{
-    byte_account::ByteAccount,
     config::{ClientLimits, Config, EngineConfig},
     crash_quarantine::{CrashQuarantine, ServiceEvidence, Subject},
     dialect::Dialect,
@@ -38,7 +37,7 @@
     },
 };
 use tokio::{sync::watch, time::Instant};
-use web::ServerLimits;
+use web::{ByteAccount, ServerLimits};
 
 /// Shortest and longest `Retry-After` of a refused stream. A random value from the range spreads the retries of
 /// callers.
@@ -81,7 +80,7 @@
     pub accept_after_stop_ms: u64,
     /// Timeout of requests in flight, counted from the start of the shutdown; they are aborted after it.
     pub cut_after_stop_ms: u64,
-    /// Largest number of bytes that are kept for all requests in flight.
+    /// Largest number of bytes that are kept for all connections and requests in flight.
     pub kept_bytes: usize,
     /// Seed of the random number generator, which picks instances, peers and delays.
     pub seed: u64,
@@ -107,8 +106,8 @@
     /// Timing statistics of the streams of each service.
     trackers: Mutex<HashMap<ServiceName, TimingTracker>>,
     losses: Mutex<DomainLosses>,
-    /// Bytes that are kept for requests in flight.
-    pub(crate) kept_bytes: Arc<ByteAccount>,
+    /// Bytes that are kept for connections and requests in flight.
+    pub kept_bytes: Arc<ByteAccount>,
     /// Limits that instances name.
     limits: InstanceLimits,
     /// Parts of prompts that crash engines.
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -3,7 +3,6 @@
 use crate::{
     attempt_error::AttemptError,
     core::Core,
-    held_bytes::HeldBytes,
     inbound::Inbound,
     instance::Instance,
     instance_connection::InstanceConnection,
@@ -26,7 +25,7 @@
     task::{Context, Poll, ready},
     time::Duration,
 };
-use web::{ClientError, Connection, read_body};
+use web::{ClientError, Connection, HeldBytes, read_body};
 
 /// Longest wait for a connection inside the site. It is a few hundred times the network latency, so that a busy
 /// instance does not count as dead.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,7 +12,6 @@
 mod attempt;
 mod attempt_error;
 mod buffered_response;
-mod byte_account;
 mod caller_error;
 mod choice;
 mod config;
@@ -30,7 +29,6 @@
 mod fleet_size;
 mod follow;
 mod gateway;
-mod held_bytes;
 mod inbound;
 mod instance;
 mod instance_connection;
@@ -55,7 +53,6 @@
 mod version_recorder;
 
 pub use crate::{
-    byte_account::ByteAccount,
     caller_error::CallerError,
     config::{ClientAccount, ClientLimits, Config, EngineConfig, ServiceConfig},
     core::{Core, CoreOptions},
@@ -69,7 +66,6 @@
     fleet_size::FleetSize,
     follow::{Decoders, PlatformKeys, follow_platform},
     gateway::{Gateway, ReadyProbe},
-    held_bytes::HeldBytes,
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
     peer_message::PeerMessage,
--- a/crates/ingress/src/byte_account.rs
+++ b/crates/web/src/byte_account.rs
@@ -1,4 +1,4 @@
-//! Account of the bytes that a daemon keeps for requests in flight.
+//! Account of the bytes that a daemon keeps for connections and requests in flight.
 
 use crate::held_bytes::HeldBytes;
 use std::sync::{
@@ -13,7 +13,7 @@
 /// Part of the account that larger amounts may use, in percent. The rest keeps small requests going beside large ones.
 const LARGE_PERCENT: usize = 75;
 
-/// Sum of the bytes that are kept for all requests in flight, with a limit.
+/// Sum of the bytes that are kept for all connections and requests in flight, with a limit.
 ///
 /// An amount is held completely or not at all, so that holders of parts never wait for each other. Nothing takes a lock
 /// unless an amount waits.
@@ -24,6 +24,9 @@
     /// Number of amounts that wait.
     waiting: AtomicUsize,
     freed: Notify,
+    /// Sum of the amounts that found no room since `shortage` returned.
+    short_bytes: AtomicUsize,
+    shortage: Notify,
 }
 
 impl ByteAccount {
@@ -34,6 +37,8 @@
             held_bytes: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             freed: Notify::new(),
+            short_bytes: AtomicUsize::new(0),
+            shortage: Notify::new(),
         }
     }
 
@@ -42,6 +47,11 @@
         self.held_bytes.load(Ordering::SeqCst)
     }
 
+    /// Largest sum of all amounts.
+    pub(crate) fn limit_bytes(&self) -> usize {
+        self.limit_bytes
+    }
+
     /// Largest amount that can be held at all.
     pub fn largest_bytes(&self) -> usize {
         (self.limit_bytes / 100 * LARGE_PERCENT).max(self.limit_bytes.min(SMALL_BYTES))
@@ -64,6 +74,8 @@
             return held;
         }
         let _waiting = Waiting::start(&self.waiting);
+        self.short_bytes.fetch_add(bytes, Ordering::SeqCst);
+        self.shortage.notify_one();
         loop {
             let freed = self.freed.notified();
             tokio::pin!(freed);
@@ -76,6 +88,12 @@
         }
     }
 
+    /// Waits until an amount finds no room, and returns the sum of these amounts since the last call.
+    pub(crate) async fn shortage(&self) -> usize {
+        self.shortage.notified().await;
+        self.short_bytes.swap(0, Ordering::SeqCst)
+    }
+
     /// Replaces a held amount of `old_bytes` by a larger one of `new_bytes`. Returns `false`, without a change, if there
     /// is no room for it.
     pub(crate) fn add(&self, old_bytes: usize, new_bytes: usize) -> bool {
--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -1,10 +1,16 @@
-//! Timeouts of the connections on which callers send requests.
+//! Timeouts of the connections on which callers send requests, and the memory that they hold.
 
-use crate::{in_flight_requests::InFlightRequests, linger::Linger, server_limits::ServerLimits};
+use crate::{
+    connection_limits::{CONNECTION_BYTES, SEND_BUFFER_BYTES, UPSTREAM_BUFFER_BYTES},
+    connection_use::Phase,
+    connections::OpenConnection,
+    in_flight_requests::InFlightRequests,
+    linger::Linger,
+    server_limits::ServerLimits,
+};
 use std::{
     future::Future,
     io::{ErrorKind, IoSlice, Result as IoResult},
-    net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
     time::Duration,
@@ -20,23 +26,24 @@
 /// accepts more bytes only once a large part of its buffer is free, so this exceeds a usual idle timeout.
 const WRITE_TIMEOUT_MS: u64 = 60_000;
 
-/// What a connection waits for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Phase {
-    /// The first byte of a request.
-    Idle,
-    /// The rest of the headers.
-    Headers,
-    /// The end of a response. The connection sets no timeout for it, because the handler limits this time.
-    Response,
-}
+/// Size of the HTTP library's read buffer that is part of the cost of each connection.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Largest part of a read buffer that is filled at once outside of bodies, if the buffer has grown. Otherwise a caller that
+/// pipelines requests makes it grow to the limit on headers.
+const MAX_GROWN_READ_BYTES: usize = 2 * READ_BUFFER_BYTES;
+
+/// Steps in which the memory of a connection is counted.
+const STEP_BYTES: usize = 4 * 1024;
 
 /// Connection of a caller. A read fails with `TimedOut` once the wait for a request, or for the rest of its headers,
 /// exceeds the current limit. A change of the limits applies to open connections as well.
+///
+/// While the caller does not read, nothing more is read from it, and the bytes of the response that wait are held in the
+/// account. If there is no room for them, a connection is closed.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
-    peer: SocketAddr,
     limits: watch::Receiver<ServerLimits>,
     in_flight: InFlightRequests,
     /// `InFlightRequests::total` at the last read.
@@ -49,15 +56,25 @@
     is_write_blocked: bool,
     /// When the kernel last accepted bytes.
     last_write: Instant,
+    /// Number of bytes that the kernel has accepted, up to the size of its buffer. How many of them the caller has read is
+    /// known to the kernel only, so all of them count as unread.
+    written_bytes: usize,
+    /// Number of bytes of the response that the kernel has not accepted.
+    queued_bytes: usize,
+    /// Number of bytes of the current head.
+    head_bytes: usize,
+    /// Size of the buffer of the last read.
+    read_buffer_bytes: usize,
+    open: OpenConnection,
     /// Set after the last response, when the direction to the caller has been closed.
     linger: Option<Linger>,
 }
 
 impl CallerStream {
-    /// Wraps an accepted connection from `peer`. `in_flight` must count the requests of this connection.
+    /// Wraps an accepted connection. `in_flight` must count the requests of this connection.
     pub fn new(
         stream: TcpStream,
-        peer: SocketAddr,
+        open: OpenConnection,
         limits: watch::Receiver<ServerLimits>,
         in_flight: InFlightRequests,
     ) -> Self {
@@ -65,7 +82,6 @@
         let timer = Box::pin(sleep_until(phase_start));
         Self {
             stream,
-            peer,
             limits,
             in_flight,
             seen_requests: 0,
@@ -74,10 +90,45 @@
             timer,
             is_write_blocked: false,
             last_write: phase_start,
+            written_bytes: 0,
+            queued_bytes: 0,
+            head_bytes: 0,
+            read_buffer_bytes: 0,
+            open,
             linger: None,
         }
     }
 
+    /// Holds what the connection uses in the account. Returns `false` if there is no room for it.
+    fn update_held(&mut self) -> bool {
+        let read_bytes = self.read_buffer_bytes.max(self.head_bytes);
+        let blocked_bytes = match self.is_write_blocked {
+            true => self.queued_bytes + UPSTREAM_BUFFER_BYTES,
+            false => 0,
+        };
+        let more_bytes =
+            read_bytes.saturating_sub(READ_BUFFER_BYTES) + self.written_bytes + blocked_bytes;
+        let held_bytes = CONNECTION_BYTES + more_bytes.next_multiple_of(STEP_BYTES);
+        held_bytes == self.open.held_bytes() || self.open.try_resize(held_bytes)
+    }
+
+    /// Reads into the buffer, or into a part of it if it has grown and no body is being read.
+    fn poll_read_part(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<IoResult<()>> {
+        self.read_buffer_bytes = buf.remaining();
+        if buf.remaining() <= MAX_GROWN_READ_BYTES || self.phase == Phase::Response {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(READ_BUFFER_BYTES));
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut part);
+        let size = part.filled().len();
+        buf.advance(size);
+        read
+    }
+
     /// Updates the phase after a read. `has_data` says whether the read returned data.
     fn update_phase(&mut self, has_data: bool, cx: &Context<'_>) {
         let total = self.in_flight.total();
@@ -93,6 +144,11 @@
         if phase != self.phase || has_new_request {
             self.phase = phase;
             self.phase_start = Instant::now();
+            self.head_bytes = 0;
+            if has_new_request {
+                self.open.state.set_phase(Phase::Response, self.phase_start);
+            }
+            self.open.state.set_phase(phase, self.phase_start);
         }
     }
 
@@ -102,7 +158,7 @@
         loop {
             let limits = *self.limits.borrow();
             let (start, wait_ms) = match self.phase {
-                Phase::Response => return Poll::Pending,
+                Phase::Response | Phase::Linger => return Poll::Pending,
                 _ if self.is_write_blocked => (self.last_write, WRITE_TIMEOUT_MS),
                 Phase::Headers => (self.phase_start, limits.headers_timeout_ms),
                 Phase::Idle => (self.phase_start.max(self.last_write), limits.idle_timeout_ms),
@@ -122,19 +178,37 @@
         }
     }
 
-    /// Records whether the kernel has accepted bytes.
+    /// Records whether the kernel has accepted some of `size` bytes.
+    ///
+    /// # Errors
+    ///
+    /// `ConnectionAborted` if the caller does not read and there is no room for what waits for it.
     fn record_write(
         &mut self,
+        size: usize,
         write: Poll<IoResult<usize>>,
         cx: &Context<'_>,
     ) -> Poll<IoResult<usize>> {
-        if self.is_write_blocked && write.is_ready() {
-            // The next read sets the timer for the phase that follows.
+        let was_blocked = self.is_write_blocked;
+        self.is_write_blocked = write.is_pending();
+        if was_blocked && write.is_ready() {
+            // The next read sets the timer for the phase that follows, and a request that waits is handled.
             cx.waker().wake_by_ref();
         }
-        self.is_write_blocked = write.is_pending();
-        if let Poll::Ready(Ok(_)) = write {
+        if was_blocked != self.is_write_blocked {
+            self.open.state.set_blocked(self.is_write_blocked);
+        }
+        if let Poll::Ready(Ok(written)) = write {
             self.last_write = Instant::now();
+            self.open.state.record_write(self.last_write);
+            if !was_blocked && self.written_bytes == SEND_BUFFER_BYTES {
+                return write;
+            }
+            self.written_bytes = (self.written_bytes + written).min(SEND_BUFFER_BYTES);
+        }
+        self.queued_bytes = size;
+        if !self.update_held() && self.is_write_blocked {
+            return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
         }
         write
     }
@@ -147,13 +221,24 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<IoResult<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.update_phase(buf.filled().len() > before, cx);
+        let read = match self.is_write_blocked {
+            true => Poll::Pending,
+            false => self.poll_read_part(cx, buf),
+        };
+        let size = buf.filled().len() - before;
+        self.update_phase(size > 0, cx);
+        if self.phase == Phase::Headers {
+            self.head_bytes += size;
+        }
+        if size > 0 {
+            // Without room, what is read is not held: it is limited, and the connection may be an ordinary one.
+            self.update_held();
+        }
         if read.is_pending() && self.poll_expired(cx).is_ready() {
             if self.phase == Phase::Headers {
                 log::info!(
                     "web: the caller at {} did not send complete headers in time",
-                    self.peer
+                    self.open.state.peer
                 );
             }
             return Poll::Ready(Err(ErrorKind::TimedOut.into()));
@@ -169,7 +254,7 @@
         buf: &[u8],
     ) -> Poll<IoResult<usize>> {
         let write = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(write, cx)
+        self.record_write(buf.len(), write, cx)
     }
 
     fn poll_write_vectored(
@@ -178,7 +263,11 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<IoResult<usize>> {
         let write = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(write, cx)
+        let size = match write {
+            Poll::Pending => bufs.iter().map(|buf| buf.len()).sum(),
+            Poll::Ready(_) => 0,
+        };
+        self.record_write(size, write, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -201,6 +290,9 @@
                 return Poll::Ready(Ok(()));
             }
         }
+        if this.linger.is_none() {
+            this.open.set_linger();
+        }
         let linger = this.linger.get_or_insert_with(Linger::start);
         linger.poll_end(&mut this.stream, cx).map(Ok)
     }
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -4,6 +4,7 @@
     body::read_body,
     client_error::ClientError,
     client_stream::ClientStream,
+    connection_limits::UPSTREAM_BUFFER_BYTES,
     exchange_state::ExchangeState,
     tcp_keepalive::{enable_fast_tcp_keepalive, enable_tcp_keepalive},
 };
@@ -11,8 +12,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, task::AbortHandle};
+use std::{io::Result as IoResult, net::SocketAddr, time::Duration};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 /// Size of the read buffer. It is small because many connections are open at a time and responses arrive in small
 /// pieces.
@@ -57,7 +61,7 @@
         wait_ms: u64,
         enable_keepalive: fn(&TcpStream),
     ) -> Result<Self, ClientError> {
-        let connect = TcpStream::connect(addr);
+        let connect = connect(addr);
         let stream = match tokio::time::timeout(Duration::from_millis(wait_ms), connect).await {
             Ok(stream) => stream.map_err(ClientError::Connect)?,
             Err(_) => return Err(ClientError::Connect(std::io::ErrorKind::TimedOut.into())),
@@ -139,6 +143,17 @@
     }
 }
 
+/// Connects with a receive buffer of fixed size, in which an answer waits while its reader pauses. The kernel would
+/// otherwise hold megabytes of it.
+async fn connect(addr: SocketAddr) -> IoResult<TcpStream> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(UPSTREAM_BUFFER_BYTES as u32)?;
+    socket.connect(addr).await
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- /dev/null
+++ b/crates/web/src/connection_limits.rs
@@ -0,0 +1,70 @@
+//! Limits on the connections of a daemon, derived from the memory and the file descriptors of its VM.
+
+/// Size of the kernel's receive buffer of an accepted connection. The kernel holds at most so many bytes that the process
+/// has not read. The window suffices for 87 Mbit/s at a round trip of 3 ms.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Size of the kernel's send buffer of an accepted connection, which is what a caller that reads nothing gets before it
+/// counts as blocked.
+pub(crate) const SEND_BUFFER_BYTES: usize = 32 * 1024;
+
+/// What a connection costs beside its kernel buffers: its task, the socket and the read buffer of 8 KiB of the HTTP
+/// library. An idle connection of a debug build was measured at 18 kB.
+pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
+
+/// Bytes of an answer that wait in the socket to the upstream while the caller does not read.
+pub(crate) const UPSTREAM_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Part of the memory that is for the account of bytes, as a divisor. The rest is for the daemon itself, unread bytes in
+/// receive buffers and allocations that are freed late.
+const ACCOUNT_DIVISOR: usize = 2;
+
+/// Part of the account that connections of callers may use, in percent. The rest remains for bodies and answers.
+const CONNECTIONS_PERCENT: usize = 75;
+
+/// Number of descriptors that are for files.
+const FILES: usize = 200;
+
+/// Part of the descriptors without those for files that connections of callers may use, in percent. A request in flight
+/// needs a connection to an upstream, and now and then a second one.
+const CALLERS_PERCENT: usize = 40;
+
+/// Part of the descriptors without those for files that readers of the relay may use, in percent.
+const RELAY_PERCENT: usize = 10;
+
+/// Largest number of connections to a port for probes or metrics.
+const MAX_PROBES: usize = 64;
+
+/// Smallest number of connections to each port, whatever the limits of the VM.
+const MIN_CONNECTIONS: usize = 16;
+
+/// Limits on the connections of a daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionLimits {
+    /// Largest number of bytes that are held for connections and requests in flight.
+    pub account_bytes: usize,
+    /// Largest number of connections to the port for callers.
+    pub callers: usize,
+    /// Largest number of connections to the relay.
+    pub relay: usize,
+    /// Largest number of connections to each port for probes, metrics or operators.
+    pub probes: usize,
+}
+
+impl ConnectionLimits {
+    /// Derives the limits from the memory and the file descriptors of a VM.
+    pub fn for_vm(memory_bytes: usize, file_descriptors: usize) -> Self {
+        let account_bytes = memory_bytes / ACCOUNT_DIVISOR;
+        let descriptors = file_descriptors.saturating_sub(FILES);
+        let by_memory =
+            account_bytes / 100 * CONNECTIONS_PERCENT / (CONNECTION_BYTES + SEND_BUFFER_BYTES);
+        let callers = by_memory.min(descriptors * CALLERS_PERCENT / 100);
+        let relay = (callers / 2).min(descriptors * RELAY_PERCENT / 100);
+        Self {
+            account_bytes,
+            callers: callers.max(MIN_CONNECTIONS),
+            relay: relay.max(MIN_CONNECTIONS),
+            probes: MAX_PROBES.min(callers / 4).max(MIN_CONNECTIONS),
+        }
+    }
+}
--- /dev/null
+++ b/crates/web/src/connection_use.rs
@@ -0,0 +1,190 @@
+//! What one connection of a caller holds and waits for, as the other connections see it.
+
+use crate::{
+    byte_account::ByteAccount,
+    eviction::{Candidate, Standing},
+    server_limits::ServerLimits,
+};
+use futures::task::AtomicWaker;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Shortest age at which a connection that is not blocked may be closed, in milliseconds. The head of a request arrives
+/// within this time unless its caller is slow.
+const MIN_AGE_MS: u64 = 250;
+
+/// Part of the idle timeout, in percent, within which an idle connection is never closed for another one.
+const KEPT_IDLE_PERCENT: u64 = 80;
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub(crate) enum Phase {
+    /// The first byte of a request.
+    Idle,
+    /// The rest of the headers.
+    Headers,
+    /// The end of a response. The connection sets no timeout for it, because the handler limits this time.
+    Response,
+    /// The end of what the caller still sends after the last response.
+    Linger,
+}
+
+/// State of one connection, which its task writes and which is read when connections must be closed. Nothing takes a
+/// lock.
+#[derive(Debug)]
+pub(crate) struct ConnectionUse {
+    pub peer: SocketAddr,
+    account: Arc<ByteAccount>,
+    limits: watch::Receiver<ServerLimits>,
+    /// Start of the time that the following fields count from.
+    start: Instant,
+    held_bytes: AtomicUsize,
+    phase: AtomicU8,
+    /// Start of the phase.
+    phase_start_ms: AtomicU64,
+    has_requested: AtomicBool,
+    is_blocked: AtomicBool,
+    /// When the kernel last accepted bytes.
+    last_write_ms: AtomicU64,
+    is_evicted: AtomicBool,
+    /// Waker of the task that serves the connection.
+    waker: AtomicWaker,
+}
+
+impl ConnectionUse {
+    /// Creates the state of a connection for which `held_bytes` of the account are held.
+    pub fn new(
+        peer: SocketAddr,
+        account: Arc<ByteAccount>,
+        limits: watch::Receiver<ServerLimits>,
+        start: Instant,
+        held_bytes: usize,
+    ) -> Self {
+        let now_ms = AtomicU64::new(start.elapsed().as_millis() as u64);
+        Self {
+            peer,
+            account,
+            limits,
+            start,
+            held_bytes: AtomicUsize::new(held_bytes),
+            phase: AtomicU8::new(Phase::Idle as u8),
+            last_write_ms: AtomicU64::new(now_ms.load(Ordering::Relaxed)),
+            phase_start_ms: now_ms,
+            has_requested: AtomicBool::new(false),
+            is_blocked: AtomicBool::new(false),
+            is_evicted: AtomicBool::new(false),
+            waker: AtomicWaker::new(),
+        }
+    }
+
+    /// Records a phase that began at `at`.
+    pub fn set_phase(&self, phase: Phase, at: Instant) {
+        self.phase.store(phase as u8, Ordering::Relaxed);
+        self.phase_start_ms.store(self.since_start_ms(at), Ordering::Relaxed);
+        if phase == Phase::Response {
+            self.has_requested.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Records whether bytes of a response wait because the caller does not read.
+    pub fn set_blocked(&self, is_blocked: bool) {
+        self.is_blocked.store(is_blocked, Ordering::Relaxed);
+    }
+
+    /// Records that the kernel accepted bytes at `at`.
+    pub fn record_write(&self, at: Instant) {
+        self.last_write_ms.store(self.since_start_ms(at), Ordering::Relaxed);
+    }
+
+    /// Is ready unless bytes of a response wait because the caller does not read. The task is not woken by this; it is
+    /// woken when the kernel accepts bytes.
+    pub fn poll_unblocked(&self) -> Poll<()> {
+        match self.is_blocked.load(Ordering::Relaxed) {
+            false => Poll::Ready(()),
+            true => Poll::Pending,
+        }
+    }
+
+    /// Number of bytes that are held for the connection.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes.load(Ordering::SeqCst)
+    }
+
+    /// Replaces the held amount, from `old_bytes` to `new_bytes`. Returns `false`, without a change, if there is no room
+    /// for a larger amount. Only the task of the connection calls this.
+    pub fn resize(&self, old_bytes: usize, new_bytes: usize) -> bool {
+        if new_bytes >= old_bytes {
+            let has_room = self.account.add(old_bytes, new_bytes);
+            if has_room {
+                self.held_bytes.fetch_add(new_bytes - old_bytes, Ordering::SeqCst);
+            }
+            return has_room;
+        }
+        let less_bytes = old_bytes - new_bytes;
+        let update = |held: usize| held.checked_sub(less_bytes);
+        // An eviction may have freed the amount.
+        if self.held_bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, update).is_ok() {
+            self.account.free(less_bytes);
+        }
+        true
+    }
+
+    /// Frees all that is held.
+    pub fn free(&self) {
+        self.account.free(self.held_bytes.swap(0, Ordering::SeqCst));
+    }
+
+    /// Makes the task of the connection close it, and frees what is held, which the task does within moments.
+    pub fn evict(&self) {
+        self.free();
+        self.is_evicted.store(true, Ordering::SeqCst);
+        self.waker.wake();
+    }
+
+    /// Is ready once the connection must be closed.
+    pub fn poll_evicted(&self, cx: &Context<'_>) -> Poll<()> {
+        self.waker.register(cx.waker());
+        match self.is_evicted.load(Ordering::SeqCst) {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        }
+    }
+
+    /// The connection as one that may be closed at `now`; `None` if it is an ordinary one.
+    pub fn candidate(&self, id: u64, now: Instant) -> Option<Candidate> {
+        let now_ms = self.since_start_ms(now);
+        let since = |at: &AtomicU64| now_ms.saturating_sub(at.load(Ordering::Relaxed));
+        let phase_ms = since(&self.phase_start_ms);
+        let phase = self.phase.load(Ordering::Relaxed);
+        let idle_ms = self.limits.borrow().idle_timeout_ms * KEPT_IDLE_PERCENT / 100;
+        let is_old = phase_ms >= MIN_AGE_MS;
+        let standing = if self.is_blocked.load(Ordering::Relaxed) {
+            Standing::Blocked
+        } else if is_old && [Phase::Headers as u8, Phase::Linger as u8].contains(&phase) {
+            Standing::Unfinished
+        } else if is_old && !self.has_requested.load(Ordering::Relaxed) {
+            Standing::Unused
+        } else if phase == Phase::Idle as u8 && phase_ms > idle_ms {
+            Standing::Idle
+        } else {
+            return None;
+        };
+        let age_ms = match standing {
+            Standing::Blocked => since(&self.last_write_ms),
+            _ => phase_ms,
+        };
+        Some(Candidate { id, standing, held_bytes: self.held_bytes(), age_ms })
+    }
+
+    fn since_start_ms(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.start).as_millis() as u64
+    }
+}
--- /dev/null
+++ b/crates/web/src/connections.rs
@@ -0,0 +1,246 @@
+//! Open connections of all servers of a daemon, and the account that they share.
+
+use crate::{
+    byte_account::ByteAccount,
+    connection_limits::{CONNECTION_BYTES, ConnectionLimits},
+    connection_use::{ConnectionUse, Phase},
+    eviction::{Need, choose},
+    server_limits::ServerLimits,
+};
+use base::{HashMap, lock};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Part of the limits that is freed at once, as a divisor. The search for connections to close is not repeated for each
+/// new connection then.
+const BATCH_DIVISOR: usize = 32;
+
+/// Largest number of log lines about closed and refused connections a second.
+const MAX_LINES_PER_S: u32 = 10;
+
+/// Memory and descriptors of a VM whose limits are not known.
+const DEFAULT_VM: (usize, usize) = (512 * 1024 * 1024, 4_096);
+
+/// Open connections of all servers of a daemon.
+#[derive(Debug)]
+pub struct Connections {
+    account: Arc<ByteAccount>,
+    start: Instant,
+    open: Mutex<Open>,
+    log: Mutex<LogLimit>,
+}
+
+#[derive(Debug, Default)]
+struct Open {
+    last_id: u64,
+    by_id: HashMap<u64, (Arc<Port>, Arc<ConnectionUse>)>,
+}
+
+/// Lines in the current second.
+#[derive(Debug, Default)]
+struct LogLimit {
+    second: u64,
+    lines: u32,
+    left_out: u64,
+}
+
+/// Server's part of the connections.
+#[derive(Debug)]
+pub(crate) struct Port {
+    max_connections: usize,
+    open: AtomicUsize,
+    limits: watch::Receiver<ServerLimits>,
+}
+
+/// Connection that counts as open until the value is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection {
+    id: u64,
+    pub state: Arc<ConnectionUse>,
+    connections: Arc<Connections>,
+    held_bytes: usize,
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        let limits = ConnectionLimits::for_vm(DEFAULT_VM.0, DEFAULT_VM.1);
+        Self::new(Arc::new(ByteAccount::new(limits.account_bytes)))
+    }
+}
+
+impl Port {
+    pub fn new(max_connections: usize, limits: watch::Receiver<ServerLimits>) -> Arc<Self> {
+        Arc::new(Self { max_connections, open: AtomicUsize::new(0), limits })
+    }
+}
+
+impl Connections {
+    /// Creates a table of connections that share `account` with the requests in flight.
+    pub fn new(account: Arc<ByteAccount>) -> Self {
+        Self { account, start: Instant::now(), open: Mutex::default(), log: Mutex::default() }
+    }
+
+    /// Number of open connections.
+    pub fn open(&self) -> usize {
+        lock(&self.open).by_id.len()
+    }
+
+    /// Registers a new connection from `peer` at a port; `None` if there is no room for it, also after others were
+    /// closed.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        port: &Arc<Port>,
+        peer: SocketAddr,
+    ) -> Option<OpenConnection> {
+        let is_full = || port.open.load(Ordering::SeqCst) >= port.max_connections;
+        if is_full() {
+            let batch = (port.max_connections / BATCH_DIVISOR).max(1);
+            self.close_some(Need::Connections(batch), Some(port));
+        }
+        if is_full() || !self.hold_connection() {
+            self.log("refused a connection", peer, || "no room".to_owned());
+            metrics::counter!("connections_refused_total").increment(1);
+            return None;
+        }
+        let state = Arc::new(ConnectionUse::new(
+            peer,
+            Arc::clone(&self.account),
+            port.limits.clone(),
+            self.start,
+            CONNECTION_BYTES,
+        ));
+        port.open.fetch_add(1, Ordering::SeqCst);
+        let mut open = lock(&self.open);
+        open.last_id += 1;
+        let id = open.last_id;
+        open.by_id.insert(id, (Arc::clone(port), Arc::clone(&state)));
+        metrics::gauge!("connections_open").set(open.by_id.len() as f64);
+        drop(open);
+        let connections = Arc::clone(self);
+        Some(OpenConnection { id, state, connections, held_bytes: CONNECTION_BYTES })
+    }
+
+    fn hold_connection(&self) -> bool {
+        let hold = || self.account.add(0, CONNECTION_BYTES);
+        hold() || {
+            self.make_room(CONNECTION_BYTES);
+            hold()
+        }
+    }
+
+    /// Closes connections that hold at least `bytes`, if there are such.
+    pub(crate) fn make_room(&self, bytes: usize) {
+        let batch_bytes = self.account.limit_bytes() / BATCH_DIVISOR;
+        self.close_some(Need::Bytes(bytes.max(batch_bytes)), None);
+    }
+
+    /// Closes a connection of the port, if there is one that may be closed.
+    pub(crate) fn free_descriptor(&self, port: &Arc<Port>) {
+        self.close_some(Need::Connections(1), Some(port));
+    }
+
+    /// Closes connections as long as amounts find no room in the account.
+    pub(crate) async fn follow_shortages(&self) {
+        loop {
+            let bytes = self.account.shortage().await;
+            self.make_room(bytes);
+        }
+    }
+
+    fn close_some(&self, need: Need, port: Option<&Arc<Port>>) {
+        let now = Instant::now();
+        let mut open = lock(&self.open);
+        let is_of_port = |own: &Arc<Port>| port.is_none_or(|port| Arc::ptr_eq(port, own));
+        let of_port = open.by_id.iter().filter(|(_, (own, _))| is_of_port(own));
+        let candidates = of_port.filter_map(|(&id, (_, state))| state.candidate(id, now));
+        let closed = choose(candidates.collect(), need);
+        let states = closed.iter().filter_map(|candidate| {
+            let (port, state) = open.by_id.remove(&candidate.id)?;
+            port.open.fetch_sub(1, Ordering::SeqCst);
+            Some((candidate, state))
+        });
+        let states: Vec<_> = states.collect();
+        drop(open);
+        for (candidate, state) in states {
+            state.evict();
+            self.log("closed a connection", state.peer, || {
+                format!(
+                    "{:?} for {} ms, held_bytes={}",
+                    candidate.standing, candidate.age_ms, candidate.held_bytes
+                )
+            });
+            let reason = format!("{:?}", candidate.standing).to_lowercase();
+            metrics::counter!("connections_closed_total", "reason" => reason).increment(1);
+        }
+    }
+
+    /// Logs what was done with a connection, within the limit on such lines.
+    fn log(&self, action: &str, peer: SocketAddr, reason: impl FnOnce() -> String) {
+        let second = self.start.elapsed().as_secs();
+        let mut limit = lock(&self.log);
+        if limit.second != second {
+            let left_out = limit.left_out;
+            *limit = LogLimit { second, ..LogLimit::default() };
+            if left_out > 0 {
+                log::warn!("connections: log lines were dropped, left_out={left_out}");
+            }
+        }
+        limit.lines += 1;
+        if limit.lines > MAX_LINES_PER_S {
+            limit.left_out += 1;
+            return;
+        }
+        drop(limit);
+        log::warn!(
+            "connections: {action}, peer={peer} reason={} account_bytes={}",
+            reason(),
+            self.account.held_bytes()
+        );
+    }
+
+    fn remove(&self, id: u64) {
+        let mut open = lock(&self.open);
+        if let Some((port, _)) = open.by_id.remove(&id) {
+            port.open.fetch_sub(1, Ordering::SeqCst);
+        }
+        metrics::gauge!("connections_open").set(open.by_id.len() as f64);
+    }
+}
+
+impl OpenConnection {
+    /// Changes what is held for the connection. If there is no room, other connections are closed, and this one too if it
+    /// is among those that hold most and read least. Returns whether there is room.
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        let has_room = self.state.resize(self.held_bytes, bytes) || {
+            self.connections.make_room(bytes - self.held_bytes);
+            self.state.resize(self.held_bytes, bytes)
+        };
+        if has_room {
+            self.held_bytes = bytes;
+        }
+        has_room
+    }
+
+    /// Number of bytes that are held for the connection.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Records that only the rest of what the caller sends is awaited.
+    pub fn set_linger(&self) {
+        self.state.set_phase(Phase::Linger, Instant::now());
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.remove(self.id);
+        self.state.free();
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -8,13 +8,19 @@
 )]
 
 mod body;
+mod byte_account;
 mod caller_stream;
 mod client;
 mod client_error;
 mod client_stream;
 mod connection;
+mod connection_limits;
+mod connection_use;
+mod connections;
 mod end_to_end_headers;
+mod eviction;
 mod exchange_state;
+mod held_bytes;
 mod in_flight_requests;
 mod json_request;
 mod linger;
@@ -26,10 +32,15 @@
 
 pub use crate::{
     body::{AbortedBody, ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
+    byte_account::ByteAccount,
     client::{Client, Reply},
     client_error::ClientError,
     connection::Connection,
+    connection_limits::ConnectionLimits,
+    connections::Connections,
     end_to_end_headers::end_to_end_headers,
+    eviction::{Candidate, Need, Standing, choose},
+    held_bytes::HeldBytes,
     json_request::json_request,
     server::{Handler, Server},
     server_limits::ServerLimits,
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -3,6 +3,8 @@
 use crate::{
     body::{ResponseBody, empty},
     caller_stream::CallerStream,
+    connection_limits::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES},
+    connections::{Connections, OpenConnection, Port},
     in_flight_requests::InFlightRequests,
     server_limits::ServerLimits,
     tcp_keepalive::enable_tcp_keepalive,
@@ -17,11 +19,16 @@
 };
 use hyper_util::rt::TokioIo;
 use std::{
-    convert::Infallible, future::Future, io::Result as IoResult, net::SocketAddr,
-    panic::AssertUnwindSafe, sync::Arc, time::Duration,
+    convert::Infallible,
+    future::{Future, poll_fn},
+    io::Result as IoResult,
+    net::SocketAddr,
+    panic::AssertUnwindSafe,
+    sync::Arc,
+    time::Duration,
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::JoinSet,
     time::Instant,
@@ -38,6 +45,15 @@
 /// short requests on the last connections enough time to be answered.
 const LAST_ACCEPT_MS: u64 = 300;
 
+/// Number of connections that the kernel holds until they are accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Largest number of connections of a server whose number is not set.
+const DEFAULT_MAX_CONNECTIONS: usize = 1_024;
+
+/// Answer on a connection that is closed at once because there is no room for it. None of its bytes are read.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// Answers the requests that a server receives.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to one request. The body of the response may be sent while it is still being produced.
@@ -52,6 +68,8 @@
 pub struct Server {
     listener: TcpListener,
     limits: watch::Receiver<ServerLimits>,
+    connections: Arc<Connections>,
+    max_connections: usize,
 }
 
 impl Server {
@@ -74,7 +92,28 @@
         addr: SocketAddr,
         limits: watch::Receiver<ServerLimits>,
     ) -> IoResult<Self> {
-        Ok(Self { listener: TcpListener::bind(addr).await?, limits })
+        let socket = match addr {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        // Accepted connections inherit the sizes. The kernel would otherwise hold megabytes for each of them.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES as u32)?;
+        socket.bind(addr)?;
+        Ok(Self {
+            listener: socket.listen(BACKLOG)?,
+            limits,
+            connections: Arc::default(),
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+        })
+    }
+
+    /// Makes the server use a part of the connections of a daemon, with at most `max_connections` of its own.
+    pub fn share(mut self, connections: &Arc<Connections>, max_connections: usize) -> Self {
+        self.connections = Arc::clone(connections);
+        self.max_connections = max_connections;
+        self
     }
 
     /// Returns the bound address, with the port that was selected if port 0 was requested.
@@ -93,20 +132,30 @@
         let mut connections = JoinSet::new();
         let limits = self.limits;
         let connection_stop = stop.clone();
-        let accept = async |connections: &mut JoinSet<()>, accepted: IoResult<_>| match accepted {
-            Ok((stream, peer)) => {
-                let (handler, limits) = (Arc::clone(&handler), limits.clone());
-                connections.spawn(serve_connection(
-                    stream,
-                    peer,
-                    handler,
-                    limits,
-                    connection_stop.clone(),
-                ));
-            }
-            Err(err) => {
-                log::warn!("web: failed to accept a connection: {err}");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+        let table = self.connections;
+        let port = Port::new(self.max_connections, limits.clone());
+        let accept = async |connections: &mut JoinSet<()>,
+                            accepted: IoResult<(TcpStream, SocketAddr)>| {
+            match accepted {
+                Ok((stream, peer)) => {
+                    let Some(open) = table.admit(&port, peer) else {
+                        let _ = stream.try_write(REFUSAL);
+                        return;
+                    };
+                    let (handler, limits) = (Arc::clone(&handler), limits.clone());
+                    connections.spawn(serve_connection(
+                        stream,
+                        open,
+                        handler,
+                        limits,
+                        connection_stop.clone(),
+                    ));
+                }
+                Err(err) => {
+                    log::warn!("web: failed to accept a connection: {err}");
+                    table.free_descriptor(&port);
+                    tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                }
             }
         };
         let after_stop = async {
@@ -117,10 +166,13 @@
             (stop_at, limits.cut_after_stop_ms)
         };
         tokio::pin!(after_stop);
+        let shortages = table.follow_shortages();
+        tokio::pin!(shortages);
         let (stop_at, cut_ms) = loop {
             tokio::select! {
                 accepted = self.listener.accept() => accept(&mut connections, accepted).await,
                 Some(_) = connections.join_next() => {}
+                () = shortages.as_mut() => {}
                 stop = after_stop.as_mut() => break stop,
             }
         };
@@ -132,6 +184,7 @@
                 tokio::select! {
                     accepted = self.listener.accept() => accept(&mut connections, accepted).await,
                     Some(_) = connections.join_next() => {}
+                    () = shortages.as_mut() => {}
                     () = last_accept.as_mut() => break,
                 }
             }
@@ -158,7 +211,7 @@
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
-    peer: SocketAddr,
+    open: OpenConnection,
     handler: Arc<H>,
     limits: watch::Receiver<ServerLimits>,
     mut stop: watch::Receiver<bool>,
@@ -169,13 +222,20 @@
     let in_flight = InFlightRequests::default();
     let headers_size_bytes = limits.borrow().headers_size_bytes.max(MIN_HEADERS_SIZE_BYTES);
     let accept_limits = limits.clone();
-    let stream = CallerStream::new(stream, peer, limits, in_flight.clone());
+    let state = Arc::clone(&open.state);
+    let service_state = Arc::clone(&state);
+    let peer = state.peer;
+    let stream = CallerStream::new(stream, open, limits, in_flight.clone());
     let requests = in_flight.clone();
     let service_stop = stop.clone();
     let service = service_fn(move |request| {
         let (handler, stop) = (Arc::clone(&handler), service_stop.clone());
+        let state = Arc::clone(&service_state);
         let guard = in_flight.start_request();
         async move {
+            // The HTTP library collects the heads of responses without a limit, so a request waits until the caller has
+            // read the responses before.
+            poll_fn(|_| state.poll_unblocked()).await;
             let handling = AssertUnwindSafe(handler.handle(request)).catch_unwind();
             let mut response = handling.await.unwrap_or_else(|_| panic_response(peer));
             if *stop.borrow() {
@@ -201,12 +261,16 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = poll_fn(|cx| state.poll_evicted(cx)) => return,
         () = end_of_accepting, if !is_after_stop => {
             requests.record_close();
             connection.as_mut().graceful_shutdown();
         }
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = poll_fn(|cx| state.poll_evicted(cx)) => {}
+    }
 }
 
 /// Response to a request of `peer` whose handler has panicked, after which the connection is closed.
--- a/crates/ingress/tests/byte_account.rs
+++ b/crates/web/tests/byte_account.rs
@@ -1,8 +1,8 @@
 //! Tests of the account of the bytes that are kept for requests in flight.
 
 use bytes::Bytes;
-use ingress::ByteAccount;
 use std::{sync::Arc, time::Duration};
+use web::ByteAccount;
 
 const KB: usize = 1024;
 
