--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -1,7 +1,9 @@
 //! Timeouts of the connections on which callers send requests, and the memory that they hold.
 
 use crate::{
-    connection_limits::{CONNECTION_BYTES, SEND_BUFFER_BYTES, UPSTREAM_BUFFER_BYTES},
+    connection_limits::{
+        CONNECTION_BYTES, REQUEST_BYTES, SEND_BUFFER_BYTES, UPSTREAM_BUFFER_BYTES,
+    },
     connection_use::Phase,
     connections::OpenConnection,
     in_flight_requests::InFlightRequests,
@@ -29,9 +31,9 @@
 /// Size of the HTTP library's read buffer that is part of the cost of each connection.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Largest part of a read buffer that is filled at once outside of bodies, if the buffer has grown. Otherwise a caller that
-/// pipelines requests makes it grow to the limit on headers.
-const MAX_GROWN_READ_BYTES: usize = 2 * READ_BUFFER_BYTES;
+/// Largest number of bytes that are read at once. Otherwise each caller that sends fast makes the read buffer grow to the
+/// limit on headers.
+const MAX_READ_BYTES: usize = 2 * READ_BUFFER_BYTES;
 
 /// Steps in which the memory of a connection is counted.
 const STEP_BYTES: usize = 4 * 1024;
@@ -48,6 +50,8 @@
     in_flight: InFlightRequests,
     /// `InFlightRequests::total` at the last read.
     seen_requests: usize,
+    /// `InFlightRequests::total` when bytes were last read.
+    requests_at_data: usize,
     phase: Phase,
     /// Start of the current phase, or of the latest request if that is later.
     phase_start: Instant,
@@ -85,6 +89,7 @@
             limits,
             in_flight,
             seen_requests: 0,
+            requests_at_data: 0,
             phase: Phase::Idle,
             phase_start,
             timer,
@@ -106,23 +111,29 @@
             true => self.queued_bytes + UPSTREAM_BUFFER_BYTES,
             false => 0,
         };
-        let more_bytes =
-            read_bytes.saturating_sub(READ_BUFFER_BYTES) + self.written_bytes + blocked_bytes;
+        let request_bytes = match self.phase {
+            Phase::Response => REQUEST_BYTES,
+            _ => 0,
+        };
+        let more_bytes = request_bytes
+            + read_bytes.saturating_sub(READ_BUFFER_BYTES)
+            + self.written_bytes
+            + blocked_bytes;
         let held_bytes = CONNECTION_BYTES + more_bytes.next_multiple_of(STEP_BYTES);
         held_bytes == self.open.held_bytes() || self.open.try_resize(held_bytes)
     }
 
-    /// Reads into the buffer, or into a part of it if it has grown and no body is being read.
+    /// Reads into the buffer, or into a part of it if it has grown.
     fn poll_read_part(
         &mut self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<IoResult<()>> {
         self.read_buffer_bytes = buf.remaining();
-        if buf.remaining() <= MAX_GROWN_READ_BYTES || self.phase == Phase::Response {
+        if buf.remaining() <= MAX_READ_BYTES {
             return Pin::new(&mut self.stream).poll_read(cx, buf);
         }
-        let mut part = ReadBuf::new(buf.initialize_unfilled_to(READ_BUFFER_BYTES));
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(MAX_READ_BYTES));
         let read = Pin::new(&mut self.stream).poll_read(cx, &mut part);
         let size = part.filled().len();
         buf.advance(size);
@@ -135,6 +146,11 @@
         // A request may have arrived and been answered since the last read.
         let has_new_request = total != self.seen_requests;
         self.seen_requests = total;
+        if has_data {
+            // More than one request has come out of the bytes that were read before.
+            self.open.state.set_pipelined(total > self.requests_at_data + 1);
+            self.requests_at_data = total;
+        }
         let phase = match (self.in_flight.poll_idle(cx).is_ready(), self.phase) {
             (false, _) => Phase::Response,
             (true, Phase::Headers) if !has_new_request => Phase::Headers,
@@ -220,7 +236,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<IoResult<()>> {
-        let before = buf.filled().len();
+        let (before, phase) = (buf.filled().len(), self.phase);
         let read = match self.is_write_blocked {
             true => Poll::Pending,
             false => self.poll_read_part(cx, buf),
@@ -230,7 +246,7 @@
         if self.phase == Phase::Headers {
             self.head_bytes += size;
         }
-        if size > 0 {
+        if size > 0 || self.phase != phase {
             // Without room, what is read is not held: it is limited, and the connection may be an ordinary one.
             self.update_held();
         }
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -143,14 +143,15 @@
     }
 }
 
-/// Connects with a receive buffer of fixed size, in which an answer waits while its reader pauses. The kernel would
-/// otherwise hold megabytes of it.
+/// Connects with buffers of fixed size, in which requests and answers wait while their reader pauses. The kernel would
+/// otherwise hold megabytes of them.
 async fn connect(addr: SocketAddr) -> IoResult<TcpStream> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_recv_buffer_size(UPSTREAM_BUFFER_BYTES as u32)?;
+    socket.set_send_buffer_size(UPSTREAM_BUFFER_BYTES as u32)?;
     socket.connect(addr).await
 }
 
--- a/crates/web/src/connection_limits.rs
+++ b/crates/web/src/connection_limits.rs
@@ -1,5 +1,7 @@
 //! Limits on the connections of a daemon, derived from the memory and the file descriptors of its VM.
 
+use crate::connection_account::CONNECTIONS_PERCENT;
+
 /// Size of the kernel's receive buffer of an accepted connection. The kernel holds at most so many bytes that the process
 /// has not read. The window suffices for 87 Mbit/s at a round trip of 3 ms.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
@@ -12,6 +14,10 @@
 /// library. An idle connection of a debug build was measured at 18 kB.
 pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
 
+/// What a request in flight costs beside its body and its answer: its task, the connection to an upstream and the buffers
+/// of both.
+pub(crate) const REQUEST_BYTES: usize = 32 * 1024;
+
 /// Bytes of an answer that wait in the socket to the upstream while the caller does not read.
 pub(crate) const UPSTREAM_BUFFER_BYTES: usize = 32 * 1024;
 
@@ -19,9 +25,6 @@
 /// receive buffers and allocations that are freed late.
 const ACCOUNT_DIVISOR: usize = 2;
 
-/// Part of the account that connections of callers may use, in percent. The rest remains for bodies and answers.
-const CONNECTIONS_PERCENT: usize = 75;
-
 /// Number of descriptors that are for files.
 const FILES: usize = 200;
 
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -1,7 +1,7 @@
 //! What one connection of a caller holds and waits for, as the other connections see it.
 
 use crate::{
-    byte_account::ByteAccount,
+    connection_account::ConnectionAccount,
     eviction::{Candidate, Standing},
     server_limits::ServerLimits,
 };
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionUse {
     pub peer: SocketAddr,
-    account: Arc<ByteAccount>,
+    account: Arc<ConnectionAccount>,
     limits: watch::Receiver<ServerLimits>,
     /// Start of the time that the following fields count from.
     start: Instant,
@@ -52,6 +52,8 @@
     phase_start_ms: AtomicU64,
     has_requested: AtomicBool,
     is_blocked: AtomicBool,
+    /// Whether the caller sends requests before it has the answers to earlier ones.
+    is_pipelined: AtomicBool,
     /// When the kernel last accepted bytes.
     last_write_ms: AtomicU64,
     is_evicted: AtomicBool,
@@ -63,7 +65,7 @@
     /// Creates the state of a connection for which `held_bytes` of the account are held.
     pub fn new(
         peer: SocketAddr,
-        account: Arc<ByteAccount>,
+        account: Arc<ConnectionAccount>,
         limits: watch::Receiver<ServerLimits>,
         start: Instant,
         held_bytes: usize,
@@ -80,6 +82,7 @@
             phase_start_ms: now_ms,
             has_requested: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
+            is_pipelined: AtomicBool::new(false),
             is_evicted: AtomicBool::new(false),
             waker: AtomicWaker::new(),
         }
@@ -99,6 +102,11 @@
         self.is_blocked.store(is_blocked, Ordering::Relaxed);
     }
 
+    /// Records whether the caller sends requests before it has the answers to earlier ones.
+    pub fn set_pipelined(&self, is_pipelined: bool) {
+        self.is_pipelined.store(is_pipelined, Ordering::Relaxed);
+    }
+
     /// Records that the kernel accepted bytes at `at`.
     pub fn record_write(&self, at: Instant) {
         self.last_write_ms.store(self.since_start_ms(at), Ordering::Relaxed);
@@ -122,9 +130,10 @@
     /// for a larger amount. Only the task of the connection calls this.
     pub fn resize(&self, old_bytes: usize, new_bytes: usize) -> bool {
         if new_bytes >= old_bytes {
-            let has_room = self.account.add(old_bytes, new_bytes);
+            let more_bytes = new_bytes - old_bytes;
+            let has_room = self.account.add(more_bytes);
             if has_room {
-                self.held_bytes.fetch_add(new_bytes - old_bytes, Ordering::SeqCst);
+                self.held_bytes.fetch_add(more_bytes, Ordering::SeqCst);
             }
             return has_room;
         }
@@ -168,6 +177,8 @@
         let is_old = phase_ms >= MIN_AGE_MS;
         let standing = if self.is_blocked.load(Ordering::Relaxed) {
             Standing::Blocked
+        } else if self.is_pipelined.load(Ordering::Relaxed) {
+            Standing::Pipelined
         } else if is_old && [Phase::Headers as u8, Phase::Linger as u8].contains(&phase) {
             Standing::Unfinished
         } else if is_old && !self.has_requested.load(Ordering::Relaxed) {
--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     byte_account::ByteAccount,
+    connection_account::ConnectionAccount,
     connection_limits::{CONNECTION_BYTES, ConnectionLimits},
     connection_use::{ConnectionUse, Phase},
     eviction::{Need, choose},
@@ -30,7 +31,7 @@
 /// Open connections of all servers of a daemon.
 #[derive(Debug)]
 pub struct Connections {
-    account: Arc<ByteAccount>,
+    account: Arc<ConnectionAccount>,
     start: Instant,
     open: Mutex<Open>,
     log: Mutex<LogLimit>,
@@ -83,6 +84,7 @@
 impl Connections {
     /// Creates a table of connections that share `account` with the requests in flight.
     pub fn new(account: Arc<ByteAccount>) -> Self {
+        let account = Arc::new(ConnectionAccount::new(account));
         Self { account, start: Instant::now(), open: Mutex::default(), log: Mutex::default() }
     }
 
@@ -127,7 +129,7 @@
     }
 
     fn hold_connection(&self) -> bool {
-        let hold = || self.account.add(0, CONNECTION_BYTES);
+        let hold = || self.account.add(CONNECTION_BYTES);
         hold() || {
             self.make_room(CONNECTION_BYTES);
             hold()
@@ -148,7 +150,7 @@
     /// Closes connections as long as amounts find no room in the account.
     pub(crate) async fn follow_shortages(&self) {
         loop {
-            let bytes = self.account.shortage().await;
+            let bytes = self.account.whole().shortage().await;
             self.make_room(bytes);
         }
     }
@@ -200,7 +202,7 @@
         log::warn!(
             "connections: {action}, peer={peer} reason={} account_bytes={}",
             reason(),
-            self.account.held_bytes()
+            self.account.whole().held_bytes()
         );
     }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -14,6 +14,7 @@
 mod client_error;
 mod client_stream;
 mod connection;
+mod connection_account;
 mod connection_limits;
 mod connection_use;
 mod connections;
