--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -12,6 +12,7 @@
 mod dev;
 mod line_log;
 mod logging;
+mod memory_upkeep;
 mod metrics_upkeep;
 mod orders_adapter;
 mod run;
@@ -21,6 +22,7 @@
 
 pub use crate::{
     cli::{CheckOptions, Cli, Command, DevOptions, RunOptions, ServeOptions},
+    memory_upkeep::MemoryUpkeep,
     metrics_upkeep::maintain_metrics,
     run_error::RunError,
     supervisor::keep_running,
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     line_log,
+    memory_upkeep::return_freed_memory,
     metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
     run_error::RunError,
     supervisor::keep_running,
@@ -85,6 +86,7 @@
     let probe = Arc::new(ReadyProbe::new(Arc::clone(&core)));
     tokio::spawn(ready.run(probe, never_stopped.clone()));
     tokio::spawn(maintain_metrics(metrics.clone(), UPKEEP_INTERVAL));
+    tokio::spawn(return_freed_memory(Arc::clone(&core.kept_bytes)));
     tokio::spawn(
         metrics_server
             .run(Arc::new(MetricsPage { metrics, core: Arc::clone(&core) }), never_stopped),
--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -108,7 +108,8 @@
     fn update_held(&mut self) -> bool {
         let read_bytes = self.read_buffer_bytes.max(self.head_bytes);
         let blocked_bytes = match self.is_write_blocked {
-            true => self.queued_bytes + UPSTREAM_BUFFER_BYTES,
+            // The buffers of responses grow by doubling.
+            true => 2 * self.queued_bytes + UPSTREAM_BUFFER_BYTES,
             false => 0,
         };
         let request_bytes = match self.phase {
