--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -43,7 +43,7 @@
 };
 use tokio::{sync::watch, task::JoinHandle};
 use upstream::EnginePool;
-use web::Server;
+use web::{ByteAccount, ConnectionLimits, Connections, Server};
 
 /// Retry budget of each service at one entry, for retries of calls that were already sent: a tenth of the calls within
 /// 10 seconds, and ten more so that a service with few calls can recover as well.
@@ -67,6 +67,16 @@
     member: Option<MemberArguments>,
 }
 
+/// Limits on connections, from the memory and the file descriptors in the settings.
+fn connection_limits(settings: &Settings) -> ConnectionLimits {
+    let limits = &settings.limits;
+    let memory_bytes = limits.memory_mb.saturating_mul(1024 * 1024);
+    ConnectionLimits::for_vm(
+        usize::try_from(memory_bytes).unwrap_or(usize::MAX),
+        usize::try_from(limits.file_descriptors).unwrap_or(usize::MAX),
+    )
+}
+
 impl Entry {
     /// Starts an entry. `metrics` renders the response to `/metrics`; without `metrics` that response is empty.
     ///
@@ -77,7 +87,11 @@
         settings: &Settings,
         metrics: Option<PrometheusHandle>,
     ) -> Result<Self, EntryError> {
+        let connection_limits = connection_limits(settings);
+        let account = Arc::new(ByteAccount::new(connection_limits.account_bytes));
+        let connections = Arc::new(Connections::new(Arc::clone(&account)));
         let server = Server::bind(settings.entry.listen).await?;
+        let server = server.share(&connections, connection_limits.callers);
         let addr = server.local_addr()?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
         let clock = Clock::start();
@@ -146,6 +160,7 @@
             vm_id: settings.entry.vm_id.clone(),
             clock,
             limits: settings.limits,
+            account,
             config,
             journals: Arc::clone(&journals),
             peers,
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -215,9 +215,22 @@
     }
 
     async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, ApiError> {
+        let account = &self.shared.account;
         let limit_bytes = usize::try_from(self.shared.limits.body_bytes).unwrap_or(usize::MAX);
-        let wait = Duration::from_millis(BODY_WAIT_MS);
-        let body = tokio::time::timeout(wait, web::read_body(request.into_body(), limit_bytes));
+        let limit_bytes = limit_bytes.min(account.largest_bytes());
+        let body = request.into_body();
+        let stated_bytes = body.size_hint().exact();
+        if stated_bytes.is_some_and(|bytes| bytes > limit_bytes as u64) {
+            return Err(ApiError::TooLarge(limit_bytes));
+        }
+        let size_bytes = stated_bytes.map_or(limit_bytes, |bytes| bytes as usize);
+        let read = async {
+            let mut held = account.hold(size_bytes).await;
+            let body = web::read_body(body, limit_bytes).await?;
+            held.try_resize(body.len());
+            Ok(held.attach_to(body))
+        };
+        let body = tokio::time::timeout(Duration::from_millis(BODY_WAIT_MS), read);
         body.await.map_err(|_| ApiError::BodyTimeout(BODY_WAIT_MS))?.map_err(|err| match err {
             ReadBodyError::TooLarge(limit_bytes) => ApiError::TooLarge(limit_bytes),
             ReadBodyError::Transport(_) => ApiError::IncompleteBody,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
 };
 use tokio::sync::watch;
 use upstream::EnginePool;
+use web::ByteAccount;
 
 /// State that all requests of an entry share.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     pub vm_id: VmId,
     pub clock: Clock,
     pub limits: LimitSettings,
+    /// Bytes that are kept for connections and bodies.
+    pub account: Arc<ByteAccount>,
     pub config: watch::Receiver<Arc<Config>>,
     pub journals: Arc<Journals>,
     pub peers: Arc<Peers>,
--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -1,9 +1,7 @@
 //! Timeouts of the connections on which callers send requests, and the memory that they hold.
 
 use crate::{
-    connection_limits::{
-        CONNECTION_BYTES, REQUEST_BYTES, SEND_BUFFER_BYTES, UPSTREAM_BUFFER_BYTES,
-    },
+    connection_limits::{CONNECTION_BYTES, REQUEST_BYTES, SOCKET_BUFFER_BYTES},
     connection_use::Phase,
     connections::OpenConnection,
     in_flight_requests::InFlightRequests,
@@ -109,7 +107,7 @@
         let read_bytes = self.read_buffer_bytes.max(self.head_bytes);
         let blocked_bytes = match self.is_write_blocked {
             // The buffers of responses grow by doubling.
-            true => 2 * self.queued_bytes + UPSTREAM_BUFFER_BYTES,
+            true => 2 * self.queued_bytes,
             false => 0,
         };
         let request_bytes = match self.phase {
@@ -218,10 +216,10 @@
         if let Poll::Ready(Ok(written)) = write {
             self.last_write = Instant::now();
             self.open.state.record_write(self.last_write);
-            if !was_blocked && self.written_bytes == SEND_BUFFER_BYTES {
+            if !was_blocked && self.written_bytes == SOCKET_BUFFER_BYTES {
                 return write;
             }
-            self.written_bytes = (self.written_bytes + written).min(SEND_BUFFER_BYTES);
+            self.written_bytes = (self.written_bytes + written).min(SOCKET_BUFFER_BYTES);
         }
         self.queued_bytes = size;
         if !self.update_held() && self.is_write_blocked {
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -4,19 +4,17 @@
     body::read_body,
     client_error::ClientError,
     client_stream::ClientStream,
-    connection_limits::UPSTREAM_BUFFER_BYTES,
+    connection_limits::SOCKET_BUFFER_BYTES,
     exchange_state::ExchangeState,
+    socket_buffers::socket_with_buffers,
     tcp_keepalive::{enable_fast_tcp_keepalive, enable_tcp_keepalive},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use std::{io::Result as IoResult, net::SocketAddr, time::Duration};
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    task::AbortHandle,
-};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, task::AbortHandle};
 
 /// Size of the read buffer. It is small because many connections are open at a time and responses arrive in small
 /// pieces.
@@ -61,7 +59,9 @@
         wait_ms: u64,
         enable_keepalive: fn(&TcpStream),
     ) -> Result<Self, ClientError> {
-        let connect = connect(addr);
+        let socket =
+            socket_with_buffers(addr, SOCKET_BUFFER_BYTES).map_err(ClientError::Connect)?;
+        let connect = socket.connect(addr);
         let stream = match tokio::time::timeout(Duration::from_millis(wait_ms), connect).await {
             Ok(stream) => stream.map_err(ClientError::Connect)?,
             Err(_) => return Err(ClientError::Connect(std::io::ErrorKind::TimedOut.into())),
@@ -143,18 +143,6 @@
     }
 }
 
-/// Connects with buffers of fixed size, in which requests and answers wait while their reader pauses. The kernel would
-/// otherwise hold megabytes of them.
-async fn connect(addr: SocketAddr) -> IoResult<TcpStream> {
-    let socket = match addr {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_recv_buffer_size(UPSTREAM_BUFFER_BYTES as u32)?;
-    socket.set_send_buffer_size(UPSTREAM_BUFFER_BYTES as u32)?;
-    socket.connect(addr).await
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/web/src/connection_limits.rs
+++ b/crates/web/src/connection_limits.rs
@@ -2,24 +2,18 @@
 
 use crate::connection_account::CONNECTIONS_PERCENT;
 
-/// Size of the kernel's receive buffer of an accepted connection. The kernel holds at most so many bytes that the process
-/// has not read. The window suffices for 87 Mbit/s at a round trip of 3 ms.
-pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
-
-/// Size of the kernel's send buffer of an accepted connection, which is what a caller that reads nothing gets before it
-/// counts as blocked.
-pub(crate) const SEND_BUFFER_BYTES: usize = 32 * 1024;
+/// Size of each of the kernel's two buffers of a connection. In the receive buffer, the kernel holds bytes that the process
+/// has not read; what is in the send buffer is what a caller that reads nothing gets before it counts as blocked. Half of
+/// it is usable with small segments, which suffices for 55 Mbit/s at a round trip of 3 ms.
+pub(crate) const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
 
 /// What a connection costs beside its kernel buffers: its task, the socket and the read buffer of 8 KiB of the HTTP
 /// library. An idle connection of a debug build was measured at 18 kB.
 pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
 
-/// What a request in flight costs beside its body and its answer: its task, the connection to an upstream and the buffers
-/// of both.
-pub(crate) const REQUEST_BYTES: usize = 32 * 1024;
-
-/// Bytes of an answer that wait in the socket to the upstream while the caller does not read.
-pub(crate) const UPSTREAM_BUFFER_BYTES: usize = 32 * 1024;
+/// What a request in flight costs beside its body and its answer: the two kernel buffers of the connection to an upstream,
+/// in which the request and the rest of an unread answer wait. The task and the buffers of the HTTP library are smaller.
+pub(crate) const REQUEST_BYTES: usize = 2 * SOCKET_BUFFER_BYTES;
 
 /// Part of the memory that is for the account of bytes, as a divisor. The rest is for the daemon itself, unread bytes in
 /// receive buffers and allocations that are freed late.
@@ -60,7 +54,7 @@
         let account_bytes = memory_bytes / ACCOUNT_DIVISOR;
         let descriptors = file_descriptors.saturating_sub(FILES);
         let by_memory =
-            account_bytes / 100 * CONNECTIONS_PERCENT / (CONNECTION_BYTES + SEND_BUFFER_BYTES);
+            account_bytes / 100 * CONNECTIONS_PERCENT / (CONNECTION_BYTES + SOCKET_BUFFER_BYTES);
         let callers = by_memory.min(descriptors * CALLERS_PERCENT / 100);
         let relay = (callers / 2).min(descriptors * RELAY_PERCENT / 100);
         Self {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -27,6 +27,7 @@
 mod linger;
 mod server;
 mod server_limits;
+mod socket_buffers;
 mod tcp_keepalive;
 
 pub use hyper::{Method, StatusCode};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -3,10 +3,11 @@
 use crate::{
     body::{ResponseBody, empty},
     caller_stream::CallerStream,
-    connection_limits::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES},
+    connection_limits::SOCKET_BUFFER_BYTES,
     connections::{Connections, OpenConnection, Port},
     in_flight_requests::InFlightRequests,
     server_limits::ServerLimits,
+    socket_buffers::socket_with_buffers,
     tcp_keepalive::enable_tcp_keepalive,
 };
 use futures::FutureExt;
@@ -28,7 +29,7 @@
     time::Duration,
 };
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
     time::Instant,
@@ -92,14 +93,9 @@
         addr: SocketAddr,
         limits: watch::Receiver<ServerLimits>,
     ) -> IoResult<Self> {
-        let socket = match addr {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
+        // Accepted connections inherit the buffers.
+        let socket = socket_with_buffers(addr, SOCKET_BUFFER_BYTES)?;
         socket.set_reuseaddr(true)?;
-        // Accepted connections inherit the sizes. The kernel would otherwise hold megabytes for each of them.
-        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
-        socket.set_send_buffer_size(SEND_BUFFER_BYTES as u32)?;
         socket.bind(addr)?;
         Ok(Self {
             listener: socket.listen(BACKLOG)?,
