--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,7 +12,6 @@
 mod attempt;
 mod attempt_error;
 mod buffered_response;
-mod byte_account;
 mod caller_error;
 mod choice;
 mod config;
@@ -32,7 +31,6 @@
 mod fleet_size;
 mod follow;
 mod gateway;
-mod held_bytes;
 mod inbound;
 mod instance;
 mod instance_connection;
@@ -67,7 +65,6 @@
 mod version_rule;
 
 pub use crate::{
-    byte_account::ByteAccount,
     caller_error::CallerError,
     config::{ClientAccount, ClientLimits, Config, EngineConfig, ServiceConfig},
     core::{Core, CoreOptions},
@@ -81,7 +78,6 @@
     fleet_size::FleetSize,
     follow::{Decoders, PlatformKeys, follow_platform},
     gateway::{Gateway, ReadyProbe},
-    held_bytes::HeldBytes,
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
     instance_rates::InstanceRates,
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -4,7 +4,9 @@
     body::read_body,
     client_error::ClientError,
     client_stream::ClientStream,
+    connection_limits::SOCKET_BUFFER_BYTES,
     exchange_state::ExchangeState,
+    socket_buffers::socket_with_buffers,
     tcp_keepalive::{enable_fast_tcp_keepalive, enable_tcp_keepalive},
 };
 use bytes::Bytes;
@@ -57,7 +59,9 @@
         wait_ms: u64,
         enable_keepalive: fn(&TcpStream),
     ) -> Result<Self, ClientError> {
-        let connect = TcpStream::connect(addr);
+        let socket =
+            socket_with_buffers(addr, SOCKET_BUFFER_BYTES).map_err(ClientError::Connect)?;
+        let connect = socket.connect(addr);
         let stream = match tokio::time::timeout(Duration::from_millis(wait_ms), connect).await {
             Ok(stream) => stream.map_err(ClientError::Connect)?,
             Err(_) => return Err(ClientError::Connect(std::io::ErrorKind::TimedOut.into())),
