Ingress: the scheduling state of a stream stands in a module of its own

`StreamSchedule` holds what `StreamRelay` had of it: the place among the waiting streams, the start and the last result of the search, class, reservation and refusal. An attempt that is cancelled or withdrawn before its send now leaves the queue, so that `streams_waiting` does not count streams that wait for a silent attempt only. No other change of behaviour.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -53,6 +53,7 @@
 mod silent_call;
 mod stream_queues;
 mod stream_relay;
+mod stream_schedule;
 mod version_affinity;
 mod version_recorder;
 
--- a/crates/ingress/src/stream_queues.rs
+++ b/crates/ingress/src/stream_queues.rs
@@ -51,9 +51,13 @@
 }
 
 impl QueueTicket {
-    /// Enters the queue, or updates the place in it. The number of `stream` is that of the ticket.
+    /// Number of the stream in its queue.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Enters the queue, or updates the place in it.
     pub fn enter(&self, stream: WaitingStream) {
-        let stream = WaitingStream { number: self.number, ..stream };
         lock(&self.queues.queues).entry(self.service.clone()).or_default().enter(stream);
     }
 
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -6,7 +6,6 @@
     buffered_response::BufferedResponse,
     caller_error::CallerError,
     choice::{EngineChoice, EngineRequirements, WaitReason, choose_engine},
-    config::{EngineConfig, ServiceConfig},
     core::Core,
     crash_quarantine::{Subject, log_refusal},
     engine_hold::EngineHold,
@@ -21,7 +20,7 @@
     probe::PREFILL_MS,
     response_head::forwarded_headers,
     route_kind::RouteKind,
-    stream_queues::QueueTicket,
+    stream_schedule::StreamSchedule,
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
 use bytes::{Bytes, BytesMut};
@@ -31,7 +30,7 @@
     HeaderMap,
     header::{HeaderName, HeaderValue},
 };
-use limit::{StreamAsk, StreamClass, StreamProgress, Urgency, WaitingStream};
+use limit::{StreamProgress, Urgency};
 use quarantine::{Admission, PartNames, Verdict};
 use recovery::{Action, AttemptId, EngineSignal, Generation, Input, Journal, LossCause};
 use std::{future::poll_fn, sync::Arc, task::Poll};
@@ -41,9 +40,6 @@
 /// Number of engines that are probed for their load before one gets the request.
 const PROBED_ENGINES: usize = 3;
 
-/// Part of an engine's memory that a request takes whose size is not stated, as a divisor.
-const USUAL_MEMORY_DIVISOR: u64 = 8;
-
 /// Longest wait of an attempt for an engine that is not busy, counted from the last event, or from the arrival of the
 /// request if there was none. The engines of a lost failure domain are usually back by then.
 const MAX_BUSY_WAIT_MS: u64 = 1_500;
@@ -123,13 +119,8 @@
     sends: u32,
     /// Number of engines that may have run the request.
     open_sends: u32,
-    service_config: ServiceConfig,
-    /// Place among the streams that wait for an engine; `None` while the stream looks for none.
-    ticket: Option<QueueTicket>,
-    /// When the stream began to look for an engine, since the last send.
-    search_since_ms: Option<u64>,
-    /// Whether the last search found an engine at which the stream would have been in time.
-    was_in_time: bool,
+    /// Search for an engine, and the properties of the service's engines.
+    schedule: StreamSchedule,
     /// Maintains the KV cache replica from which the next attempt can resume.
     replicator: KvReplicator,
     /// When the replica was requested that was last recorded; `None` if none was.
@@ -178,7 +169,7 @@
     pub fn new(core: Arc<Core>, inbound: Arc<Inbound>) -> Self {
         core.deposit(&inbound.service);
         let policy = core.options.stream_policy;
-        let service_config = core.service_config(&inbound.service);
+        let schedule = StreamSchedule::new(&core, Arc::clone(&inbound));
         let instance_changes = core.instance_changes();
         Self {
             generation: Generation::new(policy, Journal::default()),
@@ -187,10 +178,7 @@
             excluded: Vec::new(),
             sends: 0,
             open_sends: 0,
-            service_config,
-            ticket: None,
-            search_since_ms: None,
-            was_in_time: false,
+            schedule,
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
             take_ups: 0,
@@ -402,8 +390,9 @@
         let timing = self.core.timing(&self.inbound.service);
         let tick_ms = self.generation.deadline_ms(timing);
         let checks = self.attempts.iter().filter_map(Attempt::check_due_ms);
-        let snapshot_ms =
-            self.source().and_then(|_| self.replicator.snapshot_due_ms(self.engine_config()?));
+        let snapshot_ms = self
+            .source()
+            .and_then(|_| self.replicator.snapshot_due_ms(self.schedule.engine_config()?));
         let limits = [self.inbound.deadline_ms, now_ms + MAX_SLEEP_MS];
         limits.into_iter().chain(tick_ms).chain(checks).chain(snapshot_ms).min().unwrap_or(now_ms)
     }
@@ -443,7 +432,8 @@
 
     /// Starts to create or renew the KV cache snapshot of the request if that is due and an engine is sending events.
     fn snapshot_if_due(&mut self) {
-        let (Some(config), Some(source)) = (self.engine_config(), self.source().cloned()) else {
+        let (Some(config), Some(source)) = (self.schedule.engine_config(), self.source().cloned())
+        else {
             return;
         };
         self.replicator.snapshot_if_due(&self.core, &self.inbound, &source, &self.excluded, config);
@@ -759,7 +749,7 @@
     fn fail(&mut self, failure: Failure) {
         self.failure.get_or_insert(failure);
         self.attempts.clear();
-        self.ticket = None;
+        self.schedule.leave_queue();
     }
 
     /// Cancels an attempt that another one has replaced or has made unnecessary.
@@ -777,7 +767,10 @@
         };
         let attempt = self.attempts.swap_remove(position);
         self.is_trial &= !self.attempts.is_empty();
-        let Some(instance) = attempt.instance else { return };
+        let Some(instance) = attempt.instance else {
+            self.schedule.leave_queue();
+            return;
+        };
         let now_ms = self.core.clock.now_ms();
         log::info!(
             "attempt: id={} attempt={id} instance={} domain={} cancelled, reason={}; version={} events={} \
@@ -871,13 +864,19 @@
         );
         let core = Arc::clone(&self.core);
         let now_ms = core.clock.now_ms();
-        self.search_since_ms.get_or_insert(now_ms);
-        let ask = self.ask(now_ms);
-        let turn = ask.filter(|_| replica.is_none()).map(|ask| self.enter_queue(&ask).turn(&core));
+        let is_new = self.sends == 0 && self.events == 0 && self.inbound.last_event_id.is_none();
+        let ask = self.schedule.search(self.progress(now_ms), is_new, now_ms);
+        let is_unconstrained = self.excluded.is_empty() && self.version == StreamVersion::Any;
+        let turn = match &ask {
+            Some(ask) if replica.is_none() => {
+                Some(self.schedule.turn(&core, ask, is_unconstrained))
+            }
+            _ => None,
+        };
         let requirements = EngineRequirements {
             ask,
             prompt_tokens: self.inbound.prompt_tokens.unwrap_or(0),
-            hold_ms: self.hold_ms(),
+            hold_ms: self.schedule.hold_ms(),
             service: self.inbound.service.clone(),
             candidates,
             retry: (self.sends > 0).then(|| self.urgency(replica.is_some(), now_ms)),
@@ -898,6 +897,7 @@
     /// Ends an attempt that may not be sent.
     fn withdraw_attempt(&mut self, id: AttemptId) {
         self.attempts.retain(|attempt| attempt.id != id);
+        self.schedule.leave_queue();
         if !self.attempts.is_empty() {
             log::info!(
                 "stream: id={} sends={} open_sends={} waits for its silent attempt, which may not be replaced",
@@ -931,65 +931,6 @@
         }
     }
 
-    /// Properties of the service's engines; `None` if the configuration states none.
-    fn engine_config(&self) -> Option<EngineConfig> {
-        self.service_config.engine
-    }
-
-    /// The stream as the scheduling sees it; `None` if the service's streams are not scheduled.
-    fn ask(&self, now_ms: u64) -> Option<StreamAsk> {
-        let engine = self.engine_config().filter(|_| self.service_config.schedules_streams())?;
-        let inbound = &self.inbound;
-        let is_new = self.sends == 0 && self.events == 0 && inbound.last_event_id.is_none();
-        let usual_tokens = engine.kv_cache_tokens / USUAL_MEMORY_DIVISOR;
-        let tokens =
-            inbound.prompt_tokens.map(|prompt| prompt.saturating_add(inbound.output_tokens));
-        let progress = self.progress(now_ms);
-        Some(StreamAsk {
-            progress,
-            urgency_level: progress.urgency_level(inbound.priority),
-            class: self.class(),
-            is_refusable: is_new && !inbound.is_repeated,
-            was_in_time: self.was_in_time,
-            since_ms: self.search_since_ms.unwrap_or(now_ms),
-            target_latency_ms: inbound.first_event_target_ms() - inbound.arrived_ms,
-            target_ms: inbound.first_event_target_ms(),
-            tokens: tokens.unwrap_or(usual_tokens),
-        })
-    }
-
-    /// Class of the stream among those of its service.
-    fn class(&self) -> StreamClass {
-        match self.service_config.most_urgent {
-            None => StreamClass::Only,
-            Some(priority) if priority == self.inbound.priority => StreamClass::MostUrgent,
-            Some(_) => StreamClass::LessUrgent,
-        }
-    }
-
-    /// Longest time of a reservation that the stream may take; 0 if it takes none. With several classes, a reservation of
-    /// a less urgent stream would be admitted before the most urgent class and could not give way to it.
-    fn hold_ms(&self) -> u64 {
-        let may_hold = self.class() != StreamClass::LessUrgent;
-        self.engine_config().filter(|_| may_hold).map_or(0, |engine| engine.hold_ms)
-    }
-
-    /// Enters the queue of the streams that look for an engine.
-    fn enter_queue(&mut self, ask: &StreamAsk) -> &QueueTicket {
-        let stream = WaitingStream {
-            number: 0,
-            priority: self.inbound.priority,
-            progress: ask.progress,
-            latest_start_ms: ask.target_ms.saturating_sub(PREFILL_MS),
-            since_ms: ask.since_ms,
-            is_unconstrained: self.excluded.is_empty() && self.version == StreamVersion::Any,
-        };
-        let (core, service) = (&self.core, &self.inbound.service);
-        let ticket = self.ticket.get_or_insert_with(|| core.stream_queues.ticket(service));
-        ticket.enter(stream);
-        ticket
-    }
-
     /// Whether the stream can still meet its targets, or has met them so far.
     fn progress(&self, now_ms: u64) -> StreamProgress {
         let target_ms = self.inbound.first_event_target_ms();
@@ -1010,12 +951,6 @@
         }
     }
 
-    /// Urgency level that the engine is told; `None` if all streams of the service have the same priority.
-    fn urgency_level(&self) -> Option<u8> {
-        let progress = self.progress(self.core.clock.now_ms());
-        self.service_config.most_urgent.map(|_| progress.urgency_level(self.inbound.priority))
-    }
-
     /// Urgency of a retry. Before the first event, the retry is urgent if that event can still arrive within the target
     /// latency.
     ///
@@ -1028,7 +963,8 @@
             Some(_) => {
                 let pause_ms = now_ms - self.last_release_ms;
                 let is_in_time = self.progress(now_ms) == StreamProgress::Begun;
-                let ttl_ms = self.engine_config().map_or(0, |config| config.snapshot_ttl_ms);
+                let ttl_ms =
+                    self.schedule.engine_config().map_or(0, |config| config.snapshot_ttl_ms);
                 let is_replica_expiring = pause_ms * 2 > ttl_ms;
                 has_replica && (is_in_time || is_replica_expiring)
             }
@@ -1059,11 +995,12 @@
                 (instance, replica, replica_target, hold, retry)
             }
             EngineChoice::Refuse { late_ms } => {
-                self.refuse_late(late_ms);
+                let retry_after_ms = self.schedule.refuse(&self.core, late_ms);
+                self.fail(Failure::Late { retry_after_ms });
                 return;
             }
             EngineChoice::Wait { reason, replica, is_in_time } => {
-                self.was_in_time = is_in_time;
+                self.schedule.record_wait(is_in_time);
                 self.wait_for_engine(position, reason, replica);
                 return;
             }
@@ -1075,15 +1012,14 @@
             retry.spend();
         }
         self.wait_reason = None;
-        self.ticket = None;
-        self.search_since_ms = None;
+        self.schedule.end_search();
         self.sends += 1;
         self.open_sends += 1;
         self.excluded.push(Arc::clone(&instance.entry.id));
         if replica.is_some() {
             self.replica_attempt = Some(id);
         }
-        let urgency = self.urgency_level();
+        let urgency = self.schedule.urgency_level(self.progress(self.core.clock.now_ms()));
         let mut extra_headers = self.attempt_headers(replica.as_ref(), replica_target, urgency);
         if let Some(id) = hold.and_then(EngineHold::spend) {
             extra_headers.push((self.core.dialect.hold.clone(), id));
@@ -1118,29 +1054,6 @@
         self.input(Input::Sent { attempt: id });
     }
 
-    /// Refuses a new stream whose first event would be late by `late_ms` at any of the probed engines. The time until the
-    /// caller may return is that in which the engines work off what makes it late.
-    fn refuse_late(&mut self, late_ms: u64) {
-        let now_ms = self.core.clock.now_ms();
-        let backlog_ms = match self.class() {
-            StreamClass::MostUrgent => late_ms / 2,
-            StreamClass::LessUrgent | StreamClass::Only => late_ms,
-        };
-        let left_ms = self.inbound.first_event_target_ms().saturating_sub(now_ms);
-        let pause_ms = backlog_ms.min(left_ms / 2);
-        let retry_after_ms = pause_ms + self.core.stream_retry_after_ms();
-        log::info!(
-            "stream: id={} refused, reason=late priority={} late_ms={late_ms} waited_ms={} \
-             retry_after_ms={retry_after_ms}",
-            self.inbound.id_text(),
-            self.inbound.priority.level(),
-            now_ms.saturating_sub(self.inbound.arrived_ms),
-        );
-        let priority = self.inbound.priority.level().to_string();
-        metrics::counter!("streams_shed_total", "priority" => priority).increment(1);
-        self.fail(Failure::Late { retry_after_ms });
-    }
-
     /// Ends an attempt that cannot start yet. The state machine starts the next one after a pause, unless the limits of
     /// the engines leave no request to this daemon before the first event would be late.
     fn wait_for_engine(&mut self, position: usize, reason: WaitReason, replica: Option<KvReplica>) {
@@ -1199,7 +1112,8 @@
         {
             headers.push((dialect.expected_weights_version.clone(), version.clone()));
         }
-        let replicates_kv = self.engine_config().is_some_and(|config| config.replicates_kv);
+        let replicates_kv =
+            self.schedule.engine_config().is_some_and(|config| config.replicates_kv);
         let target = replica_target.filter(|_| replicates_kv);
         let now_ms = self.core.clock.now_ms();
         self.replicator
