--- a/crates/limit/src/stream_admission.rs
+++ b/crates/limit/src/stream_admission.rs
@@ -75,7 +75,7 @@
         let best_ms = offers[best].first_event_ms;
         let left_ms = self.target_ms.saturating_sub(now_ms);
         let waited_ms = now_ms.saturating_sub(self.since_ms);
-        let is_in_time = best_ms.saturating_mul(100) <= left_ms.saturating_mul(EXPECTED_PERCENT);
+        let is_in_time = best_ms.saturating_mul(100) < left_ms.saturating_mul(EXPECTED_PERCENT);
         if let Some(position) = offers.iter().position(|offer| self.has_room(offer)) {
             return StreamVerdict::Send(position);
         }
