--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -949,7 +949,6 @@
         }
     }
 
-    version_rule::VersionRule,
     /// Whether the stream can still meet its targets, or has met them so far.
     fn progress(&self, now_ms: u64) -> StreamProgress {
         let target_ms = self.inbound.first_event_target_ms();
