--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -218,10 +218,13 @@
         }
     }
 
-    /// Applies an order that was written at `revision`.
-    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64) {
+    /// Applies an order that was written at `revision`. `is_restored` tells whether it is from the first list after a
+    /// restoration of the store.
+    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64, is_restored: bool) {
         let RolloutOrder { service, target, duration_ms } = order.clone();
-        match self.with(|rollouts, now_ms| rollouts.apply_order(order, revision, now_ms)) {
+        let change = self
+            .with(|rollouts, now_ms| rollouts.apply_order(order, revision, is_restored, now_ms));
+        match change {
             Some(OrderChange::Started) => {
                 log::info!(
                     "rollout: service={service} begins, target={target} duration_ms={duration_ms} revision={revision}"
--- a/crates/ingress/src/rollout_items.rs
+++ b/crates/ingress/src/rollout_items.rs
@@ -34,13 +34,17 @@
         let listed: HashSet<ServiceName> =
             names.filter_map(|name| ServiceName::try_from(name).ok()).collect();
         control.begin_list(&listed, is_restored);
-        items.iter().for_each(|item| self.apply(control, item));
+        items.iter().for_each(|item| self.apply_item(control, item, is_restored));
     }
 
     /// Applies a change, if it is one of an order or a status.
     pub fn apply(&mut self, control: &RolloutControl, change: &Change) {
+        self.apply_item(control, change, false);
+    }
+
+    fn apply_item(&mut self, control: &RolloutControl, change: &Change, is_restored: bool) {
         if let Some(name) = change.key.strip_prefix(self.keys.rollout_orders) {
-            self.apply_order(control, name, change);
+            self.apply_order(control, name, change, is_restored);
         } else if let Some(name) = change.key.strip_prefix(self.keys.rollout_statuses)
             && let Ok(service) = ServiceName::try_from(name)
         {
@@ -52,7 +56,13 @@
     }
 
     /// Applies the order of the service `name`. One that cannot be read leaves the running one in force.
-    fn apply_order(&mut self, control: &RolloutControl, name: &str, change: &Change) {
+    fn apply_order(
+        &mut self,
+        control: &RolloutControl,
+        name: &str,
+        change: &Change,
+        is_restored: bool,
+    ) {
         let Ok(service) = ServiceName::try_from(name) else { return };
         let Some(value) = &change.value else {
             control.remove_order(&service);
@@ -61,7 +71,7 @@
         let reason = match (self.decoders.order)(value) {
             Ok(order) if order.service == service => {
                 self.unreadable.remove(name);
-                control.apply_order(order, change.revision);
+                control.apply_order(order, change.revision, is_restored);
                 return;
             }
             Ok(order) => format!("it names the service {}", order.service),
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -88,6 +88,10 @@
 /// Mean time that the answers before the order cover.
 const BEFORE_MS: f64 = 30_000.0;
 
+/// Evidence, as a natural logarithm, that is not needed once a version was found good: a bad one gets much more traffic
+/// from then on, and completing it costs more than a rollback. The odds are 100.
+const SHIFT_EVIDENCE: f64 = -3.0;
+
 /// Largest credit of a route. More would send a series of requests to the target version.
 const MAX_CREDIT: f64 = 2.0;
 
@@ -153,6 +157,8 @@
     broadcast_ms: u64,
     /// State that is to be written to the store, and since when.
     wanted: Option<(RolloutState, u64)>,
+    /// Whether this daemon has found the version bad without being a judge, and no judge has confirmed that yet.
+    is_own_verdict: bool,
     /// What the last verdict was based on.
     pub finding: Option<Finding>,
 }
@@ -203,6 +209,7 @@
             broadcasts: 0,
             broadcast_ms: 0,
             wanted: None,
+            is_own_verdict: false,
             finding: None,
         }
     }
@@ -485,6 +492,7 @@
             return false;
         }
         self.learn_age(reply.age_ms, now_ms);
+        self.is_own_verdict &= !reply.phase.is_final();
         let has_changed = match (self.phase, reply.phase) {
             (Phase::Completed, _) => false,
             (_, Phase::Completed | Phase::RolledBack) => self.set_phase(reply.phase, now_ms),
@@ -513,13 +521,16 @@
         let totals = self.totals();
         if rank.is_none() {
             self.finding = totals.finding(std::iter::empty(), OWN_EVIDENCE);
-            return self.finding.is_some() && self.set_phase(Phase::RolledBack, now_ms);
+            self.is_own_verdict =
+                self.finding.is_some() && self.set_phase(Phase::RolledBack, now_ms);
+            return self.is_own_verdict;
         }
         let snapshots = &self.snapshots;
         let earlier = PERIODS.iter().filter_map(|states| {
             snapshots.len().checked_sub(*states).and_then(|at| snapshots.get(at))
         });
-        self.finding = totals.finding(earlier.map(|(_, totals)| totals), 0.0);
+        let extra_evidence = if self.phase == Phase::Shifting { SHIFT_EVIDENCE } else { 0.0 };
+        self.finding = totals.finding(earlier.map(|(_, totals)| totals), extra_evidence);
         if self.finding.is_some() {
             return self.set_phase(Phase::RolledBack, now_ms);
         }
@@ -608,10 +619,15 @@
         self.wanted
     }
 
+    /// Whether the judges need this daemon's counts: until they have a verdict, also if this daemon has one of its own.
+    pub fn is_reporting(&self) -> bool {
+        !self.phase.is_final() || self.is_own_verdict
+    }
+
     /// Whether the rollout has not ended, or its verdict is still to be sent to all daemons.
     pub fn is_active(&self) -> bool {
         let is_telling = self.phase == Phase::RolledBack && self.broadcasts < BROADCASTS;
-        !self.phase.is_final() || self.rank.is_some() && is_telling
+        self.is_reporting() || self.rank.is_some() && is_telling
     }
 
     /// Whether the verdict is due to be sent to all daemons.
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -82,15 +82,21 @@
     }
 
     /// Applies the order of a service that was written at `revision`. A write of the same content while the rollout runs
-    /// continues it.
-    pub fn apply_order(&mut self, order: RolloutOrder, revision: u64, now_ms: u64) -> OrderChange {
+    /// continues it. After a restoration of the store (`is_restored`), the same content is the same order in any case.
+    pub fn apply_order(
+        &mut self,
+        order: RolloutOrder,
+        revision: u64,
+        is_restored: bool,
+        now_ms: u64,
+    ) -> OrderChange {
         let service = order.service.clone();
         self.missing.remove(&service);
         if let Some(rollout) = self.rollouts.get_mut(&service) {
             if rollout.order == order && rollout.has_revision(revision) {
                 return OrderChange::None;
             }
-            if rollout.order == order && !rollout.phase.is_final() {
+            if rollout.order == order && (is_restored || !rollout.phase.is_final()) {
                 rollout.add_revision(revision);
                 return OrderChange::Continued;
             }
@@ -300,7 +306,7 @@
             let Some(rollout) = self.rollouts.get_mut(&service) else { continue };
             let judges = judges(&service, rollout.order.target.as_str(), daemons);
             let rank = judge_rank(&judges, own);
-            if !rollout.phase.is_final() {
+            if rollout.is_reporting() {
                 let report = rollout.report(&overdue, old_running, now_ms);
                 if rollout.is_report_due(now_ms) {
                     rollout.mark_reported(now_ms);
--- a/crates/rollout/src/totals.rs
+++ b/crates/rollout/src/totals.rs
@@ -21,7 +21,7 @@
 const LOG_PERIOD: f64 = 1.1;
 
 /// Odds against a bad version by which a route, or all routes in the last seconds, count as good.
-const GOOD_ODDS: f64 = 30.0;
+const GOOD_ODDS: f64 = 100.0;
 
 /// Part of the traffic below which a route is judged together with the others only, because it cannot yield enough answers
 /// in the time of an order.
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -200,7 +200,7 @@
         };
         for (daemon, seen_ms) in seen_ms.iter_mut().enumerate() {
             if now_ms >= *seen_ms && *seen_ms > 0 {
-                daemons[daemon].apply_order(order(scene.duration_ms), 7, now_ms);
+                daemons[daemon].apply_order(order(scene.duration_ms), 7, false, now_ms);
                 *seen_ms = 0;
             }
         }
