Rollout: easier evidence during the shift counts since the order only

The lower odds now hold for the answers since the order alone.

Besides, each type of the crate has a file of its own.

--- a/crates/rollout/src/finding.rs
+++ b/crates/rollout/src/finding.rs
@@ -1,25 +1,6 @@
 //! What shows that a version is bad.
 
-use crate::route_key::RouteKey;
-
-/// Kind of bad answers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fault {
-    /// Answers with a server error.
-    Failures,
-    /// Answers that took several times as long as usual.
-    Slowness,
-}
-
-impl Fault {
-    /// Value of the key `fault` in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Failures => "failures",
-            Self::Slowness => "slowness",
-        }
-    }
-}
+use crate::{fault::Fault, route_key::RouteKey};
 
 /// Evidence that a version is bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -11,26 +11,34 @@
 )]
 
 mod allocation;
+mod answer;
 mod bounds;
 mod counts;
 mod evidence;
+mod fault;
 mod finding;
 mod instance_set;
 mod judges;
 mod meter;
+mod new_request;
 mod open_request;
 mod order;
+mod order_change;
 mod pass;
 mod phase;
 mod reply;
 mod report;
 mod rollout;
+mod rollout_start;
 mod rollouts;
 mod route_counts;
 mod route_key;
+mod state;
 mod status;
 mod status_write;
+mod stored_status;
 mod totals;
+mod usable_versions;
 mod version_choice;
 
 pub use crate::{
@@ -38,20 +46,24 @@
     bounds::RolloutBounds,
     counts::Counts,
     evidence::{baseline, excludes_bad, log_evidence},
-    finding::{Fault, Finding},
+    fault::Fault,
+    finding::Finding,
     instance_set::InstanceSet,
     judges::{JUDGES, judge_rank, judges},
-    open_request::NewRequest,
+    new_request::NewRequest,
     order::RolloutOrder,
+    order_change::OrderChange,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
     report::RolloutReport,
-    rollouts::{OrderChange, Rollouts},
+    rollouts::Rollouts,
     route_counts::RouteCounts,
     route_key::RouteKey,
-    status::{RolloutState, RolloutStatus},
+    state::RolloutState,
+    status::RolloutStatus,
     status_write::StatusWrite,
     totals::Totals,
-    version_choice::{UsableVersions, VersionChoice},
+    usable_versions::UsableVersions,
+    version_choice::VersionChoice,
 };
--- a/crates/rollout/src/meter.rs
+++ b/crates/rollout/src/meter.rs
@@ -1,9 +1,6 @@
 //! Usual times and answers of one route.
 
-use crate::{
-    counts::Counts,
-    open_request::{Answer, OpenRequest},
-};
+use crate::{answer::Answer, counts::Counts, open_request::OpenRequest};
 
 /// Multiple of the usual time from which an answer is slow.
 const SLOW_FACTOR: f64 = 3.0;
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -2,21 +2,23 @@
 
 use crate::{
     allocation::{allocate, next_share, own_share, shift_share},
+    answer::Answer,
     bounds::RolloutBounds,
-    counts::Counts,
     finding::Finding,
     instance_set::InstanceSet,
-    open_request::{Answer, NewRequest},
+    new_request::NewRequest,
     order::RolloutOrder,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
     report::RolloutReport,
+    rollout_start::RolloutStart,
     route_counts::RouteCounts,
     route_key::RouteKey,
-    status::RolloutState,
+    state::RolloutState,
     totals::Totals,
-    version_choice::{UsableVersions, VersionChoice},
+    usable_versions::UsableVersions,
+    version_choice::VersionChoice,
 };
 use affinity::SoftwareVersion;
 use base::HashMap;
@@ -163,17 +165,6 @@
     pub finding: Option<Finding>,
 }
 
-/// What a daemon that takes note of an order knows besides.
-#[derive(Debug)]
-pub(crate) struct RolloutStart {
-    pub revision: u64,
-    pub number: u64,
-    pub lifetime: u64,
-    pub bounds: RolloutBounds,
-    pub before: Vec<(RouteKey, Counts)>,
-    pub now_ms: u64,
-}
-
 impl Rollout {
     pub fn new(order: RolloutOrder, start: RolloutStart) -> Self {
         let RolloutStart { revision, number, lifetime, bounds, before, now_ms } = start;
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -1,20 +1,27 @@
 //! Rollouts of all services, as one daemon knows them.
 
 use crate::{
+    answer::Answer,
     bounds::RolloutBounds,
     judges::{judge_rank, judges},
     meter::Meter,
-    open_request::{Answer, NewRequest, OpenRequest},
+    new_request::NewRequest,
+    open_request::OpenRequest,
     order::RolloutOrder,
+    order_change::OrderChange,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
     report::RolloutReport,
-    rollout::{Rollout, RolloutStart},
+    rollout::Rollout,
+    rollout_start::RolloutStart,
     route_key::RouteKey,
-    status::{RolloutState, RolloutStatus},
+    state::RolloutState,
+    status::RolloutStatus,
     status_write::StatusWrite,
-    version_choice::{UsableVersions, VersionChoice},
+    stored_status::StoredStatus,
+    usable_versions::UsableVersions,
+    version_choice::VersionChoice,
 };
 use affinity::SoftwareVersion;
 use base::{HashMap, HashSet, ServiceName};
@@ -26,26 +33,6 @@
 /// Largest number of routes of one service whose usual times are kept.
 const MAX_METERS: usize = 64;
 
-/// What an order that was read means.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderChange {
-    /// A rollout begins.
-    Started,
-    /// The order of the running rollout was written again.
-    Continued,
-    /// A rollout has ended because its order was removed.
-    Removed,
-    /// Nothing has changed.
-    None,
-}
-
-/// Status of a service in the store.
-#[derive(Debug)]
-struct StoredStatus {
-    status: Option<RolloutStatus>,
-    revision: u64,
-}
-
 /// Rollouts of all services, as one daemon knows them.
 #[derive(Debug)]
 pub struct Rollouts {
--- a/crates/rollout/src/totals.rs
+++ b/crates/rollout/src/totals.rs
@@ -3,7 +3,8 @@
 use crate::{
     counts::Counts,
     evidence::{baseline, excludes_bad, log_evidence},
-    finding::{Fault, Finding},
+    fault::Fault,
+    finding::Finding,
     instance_set::InstanceSet,
     report::RolloutReport,
     route_counts::RouteCounts,
@@ -77,7 +78,7 @@
     }
 
     /// What shows that the target version is bad, by its answers since the order and since each of the earlier totals;
-    /// `None` if it does not seem to be.
+    /// `None` if it does not seem to be. A negative `extra_evidence` counts for the answers since the order only.
     pub fn finding<'a>(
         &self,
         earlier: impl Iterator<Item = &'a Totals>,
@@ -91,7 +92,7 @@
         whole.or_else(|| {
             let mut earlier = earlier;
             earlier.find_map(|totals| {
-                self.finding_since(totals, LOG_BAD + LOG_PERIOD + extra_evidence)
+                self.finding_since(totals, LOG_BAD + LOG_PERIOD + extra_evidence.max(0.0))
             })
         })
     }
--- /dev/null
+++ b/crates/rollout/src/usable_versions.rs
@@ -0,0 +1,12 @@
+//! Versions of a service that can take requests.
+
+/// Which versions of a service have instances that take requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UsableVersions {
+    /// Whether another version than the target has.
+    pub old: bool,
+    /// Whether the target version has.
+    pub target: bool,
+    /// Slots of the target's instances divided by those of the others.
+    pub slots_ratio: f64,
+}
