--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -1,20 +1,27 @@
 //! Rollouts of all services, as one daemon knows them.
 
 use crate::{
+    answer::Answer,
     bounds::RolloutBounds,
     judges::{judge_rank, judges},
     meter::Meter,
-    open_request::{Answer, NewRequest, OpenRequest},
+    new_request::NewRequest,
+    open_request::OpenRequest,
     order::RolloutOrder,
+    order_change::OrderChange,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
     report::RolloutReport,
-    rollout::{Rollout, RolloutStart},
+    rollout::Rollout,
+    rollout_start::RolloutStart,
     route_key::RouteKey,
-    status::{RolloutState, RolloutStatus},
+    state::RolloutState,
+    status::RolloutStatus,
     status_write::StatusWrite,
-    version_choice::{UsableVersions, VersionChoice},
+    stored_status::StoredStatus,
+    usable_versions::UsableVersions,
+    version_choice::VersionChoice,
 };
 use affinity::SoftwareVersion;
 use base::{HashMap, HashSet, ServiceName};
@@ -26,26 +33,6 @@
 /// Largest number of routes of one service whose usual times are kept.
 const MAX_METERS: usize = 64;
 
-/// What an order that was read means.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderChange {
-    /// A rollout begins.
-    Started,
-    /// The order of the running rollout was written again.
-    Continued,
-    /// A rollout has ended because its order was removed.
-    Removed,
-    /// Nothing has changed.
-    None,
-}
-
-/// Status of a service in the store.
-#[derive(Debug)]
-struct StoredStatus {
-    status: Option<RolloutStatus>,
-    revision: u64,
-}
-
 /// Rollouts of all services, as one daemon knows them.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -82,15 +69,21 @@
     }
 
     /// Applies the order of a service that was written at `revision`. A write of the same content while the rollout runs
-    /// continues it.
-    pub fn apply_order(&mut self, order: RolloutOrder, revision: u64, now_ms: u64) -> OrderChange {
+    /// continues it. After a restoration of the store (`is_restored`), the same content is the same order in any case.
+    pub fn apply_order(
+        &mut self,
+        order: RolloutOrder,
+        revision: u64,
+        is_restored: bool,
+        now_ms: u64,
+    ) -> OrderChange {
         let service = order.service.clone();
         self.missing.remove(&service);
         if let Some(rollout) = self.rollouts.get_mut(&service) {
             if rollout.order == order && rollout.has_revision(revision) {
                 return OrderChange::None;
             }
-            if rollout.order == order && !rollout.phase.is_final() {
+            if rollout.order == order && (is_restored || !rollout.phase.is_final()) {
                 rollout.add_revision(revision);
                 return OrderChange::Continued;
             }
@@ -300,7 +293,7 @@
             let Some(rollout) = self.rollouts.get_mut(&service) else { continue };
             let judges = judges(&service, rollout.order.target.as_str(), daemons);
             let rank = judge_rank(&judges, own);
-            if !rollout.phase.is_final() {
+            if rollout.is_reporting() {
                 let report = rollout.report(&overdue, old_running, now_ms);
                 if rollout.is_report_due(now_ms) {
                     rollout.mark_reported(now_ms);
