Balancing: rises of engine rates are followed by 0.15 in place of 0.25

Cause: under high load every sample of equal engines contains prompts that no report showed, and rates that follow them tell equal engines apart.

--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -131,10 +131,9 @@
             tokio::time::sleep(Duration::from_millis(RATES_INTERVAL_MS)).await;
             let services = core.with_registry(|registry, now_ms| registry.shared_rates(now_ms));
             for rates in services {
-                for peer in core.random_peers(1) {
-                    self.send(&rates_message(rates.clone()), peer).await;
-                    metrics::counter!("engine_rates_sent_total").increment(1);
-                }
+                let Some(&peer) = core.random_peers(1).first() else { break };
+                self.send(&rates_message(rates), peer).await;
+                metrics::counter!("engine_rates_sent_total").increment(1);
             }
         }
     }
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -22,7 +22,8 @@
     /// Software version that the instance must have; `None` if it may have any.
     pub required_version: Option<&'a SoftwareVersion>,
     /// Whether instances in the daemon's own failure domain are preferred as long as they are not slower. Long requests
-    /// are spread over all domains instead: the loss of one domain then hits only a few of them at each daemon, and the retry budget suffices.
+    /// are spread over all domains instead: the loss of one domain then hits only a few of them at each daemon, and the
+    /// retry budget suffices.
     pub prefers_local: bool,
 }
 
--- a/crates/route/src/learning.rs
+++ b/crates/route/src/learning.rs
@@ -25,9 +25,10 @@
         Self { rise: 0.03, fall: 0.03, decay_ms: u64::MAX, bounds: (0.1, 60_000.0) };
 
     /// Times per prompt token and per event of an engine. Its speed is that of its machine, so that old values are still
-    /// true. A fall is followed faster than a rise, because requests that were not known of only make a sample longer.
+    /// true. A fall is followed faster than a rise, because requests that were not known of only make a sample longer:
+    /// under high load, all samples of equal engines do.
     pub const ENGINE_MS: Self =
-        Self { rise: 0.25, fall: 0.5, decay_ms: 120_000, bounds: (0.001, 10_000.0) };
+        Self { rise: 0.15, fall: 0.5, decay_ms: 120_000, bounds: (0.001, 10_000.0) };
 
     /// Usual times per prompt token and per event of a service, and its usual number of prompt tokens.
     pub const USUAL_ENGINE: Self =
