Relays: lists come from the first tier, and readers are told of one at once

Cause: after a restoration of the store everyone lists. A reader of the second tier listed only after its relay had, on links of 10 Mbit/s one second after the other, and then again, since its relay's list was later than its own.

Lists are now read from the first relays. A relay of the second tier that has to list answers 410 from then on, and a reader asks its relay and one first relay for changes before it lists; asking more relays brought old items up to date where one did not know of the restoration yet.

--- a/crates/plat/examples/relay_traffic.rs
+++ b/crates/plat/examples/relay_traffic.rs
@@ -70,6 +70,8 @@
     has_total_timeout: bool,
     history: Vec<Change>,
     items: HashMap<Box<str>, Change>,
+    /// Era of the store, which rises when it is restored.
+    era: u64,
     stale: Changes,
 }
 
@@ -96,7 +98,7 @@
     fn list(&self) -> Changes {
         let mut changes: Vec<Change> = self.items.values().cloned().collect();
         changes.sort_by_key(|change| change.revision);
-        Changes { changes, era: 1, revision: self.history.len() as u64, age_ms: 0 }
+        Changes { changes, era: self.era, revision: self.history.len() as u64, age_ms: 0 }
     }
 
     /// Changes after a revision; `None` if there are none and the watch has to wait.
@@ -104,7 +106,12 @@
         let revision = self.history.len() as u64;
         let first = after.min(revision) as usize;
         let changes = self.history[first..].to_vec();
-        (is_over || !changes.is_empty()).then_some(Changes { changes, era: 1, revision, age_ms: 0 })
+        (is_over || !changes.is_empty()).then_some(Changes {
+            changes,
+            era: self.era,
+            revision,
+            age_ms: 0,
+        })
     }
 
     fn count(&mut self, daemon: usize, role: Role, bytes: u64, calls: u64) {
@@ -379,7 +386,7 @@
             .sum::<u64>()
     };
     println!(
-        "{name}: median {:.0} busiest {largest:.0} most served {:.0} kB/s, store {store_calls} calls, full lists at relays {}, refused {}; busiest: {}",
+        "{name}: median {:.0} busiest {largest:.0} most served {:.0} kB/s, store {store_calls} calls, list pages at relays {}, refused {}; busiest: {}",
         rate(sums[sums.len() / 2]),
         rate(world.daemons.iter().map(served).max().unwrap_or(0)),
         calls(&[Role::RelayList]),
@@ -409,7 +416,7 @@
     let instances = daemons * INSTANCES_PER_DAEMON;
     {
         let mut world = lock(&WORLD);
-        *world = World { link_mbps, has_total_timeout, ..World::default() };
+        *world = World { link_mbps, has_total_timeout, era: 1, ..World::default() };
         world.daemons.resize_with(daemons, Daemon::default);
         for id in 0..instances {
             world.write(&format!("servers/i-{id:010x}"), entry(id, 0, 0));
@@ -437,6 +444,15 @@
     let at = |share: f64| arrivals[((arrivals.len() - 1) as f64 * share) as usize];
     println!("  change active after ms: p50 {} p99 {} max {}", at(0.5), at(0.99), at(1.0));
     report("  probes", (CHANGE_BOUND_MS + 113) as f64 * PROBES as f64 / 1_000.0);
+    lock(&WORLD).era += 1;
+    let mut arrivals = probe(PROBES + 1).await;
+    arrivals.sort_unstable();
+    let late = arrivals.iter().filter(|&&arrival| arrival == u64::MAX).count();
+    println!(
+        "  store restored: change active after ms: p50 {}, late {late}",
+        arrivals[daemons / 2]
+    );
+    report("  restored", (CHANGE_BOUND_MS + 113) as f64 / 1_000.0);
     for task in &tasks {
         task.abort();
     }
--- a/crates/plat/src/item_cache.rs
+++ b/crates/plat/src/item_cache.rs
@@ -51,6 +51,8 @@
     /// that continues between the two may have learned of such a key elsewhere; one that continues at either of them
     /// has not.
     gaps: VecDeque<(u64, u64)>,
+    /// Whether the items are about to be replaced by others that do not continue them.
+    is_superseded: bool,
     /// Revision up to which all changes are included; 0 before the first update.
     revision: u64,
     /// When the items were last known to be the latest ones; `None` before that and during an outage. It is negative if
@@ -82,6 +84,7 @@
             return;
         }
         self.update(is_latest.then_some(list.age_ms), |state| {
+            state.is_superseded = false;
             if list.era == state.era && state.revision > 0 && list.revision >= state.revision {
                 state.merge(list, self.is_same);
                 return;
@@ -118,6 +121,13 @@
         self.updates.send_replace(());
     }
 
+    /// Records that the items have to be replaced by a list that does not continue them, so that readers list at once. The
+    /// next list ends this.
+    pub fn mark_superseded(&self) {
+        self.state().is_superseded = true;
+        self.updates.send_replace(());
+    }
+
     /// Revision up to which all changes are included; 0 before the first update.
     pub fn revision(&self) -> u64 {
         self.state().revision
@@ -305,7 +315,7 @@
     /// Whether a reader that continues after `revision` may have an item whose removal is not remembered.
     fn has_forgotten(&self, revision: u64) -> bool {
         let is_in = |&(start, end): &(u64, u64)| start < revision && revision < end;
-        revision < self.forgotten_removals || self.gaps.iter().any(is_in)
+        self.is_superseded || revision < self.forgotten_removals || self.gaps.iter().any(is_in)
     }
 
     fn items_after(&self, revision: u64) -> Vec<Change> {
--- a/crates/plat/src/relay_tree.rs
+++ b/crates/plat/src/relay_tree.rs
@@ -64,6 +64,14 @@
         Self { order, first, second }
     }
 
+    /// Relays that read the service, those that the daemon on the VM `own_name` asks first for a list of all items.
+    pub(crate) fn first_relays(&self, own_name: &str) -> Vec<Relay> {
+        let mut relays: Vec<Relay> =
+            self.order[..self.first].iter().map(|relay| (*relay).clone()).collect();
+        relays.rotate_left(hash(own_name) as usize % self.first.max(1));
+        relays
+    }
+
     /// How the daemon on the VM `own_name` reads the service.
     pub(crate) fn read_path(&self, own_name: &str) -> ReadPath {
         if self.order.len() < MIN_DAEMONS {
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -5,6 +5,7 @@
     read_path::{ReadPath, choose_read_path},
     relay::Relay,
     relay_options::RelayOptions,
+    relay_tree::RelayTree,
     source::{Changes, Freshness, Source, SourceError},
 };
 use base::Clock;
@@ -132,15 +133,18 @@
         }
     }
 
-    /// Decides where to read from, by the daemons that announce themselves in the service.
-    fn read_path(&self) -> ReadPath {
+    /// The daemons that announce themselves in the service.
+    fn daemons(&self) -> Vec<Relay> {
         let prefix = self.options.prefix;
         let items = self.cache.values(prefix);
-        let daemons: Vec<Relay> = items
-            .iter()
-            .filter_map(|(key, item)| Relay::decode(key.strip_prefix(prefix)?, item))
-            .collect();
-        choose_read_path(&daemons, &self.options.domain, &self.options.own_name)
+        let daemons =
+            items.iter().filter_map(|(key, item)| Relay::decode(key.strip_prefix(prefix)?, item));
+        daemons.collect()
+    }
+
+    /// Decides where to read from.
+    fn read_path(&self) -> ReadPath {
+        choose_read_path(&self.daemons(), &self.options.domain, &self.options.own_name)
     }
 
     /// Whether the answer of a relay is older than the items that this daemon has. Such a list would bring back what was
@@ -240,10 +244,22 @@
         relays: &[Relay],
         read: Read<'_>,
     ) -> Result<Result<Changes, SourceError>, RelayError> {
-        if let Read::List(prefix, Freshness::Latest) = read
-            && let Some(list) = self.resume_list(relays, prefix).await?
-        {
-            return Ok(Ok(list));
+        if let Read::List(prefix, Freshness::Latest) = read {
+            // Relays of the second tier may be reading the same list just now, and have slower links. The first ones also
+            // have the changes for a reader whose list is older than the one of its relay.
+            let daemons = self.daemons();
+            let tree = RelayTree::new(&daemons, &self.options.domain);
+            let first_relays = tree.first_relays(&self.options.own_name);
+            // Further relays may not know yet that the service was restored, and would bring the old items up to date.
+            let mut asked: Vec<Relay> =
+                relays.first().into_iter().chain(first_relays.first()).cloned().collect();
+            asked.dedup();
+            if let Some(list) = self.resume_list(&asked, prefix).await? {
+                return Ok(Ok(list));
+            }
+            // Readers of this daemon list at the first relays as well, and not after it.
+            self.cache.mark_superseded();
+            return self.read_from_relay(&first_relays, read).await;
         }
         self.read_from_relay(relays, read).await
     }
--- a/crates/plat/tests/resumed_lists.rs
+++ b/crates/plat/tests/resumed_lists.rs
@@ -58,6 +58,19 @@
     assert!(relay.watch(390, 0, MAX_AGE_MS).await.is_ok());
 }
 
+/// Guards against readers that wait at a relay of the second tier until it has read a list after a restoration, and list
+/// only then.
+#[tokio::test]
+async fn readers_of_a_relay_that_has_to_list_are_sent_away_until_it_has() {
+    let relay = ItemCache::new(is_same);
+    relay.replace(&changes(vec![write("servers/a", "1", 1)], 3), true);
+    let wait = relay.watch(3, 30_000, MAX_AGE_MS);
+    let (read, ()) = tokio::join!(wait, async { relay.mark_superseded() });
+    assert!(matches!(read, Err(SourceError::Compacted)));
+    relay.replace(&changes(vec![write("servers/a", "1", 1)], 4), true);
+    assert!(relay.watch(3, 0, MAX_AGE_MS).await.is_ok());
+}
+
 /// Relay and service of the test below, with the calls that each got.
 struct World {
     relay: ItemCache,
