--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use std::{net::SocketAddr, time::Duration};
+use std::{future::Future, io::Result as IoResult, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, task::AbortHandle};
 
 /// Size of the read buffer. It is small because many connections are open at a time and responses arrive in small
@@ -38,11 +38,12 @@
     ///
     /// `Connect` if the connection cannot be opened in time.
     pub async fn open(addr: SocketAddr, wait_ms: u64) -> Result<Self, ClientError> {
-        Self::open_with(addr, wait_ms, enable_tcp_keepalive).await
+        let connect = async { socket_with_buffers(addr, SOCKET_BUFFER_BYTES)?.connect(addr).await };
+        Self::open_with(addr, connect, wait_ms, enable_tcp_keepalive).await
     }
 
     /// Connects like `open`, but lets the kernel detect the loss of the connection within about three seconds. Use it
-    /// if the wait for a response may be longer than that.
+    /// if the wait for a response may be longer than that. The kernel's buffers grow as needed, for long lists.
     ///
     /// # Errors
     ///
@@ -51,17 +52,15 @@
         addr: SocketAddr,
         wait_ms: u64,
     ) -> Result<Self, ClientError> {
-        Self::open_with(addr, wait_ms, enable_fast_tcp_keepalive).await
+        Self::open_with(addr, TcpStream::connect(addr), wait_ms, enable_fast_tcp_keepalive).await
     }
 
     async fn open_with(
         addr: SocketAddr,
+        connect: impl Future<Output = IoResult<TcpStream>>,
         wait_ms: u64,
         enable_keepalive: fn(&TcpStream),
     ) -> Result<Self, ClientError> {
-        let socket =
-            socket_with_buffers(addr, SOCKET_BUFFER_BYTES).map_err(ClientError::Connect)?;
-        let connect = socket.connect(addr);
         let stream = match tokio::time::timeout(Duration::from_millis(wait_ms), connect).await {
             Ok(stream) => stream.map_err(ClientError::Connect)?,
             Err(_) => return Err(ClientError::Connect(std::io::ErrorKind::TimedOut.into())),
