Web: a connection whose answer waits may be closed only after 200 ms without progress

Found in review: an answer larger than the send buffer blocks for a round trip again and again, and a caller that reads it at full speed was the first to be closed if the account was exhausted at that moment. The limits of connections are computed without a rounding error (959 in place of the documented 960 at 120 MB). New test that a connection beyond the limit gets a 503; it passes with the code before as well.

--- a/crates/web/src/connection_account.rs
+++ b/crates/web/src/connection_account.rs
@@ -21,7 +21,7 @@
 impl ConnectionAccount {
     /// Creates an account whose amounts also count in `account`.
     pub fn new(account: Arc<ByteAccount>) -> Self {
-        let limit_bytes = account.limit_bytes() / 100 * CONNECTIONS_PERCENT;
+        let limit_bytes = account.limit_bytes() * CONNECTIONS_PERCENT / 100;
         Self { account, held_bytes: AtomicUsize::new(0), limit_bytes }
     }
 
--- a/crates/web/src/connection_limits.rs
+++ b/crates/web/src/connection_limits.rs
@@ -54,7 +54,7 @@
         let account_bytes = memory_bytes / ACCOUNT_DIVISOR;
         let descriptors = file_descriptors.saturating_sub(FILES);
         let by_memory =
-            account_bytes / 100 * CONNECTIONS_PERCENT / (CONNECTION_BYTES + SOCKET_BUFFER_BYTES);
+            account_bytes * CONNECTIONS_PERCENT / 100 / (CONNECTION_BYTES + SOCKET_BUFFER_BYTES);
         let callers = by_memory.min(descriptors * CALLERS_PERCENT / 100);
         let relay = (callers / 2).min(descriptors * RELAY_PERCENT / 100);
         Self {
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -16,6 +16,10 @@
 };
 use tokio::{sync::watch, time::Instant};
 
+/// Time without progress after which a connection whose answer waits for its caller may be closed, in milliseconds. It is
+/// longer than a round trip to a distant caller.
+const MIN_BLOCKED_MS: u64 = 200;
+
 /// Shortest age at which a connection that is not blocked may be closed, in milliseconds. The head of a request arrives
 /// within this time unless its caller is slow.
 const MIN_AGE_MS: u64 = 250;
@@ -175,7 +179,9 @@
         let phase = self.phase.load(Ordering::Relaxed);
         let idle_ms = self.limits.borrow().idle_timeout_ms * KEPT_IDLE_PERCENT / 100;
         let is_old = phase_ms >= MIN_AGE_MS;
-        let standing = if self.is_blocked.load(Ordering::Relaxed) {
+        // An answer that exceeds the buffers blocks for moments also if the caller reads all the time.
+        let is_stuck = since(&self.last_write_ms) >= MIN_BLOCKED_MS;
+        let standing = if is_stuck && self.is_blocked.load(Ordering::Relaxed) {
             Standing::Blocked
         } else if self.is_pipelined.load(Ordering::Relaxed) {
             Standing::Pipelined
