Rollout: refusals are no evidence, and a repeated order stays completed

Found in review, by reading: a refused attempt was counted as a good and very fast answer, which hides the failures of a bad version and lowers the usual time of the old one. An order that was written once more after its completion began a new evaluation, which limits the only version that is left to the exposure share. The margin in which a judge without reports leaves the verdict to the others exceeds the delay of the second writer (1,200 ms in place of 700 ms).

--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -155,7 +155,8 @@
     /// Ends an exchange whose body was read to its end, and keeps its connection for reuse. Returns the holder of the
     /// part of the body that is kept.
     pub fn close(self, core: &Core) -> HeldBytes {
-        if let Some(observation) = &self.observation {
+        let is_refusal = self.status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(observation) = self.observation.as_ref().filter(|_| !is_refusal) {
             observation.answer(false);
         }
         return_connection(core, &self.guard, self.connection, &self.headers);
@@ -171,6 +172,8 @@
     /// Ends an exchange whose response is a refusal. The connection is kept for reuse if the body can be read within
     /// the limits, and closed otherwise.
     async fn close_refused(mut self, core: &Core) {
+        // A refusal comes sooner than an answer, and tells nothing of the version.
+        self.observation = None;
         let timeout = Duration::from_millis(REFUSAL_TIMEOUT_MS);
         let body = read_body(&mut self.body, MAX_REFUSAL_BYTES);
         if matches!(tokio::time::timeout(timeout, body).await, Ok(Ok(_))) {
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -78,8 +78,9 @@
 /// so that a daemon that cannot be told the verdict keeps to it.
 const UNINFORMED_MS: u64 = 3_000;
 
-/// Additional time in which a judge that hears of too few daemons leaves the verdict to the others.
-const UNHEARD_MARGIN_MS: u64 = 700;
+/// Additional time in which a judge that hears of too few daemons leaves the verdict to the others. It exceeds the delay
+/// after which the second judge writes the status.
+const UNHEARD_MARGIN_MS: u64 = 1_200;
 
 /// Time for which a judge plans the next shares: the age of reports and the time until the advice is followed.
 const HORIZON_MS: u64 = 800;
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -83,7 +83,10 @@
             if rollout.order == order && rollout.has_revision(revision) {
                 return OrderChange::None;
             }
-            if rollout.order == order && (is_restored || !rollout.phase.is_final()) {
+            // An order that is repeated after its completion asks for what has been done. A new evaluation would limit the
+            // only version that is left.
+            let goes_on = !rollout.phase.is_final() || rollout.phase == Phase::Completed;
+            if rollout.order == order && (is_restored || goes_on) {
                 rollout.add_revision(revision);
                 return OrderChange::Continued;
             }
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -57,6 +57,15 @@
     assert_eq!(rollouts.apply_order(order(15_000), 9, false, 60), OrderChange::Started);
 }
 
+/// Guards against an order that is written once more after its completion and then limits the only version that is left.
+#[test]
+fn a_repeated_order_stays_completed() {
+    let mut rollouts = daemon(1);
+    rollouts.apply_status(&service(), status(RolloutState::Completed), 7, 30);
+    assert_eq!(rollouts.apply_order(order(12_000), 8, false, 50), OrderChange::Continued);
+    assert_eq!(phase(&rollouts), Some(Phase::Completed));
+}
+
 /// Guards against a verdict that is taken back by a message that is late or repeated, or by a status.
 #[test]
 fn a_verdict_is_final() {
