Retry budget: a refund in a later slice returns the retry

Found in review: the refund took the retry from the slice of the moment, which is mostly another one than that of the withdrawal (100 ms), so that a stream that waits and searches used up the budget without a send. The new test fails with the code before.

--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -97,8 +97,11 @@
 
     /// Returns to the budget a retry that was withdrawn but not sent.
     pub fn refund(&mut self, now_ms: u64) {
-        let slice = self.slice(now_ms);
-        slice.retries = slice.retries.saturating_sub(1);
+        self.slice(now_ms);
+        // The retry may have been withdrawn in an earlier slice.
+        if let Some(slice) = self.slices.iter_mut().rev().find(|slice| slice.retries > 0) {
+            slice.retries -= 1;
+        }
     }
 
     fn slice_number(&self, now_ms: u64) -> u64 {
--- a/crates/limit/tests/retry_budget.rs
+++ b/crates/limit/tests/retry_budget.rs
@@ -158,3 +158,16 @@
     assert!(early <= 56 && early + later >= 70, "{early} at once and {later} after 5 s");
     assert!(early + later <= 72, "{early} at once and {later} after 5 s");
 }
+
+/// Guards against a retry that was withdrawn, not sent, and refunded in a later slice of the window, and that stays counted:
+/// a stream that waits and searches again and again would exhaust the budget without a send.
+#[test]
+fn a_refund_in_a_later_slice_returns_the_retry() {
+    let limits = RetryBudgetLimits { ratio: 0.0, slack: 10.0, window_ms: 10_000 };
+    let mut budget = RetryBudget::new(limits);
+    for search in 0..50 {
+        let withdrawn_ms = 1_000 + search * 150;
+        assert!(budget.try_withdraw(1, Urgency::Urgent, withdrawn_ms), "search {search}");
+        budget.refund(withdrawn_ms + 120);
+    }
+}
