Ingress: streams that engines refuse reservations are judged again; old bytes are no sign of life

A stream that a rollout binds to some instances no longer holds up the queue. Bytes that waited while the relay paused (a slow reader, a suspended daemon) do not extend the time in which a restarted engine is accepted. Messages about restarts fit into a datagram whatever the length of the identifiers.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -34,6 +34,10 @@
 /// Time between the health checks of an engine that did not respond to one, or that is silent beyond its timeout.
 const CHECK_SUSPECTED_MS: u64 = 900;
 
+/// Pause of the relay after which bytes that wait to be read count as old. The relay pauses while its caller does not read,
+/// and while the daemon is suspended.
+const MAX_POLL_PAUSE_MS: u64 = 500;
+
 /// Time since the head of the response in which a crash of the engine is put down to the request. An engine that a
 /// prompt crashes ends about 0.1 s after the head, and a slow one later.
 const BEGIN_MS: u64 = 600;
@@ -52,6 +56,11 @@
     last_activity_ms: u64,
     /// When something was last received from the engine for this attempt; `None` before the head of the response.
     last_received_ms: Option<u64>,
+    /// When the attempt was last polled.
+    last_polled_ms: u64,
+    /// Whether all that had arrived before the last pause of the relay has been read, so that what is read now has just
+    /// arrived.
+    is_up_to_date: bool,
     /// When the last health check started; before the first one, when the request was sent.
     checked_ms: u64,
     /// Health check in progress; `None` if there is none.
@@ -119,6 +128,8 @@
             progress: Progress::Choosing(choosing),
             last_activity_ms: now_ms,
             last_received_ms: None,
+            last_polled_ms: now_ms,
+            is_up_to_date: true,
             checked_ms: now_ms,
             check: None,
             begun_ms: None,
@@ -222,13 +233,16 @@
 
     /// Polls for the next step of the attempt, or for the result of the health check.
     pub fn poll_step(&mut self, now_ms: u64, cx: &mut Context<'_>) -> Poll<Step> {
+        self.is_up_to_date &= now_ms < self.last_polled_ms + MAX_POLL_PAUSE_MS;
+        self.last_polled_ms = now_ms;
         let step = self.poll_progress(cx);
+        self.is_up_to_date |= step.is_pending();
         if let Poll::Ready(step) = step {
             let is_comment = matches!(&step, Step::Event(event) if event.is_comment());
             if !is_comment {
                 self.last_activity_ms = now_ms;
             }
-            if matches!(step, Step::Head | Step::Event(_)) {
+            if self.is_up_to_date && matches!(step, Step::Head | Step::Event(_)) {
                 self.last_received_ms = Some(now_ms);
             }
             if matches!(step, Step::Head) {
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -208,20 +208,21 @@
     prompt_tokens: u64,
     hold_ms: u64,
 ) -> (StreamVerdict, Option<EngineHold>) {
-    let offers = probed.offers(ask, prompt_tokens);
+    let mut offers = probed.offers(ask, prompt_tokens);
     let verdict = ask.judge(&offers, core.clock.now_ms());
     let StreamVerdict::Send(first) = verdict else { return (verdict, None) };
     // Without room, the engine would refuse the reservation, and the stream is sent all the same.
     if hold_ms == 0 || !ask.has_room(&offers[first]) {
         return (verdict, None);
     }
-    for position in (first..offers.len()).filter(|&position| ask.has_room(&offers[position])) {
-        let Some(instance) = probed.get(position) else { break };
+    for (position, offer) in offers.iter_mut().enumerate().skip(first) {
+        let Some(instance) = probed.get(position).filter(|_| ask.has_room(offer)) else { continue };
         match EngineHold::take(core, instance, ask.tokens, hold_ms).await {
             HoldResult::Taken(hold) => return (StreamVerdict::Send(position), Some(hold)),
             HoldResult::Unavailable => return (StreamVerdict::Send(position), None),
-            HoldResult::Full => {}
+            HoldResult::Full => offer.load.used_tokens = offer.load.capacity_tokens,
         }
     }
-    (StreamVerdict::Wait { is_in_time: true }, None)
+    // The reports were out of date: no engine has room, so that the stream may wait, be refused, or preempt.
+    (ask.judge(&offers, core.clock.now_ms()), None)
 }
--- a/crates/ingress/src/restarts.rs
+++ b/crates/ingress/src/restarts.rs
@@ -8,7 +8,7 @@
     exchange::connect,
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
-    peer_message::PeerMessage,
+    peer_message::{MESSAGE_SIZE_BYTES, PeerMessage},
 };
 use base::lock;
 use futures::future::join_all;
@@ -31,9 +31,6 @@
 /// Time for which restarts are collected into one message.
 const COLLECT_MS: u64 = 20;
 
-/// Largest number of restarts in a message, so that it fits into a datagram.
-const MAX_RESTARTS: usize = 16;
-
 /// Restart of an instance under another identifier.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Restart {
@@ -173,13 +170,23 @@
         let unsent = std::mem::take(&mut *lock(&self.restarts.unsent));
         let Some(socket) = self.peer_socket.get() else { return };
         for peer in self.random_peers(FANOUT) {
-            for restarts in unsent.chunks(MAX_RESTARTS) {
-                socket.send(&PeerMessage::Restarts(restarts.to_vec()), peer).await;
+            for message in messages(&unsent) {
+                socket.send(&message, peer).await;
             }
         }
     }
 }
 
+/// Messages with `restarts`, each of which fits into a datagram.
+fn messages(restarts: &[Restart]) -> Vec<PeerMessage> {
+    let message = PeerMessage::Restarts(restarts.to_vec());
+    if restarts.len() <= 1 || message.encode().len() <= MESSAGE_SIZE_BYTES {
+        return vec![message];
+    }
+    let (first, rest) = restarts.split_at(restarts.len() / 2);
+    [messages(first), messages(rest)].concat()
+}
+
 /// Whether all versions are the same, so that a restarted instance has this one too.
 fn is_single_version<T: Eq>(mut versions: impl Iterator<Item = T>) -> bool {
     let Some(first) = versions.next() else { return false };
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -882,7 +882,9 @@
         let now_ms = core.clock.now_ms();
         let is_new = self.sends == 0 && self.events == 0 && self.inbound.last_event_id.is_none();
         let ask = self.schedule.search(self.progress(now_ms), is_new, now_ms);
-        let is_unconstrained = self.excluded.is_empty() && self.version == StreamVersion::Any;
+        let is_unconstrained = self.excluded.is_empty()
+            && self.version == StreamVersion::Any
+            && self.version_rule == VersionRule::Any;
         let turn = match &ask {
             Some(ask) if replica.is_none() => {
                 Some(self.schedule.turn(&core, ask, is_unconstrained))
