--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 /// Number of instances that get the requests for a version under evaluation, as a multiple of those that would run at the
-/// usual load of the old ones. The slack is spent early, which is more than the share.
+/// usual load of the old ones. With 2, a version that is bad only under load was found at the time limit alone.
 const LOAD_MARGIN: f64 = 1.0;
 
 /// Message with the daemons that get it.
