Balancing: learned rates of engines count only where engines differ

Cause: what is learned of equal engines differs by their load, and the order of the probed engines and the expected time to the first event followed it.

--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -47,6 +47,8 @@
     /// Whether instances were lost recently. A KV cache replica takes as much memory as the request that it replicates,
     /// so without losses a loaded engine serves more requests if it holds no replicas.
     has_losses: bool,
+    /// Usual time of one prefill.
+    prefill_ms: u64,
     /// Usual duration of a stream.
     stream_ms: u64,
     /// When the engines were probed.
@@ -64,8 +66,12 @@
                 false => (load.detail, load.pending_prefills),
             };
             let rates = &instance.rates;
-            let first_event_ms =
-                rates.first_event_ms(pending_prefills, prompt_tokens, self.probed_ms) as u64;
+            let first_event_ms = match rates.service().has_uneven_engines(self.probed_ms) {
+                true => {
+                    rates.first_event_ms(pending_prefills, prompt_tokens, self.probed_ms) as u64
+                }
+                false => (u64::from(pending_prefills) + 1).saturating_mul(self.prefill_ms),
+            };
             let memory_wait_ms = load.memory_wait_ms(ask.tokens, self.stream_ms);
             EngineOffer { load, first_event_ms: first_event_ms + memory_wait_ms }
         });
@@ -140,8 +146,12 @@
     });
     let mut engines: Vec<_> = loads.collect();
     engines.sort_by_key(|(load, _)| *load);
-    let stream_ms = core.timing(service).generation_ms.map_or(STREAM_MS, |ms| ms as u64);
-    ProbedEngines { engines, has_losses: core.has_recent_losses(), stream_ms, probed_ms }
+    let timing = core.timing(service);
+    // The measured wait for the first event contains the prefills of other requests, if there were any.
+    let prefill_ms = timing.first_token_ms.map_or(PREFILL_MS, |ms| (ms as u64).min(PREFILL_MS));
+    let stream_ms = timing.generation_ms.map_or(STREAM_MS, |ms| ms as u64);
+    let has_losses = core.has_recent_losses();
+    ProbedEngines { engines, has_losses, prefill_ms, stream_ms, probed_ms }
 }
 
 /// Whether an engine is alive: it responded recently, or responds to a probe now.
@@ -217,11 +227,18 @@
         };
         let rates = &instance.rates;
         let prefill_time = rates.relative_prefill_time(now_ms);
-        let first_event_ms = rates.first_event_ms(pending_prefills, prompt_tokens, now_ms);
+        let (first_event_ms, event_time) = match rates.service().has_uneven_engines(now_ms) {
+            true => (
+                rates.first_event_ms(pending_prefills, prompt_tokens, now_ms),
+                rates.relative_event_time(now_ms),
+            ),
+            // Equal engines differ in what was learned of them only by their load at the time.
+            false => (f64::from(pending_prefills), 1.0),
+        };
         Self {
             is_full: report.kv_used_tokens * 8 > report.kv_cache_tokens * 7,
             first_event_us: (first_event_ms * 1_000.0) as u64,
-            event_time_per_mille: (rates.relative_event_time(now_ms) * 1_000.0) as u32,
+            event_time_per_mille: (event_time * 1_000.0) as u32,
             pending_prefills,
             wait_per_mille: (f64::from(pending_prefills) * prefill_time * 1_000.0) as u32,
             detail,
--- a/crates/ingress/src/service_rates.rs
+++ b/crates/ingress/src/service_rates.rs
@@ -15,6 +15,9 @@
 /// with identifiers of usual length.
 const MAX_SHARED: usize = 36;
 
+/// Ratio of speeds from which engines count as uneven. A full batch and an empty one of equal engines differ by up to 1.7.
+const MIN_SPREAD: f64 = 2.0;
+
 /// Shortest time between two log lines on the speeds of engines.
 const SPEED_LOG_INTERVAL_MS: u64 = 30_000;
 
@@ -119,6 +122,20 @@
         recent.iter().filter_map(|rates| rates.shared(now_ms)).collect()
     }
 
+    /// Whether the engines differ so much that their load alone does not explain it: of those that were learned last, the
+    /// fastest fifth is at least `MIN_SPREAD` times as fast as the slowest fifth.
+    pub fn has_uneven_engines(&self, now_ms: u64) -> bool {
+        let recent: Vec<_> = lock(&self.recent).iter().filter_map(Weak::upgrade).collect();
+        let mut speeds: Vec<f64> =
+            recent.iter().map(|rates| rates.relative_speed(now_ms)).collect();
+        speeds.sort_unstable_by(f64::total_cmp);
+        let fifth = speeds.len() / 5;
+        match (speeds.get(fifth), speeds.iter().nth_back(fifth)) {
+            (Some(slow), Some(fast)) => *fast >= *slow * MIN_SPREAD,
+            _ => false,
+        }
+    }
+
     fn log_speeds(&self, known: usize, slowest: f64, fastest: f64, now_ms: u64) {
         let mut usual = lock(&self.usual);
         if now_ms < usual.speed_log_after_ms {
