Scheduling: routes order the streams of accounts with the same priority

The account is still compared first; the route orders requests of accounts with equal priorities. The levels that engines are told are the priorities of accounts, moved as far as it takes to tell routes apart, so that configurations without such ties have the levels they had. Streams between the most and the least urgent class keep memory for one further stream and may preempt less urgent ones.

--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -4,8 +4,9 @@
     core::CoreOptions,
     route_table::{Route, RouteTable},
 };
-use base::{AccountName, HashMap, HashSet, ServiceName};
-use limit::Priority;
+use base::{AccountName, HashMap, ServiceName};
+use limit::{Priority, RequestPriority, UrgencyLevels};
+use std::sync::Arc;
 use web::ServerLimits;
 
 /// One version of the configuration.
@@ -33,13 +34,13 @@
 
     /// Properties of a service; those of one without engines if it is unknown.
     pub fn service(&self, name: &ServiceName) -> ServiceConfig {
-        self.services.get(name).copied().unwrap_or_default()
+        self.services.get(name).cloned().unwrap_or_default()
     }
 
-    /// Sets `ServiceConfig::most_urgent` of all services by the priorities of their streaming routes and of the
+    /// Sets `ServiceConfig::urgency_levels` of all services by the priorities of their streaming routes and of the
     /// client accounts.
     pub fn mark_prioritized_services(&mut self) {
-        let mut priorities: HashMap<ServiceName, HashSet<Priority>> = HashMap::default();
+        let mut priorities: HashMap<ServiceName, Vec<RequestPriority>> = HashMap::default();
         for route in self.routes.streaming_routes() {
             let of_route = self.priorities_of(route);
             for (service, _) in route.services.iter().filter(|(_, weight)| *weight > 0) {
@@ -47,27 +48,27 @@
             }
         }
         for (name, service) in &mut self.services {
-            let found = priorities.get(name).filter(|found| found.len() > 1);
-            service.most_urgent = found.and_then(|found| found.iter().min().copied());
+            let found = priorities.remove(name).and_then(UrgencyLevels::new);
+            service.urgency_levels = found.map(Arc::new);
         }
     }
 
     /// All priorities that requests of a route can have.
-    fn priorities_of(&self, route: &Route) -> HashSet<Priority> {
-        let of_route = route.priority.unwrap_or_default();
-        let Some(accounts) = &self.accounts else { return HashSet::from_iter([of_route]) };
-        let of_accounts = accounts.values().map(|account| account.priority.unwrap_or(of_route));
-        of_accounts.chain(route.allows_anonymous.then_some(of_route)).collect()
+    fn priorities_of(&self, route: &Route) -> Vec<RequestPriority> {
+        let priority = |account| RequestPriority::new(account, route.priority);
+        let Some(accounts) = &self.accounts else { return vec![priority(None)] };
+        let of_accounts = accounts.values().map(|account| priority(account.priority));
+        of_accounts.chain(route.allows_anonymous.then(|| priority(None))).collect()
     }
 }
 
 /// Properties of one service that decide how its requests are served.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServiceConfig {
     /// Properties of the service's model engines; `None` for a service without engines.
     pub engine: Option<EngineConfig>,
-    /// Most urgent priority of the service's streaming requests; `None` if all of them have the same.
-    pub most_urgent: Option<Priority>,
+    /// Urgency levels of the service's streaming requests; `None` if all of them have the same priority.
+    pub urgency_levels: Option<Arc<UrgencyLevels>>,
 }
 
 impl ServiceConfig {
@@ -75,7 +76,7 @@
     /// reservations, or its streams have different priorities.
     pub fn schedules_streams(&self) -> bool {
         let has_holds = self.engine.is_some_and(|engine| engine.hold_ms > 0);
-        self.engine.is_some() && (has_holds || self.most_urgent.is_some())
+        self.engine.is_some() && (has_holds || self.urgency_levels.is_some())
     }
 }
 
@@ -136,6 +137,6 @@
 pub struct ClientAccount {
     /// Name of the account, which is sent to upstreams with each request.
     pub name: AccountName,
-    /// Priority of the account's requests, which takes precedence over that of the route; `None` if it has none.
+    /// Priority of the account's requests, which comes before that of the route; `None` if it has none.
     pub priority: Option<Priority>,
 }
--- a/crates/ingress/src/inbound.rs
+++ b/crates/ingress/src/inbound.rs
@@ -10,7 +10,7 @@
     HeaderMap, Method, Uri,
     header::{CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue},
 };
-use limit::Priority;
+use limit::RequestPriority;
 use quarantine::PartId;
 use rollout::Pass;
 use std::{
@@ -43,8 +43,8 @@
     /// Name of the route, for logs.
     pub route: Box<str>,
     pub kind: RouteKind,
-    /// Priority of the client account, or else of the route.
-    pub priority: Priority,
+    /// Priority by the client account and the route.
+    pub priority: RequestPriority,
     pub max_attempts: u32,
     pub target_latency_ms: u64,
     /// Tokens of the prompt; `None` if the caller does not state them.
@@ -190,9 +190,9 @@
         })
     }
 
-    fn priority(&self) -> Priority {
+    fn priority(&self) -> RequestPriority {
         let of_account = self.account.and_then(|account| account.priority);
-        of_account.or(self.route.priority).unwrap_or_default()
+        RequestPriority::new(of_account, self.route.priority)
     }
 
     /// Identifiers of the prompt's parts but the last one, which belongs to this request or its session alone.
--- a/crates/ingress/src/probe.rs
+++ b/crates/ingress/src/probe.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use hyper::Response;
-use limit::{EngineLoad, EngineOffer, StreamAsk, StreamClass, URGENCY_LEVELS};
+use limit::{EngineLoad, EngineOffer, StreamAsk, URGENCY_LEVELS};
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 use web::ClientError;
 
@@ -58,10 +58,10 @@
 impl ProbedEngines {
     /// Describes the engines for a stream with `prompt_tokens`.
     pub fn offers(&self, ask: &StreamAsk, prompt_tokens: u64) -> Vec<EngineOffer> {
-        let is_most_urgent = ask.class == StreamClass::MostUrgent;
+        let has_less_urgent = ask.class.has_less_urgent();
         let offers = self.engines.iter().map(|(load, instance)| {
-            // Only the prompts that are being read come before a stream of the most urgent class.
-            let (load, pending_prefills) = match is_most_urgent {
+            // Only the prompts that are being read come before a stream that overtakes those that wait.
+            let (load, pending_prefills) = match has_less_urgent {
                 true => (load.detail.without_queue(), load.detail.prefilling),
                 false => (load.detail, load.pending_prefills),
             };
--- a/crates/ingress/src/stream_schedule.rs
+++ b/crates/ingress/src/stream_schedule.rs
@@ -42,7 +42,8 @@
     /// follow the progress of the stream: an engine preempts by this level, and each finer one costs prompts that are
     /// prefilled again.
     pub fn urgency_level(&self) -> Option<u8> {
-        self.service.most_urgent.map(|_| self.inbound.priority.level())
+        let levels = self.service.urgency_levels.as_ref();
+        levels.map(|levels| levels.level(self.inbound.priority))
     }
 
     /// Begins or goes on to look for an engine. Returns the stream as the decision sees it; `None` if the service's
@@ -60,7 +61,7 @@
             inbound.prompt_tokens.map(|prompt| prompt.saturating_add(inbound.output_tokens));
         Some(StreamAsk {
             progress,
-            urgency_level: inbound.priority.level(),
+            urgency_level: self.urgency_level().unwrap_or(0),
             class: self.class(),
             is_refusable: is_new && !inbound.is_repeated,
             was_in_time: self.was_in_time,
@@ -83,7 +84,7 @@
         let ticket = self.ticket.get_or_insert_with(|| core.stream_queues.ticket(service));
         ticket.enter(WaitingStream {
             number: ticket.number(),
-            priority: self.inbound.priority,
+            level: ask.urgency_level,
             progress: ask.progress,
             latest_start_ms: ask.target_ms.saturating_sub(PREFILL_MS),
             since_ms: ask.since_ms,
@@ -110,9 +111,9 @@
     }
 
     /// Longest time of a reservation that the stream may take; 0 if it takes none. With several classes, a reservation of
-    /// a less urgent stream would be admitted before the most urgent class and could not give way to it.
+    /// the least urgent one would be admitted before all others and could not give way to them.
     pub fn hold_ms(&self) -> u64 {
-        let may_hold = self.class() != StreamClass::LessUrgent;
+        let may_hold = self.class() != StreamClass::LeastUrgent;
         self.service.engine.filter(|_| may_hold).map_or(0, |engine| engine.hold_ms)
     }
 
@@ -121,28 +122,25 @@
     pub fn refuse(&self, core: &Core, late_ms: u64) -> u64 {
         let now_ms = core.clock.now_ms();
         let backlog_ms = match self.class() {
-            StreamClass::MostUrgent => late_ms / 2,
-            StreamClass::LessUrgent | StreamClass::Only => late_ms,
+            StreamClass::Middle | StreamClass::MostUrgent => late_ms / 2,
+            StreamClass::LeastUrgent | StreamClass::Only => late_ms,
         };
         let left_ms = self.inbound.first_event_target_ms().saturating_sub(now_ms);
         let retry_after_ms = backlog_ms.min(left_ms / 2) + core.stream_retry_after_ms();
-        let priority = self.inbound.priority.level();
+        let level = self.urgency_level().unwrap_or(0);
         log::info!(
-            "stream: id={} refused, reason=late priority={priority} late_ms={late_ms} waited_ms={} \
+            "stream: id={} refused, reason=late urgency={level} late_ms={late_ms} waited_ms={} \
              retry_after_ms={retry_after_ms}",
             self.inbound.id_text(),
             now_ms.saturating_sub(self.inbound.arrived_ms),
         );
-        metrics::counter!("streams_shed_total", "priority" => priority.to_string()).increment(1);
+        metrics::counter!("streams_shed_total", "urgency" => level.to_string()).increment(1);
         retry_after_ms
     }
 
     /// Class of the stream among those of its service.
     fn class(&self) -> StreamClass {
-        match self.service.most_urgent {
-            None => StreamClass::Only,
-            Some(priority) if priority == self.inbound.priority => StreamClass::MostUrgent,
-            Some(_) => StreamClass::LessUrgent,
-        }
+        let levels = self.service.urgency_levels.as_ref();
+        levels.map_or(StreamClass::Only, |levels| levels.class(self.inbound.priority))
     }
 }
--- a/crates/limit/src/engine_load.rs
+++ b/crates/limit/src/engine_load.rs
@@ -46,7 +46,7 @@
         kept_tokens.saturating_add(tokens) <= self.capacity_tokens
     }
 
-    /// The load as a stream of the most urgent class finds it, which engines admit before all that wait.
+    /// The load as a stream finds it that engines admit before all that wait.
     pub fn without_queue(self) -> Self {
         Self { queued: 0, ..self }
     }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -22,6 +22,7 @@
 mod fleet_share;
 mod peer_demand;
 mod priority;
+mod request_priority;
 mod retry_budget;
 mod retry_budgets;
 mod stream_admission;
@@ -32,6 +33,7 @@
 mod upstream_limit_change;
 mod upstream_limits;
 mod upstream_pauses;
+mod urgency_levels;
 mod usage_digest;
 
 pub use crate::{
@@ -44,6 +46,7 @@
     engine_load::{EngineLoad, URGENCY_LEVELS},
     fleet_share::FleetShare,
     priority::Priority,
+    request_priority::RequestPriority,
     retry_budget::{RetryBudget, RetryBudgetLimits, Urgency},
     retry_budgets::RetryBudgets,
     stream_admission::{EngineOffer, StreamAsk, StreamVerdict},
@@ -53,5 +56,6 @@
     upstream_limit_change::UpstreamLimitChange,
     upstream_limits::UpstreamLimits,
     upstream_pauses::UpstreamPauses,
+    urgency_levels::UrgencyLevels,
     usage_digest::UsageDigest,
 };
--- a/crates/limit/src/stream_admission.rs
+++ b/crates/limit/src/stream_admission.rs
@@ -90,7 +90,7 @@
         }
         let can_preempt =
             |offer: &EngineOffer| offer.load.can_preempt(self.tokens, self.urgency_level);
-        if self.class == StreamClass::MostUrgent
+        if self.class.has_less_urgent()
             && self.progress != StreamProgress::Late
             && let Some(position) = offers.iter().position(can_preempt)
         {
--- a/crates/limit/src/stream_queue.rs
+++ b/crates/limit/src/stream_queue.rs
@@ -1,16 +1,20 @@
 //! Order in which the streams of one service at one daemon look for engines.
 
-use crate::{priority::Priority, stream_progress::StreamProgress};
+use crate::{engine_load::URGENCY_LEVELS, stream_progress::StreamProgress};
 
-/// Wait after which a stream counts as one class more urgent, and again after as long, so that none starves.
+/// Wait after which a stream counts as one level more urgent, and again after as long, so that none starves.
 const AGING_MS: u64 = 2_000;
 
+/// Levels by which a late stream comes later, so that it does not delay one of any level that can be in time.
+const LATE_LEVELS: u64 = URGENCY_LEVELS as u64;
+
 /// Stream that has found no engine with room yet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WaitingStream {
     /// Number of the stream, which grows with the time at which it began to wait.
     pub number: u64,
-    pub priority: Priority,
+    /// Urgency level of the stream, from 0, the most urgent one, to 9.
+    pub level: u8,
     pub progress: StreamProgress,
     /// Latest time at which the stream can be sent and still be in time.
     pub latest_start_ms: u64,
@@ -23,14 +27,14 @@
 impl WaitingStream {
     /// Key that orders waiting streams, the next one first.
     fn rank(&self, now_ms: u64) -> (u64, bool, u64, u64) {
-        let class = match self.progress {
-            StreamProgress::New | StreamProgress::Begun => self.priority.level(),
-            StreamProgress::Late => self.progress.queue_level(self.priority),
+        let delay = match self.progress {
+            StreamProgress::New | StreamProgress::Begun => 0,
+            StreamProgress::Late => LATE_LEVELS,
         };
-        let aged_class =
-            u64::from(class).saturating_sub(now_ms.saturating_sub(self.since_ms) / AGING_MS);
+        let aging = now_ms.saturating_sub(self.since_ms) / AGING_MS;
+        let aged_level = (u64::from(self.level) + delay).saturating_sub(aging);
         let is_new = self.progress != StreamProgress::Begun;
-        (aged_class, is_new, self.latest_start_ms, self.number)
+        (aged_level, is_new, self.latest_start_ms, self.number)
     }
 }
 
--- a/crates/limit/tests/burst/day.rs
+++ b/crates/limit/tests/burst/day.rs
@@ -2,8 +2,8 @@
 
 use crate::engine::{Engine, OUTPUT, PROMPT, Run, TICK_MS};
 use limit::{
-    EngineLoad, EngineOffer, Priority, StreamAsk, StreamClass, StreamProgress, StreamQueue,
-    StreamVerdict, WaitingStream,
+    EngineLoad, EngineOffer, StreamAsk, StreamClass, StreamProgress, StreamQueue, StreamVerdict,
+    WaitingStream,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::collections::VecDeque;
@@ -15,8 +15,8 @@
 const PREFILL_MS: u64 = 1_200;
 const STREAM_MS: u64 = 6_000;
 
-/// Streams a second, target for the first event, and priority of the two tiers.
-const TIERS: [(f64, u64, i64); 2] = [(3.2, 4_000, 0), (42.4, 10_000, 5)];
+/// Streams a second, target for the first event, and urgency level of the two tiers.
+const TIERS: [(f64, u64, u8); 2] = [(3.2, 4_000, 0), (42.4, 10_000, 1)];
 
 /// Age of the engines' reports in ticks.
 const REPORT_AGE_TICKS: usize = 10;
@@ -53,8 +53,9 @@
         }
     }
 
-    fn priority(&self) -> Priority {
-        Priority::clamped(TIERS[self.tier].2)
+    /// Urgency level, which is that of its tier whatever the progress.
+    fn level(&self) -> u8 {
+        TIERS[self.tier].2
     }
 }
 
@@ -189,10 +190,8 @@
     /// Looks for an engine for a stream, if it is its turn. Returns whether the stream was sent.
     fn find_engine(&mut self, id: usize, now_ms: u64) -> bool {
         let stream = self.streams[id];
-        let priority = stream.priority();
+        let urgency = if self.day.is_scheduled { stream.level() } else { 5 };
         if let Some(at) = stream.copy_at {
-            let urgency =
-                if self.day.is_scheduled { StreamProgress::Begun.queue_level(priority) } else { 5 };
             self.engines[at].copies.retain(|&copy| copy != id);
             self.streams[id].copy_at = None;
             let generated = stream.generated.max(1.0);
@@ -208,7 +207,7 @@
             let queue = &mut self.queues[id % DAEMONS];
             queue.enter(WaitingStream {
                 number: id as u64,
-                priority,
+                level: stream.level(),
                 progress,
                 latest_start_ms: stream.target_ms() - PREFILL_MS,
                 since_ms: stream.since_ms,
@@ -233,8 +232,12 @@
         }
         let ask = StreamAsk {
             progress,
-            urgency_level: priority.level(),
-            class: if stream.tier == 0 { StreamClass::MostUrgent } else { StreamClass::LessUrgent },
+            urgency_level: stream.level(),
+            class: if stream.tier == 0 {
+                StreamClass::MostUrgent
+            } else {
+                StreamClass::LeastUrgent
+            },
             is_refusable: !stream.is_sent && !stream.is_shed && stream.first_ms.is_none(),
             was_in_time: stream.was_in_time,
             since_ms: stream.since_ms,
@@ -265,8 +268,6 @@
             StreamVerdict::Send(position) => {
                 stream.is_sent = true;
                 let generated = stream.generated;
-                let urgency =
-                    if self.day.is_scheduled { progress.queue_level(priority) } else { 5 };
                 let run = Run { stream: id, urgency, prefill: PROMPT + generated, generated };
                 self.engines[probed[position]].queue.push(run);
                 self.queues[id % DAEMONS].leave(id as u64);
--- a/crates/limit/tests/stream_admission.rs
+++ b/crates/limit/tests/stream_admission.rs
@@ -1,8 +1,6 @@
 //! Tests of the decision on streams under load, with arbitrary engines such as a burst and the loss of a domain leave behind.
 
-use limit::{
-    EngineLoad, EngineOffer, Priority, StreamAsk, StreamClass, StreamProgress, StreamVerdict,
-};
+use limit::{EngineLoad, EngineOffer, StreamAsk, StreamClass, StreamProgress, StreamVerdict};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const NOW_MS: u64 = 20_000;
@@ -21,8 +19,10 @@
         let below = |g: &mut Gen, end: u64| u64::arbitrary(g) % end;
         let ask = StreamAsk {
             progress,
-            urgency_level: Priority::default().level(),
-            class: *g.choose(&[StreamClass::Only, StreamClass::LessUrgent]).unwrap(),
+            urgency_level: 5,
+            class: *g
+                .choose(&[StreamClass::Only, StreamClass::LeastUrgent, StreamClass::Middle])
+                .unwrap(),
             is_refusable: bool::arbitrary(g),
             was_in_time: bool::arbitrary(g),
             since_ms: NOW_MS - below(g, 12_000),
--- a/crates/limit/tests/stream_queue.rs
+++ b/crates/limit/tests/stream_queue.rs
@@ -1,6 +1,6 @@
 //! Tests of the order in which streams look for engines while a burst fills all of them.
 
-use limit::{Priority, StreamProgress, StreamQueue, WaitingStream};
+use limit::{StreamProgress, StreamQueue, WaitingStream};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 /// Stream with arbitrary properties that decide on its place.
@@ -12,7 +12,7 @@
         let all = [StreamProgress::New, StreamProgress::Begun, StreamProgress::Late];
         Self(WaitingStream {
             number: 0,
-            priority: Priority::clamped(*g.choose(&[0, 3, 5]).unwrap()),
+            level: *g.choose(&[0, 1, 3, 9]).unwrap(),
             progress: *g.choose(&all).unwrap(),
             latest_start_ms: u64::arbitrary(g) % 10_000,
             since_ms: u64::arbitrary(g) % 4_000,
@@ -49,17 +49,17 @@
 fn the_order_is_by_class_then_begun_ones_then_the_latest_start() {
     let new = WaitingStream {
         number: 0,
-        priority: Priority::default(),
+        level: 5,
         progress: StreamProgress::New,
         latest_start_ms: 5_000,
         since_ms: 0,
         is_unconstrained: true,
     };
     let late = WaitingStream { progress: StreamProgress::Late, latest_start_ms: 0, ..new };
-    let late_urgent = WaitingStream { priority: Priority::MOST_URGENT, ..late };
+    let late_urgent = WaitingStream { level: 0, ..late };
     let sooner = WaitingStream { latest_start_ms: 4_000, ..new };
     let begun = WaitingStream { progress: StreamProgress::Begun, ..new };
-    let urgent = WaitingStream { priority: Priority::MOST_URGENT, latest_start_ms: 9_000, ..new };
+    let urgent = WaitingStream { level: 0, latest_start_ms: 9_000, ..new };
     let order = [urgent, begun, sooner, new, late_urgent, late];
     let mut queue = queue_of(&order.map(AnyStream));
     for number in 0..order.len() as u64 {
@@ -70,12 +70,29 @@
     assert!(queue.is_empty());
 }
 
+/// Fails if a late stream of any level delays one of the same age that can be in time.
+#[test]
+fn late_streams_are_behind_all_that_can_be_in_time() {
+    fn holds(late: AnyStream, in_time: AnyStream) -> bool {
+        let late = WaitingStream { progress: StreamProgress::Late, since_ms: 0, ..late.0 };
+        let progress = match in_time.0.progress {
+            StreamProgress::Late => StreamProgress::New,
+            progress => progress,
+        };
+        let in_time = WaitingStream { progress, since_ms: 0, is_unconstrained: true, ..in_time.0 };
+        let queue = queue_of(&[AnyStream(late), AnyStream(in_time)]);
+        !queue.is_next(0, 1_000) && queue.is_next(1, 1_000)
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(12, 1)).tests(2_000);
+    checker.quickcheck(holds as fn(AnyStream, AnyStream) -> bool);
+}
+
 /// Fails if a stream starves because more urgent ones keep coming.
 #[test]
 fn a_stream_of_the_standard_tier_comes_before_new_urgent_ones_after_a_bounded_wait() {
     let standard = WaitingStream {
         number: 0,
-        priority: Priority::default(),
+        level: 5,
         progress: StreamProgress::New,
         latest_start_ms: 8_800,
         since_ms: 0,
@@ -83,7 +100,7 @@
     };
     let mut queue = StreamQueue::default();
     queue.enter(standard);
-    let urgent = WaitingStream { number: 1, priority: Priority::MOST_URGENT, ..standard };
+    let urgent = WaitingStream { number: 1, level: 0, ..standard };
     queue.enter(WaitingStream { since_ms: 9_000, latest_start_ms: 11_800, ..urgent });
     assert!(!queue.is_next(0, 9_000));
     queue.enter(WaitingStream { since_ms: 10_000, latest_start_ms: 12_800, ..urgent });
