--- a/crates/plat/src/list_and_watch.rs
+++ b/crates/plat/src/list_and_watch.rs
@@ -66,6 +66,7 @@
     let mut failures = 0_u32;
     let mut outage_start_ms = None;
     loop {
+        let call_start_ms = clock.now_ms();
         let outcome = match revision {
             None => source.list(prefix, freshness).await,
             Some(revision) if is_current => source.watch(prefix, revision, wait_ms).await,
@@ -96,6 +97,12 @@
                 let is_empty = read.changes.is_empty();
                 match revision {
                     None => {
+                        let size_bytes = read.changes.iter().map(Change::wire_bytes).sum::<u64>();
+                        log::info!(
+                            "plat: listed items={} size_bytes={size_bytes} took_ms={} freshness={freshness:?}",
+                            read.changes.len(),
+                            clock.now_ms().saturating_sub(call_start_ms),
+                        );
                         handler.on_list(read.changes);
                         is_current = freshness == Freshness::Latest;
                     }
