Recovery: avoid engines whose events do not continue the answer

Callers saw generation_failed ("too many attempts failed without a new token") although a healthy engine was there. An attempt that was lost because of an event with a wrong index, or a wrong token count at the end, was cancelled without a record of the engine's failure: unlike after other losses, the engine was neither avoided by the generation nor counted for its ejection. Such an engine answers at once and is never loaded, so it is at least as good a choice as the healthy one for each further attempt, and with equal loads each choice is a random draw.

The test an_engine_that_sends_wrong_events_is_avoided makes the healthy engine the more loaded one. The loss is now recorded as any other one.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -234,6 +234,22 @@
         }
     }
 
+    /// Records a failure of the engine of an attempt that was lost because its events do not continue the answer.
+    fn on_wrong_event(&mut self, id: AttemptId) {
+        let Some(lost) = self.running.iter().find(|running| running.id == id) else { return };
+        if let Some(guard) = &lost.guard {
+            guard.record_failure();
+        }
+        if let Some(addr) = lost.addr() {
+            log::info!(
+                "recovery: generation {} lost attempt {id} at engine {addr}: an event does not continue \
+                 the answer",
+                self.job.generation_id
+            );
+            self.avoid_engine(addr);
+        }
+    }
+
     /// Reports to the state machine what the new list of VMs says about the engine of each attempt.
     fn on_vm_change(&mut self) {
         let upstreams = Arc::clone(&self.shared.upstreams);
@@ -335,6 +351,11 @@
             metrics::counter!("generation_losses_total", "cause" => cause.as_str())
                 .increment(losses);
         }
+        if losses > 0
+            && let Input::Token { attempt, .. } | Input::Finished { attempt, .. } = input
+        {
+            self.on_wrong_event(attempt);
+        }
         if after.suspicions > before.suspicions {
             let addrs: Vec<SocketAddr> =
                 self.running.iter().filter_map(RunningAttempt::addr).collect();
--- a/crates/entry/tests/hostile_upstream.rs
+++ b/crates/entry/tests/hostile_upstream.rs
@@ -10,7 +10,14 @@
 use quickcheck::{Arbitrary, Gen};
 use serde_json::{Value, json};
 use stand::{Engine, EngineSettings, Platform, PlatformSettings, TokenChain};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -154,23 +161,34 @@
 
 /// Starts a server that sends a malformed response on every connection, and returns its address.
 async fn serve_malformed(head: String, rest: String) -> SocketAddr {
+    serve_counted(head, rest, Arc::default()).await
+}
+
+/// As `serve_malformed`; adds the requests for an answer to `requests`.
+async fn serve_counted(head: String, rest: String, requests: Arc<AtomicU64>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(send_malformed(stream, head.clone(), rest.clone()));
+            tokio::spawn(send_malformed(stream, head.clone(), rest.clone(), Arc::clone(&requests)));
         }
     });
     addr
 }
 
 /// Reads a request and sends a malformed response, whose part `rest` is repeated until the entry closes the connection.
-async fn send_malformed(mut stream: TcpStream, head: String, rest: String) {
+async fn send_malformed(
+    mut stream: TcpStream,
+    head: String,
+    rest: String,
+    requests: Arc<AtomicU64>,
+) {
     let mut request = vec![0; 64 * 1024];
     let Ok(size) = stream.read(&mut request).await else { return };
     let text = String::from_utf8_lossy(&request[..size]).into_owned();
     let id = text.split("\"request_id\":\"").nth(1).and_then(|rest| rest.split('"').next());
+    requests.fetch_add(u64::from(id.is_some()), Ordering::SeqCst);
     let head = head.replace("HEAD", HEAD).replace("ID", id.unwrap_or_default());
     let head = head.replace("HUGE", &"x".repeat(60_000));
     let _ = stream.write_all(head.as_bytes()).await;
@@ -213,6 +231,52 @@
     checks.join_all().await;
 }
 
+/// Number of streams that make an engine the more loaded one.
+const LONG_STREAMS: u64 = 30;
+
+/// An engine whose events do not continue the answer must not get all attempts of a request because it is less loaded
+/// than the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_sends_wrong_events_is_avoided() {
+    let wrong_events = MALFORMED_RESPONSES
+        .into_iter()
+        .filter(|(head, _)| head.contains("\"index\":4294967295") || head.contains("usage"));
+    let mut checks = JoinSet::new();
+    for (head, rest) in wrong_events {
+        checks.spawn(async move {
+            let fixture = Fixture::start(None, 20).await;
+            let body = json!({"model": MODEL, "prompt": "p", "max_tokens": 4_000, "stream": true});
+            let mut streams = Vec::new();
+            for _ in 0..LONG_STREAMS {
+                streams.push(send_request(fixture.addr(), &body).await);
+            }
+            let has_started = || u64::from(fixture.engine.state().load.running) == LONG_STREAMS;
+            timeout(WAIT, async {
+                while !has_started() {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            })
+            .await
+            .unwrap();
+            let requests = Arc::<AtomicU64>::default();
+            let other = serve_counted(head.to_owned(), rest.to_owned(), Arc::clone(&requests));
+            let vms = vec![vm(0, fixture.engine.addr()), vm(1, other.await)];
+            fixture.platform.set_vms(vms);
+            timeout(WAIT, async {
+                while requests.load(Ordering::SeqCst) == 0 {
+                    request_answer(fixture.addr()).await;
+                }
+            })
+            .await
+            .unwrap();
+            drop(streams);
+            fixture.close().await;
+        });
+    }
+    assert_eq!(checks.len(), 2);
+    checks.join_all().await;
+}
+
 /// Responses that are mutated from a fixed seed cover malformed responses that are not in the list.
 #[tokio::test(flavor = "multi_thread")]
 async fn mutated_engine_responses_do_not_fail_an_answer() {
