Soak: reserve a loopback network for each run

Two soaks with the same seed that ran at the same time shared the network 127.0.N.0, because N followed from the seed alone. The daemons of the second one could not bind their ports, or its clients reached the daemons of the first one, and a soak reported violations that no daemon had caused. A soak that was killed left its daemons behind at the same addresses.

A run now holds a listener at 127.0.N.0 until it ends, and takes the first network from the seed's one whose listener and whose daemons' ports for clients and readiness are free. The seed's draws do not depend on the network.

--- a/crates/soak/src/daemon_process.rs
+++ b/crates/soak/src/daemon_process.rs
@@ -1,6 +1,6 @@
 //! Starts, signals and kills the daemons of a soak.
 
-use crate::soak_error::SoakError;
+use crate::{loopback_net::LoopbackNet, soak_error::SoakError};
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs::File,
@@ -10,10 +10,10 @@
 };
 
 /// Port for client requests. All daemons use it, since each has its own loopback address.
-const ENTRY_PORT: u16 = 18_740;
+pub(crate) const ENTRY_PORT: u16 = 18_740;
 
 /// Port of the readiness probe.
-const READY_PORT: u16 = 18_749;
+pub(crate) const READY_PORT: u16 = 18_749;
 
 /// First port of the range that the daemons use for internal connections.
 const FIRST_INTERNAL_PORT: u16 = 17_200;
@@ -37,18 +37,17 @@
 }
 
 impl DaemonProcess {
-    /// Writes the settings of the daemon `number` and starts the daemon at the address `127.0.{net}.{number}`. Soaks
-    /// with different values of `net` can run at the same time. `store` is the address of the store or of a proxy to
-    /// it.
+    /// Writes the settings of the daemon `number` and starts the daemon at its address in `net`. `store` is the address
+    /// of the store or of a proxy to it.
     pub fn start(
         program: &Path,
         dir: &Path,
-        net: u8,
+        net: &LoopbackNet,
         number: u8,
         domain: &str,
         store: SocketAddr,
     ) -> Result<Self, SoakError> {
-        let ip = [127, 0, net, number];
+        let ip = net.ip(number);
         let entry_addr = SocketAddr::from((ip, ENTRY_PORT));
         let ready_addr = SocketAddr::from((ip, READY_PORT));
         let settings_path = dir.join(format!("daemon-{number}.json"));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,9 +12,12 @@
 mod clients;
 mod daemon_process;
 mod fault_injector;
+mod loopback_net;
 mod run;
 mod soak_error;
 mod soak_report;
 mod test_environment;
 
-pub use crate::{cli::Cli, run::run, soak_error::SoakError, soak_report::SoakReport};
+pub use crate::{
+    cli::Cli, loopback_net::LoopbackNet, run::run, soak_error::SoakError, soak_report::SoakReport,
+};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,6 +5,7 @@
     clients::{Client, Findings},
     daemon_process::DaemonProcess,
     fault_injector::FaultInjector,
+    loopback_net::LoopbackNet,
     soak_error::SoakError,
     soak_report::SoakReport,
     test_environment::{DOMAINS, TestEnvironment},
@@ -21,10 +22,6 @@
     time::{Duration, Instant},
 };
 
-/// Number of loopback networks `127.0.N.0`. The seed selects one, so that soaks with different seeds can run at the
-/// same time.
-const LOOPBACK_NETS: u64 = 250;
-
 /// Longest wait until the first daemon is ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -41,14 +38,15 @@
     let program = program(cli)?;
     let log_dir = tempfile::tempdir()?;
     let mut environment = TestEnvironment::start().await?;
+    let daemon_count = cli.daemons.max(1);
+    let net = LoopbackNet::reserve(cli.seed, daemon_count)?;
     let mut daemons = Vec::new();
-    let net = u8::try_from(cli.seed % LOOPBACK_NETS).unwrap_or_default() + 1;
-    for number in 1..=cli.daemons.max(1) {
+    for number in 1..=daemon_count {
         let domain = DOMAINS[usize::from(number) % DOMAINS.len()];
         daemons.push(DaemonProcess::start(
             &program,
             log_dir.path(),
-            net,
+            &net,
             number,
             domain,
             environment.add_store_proxy().await?,
@@ -98,6 +96,8 @@
     if !has_recovered {
         report.violations.push("requests are not served again after the last fault".to_owned());
     }
+    drop(daemons);
+    net.close();
     if !report.violations.is_empty() {
         println!("logs: {}", log_dir.keep().display());
     }
--- a/crates/soak/src/soak_error.rs
+++ b/crates/soak/src/soak_error.rs
@@ -16,6 +16,10 @@
         MissingProgram(path: std::path::PathBuf) {
             display("{} does not exist; build the workspace first", path.display())
         }
+        /// Every loopback network is in use.
+        NoNetwork {
+            display("no loopback network is free for the daemons")
+        }
         /// The first daemon did not become ready in time.
         NotReady {
             display("the first daemon did not become ready in time")
