Calls: a call that each upstream has refused has not run, also after a late refusal

An idempotent call whose first upstream gave no answer within the retry timeout, and refused it after that, got 502 outcome_unknown if the second upstream refused it as well. The first send counted as lost for good, although its refusal guarantees that it has not run. Callers may send such a call again only if they know it to be idempotent; a 503 would have told them so.

The late exchange now reports a refusal to the call's state, and a call without further attempts waits for its silent upstream before it is closed.

--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Records that `count` upstreams which had not answered in time have refused the call after all. They did not run
+    /// the call and never will.
+    pub fn refused_late(self, count: u32) -> Self {
+        Self { open_sends: self.open_sends.saturating_sub(count), ..self }
+    }
+
     /// Abandons the call, and returns the proof that no upstream has run or will run the call.
     ///
     /// # Errors
--- a/crates/call/tests/rules.rs
+++ b/crates/call/tests/rules.rs
@@ -4,7 +4,8 @@
 use base::{AccountName, VmId};
 use call::{
     CLAIM_RETENTION_MS, Call, ClaimRecord, ClaimState, Idempotency, IdempotencyKey,
-    IdempotencyRules, LostCall, MAX_STORED_BODY_BYTES, RequestDigest, StoredAnswer, expired_claims,
+    IdempotencyRules, LostCall, MAX_STORED_BODY_BYTES, RequestDigest, StoredAnswer, Unsent,
+    expired_claims,
 };
 
 #[test]
@@ -24,6 +25,20 @@
     assert!(call.close().is_err());
 }
 
+/// Guards against an unknown outcome of a call that each upstream has refused, some of them late, and against "not run"
+/// while another upstream may have run it.
+#[test]
+fn a_late_refusal_shows_that_its_send_did_not_run() {
+    let lost = |call: Call<Unsent>| match call.send().lost() {
+        LostCall::Retry(call) => call,
+        LostCall::Unknown(_) => panic!("the call must be retried"),
+    };
+    let call = || lost(lost(Call::new(Idempotency::Idempotent, 3)));
+    assert!(call().refused_late(1).close().is_err());
+    assert!(call().refused_late(2).close().is_ok());
+    assert!(call().refused_late(1).send().refused().refused_late(1).close().is_ok());
+}
+
 #[test]
 fn an_idempotency_key_or_a_rule_of_the_service_overrides_the_method() {
     let rules = IdempotencyRules::default();
--- a/crates/ingress/src/attempt_error.rs
+++ b/crates/ingress/src/attempt_error.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Whether the error shows that the upstream has not run the request and never will.
+    pub fn is_not_run(&self) -> bool {
+        !matches!(self, Self::Answered(_) | Self::Lost(_))
+    }
+
     /// Whether the upstream itself seems to have failed, in contrast to an upstream that refuses or answers the
     /// request.
     pub fn is_fault(&self) -> bool {
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -59,6 +59,7 @@
             }
             let now_ms = core.clock.now_ms();
             log_refusal("call", inbound, subject, &verdict, excluded.len(), now_ms);
+            let call = call.refused_late(silent.take_late_refusals());
             return Err(end_quarantined(call, subject, retry_after_ms));
         }
         let is_trial = matches!(admission, Admission::Trial(_));
@@ -112,6 +113,7 @@
             }
             let now_ms = core.clock.now_ms();
             log_refusal("call", inbound, subject, &verdict, excluded.len(), now_ms);
+            let call = call.refused_late(silent.take_late_refusals());
             return Err(end_quarantined(call, subject, retry_after_ms));
         }
         if let Some(permit) = permit {
@@ -225,11 +227,14 @@
 ///
 /// `Busy` if the call has not run, else the errors of `outcome_unknown`.
 async fn give_up(
-    silent: SilentCall<'_>,
+    mut silent: SilentCall<'_>,
     call: Call<Unsent>,
     retry_after_ms: u64,
 ) -> Result<Response<ResponseBody>, CallerError> {
-    let closed: Result<_, Call<Unknown>> = call.close();
+    if let Some(response) = silent.wait().await {
+        return Ok(response.into_response());
+    }
+    let closed: Result<_, Call<Unknown>> = call.refused_late(silent.take_late_refusals()).close();
     match closed {
         Ok(_) => Err(CallerError::Busy(retry_after_ms)),
         Err(_) => outcome_unknown(silent).await,
--- a/crates/ingress/src/silent_call.rs
+++ b/crates/ingress/src/silent_call.rs
@@ -32,11 +32,13 @@
     silent: Option<Pending<'r>>,
     /// Last error response of an instance, which the caller gets if no other one answers; `None` if there is none.
     pub error_response: Option<BufferedResponse>,
+    /// Number of silent instances that have refused the call after all.
+    late_refusals: u32,
 }
 
 impl<'r> SilentCall<'r> {
     pub fn new(core: &'r Arc<Core>, inbound: &'r Inbound) -> Self {
-        Self { core, inbound, silent: None, error_response: None }
+        Self { core, inbound, silent: None, error_response: None, late_refusals: 0 }
     }
 
     /// Whether an instance is silent that may still answer.
@@ -44,6 +46,12 @@
         self.silent.is_some()
     }
 
+    /// Returns how many silent instances have refused the call since the last call of this method, which shows that they
+    /// have not run it.
+    pub fn take_late_refusals(&mut self) -> u32 {
+        std::mem::take(&mut self.late_refusals)
+    }
+
     /// Time until the call must be answered.
     pub fn left_ms(&self) -> u64 {
         self.core.left_ms(self.inbound)
@@ -156,7 +164,11 @@
                 None
             }
             Outcome::Answered(response) => Some(response),
-            Outcome::Failed(_) | Outcome::TimedOut => None,
+            Outcome::Failed(err) => {
+                self.late_refusals += u32::from(err.is_not_run());
+                None
+            }
+            Outcome::TimedOut => None,
         }
     }
 
