Calls: keep a silent upstream for the whole handover time

On a route with a retry timeout below the handover time of 150 ms (target latency below 50 ms), a call gave its first silent upstream up as soon as the second one had not answered within the retry timeout either.

While an earlier exchange is pending, the retry timeout is at least the handover time; routes with longer timeouts are served as before.

--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -122,8 +122,9 @@
         excluded.push(Arc::clone(&instance.entry.id));
         let sent = call.send();
         let may_retry = sent.idempotency() == Idempotency::Idempotent && sent.has_retries();
+        let retry_ms = inbound.target_latency_ms * RETRY_LATENCY_FACTOR;
         let timeout_ms = match may_retry {
-            true => left_ms.min((inbound.target_latency_ms * RETRY_LATENCY_FACTOR).max(1)),
+            true => left_ms.min(retry_ms.max(silent.min_retry_ms())),
             false => left_ms,
         };
         let sent_ms = core.clock.now_ms();
--- a/crates/ingress/src/silent_call.rs
+++ b/crates/ingress/src/silent_call.rs
@@ -52,6 +52,12 @@
         std::mem::take(&mut self.late_refusals)
     }
 
+    /// Shortest time after which the next instance may count as silent too. A silent exchange is kept for the whole
+    /// handover time, also on a route with a shorter retry timeout, because its answer may be on the way.
+    pub fn min_retry_ms(&self) -> u64 {
+        if self.is_pending() { HANDOVER_MS } else { 1 }
+    }
+
     /// Time until the call must be answered.
     pub fn left_ms(&self) -> u64 {
         self.core.left_ms(self.inbound)
