Soak: each class of faults occurs once before any repeats, and no daemon may end by itself

The classes were numbers that were drawn at random, so a short soak covered an unknown part of them. They are now an enum with a fixed order of first occurrences; what each one does is drawn from the seed as before.

A daemon whose process had ended was started again without a word. An end that no signal of the soak explains is now a violation.

--- a/crates/soak/src/daemon_process.rs
+++ b/crates/soak/src/daemon_process.rs
@@ -7,6 +7,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    time::{Duration, Instant},
 };
 
 /// Port for client requests. All daemons use it, since each has its own loopback address.
@@ -18,6 +19,9 @@
 /// First port of the range that the daemons use for internal connections.
 const FIRST_INTERNAL_PORT: u16 = 17_200;
 
+/// Time after the start of a process in which a reload may end it, because it installs its handlers of signals last.
+const START_TIME: Duration = Duration::from_secs(5);
+
 /// Grace period of the daemon's shutdown in seconds, from SIGTERM to SIGKILL.
 pub(crate) const GRACE_S: u64 = 8;
 
@@ -34,6 +38,10 @@
     log_path: PathBuf,
     /// Process of the daemon; `None` after `kill`.
     child: Option<Child>,
+    /// When the process was started.
+    started: Instant,
+    /// Whether the process was told to stop, or to reload while it started.
+    may_end: bool,
 }
 
 impl DaemonProcess {
@@ -62,8 +70,16 @@
         std::fs::write(&settings_path, text)?;
         let log_path = dir.join(format!("daemon-{number}.log"));
         let program = program.to_owned();
-        let mut daemon =
-            Self { entry_addr, ready_addr, program, settings_path, log_path, child: None };
+        let mut daemon = Self {
+            entry_addr,
+            ready_addr,
+            program,
+            settings_path,
+            log_path,
+            child: None,
+            started: Instant::now(),
+            may_end: false,
+        };
         daemon.restart()?;
         Ok(daemon)
     }
@@ -80,11 +96,15 @@
             .stdout(log)
             .spawn()?;
         self.child = Some(child);
+        self.started = Instant::now();
+        self.may_end = false;
         Ok(())
     }
 
     /// Sends a signal to the process if it has been started.
-    pub fn signal(&self, signal: Signal) {
+    pub fn signal(&mut self, signal: Signal) {
+        let is_starting = self.started.elapsed() < START_TIME;
+        self.may_end |= signal == Signal::TERM || signal == Signal::HUP && is_starting;
         let Some(child) = &self.child else { return };
         if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
             // If the process has ended, its pid has not been reused, because nothing has waited for the process yet.
@@ -100,6 +120,13 @@
         }
     }
 
+    /// Describes the end of a process that has ended by itself; `None` if it lives, or was killed or told to stop.
+    pub fn unexpected_end(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        let name = self.settings_path.file_stem()?.to_string_lossy().into_owned();
+        (!self.may_end).then(|| format!("{name} has ended by itself: {status}"))
+    }
+
     /// Kills the process and waits until it has ended.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- /dev/null
+++ b/crates/soak/src/fault_class.rs
@@ -0,0 +1,73 @@
+//! Classes of faults and of other events that a soak draws.
+
+use rand::{Rng, RngExt};
+
+/// Class of faults or other events.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FaultClass {
+    /// A daemon is killed.
+    DaemonKill,
+    /// A daemon is told to stop.
+    DaemonStop,
+    /// A daemon is suspended for a time.
+    DaemonPause,
+    /// A daemon is told to read its settings again.
+    Reload,
+    /// The store is down for a time.
+    StoreOutage,
+    /// The store forgets its history.
+    Compaction,
+    /// The operator writes a configuration.
+    ConfigChange,
+    /// The engines of a failure domain crash.
+    DomainCrash,
+    /// An upstream drains.
+    Drain,
+    /// A connection to the store or to an upstream is cut, silent, slow or stalled for a time.
+    ProxyFault,
+    /// Upstreams respond with errors, wrong bytes or not at all.
+    UpstreamFaults,
+    /// Requests crash upstreams, and an upstream names a limit.
+    Episode,
+    /// The store is restored from an older copy.
+    Restoration,
+    /// Engines get another software version.
+    Release,
+    /// All daemons are killed.
+    MassKill,
+}
+
+impl FaultClass {
+    /// All classes in the order of their first occurrence.
+    pub const ALL: [Self; 15] = [
+        Self::Release,
+        Self::MassKill,
+        Self::Episode,
+        Self::UpstreamFaults,
+        Self::DomainCrash,
+        Self::DaemonPause,
+        Self::StoreOutage,
+        Self::DaemonKill,
+        Self::ProxyFault,
+        Self::Restoration,
+        Self::Drain,
+        Self::ConfigChange,
+        Self::Reload,
+        Self::Compaction,
+        Self::DaemonStop,
+    ];
+
+    /// Faults that are injected during an episode. They could be mistaken for crashes on a part of a prompt.
+    const IN_EPISODE: [Self; 5] =
+        [Self::Reload, Self::ConfigChange, Self::DomainCrash, Self::Drain, Self::Restoration];
+
+    /// Draws a class.
+    pub(crate) fn draw(rng: &mut impl Rng) -> Self {
+        Self::ALL[rng.random_range(0..Self::ALL.len())]
+    }
+
+    /// Draws a class that may occur during an episode.
+    pub(crate) fn draw_in_episode(rng: &mut impl Rng) -> Self {
+        Self::IN_EPISODE[rng.random_range(0..Self::IN_EPISODE.len())]
+    }
+}
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -1,11 +1,15 @@
 //! Injects random faults into daemons, store, proxies and upstreams, and ends them.
 
 use crate::{
-    daemon_process::DaemonProcess, soak_error::SoakError, test_environment::TestEnvironment,
+    daemon_process::DaemonProcess, fault_class::FaultClass, soak_error::SoakError,
+    test_environment::TestEnvironment,
 };
 use rand::{RngExt, rngs::SmallRng};
 use rustix::process::Signal;
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
 
 /// Range of the pause between two faults in milliseconds.
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 150..900;
@@ -14,42 +18,19 @@
 /// lasts.
 const MAX_FAULT_MS: u64 = 2_500;
 
-/// Fault that begins an episode: engines crash on one part of a prompt, and an upstream names a limit.
-const EPISODE: u32 = 12;
-
-/// Fault that restores the store from an older copy.
-const RESTORATION: u32 = 13;
-
-/// Fault that releases another software version of the engines.
-const RELEASE: u32 = 14;
-
-/// Fault that kills all daemons at once.
-const MASS_KILL: u32 = 15;
-
-/// Number of the fault that is always a release, so that each soak has one.
-const FIRST_RELEASE: u64 = 2;
-
-/// Number of the fault that always kills all daemons.
-const FIRST_MASS_KILL: u64 = 3;
-
-/// Number of the fault that is always an episode, so that each soak has one.
-const FIRST_EPISODE: u64 = 4;
-
 /// Length of an episode.
 const EPISODE_TIME: Duration = Duration::from_secs(9);
 
 /// Time without faults before an episode, in which the daemons find each other and the upstreams again.
 const CONTACT_TIME: Duration = Duration::from_secs(6);
 
-/// Faults that are injected during an episode: reloads, changes of the configuration, restorations of the store, drained
-/// upstreams, and the loss of engines, which could be mistaken for crashes on a part.
-const EPISODE_FAULTS: [u32; 5] = [3, 6, 7, 8, RESTORATION];
-
 /// Injects one random fault after another. Faults with a duration overlap, because each of them ends at its own time.
 pub(crate) struct FaultInjector {
     pub rng: SmallRng,
-    /// Number of injected faults.
-    pub count: u64,
+    /// Number of injected faults by class.
+    pub counts: BTreeMap<FaultClass, u64>,
+    /// Classes that have not occurred yet.
+    first: VecDeque<FaultClass>,
     /// Positions of the paused daemons, each with the time at which it resumes.
     daemon_resumes: Vec<(usize, Instant)>,
     /// Time at which the store is up again; `None` if it is up.
@@ -63,7 +44,8 @@
     pub fn new(rng: SmallRng) -> Self {
         Self {
             rng,
-            count: 0,
+            counts: BTreeMap::new(),
+            first: FaultClass::ALL.into(),
             daemon_resumes: Vec::new(),
             store_restore_at: None,
             episode_end: None,
@@ -77,48 +59,46 @@
         environment: &mut TestEnvironment,
         daemons: &mut [DaemonProcess],
     ) -> Result<(), SoakError> {
-        self.count += 1;
         let daemon = self.rng.random_range(0..daemons.len());
         // The daemons of an episode are in contact with each other and with the upstreams all the time.
-        let fault = match self.episode_end {
-            Some(_) => EPISODE_FAULTS[self.rng.random_range(0..EPISODE_FAULTS.len())],
-            None if self.count == FIRST_RELEASE => RELEASE,
-            None if self.count == FIRST_MASS_KILL => MASS_KILL,
-            None if self.count == FIRST_EPISODE => EPISODE,
-            None => self.rng.random_range(0..=MASS_KILL),
+        let class = match self.episode_end {
+            Some(_) => FaultClass::draw_in_episode(&mut self.rng),
+            None => match self.first.pop_front() {
+                Some(class) => class,
+                None => FaultClass::draw(&mut self.rng),
+            },
         };
-        match fault {
-            0 => daemons[daemon].kill(),
-            1 => daemons[daemon].signal(Signal::TERM),
-            2 => {
+        *self.counts.entry(class).or_default() += 1;
+        match class {
+            FaultClass::DaemonKill => daemons[daemon].kill(),
+            FaultClass::DaemonStop => daemons[daemon].signal(Signal::TERM),
+            FaultClass::DaemonPause => {
                 daemons[daemon].signal(Signal::STOP);
                 let resume_at = self.random_end();
                 self.daemon_resumes.push((daemon, resume_at));
             }
-            3 => daemons[daemon].signal(Signal::HUP),
-            4 => {
+            FaultClass::Reload => daemons[daemon].signal(Signal::HUP),
+            FaultClass::StoreOutage => {
                 environment.store.set_down(true);
                 self.store_restore_at = Some(self.random_end());
             }
-            5 => environment.store.compact(),
-            6 => environment.change_config(),
-            7 => environment.crash_domain(&mut self.rng).await?,
-            8 => environment.drain_upstream(&mut self.rng).await?,
-            9 | 10 => {
+            FaultClass::Compaction => environment.store.compact(),
+            FaultClass::ConfigChange => environment.change_config(),
+            FaultClass::DomainCrash => environment.crash_domain(&mut self.rng).await?,
+            FaultClass::Drain => environment.drain_upstream(&mut self.rng).await?,
+            FaultClass::ProxyFault => {
                 let end = self.random_end();
                 environment.inject_proxy_fault(&mut self.rng, end);
             }
-            EPISODE => {
-                self.end_all(environment, daemons)?;
-                tokio::time::sleep(CONTACT_TIME).await;
-                self.end_due_faults(environment, daemons)?;
+            FaultClass::Episode => {
+                self.wait_for_contact(environment, daemons).await?;
                 environment.begin_episode(&mut self.rng);
                 self.episode_end = Some(Instant::now() + EPISODE_TIME);
             }
-            RESTORATION => environment.restore_store().await,
-            RELEASE => environment.release_version(&mut self.rng).await?,
-            MASS_KILL => daemons.iter_mut().for_each(DaemonProcess::kill),
-            _ => environment.inject_upstream_faults(&mut self.rng),
+            FaultClass::Restoration => environment.restore_store().await,
+            FaultClass::Release => environment.release_version(&mut self.rng).await?,
+            FaultClass::MassKill => daemons.iter_mut().for_each(DaemonProcess::kill),
+            FaultClass::UpstreamFaults => environment.inject_upstream_faults(&mut self.rng),
         }
         environment.copy_store();
         environment.update_registry();
@@ -127,6 +107,17 @@
         self.end_due_faults(environment, daemons)
     }
 
+    /// Ends all faults and waits until the daemons have found each other and the upstreams again.
+    async fn wait_for_contact(
+        &mut self,
+        environment: &mut TestEnvironment,
+        daemons: &mut [DaemonProcess],
+    ) -> Result<(), SoakError> {
+        self.end_all(environment, daemons)?;
+        tokio::time::sleep(CONTACT_TIME).await;
+        self.end_due_faults(environment, daemons)
+    }
+
     /// Ends all faults of the store, the proxies and paused daemons, and restarts daemons whose process has ended.
     pub fn end_all(
         &mut self,
@@ -173,6 +164,7 @@
         });
         for daemon in daemons.iter_mut() {
             if daemon.has_ended() {
+                environment.violations.extend(daemon.unexpected_end());
                 daemon.kill();
                 daemon.restart()?;
             }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod cli;
 mod clients;
 mod daemon_process;
+mod fault_class;
 mod fault_injector;
 mod loopback_net;
 mod run;
@@ -19,5 +20,6 @@
 mod test_environment;
 
 pub use crate::{
-    cli::Cli, loopback_net::LoopbackNet, run::run, soak_error::SoakError, soak_report::SoakReport,
+    cli::Cli, fault_class::FaultClass, loopback_net::LoopbackNet, run::run, soak_error::SoakError,
+    soak_report::SoakReport,
 };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -89,7 +89,7 @@
     }
     let found = lock(&findings);
     let mut report = found.report.clone();
-    report.faults = faults.count;
+    report.faults = faults.counts.clone();
     environment.end_episode();
     report.violations.append(&mut environment.violations);
     report.check_executions(&found.checks, &environment.count_executions());
--- a/crates/soak/src/soak_report.rs
+++ b/crates/soak/src/soak_report.rs
@@ -1,6 +1,8 @@
 //! Sums up a soak, and compares what clients were told with what upstreams executed.
 
+use crate::fault_class::FaultClass;
 use base::HashMap;
+use std::collections::BTreeMap;
 
 /// Counts of the responses that clients received, and the violated guarantees.
 #[derive(Clone, Debug, Default)]
@@ -19,8 +21,8 @@
     pub refused: u64,
     /// Number of calls and streams that failed in another way, for example because of a cut connection.
     pub failed: u64,
-    /// Number of injected faults.
-    pub faults: u64,
+    /// Number of injected faults by class.
+    pub faults: BTreeMap<FaultClass, u64>,
     /// Descriptions of the violated guarantees.
     pub violations: Vec<String>,
 }
@@ -68,7 +70,7 @@
             self.answered_calls,
             self.refused,
             self.failed,
-            self.faults,
+            self.faults.values().sum::<u64>(),
             self.violations.len()
         )
     }
