Soak: entries of another writer

Draws entries under the keys of instances, daemons and relays that name none of them: bytes that are no text, values that are not Base64, nested brackets, and registry entries with a number that cannot be read. Judged: no daemon connects to the address that they state, no daemon ends, and requests are served as before.

--- a/crates/soak/src/fault_class.rs
+++ b/crates/soak/src/fault_class.rs
@@ -35,14 +35,17 @@
     Release,
     /// All daemons are killed.
     MassKill,
+    /// Another writer leaves entries in the store that name no instance.
+    ForeignEntries,
 }
 
 impl FaultClass {
     /// All classes in the order of their first occurrence.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Release,
         Self::MassKill,
         Self::Episode,
+        Self::ForeignEntries,
         Self::UpstreamFaults,
         Self::DomainCrash,
         Self::DaemonPause,
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -99,6 +99,7 @@
             FaultClass::Release => environment.release_version(&mut self.rng).await?,
             FaultClass::MassKill => daemons.iter_mut().for_each(DaemonProcess::kill),
             FaultClass::UpstreamFaults => environment.inject_upstream_faults(&mut self.rng),
+            FaultClass::ForeignEntries => environment.write_foreign_entries(&mut self.rng),
         }
         environment.copy_store();
         environment.update_registry();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod daemon_process;
 mod fault_class;
 mod fault_injector;
+mod foreign_entries;
 mod loopback_net;
 mod run;
 mod soak_error;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -91,6 +91,7 @@
     let mut report = found.report.clone();
     report.faults = faults.counts.clone();
     environment.end_episode();
+    environment.check_foreign_entries();
     report.violations.append(&mut environment.violations);
     report.check_executions(&found.checks, &environment.count_executions());
     if !has_recovered {
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -1,5 +1,6 @@
 //! Starts the store and the upstreams that the daemons use during a soak, and injects their faults.
 
+use crate::foreign_entries::ForeignEntries;
 use platform_stand::{Behaviour, FakeStore, FakeUpstream, ReceivedRequest, config};
 use rand::{Rng, RngExt};
 use stand::{Direction, Proxy, ProxyFault, ProxySettings};
@@ -63,7 +64,9 @@
     pub crashing_part: Arc<Mutex<Option<String>>>,
     /// When the copy was made from which the store is restored.
     copied: Instant,
-    /// Descriptions of the guarantees that were violated during episodes.
+    /// Entries of another writer.
+    foreign_entries: ForeignEntries,
+    /// Descriptions of the guarantees that were violated during the soak.
     pub violations: Vec<String>,
 }
 
@@ -106,6 +109,7 @@
             episodes: 0,
             crashing_part: Arc::default(),
             copied: Instant::now(),
+            foreign_entries: ForeignEntries::start().await?,
             violations: Vec::new(),
         };
         environment.change_config();
@@ -323,6 +327,16 @@
         }
     }
 
+    /// Replaces the entries of another writer with others.
+    pub fn write_foreign_entries(&mut self, rng: &mut impl Rng) {
+        self.foreign_entries.write(&self.store, rng);
+    }
+
+    /// Records a violation if a daemon has connected to an address of another writer's entries.
+    pub fn check_foreign_entries(&mut self) {
+        self.violations.extend(self.foreign_entries.violation());
+    }
+
     /// Writes a newer version of the configuration.
     pub fn change_config(&mut self) {
         self.config_version += 1 + self.config_version % 3;
