Soak: draws that are judged while nothing else fails

After a time in which the daemons find each other and the upstreams, one of these occurs:

- the entry of an instance lapses and comes back: no request later than 2 s after the lapse, and requests after the return;
- an instance refuses with Retry-After: at most one request of each daemon after the first second;
- a key is withdrawn while all connections to the store are silent: 401 at each daemon after 3 s;
- 60 callers pipeline 200 calls each or announce bodies of 64 KiB, and read nothing: the daemon's peak of resident memory, read from outside, stays below the 128 MB that its settings state, and it serves a caller afterwards.

Not covered: responses without an end, abandoned work with cuts, crashing requests at quiet services, priorities and rollouts.

--- a/crates/soak/src/daemon_process.rs
+++ b/crates/soak/src/daemon_process.rs
@@ -19,6 +19,9 @@
 /// First port of the range that the daemons use for internal connections.
 const FIRST_INTERNAL_PORT: u16 = 17_200;
 
+/// Memory of the VM that the settings of each daemon state.
+pub(crate) const MEMORY_MB: u64 = 128;
+
 /// Time after the start of a process in which a reload may end it, because it installs its handlers of signals last.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -63,6 +66,7 @@
             r#"{{"node_name":"daemon-{number}","zone":"{domain}",
             "listen":{{"front":"{entry_addr}","ready":"{ready_addr}"}},
             "internal_port_range":[{FIRST_INTERNAL_PORT},{}],
+            "limits":{{"memory_mb":{MEMORY_MB}}},
             "bounds":{{"grace_s":{GRACE_S},"retry_budget_ratio":0.8,"retry_budget_slack":150,"budget_window_s":10}},
             "platform":{{"address":"{store}"}}}}"#,
             FIRST_INTERNAL_PORT + 15
@@ -127,6 +131,14 @@
         (!self.may_end).then(|| format!("{name} has ended by itself: {status}"))
     }
 
+    /// Largest resident memory of the process since its start, in bytes; `None` if it has ended.
+    pub fn peak_memory_bytes(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1_024)
+    }
+
     /// Kills the process and waits until it has ended.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/soak/src/fault_class.rs
+++ b/crates/soak/src/fault_class.rs
@@ -2,6 +2,10 @@
 
 use rand::{Rng, RngExt};
 
+/// Share of the draws, after each class has occurred once, that are judged while nothing else fails. Each of them takes
+/// about ten seconds, and other faults less than one.
+const CALM_SHARE: f64 = 0.04;
+
 /// Class of faults or other events.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum FaultClass {
@@ -37,14 +41,27 @@
     MassKill,
     /// Another writer leaves entries in the store that name no instance.
     ForeignEntries,
+    /// The entry of an instance that lives lapses and comes back.
+    LapsedEntry,
+    /// An instance refuses requests and states for how long it wants none.
+    WaitingInstance,
+    /// A key is withdrawn while the connections to the store are silent.
+    WithdrawnKey,
+    /// Callers pipeline requests or announce large bodies, and read nothing.
+    SilentCallers,
 }
 
 impl FaultClass {
-    /// All classes in the order of their first occurrence.
-    pub const ALL: [Self; 16] = [
+    /// All classes in the order of their first occurrence. Those that are judged while nothing else fails follow one
+    /// another, so that they share the time in which daemons find each other again.
+    pub const ALL: [Self; 20] = [
         Self::Release,
         Self::MassKill,
         Self::Episode,
+        Self::LapsedEntry,
+        Self::WaitingInstance,
+        Self::WithdrawnKey,
+        Self::SilentCallers,
         Self::ForeignEntries,
         Self::UpstreamFaults,
         Self::DomainCrash,
@@ -66,11 +83,22 @@
 
     /// Draws a class.
     pub(crate) fn draw(rng: &mut impl Rng) -> Self {
-        Self::ALL[rng.random_range(0..Self::ALL.len())]
+        let is_calm = rng.random_bool(CALM_SHARE);
+        let classes = Self::ALL.into_iter().filter(|class| class.is_calm() == is_calm);
+        let classes: Vec<Self> = classes.collect();
+        classes[rng.random_range(0..classes.len())]
     }
 
     /// Draws a class that may occur during an episode.
     pub(crate) fn draw_in_episode(rng: &mut impl Rng) -> Self {
         Self::IN_EPISODE[rng.random_range(0..Self::IN_EPISODE.len())]
     }
+
+    /// Whether the class is judged while nothing else fails.
+    pub(crate) fn is_calm(self) -> bool {
+        matches!(
+            self,
+            Self::LapsedEntry | Self::SilentCallers | Self::WaitingInstance | Self::WithdrawnKey
+        )
+    }
 }
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -21,7 +21,8 @@
 /// Length of an episode.
 const EPISODE_TIME: Duration = Duration::from_secs(9);
 
-/// Time without faults before an episode, in which the daemons find each other and the upstreams again.
+/// Time without faults, before an episode and draws that are judged while nothing else fails, in which the daemons find each
+/// other and the upstreams again.
 const CONTACT_TIME: Duration = Duration::from_secs(6);
 
 /// Injects one random fault after another. Faults with a duration overlap, because each of them ends at its own time.
@@ -37,6 +38,8 @@
     store_restore_at: Option<Instant>,
     /// End of the current episode; `None` if there is none.
     episode_end: Option<Instant>,
+    /// Whether the daemons have been in contact with each other and with the upstreams since the last fault.
+    is_calm: bool,
 }
 
 impl FaultInjector {
@@ -49,6 +52,7 @@
             daemon_resumes: Vec::new(),
             store_restore_at: None,
             episode_end: None,
+            is_calm: false,
         }
     }
 
@@ -100,7 +104,24 @@
             FaultClass::MassKill => daemons.iter_mut().for_each(DaemonProcess::kill),
             FaultClass::UpstreamFaults => environment.inject_upstream_faults(&mut self.rng),
             FaultClass::ForeignEntries => environment.write_foreign_entries(&mut self.rng),
+            FaultClass::LapsedEntry => {
+                self.wait_for_contact(environment, daemons).await?;
+                environment.lapse_entry(&mut self.rng).await;
+            }
+            FaultClass::WaitingInstance => {
+                self.wait_for_contact(environment, daemons).await?;
+                environment.refuse_for_some_time(daemons, &mut self.rng).await;
+            }
+            FaultClass::WithdrawnKey => {
+                self.wait_for_contact(environment, daemons).await?;
+                environment.withdraw_key(daemons).await;
+            }
+            FaultClass::SilentCallers => {
+                self.wait_for_contact(environment, daemons).await?;
+                environment.crowd_daemon(&daemons[daemon]).await;
+            }
         }
+        self.is_calm = class.is_calm();
         environment.copy_store();
         environment.update_registry();
         let pause_ms = self.rng.random_range(FAULT_PAUSE_MS);
@@ -114,6 +135,9 @@
         environment: &mut TestEnvironment,
         daemons: &mut [DaemonProcess],
     ) -> Result<(), SoakError> {
+        if self.is_calm {
+            return Ok(());
+        }
         self.end_all(environment, daemons)?;
         tokio::time::sleep(CONTACT_TIME).await;
         self.end_due_faults(environment, daemons)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
     future_incompatible
 )]
 
+mod calm_draws;
 mod cli;
 mod clients;
 mod daemon_process;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -92,6 +92,7 @@
     report.faults = faults.counts.clone();
     environment.end_episode();
     environment.check_foreign_entries();
+    report.peak_memory_bytes = environment.peak_memory_bytes;
     report.violations.append(&mut environment.violations);
     report.check_executions(&found.checks, &environment.count_executions());
     if !has_recovered {
--- a/crates/soak/src/soak_report.rs
+++ b/crates/soak/src/soak_report.rs
@@ -21,6 +21,8 @@
     pub refused: u64,
     /// Number of calls and streams that failed in another way, for example because of a cut connection.
     pub failed: u64,
+    /// Largest resident memory of a daemon beside silent callers, in bytes; 0 if there were none.
+    pub peak_memory_bytes: u64,
     /// Number of injected faults by class.
     pub faults: BTreeMap<FaultClass, u64>,
     /// Descriptions of the violated guarantees.
@@ -62,7 +64,7 @@
     pub fn summary(&self) -> String {
         format!(
             "whole_streams={} resumed_streams={} take_ups={} refused_take_ups={} answered_calls={} refused={} \
-             failed={} faults={} broken={}",
+             failed={} peak_memory_mb={} faults={} broken={}",
             self.whole_streams,
             self.resumed_streams,
             self.take_ups,
@@ -70,6 +72,7 @@
             self.answered_calls,
             self.refused,
             self.failed,
+            self.peak_memory_bytes / 1024 / 1024,
             self.faults.values().sum::<u64>(),
             self.violations.len()
         )
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -21,13 +21,13 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
 /// Time after which the daemons must know of five crashes or of a limit: the users' `contact_ms`.
-const CONTACT: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT: Duration = Duration::from_secs(3);
 
 /// Number of requests with a part that may reach engines later than `CONTACT` after the fifth crash on it.
 const MAX_LATE_REQUESTS: usize = 3;
 
 /// Time after an upstream was drained from which no daemon may send it a request: the users' `drain_ms`.
-const DRAIN: Duration = Duration::from_secs(2);
+pub(crate) const DRAIN: Duration = Duration::from_secs(2);
 
 /// Age from which a copy of the store is replaced by a newer one.
 const COPY_AGE: Duration = Duration::from_secs(3);
@@ -43,7 +43,7 @@
 /// fault-injecting proxies.
 pub(crate) struct TestEnvironment {
     pub store: FakeStore,
-    upstreams: Vec<ProxiedUpstream>,
+    pub upstreams: Vec<ProxiedUpstream>,
     /// Crashed and draining upstreams, whose executed requests `count_executions` still includes.
     removed_upstreams: Vec<ProxiedUpstream>,
     /// Proxies between the daemons and the store.
@@ -51,7 +51,7 @@
     /// Proxies with active faults, each with the time at which its fault ends.
     proxy_faults: Vec<(Arc<Proxy>, Instant)>,
     /// Version of the configuration that was written last.
-    config_version: u64,
+    pub config_version: u64,
     /// Software version of the engines that are started next, as a number.
     version: u64,
     /// Number of upstreams started so far, part of their ids.
@@ -64,6 +64,8 @@
     pub crashing_part: Arc<Mutex<Option<String>>>,
     /// When the copy was made from which the store is restored.
     copied: Instant,
+    /// Largest resident memory of a daemon beside silent callers, in bytes.
+    pub peak_memory_bytes: u64,
     /// Entries of another writer.
     foreign_entries: ForeignEntries,
     /// Descriptions of the guarantees that were violated during the soak.
@@ -78,11 +80,11 @@
 }
 
 /// Upstream with its proxy, its service and its failure domain.
-struct ProxiedUpstream {
-    upstream: FakeUpstream,
+pub(crate) struct ProxiedUpstream {
+    pub upstream: FakeUpstream,
     /// Proxy between the daemons and the upstream.
     proxy: Arc<Proxy>,
-    service: &'static str,
+    pub service: &'static str,
     domain: &'static str,
     /// Number of crashes before the start that the registry entry states.
     registered_crashes: usize,
@@ -109,6 +111,7 @@
             episodes: 0,
             crashing_part: Arc::default(),
             copied: Instant::now(),
+            peak_memory_bytes: 0,
             foreign_entries: ForeignEntries::start().await?,
             violations: Vec::new(),
         };
@@ -455,14 +458,19 @@
 }
 
 impl ProxiedUpstream {
+    /// Number of requests that the upstream has received after `at`.
+    pub fn requests_after(&self, at: Instant) -> usize {
+        self.upstream.received().iter().filter(|request| request.at > at).count()
+    }
+
     /// Returns the key of the upstream's registry entry in the store.
-    fn key(&self) -> String {
+    pub fn key(&self) -> String {
         format!("servers/{}", self.upstream.id)
     }
 
     /// Returns the upstream's registry entry with the address at which the daemons reach it and the state `ready` or
     /// `draining`.
-    fn registry_entry(&self, state: &str) -> String {
+    pub fn registry_entry(&self, state: &str) -> String {
         let addr = if self.is_direct { self.upstream.addr } else { self.proxy.addr() };
         self.upstream.entry_at(addr, self.service, self.domain, state)
     }
