--- a/crates/soak/src/daemon_process.rs
+++ b/crates/soak/src/daemon_process.rs
@@ -1,23 +1,30 @@
 //! Starts, signals and kills the daemons of a soak.
 
-use crate::soak_error::SoakError;
+use crate::{loopback_net::LoopbackNet, soak_error::SoakError};
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs::File,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    time::{Duration, Instant},
 };
 
 /// Port for client requests. All daemons use it, since each has its own loopback address.
-const ENTRY_PORT: u16 = 18_740;
+pub(crate) const ENTRY_PORT: u16 = 18_740;
 
 /// Port of the readiness probe.
-const READY_PORT: u16 = 18_749;
+pub(crate) const READY_PORT: u16 = 18_749;
 
 /// First port of the range that the daemons use for internal connections.
 const FIRST_INTERNAL_PORT: u16 = 17_200;
 
+/// Memory of the VM that the settings of each daemon state.
+pub(crate) const MEMORY_MB: u64 = 128;
+
+/// Time after the start of a process in which a reload may end it, because it installs its handlers of signals last.
+const START_TIME: Duration = Duration::from_secs(5);
+
 /// Grace period of the daemon's shutdown in seconds, from SIGTERM to SIGKILL.
 pub(crate) const GRACE_S: u64 = 8;
 
@@ -34,21 +41,24 @@
     log_path: PathBuf,
     /// Process of the daemon; `None` after `kill`.
     child: Option<Child>,
+    /// When the process was started.
+    started: Instant,
+    /// Whether the process was told to stop, or to reload while it started.
+    may_end: bool,
 }
 
 impl DaemonProcess {
-    /// Writes the settings of the daemon `number` and starts the daemon at the address `127.0.{net}.{number}`. Soaks
-    /// with different values of `net` can run at the same time. `store` is the address of the store or of a proxy to
-    /// it.
+    /// Writes the settings of the daemon `number` and starts the daemon at its address in `net`. `store` is the address
+    /// of the store or of a proxy to it.
     pub fn start(
         program: &Path,
         dir: &Path,
-        net: u8,
+        net: &LoopbackNet,
         number: u8,
         domain: &str,
         store: SocketAddr,
     ) -> Result<Self, SoakError> {
-        let ip = [127, 0, net, number];
+        let ip = net.ip(number);
         let entry_addr = SocketAddr::from((ip, ENTRY_PORT));
         let ready_addr = SocketAddr::from((ip, READY_PORT));
         let settings_path = dir.join(format!("daemon-{number}.json"));
@@ -56,6 +66,7 @@
             r#"{{"node_name":"daemon-{number}","zone":"{domain}",
             "listen":{{"front":"{entry_addr}","ready":"{ready_addr}"}},
             "internal_port_range":[{FIRST_INTERNAL_PORT},{}],
+            "limits":{{"memory_mb":{MEMORY_MB}}},
             "bounds":{{"grace_s":{GRACE_S},"retry_budget_ratio":0.8,"retry_budget_slack":150,"budget_window_s":10}},
             "platform":{{"address":"{store}"}}}}"#,
             FIRST_INTERNAL_PORT + 15
@@ -63,8 +74,16 @@
         std::fs::write(&settings_path, text)?;
         let log_path = dir.join(format!("daemon-{number}.log"));
         let program = program.to_owned();
-        let mut daemon =
-            Self { entry_addr, ready_addr, program, settings_path, log_path, child: None };
+        let mut daemon = Self {
+            entry_addr,
+            ready_addr,
+            program,
+            settings_path,
+            log_path,
+            child: None,
+            started: Instant::now(),
+            may_end: false,
+        };
         daemon.restart()?;
         Ok(daemon)
     }
@@ -81,11 +100,15 @@
             .stdout(log)
             .spawn()?;
         self.child = Some(child);
+        self.started = Instant::now();
+        self.may_end = false;
         Ok(())
     }
 
     /// Sends a signal to the process if it has been started.
-    pub fn signal(&self, signal: Signal) {
+    pub fn signal(&mut self, signal: Signal) {
+        let is_starting = self.started.elapsed() < START_TIME;
+        self.may_end |= signal == Signal::TERM || signal == Signal::HUP && is_starting;
         let Some(child) = &self.child else { return };
         if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
             // If the process has ended, its pid has not been reused, because nothing has waited for the process yet.
@@ -101,6 +124,21 @@
         }
     }
 
+    /// Describes the end of a process that has ended by itself; `None` if it lives, or was killed or told to stop.
+    pub fn unexpected_end(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        let name = self.settings_path.file_stem()?.to_string_lossy().into_owned();
+        (!self.may_end).then(|| format!("{name} has ended by itself: {status}"))
+    }
+
+    /// Largest resident memory of the process since its start, in bytes; `None` if it has ended.
+    pub fn peak_memory_bytes(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1_024)
+    }
+
     /// Kills the process and waits until it has ended.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
