Connections: idle connections at the ports for probes, metrics and relays give way to new ones

What was seen: 100 connections that each send one request to the readiness port and stay open fill it (50 connections at 64 MB and 700 descriptors, 64 at most) for four fifths of the idle timeout of 30 s. Each further probe gets 503, so the balancer finds the daemon not ready; the metrics and relay ports are the same.

Cause: all ports have the rule of the callers' port, by which an idle connection is kept for four fifths of the idle timeout.

Test that failed before: idle_connections_at_the_other_ports (geraniumroad/tests/silent_callers.rs): "/: HTTP/1.1 503 Service Unavailable" at the readiness port.

Why the fix works: the clients of these ports can connect again at any time, so when such a port is full, its oldest idle, unused or unfinished connections are closed for new ones at any age. The rule of the callers' port does not change.

--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -72,14 +72,16 @@
     let connections = Arc::new(Connections::new(Arc::clone(&core.kept_bytes)));
     let entry = Server::with_limits(settings.entry_addr, core.server_limits()).await?;
     let entry = entry.share(&connections, limits.callers);
-    let ready = Server::bind(settings.ready_addr).await?.share(&connections, limits.probes);
+    let ready =
+        Server::bind(settings.ready_addr).await?.share_internal(&connections, limits.probes);
     let metrics_server = Server::bind(settings.metrics_addr).await?;
-    let metrics_server = metrics_server.share(&connections, limits.probes);
+    let metrics_server = metrics_server.share_internal(&connections, limits.probes);
     let (stop, stopped) = watch::channel(false);
     let items = Arc::new(ItemCache::new(is_same_item));
     let max_age_ms = settings.change_bound_ms / MAX_AGE_DIVISOR;
     let relay = RelayService::with_link(Arc::clone(&items), max_age_ms, settings.link_mbps);
-    let relay_server = Server::bind(settings.relay_addr).await?.share(&connections, limits.relay);
+    let relay_server =
+        Server::bind(settings.relay_addr).await?.share_internal(&connections, limits.relay);
     let peer_socket = Arc::new(PeerSocket::bind(settings.peer_addr).await?);
     core.set_peer_socket(Arc::clone(&peer_socket));
     spawn_background_tasks(&settings, &core, items, peer_socket);
--- a/crates/geraniumroad/tests/common/daemon_process.rs
+++ b/crates/geraniumroad/tests/common/daemon_process.rs
@@ -42,8 +42,10 @@
     child: Child,
     /// Address of the server for callers.
     pub addr: SocketAddr,
-    /// Ports of the metrics and the relay server.
+    /// Ports of the metrics and the relay server; of the server for operators in `run`, if there is one.
     pub internal_addrs: Vec<SocketAddr>,
+    /// Address of the server for peers in `run`; `None` if there is none.
+    pub peer_addr: Option<SocketAddr>,
     pub ready_addr: SocketAddr,
     settings_path: PathBuf,
 }
@@ -65,22 +67,42 @@
         let child = spawn("serve", &settings_path, FILE_DESCRIPTORS);
         let addr = |port: u16| SocketAddr::new(ip.parse().unwrap(), port);
         let internal_addrs = vec![addr(7200), addr(7202)];
-        Self { child, addr: addr(7000), internal_addrs, ready_addr: addr(7001), settings_path }
+        Self {
+            child,
+            addr: addr(7000),
+            internal_addrs,
+            peer_addr: None,
+            ready_addr: addr(7001),
+            settings_path,
+        }
     }
 
     /// Starts the command `run` with the given sections of the settings beside `[entry]` and `[platform]`.
     pub fn run(sections: &str, descriptors: usize) -> Self {
+        Self::run_with_platform("127.0.0.1:9".parse().unwrap(), sections, descriptors)
+    }
+
+    /// Like `run`, with the platform at `platform_addr`.
+    pub fn run_with_platform(
+        platform_addr: SocketAddr,
+        sections: &str,
+        descriptors: usize,
+    ) -> Self {
         let settings = format!(
             "[entry]\nvm_id = \"vm-1\"\ndomain = \"a\"\nlisten = \"127.0.0.1:0\"\n\
-             [platform]\naddr = \"127.0.0.1:9\"\n{sections}"
+             [platform]\naddr = \"{platform_addr}\"\n{sections}"
         );
         let settings_path = write_settings(&settings, 0);
         let mut child = spawn("run", &settings_path, descriptors);
         let mut line = String::new();
         BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let addr = line.split("addr=").nth(1).and_then(|rest| rest.split_whitespace().next());
-        let addr: SocketAddr = addr.and_then(|addr| addr.parse().ok()).expect("the daemon started");
-        Self { child, addr, internal_addrs: Vec::new(), ready_addr: addr, settings_path }
+        let part = |name: &str| -> Option<SocketAddr> {
+            line.split_whitespace().find_map(|part| part.strip_prefix(name)?.parse().ok())
+        };
+        let addr = part("addr=").expect("the daemon started");
+        let internal_addrs = part("admin=").into_iter().collect();
+        let peer_addr = part("peer=");
+        Self { child, addr, internal_addrs, peer_addr, ready_addr: addr, settings_path }
     }
 
     /// Memory and descriptors that the process uses now. Panics if the process has ended.
@@ -137,7 +159,12 @@
 
     /// First bytes of the answer to `request` on a new connection; `None` if there is none.
     pub fn ask(&self, request: &str) -> Option<String> {
-        let mut stream = TcpStream::connect_timeout(&self.addr, Duration::from_secs(2)).ok()?;
+        Self::ask_at(self.addr, request)
+    }
+
+    /// Like `ask`, at another port.
+    pub fn ask_at(addr: SocketAddr, request: &str) -> Option<String> {
+        let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(2)).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
         stream.write_all(request.as_bytes()).ok()?;
         let mut answer = [0; 1024];
@@ -145,6 +172,18 @@
         Some(String::from_utf8_lossy(&answer[..size]).into_owned())
     }
 
+    /// Value of a metric without labels at the first internal port; `None` if it is not there.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let addr = self.internal_addrs.first()?;
+        let mut stream = TcpStream::connect_timeout(addr, Duration::from_secs(2)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     /// Waits until the usage is at most `bound`. Panics if it stays above.
     pub fn wait_until_below(&self, bound: Usage) {
         let end = Instant::now() + PATIENCE;
--- a/crates/geraniumroad/tests/common/silent_callers.rs
+++ b/crates/geraniumroad/tests/common/silent_callers.rs
@@ -1,7 +1,7 @@
-//! Callers that send as much as the daemon takes and read nothing.
+//! Callers that send as much as the daemon takes and read nothing, or little.
 
 use std::{
-    io::{ErrorKind, Write},
+    io::{ErrorKind, Read, Write},
     net::{SocketAddr, TcpStream},
     sync::{
         Arc,
@@ -37,6 +37,16 @@
     /// Opens `count` connections to `addr` and sends on them from then on. A connection that is closed or cannot be opened
     /// is not opened again.
     pub fn start(addr: SocketAddr, count: usize, sending: Sending) -> Self {
+        Self::start_reading(addr, count, sending, 0)
+    }
+
+    /// Like `start`, with callers that read up to `read_bytes` every few milliseconds.
+    pub fn start_reading(
+        addr: SocketAddr,
+        count: usize,
+        sending: Sending,
+        read_bytes: usize,
+    ) -> Self {
         let is_ended = Arc::new(AtomicBool::new(false));
         let thread_ended = Arc::clone(&is_ended);
         // The kernel repeats an attempt that found the daemon's backlog full after a second.
@@ -48,9 +58,11 @@
             for caller in &callers {
                 caller.stream.set_nonblocking(true).unwrap();
             }
+            let mut buffer = vec![0; read_bytes];
             while !thread_ended.load(Ordering::Relaxed) {
                 for caller in &mut callers {
                     caller.send(&sending);
+                    let _ = caller.stream.read(&mut buffer);
                 }
                 std::thread::sleep(match sending {
                     Sending::Dribbled(_) => Duration::from_millis(100),
--- a/crates/geraniumroad/tests/silent_callers.rs
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -212,6 +212,26 @@
     }
 }
 
+/// Idle connections fill a port that is not for callers, so that the balancer finds the daemon not ready, or its metrics
+/// and the copies of the store's items cannot be read.
+#[test]
+fn idle_connections_at_the_other_ports() {
+    let stand = Stand::start();
+    let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+    let [metrics, relay] = stand.daemon.internal_addrs[..] else { panic!("two internal ports") };
+    let ports =
+        [(stand.daemon.ready_addr, "/"), (metrics, "/metrics"), (relay, "/v1/kv-range?prefix=")];
+    for (addr, path) in ports {
+        let callers = SilentCallers::start(addr, 100, Sending::Once(get(path)));
+        std::thread::sleep(Duration::from_secs(1));
+        // One request, as of a probe: the idle connections must not keep it out until they time out.
+        let answer = DaemonProcess::ask_at(addr, &get(path)).unwrap_or_default();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{path}: {answer}");
+        drop(callers);
+    }
+    stand.check(stand.daemon.usage());
+}
+
 #[test]
 fn a_change_of_the_configuration_beside_many_callers() {
     let stand = Stand::start();
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -3,7 +3,7 @@
 use crate::{
     connection_account::ConnectionAccount,
     eviction::{Candidate, Standing},
-    server_limits::ServerLimits,
+    port::Port,
 };
 use futures::task::AtomicWaker;
 use std::{
@@ -14,19 +14,12 @@
     },
     task::{Context, Poll},
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 
 /// Time without progress after which a connection whose answer waits for its caller may be closed, in milliseconds. It is
 /// longer than a round trip to a distant caller.
 const MIN_BLOCKED_MS: u64 = 200;
 
-/// Shortest age at which a connection that is not blocked may be closed, in milliseconds. The head of a request arrives
-/// within this time unless its caller is slow.
-const MIN_AGE_MS: u64 = 250;
-
-/// Part of the idle timeout, in percent, within which an idle connection is never closed for another one.
-const KEPT_IDLE_PERCENT: u64 = 80;
-
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -47,7 +40,7 @@
 pub(crate) struct ConnectionUse {
     pub peer: SocketAddr,
     account: Arc<ConnectionAccount>,
-    limits: watch::Receiver<ServerLimits>,
+    port: Arc<Port>,
     /// Start of the time that the following fields count from.
     start: Instant,
     held_bytes: AtomicUsize,
@@ -70,7 +63,7 @@
     pub fn new(
         peer: SocketAddr,
         account: Arc<ConnectionAccount>,
-        limits: watch::Receiver<ServerLimits>,
+        port: Arc<Port>,
         start: Instant,
         held_bytes: usize,
     ) -> Self {
@@ -78,7 +71,7 @@
         Self {
             peer,
             account,
-            limits,
+            port,
             start,
             held_bytes: AtomicUsize::new(held_bytes),
             phase: AtomicU8::new(Phase::Idle as u8),
@@ -177,8 +170,7 @@
         let since = |at: &AtomicU64| now_ms.saturating_sub(at.load(Ordering::Relaxed));
         let phase_ms = since(&self.phase_start_ms);
         let phase = self.phase.load(Ordering::Relaxed);
-        let idle_ms = self.limits.borrow().idle_timeout_ms * KEPT_IDLE_PERCENT / 100;
-        let is_old = phase_ms >= MIN_AGE_MS;
+        let is_old = phase_ms >= self.port.min_age_ms();
         // An answer that exceeds the buffers blocks for moments also if the caller reads all the time.
         let is_stuck = since(&self.last_write_ms) >= MIN_BLOCKED_MS;
         let standing = if is_stuck && self.is_blocked.load(Ordering::Relaxed) {
@@ -189,7 +181,7 @@
             Standing::Unfinished
         } else if is_old && !self.has_requested.load(Ordering::Relaxed) {
             Standing::Unused
-        } else if phase == Phase::Idle as u8 && phase_ms > idle_ms {
+        } else if phase == Phase::Idle as u8 && phase_ms >= self.port.kept_idle_ms() {
             Standing::Idle
         } else {
             return None;
--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -6,17 +6,14 @@
     connection_limits::{CONNECTION_BYTES, ConnectionLimits},
     connection_use::{ConnectionUse, Phase},
     eviction::{Need, choose},
-    server_limits::ServerLimits,
+    port::Port,
 };
 use base::{HashMap, lock};
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, atomic::Ordering},
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 
 /// Part of the limits that is freed at once, as a divisor. The search for connections to close is not repeated for each
 /// new connection then.
@@ -51,14 +48,6 @@
     left_out: u64,
 }
 
-/// Server's part of the connections.
-#[derive(Debug)]
-pub(crate) struct Port {
-    max_connections: usize,
-    open: AtomicUsize,
-    limits: watch::Receiver<ServerLimits>,
-}
-
 /// Connection that counts as open until the value is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
@@ -75,12 +64,6 @@
     }
 }
 
-impl Port {
-    pub fn new(max_connections: usize, limits: watch::Receiver<ServerLimits>) -> Arc<Self> {
-        Arc::new(Self { max_connections, open: AtomicUsize::new(0), limits })
-    }
-}
-
 impl Connections {
     /// Creates a table of connections that share `account` with the requests in flight.
     pub fn new(account: Arc<ByteAccount>) -> Self {
@@ -113,7 +96,7 @@
         let state = Arc::new(ConnectionUse::new(
             peer,
             Arc::clone(&self.account),
-            port.limits.clone(),
+            Arc::clone(port),
             self.start,
             CONNECTION_BYTES,
         ));
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -25,6 +25,7 @@
 mod in_flight_requests;
 mod json_request;
 mod linger;
+mod port;
 mod server;
 mod server_limits;
 mod socket_buffers;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -4,8 +4,9 @@
     body::{ResponseBody, empty},
     caller_stream::CallerStream,
     connection_limits::SOCKET_BUFFER_BYTES,
-    connections::{Connections, OpenConnection, Port},
+    connections::{Connections, OpenConnection},
     in_flight_requests::InFlightRequests,
+    port::Port,
     server_limits::ServerLimits,
     socket_buffers::socket_with_buffers,
     tcp_keepalive::enable_tcp_keepalive,
@@ -71,6 +72,7 @@
     limits: watch::Receiver<ServerLimits>,
     connections: Arc<Connections>,
     max_connections: usize,
+    is_internal: bool,
 }
 
 impl Server {
@@ -102,6 +104,7 @@
             limits,
             connections: Arc::default(),
             max_connections: DEFAULT_MAX_CONNECTIONS,
+            is_internal: false,
         })
     }
 
@@ -112,6 +115,12 @@
         self
     }
 
+    /// Like `share` for a port of probes, metrics, operators or other daemons: when it is full, idle connections are closed
+    /// for new ones, whatever their age.
+    pub fn share_internal(self, connections: &Arc<Connections>, max_connections: usize) -> Self {
+        Self { is_internal: true, ..self.share(connections, max_connections) }
+    }
+
     /// Returns the bound address, with the port that was selected if port 0 was requested.
     ///
     /// # Errors
@@ -129,7 +138,7 @@
         let limits = self.limits;
         let connection_stop = stop.clone();
         let table = self.connections;
-        let port = Port::new(self.max_connections, limits.clone());
+        let port = Port::new(self.max_connections, self.is_internal, limits.clone());
         let accept = async |connections: &mut JoinSet<()>,
                             accepted: IoResult<(TcpStream, SocketAddr)>| {
             match accepted {
