Entry: a planned stop does not wait for callers that do not read

What was seen: SIGTERM to `geraniumroad run` beside 50 callers that pipeline requests and read nothing and 50 that read 3 kB/s: the process still runs after 12 s, with `entry.shutdown_wait_ms` at 1,000.

Cause: the server waits for each response to be written and for each connection to be closed by its caller, and nothing limits either before the kernel gives up after 30 s. The stop began only after the wait for the balancer.

Why the fix works: the server is told of the stop at once and accepts connections for `shutdown_wait_ms`, as before. From the stop on, the times add up for which a connection waits for its caller: blocked, a partial head, a late body, or the end of the connection. Requests whose callers read are completed, as before: a limit on all of them would cut streams at each planned stop, which a_shutdown_cuts_off_no_stream forbids.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -43,7 +43,7 @@
 };
 use tokio::{sync::watch, task::JoinHandle};
 use upstream::EnginePool;
-use web::{ByteAccount, ConnectionLimits, Connections, Server};
+use web::{ByteAccount, ConnectionLimits, Connections, Server, ServerLimits};
 
 /// Retry budget of each service at one entry, for retries of calls that were already sent: a tenth of the calls within
 /// 10 seconds, and ten more so that a service with few calls can recover as well.
@@ -63,7 +63,6 @@
     actors: Vec<ActorCell>,
     expiry: JoinHandle<()>,
     peer_node: Option<PeerNode>,
-    shutdown_wait_ms: u64,
     member: Option<MemberArguments>,
 }
 
@@ -77,6 +76,17 @@
     )
 }
 
+/// Limits of the server for callers. At the stop, connections are accepted for `shutdown_wait_ms`, and callers are waited for
+/// as long.
+pub(crate) fn server_limits(settings: &Settings) -> ServerLimits {
+    let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
+    ServerLimits {
+        accept_after_stop_ms: shutdown_wait_ms,
+        caller_wait_after_stop_ms: Some(shutdown_wait_ms),
+        ..ServerLimits::default()
+    }
+}
+
 impl Entry {
     /// Starts an entry. `metrics` renders the response to `/metrics`; without `metrics` that response is empty.
     ///
@@ -90,7 +100,8 @@
         let connection_limits = connection_limits(settings);
         let account = Arc::new(ByteAccount::new(connection_limits.account_bytes));
         let connections = Arc::new(Connections::new(Arc::clone(&account)));
-        let server = Server::bind(settings.entry.listen).await?;
+        let (_, server_limits) = watch::channel(server_limits(settings));
+        let server = Server::with_limits(settings.entry.listen, server_limits).await?;
         let server = server.share(&connections, connection_limits.callers);
         let addr = server.local_addr()?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
@@ -195,8 +206,7 @@
             actors.push(Actor::spawn(None, MemberActor, arguments).await?.0.get_cell());
         }
         let expiry = tokio::spawn(expire_journals(journals));
-        let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
-        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, shutdown_wait_ms, member })
+        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, member })
     }
 
     /// Address at which the HTTP server for callers listens, with the port that was bound if the settings name port 0.
@@ -220,10 +230,10 @@
     }
 
     /// Shuts down the entry. Readiness fails at once, the listener closes after `shutdown_wait_ms` of the settings, and
-    /// requests in flight are completed. Peers can reach the journals until the last request has ended.
+    /// requests in flight are completed. Callers together with their connections are waited for no longer than that: a
+    /// connection whose caller does not read is closed. Peers can reach the journals until the last request has ended.
     pub async fn close(self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
-        tokio::time::sleep(Duration::from_millis(self.shutdown_wait_ms)).await;
         self.stop.send_replace(true);
         let _ = self.server.await;
         self.shared.calls.finished().await;
--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -116,6 +116,7 @@
             headers_size_bytes: self.max_headers_bytes,
             accept_after_stop_ms: options.accept_after_stop_ms,
             cut_after_stop_ms: Some(options.cut_after_stop_ms),
+            caller_wait_after_stop_ms: None,
         }
     }
 }
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -164,6 +164,14 @@
         }
     }
 
+    /// Whether the connection waits for its caller: for the rest of a head or of a late body, or until the caller reads the
+    /// response or closes the connection after it.
+    pub fn waits_for_caller(&self) -> bool {
+        let phase = self.phase.load(Ordering::Relaxed);
+        self.is_blocked.load(Ordering::Relaxed)
+            || [Phase::Headers as u8, Phase::Linger as u8].contains(&phase)
+    }
+
     /// The connection as one that may be closed at `now`; `None` if it is an ordinary one.
     pub fn candidate(&self, id: u64, now: Instant) -> Option<Candidate> {
         let now_ms = self.since_start_ms(now);
--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Records that a connection is closed because its caller has kept the stop of its server waiting.
+    pub(crate) fn record_stop(&self, state: &ConnectionUse, waited_ms: u64) {
+        self.log("closed a connection at the stop", state.peer, || {
+            format!("caller waited for {waited_ms} ms, held_bytes={}", state.held_bytes())
+        });
+        metrics::counter!("connections_closed_total", "reason" => "stop").increment(1);
+    }
+
     /// Logs what was done with a connection, within the limit on such lines.
     fn log(&self, action: &str, peer: SocketAddr, reason: impl FnOnce() -> String) {
         let second = self.start.elapsed().as_secs();
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod byte_account;
 mod caller_stream;
+mod caller_wait;
 mod client;
 mod client_error;
 mod client_stream;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -3,6 +3,7 @@
 use crate::{
     body::{ResponseBody, empty},
     caller_stream::CallerStream,
+    caller_wait::caller_wait_exceeded,
     connection_limits::SOCKET_BUFFER_BYTES,
     connections::{Connections, OpenConnection},
     in_flight_requests::InFlightRequests,
@@ -153,6 +154,7 @@
                         open,
                         handler,
                         limits,
+                        Arc::clone(&table),
                         connection_stop.clone(),
                     ));
                 }
@@ -219,6 +221,7 @@
     open: OpenConnection,
     handler: Arc<H>,
     limits: watch::Receiver<ServerLimits>,
+    table: Arc<Connections>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Tokens are small writes, which must not wait until the previous one is acknowledged.
@@ -226,7 +229,7 @@
     enable_tcp_keepalive(&stream);
     let in_flight = InFlightRequests::default();
     let headers_size_bytes = limits.borrow().headers_size_bytes.max(MIN_HEADERS_SIZE_BYTES);
-    let accept_limits = limits.clone();
+    let stop_limits = limits.clone();
     let state = Arc::clone(&open.state);
     let service_state = Arc::clone(&state);
     let peer = state.peer;
@@ -258,15 +261,21 @@
         .serve_connection(TokioIo::new(stream), service);
     // The next response on an open connection states that it closes, so an idle connection is closed without one only
     // when no new connections are accepted any more.
+    let mut accept_stop = stop.clone();
     let end_of_accepting = async {
-        wait_for_stop(&mut stop).await;
-        let accept_ms = accept_limits.borrow().accept_after_stop_ms;
+        wait_for_stop(&mut accept_stop).await;
+        let accept_ms = stop_limits.borrow().accept_after_stop_ms;
         tokio::time::sleep(Duration::from_millis(accept_ms)).await;
     };
-    tokio::pin!(connection);
+    let end_of_patience = async {
+        wait_for_stop(&mut stop).await;
+        caller_wait_exceeded(&state, &stop_limits).await
+    };
+    tokio::pin!(connection, end_of_patience);
     tokio::select! {
         _ = connection.as_mut() => return,
         () = poll_fn(|cx| state.poll_evicted(cx)) => return,
+        waited_ms = end_of_patience.as_mut() => return table.record_stop(&state, waited_ms),
         () = end_of_accepting, if !is_after_stop => {
             requests.record_close();
             connection.as_mut().graceful_shutdown();
@@ -275,6 +284,7 @@
     tokio::select! {
         _ = connection.as_mut() => {}
         () = poll_fn(|cx| state.poll_evicted(cx)) => {}
+        waited_ms = end_of_patience.as_mut() => table.record_stop(&state, waited_ms),
     }
 }
 
--- a/crates/web/src/server_limits.rs
+++ b/crates/web/src/server_limits.rs
@@ -16,6 +16,10 @@
     /// `None` to wait for all of them. If the timeout is set, new connections are also accepted while older ones have
     /// requests in flight.
     pub cut_after_stop_ms: Option<u64>,
+    /// Longest time after the stop of the server for which a connection may wait for its caller: for the rest of a head, for
+    /// a late body, or until the caller reads. Then the connection is closed, so that the stop ends. In milliseconds; `None`
+    /// for no limit.
+    pub caller_wait_after_stop_ms: Option<u64>,
 }
 
 impl Default for ServerLimits {
@@ -26,6 +30,7 @@
             headers_size_bytes: 64 * 1024,
             accept_after_stop_ms: 0,
             cut_after_stop_ms: None,
+            caller_wait_after_stop_ms: None,
         }
     }
 }
