Ingress: a lack of room for an event is no fault of its engine

What was seen: an event that found no room in the account ended its attempt as "lost: malformed". The engine was recorded as failing, its failure domain as losing engines, and the request was sent again elsewhere, where its prompt was read again and found no room either.

Cause: the attempt knew no other way to end.

Without room it ends with `NoRoom`, which counts like a refusal and not as a fault.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -290,6 +290,11 @@
                     Err(err) => return Poll::Ready(Step::Failed(err)),
                 },
                 Progress::Reading { exchange, splitter } => {
+                    if !ready!(exchange.poll_room(cx)) {
+                        let (bytes, _) = splitter.buffered_bytes();
+                        log::warn!("memory: no room for {bytes} bytes of an event");
+                        return Poll::Ready(Step::Failed(AttemptError::NoRoom));
+                    }
                     match splitter.next_event() {
                         Ok(Some(event)) => return Poll::Ready(Step::Event(event)),
                         Ok(None) => {}
@@ -299,10 +304,7 @@
                         Some(Ok(data)) => {
                             splitter.push(&data);
                             let (bytes, capacity_bytes) = splitter.buffered_bytes();
-                            if !exchange.keep(bytes, capacity_bytes) {
-                                log::warn!("memory: no room for {bytes} bytes of an event");
-                                return Poll::Ready(lost(LossCause::Malformed));
-                            }
+                            exchange.keep_or_wait(bytes, capacity_bytes);
                         }
                         Some(Err(err)) => return Poll::Ready(Step::Failed(err)),
                         // The end of a connection without an event does not show that the answer is complete.
--- a/crates/ingress/src/attempt_error.rs
+++ b/crates/ingress/src/attempt_error.rs
@@ -33,6 +33,10 @@
         Answered(status: u16) {
             display("answered with status {status}")
         }
+        /// There was no room in the daemon's memory for a part of the response. The request may have run.
+        NoRoom {
+            display("no room for the response in this daemon")
+        }
         /// The connection or the response failed after sending. The request may have run.
         Lost(cause: LossCause) {
             display("lost: {}", cause.as_str())
@@ -48,6 +52,7 @@
             Self::Answered(_)
             | Self::Misdirected
             | Self::NotAccepting
+            | Self::NoRoom
             | Self::OtherVersion(_)
             | Self::Refused(_) => LossCause::Refused,
             Self::Lost(cause) => *cause,
@@ -55,7 +60,7 @@
     }
 
     /// Whether the upstream itself seems to have failed, in contrast to an upstream that refuses or answers the
-    /// request.
+    /// request, and to a lack of room at this daemon.
     pub fn is_fault(&self) -> bool {
         matches!(self, Self::NotSent(_) | Self::Lost(_))
     }
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -10,6 +10,7 @@
     observation::Observation,
     probe::connect_verified,
     response_head::{ResponseClass, classify_response, keep_alive_s, named_limit_per_s},
+    room_wait::RoomWait,
 };
 use affinity::StreamVersion;
 use bytes::Bytes;
@@ -54,6 +55,8 @@
     connection: InstanceConnection,
     /// Part of the body that is kept.
     held: HeldBytes,
+    /// Wait for room for the part that is kept; `None` while there is room.
+    room: Option<RoomWait>,
     /// Observation of the request for rollouts; `None` if they are not in force.
     observation: Option<Observation>,
 }
@@ -124,7 +127,8 @@
         let is_reused = connection.is_reused;
         let held = core.kept_bytes.hold_none();
         let (status, headers) = (head.status, head.headers);
-        let exchange = Self { guard, status, headers, body, connection, held, observation };
+        let room = None;
+        let exchange = Self { guard, status, headers, body, connection, held, room, observation };
         let (status, headers) = (exchange.status, &exchange.headers);
         let class = classify_response(status, headers, &inbound.id, is_reused, &core.dialect);
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
@@ -169,6 +173,25 @@
         self.held.try_resize(if bytes > UNCOUNTED_BYTES { capacity_bytes } else { 0 })
     }
 
+    /// Like `keep`, but waits for room if there is none. `poll_room` tells when there is.
+    pub fn keep_or_wait(&mut self, bytes: usize, capacity_bytes: usize) {
+        if !self.keep(bytes, capacity_bytes) {
+            metrics::counter!("events_delayed_total").increment(1);
+            self.room = Some(RoomWait::start(Arc::clone(self.held.account()), capacity_bytes));
+        }
+    }
+
+    /// Is ready with `true` if there is room for the part of the body that is kept, and with `false` if there was none in
+    /// time.
+    pub fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        let Some(room) = &mut self.room else { return Poll::Ready(true) };
+        let held = ready!(room.poll(cx));
+        self.room = None;
+        let has_room = held.is_some();
+        self.held = held.unwrap_or_else(|| self.held.account().hold_none());
+        Poll::Ready(has_room)
+    }
+
     /// Ends an exchange whose response is a refusal. The connection is kept for reuse if the body can be read within
     /// the limits, and closed otherwise.
     async fn close_refused(mut self, core: &Core) {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -52,6 +52,7 @@
 mod rollout_control;
 mod rollout_items;
 mod rollout_recorder;
+mod room_wait;
 mod route_kind;
 mod route_table;
 mod service_rates;
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -150,7 +150,9 @@
                 Err(call) => return give_up(silent, call, core.call_retry_after_ms()).await,
             },
             lost @ (Outcome::Answered(_)
-            | Outcome::Failed(AttemptError::Answered(_) | AttemptError::Lost(_))
+            | Outcome::Failed(
+                AttemptError::Answered(_) | AttemptError::Lost(_) | AttemptError::NoRoom,
+            )
             | Outcome::TimedOut) => {
                 if let Outcome::Answered(response) = lost {
                     silent.error_response = Some(response);
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -677,9 +677,9 @@
                     self.excluded.retain(|id| *id != instance.entry.id);
                 }
             }
-            AttemptError::Answered(_) | AttemptError::Lost(_) => {}
+            AttemptError::Answered(_) | AttemptError::NoRoom | AttemptError::Lost(_) => {}
         }
-        let may_have_run = matches!(err, AttemptError::Lost(_));
+        let may_have_run = matches!(err, AttemptError::Lost(_) | AttemptError::NoRoom);
         let is_cut = matches!(err, AttemptError::Lost(LossCause::Closed | LossCause::Reset));
         let has_just_begun = lost.has_just_begun(now_ms);
         if is_cut && (has_just_begun || !lost.has_event()) {
--- a/crates/web/src/held_bytes.rs
+++ b/crates/web/src/held_bytes.rs
@@ -16,6 +16,11 @@
         Self { account, bytes }
     }
 
+    /// Account in which the amount is held.
+    pub fn account(&self) -> &Arc<ByteAccount> {
+        &self.account
+    }
+
     /// Changes the amount to `bytes`. Returns `false`, without a change, if there is no room for a larger amount.
     pub fn try_resize(&mut self, bytes: usize) -> bool {
         match bytes.cmp(&self.bytes) {
