Web: bodies that are announced and not sent give way to others

What was seen: 14 callers announce bodies of 2 MiB at a daemon of 64 MB and send one byte each. Twelve of them hold the room for large amounts for 10 s, and an ordinary body of 2 MiB gets 503 `memory_spent` after half of the time until its deadline.

Cause: the room is held from the announcement on, and nothing looks at whether the body arrives.

Test that failed before: bodies_that_are_never_sent (geraniumroad/tests/silent_callers.rs): "503 Service Unavailable ... no room for its body".

Why the fix works: the server attaches the connection to each request, and the reader of a body reports its progress there. While an amount waits for room, a connection whose body will not be complete in its time at its pace so far may be closed (`Unsent`), from 250 ms after the begin of the body. Without a shortage, nothing changes. The search is repeated each 100 ms while amounts wait, for at most a quarter of the account, because a connection becomes one that may be closed as time passes.

With the repeated search, a request that waits for room itself would have been closed after 250 ms as one with an incomplete head: the phase of its connection changed only with the next read.

--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -31,7 +31,7 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use web::{Handler, Method, ReadBodyError, ResponseBody, StatusCode};
+use web::{Handler, Method, ReadBodyError, RequestContext, ResponseBody, StatusCode};
 
 /// Header in which a caller that reconnects to a streamed answer sends the identifier of the last event it received.
 const LAST_EVENT_ID: &str = "last-event-id";
@@ -218,6 +218,7 @@
         let account = &self.shared.account;
         let limit_bytes = usize::try_from(self.shared.limits.body_bytes).unwrap_or(usize::MAX);
         let limit_bytes = limit_bytes.min(account.largest_bytes());
+        let context = RequestContext::of(&request).cloned();
         let body = request.into_body();
         let stated_bytes = body.size_hint().exact();
         if stated_bytes.is_some_and(|bytes| bytes > limit_bytes as u64) {
@@ -226,7 +227,13 @@
         let size_bytes = stated_bytes.map_or(limit_bytes, |bytes| bytes as usize);
         let read = async {
             let mut held = account.hold(size_bytes).await;
-            let body = web::read_body(body, limit_bytes).await?;
+            let body = match context {
+                Some(context) => {
+                    let body = context.receive(body, size_bytes, BODY_WAIT_MS);
+                    web::read_body(body, limit_bytes).await?
+                }
+                None => web::read_body(body, limit_bytes).await?,
+            };
             held.try_resize(body.len());
             Ok(held.attach_to(body))
         };
--- a/crates/geraniumroad/tests/silent_callers.rs
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -107,6 +107,29 @@
     )
 }
 
+/// Bodies that are announced and never sent hold the room for bodies until their time is over, so that an ordinary caller's
+/// body finds none.
+#[test]
+fn bodies_that_are_never_sent() {
+    let stand = Stand::start();
+    let config = config(2)
+        .replace("\"max_body_bytes\":65536", "\"max_body_bytes\":2097152")
+        .replace("\"timeout_ms\":1000", "\"timeout_ms\":8000");
+    stand.store.put(platform::KEYS.config, &config);
+    std::thread::sleep(Duration::from_secs(3));
+    let announced = "POST /book/x HTTP/1.1\r\nHost: a.example\r\nCredential: key-1\r\nRequest-Attempt-Id: b\r\n\
+        Deadline-Remaining: 8000\r\nContent-Length: 2097152\r\n\r\nx";
+    let callers = SilentCallers::start(stand.daemon.addr, 14, Sending::Once(announced.to_owned()));
+    std::thread::sleep(Duration::from_secs(1));
+    let body = "x".repeat(2 << 20);
+    let answer = stand.daemon.ask(&request("POST", "/book/x", "large", &body));
+    let answer = answer.unwrap_or_default();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    drop(callers);
+    stand.check(stand.daemon.usage());
+    stand.daemon.wait_for_answer(&ordinary("after"));
+}
+
 /// While a request waits for its answer, the kernel takes more of them, each with large headers.
 #[test]
 fn many_requests_behind_a_waiting_one() {
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -19,7 +19,9 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use std::{panic::AssertUnwindSafe, sync::Arc, time::Duration};
-use web::{AbortedBody, Handler, ReadBodyError, ResponseBody, StatusCode, read_body};
+use web::{
+    AbortedBody, Handler, ReadBodyError, RequestContext, ResponseBody, StatusCode, read_body,
+};
 
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -65,7 +67,9 @@
         let body_end_ms = arrived_ms.saturating_add(route.timeout_ms);
         // A malformed header is reported once the body has been read.
         let room_wait_ms = head.time_left_ms(&parts.headers).unwrap_or(0) / ROOM_WAIT_DIVISOR;
-        let body = self.read_body(body, config.limits.max_body_bytes, room_wait_ms, body_end_ms);
+        let context = parts.extensions.get::<RequestContext>();
+        let max_body_bytes = config.limits.max_body_bytes;
+        let body = self.read_body(body, context, max_body_bytes, room_wait_ms, body_end_ms);
         let body = tokio::select! {
             biased;
             body = body => body?,
@@ -92,6 +96,7 @@
     async fn read_body(
         &self,
         body: Incoming,
+        context: Option<&RequestContext>,
         max_bytes: usize,
         room_wait_ms: u64,
         body_end_ms: u64,
@@ -119,8 +124,17 @@
             return Err(CallerError::MemorySpent(self.core.stream_retry_after_ms()));
         };
         let left_ms = body_end_ms.saturating_sub(self.core.clock.now_ms());
-        let body_wait = Duration::from_millis(BODY_TIMEOUT_MS.min(left_ms));
-        match tokio::time::timeout(body_wait, read_body(body, max_bytes)).await {
+        let body_wait_ms = BODY_TIMEOUT_MS.min(left_ms);
+        let body_wait = Duration::from_millis(body_wait_ms);
+        let read = async {
+            match context {
+                Some(context) => {
+                    read_body(context.receive(body, size_bytes, body_wait_ms), max_bytes).await
+                }
+                None => read_body(body, max_bytes).await,
+            }
+        };
+        match tokio::time::timeout(body_wait, read).await {
             Ok(Ok(body)) => {
                 held.try_resize(body.len());
                 Ok(held.attach_to(body))
--- a/crates/web/src/byte_account.rs
+++ b/crates/web/src/byte_account.rs
@@ -21,11 +21,9 @@
 pub struct ByteAccount {
     limit_bytes: usize,
     held_bytes: AtomicUsize,
-    /// Number of amounts that wait.
-    waiting: AtomicUsize,
+    /// Sum of the amounts that wait.
+    waiting_bytes: AtomicUsize,
     freed: Notify,
-    /// Sum of the amounts that found no room since `shortage` returned.
-    short_bytes: AtomicUsize,
     shortage: Notify,
 }
 
@@ -35,9 +33,8 @@
         Self {
             limit_bytes,
             held_bytes: AtomicUsize::new(0),
-            waiting: AtomicUsize::new(0),
+            waiting_bytes: AtomicUsize::new(0),
             freed: Notify::new(),
-            short_bytes: AtomicUsize::new(0),
             shortage: Notify::new(),
         }
     }
@@ -73,8 +70,7 @@
         if let Some(held) = self.try_hold(bytes) {
             return held;
         }
-        let _waiting = Waiting::start(&self.waiting);
-        self.short_bytes.fetch_add(bytes, Ordering::SeqCst);
+        let _waiting = Waiting::start(&self.waiting_bytes, bytes);
         self.shortage.notify_one();
         loop {
             let freed = self.freed.notified();
@@ -88,10 +84,14 @@
         }
     }
 
-    /// Waits until an amount finds no room, and returns the sum of these amounts since the last call.
-    pub(crate) async fn shortage(&self) -> usize {
+    /// Waits until an amount has found no room.
+    pub(crate) async fn shortage(&self) {
         self.shortage.notified().await;
-        self.short_bytes.swap(0, Ordering::SeqCst)
+    }
+
+    /// Sum of the amounts that wait now.
+    pub(crate) fn waiting_bytes(&self) -> usize {
+        self.waiting_bytes.load(Ordering::SeqCst)
     }
 
     /// Replaces a held amount of `old_bytes` by a larger one of `new_bytes`. Returns `false`, without a change, if there
@@ -113,24 +113,24 @@
             return;
         }
         self.held_bytes.fetch_sub(bytes, Ordering::SeqCst);
-        if self.waiting.load(Ordering::SeqCst) > 0 {
+        if self.waiting_bytes() > 0 {
             self.freed.notify_waiters();
         }
     }
 }
 
 /// Counts an amount as waiting until it is dropped.
-struct Waiting<'a>(&'a AtomicUsize);
+struct Waiting<'a>(&'a AtomicUsize, usize);
 
 impl<'a> Waiting<'a> {
-    fn start(waiting: &'a AtomicUsize) -> Self {
-        waiting.fetch_add(1, Ordering::SeqCst);
-        Self(waiting)
+    fn start(waiting_bytes: &'a AtomicUsize, bytes: usize) -> Self {
+        waiting_bytes.fetch_add(bytes, Ordering::SeqCst);
+        Self(waiting_bytes, bytes)
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.fetch_sub(self.1, Ordering::SeqCst);
     }
 }
--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -149,6 +149,7 @@
             // More than one request has come out of the bytes that were read before.
             self.open.state.set_pipelined(total > self.requests_at_data + 1);
             self.requests_at_data = total;
+            self.open.state.record_read(Instant::now());
         }
         let phase = match (self.in_flight.poll_idle(cx).is_ready(), self.phase) {
             (false, _) => Phase::Response,
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -1,6 +1,7 @@
 //! What one connection of a caller holds and waits for, as the other connections see it.
 
 use crate::{
+    body_progress::BodyProgress,
     connection_account::ConnectionAccount,
     eviction::{Candidate, Standing},
     port::Port,
@@ -13,6 +14,7 @@
         atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 use tokio::time::Instant;
 
@@ -53,6 +55,9 @@
     is_pipelined: AtomicBool,
     /// When the kernel last accepted bytes.
     last_write_ms: AtomicU64,
+    /// When bytes were last read.
+    last_read_ms: AtomicU64,
+    body: BodyProgress,
     is_evicted: AtomicBool,
     /// Waker of the task that serves the connection.
     waker: AtomicWaker,
@@ -76,7 +81,9 @@
             held_bytes: AtomicUsize::new(held_bytes),
             phase: AtomicU8::new(Phase::Idle as u8),
             last_write_ms: AtomicU64::new(now_ms.load(Ordering::Relaxed)),
+            last_read_ms: AtomicU64::new(now_ms.load(Ordering::Relaxed)),
             phase_start_ms: now_ms,
+            body: BodyProgress::default(),
             has_requested: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
             is_pipelined: AtomicBool::new(false),
@@ -109,6 +116,31 @@
         self.last_write_ms.store(self.since_start_ms(at), Ordering::Relaxed);
     }
 
+    /// Records that bytes were read at `at`.
+    pub fn record_read(&self, at: Instant) {
+        self.last_read_ms.store(self.since_start_ms(at), Ordering::Relaxed);
+    }
+
+    /// When bytes were last read.
+    pub fn last_read(&self) -> Instant {
+        self.start + Duration::from_millis(self.last_read_ms.load(Ordering::Relaxed))
+    }
+
+    /// Records that a body is read from now on, for which `held_bytes` are held and which has to arrive within `wait_ms`.
+    pub fn begin_body(&self, held_bytes: usize, wait_ms: u64) {
+        self.body.begin(held_bytes, wait_ms, self.since_start_ms(Instant::now()));
+    }
+
+    /// Counts bytes of the body.
+    pub fn record_body(&self, bytes: usize) {
+        self.body.record(bytes);
+    }
+
+    /// Records that no body is read any more.
+    pub fn end_body(&self) {
+        self.body.end();
+    }
+
     /// Is ready unless bytes of a response wait because the caller does not read. The task is not woken by this; it is
     /// woken when the kernel accepts bytes.
     pub fn poll_unblocked(&self) -> Poll<()> {
@@ -170,6 +202,12 @@
         let phase = self.phase.load(Ordering::Relaxed);
         self.is_blocked.load(Ordering::Relaxed)
             || [Phase::Headers as u8, Phase::Linger as u8].contains(&phase)
+            || self.late_body_bytes(Instant::now()).is_some()
+    }
+
+    /// Bytes that are held for the body of the current request, if it is late.
+    fn late_body_bytes(&self, now: Instant) -> Option<usize> {
+        self.body.late_bytes(self.since_start_ms(now), self.port.min_age_ms())
     }
 
     /// The connection as one that may be closed at `now`; `None` if it is an ordinary one.
@@ -181,8 +219,11 @@
         let is_old = phase_ms >= self.port.min_age_ms();
         // An answer that exceeds the buffers blocks for moments also if the caller reads all the time.
         let is_stuck = since(&self.last_write_ms) >= MIN_BLOCKED_MS;
+        let late_body_bytes = self.late_body_bytes(now);
         let standing = if is_stuck && self.is_blocked.load(Ordering::Relaxed) {
             Standing::Blocked
+        } else if late_body_bytes.is_some() {
+            Standing::Unsent
         } else if self.is_pipelined.load(Ordering::Relaxed) {
             Standing::Pipelined
         } else if is_old && [Phase::Headers as u8, Phase::Linger as u8].contains(&phase) {
@@ -198,7 +239,8 @@
             Standing::Blocked => since(&self.last_write_ms),
             _ => phase_ms,
         };
-        Some(Candidate { id, standing, held_bytes: self.held_bytes(), age_ms })
+        let held_bytes = self.held_bytes() + late_body_bytes.unwrap_or(0);
+        Some(Candidate { id, standing, held_bytes, age_ms })
     }
 
     fn since_start_ms(&self, at: Instant) -> u64 {
--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -12,6 +12,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
 };
 use tokio::time::Instant;
 
@@ -19,6 +20,14 @@
 /// new connection then.
 const BATCH_DIVISOR: usize = 32;
 
+/// Part of the account that is freed at once for amounts that wait, as a divisor. More may wait than there can be room for,
+/// and connections that do not have to be closed for it stay open.
+const SHORTAGE_DIVISOR: usize = 4;
+
+/// Time between two searches for connections to close while amounts wait for room. A connection becomes one that may be
+/// closed by the time that passes.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Largest number of log lines about closed and refused connections a second.
 const MAX_LINES_PER_S: u32 = 10;
 
@@ -133,8 +142,16 @@
     /// Closes connections as long as amounts find no room in the account.
     pub(crate) async fn follow_shortages(&self) {
         loop {
-            let bytes = self.account.whole().shortage().await;
-            self.make_room(bytes);
+            self.account.whole().shortage().await;
+            loop {
+                let bytes = self.account.whole().waiting_bytes();
+                if bytes == 0 {
+                    break;
+                }
+                let most_bytes = self.account.whole().limit_bytes() / SHORTAGE_DIVISOR;
+                self.make_room(bytes.min(most_bytes));
+                tokio::time::sleep(SEARCH_INTERVAL).await;
+            }
         }
     }
 
--- a/crates/web/src/eviction.rs
+++ b/crates/web/src/eviction.rs
@@ -6,6 +6,8 @@
 pub enum Standing {
     /// Bytes of a response wait because the caller does not read.
     Blocked,
+    /// The body of a request, for which bytes are held, arrives so slowly that it will not be complete in its time.
+    Unsent,
     /// The caller sends requests before it has the answers to earlier ones.
     Pipelined,
     /// The head of a request is incomplete, or the caller goes on sending after the last response.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,7 +7,9 @@
     future_incompatible
 )]
 
+mod arriving_body;
 mod body;
+mod body_progress;
 mod byte_account;
 mod caller_stream;
 mod caller_wait;
@@ -27,6 +29,7 @@
 mod json_request;
 mod linger;
 mod port;
+mod request_context;
 mod server;
 mod server_limits;
 mod socket_buffers;
@@ -35,6 +38,7 @@
 pub use hyper::{Method, StatusCode};
 
 pub use crate::{
+    arriving_body::ArrivingBody,
     body::{AbortedBody, ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
     byte_account::ByteAccount,
     client::{Client, Reply},
@@ -46,6 +50,7 @@
     eviction::{Candidate, Need, Standing, choose},
     held_bytes::HeldBytes,
     json_request::json_request,
+    request_context::RequestContext,
     server::{Handler, Server},
     server_limits::ServerLimits,
     tcp_keepalive::enable_tcp_keepalive,
--- /dev/null
+++ b/crates/web/src/request_context.rs
@@ -0,0 +1,36 @@
+//! What a server knows about a request beside its head and body.
+
+use crate::{arriving_body::ArrivingBody, connection_use::ConnectionUse};
+use hyper::Request;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Arrival and connection of a request, which the server attaches to it.
+#[derive(Clone, Debug)]
+pub struct RequestContext {
+    arrived_at: Instant,
+    connection: Arc<ConnectionUse>,
+}
+
+impl RequestContext {
+    pub(crate) fn new(arrived_at: Instant, connection: Arc<ConnectionUse>) -> Self {
+        Self { arrived_at, connection }
+    }
+
+    /// Context of a request; `None` if the request does not come from a `Server`.
+    pub fn of<B>(request: &Request<B>) -> Option<&Self> {
+        request.extensions().get()
+    }
+
+    /// Time in milliseconds since the head of the request arrived. A request that was sent ahead of the response to an
+    /// earlier one has waited until its caller had read that.
+    pub fn waited_ms(&self) -> u64 {
+        self.arrived_at.elapsed().as_millis() as u64
+    }
+
+    /// Wraps the body of the request, for which `held_bytes` are held in the account and which has to arrive within
+    /// `wait_ms`. While the account has no room, the connection is closed if the body is late.
+    pub fn receive<B>(&self, body: B, held_bytes: usize, wait_ms: u64) -> ArrivingBody<B> {
+        ArrivingBody::new(body, Arc::clone(&self.connection), held_bytes, wait_ms)
+    }
+}
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,9 +5,11 @@
     caller_stream::CallerStream,
     caller_wait::caller_wait_exceeded,
     connection_limits::SOCKET_BUFFER_BYTES,
+    connection_use::Phase,
     connections::{Connections, OpenConnection},
     in_flight_requests::InFlightRequests,
     port::Port,
+    request_context::RequestContext,
     server_limits::ServerLimits,
     socket_buffers::socket_with_buffers,
     tcp_keepalive::enable_tcp_keepalive,
@@ -236,9 +238,14 @@
     let stream = CallerStream::new(stream, open, limits, in_flight.clone());
     let requests = in_flight.clone();
     let service_stop = stop.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let (handler, stop) = (Arc::clone(&handler), service_stop.clone());
         let state = Arc::clone(&service_state);
+        // A request that was sent ahead was read before the end of the response to the earlier one.
+        let context = RequestContext::new(state.last_read(), Arc::clone(&state));
+        request.extensions_mut().insert(context);
+        // The next read, which would tell as well, waits until the handler wants the body.
+        state.set_phase(Phase::Response, Instant::now());
         let guard = in_flight.start_request();
         async move {
             // The HTTP library collects the heads of responses without a limit, so a request waits until the caller has
--- a/crates/web/tests/evictions.rs
+++ b/crates/web/tests/evictions.rs
@@ -13,6 +13,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let standings = [
             Standing::Blocked,
+            Standing::Unsent,
             Standing::Pipelined,
             Standing::Unfinished,
             Standing::Unused,
