Ingress: the deadline of a request that was sent ahead counts its wait

What was seen: a caller sends two requests at once, the second one with 1,000 ms left, and reads nothing for 2.8 s. The second one was then sent to an upstream and answered 200.

Cause: its time began when it was handled, which is after the caller has read the answer before it.

Test that failed before: the_deadline_of_a_request_that_was_sent_ahead_counts_its_wait (platform/tests/requests_sent_ahead.rs): "200 OK".

Why the fix works: the server states when the bytes of the request were read, and the gateway counts from there. The request is refused as not run. What waits in the kernel's buffer counts from the read, as before.

--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -52,7 +52,8 @@
         request: Request<Incoming>,
         has_body_read: &mut bool,
     ) -> Result<Response<ResponseBody>, CallerError> {
-        let arrived_ms = self.core.clock.now_ms();
+        let waited_ms = RequestContext::of(&request).map_or(0, RequestContext::waited_ms);
+        let arrived_ms = self.core.clock.now_ms().saturating_sub(waited_ms);
         let config = self.core.wait_for_config().await.ok_or(CallerError::NoConfig)?;
         if headers_size_bytes(&request) > config.limits.max_headers_bytes {
             return Err(CallerError::HeadersTooLarge);
@@ -66,7 +67,8 @@
         let (parts, body) = request.into_parts();
         let body_end_ms = arrived_ms.saturating_add(route.timeout_ms);
         // A malformed header is reported once the body has been read.
-        let room_wait_ms = head.time_left_ms(&parts.headers).unwrap_or(0) / ROOM_WAIT_DIVISOR;
+        let left_ms = head.time_left_ms(&parts.headers).unwrap_or(0).saturating_sub(waited_ms);
+        let room_wait_ms = left_ms / ROOM_WAIT_DIVISOR;
         let context = parts.extensions.get::<RequestContext>();
         let max_body_bytes = config.limits.max_body_bytes;
         let body = self.read_body(body, context, max_body_bytes, room_wait_ms, body_end_ms);
