Web: a full account is not searched at each write

What was seen: with an account full of what may not be closed, such as requests in flight, each write that needs more room locks the table and looks at all connections.

Cause: nothing remembers that a search has just found none.

Metric `connection_searches_total`.

--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -7,11 +7,15 @@
     connection_use::{ConnectionUse, Phase},
     eviction::{Need, choose},
     port::Port,
+    search_pause::SearchPause,
 };
 use base::{HashMap, lock};
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::time::Instant;
@@ -40,6 +44,10 @@
     account: Arc<ConnectionAccount>,
     start: Instant,
     open: Mutex<Open>,
+    /// Pause between searches for connections that hold bytes.
+    search_pause: SearchPause,
+    /// Number of searches for connections that may be closed.
+    searches: AtomicU64,
     log: Mutex<LogLimit>,
 }
 
@@ -77,7 +85,14 @@
     /// Creates a table of connections that share `account` with the requests in flight.
     pub fn new(account: Arc<ByteAccount>) -> Self {
         let account = Arc::new(ConnectionAccount::new(account));
-        Self { account, start: Instant::now(), open: Mutex::default(), log: Mutex::default() }
+        Self {
+            account,
+            start: Instant::now(),
+            open: Mutex::default(),
+            search_pause: SearchPause::default(),
+            searches: AtomicU64::new(0),
+            log: Mutex::default(),
+        }
     }
 
     /// Number of open connections.
@@ -85,6 +100,11 @@
         lock(&self.open).by_id.len()
     }
 
+    /// Number of searches for connections that may be closed, each of which looks at all open connections.
+    pub fn searches(&self) -> u64 {
+        self.searches.load(Ordering::Relaxed)
+    }
+
     /// Registers a new connection from `peer` at a port; `None` if there is no room for it, also after others were
     /// closed.
     pub(crate) fn admit(
@@ -128,8 +148,9 @@
         }
     }
 
-    /// Closes connections that hold at least `bytes`, if there are such.
-    pub(crate) fn make_room(&self, bytes: usize) {
+    /// Closes connections that hold at least `bytes`, if there are such. Soon after a search that found none, nothing is
+    /// done.
+    pub fn make_room(&self, bytes: usize) {
         let batch_bytes = self.account.limit_bytes() / BATCH_DIVISOR;
         self.close_some(Need::Bytes(bytes.max(batch_bytes)), None);
     }
@@ -157,11 +178,21 @@
 
     fn close_some(&self, need: Need, port: Option<&Arc<Port>>) {
         let now = Instant::now();
+        let now_ms = now.saturating_duration_since(self.start).as_millis() as u64;
+        let pause = port.map_or(&self.search_pause, |port| &port.search_pause);
+        if !pause.is_over(now_ms) {
+            return;
+        }
+        self.searches.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("connection_searches_total").increment(1);
         let mut open = lock(&self.open);
         let is_of_port = |own: &Arc<Port>| port.is_none_or(|port| Arc::ptr_eq(port, own));
         let of_port = open.by_id.iter().filter(|(_, (own, _))| is_of_port(own));
         let candidates = of_port.filter_map(|(&id, (_, state))| state.candidate(id, now));
         let closed = choose(candidates.collect(), need);
+        if closed.is_empty() {
+            pause.begin(now_ms);
+        }
         let states = closed.iter().filter_map(|candidate| {
             let (port, state) = open.by_id.remove(&candidate.id)?;
             port.open.fetch_sub(1, Ordering::SeqCst);
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -30,6 +30,7 @@
 mod linger;
 mod port;
 mod request_context;
+mod search_pause;
 mod server;
 mod server_limits;
 mod socket_buffers;
--- a/crates/web/src/port.rs
+++ b/crates/web/src/port.rs
@@ -1,6 +1,6 @@
 //! Part of a daemon's connections that belongs to one server.
 
-use crate::server_limits::ServerLimits;
+use crate::{search_pause::SearchPause, server_limits::ServerLimits};
 use std::sync::{Arc, atomic::AtomicUsize};
 use tokio::sync::watch;
 
@@ -20,6 +20,8 @@
     pub is_internal: bool,
     /// Number of open connections.
     pub open: AtomicUsize,
+    /// Pause between searches for connections of this port.
+    pub search_pause: SearchPause,
     limits: watch::Receiver<ServerLimits>,
 }
 
@@ -29,7 +31,13 @@
         is_internal: bool,
         limits: watch::Receiver<ServerLimits>,
     ) -> Arc<Self> {
-        Arc::new(Self { max_connections, is_internal, open: AtomicUsize::new(0), limits })
+        Arc::new(Self {
+            max_connections,
+            is_internal,
+            open: AtomicUsize::new(0),
+            search_pause: SearchPause::default(),
+            limits,
+        })
     }
 
     /// Time in milliseconds for which an idle connection is not closed for another one.
