Run: the port for operators uses the connections and the account of the daemon

What was seen: 600 idle connections at the port for operators of a daemon with 700 descriptors: all are accepted, 613 descriptors are open, of 500 that are for connections. Operators that read nothing keep the stop from ending, and readiness did not fail until they were closed. Bodies of up to 1 MiB on each of 1,024 connections are counted nowhere.

Cause: the server was created with the defaults for a server without a daemon: 1,024 connections and an account of 256 MB, and it was closed before the entry.

Tests that failed before: many_connections_at_the_port_for_operators (613 descriptors), a_stop_beside_operators_that_do_not_read (still runs after 12 s), both in geraniumroad/tests/own_interface.rs.

Why the fix works: the entry binds the server within its own limits for internal ports, with the limits at the stop; bodies are held in the account; all parts are closed at the same time.

--- a/crates/admin/src/admin_error.rs
+++ b/crates/admin/src/admin_error.rs
@@ -31,6 +31,10 @@
             source(cause)
             from()
         }
+        /// There was no room for the body, or it did not arrive, within this time. The request was not run.
+        BodyTimeout(wait_ms: u64) {
+            display("the body did not arrive within {wait_ms} ms")
+        }
         /// The JSON of the request, or of a value that the platform stores, is not valid.
         InvalidRequest(cause: serde_json::Error) {
             display("the request is not valid: {cause}")
@@ -107,6 +111,7 @@
             Self::PlanStale(..) | Self::PlanExpired(_) => StatusCode::CONFLICT,
             Self::InvalidBody(web::ReadBodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::InvalidBody(_) | Self::InvalidParameter(_) => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout(_) => StatusCode::REQUEST_TIMEOUT,
             Self::InvalidRequest(_) | Self::IntentRefused(_) | Self::PlanTooLarge(_) => {
                 StatusCode::UNPROCESSABLE_ENTITY
             }
@@ -125,6 +130,7 @@
             Self::InvalidKey => "invalid_operator_key",
             Self::UnknownRoute => "unknown_route",
             Self::InvalidBody(_) => "invalid_body",
+            Self::BodyTimeout(_) => "body_timeout",
             Self::InvalidRequest(_) => "invalid_request",
             Self::InvalidParameter(_) => "invalid_parameter",
             Self::PlanNotFound(_) => "plan_not_found",
--- a/crates/admin/src/admin_server.rs
+++ b/crates/admin/src/admin_server.rs
@@ -5,7 +5,7 @@
 use plat::Platform;
 use std::{io::Result as IoResult, net::SocketAddr, sync::Arc};
 use tokio::{sync::watch, task::JoinHandle};
-use web::Server;
+use web::{ByteAccount, Server};
 
 /// Running HTTP server of the administration API.
 #[derive(Debug)]
@@ -17,18 +17,19 @@
 }
 
 impl AdminServer {
-    /// Binds the listen address, and starts the server and the task that publishes the server's address on the
-    /// platform.
+    /// Starts `server`, which is bound, and the task that publishes the server's address on the platform. The bodies of
+    /// requests are held in `account`.
     ///
     /// # Errors
     ///
-    /// The address cannot be bound.
-    pub async fn start<D: Daemon>(
+    /// The operating system does not report the address.
+    pub fn start<D: Daemon>(
         settings: &AdminSettings,
+        server: Server,
+        account: Arc<ByteAccount>,
         platform: Platform,
         daemon: D,
     ) -> IoResult<Self> {
-        let server = Server::bind(settings.listen).await?;
         let addr = server.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let publisher = tokio::spawn(FleetBurn::publish(platform.clone(), daemon.vm_id(), addr));
@@ -38,6 +39,7 @@
             planner: Arc::new(Planner::new(platform.clone(), rand::random())),
             platform,
             daemon,
+            account,
             stop: stopped.clone(),
         });
         let server = tokio::spawn(server.run(handler, stopped));
--- a/crates/admin/src/handler.rs
+++ b/crates/admin/src/handler.rs
@@ -7,18 +7,26 @@
 };
 use base::{Clock, HashMap, KeyHash, OperatorName, PlanId};
 use burn::BurnReport;
+use bytes::Bytes;
 use fleet::PlanContext;
-use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    header::AUTHORIZATION,
+};
 use plat::Platform;
 use serde::Serialize;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 use tokio::sync::watch;
-use web::{Handler, Method, ResponseBody, StatusCode};
+use web::{ByteAccount, Handler, Method, ReadBodyError, RequestContext, ResponseBody, StatusCode};
 use wire::platform::{VmList, VmRole};
 
 /// Maximum size of the body of a request for a plan.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// Longest wait for room for a body and for the body itself, in milliseconds.
+const BODY_WAIT_MS: u64 = 10_000;
+
 /// Maximum wait of a watch, and the wait if the request names none, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 30_000;
 
@@ -42,6 +50,8 @@
     pub platform: Platform,
     pub daemon: D,
     pub fleet_burn: FleetBurn,
+    /// Bytes that are kept for connections and bodies of the daemon.
+    pub account: Arc<ByteAccount>,
     pub stop: watch::Receiver<bool>,
 }
 
@@ -111,7 +121,7 @@
         operator: OperatorName,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, AdminError> {
-        let body = web::read_body(request.into_body(), MAX_BODY_BYTES).await?;
+        let body = self.read_body(request).await?;
         let request: PlanRequest = serde_json::from_slice(&body)?;
         let context = self.context();
         let now_ms = Clock::unix_ms();
@@ -120,6 +130,31 @@
         Ok(web::json(StatusCode::CREATED, &created))
     }
 
+    /// Reads a body, for which room is held until it is dropped.
+    async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, AdminError> {
+        let limit_bytes = MAX_BODY_BYTES.min(self.account.largest_bytes());
+        let stated_bytes = request.body().size_hint().exact();
+        if stated_bytes.is_some_and(|bytes| bytes > limit_bytes as u64) {
+            return Err(AdminError::InvalidBody(ReadBodyError::TooLarge(limit_bytes)));
+        }
+        let size_bytes = stated_bytes.map_or(limit_bytes, |bytes| bytes as usize);
+        let context = RequestContext::of(&request).cloned();
+        let body = request.into_body();
+        let read = async {
+            let held = self.account.hold(size_bytes).await;
+            let body = match context {
+                Some(context) => {
+                    let body = context.receive(body, size_bytes, BODY_WAIT_MS);
+                    web::read_body(body, limit_bytes).await?
+                }
+                None => web::read_body(body, limit_bytes).await?,
+            };
+            Ok(held.attach_to(body))
+        };
+        let read = tokio::time::timeout(Duration::from_millis(BODY_WAIT_MS), read);
+        read.await.map_err(|_| AdminError::BodyTimeout(BODY_WAIT_MS))?
+    }
+
     /// Confirms a plan in a separate task, so that the history is written even if the operator's connection is lost.
     async fn confirm(&self, id: PlanId) -> Result<Confirmed, AdminError> {
         let planner = Arc::clone(&self.planner);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -34,6 +34,7 @@
 use plat::Platform;
 use ractor::{Actor, ActorCell};
 use std::{
+    io::Result as IoResult,
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
@@ -58,6 +59,8 @@
 pub struct Entry {
     addr: SocketAddr,
     shared: Arc<Shared>,
+    connections: Arc<Connections>,
+    connection_limits: ConnectionLimits,
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
     actors: Vec<ActorCell>,
@@ -78,7 +81,7 @@
 
 /// Limits of the server for callers. At the stop, connections are accepted for `shutdown_wait_ms`, and callers are waited for
 /// as long.
-pub(crate) fn server_limits(settings: &Settings) -> ServerLimits {
+fn server_limits(settings: &Settings) -> ServerLimits {
     let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
     ServerLimits {
         accept_after_stop_ms: shutdown_wait_ms,
@@ -206,7 +209,18 @@
             actors.push(Actor::spawn(None, MemberActor, arguments).await?.0.get_cell());
         }
         let expiry = tokio::spawn(expire_journals(journals));
-        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, member })
+        Ok(Self {
+            addr,
+            shared,
+            connections,
+            connection_limits,
+            stop,
+            server,
+            actors,
+            expiry,
+            peer_node,
+            member,
+        })
     }
 
     /// Address at which the HTTP server for callers listens, with the port that was bound if the settings name port 0.
@@ -224,6 +238,23 @@
         self.peer_node.as_ref().map(PeerNode::addr)
     }
 
+    /// Binds another server of this daemon, for operators, which uses a part of the connections of the entry and has the
+    /// same limits at the stop.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn bind_internal(&self, addr: SocketAddr, settings: &Settings) -> IoResult<Server> {
+        let (_, limits) = watch::channel(server_limits(settings));
+        let server = Server::with_limits(addr, limits).await?;
+        Ok(server.share_internal(&self.connections, self.connection_limits.probes))
+    }
+
+    /// Account of the bytes that are kept for connections and requests in flight.
+    pub fn account(&self) -> &Arc<ByteAccount> {
+        &self.shared.account
+    }
+
     /// Whether the entry is ready for new requests: it has a configuration and a list of VMs, and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -12,7 +12,7 @@
 use entry::Entry;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use plat::Platform;
-use std::path::Path;
+use std::{path::Path, sync::Arc};
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
@@ -53,8 +53,11 @@
             None => None,
         };
         let admin = match &settings.admin {
-            Some(settings) => {
-                Some(AdminServer::start(settings, platform, AdminAdapter(entry.view())).await?)
+            Some(admin) => {
+                let server = entry.bind_internal(admin.listen, &settings).await?;
+                let account = Arc::clone(entry.account());
+                let daemon = AdminAdapter(entry.view());
+                Some(AdminServer::start(admin, server, account, platform, daemon)?)
             }
             None => None,
         };
@@ -78,15 +81,14 @@
                 orders_adapter::close(orders).await;
             }
         };
-        let close_servers = async {
+        let close_admin = async {
             if let Some(admin) = admin {
                 admin.close().await;
             }
-            entry.close().await;
         };
-        // The orders component and the servers are closed concurrently, because the readiness check must fail at once,
-        // even if an order is still in flight.
-        tokio::join!(close_orders, close_servers);
+        // All are closed concurrently, because the readiness check must fail at once, even if an order is still in flight or
+        // an operator does not read.
+        tokio::join!(close_orders, close_admin, entry.close());
         Ok(())
     })
 }
--- a/crates/geraniumroad/tests/own_interface.rs
+++ b/crates/geraniumroad/tests/own_interface.rs
@@ -47,3 +47,34 @@
     check(daemon.peak_usage(ATTACK));
     assert!(daemon.stop().success());
 }
+
+/// Like the stop beside callers, at the port for operators.
+#[test]
+fn a_stop_beside_operators_that_do_not_read() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let sections = format!("{}[admin]\nlisten = \"127.0.0.1:0\"\n", limits());
+    let mut daemon = DaemonProcess::run(&sections, FILE_DESCRIPTORS);
+    let sending = Sending::Repeated(get("/admin/v1/status"), 400_000);
+    let _silent = SilentCallers::start(daemon.internal_addrs[0], 20, sending);
+    check(daemon.peak_usage(ATTACK));
+    assert!(daemon.stop().success());
+}
+
+/// Connections to the port for operators are within the limits of the daemon's connections, and do not take the
+/// descriptors of the callers.
+#[test]
+fn many_connections_at_the_port_for_operators() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let sections = format!("{}[admin]\nlisten = \"127.0.0.1:0\"\n", limits());
+    let daemon = DaemonProcess::run(&sections, FILE_DESCRIPTORS);
+    let [admin] = daemon.internal_addrs[..] else { panic!("one internal port") };
+    let status = get("/admin/v1/status");
+    let callers = SilentCallers::start(admin, 600, Sending::Once(status.clone()));
+    let peak = daemon.peak_usage(ATTACK);
+    check(peak);
+    // The operator's key is not known, which is an answer of the server.
+    let answer = DaemonProcess::ask_at(admin, &status).unwrap_or_default();
+    assert!(answer.starts_with("HTTP/1.1 401 "), "{answer}");
+    assert!(daemon.ask(&get("/healthz")).is_some_and(|answer| answer.starts_with("HTTP/1.1 200 ")));
+    drop(callers);
+}
