Serve: answers of the store are in the account, and log lines have a limit

What was seen: an answer of the store of up to 16 MiB, and three times that while it is decoded, was counted nowhere. A line in the queue of the log can be as large as a head of a request, so that 1,024 of them take 16 MB.

Cause: the client of the store had no account, and lines no limit.

Why the fix works: three times what has arrived is held until the answer is decoded, also beyond the limit, because callers must not be able to keep a daemon from its configuration. A line has at most 2 KiB, so the queue has 2 MiB.

--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use crate::{
     cli::{CheckOptions, Cli, Command, DevOptions, RunOptions, ServeOptions},
+    line_log::bounded_line,
     memory_upkeep::MemoryUpkeep,
     metrics_upkeep::maintain_metrics,
     run_error::RunError,
--- a/crates/geraniumroad/src/line_log.rs
+++ b/crates/geraniumroad/src/line_log.rs
@@ -18,10 +18,17 @@
 /// Capacity of the queue to the writer thread. A line that finds the queue full is dropped and counted.
 const QUEUE_CAPACITY_LINES: usize = 1_024;
 
+/// Largest size of a line, which bounds the queue at 2 MiB. Callers choose parts of some lines, such as the identifiers of their
+/// requests, which may be as large as a head.
+const MAX_LINE_BYTES: usize = 2 * 1024;
+
 /// Maximum number of lines per second and component. Writing a line costs processor time, which must stay available for
 /// requests during a burst of failures.
 const MAX_COMPONENT_LINES_PER_S: u32 = 60;
 
+/// End of a line that was cut.
+const CUT_MARK: &str = " (cut)";
+
 /// Number of lines that are queued but not yet written.
 static PENDING_LINES: AtomicUsize = AtomicUsize::new(0);
 
@@ -105,6 +112,7 @@
 /// Queues a line for the writer thread. Returns whether the line was queued, which is `false` if the queue is full or
 /// not installed, or the writer thread has ended.
 fn send(line: String) -> bool {
+    let line = bounded_line(line);
     let Some(queue) = QUEUE.get() else { return false };
     PENDING_LINES.fetch_add(1, Ordering::AcqRel);
     match queue.try_send(line) {
@@ -116,6 +124,19 @@
     }
 }
 
+/// Cuts a line that is too large, and marks the cut.
+pub fn bounded_line(mut line: String) -> String {
+    if line.len() <= MAX_LINE_BYTES {
+        return line;
+    }
+    let kept_bytes = MAX_LINE_BYTES - CUT_MARK.len();
+    let end = (0..=kept_bytes).rev().find(|&end| line.is_char_boundary(end)).unwrap_or(0);
+    line.truncate(end);
+    line.push_str(CUT_MARK);
+    line.shrink_to_fit();
+    line
+}
+
 /// Writes queued lines to standard output until the queue is closed. Runs on the writer thread.
 fn write(receiver: &Receiver<String>) {
     let mut output = std::io::stdout();
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -140,12 +140,16 @@
     peer_socket: Arc<PeerSocket>,
 ) {
     let store_addr = settings.store_addr;
+    let account = Arc::clone(&core.kept_bytes);
+    let new_store = move || Store::new(store_addr).with_account(&account);
     let options = relay_options(settings);
     let eras = items.eras();
     let following = Arc::clone(core);
+    let (following_store, account) = (new_store.clone(), Arc::clone(&core.kept_bytes));
     tokio::spawn(keep_running("follow", move || {
-        let store = Store::new(store_addr);
-        let source = RelayedSource::new(store, Store::relay, options.clone(), Arc::clone(&items));
+        let (store, account) = (following_store(), Arc::clone(&account));
+        let relay = move |addr| Store::relay(addr).with_account(&account);
+        let source = RelayedSource::new(store, relay, options.clone(), Arc::clone(&items));
         let decoders = Decoders {
             config: decode_config,
             instance: decode_instance,
@@ -157,13 +161,15 @@
         follow_platform(Arc::clone(&following), source, KEYS, decoders)
     }));
     let announced = announced_items(settings);
+    let announcing_store = new_store.clone();
     tokio::spawn(keep_running("announce", move || {
         let (announced, eras) = (announced.clone(), eras.clone());
-        async move { announce(Store::new(store_addr), &announced, eras).await }
+        let store = announcing_store();
+        async move { announce(store, &announced, eras).await }
     }));
-    let recording = Arc::clone(core);
+    let (recording, recording_store) = (Arc::clone(core), new_store.clone());
     tokio::spawn(keep_running("versions", move || {
-        let (writer, reader) = (Store::new(store_addr), Store::new(store_addr));
+        let (writer, reader) = (recording_store(), recording_store());
         record_stream_versions(Arc::clone(&recording), writer, reader, KEYS, decode_instance)
     }));
     let searching = Arc::clone(core);
@@ -173,7 +179,7 @@
         tokio::spawn(keep_running("rollouts", move || {
             let decoders =
                 RolloutDecoders { order: decode_rollout_order, status: decode_rollout_status };
-            let (core, store) = (Arc::clone(&recording), Store::new(store_addr));
+            let (core, store) = (Arc::clone(&recording), new_store());
             record_rollouts(core, store, KEYS, decoders, encode_rollout_status)
         }));
     }
--- a/crates/geraniumroad/tests/silent_callers.rs
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -10,7 +10,7 @@
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{io::AsyncWriteExt, net::TcpListener, runtime::Runtime};
 
@@ -264,6 +264,42 @@
     });
 }
 
+/// Answers of the store are held while they arrive, so that callers leave room for them.
+#[test]
+fn answers_of_the_store_are_in_the_account() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = Runtime::new().unwrap();
+    let daemon = DaemonProcess::serve(runtime.block_on(slow_store()));
+    let end = Instant::now() + Duration::from_secs(10);
+    while daemon.metric("kept_bytes ").is_none_or(|bytes| bytes < 1e6) {
+        assert!(Instant::now() < end, "an answer of the store is not counted");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Starts a store whose answers have 8 MiB and arrive within some seconds.
+async fn slow_store() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = Vec::new();
+                if platform_stand::read_head(&mut stream, &mut buffer).await.is_none() {
+                    return;
+                }
+                let head = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 8388608\r\n\r\n";
+                let mut is_open = stream.write_all(head.as_bytes()).await.is_ok();
+                while is_open {
+                    is_open = stream.write_all(&[b' '; 64 * 1024]).await.is_ok();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+        }
+    });
+    addr
+}
+
 /// A stop must end within its grace, although nobody reads the answers.
 #[test]
 fn a_stop_beside_many_callers() {
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -45,7 +45,7 @@
 pub struct RelayedSource<S> {
     service: S,
     /// Creates a source that reads from the relay at an address.
-    connect: fn(SocketAddr) -> S,
+    connect: Box<dyn Fn(SocketAddr) -> S + Send + Sync>,
     options: RelayOptions,
     cache: Arc<ItemCache>,
     clock: Clock,
@@ -115,13 +115,13 @@
     /// Creates a source that calls `service`, and that creates sources for relays by `connect`.
     pub fn new(
         service: S,
-        connect: fn(SocketAddr) -> S,
+        connect: impl Fn(SocketAddr) -> S + Send + Sync + 'static,
         options: RelayOptions,
         cache: Arc<ItemCache>,
     ) -> Self {
         Self {
             service,
-            connect,
+            connect: Box::new(connect),
             options,
             cache,
             clock: Clock::start(),
