Ingress: a caller that reads slowly does not make its engine look silent

What was seen: a caller that pauses for 2.8 s in its stream: "attempt=1 instance=e1 ... is silent, kept until it is replaced; events=60 silent_ms=2746" after each pause. The engine was avoided as one that has failed, the pause counted in the usual times of the service, and an engine that cut the unread stream off counted as lost, with its failure domain.

Cause: nothing is read from the engine while the caller does not read, and the relay took the time until it was asked for more bytes as silence.

Why the fix works: from 20 ms on, the time between the bytes that were taken and the next call is left out of the state machine (`Generation::skip_pause`) and of the attempts. Events that had arrived meanwhile are no samples, and a cut that is found among them is no fault of the engine. The wait for room for an event is left out in the same way.

--- a/crates/geraniumroad/tests/silent_callers.rs
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -209,6 +209,51 @@
     addr
 }
 
+/// Bodies for an upstream that reads nothing wait at the daemon until their deadline.
+#[test]
+fn bodies_for_an_upstream_that_does_not_read() {
+    let stand = Stand::start();
+    let addr = stand._runtime.block_on(deaf_upstream());
+    let config = config(2)
+        .replace("\"max_body_bytes\":65536", "\"max_body_bytes\":1048576")
+        .replace("\"timeout_ms\":1000", "\"timeout_ms\":8000");
+    stand.store.put(platform::KEYS.config, &config);
+    let entry = stand.desk.entry_at(addr, "deaf", "a", "ready");
+    stand.store.put("servers/deaf", &entry);
+    stand.store.put(platform::KEYS.config, &deaf_route(&config));
+    std::thread::sleep(Duration::from_secs(3));
+    let body = "x".repeat(1_000_000);
+    let sending = Sending::Repeated(request("POST", "/deaf/x", "p", &body), 1_100_000);
+    stand.withstand(stand.daemon.addr, 100, sending);
+}
+
+/// Configuration with a route to the service `deaf`.
+fn deaf_route(config: &str) -> String {
+    let route = r#"{"name":"deaf","host":"a.example","path_prefix":"/deaf/","kind":"non_idempotent","timeout_ms":8000,
+        "target_latency_ms":100,"service":"deaf","attempts":1},{"name":"long""#;
+    config
+        .replace("\"version\":2", "\"version\":3")
+        .replacen("{\"name\":\"long\"", route, 1)
+        .replacen(
+            "{\"name\":\"desk\"",
+            "{\"name\":\"deaf\",\"connection_limit\":96},{\"name\":\"desk\"",
+            1,
+        )
+}
+
+/// Starts an upstream that accepts connections and reads nothing.
+async fn deaf_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.push(stream);
+        }
+    });
+    addr
+}
+
 /// Heads that never end hold a descriptor each.
 #[test]
 fn heads_that_never_end() {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -61,6 +61,11 @@
     /// Whether all that had arrived before the last pause of the relay has been read, so that what is read now has just
     /// arrived.
     is_up_to_date: bool,
+    /// Whether a pause in which the daemon read nothing has ended and not all that had arrived in it has been read, so that
+    /// what is read now tells nothing of the engine's speed.
+    is_behind: bool,
+    /// Since when the attempt has waited for room, as far as `take_room_wait` has not returned it; `None` if it does not.
+    room_since_ms: Option<u64>,
     /// When the last health check started; before the first one, when the request was sent.
     checked_ms: u64,
     /// Health check in progress; `None` if there is none.
@@ -130,6 +135,8 @@
             last_received_ms: None,
             last_polled_ms: now_ms,
             is_up_to_date: true,
+            is_behind: false,
+            room_since_ms: None,
             checked_ms: now_ms,
             check: None,
             begun_ms: None,
@@ -175,6 +182,30 @@
         is_suspected && !was_suspected
     }
 
+    /// Whether what is read now had arrived in a pause in which the daemon read nothing.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// Leaves out a pause in which the daemon read nothing, so that the engine does not count as silent or slow.
+    pub fn skip_pause(&mut self, pause_ms: u64) {
+        self.last_activity_ms += pause_ms;
+        self.checked_ms += pause_ms;
+        self.is_behind = true;
+    }
+
+    /// Returns for how long the attempt has waited for room in the daemon's memory, and begins to count anew.
+    pub fn take_room_wait(&mut self, now_ms: u64) -> u64 {
+        let since_ms = self.room_since_ms.take();
+        self.room_since_ms = (since_ms.is_some() && self.waits_for_room()).then_some(now_ms);
+        since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
+    /// Whether the attempt reads nothing because the daemon has no room for what it has read.
+    fn waits_for_room(&self) -> bool {
+        matches!(&self.progress, Progress::Reading { exchange, .. } if exchange.waits_for_room())
+    }
+
     /// When something was last received from the engine for this attempt; `None` before the head of the response.
     pub fn last_received_ms(&self) -> Option<u64> {
         self.last_received_ms
@@ -236,7 +267,12 @@
         self.is_up_to_date &= now_ms < self.last_polled_ms + MAX_POLL_PAUSE_MS;
         self.last_polled_ms = now_ms;
         let step = self.poll_progress(cx);
-        self.is_up_to_date |= step.is_pending();
+        if self.waits_for_room() {
+            self.room_since_ms.get_or_insert(now_ms);
+        } else {
+            self.is_up_to_date |= step.is_pending();
+            self.is_behind &= !step.is_pending();
+        }
         if let Poll::Ready(step) = step {
             let is_comment = matches!(&step, Step::Event(event) if event.is_comment());
             if !is_comment {
@@ -255,6 +291,9 @@
                     exchange.observe_event();
                 }
                 if let Some(timing) = &mut self.timing {
+                    if self.is_behind {
+                        timing.skip_events(now_ms);
+                    }
                     timing.on_event(now_ms);
                 }
             }
--- a/crates/ingress/src/engine_timing.rs
+++ b/crates/ingress/src/engine_timing.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Forgets the events since the last sample, because the daemon did not read them as they arrived. A first event that
+    /// was not read as it arrived is no sample either.
+    pub fn skip_events(&mut self, now_ms: u64) {
+        self.prompt_tokens = None;
+        self.events = 0;
+        self.sample_ms = now_ms;
+    }
+
     /// Records an event of the run.
     pub fn on_event(&mut self, now_ms: u64) {
         if !self.has_event {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Whether the exchange waits for room for what it has read.
+    pub fn waits_for_room(&self) -> bool {
+        self.room.is_some()
+    }
+
     /// Is ready with `true` if there is room for the part of the body that is kept, and with `false` if there was none in
     /// time.
     pub fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -13,6 +13,8 @@
 mod attempt_error;
 mod buffered_response;
 mod caller_error;
+mod caller_stall;
+mod cancel_reason;
 mod choice;
 mod config;
 mod connection_pool;
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -5,6 +5,8 @@
     attempt_error::AttemptError,
     buffered_response::BufferedResponse,
     caller_error::CallerError,
+    caller_stall::CallerStall,
+    cancel_reason::CancelReason,
     choice::{EngineChoice, EngineRequirements, WaitReason, choose_engine},
     core::Core,
     crash_quarantine::{Subject, log_refusal},
@@ -79,31 +81,6 @@
     Quarantine { subject: Subject, retry_after_ms: u64 },
 }
 
-/// Why the relay closes the connection of an attempt that has not failed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CancelReason {
-    /// The attempt sent an event that does not follow the last one.
-    Malformed,
-    /// The attempt sent an event, and the stream began at another software version.
-    OtherVersion,
-    /// The attempt was silent, and another one has taken its place.
-    Replaced,
-    /// The attempt before it, which was silent, has gone on.
-    Superseded,
-}
-
-impl CancelReason {
-    /// Value of the key `reason` in logs.
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Malformed => "malformed",
-            Self::OtherVersion => "other_version",
-            Self::Replaced => "replaced",
-            Self::Superseded => "superseded",
-        }
-    }
-}
-
 /// Relays one stream of events to its end. A failed attempt is followed by one at another engine, which resumes after
 /// the last event.
 pub(crate) struct StreamRelay {
@@ -132,6 +109,7 @@
     replica_attempt: Option<AttemptId>,
     /// Number of sends that were refused by the holder of a replica, which may have lost it.
     refused_replicas: u32,
+    caller_stall: CallerStall,
     /// Why the next attempt has to wait; `None` if no attempt has to.
     wait_reason: Option<WaitReason>,
     /// Headers for the caller, from the attempt that sent the first event.
@@ -187,6 +165,7 @@
             take_ups: 0,
             replica_attempt: None,
             refused_replicas: 0,
+            caller_stall: CallerStall::default(),
             wait_reason: None,
             head: None,
             error_response: None,
@@ -228,6 +207,7 @@
             }
             self.wait().await;
         }
+        self.caller_stall.begin(self.core.clock.now_ms());
         self.head.take().map(StreamStart::Events).ok_or(CallerError::OutcomeUnknown)
     }
 
@@ -248,8 +228,11 @@
     ///
     /// `Aborted` if the stream cannot be completed.
     pub async fn next_bytes(&mut self) -> Option<Result<Bytes, AbortedBody>> {
+        let stall_ms = self.caller_stall.end(self.core.clock.now_ms());
+        self.skip_pause(stall_ms);
         loop {
             if !self.released.is_empty() {
+                self.caller_stall.begin(self.core.clock.now_ms());
                 return Some(Ok(self.released.split().freeze()));
             }
             if self.is_done {
@@ -358,11 +341,29 @@
         }
     }
 
+    /// Leaves out a pause in which the daemon did not read from the engines, so that it does not count as their silence.
+    fn skip_pause(&mut self, pause_ms: u64) {
+        if pause_ms == 0 {
+            return;
+        }
+        self.generation.skip_pause(pause_ms);
+        self.last_release_ms = (self.last_release_ms + pause_ms).min(self.core.clock.now_ms());
+        self.attempts.iter_mut().for_each(|attempt| attempt.skip_pause(pause_ms));
+    }
+
+    /// Leaves out the time for which an attempt has waited for room in the daemon's memory.
+    fn skip_room_wait(&mut self, now_ms: u64) {
+        let pauses = self.attempts.iter_mut().map(|attempt| attempt.take_room_wait(now_ms));
+        let pause_ms = pauses.max().unwrap_or(0);
+        self.skip_pause(pause_ms);
+    }
+
     /// Waits until an attempt makes a step, the replicator has a result, a deadline passes or the instances change, and
     /// reacts to whichever comes first.
     async fn wait(&mut self) {
         let clock = self.core.clock;
         let now_ms = clock.now_ms();
+        self.skip_room_wait(now_ms);
         let wake_ms = self.wake_ms(now_ms);
         // Bytes that arrive without end must not keep the deadlines from being checked.
         if now_ms >= wake_ms.max(self.last_tick_ms + MIN_TICK_INTERVAL_MS) {
@@ -413,6 +414,7 @@
 
     fn on_tick(&mut self) {
         self.last_tick_ms = self.core.clock.now_ms();
+        self.skip_room_wait(self.last_tick_ms);
         if self.core.clock.now_ms() >= self.inbound.deadline_ms {
             self.fail(Failure::Deadline);
             return;
@@ -447,6 +449,7 @@
     }
 
     fn on_step(&mut self, position: usize, step: Step) {
+        self.skip_room_wait(self.core.clock.now_ms());
         let id = self.attempts[position].id;
         match step {
             Step::Chosen(choice) => self.on_chosen(position, choice),
@@ -584,7 +587,8 @@
             return;
         }
         self.record_version(&instance);
-        if let Some(sample) = self.generation.take_sample() {
+        let is_behind = self.attempts.iter().any(|attempt| attempt.id == id && attempt.is_behind());
+        if let Some(sample) = self.generation.take_sample().filter(|_| !is_behind) {
             self.core.observe(&self.inbound.service, sample);
         }
         let now_ms = self.core.clock.now_ms();
@@ -682,6 +686,8 @@
         let may_have_run = matches!(err, AttemptError::Lost(_) | AttemptError::NoRoom);
         let is_cut = matches!(err, AttemptError::Lost(LossCause::Closed | LossCause::Reset));
         let has_just_begun = lost.has_just_begun(now_ms);
+        // An engine may cut off a stream that this daemon has not read for some time.
+        let is_cut = is_cut && !lost.is_behind();
         if is_cut && (has_just_begun || !lost.has_event()) {
             self.core.check_crash(instance, &self.inbound, has_just_begun);
         }
@@ -689,7 +695,7 @@
             self.core.restarts.record_loss(instance, last_received_ms, now_ms);
         }
         self.is_trial &= !self.attempts.is_empty();
-        if err.is_fault() {
+        if err.is_fault() && !lost.is_behind() {
             self.core.record_loss(instance);
         }
         self.losses += 1;
--- a/crates/recovery/src/generation.rs
+++ b/crates/recovery/src/generation.rs
@@ -116,6 +116,17 @@
         }
     }
 
+    /// Leaves out a pause of `pause_ms`, which has just ended and in which the driver did not read from the engines, so that
+    /// it does not count as their silence.
+    pub fn skip_pause(&mut self, pause_ms: u64) {
+        for attempt in &mut self.attempts {
+            attempt.last_event_ms = attempt.last_event_ms.saturating_add(pause_ms);
+        }
+        for at_ms in [&mut self.retry_at_ms, &mut self.no_upstream_since_ms].into_iter().flatten() {
+            *at_ms = at_ms.saturating_add(pause_ms);
+        }
+    }
+
     /// Time at which the driver must report the next `Tick`; `None` if there is no deadline.
     pub fn deadline_ms(&self, timing: Timing) -> Option<u64> {
         if self.is_done {
