Entry: a caller that reads slowly does not make its engine look silent

What was seen: while one caller of two engines reads nothing for 3 s, all of 16 other requests go to the engine that it does not use (requests at the engines: 0 and 1 before them, 16 and 1 after them).

Cause: the relay reads nothing from its engines while the queue to the caller is full. Its engine then counted as one that runs requests and sends nothing. After the wait, the time counted as silence of the engine, what had arrived meanwhile as samples of its speed, and a cut as its fault.

Why the fix works: as in `ingress`, the time of the wait is left out of the state machine, what had arrived meanwhile is no sample, and an engine that has cut the stream off meanwhile gets no fault. While a request waits for its caller, it does not count among those by which an engine is judged to respond.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -23,6 +23,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex},
     task::Poll,
+    time::Duration,
 };
 use tokio::{sync::watch, time::Instant};
 use upstream::{EngineError, EngineStream};
@@ -87,6 +88,9 @@
     is_interrupted: bool,
     /// Whether the last flush of the output took longer than `SLOW_CALLER_WRITE_MS`.
     is_caller_slow: bool,
+    /// Whether a pause in which nothing was read, because the caller did not read, has ended and not all that had arrived in
+    /// it has been read.
+    is_behind: bool,
     output: Output,
     /// Content of the last finish event of an engine. It may belong to an attempt whose end was not accepted.
     finish: Option<(FinishReason, Usage)>,
@@ -120,6 +124,7 @@
             last_release_ms: None,
             is_interrupted: false,
             is_caller_slow: false,
+            is_behind: false,
             output,
             finish: None,
             failure: None,
@@ -176,9 +181,27 @@
 
     async fn flush(&mut self) -> Result<(), CallerDisconnected> {
         let start_ms = self.shared.clock.now_ms();
-        self.output.flush().await?;
-        self.is_caller_slow = self.shared.clock.now_ms() - start_ms > SLOW_CALLER_WRITE_MS;
-        Ok(())
+        let (output, running) = (&mut self.output, &mut self.running);
+        let flush = output.flush();
+        tokio::pin!(flush);
+        let write_wait = Duration::from_millis(SLOW_CALLER_WRITE_MS);
+        if let Ok(flushed) = tokio::time::timeout(write_wait, &mut flush).await {
+            self.is_caller_slow = false;
+            return flushed;
+        }
+        let guards = running.iter_mut().filter_map(|running| running.guard.as_mut());
+        let mut guards: Vec<_> = guards.collect();
+        guards.iter_mut().for_each(|guard| guard.set_paused(true, start_ms));
+        let flushed = flush.await;
+        let now_ms = self.shared.clock.now_ms();
+        guards.iter_mut().for_each(|guard| guard.set_paused(false, now_ms));
+        // The engines were not read meanwhile, so they were not silent.
+        let pause_ms = now_ms - start_ms;
+        self.generation.skip_pause(pause_ms);
+        self.last_release_ms = self.last_release_ms.map(|at_ms| at_ms + pause_ms);
+        self.is_caller_slow = true;
+        self.is_behind = true;
+        flushed
     }
 
     /// Waits for the next event of an attempt, the next deadline (at most 60 seconds), a change of the list of VMs or
@@ -192,13 +215,14 @@
         let clock = self.shared.clock;
         let deadline =
             Instant::from_std(clock.instant_at(deadline_ms.min(clock.now_ms() + 60_000)));
-        let running = &mut self.running;
+        let (running, is_behind) = (&mut self.running, &mut self.is_behind);
         let event = poll_fn(|cx| {
             for (position, attempt) in running.iter_mut().enumerate() {
                 if let Poll::Ready(outcome) = attempt.next.poll_unpin(cx) {
                     return Poll::Ready((position, outcome));
                 }
             }
+            *is_behind = false;
             Poll::Pending
         });
         tokio::select! {
@@ -219,7 +243,8 @@
             Err(err) => {
                 let lost = self.running.swap_remove(position);
                 let cause = loss_cause(&err);
-                if let Some(guard) = &lost.guard {
+                // An engine may cut off a stream that this entry has not read for some time.
+                if let Some(guard) = lost.guard.as_ref().filter(|_| !self.is_behind) {
                     guard.record_engine_error(&err);
                 }
                 if let Some(addr) = lost.addr() {
@@ -227,7 +252,9 @@
                         "recovery: generation {} lost attempt {id} at engine {addr}: {err}",
                         self.job.generation_id
                     );
-                    self.avoid_engine(addr);
+                    if !self.is_behind {
+                        self.avoid_engine(addr);
+                    }
                 }
                 self.handle_input(Input::Lost { attempt: id, cause });
             }
@@ -312,7 +339,7 @@
 
     fn record_timing_sample(&mut self) {
         let Some(sample) = self.generation.take_sample() else { return };
-        if self.is_caller_slow {
+        if self.is_caller_slow || self.is_behind {
             return;
         }
         let mut tracker = lock(&self.tracker);
--- a/crates/entry/src/upstream_guard.rs
+++ b/crates/entry/src/upstream_guard.rs
@@ -11,13 +11,15 @@
 pub(crate) struct UpstreamGuard {
     addr: SocketAddr,
     state: UpstreamState,
+    /// Whether the response is not read at the moment, because the caller does not read.
+    is_paused: bool,
 }
 
 impl UpstreamGuard {
     /// Counts a request as in flight. `blocks` are the hashes of its prompt blocks; empty for a plain service.
     pub fn new(addr: SocketAddr, state: UpstreamState, blocks: &[u64]) -> Self {
         state.record_sent(blocks);
-        Self { addr, state }
+        Self { addr, state, is_paused: false }
     }
 
     /// Address at which the upstream takes requests, from the list of VMs.
@@ -39,6 +41,19 @@
         self.state.record_activity(now_ms);
     }
 
+    /// Records whether the response is not read, because the caller does not read. Meanwhile the request does not show whether
+    /// the upstream responds.
+    pub fn set_paused(&mut self, is_paused: bool, now_ms: u64) {
+        if self.is_paused == is_paused {
+            return;
+        }
+        self.is_paused = is_paused;
+        self.state.record_paused(is_paused);
+        if !is_paused {
+            self.record_activity(now_ms);
+        }
+    }
+
     /// Records the request as a success of the upstream for outlier detection.
     pub fn record_success(&self) {
         self.state.record_success();
@@ -65,6 +80,9 @@
 
 impl Drop for UpstreamGuard {
     fn drop(&mut self) {
+        if self.is_paused {
+            self.state.record_paused(false);
+        }
         self.state.record_ended();
     }
 }
--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -4,7 +4,7 @@
 use route::{Candidate, Health, LoadHistory, LoadReport, PrefixSet};
 use std::sync::{
     Arc, Mutex, MutexGuard,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicU32, AtomicU64, Ordering},
 };
 use wire::engine::{CacheEventKind, CacheEventList, EngineRequest, LoadedVersion};
 
@@ -23,6 +23,8 @@
     /// Time at which the upstream last sent something, or was sent a request while it had no other in flight; 0 before.
     /// It is updated for each event, so it is kept outside of the lock.
     last_activity_ms: Arc<AtomicU64>,
+    /// Number of requests in flight whose responses are not read, because their callers do not read.
+    paused: Arc<AtomicU32>,
 }
 
 #[derive(Debug)]
@@ -57,7 +59,12 @@
             is_leaving: false,
             leaving_until_ms: None,
         };
-        Self { clock, inner: Arc::new(Mutex::new(inner)), last_activity_ms: Arc::default() }
+        Self {
+            clock,
+            inner: Arc::new(Mutex::new(inner)),
+            last_activity_ms: Arc::default(),
+            paused: Arc::default(),
+        }
     }
 
     /// Counts a request as in flight, and records that the upstream will have the prompt blocks of the request in its
@@ -117,9 +124,18 @@
         self.last_activity_ms.load(Ordering::Relaxed) >= since_ms
     }
 
-    /// Whether the upstream runs requests of this entry and has sent nothing since `since_ms`.
+    /// Records that the response of a request is not read any more, or is read again.
+    pub fn record_paused(&self, is_paused: bool) {
+        match is_paused {
+            true => self.paused.fetch_add(1, Ordering::Relaxed),
+            false => self.paused.fetch_sub(1, Ordering::Relaxed),
+        };
+    }
+
+    /// Whether the upstream runs requests of this entry whose responses are read, and has sent nothing since `since_ms`.
     pub fn is_unresponsive_since(&self, since_ms: u64) -> bool {
-        !self.is_active_since(since_ms) && self.lock().load.in_flight() > 0
+        !self.is_active_since(since_ms)
+            && self.lock().load.in_flight() > self.paused.load(Ordering::Relaxed)
     }
 
     /// Number of requests that this entry may have in flight at the upstream, and how many of them are reserved for
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -61,6 +61,7 @@
 mod shared_rates;
 mod short_call;
 mod silent_call;
+mod stream_failure;
 mod stream_queues;
 mod stream_relay;
 mod stream_schedule;
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -22,6 +22,7 @@
     probe::PREFILL_MS,
     response_head::forwarded_headers,
     route_kind::RouteKind,
+    stream_failure::Failure,
     stream_schedule::StreamSchedule,
     version_rule::VersionRule,
 };
@@ -62,25 +63,6 @@
     Error(BufferedResponse),
 }
 
-/// Why the relay stopped before the end of the stream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Failure {
-    /// The deadline of the request has passed.
-    Deadline,
-    /// No attempt is left, or no further one is allowed.
-    Attempts,
-    /// The limits that the engines name leave no request to this daemon in time.
-    Limit { retry_after_ms: u64 },
-    /// No engine can begin the stream in time.
-    Late { retry_after_ms: u64 },
-    /// It is not known at which software version the stream began.
-    VersionUnknown,
-    /// No instance has the software version at which the stream began.
-    VersionGone,
-    /// The request or a part of its prompt crashes engines. It is sent again after the given time.
-    Quarantine { subject: Subject, retry_after_ms: u64 },
-}
-
 /// Relays one stream of events to its end. A failed attempt is followed by one at another engine, which resumes after
 /// the last event.
 pub(crate) struct StreamRelay {
