Web: requests that wait for room give way to new connections

What would be seen: callers that announce large bodies and wait for room for them fill all connections, and new connections get 503 until the waits end, which is half of the time until the deadline in `serve` and 30 s in `run`.

Cause: a request in flight was never one that may be closed unless its body was late, and a body that waits for room is not read.

Test that failed before: requests_that_wait_for_room_give_way_to_a_new_connection (web/tests/late_bodies.rs, 503 with the wait not marked).

--- a/crates/admin/src/handler.rs
+++ b/crates/admin/src/handler.rs
@@ -141,7 +141,10 @@
         let context = RequestContext::of(&request).cloned();
         let body = request.into_body();
         let read = async {
-            let held = self.account.hold(size_bytes).await;
+            let held = match &context {
+                Some(context) => context.hold(&self.account, size_bytes).await,
+                None => self.account.hold(size_bytes).await,
+            };
             let body = match context {
                 Some(context) => {
                     let body = context.receive(body, size_bytes, BODY_WAIT_MS);
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -226,7 +226,10 @@
         }
         let size_bytes = stated_bytes.map_or(limit_bytes, |bytes| bytes as usize);
         let read = async {
-            let mut held = account.hold(size_bytes).await;
+            let mut held = match &context {
+                Some(context) => context.hold(account, size_bytes).await,
+                None => account.hold(size_bytes).await,
+            };
             let body = match context {
                 Some(context) => {
                     let body = context.receive(body, size_bytes, BODY_WAIT_MS);
--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -115,7 +115,13 @@
             Some(held) => Ok(held),
             None => {
                 metrics::counter!("bodies_delayed_total").increment(1);
-                tokio::time::timeout(room_wait, kept_bytes.hold(size_bytes)).await
+                let hold = async {
+                    match context {
+                        Some(context) => context.hold(kept_bytes, size_bytes).await,
+                        None => kept_bytes.hold(size_bytes).await,
+                    }
+                };
+                tokio::time::timeout(room_wait, hold).await
             }
         };
         let Ok(mut held) = held else {
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -3,7 +3,7 @@
 use crate::{
     body_progress::BodyProgress,
     connection_account::ConnectionAccount,
-    eviction::{Candidate, Standing},
+    eviction::{Candidate, Need, Standing},
     port::Port,
 };
 use futures::task::AtomicWaker;
@@ -58,6 +58,8 @@
     /// When bytes were last read.
     last_read_ms: AtomicU64,
     body: BodyProgress,
+    /// Whether the current request waits for room for its body.
+    waits_for_room: AtomicBool,
     is_evicted: AtomicBool,
     /// Waker of the task that serves the connection.
     waker: AtomicWaker,
@@ -84,6 +86,7 @@
             last_read_ms: AtomicU64::new(now_ms.load(Ordering::Relaxed)),
             phase_start_ms: now_ms,
             body: BodyProgress::default(),
+            waits_for_room: AtomicBool::new(false),
             has_requested: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
             is_pipelined: AtomicBool::new(false),
@@ -126,6 +129,11 @@
         self.start + Duration::from_millis(self.last_read_ms.load(Ordering::Relaxed))
     }
 
+    /// Records whether the current request waits for room for its body.
+    pub fn set_waits_for_room(&self, waits_for_room: bool) {
+        self.waits_for_room.store(waits_for_room, Ordering::Relaxed);
+    }
+
     /// Records that a body is read from now on, for which `held_bytes` are held and which has to arrive within `wait_ms`.
     pub fn begin_body(&self, held_bytes: usize, wait_ms: u64) {
         self.body.begin(held_bytes, wait_ms, self.since_start_ms(Instant::now()));
@@ -210,8 +218,8 @@
         self.body.late_bytes(self.since_start_ms(now), self.port.min_age_ms())
     }
 
-    /// The connection as one that may be closed at `now`; `None` if it is an ordinary one.
-    pub fn candidate(&self, id: u64, now: Instant) -> Option<Candidate> {
+    /// The connection as one that may be closed at `now` for `need`; `None` if it is an ordinary one.
+    pub fn candidate(&self, id: u64, now: Instant, need: Need) -> Option<Candidate> {
         let now_ms = self.since_start_ms(now);
         let since = |at: &AtomicU64| now_ms.saturating_sub(at.load(Ordering::Relaxed));
         let phase_ms = since(&self.phase_start_ms);
@@ -220,9 +228,13 @@
         // An answer that exceeds the buffers blocks for moments also if the caller reads all the time.
         let is_stuck = since(&self.last_write_ms) >= MIN_BLOCKED_MS;
         let late_body_bytes = self.late_body_bytes(now);
+        // Closing it frees a connection, and hardly any of the bytes that it waits for.
+        let is_in_the_way = matches!(need, Need::Connections(_))
+            && is_old
+            && self.waits_for_room.load(Ordering::Relaxed);
         let standing = if is_stuck && self.is_blocked.load(Ordering::Relaxed) {
             Standing::Blocked
-        } else if late_body_bytes.is_some() {
+        } else if late_body_bytes.is_some() || is_in_the_way {
             Standing::Unsent
         } else if self.is_pipelined.load(Ordering::Relaxed) {
             Standing::Pipelined
--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -188,7 +188,7 @@
         let mut open = lock(&self.open);
         let is_of_port = |own: &Arc<Port>| port.is_none_or(|port| Arc::ptr_eq(port, own));
         let of_port = open.by_id.iter().filter(|(_, (own, _))| is_of_port(own));
-        let candidates = of_port.filter_map(|(&id, (_, state))| state.candidate(id, now));
+        let candidates = of_port.filter_map(|(&id, (_, state))| state.candidate(id, now, need));
         let closed = choose(candidates.collect(), need);
         if closed.is_empty() {
             pause.begin(now_ms);
--- a/crates/web/src/eviction.rs
+++ b/crates/web/src/eviction.rs
@@ -6,7 +6,8 @@
 pub enum Standing {
     /// Bytes of a response wait because the caller does not read.
     Blocked,
-    /// The body of a request, for which bytes are held, arrives so slowly that it will not be complete in its time.
+    /// The body of a request, for which bytes are held, arrives so slowly that it will not be complete in its time. If a
+    /// connection is needed, also: the request waits for room for its body.
     Unsent,
     /// The caller sends requests before it has the answers to earlier ones.
     Pipelined,
--- a/crates/web/tests/late_bodies.rs
+++ b/crates/web/tests/late_bodies.rs
@@ -31,7 +31,7 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let context = RequestContext::of(&request).cloned().expect("the server sets a context");
         let size_bytes = request.body().size_hint().exact().unwrap_or(0) as usize;
-        let held = self.0.hold(size_bytes).await;
+        let held = context.hold(&self.0, size_bytes).await;
         let body = context.receive(request.into_body(), size_bytes, BODY_WAIT_MS);
         let body = read_body(body, BODY_BYTES).await.unwrap_or_else(|_| Bytes::new());
         drop(held);
@@ -40,10 +40,14 @@
 }
 
 async fn start() -> (SocketAddr, Arc<ByteAccount>, watch::Sender<bool>) {
+    start_with(16).await
+}
+
+async fn start_with(max_connections: usize) -> (SocketAddr, Arc<ByteAccount>, watch::Sender<bool>) {
     let account = Arc::new(ByteAccount::new(ACCOUNT_BYTES));
     let connections = Arc::new(Connections::new(Arc::clone(&account)));
     let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
-    let server = server.share(&connections, 16);
+    let server = server.share(&connections, max_connections);
     let addr = server.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
     tokio::spawn(server.run(Arc::new(Reader(Arc::clone(&account))), stopped));
@@ -109,3 +113,26 @@
     assert!(steady.unwrap().starts_with("HTTP/1.1 200 "));
     assert!(other.starts_with("HTTP/1.1 200 "), "{other}");
 }
+
+/// Requests that wait for room for their bodies must not keep others out of the server. As long as one body arrives in time,
+/// they wait.
+#[tokio::test]
+async fn requests_that_wait_for_room_give_way_to_a_new_connection() {
+    let (addr, account, _stop) = start_with(4).await;
+    let steady = announce(addr).await;
+    wait_until_held(&account).await;
+    let steady = tokio::spawn(complete(steady, Duration::from_millis(100)));
+    let mut waiting = Vec::new();
+    for _ in 0..3 {
+        waiting.push(announce(addr).await);
+    }
+    // Younger connections are not closed for others.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut caller = TcpStream::connect(addr).await.unwrap();
+    caller.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+    let mut answer = vec![0; 1024];
+    let size = caller.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..size]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert!(steady.await.unwrap().starts_with("HTTP/1.1 200 "));
+}
