--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -34,6 +34,7 @@
 use plat::Platform;
 use ractor::{Actor, ActorCell};
 use std::{
+    io::Result as IoResult,
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
@@ -43,7 +44,7 @@
 };
 use tokio::{sync::watch, task::JoinHandle};
 use upstream::EnginePool;
-use web::{ByteAccount, ConnectionLimits, Connections, Server};
+use web::{ByteAccount, ConnectionLimits, Connections, Server, ServerLimits};
 
 /// Retry budget of each service at one entry, for retries of calls that were already sent: a tenth of the calls within
 /// 10 seconds, and ten more so that a service with few calls can recover as well.
@@ -58,12 +59,13 @@
 pub struct Entry {
     addr: SocketAddr,
     shared: Arc<Shared>,
+    connections: Arc<Connections>,
+    connection_limits: ConnectionLimits,
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
     actors: Vec<ActorCell>,
     expiry: JoinHandle<()>,
     peer_node: Option<PeerNode>,
-    shutdown_wait_ms: u64,
     member: Option<MemberArguments>,
 }
 
@@ -77,6 +79,17 @@
     )
 }
 
+/// Limits of the server for callers. At the stop, connections are accepted for `shutdown_wait_ms`, and callers are waited for
+/// as long.
+fn server_limits(settings: &Settings) -> ServerLimits {
+    let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
+    ServerLimits {
+        accept_after_stop_ms: shutdown_wait_ms,
+        caller_wait_after_stop_ms: Some(shutdown_wait_ms),
+        ..ServerLimits::default()
+    }
+}
+
 impl Entry {
     /// Starts an entry. `metrics` renders the response to `/metrics`; without `metrics` that response is empty.
     ///
@@ -90,7 +103,8 @@
         let connection_limits = connection_limits(settings);
         let account = Arc::new(ByteAccount::new(connection_limits.account_bytes));
         let connections = Arc::new(Connections::new(Arc::clone(&account)));
-        let server = Server::bind(settings.entry.listen).await?;
+        let (_, server_limits) = watch::channel(server_limits(settings));
+        let server = Server::with_limits(settings.entry.listen, server_limits).await?;
         let server = server.share(&connections, connection_limits.callers);
         let addr = server.local_addr()?;
         let platform = Platform::new(settings.platform.addr, settings.platform.timeout_ms);
@@ -108,7 +122,7 @@
             Arc::clone(&upstreams),
         ));
         let (config_sender, config) = watch::channel(Arc::new(Config::default()));
-        let journals = Arc::new(Journals::new(clock));
+        let journals = Arc::new(Journals::new(clock, &account));
         let gossip_cell = Arc::new(OnceLock::new());
         let peer_handler = PeerHandler {
             journals: Arc::clone(&journals),
@@ -195,8 +209,18 @@
             actors.push(Actor::spawn(None, MemberActor, arguments).await?.0.get_cell());
         }
         let expiry = tokio::spawn(expire_journals(journals));
-        let shutdown_wait_ms = settings.entry.shutdown_wait_ms;
-        Ok(Self { addr, shared, stop, server, actors, expiry, peer_node, shutdown_wait_ms, member })
+        Ok(Self {
+            addr,
+            shared,
+            connections,
+            connection_limits,
+            stop,
+            server,
+            actors,
+            expiry,
+            peer_node,
+            member,
+        })
     }
 
     /// Address at which the HTTP server for callers listens, with the port that was bound if the settings name port 0.
@@ -214,16 +238,33 @@
         self.peer_node.as_ref().map(PeerNode::addr)
     }
 
+    /// Binds another server of this daemon, for operators, which uses a part of the connections of the entry and has the
+    /// same limits at the stop.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn bind_internal(&self, addr: SocketAddr, settings: &Settings) -> IoResult<Server> {
+        let (_, limits) = watch::channel(server_limits(settings));
+        let server = Server::with_limits(addr, limits).await?;
+        Ok(server.share_internal(&self.connections, self.connection_limits.probes))
+    }
+
+    /// Account of the bytes that are kept for connections and requests in flight.
+    pub fn account(&self) -> &Arc<ByteAccount> {
+        &self.shared.account
+    }
+
     /// Whether the entry is ready for new requests: it has a configuration and a list of VMs, and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
     }
 
     /// Shuts down the entry. Readiness fails at once, the listener closes after `shutdown_wait_ms` of the settings, and
-    /// requests in flight are completed. Peers can reach the journals until the last request has ended.
+    /// requests in flight are completed. Callers together with their connections are waited for no longer than that: a
+    /// connection whose caller does not read is closed. Peers can reach the journals until the last request has ended.
     pub async fn close(self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
-        tokio::time::sleep(Duration::from_millis(self.shutdown_wait_ms)).await;
         self.stop.send_replace(true);
         let _ = self.server.await;
         self.shared.calls.finished().await;
--- a/crates/web/src/held_bytes.rs
+++ b/crates/web/src/held_bytes.rs
@@ -16,6 +16,11 @@
         Self { account, bytes }
     }
 
+    /// Account in which the amount is held.
+    pub fn account(&self) -> &Arc<ByteAccount> {
+        &self.account
+    }
+
     /// Changes the amount to `bytes`. Returns `false`, without a change, if there is no room for a larger amount.
     pub fn try_resize(&mut self, bytes: usize) -> bool {
         match bytes.cmp(&self.bytes) {
@@ -28,6 +33,17 @@
         true
     }
 
+    /// Changes the amount to `bytes`, also beyond the limit of the account. It is for what is kept in any case; other amounts
+    /// then find no room.
+    pub fn resize_beyond_limit(&mut self, bytes: usize) {
+        match bytes.cmp(&self.bytes) {
+            Ordering::Less => self.account.free(self.bytes - bytes),
+            Ordering::Equal => {}
+            Ordering::Greater => self.account.add_beyond_limit(bytes - self.bytes),
+        }
+        self.bytes = bytes;
+    }
+
     /// Returns `content`, for which the amount is held until its last copy is dropped.
     pub fn attach_to(self, content: Bytes) -> Bytes {
         match self.bytes {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -3,9 +3,13 @@
 use crate::{
     body::{ResponseBody, empty},
     caller_stream::CallerStream,
+    caller_wait::caller_wait_exceeded,
     connection_limits::SOCKET_BUFFER_BYTES,
-    connections::{Connections, OpenConnection, Port},
+    connection_use::Phase,
+    connections::{Connections, OpenConnection},
     in_flight_requests::InFlightRequests,
+    port::Port,
+    request_context::RequestContext,
     server_limits::ServerLimits,
     socket_buffers::socket_with_buffers,
     tcp_keepalive::enable_tcp_keepalive,
@@ -71,6 +75,7 @@
     limits: watch::Receiver<ServerLimits>,
     connections: Arc<Connections>,
     max_connections: usize,
+    is_internal: bool,
 }
 
 impl Server {
@@ -102,6 +107,7 @@
             limits,
             connections: Arc::default(),
             max_connections: DEFAULT_MAX_CONNECTIONS,
+            is_internal: false,
         })
     }
 
@@ -112,6 +118,12 @@
         self
     }
 
+    /// Like `share` for a port of probes, metrics, operators or other daemons: when it is full, idle connections are closed
+    /// for new ones, whatever their age.
+    pub fn share_internal(self, connections: &Arc<Connections>, max_connections: usize) -> Self {
+        Self { is_internal: true, ..self.share(connections, max_connections) }
+    }
+
     /// Returns the bound address, with the port that was selected if port 0 was requested.
     ///
     /// # Errors
@@ -129,7 +141,7 @@
         let limits = self.limits;
         let connection_stop = stop.clone();
         let table = self.connections;
-        let port = Port::new(self.max_connections, limits.clone());
+        let port = Port::new(self.max_connections, self.is_internal, limits.clone());
         let accept = async |connections: &mut JoinSet<()>,
                             accepted: IoResult<(TcpStream, SocketAddr)>| {
             match accepted {
@@ -144,6 +156,7 @@
                         open,
                         handler,
                         limits,
+                        Arc::clone(&table),
                         connection_stop.clone(),
                     ));
                 }
@@ -210,6 +223,7 @@
     open: OpenConnection,
     handler: Arc<H>,
     limits: watch::Receiver<ServerLimits>,
+    table: Arc<Connections>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Tokens are small writes, which must not wait until the previous one is acknowledged.
@@ -217,16 +231,21 @@
     enable_tcp_keepalive(&stream);
     let in_flight = InFlightRequests::default();
     let headers_size_bytes = limits.borrow().headers_size_bytes.max(MIN_HEADERS_SIZE_BYTES);
-    let accept_limits = limits.clone();
+    let stop_limits = limits.clone();
     let state = Arc::clone(&open.state);
     let service_state = Arc::clone(&state);
     let peer = state.peer;
     let stream = CallerStream::new(stream, open, limits, in_flight.clone());
     let requests = in_flight.clone();
     let service_stop = stop.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let (handler, stop) = (Arc::clone(&handler), service_stop.clone());
         let state = Arc::clone(&service_state);
+        // A request that was sent ahead was read before the end of the response to the earlier one.
+        let context = RequestContext::new(state.last_read(), Arc::clone(&state));
+        request.extensions_mut().insert(context);
+        // The next read, which would tell as well, waits until the handler wants the body.
+        state.set_phase(Phase::Response, Instant::now());
         let guard = in_flight.start_request();
         async move {
             // The HTTP library collects the heads of responses without a limit, so a request waits until the caller has
@@ -249,15 +268,21 @@
         .serve_connection(TokioIo::new(stream), service);
     // The next response on an open connection states that it closes, so an idle connection is closed without one only
     // when no new connections are accepted any more.
+    let mut accept_stop = stop.clone();
     let end_of_accepting = async {
-        wait_for_stop(&mut stop).await;
-        let accept_ms = accept_limits.borrow().accept_after_stop_ms;
+        wait_for_stop(&mut accept_stop).await;
+        let accept_ms = stop_limits.borrow().accept_after_stop_ms;
         tokio::time::sleep(Duration::from_millis(accept_ms)).await;
     };
-    tokio::pin!(connection);
+    let end_of_patience = async {
+        wait_for_stop(&mut stop).await;
+        caller_wait_exceeded(&state, &stop_limits).await
+    };
+    tokio::pin!(connection, end_of_patience);
     tokio::select! {
         _ = connection.as_mut() => return,
         () = poll_fn(|cx| state.poll_evicted(cx)) => return,
+        waited_ms = end_of_patience.as_mut() => return table.record_stop(&state, waited_ms),
         () = end_of_accepting, if !is_after_stop => {
             requests.record_close();
             connection.as_mut().graceful_shutdown();
@@ -266,6 +291,7 @@
     tokio::select! {
         _ = connection.as_mut() => {}
         () = poll_fn(|cx| state.poll_evicted(cx)) => {}
+        waited_ms = end_of_patience.as_mut() => table.record_stop(&state, waited_ms),
     }
 }
 
