--- a/crates/geraniumroad/tests/silent_callers.rs
+++ b/crates/geraniumroad/tests/silent_callers.rs
@@ -10,7 +10,7 @@
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{io::AsyncWriteExt, net::TcpListener, runtime::Runtime};
 
@@ -107,6 +107,29 @@
     )
 }
 
+/// Bodies that are announced and never sent hold the room for bodies until their time is over, so that an ordinary caller's
+/// body finds none.
+#[test]
+fn bodies_that_are_never_sent() {
+    let stand = Stand::start();
+    let config = config(2)
+        .replace("\"max_body_bytes\":65536", "\"max_body_bytes\":2097152")
+        .replace("\"timeout_ms\":1000", "\"timeout_ms\":8000");
+    stand.store.put(platform::KEYS.config, &config);
+    std::thread::sleep(Duration::from_secs(3));
+    let announced = "POST /book/x HTTP/1.1\r\nHost: a.example\r\nCredential: key-1\r\nRequest-Attempt-Id: b\r\n\
+        Deadline-Remaining: 8000\r\nContent-Length: 2097152\r\n\r\nx";
+    let callers = SilentCallers::start(stand.daemon.addr, 14, Sending::Once(announced.to_owned()));
+    std::thread::sleep(Duration::from_secs(1));
+    let body = "x".repeat(2 << 20);
+    let answer = stand.daemon.ask(&request("POST", "/book/x", "large", &body));
+    let answer = answer.unwrap_or_default();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    drop(callers);
+    stand.check(stand.daemon.usage());
+    stand.daemon.wait_for_answer(&ordinary("after"));
+}
+
 /// While a request waits for its answer, the kernel takes more of them, each with large headers.
 #[test]
 fn many_requests_behind_a_waiting_one() {
@@ -186,6 +209,51 @@
     addr
 }
 
+/// Bodies for an upstream that reads nothing wait at the daemon until their deadline.
+#[test]
+fn bodies_for_an_upstream_that_does_not_read() {
+    let stand = Stand::start();
+    let addr = stand._runtime.block_on(deaf_upstream());
+    let config = config(2)
+        .replace("\"max_body_bytes\":65536", "\"max_body_bytes\":1048576")
+        .replace("\"timeout_ms\":1000", "\"timeout_ms\":8000");
+    stand.store.put(platform::KEYS.config, &config);
+    let entry = stand.desk.entry_at(addr, "deaf", "a", "ready");
+    stand.store.put("servers/deaf", &entry);
+    stand.store.put(platform::KEYS.config, &deaf_route(&config));
+    std::thread::sleep(Duration::from_secs(3));
+    let body = "x".repeat(1_000_000);
+    let sending = Sending::Repeated(request("POST", "/deaf/x", "p", &body), 1_100_000);
+    stand.withstand(stand.daemon.addr, 100, sending);
+}
+
+/// Configuration with a route to the service `deaf`.
+fn deaf_route(config: &str) -> String {
+    let route = r#"{"name":"deaf","host":"a.example","path_prefix":"/deaf/","kind":"non_idempotent","timeout_ms":8000,
+        "target_latency_ms":100,"service":"deaf","attempts":1},{"name":"long""#;
+    config
+        .replace("\"version\":2", "\"version\":3")
+        .replacen("{\"name\":\"long\"", route, 1)
+        .replacen(
+            "{\"name\":\"desk\"",
+            "{\"name\":\"deaf\",\"connection_limit\":96},{\"name\":\"desk\"",
+            1,
+        )
+}
+
+/// Starts an upstream that accepts connections and reads nothing.
+async fn deaf_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.push(stream);
+        }
+    });
+    addr
+}
+
 /// Heads that never end hold a descriptor each.
 #[test]
 fn heads_that_never_end() {
@@ -212,6 +280,26 @@
     }
 }
 
+/// Idle connections fill a port that is not for callers, so that the balancer finds the daemon not ready, or its metrics
+/// and the copies of the store's items cannot be read.
+#[test]
+fn idle_connections_at_the_other_ports() {
+    let stand = Stand::start();
+    let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+    let [metrics, relay] = stand.daemon.internal_addrs[..] else { panic!("two internal ports") };
+    let ports =
+        [(stand.daemon.ready_addr, "/"), (metrics, "/metrics"), (relay, "/v1/kv-range?prefix=")];
+    for (addr, path) in ports {
+        let callers = SilentCallers::start(addr, 100, Sending::Once(get(path)));
+        std::thread::sleep(Duration::from_secs(1));
+        // One request, as of a probe: the idle connections must not keep it out until they time out.
+        let answer = DaemonProcess::ask_at(addr, &get(path)).unwrap_or_default();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{path}: {answer}");
+        drop(callers);
+    }
+    stand.check(stand.daemon.usage());
+}
+
 #[test]
 fn a_change_of_the_configuration_beside_many_callers() {
     let stand = Stand::start();
@@ -221,6 +309,42 @@
     });
 }
 
+/// Answers of the store are held while they arrive, so that callers leave room for them.
+#[test]
+fn answers_of_the_store_are_in_the_account() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = Runtime::new().unwrap();
+    let daemon = DaemonProcess::serve(runtime.block_on(slow_store()));
+    let end = Instant::now() + Duration::from_secs(10);
+    while daemon.metric("kept_bytes ").is_none_or(|bytes| bytes < 1e6) {
+        assert!(Instant::now() < end, "an answer of the store is not counted");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Starts a store whose answers have 8 MiB and arrive within some seconds.
+async fn slow_store() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = Vec::new();
+                if platform_stand::read_head(&mut stream, &mut buffer).await.is_none() {
+                    return;
+                }
+                let head = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 8388608\r\n\r\n";
+                let mut is_open = stream.write_all(head.as_bytes()).await.is_ok();
+                while is_open {
+                    is_open = stream.write_all(&[b' '; 64 * 1024]).await.is_ok();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+        }
+    });
+    addr
+}
+
 /// A stop must end within its grace, although nobody reads the answers.
 #[test]
 fn a_stop_beside_many_callers() {
--- a/crates/ingress/src/short_call.rs
+++ b/crates/ingress/src/short_call.rs
@@ -59,6 +59,7 @@
             }
             let now_ms = core.clock.now_ms();
             log_refusal("call", inbound, subject, &verdict, excluded.len(), now_ms);
+            let call = call.refused_late(silent.take_late_refusals());
             return Err(end_quarantined(call, subject, retry_after_ms));
         }
         let is_trial = matches!(admission, Admission::Trial(_));
@@ -112,6 +113,7 @@
             }
             let now_ms = core.clock.now_ms();
             log_refusal("call", inbound, subject, &verdict, excluded.len(), now_ms);
+            let call = call.refused_late(silent.take_late_refusals());
             return Err(end_quarantined(call, subject, retry_after_ms));
         }
         if let Some(permit) = permit {
@@ -120,8 +122,9 @@
         excluded.push(Arc::clone(&instance.entry.id));
         let sent = call.send();
         let may_retry = sent.idempotency() == Idempotency::Idempotent && sent.has_retries();
+        let retry_ms = inbound.target_latency_ms * RETRY_LATENCY_FACTOR;
         let timeout_ms = match may_retry {
-            true => left_ms.min((inbound.target_latency_ms * RETRY_LATENCY_FACTOR).max(1)),
+            true => left_ms.min(retry_ms.max(silent.min_retry_ms())),
             false => left_ms,
         };
         let sent_ms = core.clock.now_ms();
@@ -150,7 +153,9 @@
                 Err(call) => return give_up(silent, call, core.call_retry_after_ms()).await,
             },
             lost @ (Outcome::Answered(_)
-            | Outcome::Failed(AttemptError::Answered(_) | AttemptError::Lost(_))
+            | Outcome::Failed(
+                AttemptError::Answered(_) | AttemptError::Lost(_) | AttemptError::NoRoom,
+            )
             | Outcome::TimedOut) => {
                 if let Outcome::Answered(response) = lost {
                     silent.error_response = Some(response);
@@ -225,11 +230,14 @@
 ///
 /// `Busy` if the call has not run, else the errors of `outcome_unknown`.
 async fn give_up(
-    silent: SilentCall<'_>,
+    mut silent: SilentCall<'_>,
     call: Call<Unsent>,
     retry_after_ms: u64,
 ) -> Result<Response<ResponseBody>, CallerError> {
-    let closed: Result<_, Call<Unknown>> = call.close();
+    if let Some(response) = silent.wait().await {
+        return Ok(response.into_response());
+    }
+    let closed: Result<_, Call<Unknown>> = call.refused_late(silent.take_late_refusals()).close();
     match closed {
         Ok(_) => Err(CallerError::Busy(retry_after_ms)),
         Err(_) => outcome_unknown(silent).await,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,13 +8,20 @@
     future_incompatible
 )]
 
+mod calm_draws;
 mod cli;
 mod clients;
 mod daemon_process;
+mod fault_class;
 mod fault_injector;
+mod foreign_entries;
+mod loopback_net;
 mod run;
 mod soak_error;
 mod soak_report;
 mod test_environment;
 
-pub use crate::{cli::Cli, run::run, soak_error::SoakError, soak_report::SoakReport};
+pub use crate::{
+    cli::Cli, fault_class::FaultClass, loopback_net::LoopbackNet, run::run, soak_error::SoakError,
+    soak_report::SoakReport,
+};
--- a/crates/soak/src/soak_report.rs
+++ b/crates/soak/src/soak_report.rs
@@ -1,6 +1,8 @@
 //! Sums up a soak, and compares what clients were told with what upstreams executed.
 
+use crate::fault_class::FaultClass;
 use base::HashMap;
+use std::collections::BTreeMap;
 
 /// Counts of the responses that clients received, and the violated guarantees.
 #[derive(Clone, Debug, Default)]
@@ -19,8 +21,10 @@
     pub refused: u64,
     /// Number of calls and streams that failed in another way, for example because of a cut connection.
     pub failed: u64,
-    /// Number of injected faults.
-    pub faults: u64,
+    /// Largest resident memory of a daemon beside silent callers, in bytes; 0 if there were none.
+    pub peak_memory_bytes: u64,
+    /// Number of injected faults by class.
+    pub faults: BTreeMap<FaultClass, u64>,
     /// Descriptions of the violated guarantees.
     pub violations: Vec<String>,
 }
@@ -60,7 +64,7 @@
     pub fn summary(&self) -> String {
         format!(
             "whole_streams={} resumed_streams={} take_ups={} refused_take_ups={} answered_calls={} refused={} \
-             failed={} faults={} broken={}",
+             failed={} peak_memory_mb={} faults={} broken={}",
             self.whole_streams,
             self.resumed_streams,
             self.take_ups,
@@ -68,7 +72,8 @@
             self.answered_calls,
             self.refused,
             self.failed,
-            self.faults,
+            self.peak_memory_bytes / 1024 / 1024,
+            self.faults.values().sum::<u64>(),
             self.violations.len()
         )
     }
--- a/crates/web/src/connection_use.rs
+++ b/crates/web/src/connection_use.rs
@@ -1,9 +1,10 @@
 //! What one connection of a caller holds and waits for, as the other connections see it.
 
 use crate::{
+    body_progress::BodyProgress,
     connection_account::ConnectionAccount,
-    eviction::{Candidate, Standing},
-    server_limits::ServerLimits,
+    eviction::{Candidate, Need, Standing},
+    port::Port,
 };
 use futures::task::AtomicWaker;
 use std::{
@@ -13,20 +14,14 @@
         atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 
 /// Time without progress after which a connection whose answer waits for its caller may be closed, in milliseconds. It is
 /// longer than a round trip to a distant caller.
 const MIN_BLOCKED_MS: u64 = 200;
 
-/// Shortest age at which a connection that is not blocked may be closed, in milliseconds. The head of a request arrives
-/// within this time unless its caller is slow.
-const MIN_AGE_MS: u64 = 250;
-
-/// Part of the idle timeout, in percent, within which an idle connection is never closed for another one.
-const KEPT_IDLE_PERCENT: u64 = 80;
-
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -47,7 +42,7 @@
 pub(crate) struct ConnectionUse {
     pub peer: SocketAddr,
     account: Arc<ConnectionAccount>,
-    limits: watch::Receiver<ServerLimits>,
+    port: Arc<Port>,
     /// Start of the time that the following fields count from.
     start: Instant,
     held_bytes: AtomicUsize,
@@ -60,6 +55,11 @@
     is_pipelined: AtomicBool,
     /// When the kernel last accepted bytes.
     last_write_ms: AtomicU64,
+    /// When bytes were last read.
+    last_read_ms: AtomicU64,
+    body: BodyProgress,
+    /// Whether the current request waits for room for its body.
+    waits_for_room: AtomicBool,
     is_evicted: AtomicBool,
     /// Waker of the task that serves the connection.
     waker: AtomicWaker,
@@ -70,7 +70,7 @@
     pub fn new(
         peer: SocketAddr,
         account: Arc<ConnectionAccount>,
-        limits: watch::Receiver<ServerLimits>,
+        port: Arc<Port>,
         start: Instant,
         held_bytes: usize,
     ) -> Self {
@@ -78,12 +78,15 @@
         Self {
             peer,
             account,
-            limits,
+            port,
             start,
             held_bytes: AtomicUsize::new(held_bytes),
             phase: AtomicU8::new(Phase::Idle as u8),
             last_write_ms: AtomicU64::new(now_ms.load(Ordering::Relaxed)),
+            last_read_ms: AtomicU64::new(now_ms.load(Ordering::Relaxed)),
             phase_start_ms: now_ms,
+            body: BodyProgress::default(),
+            waits_for_room: AtomicBool::new(false),
             has_requested: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
             is_pipelined: AtomicBool::new(false),
@@ -116,6 +119,36 @@
         self.last_write_ms.store(self.since_start_ms(at), Ordering::Relaxed);
     }
 
+    /// Records that bytes were read at `at`.
+    pub fn record_read(&self, at: Instant) {
+        self.last_read_ms.store(self.since_start_ms(at), Ordering::Relaxed);
+    }
+
+    /// When bytes were last read.
+    pub fn last_read(&self) -> Instant {
+        self.start + Duration::from_millis(self.last_read_ms.load(Ordering::Relaxed))
+    }
+
+    /// Records whether the current request waits for room for its body.
+    pub fn set_waits_for_room(&self, waits_for_room: bool) {
+        self.waits_for_room.store(waits_for_room, Ordering::Relaxed);
+    }
+
+    /// Records that a body is read from now on, for which `held_bytes` are held and which has to arrive within `wait_ms`.
+    pub fn begin_body(&self, held_bytes: usize, wait_ms: u64) {
+        self.body.begin(held_bytes, wait_ms, self.since_start_ms(Instant::now()));
+    }
+
+    /// Counts bytes of the body.
+    pub fn record_body(&self, bytes: usize) {
+        self.body.record(bytes);
+    }
+
+    /// Records that no body is read any more.
+    pub fn end_body(&self) {
+        self.body.end();
+    }
+
     /// Is ready unless bytes of a response wait because the caller does not read. The task is not woken by this; it is
     /// woken when the kernel accepts bytes.
     pub fn poll_unblocked(&self) -> Poll<()> {
@@ -171,25 +204,45 @@
         }
     }
 
-    /// The connection as one that may be closed at `now`; `None` if it is an ordinary one.
-    pub fn candidate(&self, id: u64, now: Instant) -> Option<Candidate> {
+    /// Whether the connection waits for its caller: for the rest of a head or of a late body, or until the caller reads the
+    /// response or closes the connection after it.
+    pub fn waits_for_caller(&self) -> bool {
+        let phase = self.phase.load(Ordering::Relaxed);
+        self.is_blocked.load(Ordering::Relaxed)
+            || [Phase::Headers as u8, Phase::Linger as u8].contains(&phase)
+            || self.late_body_bytes(Instant::now()).is_some()
+    }
+
+    /// Bytes that are held for the body of the current request, if it is late.
+    fn late_body_bytes(&self, now: Instant) -> Option<usize> {
+        self.body.late_bytes(self.since_start_ms(now), self.port.min_age_ms())
+    }
+
+    /// The connection as one that may be closed at `now` for `need`; `None` if it is an ordinary one.
+    pub fn candidate(&self, id: u64, now: Instant, need: Need) -> Option<Candidate> {
         let now_ms = self.since_start_ms(now);
         let since = |at: &AtomicU64| now_ms.saturating_sub(at.load(Ordering::Relaxed));
         let phase_ms = since(&self.phase_start_ms);
         let phase = self.phase.load(Ordering::Relaxed);
-        let idle_ms = self.limits.borrow().idle_timeout_ms * KEPT_IDLE_PERCENT / 100;
-        let is_old = phase_ms >= MIN_AGE_MS;
+        let is_old = phase_ms >= self.port.min_age_ms();
         // An answer that exceeds the buffers blocks for moments also if the caller reads all the time.
         let is_stuck = since(&self.last_write_ms) >= MIN_BLOCKED_MS;
+        let late_body_bytes = self.late_body_bytes(now);
+        // Closing it frees a connection, and hardly any of the bytes that it waits for.
+        let is_in_the_way = matches!(need, Need::Connections(_))
+            && is_old
+            && self.waits_for_room.load(Ordering::Relaxed);
         let standing = if is_stuck && self.is_blocked.load(Ordering::Relaxed) {
             Standing::Blocked
+        } else if late_body_bytes.is_some() || is_in_the_way {
+            Standing::Unsent
         } else if self.is_pipelined.load(Ordering::Relaxed) {
             Standing::Pipelined
         } else if is_old && [Phase::Headers as u8, Phase::Linger as u8].contains(&phase) {
             Standing::Unfinished
         } else if is_old && !self.has_requested.load(Ordering::Relaxed) {
             Standing::Unused
-        } else if phase == Phase::Idle as u8 && phase_ms > idle_ms {
+        } else if phase == Phase::Idle as u8 && phase_ms >= self.port.kept_idle_ms() {
             Standing::Idle
         } else {
             return None;
@@ -198,7 +251,8 @@
             Standing::Blocked => since(&self.last_write_ms),
             _ => phase_ms,
         };
-        Some(Candidate { id, standing, held_bytes: self.held_bytes(), age_ms })
+        let held_bytes = self.held_bytes() + late_body_bytes.unwrap_or(0);
+        Some(Candidate { id, standing, held_bytes, age_ms })
     }
 
     fn since_start_ms(&self, at: Instant) -> u64 {
--- a/crates/web/src/connections.rs
+++ b/crates/web/src/connections.rs
@@ -6,22 +6,32 @@
     connection_limits::{CONNECTION_BYTES, ConnectionLimits},
     connection_use::{ConnectionUse, Phase},
     eviction::{Need, choose},
-    server_limits::ServerLimits,
+    port::Port,
+    search_pause::SearchPause,
 };
 use base::{HashMap, lock};
 use std::{
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 
 /// Part of the limits that is freed at once, as a divisor. The search for connections to close is not repeated for each
 /// new connection then.
 const BATCH_DIVISOR: usize = 32;
 
+/// Part of the account that is freed at once for amounts that wait, as a divisor. More may wait than there can be room for,
+/// and connections that do not have to be closed for it stay open.
+const SHORTAGE_DIVISOR: usize = 4;
+
+/// Time between two searches for connections to close while amounts wait for room. A connection becomes one that may be
+/// closed by the time that passes.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Largest number of log lines about closed and refused connections a second.
 const MAX_LINES_PER_S: u32 = 10;
 
@@ -34,6 +44,10 @@
     account: Arc<ConnectionAccount>,
     start: Instant,
     open: Mutex<Open>,
+    /// Pause between searches for connections that hold bytes.
+    search_pause: SearchPause,
+    /// Number of searches for connections that may be closed.
+    searches: AtomicU64,
     log: Mutex<LogLimit>,
 }
 
@@ -51,14 +65,6 @@
     left_out: u64,
 }
 
-/// Server's part of the connections.
-#[derive(Debug)]
-pub(crate) struct Port {
-    max_connections: usize,
-    open: AtomicUsize,
-    limits: watch::Receiver<ServerLimits>,
-}
-
 /// Connection that counts as open until the value is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
@@ -75,17 +81,18 @@
     }
 }
 
-impl Port {
-    pub fn new(max_connections: usize, limits: watch::Receiver<ServerLimits>) -> Arc<Self> {
-        Arc::new(Self { max_connections, open: AtomicUsize::new(0), limits })
-    }
-}
-
 impl Connections {
     /// Creates a table of connections that share `account` with the requests in flight.
     pub fn new(account: Arc<ByteAccount>) -> Self {
         let account = Arc::new(ConnectionAccount::new(account));
-        Self { account, start: Instant::now(), open: Mutex::default(), log: Mutex::default() }
+        Self {
+            account,
+            start: Instant::now(),
+            open: Mutex::default(),
+            search_pause: SearchPause::default(),
+            searches: AtomicU64::new(0),
+            log: Mutex::default(),
+        }
     }
 
     /// Number of open connections.
@@ -93,6 +100,11 @@
         lock(&self.open).by_id.len()
     }
 
+    /// Number of searches for connections that may be closed, each of which looks at all open connections.
+    pub fn searches(&self) -> u64 {
+        self.searches.load(Ordering::Relaxed)
+    }
+
     /// Registers a new connection from `peer` at a port; `None` if there is no room for it, also after others were
     /// closed.
     pub(crate) fn admit(
@@ -113,7 +125,7 @@
         let state = Arc::new(ConnectionUse::new(
             peer,
             Arc::clone(&self.account),
-            port.limits.clone(),
+            Arc::clone(port),
             self.start,
             CONNECTION_BYTES,
         ));
@@ -136,8 +148,9 @@
         }
     }
 
-    /// Closes connections that hold at least `bytes`, if there are such.
-    pub(crate) fn make_room(&self, bytes: usize) {
+    /// Closes connections that hold at least `bytes`, if there are such. Soon after a search that found none, nothing is
+    /// done.
+    pub fn make_room(&self, bytes: usize) {
         let batch_bytes = self.account.limit_bytes() / BATCH_DIVISOR;
         self.close_some(Need::Bytes(bytes.max(batch_bytes)), None);
     }
@@ -150,18 +163,36 @@
     /// Closes connections as long as amounts find no room in the account.
     pub(crate) async fn follow_shortages(&self) {
         loop {
-            let bytes = self.account.whole().shortage().await;
-            self.make_room(bytes);
+            self.account.whole().shortage().await;
+            loop {
+                let bytes = self.account.whole().waiting_bytes();
+                if bytes == 0 {
+                    break;
+                }
+                let most_bytes = self.account.whole().limit_bytes() / SHORTAGE_DIVISOR;
+                self.make_room(bytes.min(most_bytes));
+                tokio::time::sleep(SEARCH_INTERVAL).await;
+            }
         }
     }
 
     fn close_some(&self, need: Need, port: Option<&Arc<Port>>) {
         let now = Instant::now();
+        let now_ms = now.saturating_duration_since(self.start).as_millis() as u64;
+        let pause = port.map_or(&self.search_pause, |port| &port.search_pause);
+        if !pause.is_over(now_ms) {
+            return;
+        }
+        self.searches.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("connection_searches_total").increment(1);
         let mut open = lock(&self.open);
         let is_of_port = |own: &Arc<Port>| port.is_none_or(|port| Arc::ptr_eq(port, own));
         let of_port = open.by_id.iter().filter(|(_, (own, _))| is_of_port(own));
-        let candidates = of_port.filter_map(|(&id, (_, state))| state.candidate(id, now));
+        let candidates = of_port.filter_map(|(&id, (_, state))| state.candidate(id, now, need));
         let closed = choose(candidates.collect(), need);
+        if closed.is_empty() {
+            pause.begin(now_ms);
+        }
         let states = closed.iter().filter_map(|candidate| {
             let (port, state) = open.by_id.remove(&candidate.id)?;
             port.open.fetch_sub(1, Ordering::SeqCst);
@@ -182,6 +213,14 @@
         }
     }
 
+    /// Records that a connection is closed because its caller has kept the stop of its server waiting.
+    pub(crate) fn record_stop(&self, state: &ConnectionUse, waited_ms: u64) {
+        self.log("closed a connection at the stop", state.peer, || {
+            format!("caller waited for {waited_ms} ms, held_bytes={}", state.held_bytes())
+        });
+        metrics::counter!("connections_closed_total", "reason" => "stop").increment(1);
+    }
+
     /// Logs what was done with a connection, within the limit on such lines.
     fn log(&self, action: &str, peer: SocketAddr, reason: impl FnOnce() -> String) {
         let second = self.start.elapsed().as_secs();
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,9 +7,12 @@
     future_incompatible
 )]
 
+mod arriving_body;
 mod body;
+mod body_progress;
 mod byte_account;
 mod caller_stream;
+mod caller_wait;
 mod client;
 mod client_error;
 mod client_stream;
@@ -21,10 +24,14 @@
 mod end_to_end_headers;
 mod eviction;
 mod exchange_state;
+mod held_body;
 mod held_bytes;
 mod in_flight_requests;
 mod json_request;
 mod linger;
+mod port;
+mod request_context;
+mod search_pause;
 mod server;
 mod server_limits;
 mod socket_buffers;
@@ -33,6 +40,7 @@
 pub use hyper::{Method, StatusCode};
 
 pub use crate::{
+    arriving_body::ArrivingBody,
     body::{AbortedBody, ChannelBody, ReadBodyError, ResponseBody, empty, full, json, read_body},
     byte_account::ByteAccount,
     client::{Client, Reply},
@@ -42,8 +50,10 @@
     connections::Connections,
     end_to_end_headers::end_to_end_headers,
     eviction::{Candidate, Need, Standing, choose},
+    held_body::{HeldBodyError, read_held_body},
     held_bytes::HeldBytes,
     json_request::json_request,
+    request_context::RequestContext,
     server::{Handler, Server},
     server_limits::ServerLimits,
     tcp_keepalive::enable_tcp_keepalive,
