Rollout: an order of an older copy of the store does not replace the one that the daemons know

After a restoration of the store, a daemon applied the order of the copy in place of the one that had replaced it, and the list after the next outage removed an order that the copy lacked, or brought back one that had been removed. The target version of the order that the operator wrote last then got requests without a limit, whatever its answers were.

Cause: the first list after a restoration was applied like any other, and later lists had no memory of it. The daemon now keeps the last known write of each service's order (OrderLog). An item with a lower revision, or that of a removed order, is not in force, and what the copy lacks stays until it is written or removed. An order that was lost and is written again keeps its verdict until its time limit.

--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -235,13 +235,19 @@
             Some(OrderChange::Continued) => {
                 log::info!("rollout: service={service} goes on, revision={revision}");
             }
+            Some(OrderChange::Outdated) => {
+                log::info!(
+                    "rollout: service={service} stays as it is, the store holds an older order, revision={revision}"
+                );
+            }
             Some(OrderChange::Removed | OrderChange::None) | None => {}
         }
     }
 
-    /// Removes the order of a service.
-    pub(crate) fn remove_order(&self, service: &ServiceName) {
-        if self.with(|rollouts, _| rollouts.remove_order(service)) == Some(OrderChange::Removed) {
+    /// Removes the order of a service at `revision`.
+    pub(crate) fn remove_order(&self, service: &ServiceName, revision: u64) {
+        let change = self.with(|rollouts, _| rollouts.remove_order(service, revision));
+        if change == Some(OrderChange::Removed) {
             log::info!("rollout: service={service} ends, its order was removed");
         }
     }
--- a/crates/ingress/src/rollout_items.rs
+++ b/crates/ingress/src/rollout_items.rs
@@ -65,7 +65,7 @@
     ) {
         let Ok(service) = ServiceName::try_from(name) else { return };
         let Some(value) = &change.value else {
-            control.remove_order(&service);
+            control.remove_order(&service, change.revision);
             return;
         };
         let reason = match (self.decoders.order)(value) {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -24,6 +24,7 @@
 mod open_request;
 mod order;
 mod order_change;
+mod order_log;
 mod pass;
 mod phase;
 mod reply;
--- a/crates/rollout/src/order_change.rs
+++ b/crates/rollout/src/order_change.rs
@@ -9,6 +9,8 @@
     Continued,
     /// A rollout has ended because its order was removed.
     Removed,
+    /// The item is from an older copy of the store, and what was known before stays in force.
+    Outdated,
     /// Nothing has changed.
     None,
 }
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -9,6 +9,7 @@
     open_request::OpenRequest,
     order::RolloutOrder,
     order_change::OrderChange,
+    order_log::OrderLog,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
@@ -40,6 +41,8 @@
     /// Number that tells the daemon's lifetimes apart.
     lifetime: u64,
     rollouts: HashMap<ServiceName, Rollout>,
+    /// Last known writes of the orders.
+    orders: OrderLog,
     /// Services whose orders were missing in the last list, which may be older than the orders.
     missing: HashSet<ServiceName>,
     statuses: HashMap<ServiceName, StoredStatus>,
@@ -58,6 +61,7 @@
             bounds,
             lifetime,
             rollouts: HashMap::default(),
+            orders: OrderLog::default(),
             missing: HashSet::default(),
             statuses: HashMap::default(),
             meters: HashMap::default(),
@@ -69,7 +73,8 @@
     }
 
     /// Applies the order of a service that was written at `revision`. A write of the same content while the rollout runs
-    /// continues it. After a restoration of the store (`is_restored`), the same content is the same order in any case.
+    /// continues it. In the first list after a restoration of the store (`is_restored`), the same content is the same order
+    /// in any case, and so it is if an order that the restoration lost is written again before its time limit.
     pub fn apply_order(
         &mut self,
         order: RolloutOrder,
@@ -79,18 +84,30 @@
     ) -> OrderChange {
         let service = order.service.clone();
         self.missing.remove(&service);
+        let is_in_force = self.orders.is_in_force(&service, revision);
+        let was_void = self.orders.is_void(&service);
         if let Some(rollout) = self.rollouts.get_mut(&service) {
-            if rollout.order == order && rollout.has_revision(revision) {
+            if rollout.order == order && rollout.has_revision(revision) && is_in_force {
                 return OrderChange::None;
             }
             // An order that is repeated after its completion asks for what has been done. A new evaluation would limit the
             // only version that is left.
             let goes_on = !rollout.phase.is_final() || rollout.phase == Phase::Completed;
-            if rollout.order == order && (is_restored || goes_on) {
+            let is_rewritten = was_void && rollout.age_ms(now_ms) <= rollout.order.duration_ms;
+            let is_same = is_restored || is_in_force && (goes_on || is_rewritten);
+            if rollout.order == order && is_same {
                 rollout.add_revision(revision);
+                self.orders.record(&service, revision);
                 return OrderChange::Continued;
             }
         }
+        if !is_in_force {
+            if is_restored {
+                self.orders.record_void(&service, revision);
+            }
+            return OrderChange::Outdated;
+        }
+        self.orders.record(&service, revision);
         self.next_number += 1;
         let meters = self.meters.get(&service);
         let recent = meters.into_iter().flatten().map(|(key, meter)| (*key, meter.recent()));
@@ -107,9 +124,10 @@
         OrderChange::Started
     }
 
-    /// Removes the order of a service, which ends its rollout without a limit.
-    pub fn remove_order(&mut self, service: &ServiceName) -> OrderChange {
+    /// Removes the order of a service at `revision`, which ends its rollout without a limit.
+    pub fn remove_order(&mut self, service: &ServiceName, revision: u64) -> OrderChange {
         self.missing.remove(service);
+        self.orders.record_void(service, revision);
         match self.rollouts.remove(service) {
             Some(_) => OrderChange::Removed,
             None => OrderChange::None,
@@ -117,18 +135,29 @@
     }
 
     /// Takes note of the services whose orders are in a list of all items. The others are removed by `confirm_list`. After
-    /// a restoration of the store (`is_restored`) they stay, since the copy may be older than an order.
+    /// a restoration of the store (`is_restored`) they stay, since the copy may be older than an order, and also in later
+    /// lists, until they are written or removed.
     pub fn note_listed(&mut self, listed: &HashSet<ServiceName>, is_restored: bool) {
-        if !is_restored {
-            let known = self.rollouts.keys().filter(|service| !listed.contains(*service));
-            self.missing = known.cloned().collect();
+        let rollouts = &self.rollouts;
+        self.orders.trim(|service| rollouts.contains_key(service));
+        let known = rollouts.keys().filter(|service| !listed.contains(*service));
+        let unlisted: Vec<ServiceName> = known.cloned().collect();
+        self.missing.clear();
+        if is_restored {
+            unlisted.iter().for_each(|service| self.orders.record_void(service, 0));
+        } else {
+            let unlisted = unlisted.into_iter().filter(|service| !self.orders.is_lost(service));
+            self.missing = unlisted.collect();
         }
     }
 
     /// Removes the orders that are missing in the list and were not written since. Returns their services.
     pub fn confirm_list(&mut self) -> Vec<ServiceName> {
         let missing: Vec<ServiceName> = self.missing.drain().collect();
-        missing.iter().for_each(|service| _ = self.rollouts.remove(service));
+        for service in &missing {
+            self.rollouts.remove(service);
+            self.orders.record_removal(service);
+        }
         missing
     }
 
