Rollout: a list after an outage is confirmed by the watch that follows it

After an outage of the store, a daemon removed the orders that the next list lacked as soon as the list was read, and lifted the rule for services whose order may be missing. A list is read in pages: an order that is written between two of them is missing while the new instances are listed, and callers got answers of the target version without a limit until the next watch.

Cause: list_and_watch calls on_caught_up right after a list of the latest state, and the follower confirmed the list there. It now does so after the changes of a watch.

--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -237,7 +237,6 @@
     }
 
     fn on_caught_up(&mut self) {
-        self.core.rollouts.confirm_list();
         self.core.mark_caught_up();
     }
 
@@ -246,6 +245,9 @@
         for change in &changes {
             self.rollout_items.apply(&self.core.rollouts, change);
         }
+        // Changes come from watches only. A list of the latest state is not enough: it is read in pages, between which an
+        // order may be written.
+        self.core.rollouts.confirm_list();
         for change in &changes {
             if &*change.key == self.keys.config {
                 self.install(change);
--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -210,7 +210,7 @@
         });
     }
 
-    /// Takes note that all changes up to now were applied.
+    /// Takes note that the watch after the last list has responded, and that its changes were applied.
     pub(crate) fn confirm_list(&self) {
         self.is_unconfirmed.store(false, Ordering::Relaxed);
         for service in self.with(|rollouts, _| rollouts.confirm_list()).unwrap_or_default() {
@@ -269,6 +269,11 @@
         *lock(&self.daemons) = daemons;
     }
 
+    /// Whether a service has an order.
+    pub fn has_order(&self, service: &ServiceName) -> bool {
+        self.with(|rollouts, _| rollouts.has_order(service)).unwrap_or(false)
+    }
+
     /// Whether a rollout runs, so that reports are exchanged.
     pub(crate) fn is_active(&self) -> bool {
         self.with(|rollouts, _| rollouts.is_active()).unwrap_or(false)
