Rollout: the last answers of a long order are judged on their own

With an order longer than 60 s, a version that failed one answer in five was found good by the many answers of its first seconds: the last 0.4 of the duration, whose answers must be good on their own, was taken for the whole time since the order. Such a version gets all traffic.

Cause: 48 states of the totals were kept at steps of 500 ms, 24 s, so that none was old enough.

Test: good_answers_of_the_first_seconds_do_not_outweigh_the_later_ones (rollout/tests/long_orders.rs) failed before; its neighbour guards against an order that is never found good.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -34,6 +34,7 @@
 mod rollouts;
 mod route_counts;
 mod route_key;
+mod snapshots;
 mod state;
 mod status;
 mod status_write;
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -15,6 +15,7 @@
     rollout_start::RolloutStart,
     route_counts::RouteCounts,
     route_key::RouteKey,
+    snapshots::Snapshots,
     state::RolloutState,
     totals::Totals,
     usable_versions::UsableVersions,
@@ -22,10 +23,7 @@
 };
 use affinity::SoftwareVersion;
 use base::HashMap;
-use std::{
-    collections::VecDeque,
-    hash::{DefaultHasher, Hash, Hasher},
-};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Time between two reports to the judges if there is nothing urgent.
 const REPORT_MS: u64 = 500;
@@ -33,23 +31,6 @@
 /// Shortest time between two reports after bad answers.
 const URGENT_REPORT_MS: u64 = 50;
 
-/// Time between two states of the totals that are kept for comparison.
-const SNAPSHOT_MS: u64 = 500;
-
-/// Ages of the states since which the answers are tested as well, in numbers of states. A version may become bad some
-/// seconds after its start.
-const PERIODS: [usize; 3] = [4, 7, 10];
-
-/// Number of states that are kept.
-const MAX_SNAPSHOTS: usize = 48;
-
-/// Shortest period whose answers must be good on their own, and as a part of the order's duration.
-const RECENT_MS: u64 = 4_000;
-const RECENT_PART: f64 = 0.4;
-
-/// Smallest number of answers of the target version in that period.
-const RECENT_ANSWERS: u32 = 16;
-
 /// Shortest age of an order whose target version can be found good.
 const MIN_AGE_MS: u64 = 5_000;
 
@@ -85,9 +66,6 @@
 /// Time for which a judge plans the next shares: the age of reports and the time until the advice is followed.
 const HORIZON_MS: u64 = 800;
 
-/// Period over which the rate of requests is measured.
-const RATE_MS: u64 = 1_000;
-
 /// Mean time that the answers before the order cover.
 const BEFORE_MS: f64 = 30_000.0;
 
@@ -153,7 +131,7 @@
     has_bad_news: bool,
     /// Last report of each daemon lifetime, with the time at which it arrived.
     reports: HashMap<u64, (RolloutReport, u64)>,
-    snapshots: VecDeque<(u64, Totals)>,
+    snapshots: Snapshots,
     /// Since when no request is reported at old versions.
     quiet_since_ms: Option<u64>,
     broadcasts: u32,
@@ -170,6 +148,7 @@
     pub fn new(order: RolloutOrder, start: RolloutStart) -> Self {
         let RolloutStart { revision, number, lifetime, bounds, before, now_ms } = start;
         let counts = |before| RouteCounts { before, ..RouteCounts::default() };
+        let snapshots = Snapshots::new(order.duration_ms);
         let routes = before.into_iter().take(MAX_ROUTES).map(|(key, before)| (key, counts(before)));
         Self {
             order,
@@ -196,7 +175,7 @@
             reported_ms: None,
             has_bad_news: false,
             reports: HashMap::default(),
-            snapshots: VecDeque::new(),
+            snapshots,
             quiet_since_ms: None,
             broadcasts: 0,
             broadcast_ms: 0,
@@ -517,22 +496,12 @@
                 self.finding.is_some() && self.set_phase(Phase::RolledBack, now_ms);
             return self.is_own_verdict;
         }
-        let snapshots = &self.snapshots;
-        let earlier = PERIODS.iter().filter_map(|states| {
-            snapshots.len().checked_sub(*states).and_then(|at| snapshots.get(at))
-        });
         let extra_evidence = if self.phase == Phase::Shifting { SHIFT_EVIDENCE } else { 0.0 };
-        self.finding = totals.finding(earlier.map(|(_, totals)| totals), extra_evidence);
+        self.finding = totals.finding(self.snapshots.tested(), extra_evidence);
         if self.finding.is_some() {
             return self.set_phase(Phase::RolledBack, now_ms);
         }
-        let last_ms = self.snapshots.back().map(|(at_ms, _)| *at_ms);
-        if last_ms.is_none_or(|at_ms| now_ms >= at_ms + SNAPSHOT_MS) {
-            self.snapshots.push_back((now_ms, totals.clone()));
-            if self.snapshots.len() > MAX_SNAPSHOTS {
-                self.snapshots.pop_front();
-            }
-        }
+        self.snapshots.push(&totals, now_ms);
         let age_ms = self.age_ms(now_ms);
         let end_ms = self.order.duration_ms.saturating_sub(END_MARGIN_MS);
         let is_heard = self.is_heard(now_ms);
@@ -545,7 +514,7 @@
             if may_be_good
                 && age_ms < end_ms
                 && is_heard
-                && totals.is_good(&self.recent(&totals, now_ms))
+                && totals.is_good(&self.snapshots.recent(&totals, now_ms))
             {
                 self.set_phase(Phase::Shifting, now_ms);
                 self.update_shift(now_ms);
@@ -565,17 +534,10 @@
 
     /// Plans the shares of the next moments, by what was sent so far.
     fn plan_shares(&mut self, totals: &Totals, now_ms: u64) {
-        let mut states = self.snapshots.iter().rev();
-        let requests = f64::from(totals.requests());
-        let rate_per_s = match states.find(|(at_ms, _)| at_ms + RATE_MS <= now_ms) {
-            Some((at_ms, earlier)) => {
-                (requests - f64::from(earlier.requests())) * 1_000.0 / (now_ms - at_ms) as f64
-            }
-            None => {
-                let before = totals.routes.values().map(|counts| counts.before.answers);
-                f64::from(before.sum::<u32>()) * 1_000.0 / BEFORE_MS
-            }
-        };
+        let rate_per_s = self.snapshots.rate_per_s(totals, now_ms).unwrap_or_else(|| {
+            let before = totals.routes.values().map(|counts| counts.before.answers);
+            f64::from(before.sum::<u32>()) * 1_000.0 / BEFORE_MS
+        });
         let part = self.age_ms(now_ms) as f64 / self.order.duration_ms.max(1) as f64;
         let share = next_share(&self.bounds, totals, part, rate_per_s, HORIZON_MS);
         self.shares = allocate(share, totals).into_iter().collect();
@@ -642,17 +604,6 @@
         heard as f64 >= MIN_REPORTING * self.daemons as f64
     }
 
-    /// Totals at the start of the last period whose answers must be good on their own. It is long enough to have some.
-    fn recent(&self, totals: &Totals, now_ms: u64) -> Totals {
-        let period_ms = RECENT_MS.max((self.order.duration_ms as f64 * RECENT_PART) as u64);
-        let answers = totals.answers();
-        let mut states = self.snapshots.iter().rev();
-        let start = states.find(|(at_ms, earlier)| {
-            at_ms + period_ms <= now_ms && earlier.answers() + RECENT_ANSWERS <= answers
-        });
-        start.map(|(_, totals)| totals.clone()).unwrap_or_default()
-    }
-
     /// Sum of all reports.
     pub fn totals(&self) -> Totals {
         let mut totals = Totals::default();
