Rollout: restarted judges learn of a verdict that is not stored yet

If all judges of a rollout restarted before they had stored the verdict "bad", the target version got requests again until the time limit, and no status until then: daemons that regard the order as decided sent no reports, and a daemon that found the order in a list sent its share for 3 s before it had heard of anyone.

Daemons that know a verdict of the judges now tell it to the judges every 500 ms until the store holds it. A daemon that finds an order in a list sends nothing to the target version before a judge has replied, and a judge nothing before it has heard of enough daemons. The list of daemons is applied before the orders, since a daemon without one judges alone.

--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -212,19 +212,22 @@
 
 impl<E: Display> WatchHandler for PlatformFollower<E> {
     fn on_list(&mut self, items: Vec<Change>) {
-        // Orders are applied before instances, which must get no request without the limits of their order.
-        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
-        let entries = self.listed_entries(&items);
-        self.is_restored = false;
+        // The list of daemons comes first: a daemon that knows of no other takes itself for the judge of an order.
         self.daemons.clear();
         for item in &items {
-            if &*item.key == self.keys.config {
-                self.install(item);
-            } else if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
+            if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
                 self.update_daemon(name, item.value.as_deref());
             }
         }
         self.publish_daemons();
+        // Orders are applied before instances, which must get no request without the limits of their order.
+        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
+        let entries = self.listed_entries(&items);
+        self.is_restored = false;
+        let config = self.keys.config;
+        for item in items.iter().filter(|item| &*item.key == config) {
+            self.install(item);
+        }
         self.core.versions.replace(&items, self.keys);
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
         self.core.update_listed_versions();
--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -7,7 +7,7 @@
 use affinity::SoftwareVersion;
 use base::{Clock, HashMap, HashSet, ServiceName, lock};
 use rollout::{
-    NewRequest, OrderChange, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport,
+    NewRequest, OrderChange, OrderOrigin, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport,
     RolloutStatus, Rollouts, RouteKey, StatusWrite, UsableVersions, VersionChoice,
 };
 use std::{
@@ -218,12 +218,11 @@
         }
     }
 
-    /// Applies an order that was written at `revision`. `is_restored` tells whether it is from the first list after a
-    /// restoration of the store.
-    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64, is_restored: bool) {
+    /// Applies an order that was written at `revision`.
+    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64, origin: OrderOrigin) {
         let RolloutOrder { service, target, duration_ms } = order.clone();
-        let change = self
-            .with(|rollouts, now_ms| rollouts.apply_order(order, revision, is_restored, now_ms));
+        let change =
+            self.with(|rollouts, now_ms| rollouts.apply_order(order, revision, origin, now_ms));
         match change {
             Some(OrderChange::Started) => {
                 log::info!(
@@ -287,11 +286,9 @@
         let daemons = lock(&self.daemons).clone();
         let due = self.with(|rollouts, now_ms| {
             let reports = rollouts.tick(&daemons, own, now_ms);
-            (reports, rollouts.take_broadcasts(now_ms))
+            (reports, rollouts.take_verdicts(&daemons, own, now_ms))
         });
-        let (reports, verdicts) = due.unwrap_or_default();
-        let others = || daemons.iter().copied().filter(|addr| Some(*addr) != own).collect();
-        (reports, verdicts.into_iter().map(|verdict| (others(), verdict)).collect())
+        due.unwrap_or_default()
     }
 
     /// Keeps the report of another daemon. Returns the reply.
--- a/crates/ingress/src/rollout_items.rs
+++ b/crates/ingress/src/rollout_items.rs
@@ -3,7 +3,7 @@
 use crate::{follow::PlatformKeys, rollout_control::RolloutControl};
 use base::{Excerpt, HashMap, HashSet, ServiceName};
 use plat::Change;
-use rollout::{RolloutOrder, RolloutStatus};
+use rollout::{OrderOrigin, RolloutOrder, RolloutStatus};
 use std::fmt::Display;
 
 /// Decoders of the items of rollouts.
@@ -34,17 +34,18 @@
         let listed: HashSet<ServiceName> =
             names.filter_map(|name| ServiceName::try_from(name).ok()).collect();
         control.begin_list(&listed, is_restored);
-        items.iter().for_each(|item| self.apply_item(control, item, is_restored));
+        let origin = if is_restored { OrderOrigin::RestoredList } else { OrderOrigin::List };
+        items.iter().for_each(|item| self.apply_item(control, item, origin));
     }
 
     /// Applies a change, if it is one of an order or a status.
     pub fn apply(&mut self, control: &RolloutControl, change: &Change) {
-        self.apply_item(control, change, false);
+        self.apply_item(control, change, OrderOrigin::Change);
     }
 
-    fn apply_item(&mut self, control: &RolloutControl, change: &Change, is_restored: bool) {
+    fn apply_item(&mut self, control: &RolloutControl, change: &Change, origin: OrderOrigin) {
         if let Some(name) = change.key.strip_prefix(self.keys.rollout_orders) {
-            self.apply_order(control, name, change, is_restored);
+            self.apply_order(control, name, change, origin);
         } else if let Some(name) = change.key.strip_prefix(self.keys.rollout_statuses)
             && let Ok(service) = ServiceName::try_from(name)
         {
@@ -61,7 +62,7 @@
         control: &RolloutControl,
         name: &str,
         change: &Change,
-        is_restored: bool,
+        origin: OrderOrigin,
     ) {
         let Ok(service) = ServiceName::try_from(name) else { return };
         let Some(value) = &change.value else {
@@ -71,7 +72,7 @@
         let reason = match (self.decoders.order)(value) {
             Ok(order) if order.service == service => {
                 self.unreadable.remove(name);
-                control.apply_order(order, change.revision, is_restored);
+                control.apply_order(order, change.revision, origin);
                 return;
             }
             Ok(order) => format!("it names the service {}", order.service),
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod allocation;
 mod answer;
+mod audience;
 mod bounds;
 mod counts;
 mod evidence;
@@ -25,6 +26,7 @@
 mod order;
 mod order_change;
 mod order_log;
+mod order_origin;
 mod pass;
 mod phase;
 mod reply;
@@ -55,6 +57,7 @@
     new_request::NewRequest,
     order::RolloutOrder,
     order_change::OrderChange,
+    order_origin::OrderOrigin,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -3,6 +3,7 @@
 use crate::{
     allocation::{allocate, next_share, own_share, shift_share},
     answer::Answer,
+    audience::Audience,
     bounds::RolloutBounds,
     finding::Finding,
     instance_set::InstanceSet,
@@ -105,6 +106,8 @@
     lifetime: u64,
     bounds: RolloutBounds,
     seen_ms: u64,
+    /// Whether the order was found in a list, so that it may have run for any time.
+    is_listed: bool,
     /// Age of the order when this daemon saw it.
     first_age_ms: u64,
     pub phase: Phase,
@@ -146,7 +149,7 @@
 
 impl Rollout {
     pub fn new(order: RolloutOrder, start: RolloutStart) -> Self {
-        let RolloutStart { revision, number, lifetime, bounds, before, now_ms } = start;
+        let RolloutStart { revision, is_listed, number, lifetime, bounds, before, now_ms } = start;
         let counts = |before| RouteCounts { before, ..RouteCounts::default() };
         let snapshots = Snapshots::new(order.duration_ms);
         let routes = before.into_iter().take(MAX_ROUTES).map(|(key, before)| (key, counts(before)));
@@ -157,6 +160,7 @@
             lifetime,
             bounds,
             seen_ms: now_ms,
+            is_listed,
             first_age_ms: 0,
             phase: Phase::Evaluating,
             phase_ms: now_ms,
@@ -308,7 +312,10 @@
             Some(_) => self.heard_ms,
             None => self.advised_ms,
         };
-        now_ms < since_ms.unwrap_or(0).max(self.seen_ms) + UNINFORMED_MS
+        // A daemon that has not seen the order's write sends nothing before it has heard: the version may have been found bad
+        // before the daemon's start.
+        let seen_ms = (!self.is_listed).then_some(self.seen_ms);
+        since_ms.max(seen_ms).is_some_and(|at_ms| now_ms < at_ms + UNINFORMED_MS)
     }
 
     /// Counts a request of a caller, and draws whether it goes to the target version, by systematic sampling.
@@ -578,23 +585,35 @@
         !self.phase.is_final() || self.is_own_verdict
     }
 
-    /// Whether the rollout has not ended, or its verdict is still to be sent to all daemons.
-    pub fn is_active(&self) -> bool {
-        let is_telling = self.phase == Phase::RolledBack && self.broadcasts < BROADCASTS;
-        self.is_reporting() || self.rank.is_some() && is_telling
+    /// Daemons that are to be told the verdict; `None` if it need not be sent. `is_stored` tells whether the store holds it.
+    fn verdict_audience(&self, is_stored: bool) -> Option<Audience> {
+        match self.rank {
+            _ if self.phase != Phase::RolledBack => None,
+            Some(_) => (self.broadcasts < BROADCASTS).then_some(Audience::All),
+            None => (!is_stored && !self.is_own_verdict).then_some(Audience::Judges),
+        }
+    }
+
+    /// Whether the rollout has not ended, or its verdict is still to be sent.
+    pub fn is_active(&self, is_stored: bool) -> bool {
+        self.is_reporting() || self.verdict_audience(is_stored).is_some()
     }
 
-    /// Whether the verdict is due to be sent to all daemons.
-    pub fn take_broadcast(&mut self, now_ms: u64) -> bool {
-        let is_due = self.phase == Phase::RolledBack
-            && self.rank.is_some()
-            && self.broadcasts < BROADCASTS
-            && (self.broadcasts == 0 || now_ms >= self.broadcast_ms + REPORT_MS);
-        if is_due {
-            self.broadcasts += 1;
-            self.broadcast_ms = now_ms;
+    /// Daemons to which the verdict is due to be sent; `None` if it is not.
+    pub fn take_verdict(&mut self, is_stored: bool, now_ms: u64) -> Option<Audience> {
+        let audience = self.verdict_audience(is_stored)?;
+        let due_ms = match (audience, self.broadcasts) {
+            (Audience::All, 0) => now_ms,
+            // All daemons learn of the verdict at once, and their messages must not arrive at the judges at once.
+            (Audience::Judges, 0) => self.phase_ms + self.lifetime % REPORT_MS,
+            _ => self.broadcast_ms + REPORT_MS,
+        };
+        if now_ms < due_ms {
+            return None;
         }
-        is_due
+        self.broadcasts += 1;
+        self.broadcast_ms = now_ms;
+        Some(audience)
     }
 
     /// Whether enough daemons have reported a short time ago.
--- a/crates/rollout/src/rollout_start.rs
+++ b/crates/rollout/src/rollout_start.rs
@@ -6,6 +6,8 @@
 #[derive(Debug)]
 pub(crate) struct RolloutStart {
     pub revision: u64,
+    /// Whether the order was found in a list, so that it may have run for any time.
+    pub is_listed: bool,
     pub number: u64,
     pub lifetime: u64,
     pub bounds: RolloutBounds,
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     answer::Answer,
+    audience::Audience,
     bounds::RolloutBounds,
     judges::{judge_rank, judges},
     meter::Meter,
@@ -10,6 +11,7 @@
     order::RolloutOrder,
     order_change::OrderChange,
     order_log::OrderLog,
+    order_origin::OrderOrigin,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
@@ -73,16 +75,16 @@
     }
 
     /// Applies the order of a service that was written at `revision`. A write of the same content while the rollout runs
-    /// continues it. In the first list after a restoration of the store (`is_restored`), the same content is the same order
-    /// in any case, and so it is if an order that the restoration lost is written again before its time limit.
+    /// continues it. In the first list after a restoration of the store, the same content is the same order in any case, and so it is if an order that the restoration lost is written again before its time limit.
     pub fn apply_order(
         &mut self,
         order: RolloutOrder,
         revision: u64,
-        is_restored: bool,
+        origin: OrderOrigin,
         now_ms: u64,
     ) -> OrderChange {
         let service = order.service.clone();
+        let is_restored = origin == OrderOrigin::RestoredList;
         self.missing.remove(&service);
         let is_in_force = self.orders.is_in_force(&service, revision);
         let was_void = self.orders.is_void(&service);
@@ -113,6 +115,7 @@
         let recent = meters.into_iter().flatten().map(|(key, meter)| (*key, meter.recent()));
         let start = RolloutStart {
             revision,
+            is_listed: origin != OrderOrigin::Change,
             number: self.next_number,
             lifetime: self.lifetime,
             bounds: self.bounds,
@@ -199,7 +202,7 @@
 
     /// Whether a rollout runs, or has a verdict that is still to be sent.
     pub fn is_active(&self) -> bool {
-        self.rollouts.values().any(Rollout::is_active)
+        self.rollouts.values().any(|rollout| rollout.is_active(is_stored(&self.statuses, rollout)))
     }
 
     /// Forgets the statuses, before those of a complete list are applied.
@@ -377,12 +380,25 @@
         }
     }
 
-    /// Verdicts that are due to be sent to all daemons.
-    pub fn take_broadcasts(&mut self, now_ms: u64) -> Vec<RolloutReply> {
-        let due = self
-            .rollouts
-            .values_mut()
-            .filter_map(|rollout| rollout.take_broadcast(now_ms).then(|| rollout.reply(now_ms)));
+    /// Verdicts that are due to be sent, with the daemons that get them. A judge tells all daemons, and these tell the judges
+    /// until the store holds the status, since judges that were restarted know nothing of the verdict.
+    pub fn take_verdicts(
+        &mut self,
+        daemons: &[SocketAddr],
+        own: Option<SocketAddr>,
+        now_ms: u64,
+    ) -> Vec<(Vec<SocketAddr>, RolloutReply)> {
+        let statuses = &self.statuses;
+        let due = self.rollouts.values_mut().filter_map(|rollout| {
+            let receivers = match rollout.take_verdict(is_stored(statuses, rollout), now_ms)? {
+                Audience::All => daemons.to_vec(),
+                Audience::Judges => {
+                    judges(&rollout.order.service, rollout.order.target.as_str(), daemons)
+                }
+            };
+            let others = receivers.into_iter().filter(|addr| Some(*addr) != own).collect();
+            Some((others, rollout.reply(now_ms)))
+        });
         due.collect()
     }
 
@@ -428,3 +444,8 @@
     let is_same = status.target == rollout.order.target && rollout.precedes(stored.revision);
     is_same.then_some(status.state)
 }
+
+/// Whether the store holds the outcome of a rollout.
+fn is_stored(statuses: &HashMap<ServiceName, StoredStatus>, rollout: &Rollout) -> bool {
+    stored_state(statuses, rollout).is_some_and(|state| state != RolloutState::Running)
+}
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use base::ServiceName;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rollout::{
-    NewRequest, Pass, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport, RolloutState,
-    RolloutStatus, Rollouts, RouteKey, UsableVersions, VersionChoice,
+    NewRequest, OrderOrigin, Pass, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport,
+    RolloutState, RolloutStatus, Rollouts, RouteKey, UsableVersions, VersionChoice,
 };
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -200,7 +200,12 @@
         };
         for (daemon, seen_ms) in seen_ms.iter_mut().enumerate() {
             if now_ms >= *seen_ms && *seen_ms > 0 {
-                daemons[daemon].apply_order(order(scene.duration_ms), 7, false, now_ms);
+                daemons[daemon].apply_order(
+                    order(scene.duration_ms),
+                    7,
+                    OrderOrigin::Change,
+                    now_ms,
+                );
                 *seen_ms = 0;
             }
         }
@@ -354,8 +359,10 @@
             for (_, text) in rollouts.take_changes(now_ms) {
                 outcome.is_found_bad |= !text.contains("evidence=\"-\"");
             }
-            for verdict in rollouts.take_broadcasts(now_ms) {
-                for to in (0..count).filter(|to| *to != daemon) {
+            for (receivers, verdict) in rollouts.take_verdicts(&addrs, Some(addrs[daemon]), now_ms)
+            {
+                for receiver in receivers {
+                    let to = addrs.iter().position(|addr| *addr == receiver).expect("listed");
                     mail.push((now_ms + 50, daemon, to, Message::Reply(verdict.clone())));
                 }
             }
--- a/crates/rollout/tests/long_orders.rs
+++ b/crates/rollout/tests/long_orders.rs
@@ -4,7 +4,9 @@
 
 use crate::common::{BOUNDS, order, service};
 use affinity::SoftwareVersion;
-use rollout::{Counts, InstanceSet, Phase, RolloutReport, Rollouts, RouteCounts, RouteKey};
+use rollout::{
+    Counts, InstanceSet, OrderOrigin, Phase, RolloutReport, Rollouts, RouteCounts, RouteKey,
+};
 
 const DURATION_MS: u64 = 200_000;
 
@@ -14,7 +16,7 @@
 /// Lets a judge hear of the answers of the target version up to `end_s`. Returns the phase at that time.
 fn phase_at(end_s: u64, answers: Answers) -> Phase {
     let mut judge = Rollouts::new(BOUNDS, 1);
-    judge.apply_order(order(DURATION_MS), 5, false, 0);
+    judge.apply_order(order(DURATION_MS), 5, OrderOrigin::Change, 0);
     let (mut target, mut old) = (Counts::default(), Counts::default());
     for second in 1..=end_s {
         let (all, failures) = answers(second);
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -7,8 +7,8 @@
 use base::HashSet;
 use quickcheck::quickcheck;
 use rollout::{
-    NewRequest, OrderChange, Pass, Phase, RolloutState, RolloutStatus, Rollouts, RouteKey,
-    StatusWrite, UsableVersions, VersionChoice, judges,
+    NewRequest, OrderChange, OrderOrigin, Pass, Phase, RolloutState, RolloutStatus, Rollouts,
+    RouteKey, StatusWrite, UsableVersions, VersionChoice, judges,
 };
 use std::net::SocketAddr;
 
@@ -24,7 +24,10 @@
 
 fn daemon(lifetime: u64) -> Rollouts {
     let mut rollouts = Rollouts::new(BOUNDS, lifetime);
-    assert_eq!(rollouts.apply_order(order(12_000), 5, false, 0), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order(12_000), 5, OrderOrigin::Change, 0),
+        OrderChange::Started
+    );
     rollouts
 }
 
@@ -45,16 +48,28 @@
 #[test]
 fn the_same_content_continues_a_running_rollout_and_begins_a_new_one_after_its_end() {
     let mut rollouts = daemon(1);
-    assert_eq!(rollouts.apply_order(order(12_000), 5, false, 10), OrderChange::None);
-    assert_eq!(rollouts.apply_order(order(12_000), 6, false, 20), OrderChange::Continued);
+    assert_eq!(rollouts.apply_order(order(12_000), 5, OrderOrigin::Change, 10), OrderChange::None);
+    assert_eq!(
+        rollouts.apply_order(order(12_000), 6, OrderOrigin::Change, 20),
+        OrderChange::Continued
+    );
     rollouts.apply_status(&service(), status(RolloutState::RolledBack), 7, 30);
     assert_eq!(phase(&rollouts), Some(Phase::RolledBack));
-    assert_eq!(rollouts.apply_order(order(12_000), 6, false, 40), OrderChange::None);
-    assert_eq!(rollouts.apply_order(order(12_000), 7, true, 45), OrderChange::Continued);
+    assert_eq!(rollouts.apply_order(order(12_000), 6, OrderOrigin::Change, 40), OrderChange::None);
+    assert_eq!(
+        rollouts.apply_order(order(12_000), 7, OrderOrigin::RestoredList, 45),
+        OrderChange::Continued
+    );
     assert_eq!(phase(&rollouts), Some(Phase::RolledBack), "a restoration brings no new order");
-    assert_eq!(rollouts.apply_order(order(12_000), 8, false, 50), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order(12_000), 8, OrderOrigin::Change, 50),
+        OrderChange::Started
+    );
     assert_eq!(phase(&rollouts), Some(Phase::Evaluating), "the status is of the earlier order");
-    assert_eq!(rollouts.apply_order(order(15_000), 9, false, 60), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order(15_000), 9, OrderOrigin::Change, 60),
+        OrderChange::Started
+    );
 }
 
 /// Guards against an order that is written once more after its completion and then limits the only version that is left.
@@ -62,7 +77,10 @@
 fn a_repeated_order_stays_completed() {
     let mut rollouts = daemon(1);
     rollouts.apply_status(&service(), status(RolloutState::Completed), 7, 30);
-    assert_eq!(rollouts.apply_order(order(12_000), 8, false, 50), OrderChange::Continued);
+    assert_eq!(
+        rollouts.apply_order(order(12_000), 8, OrderOrigin::Change, 50),
+        OrderChange::Continued
+    );
     assert_eq!(phase(&rollouts), Some(Phase::Completed));
 }
 
@@ -84,7 +102,7 @@
 fn an_order_ends_only_once_its_removal_is_confirmed() {
     let mut rollouts = daemon(1);
     rollouts.note_listed(&HashSet::default(), false);
-    rollouts.apply_order(order(12_000), 5, false, 10);
+    rollouts.apply_order(order(12_000), 5, OrderOrigin::Change, 10);
     assert!(rollouts.confirm_list().is_empty(), "the watch after the list brought the order");
     rollouts.note_listed(&HashSet::default(), false);
     assert_eq!(rollouts.confirm_list(), [service()]);
--- a/crates/rollout/tests/restored_store.rs
+++ b/crates/rollout/tests/restored_store.rs
@@ -5,7 +5,7 @@
 use crate::common::{BOUNDS, order, service};
 use affinity::SoftwareVersion;
 use base::HashSet;
-use rollout::{OrderChange, Phase, RolloutOrder, Rollouts};
+use rollout::{OrderChange, OrderOrigin, Phase, RolloutOrder, Rollouts};
 
 fn order_of(target: &str) -> RolloutOrder {
     RolloutOrder { target: target.try_into().expect("the version is valid"), ..order(12_000) }
@@ -15,7 +15,10 @@
 fn daemon() -> Rollouts {
     let mut rollouts = Rollouts::new(BOUNDS, 1);
     list(&mut rollouts, Some(("v2", 5)), false);
-    assert_eq!(rollouts.apply_order(order_of("v3"), 20, false, 10), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order_of("v3"), 20, OrderOrigin::Change, 10),
+        OrderChange::Started
+    );
     rollouts
 }
 
@@ -24,7 +27,8 @@
     let listed: HashSet<_> = item.iter().map(|_| service()).collect();
     rollouts.note_listed(&listed, is_restored);
     if let Some((target, revision)) = item {
-        rollouts.apply_order(order_of(target), revision, is_restored, 20);
+        let origin = if is_restored { OrderOrigin::RestoredList } else { OrderOrigin::List };
+        rollouts.apply_order(order_of(target), revision, origin, 20);
     }
     rollouts.confirm_list();
 }
@@ -44,7 +48,10 @@
     assert_eq!(target(&rollouts), Some("v3"), "the list after the next outage");
     list(&mut rollouts, Some(("v2", 5)), true);
     assert_eq!(target(&rollouts), Some("v3"), "another restoration");
-    assert_eq!(rollouts.apply_order(order_of("v4"), 9, false, 30), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order_of("v4"), 9, OrderOrigin::Change, 30),
+        OrderChange::Started
+    );
     list(&mut rollouts, Some(("v4", 9)), false);
     assert_eq!(target(&rollouts), Some("v4"), "the operator has written an order since");
 }
@@ -56,7 +63,10 @@
     list(&mut rollouts, None, true);
     list(&mut rollouts, None, false);
     assert_eq!(target(&rollouts), Some("v3"), "the list after the next outage");
-    assert_eq!(rollouts.apply_order(order_of("v4"), 9, false, 30), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order_of("v4"), 9, OrderOrigin::Change, 30),
+        OrderChange::Started
+    );
     list(&mut rollouts, None, false);
     assert_eq!(target(&rollouts), None, "the order that was written since was removed");
 }
@@ -71,7 +81,10 @@
     assert_eq!(target(&rollouts), None, "removed in the list before");
     list(&mut rollouts, Some(("v2", 5)), true);
     assert_eq!(target(&rollouts), None, "replaced before that");
-    assert_eq!(rollouts.apply_order(order_of("v3"), 12, false, 30), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order_of("v3"), 12, OrderOrigin::Change, 30),
+        OrderChange::Started
+    );
 }
 
 /// Guards against a second trial of a bad version, with its exposure, when the operator writes the lost order again.
@@ -85,9 +98,15 @@
     };
     rollouts.apply_status(&service(), Some(status), 21, 20);
     list(&mut rollouts, None, true);
-    assert_eq!(rollouts.apply_order(order_of("v3"), 12, false, 5_000), OrderChange::Continued);
+    assert_eq!(
+        rollouts.apply_order(order_of("v3"), 12, OrderOrigin::Change, 5_000),
+        OrderChange::Continued
+    );
     assert_eq!(rollouts.state(&service()).map(|(_, phase)| phase), Some(Phase::RolledBack));
-    assert_eq!(rollouts.apply_order(order_of("v3"), 13, false, 6_000), OrderChange::Started);
+    assert_eq!(
+        rollouts.apply_order(order_of("v3"), 13, OrderOrigin::Change, 6_000),
+        OrderChange::Started
+    );
 }
 
 /// Guards against an order that a stale list, of a replica that is behind, puts in the place of a newer one.
