Rollout: the intervals of the exchange follow from rollback_ms

With rollback_ms below 5,000, a daemon that was cut off from the judges sent requests to a bad version for 3 s all the same, and a judge trusted reports of 2.5 s ago.

Cause: the interval of reports and the times after which a reply, a report or a judge counts as missing were constants for 5,000 ms. Timing derives them; at 5,000 ms and above they are the same as before, and below 500 ms those of 500 ms, since messages are sent at steps of 50 ms.

Test: a_daemon_that_is_cut_off_stops_within_any_time_for_a_rollback (rollout/tests/orders.rs) failed before ("500: sent after 2880 ms").

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -41,6 +41,7 @@
 mod status;
 mod status_write;
 mod stored_status;
+mod timing;
 mod totals;
 mod usable_versions;
 mod version_choice;
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -18,6 +18,7 @@
     route_key::RouteKey,
     snapshots::Snapshots,
     state::RolloutState,
+    timing::Timing,
     totals::Totals,
     usable_versions::UsableVersions,
     version_choice::VersionChoice,
@@ -26,9 +27,6 @@
 use base::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// Time between two reports to the judges if there is nothing urgent.
-const REPORT_MS: u64 = 500;
-
 /// Shortest time between two reports after bad answers.
 const URGENT_REPORT_MS: u64 = 50;
 
@@ -42,9 +40,6 @@
 /// Time for which no request must be reported at old versions before the rollout is completed.
 const QUIET_MS: u64 = 1_000;
 
-/// Age of a report from which its daemon counts as silent.
-const SILENT_MS: u64 = 2_500;
-
 /// Part of the listed daemons that must have reported a short time ago before a version is found good. A failure domain of
 /// three may be lost.
 const MIN_REPORTING: f64 = 0.6;
@@ -52,14 +47,6 @@
 /// Additional evidence, as a natural logarithm, by which a daemon that is no judge stops by itself.
 const OWN_EVIDENCE: f64 = 2.3;
 
-/// Time for which the shares that a judge advises hold. Without advice, a daemon keeps to the share of the settings.
-const ADVICE_MS: u64 = 1_500;
-
-/// Time after which a daemon that hears of no judge, or a judge that hears of too few daemons, sends nothing to the target
-/// version. It is shorter than the time that the settings allow between a version's bad answers and the last request,
-/// so that a daemon that cannot be told the verdict keeps to it.
-const UNINFORMED_MS: u64 = 3_000;
-
 /// Additional time in which a judge that hears of too few daemons leaves the verdict to the others. It exceeds the delay
 /// after which the second judge writes the status.
 const UNHEARD_MARGIN_MS: u64 = 1_200;
@@ -105,6 +92,7 @@
     number: u64,
     lifetime: u64,
     bounds: RolloutBounds,
+    timing: Timing,
     seen_ms: u64,
     /// Whether the order was found in a list, so that it may have run for any time.
     is_listed: bool,
@@ -159,6 +147,7 @@
             number,
             lifetime,
             bounds,
+            timing: Timing::new(bounds.rollback_ms),
             seen_ms: now_ms,
             is_listed,
             first_age_ms: 0,
@@ -315,7 +304,7 @@
         // A daemon that has not seen the order's write sends nothing before it has heard: the version may have been found bad
         // before the daemon's start.
         let seen_ms = (!self.is_listed).then_some(self.seen_ms);
-        since_ms.max(seen_ms).is_some_and(|at_ms| now_ms < at_ms + UNINFORMED_MS)
+        since_ms.max(seen_ms).is_some_and(|at_ms| now_ms < at_ms + self.timing.uninformed_ms)
     }
 
     /// Counts a request of a caller, and draws whether it goes to the target version, by systematic sampling.
@@ -325,7 +314,7 @@
             return false;
         }
         if self.phase == Phase::Evaluating
-            && self.advised_ms.is_none_or(|at_ms| now_ms >= at_ms + ADVICE_MS)
+            && self.advised_ms.is_none_or(|at_ms| now_ms >= at_ms + self.timing.advice_ms)
         {
             self.shares.clear();
             self.default_share = own_share(&self.bounds);
@@ -426,7 +415,7 @@
 
     /// Whether a report is due.
     pub fn is_report_due(&self, now_ms: u64) -> bool {
-        let interval_ms = if self.has_bad_news { URGENT_REPORT_MS } else { REPORT_MS };
+        let interval_ms = if self.has_bad_news { URGENT_REPORT_MS } else { self.timing.report_ms };
         self.reported_ms.is_none_or(|at_ms| now_ms >= at_ms + interval_ms)
     }
 
@@ -605,8 +594,8 @@
         let due_ms = match (audience, self.broadcasts) {
             (Audience::All, 0) => now_ms,
             // All daemons learn of the verdict at once, and their messages must not arrive at the judges at once.
-            (Audience::Judges, 0) => self.phase_ms + self.lifetime % REPORT_MS,
-            _ => self.broadcast_ms + REPORT_MS,
+            (Audience::Judges, 0) => self.phase_ms + self.lifetime % self.timing.report_ms,
+            _ => self.broadcast_ms + self.timing.report_ms,
         };
         if now_ms < due_ms {
             return None;
@@ -618,7 +607,7 @@
 
     /// Whether enough daemons have reported a short time ago.
     fn is_heard(&self, now_ms: u64) -> bool {
-        let is_recent = |at_ms: u64| now_ms < at_ms + SILENT_MS;
+        let is_recent = |at_ms: u64| now_ms < at_ms + self.timing.silent_ms;
         let heard = self.reports.values().filter(|(_, at_ms)| is_recent(*at_ms)).count();
         heard as f64 >= MIN_REPORTING * self.daemons as f64
     }
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -7,8 +7,8 @@
 use base::HashSet;
 use quickcheck::quickcheck;
 use rollout::{
-    NewRequest, OrderChange, OrderOrigin, Pass, Phase, RolloutState, RolloutStatus, Rollouts,
-    RouteKey, StatusWrite, UsableVersions, VersionChoice, judges,
+    NewRequest, OrderChange, OrderOrigin, Pass, Phase, RolloutBounds, RolloutState, RolloutStatus,
+    Rollouts, RouteKey, StatusWrite, UsableVersions, VersionChoice, judges,
 };
 use std::net::SocketAddr;
 
@@ -128,6 +128,34 @@
     assert!(last_ms < BOUNDS.rollback_ms, "sent after {last_ms} ms");
 }
 
+/// Guards against limits that are shorter than the daemons' intervals and then have no effect: whatever `rollback_ms` is, a
+/// daemon or a judge that is cut off stops within it, and misses several replies before it does.
+#[test]
+fn a_daemon_that_is_cut_off_stops_within_any_time_for_a_rollback() {
+    let daemons: Vec<SocketAddr> =
+        (1..9).map(|port| SocketAddr::from(([10, 0, 0, 1], port))).collect();
+    let judges = judges(&service(), "v2", &daemons);
+    let other = daemons.iter().copied().find(|addr| !judges.contains(addr));
+    for rollback_ms in [500, 700, 1_000, 2_000, 3_500, 5_000, 20_000] {
+        for own in [other, judges.first().copied()] {
+            let bounds = RolloutBounds { rollback_ms, ..BOUNDS };
+            let mut rollouts = Rollouts::new(bounds, 1);
+            rollouts.apply_order(order(60_000), 5, OrderOrigin::Change, 0);
+            let (mut last_ms, mut reports) = (0, 0);
+            for now_ms in (0..rollback_ms + 5_000).step_by(10) {
+                let is_tick = now_ms % 50 == 0;
+                let due = if is_tick { rollouts.tick(&daemons, own, now_ms) } else { Vec::new() };
+                if send(&mut rollouts, None, now_ms) {
+                    last_ms = now_ms;
+                }
+                reports += usize::from(!due.is_empty() && now_ms < rollback_ms * 3 / 5);
+            }
+            assert!(last_ms > 0 && last_ms < rollback_ms, "{rollback_ms}: sent after {last_ms} ms");
+            assert!(reports >= 3, "{rollback_ms}: {reports} reports");
+        }
+    }
+}
+
 /// Guards against three daemons that write one status at a time, and against none that does if the first is dead.
 #[test]
 fn the_judges_write_one_after_the_other() {
