Rollout: the numbers of a daemon's reports grow over all orders

Judges ignored the reports of a daemon until their numbers had caught up, seconds or a whole order later, if the daemon had seen the order removed and written again and they had seen one that was written twice, as after a missed watch. Bad answers at that daemon were no evidence, and its sends did not count.

Cause: a daemon numbered its reports from 1 for each order that it regards as new. The number is now one for all orders of the daemon. A judge that sees a daemon count anew keeps the earlier counts, so that the sends before still count for the exposure.

Test: reports_after_an_order_was_removed_and_written_again_are_newer_than_those_before (rollout/tests/orders.rs) failed before (Evaluating after 20 of 20 errors).

--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -29,3 +29,10 @@
     /// Counts of each route.
     pub routes: Vec<(RouteKey, RouteCounts)>,
 }
+
+impl RolloutReport {
+    /// Number of requests since the order.
+    pub fn requests(&self) -> u32 {
+        self.routes.iter().map(|(_, counts)| counts.requests).sum()
+    }
+}
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -117,11 +117,12 @@
     routes: HashMap<RouteKey, RouteCounts>,
     used: InstanceSet,
     bad: InstanceSet,
-    reports_sent: u64,
     reported_ms: Option<u64>,
     has_bad_news: bool,
     /// Last report of each daemon lifetime, with the time at which it arrived.
     reports: HashMap<u64, (RolloutReport, u64)>,
+    /// Counts of daemons before they began to count anew.
+    earlier: Totals,
     snapshots: Snapshots,
     /// Since when no request is reported at old versions.
     quiet_since_ms: Option<u64>,
@@ -164,10 +165,10 @@
             routes: routes.collect(),
             used: InstanceSet::default(),
             bad: InstanceSet::default(),
-            reports_sent: 0,
             reported_ms: None,
             has_bad_news: false,
             reports: HashMap::default(),
+            earlier: Totals::default(),
             snapshots,
             quiet_since_ms: None,
             broadcasts: 0,
@@ -380,14 +381,14 @@
         }
     }
 
-    /// Creates the report of this daemon. `overdue` are requests without an answer that are slow already.
+    /// Creates the report of this daemon with the given number. `overdue` are requests without an answer that are slow already.
     pub fn report(
-        &mut self,
+        &self,
+        number: u64,
         overdue: &[NewRequest],
         old_running: u32,
         now_ms: u64,
     ) -> RolloutReport {
-        self.reports_sent += 1;
         let mut routes = self.routes.clone();
         let (mut used, mut bad) = (self.used, self.bad);
         for request in overdue {
@@ -404,7 +405,7 @@
             target: self.order.target.clone(),
             revisions: self.last_revisions(),
             lifetime: self.lifetime,
-            number: self.reports_sent,
+            number,
             age_ms: self.age_ms(now_ms),
             old_running,
             used,
@@ -433,6 +434,13 @@
         self.learn_age(report.age_ms, now_ms);
         let known = self.reports.get(&report.lifetime);
         let is_new = known.is_none_or(|(known, _)| known.number < report.number);
+        if let Some((known, _)) = known
+            && is_new
+            && report.requests() < known.requests()
+        {
+            // The daemon has begun to count anew, because it regards the order as another one.
+            self.earlier.add(&RolloutReport { old_running: 0, ..known.clone() });
+        }
         if is_new && (known.is_some() || self.reports.len() < MAX_REPORTS) {
             self.reports.insert(report.lifetime, (report, now_ms));
         }
@@ -614,7 +622,7 @@
 
     /// Sum of all reports.
     pub fn totals(&self) -> Totals {
-        let mut totals = Totals::default();
+        let mut totals = self.earlier.clone();
         for (report, _) in self.reports.values() {
             totals.add(report);
         }
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -52,6 +52,9 @@
     open: HashMap<u64, OpenRequest>,
     next_open: u64,
     next_number: u64,
+    /// Number of the last report. It grows over all orders: judges may regard an order as the same that this daemon regards
+    /// as a new one.
+    report_number: u64,
     /// Services whose phase has changed and has not been logged.
     changed: Vec<ServiceName>,
 }
@@ -70,6 +73,7 @@
             open: HashMap::default(),
             next_open: 0,
             next_number: 0,
+            report_number: 0,
             changed: Vec::new(),
         }
     }
@@ -329,7 +333,8 @@
             let judges = judges(&service, rollout.order.target.as_str(), daemons);
             let rank = judge_rank(&judges, own);
             if rollout.is_reporting() {
-                let report = rollout.report(&overdue, old_running, now_ms);
+                self.report_number += 1;
+                let report = rollout.report(self.report_number, &overdue, old_running, now_ms);
                 if rollout.is_report_due(now_ms) {
                     rollout.mark_reported(now_ms);
                     let others = judges.into_iter().filter(|addr| Some(*addr) != own).collect();
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -43,6 +43,19 @@
     is_new && rollouts.permit(&service, route, &mut pass, &version("v2"), required)
 }
 
+/// Request that is sent to an instance of the target version.
+fn request(instance: &str) -> NewRequest {
+    NewRequest {
+        service: service(),
+        route: RouteKey::from("r"),
+        version: version("v2"),
+        instance: instance.into(),
+        is_stream: true,
+        is_resumed: false,
+        target_latency_ms: 4_500,
+    }
+}
+
 /// Guards against a rollout that loses its evidence because the order is written once more, and against a new order
 /// that inherits the verdict of an earlier one.
 #[test]
@@ -109,6 +122,36 @@
     assert_eq!(phase(&rollouts), None);
 }
 
+/// Guards against judges that ignore the reports of a daemon because these are counted anew: the daemon has seen an order
+/// that was removed and written again, and the judge has seen one that was written twice.
+#[test]
+fn reports_after_an_order_was_removed_and_written_again_are_newer_than_those_before() {
+    let (mut reporter, mut judge) = (daemon(1), daemon(2));
+    let report = |reporter: &mut Rollouts, now_ms| reporter.tick(&[], None, now_ms)[0].1.clone();
+    let sends = (0..100).filter(|_| send(&mut reporter, None, 10)).count();
+    for now_ms in (500..5_000).step_by(500) {
+        judge.merge_report(report(&mut reporter, now_ms), now_ms);
+    }
+    assert_eq!(reporter.remove_order(&service(), 8), OrderChange::Removed);
+    assert_eq!(
+        reporter.apply_order(order(12_000), 9, OrderOrigin::Change, 5_000),
+        OrderChange::Started
+    );
+    assert_eq!(
+        judge.apply_order(order(12_000), 9, OrderOrigin::List, 5_000),
+        OrderChange::Continued
+    );
+    for instance in ["i1", "i2"].repeat(10) {
+        let number = reporter.begin(request(instance), 5_010);
+        reporter.answer(number, true, 5_020);
+    }
+    judge.merge_report(report(&mut reporter, 5_020), 5_020);
+    judge.tick(&[], None, 5_020);
+    assert_eq!(phase(&judge), Some(Phase::RolledBack), "20 of 20 answers are errors");
+    let text = &judge.take_changes(5_020)[0].1;
+    assert!(sends > 0 && text.contains(&format!(" sends={sends} ")), "{sends} before: {text}");
+}
+
 /// Guards against a daemon that goes on sending while it cannot be told that the version is bad.
 #[test]
 fn a_daemon_without_news_of_a_judge_stops_sending_within_the_time_for_a_rollback() {
@@ -195,16 +238,7 @@
     fn requests_without_an_answer_are_no_evidence(count: u8) -> bool {
         let mut rollouts = daemon(1);
         for _ in 0..count {
-            let request = NewRequest {
-                service: service(),
-                route: RouteKey::from("r"),
-                version: version("v2"),
-                instance: "i".into(),
-                is_stream: true,
-                is_resumed: false,
-                target_latency_ms: 4_500,
-            };
-            let number = rollouts.begin(request, 0);
+            let number = rollouts.begin(request("i"), 0);
             rollouts.end(number);
         }
         let report = &rollouts.tick(&[], None, 9_000)[0].1;
