Rollout: a judge writes a status once after a restoration of the store

After a restoration to a copy older than the order, a judge wrote its status, took the store's new item for that of another order because its revision was lower than the order's, and wrote again, as fast as the store replied, for as long as the order was known. Other daemons did not recognize the status either.

A status now counts for an order from a revision that a restored list lowers: statuses that are written after the one in the copy are about it, and so are the daemon's own writes, also before it knows of the restoration. Statuses of a list are applied before its orders and no longer forgotten in between, which let the recorder see none. The recorder pauses for 100 ms after each write.

Tests: a_judge_writes_a_status_once_after_a_restoration, a_judge_writes_a_status_once_before_it_knows_of_a_restoration and a_daemon_recognizes_the_status_that_a_judge_writes_after_a_restoration (rollout/tests/restored_store.rs) failed before.

--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -5,10 +5,11 @@
     observation::Observation, registry::Registry, version_rule::VersionRule,
 };
 use affinity::SoftwareVersion;
-use base::{Clock, HashMap, HashSet, ServiceName, lock};
+use base::{Clock, HashMap, ServiceName, lock};
 use rollout::{
-    NewRequest, OrderChange, OrderOrigin, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport,
-    RolloutStatus, Rollouts, RouteKey, StatusWrite, UsableVersions, VersionChoice,
+    ListedServices, NewRequest, OrderChange, OrderOrigin, RolloutBounds, RolloutOrder,
+    RolloutReply, RolloutReport, RolloutStatus, Rollouts, RouteKey, StatusWrite, UsableVersions,
+    VersionChoice,
 };
 use std::{
     hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState},
@@ -201,13 +202,14 @@
         }
     }
 
-    /// Takes note of the services whose orders are in a list of all items, before they are applied.
-    pub(crate) fn begin_list(&self, listed: &HashSet<ServiceName>, is_restored: bool) {
+    /// Takes note that a list of all items is about to be applied, which may lack orders.
+    pub(crate) fn begin_list(&self) {
         self.is_unconfirmed.store(true, Ordering::Relaxed);
-        self.with(|rollouts, _| {
-            rollouts.clear_statuses();
-            rollouts.note_listed(listed, is_restored);
-        });
+    }
+
+    /// Takes note of the services whose items are in a list, after these were applied.
+    pub(crate) fn end_list(&self, listed: &ListedServices, is_restored: bool) {
+        self.with(|rollouts, _| rollouts.note_listed(listed, is_restored));
     }
 
     /// Takes note that the watch after the last list has responded, and that its changes were applied.
@@ -263,6 +265,11 @@
         });
     }
 
+    /// Takes note that this daemon has made a write at `revision`.
+    pub(crate) fn note_written(&self, write: StatusWrite, revision: u64) {
+        self.with(|rollouts, now_ms| rollouts.note_written(write, revision, now_ms));
+    }
+
     /// Replaces the list of daemons.
     pub(crate) fn set_daemons(&self, daemons: Vec<SocketAddr>) {
         *lock(&self.daemons) = daemons;
--- a/crates/ingress/src/rollout_items.rs
+++ b/crates/ingress/src/rollout_items.rs
@@ -3,7 +3,7 @@
 use crate::{follow::PlatformKeys, rollout_control::RolloutControl};
 use base::{Excerpt, HashMap, HashSet, ServiceName};
 use plat::Change;
-use rollout::{OrderOrigin, RolloutOrder, RolloutStatus};
+use rollout::{ListedServices, OrderOrigin, RolloutOrder, RolloutStatus};
 use std::fmt::Display;
 
 /// Decoders of the items of rollouts.
@@ -30,12 +30,29 @@
 
     /// Applies a list of all items.
     pub fn apply_list(&mut self, control: &RolloutControl, items: &[Change], is_restored: bool) {
-        let names = items.iter().filter_map(|item| item.key.strip_prefix(self.keys.rollout_orders));
-        let listed: HashSet<ServiceName> =
-            names.filter_map(|name| ServiceName::try_from(name).ok()).collect();
-        control.begin_list(&listed, is_restored);
+        control.begin_list();
         let origin = if is_restored { OrderOrigin::RestoredList } else { OrderOrigin::List };
-        items.iter().for_each(|item| self.apply_item(control, item, origin));
+        // Statuses come first: after a restoration, an order of the copy shows which of them are about it.
+        let statuses = self.apply_prefix(control, items, self.keys.rollout_statuses, origin);
+        let orders = self.apply_prefix(control, items, self.keys.rollout_orders, origin);
+        control.end_list(&ListedServices { orders, statuses }, is_restored);
+    }
+
+    /// Applies the listed items whose keys begin with `prefix`. Returns their services.
+    fn apply_prefix(
+        &mut self,
+        control: &RolloutControl,
+        items: &[Change],
+        prefix: &str,
+        origin: OrderOrigin,
+    ) -> HashSet<ServiceName> {
+        let mut services = HashSet::default();
+        for item in items {
+            let Some(name) = item.key.strip_prefix(prefix) else { continue };
+            self.apply_item(control, item, origin);
+            services.extend(ServiceName::try_from(name).ok());
+        }
+        services
     }
 
     /// Applies a change, if it is one of an order or a status.
--- a/crates/ingress/src/rollout_recorder.rs
+++ b/crates/ingress/src/rollout_recorder.rs
@@ -5,7 +5,7 @@
 use rollout::{RolloutStatus, StatusWrite};
 use std::{sync::Arc, time::Duration};
 
-/// Time between two checks whether a status is to be written.
+/// Time between two checks whether a status is to be written, and shortest time between two writes.
 const CHECK_MS: u64 = 100;
 
 /// Longest duration of a call to the store. After it, the item is read back.
@@ -29,18 +29,19 @@
             tokio::time::sleep(Duration::from_millis(CHECK_MS)).await;
             continue;
         };
-        let StatusWrite { status, expected_revision } = write;
+        let StatusWrite { status, expected_revision, .. } = &write;
         let key = format!("{}{}", keys.rollout_statuses, status.service);
         let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-        let value = encode(&status);
-        let writing = store.replace(&key, &value, expected_revision);
+        let value = encode(status);
+        let writing = store.replace(&key, &value, *expected_revision);
         let (service, state) = (status.service.clone(), status.state);
         match tokio::time::timeout(timeout, writing).await {
             Ok(Ok(Some(revision))) => {
                 log::info!(
                     "rollout: service={service} status={state:?} written, revision={revision}"
                 );
-                core.rollouts.apply_status(&service, Some(status), revision);
+                core.rollouts.note_written(write, revision);
+                tokio::time::sleep(Duration::from_millis(CHECK_MS)).await;
                 continue;
             }
             Ok(Ok(None)) => {
@@ -58,10 +59,10 @@
             }
         }
         // Reading the item shows whether the write took effect, and at which revision the next one may.
-        let reading = read_back(&core, &mut store, &key, &decoders, &status);
-        if !matches!(tokio::time::timeout(timeout, reading).await, Ok(Ok(()))) {
-            tokio::time::sleep(Duration::from_millis(BACKOFF_MS)).await;
-        }
+        let reading = read_back(&core, &mut store, &key, &decoders, status);
+        let is_read = matches!(tokio::time::timeout(timeout, reading).await, Ok(Ok(())));
+        let pause_ms = if is_read { CHECK_MS } else { BACKOFF_MS };
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,6 +20,7 @@
 mod finding;
 mod instance_set;
 mod judges;
+mod listed_services;
 mod meter;
 mod new_request;
 mod open_request;
@@ -55,6 +56,7 @@
     finding::Finding,
     instance_set::InstanceSet,
     judges::{JUDGES, judge_rank, judges},
+    listed_services::ListedServices,
     new_request::NewRequest,
     order::RolloutOrder,
     order_change::OrderChange,
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -88,8 +88,10 @@
     pub order: RolloutOrder,
     /// Revisions at which the order was written, the first one first.
     revisions: Vec<u64>,
+    /// Revision in the present era of the store after which a status for the target version is about this order.
+    status_floor: u64,
     /// Number of the rollout at this daemon.
-    number: u64,
+    pub number: u64,
     lifetime: u64,
     bounds: RolloutBounds,
     timing: Timing,
@@ -145,6 +147,7 @@
         Self {
             order,
             revisions: vec![revision],
+            status_floor: revision,
             number,
             lifetime,
             bounds,
@@ -210,7 +213,13 @@
 
     /// Whether a status that was written at `revision` is about this order.
     pub fn precedes(&self, revision: u64) -> bool {
-        self.revisions.iter().any(|own| *own < revision)
+        self.status_floor < revision
+    }
+
+    /// Takes note that statuses written after `revision` are about this order: after a restoration, the store gives out
+    /// revisions again that are lower than the order's.
+    pub fn lower_status_floor(&mut self, revision: u64) {
+        self.status_floor = self.status_floor.min(revision);
     }
 
     fn last_revisions(&self) -> [u64; 2] {
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -5,6 +5,7 @@
     audience::Audience,
     bounds::RolloutBounds,
     judges::{judge_rank, judges},
+    listed_services::ListedServices,
     meter::Meter,
     new_request::NewRequest,
     open_request::OpenRequest,
@@ -103,6 +104,11 @@
             let is_same = is_restored || is_in_force && (goes_on || is_rewritten);
             if rollout.order == order && is_same {
                 rollout.add_revision(revision);
+                if is_restored {
+                    // The copy's status may be that of an earlier order for the same version.
+                    let status = self.statuses.get(&service).map_or(0, |stored| stored.revision);
+                    rollout.lower_status_floor(revision.max(status));
+                }
                 self.orders.record(&service, revision);
                 return OrderChange::Continued;
             }
@@ -141,17 +147,25 @@
         }
     }
 
-    /// Takes note of the services whose orders are in a list of all items. The others are removed by `confirm_list`. After
-    /// a restoration of the store (`is_restored`) they stay, since the copy may be older than an order, and also in later
-    /// lists, until they are written or removed.
-    pub fn note_listed(&mut self, listed: &HashSet<ServiceName>, is_restored: bool) {
+    /// Takes note of the services whose items are in a list of all items, after its statuses and then its orders were applied.
+    /// Other statuses are forgotten, and other orders are removed by `confirm_list`. After a restoration of the store
+    /// (`is_restored`) these stay, since the copy may be older than an order, and also in later lists, until they are
+    /// written or removed.
+    pub fn note_listed(&mut self, listed: &ListedServices, is_restored: bool) {
+        self.statuses.retain(|service, _| listed.statuses.contains(service));
         let rollouts = &self.rollouts;
         self.orders.trim(|service| rollouts.contains_key(service));
-        let known = rollouts.keys().filter(|service| !listed.contains(*service));
+        let known = rollouts.keys().filter(|service| !listed.orders.contains(*service));
         let unlisted: Vec<ServiceName> = known.cloned().collect();
         self.missing.clear();
         if is_restored {
             unlisted.iter().for_each(|service| self.orders.record_void(service, 0));
+            for (service, rollout) in &mut self.rollouts {
+                if self.orders.is_void(service) {
+                    let status = self.statuses.get(service).map_or(0, |stored| stored.revision);
+                    rollout.lower_status_floor(status);
+                }
+            }
         } else {
             let unlisted = unlisted.into_iter().filter(|service| !self.orders.is_lost(service));
             self.missing = unlisted.collect();
@@ -180,6 +194,17 @@
         self.adopt_status(service, now_ms);
     }
 
+    /// Takes note that this daemon has made a write at `revision`. The status is about the order whatever the revision is.
+    pub fn note_written(&mut self, write: StatusWrite, revision: u64, now_ms: u64) {
+        let service = write.status.service.clone();
+        if let Some(rollout) = self.rollouts.get_mut(&service)
+            && rollout.number == write.rollout
+        {
+            rollout.lower_status_floor(revision.saturating_sub(1));
+        }
+        self.apply_status(&service, Some(write.status), revision, now_ms);
+    }
+
     /// Takes over the outcome of a rollout that the store holds.
     fn adopt_status(&mut self, service: &ServiceName, now_ms: u64) {
         let Some(rollout) = self.rollouts.get_mut(service) else { return };
@@ -209,11 +234,6 @@
         self.rollouts.values().any(|rollout| rollout.is_active(is_stored(&self.statuses, rollout)))
     }
 
-    /// Forgets the statuses, before those of a complete list are applied.
-    pub fn clear_statuses(&mut self) {
-        self.statuses.clear();
-    }
-
     /// Decides at which versions a request may run. `required` is the version at which a stream began.
     pub fn choose(
         &mut self,
@@ -422,7 +442,7 @@
             let RolloutOrder { service, target, .. } = rollout.order.clone();
             let expected_revision = statuses.get(&service).map_or(0, |stored| stored.revision);
             let status = RolloutStatus { service, target, state };
-            Some(StatusWrite { status, expected_revision })
+            Some(StatusWrite { status, expected_revision, rollout: rollout.number })
         })
     }
 
--- a/crates/rollout/src/status_write.rs
+++ b/crates/rollout/src/status_write.rs
@@ -9,4 +9,6 @@
     pub status: RolloutStatus,
     /// Revision of the item that is replaced; 0 if there is none.
     pub expected_revision: u64,
+    /// Number of the rollout at this daemon.
+    pub(crate) rollout: u64,
 }
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -4,11 +4,10 @@
 
 use crate::common::{BOUNDS, order, service};
 use affinity::SoftwareVersion;
-use base::HashSet;
 use quickcheck::quickcheck;
 use rollout::{
-    NewRequest, OrderChange, OrderOrigin, Pass, Phase, RolloutBounds, RolloutState, RolloutStatus,
-    Rollouts, RouteKey, StatusWrite, UsableVersions, VersionChoice, judges,
+    ListedServices, NewRequest, OrderChange, OrderOrigin, Pass, Phase, RolloutBounds, RolloutState,
+    RolloutStatus, Rollouts, RouteKey, UsableVersions, VersionChoice, judges,
 };
 use std::net::SocketAddr;
 
@@ -114,10 +113,10 @@
 #[test]
 fn an_order_ends_only_once_its_removal_is_confirmed() {
     let mut rollouts = daemon(1);
-    rollouts.note_listed(&HashSet::default(), false);
+    rollouts.note_listed(&ListedServices::default(), false);
     rollouts.apply_order(order(12_000), 5, OrderOrigin::Change, 10);
     assert!(rollouts.confirm_list().is_empty(), "the watch after the list brought the order");
-    rollouts.note_listed(&HashSet::default(), false);
+    rollouts.note_listed(&ListedServices::default(), false);
     assert_eq!(rollouts.confirm_list(), [service()]);
     assert_eq!(phase(&rollouts), None);
 }
@@ -213,7 +212,8 @@
         assert_eq!(due(&mut rollouts, 10).is_some(), rank == 0);
         let write = due(&mut rollouts, 10 + 1_000 * rank as u64);
         let status = status(RolloutState::Running).expect("there is one");
-        assert_eq!(write, Some(StatusWrite { status: status.clone(), expected_revision: 0 }));
+        let write = write.map(|write| (write.status, write.expected_revision));
+        assert_eq!(write, Some((status.clone(), 0)));
         rollouts.apply_status(&service(), Some(status), 6, 3_000);
         assert_eq!(due(&mut rollouts, 3_100), None);
     }
--- a/crates/rollout/tests/restored_store.rs
+++ b/crates/rollout/tests/restored_store.rs
@@ -4,8 +4,10 @@
 
 use crate::common::{BOUNDS, order, service};
 use affinity::SoftwareVersion;
-use base::HashSet;
-use rollout::{OrderChange, OrderOrigin, Phase, RolloutOrder, Rollouts};
+use rollout::{
+    ListedServices, OrderChange, OrderOrigin, Phase, RolloutOrder, RolloutState, RolloutStatus,
+    Rollouts,
+};
 
 fn order_of(target: &str) -> RolloutOrder {
     RolloutOrder { target: target.try_into().expect("the version is valid"), ..order(12_000) }
@@ -24,15 +26,35 @@
 
 /// Applies a list of all items with one order or none, and the answer to the watch after it.
 fn list(rollouts: &mut Rollouts, item: Option<(&str, u64)>, is_restored: bool) {
-    let listed: HashSet<_> = item.iter().map(|_| service()).collect();
-    rollouts.note_listed(&listed, is_restored);
+    list_with_status(rollouts, item, None, is_restored);
+}
+
+/// Applies a list of all items with one order and one status or none, and the answer to the watch after it.
+fn list_with_status(
+    rollouts: &mut Rollouts,
+    item: Option<(&str, u64)>,
+    status: Option<(RolloutStatus, u64)>,
+    is_restored: bool,
+) {
+    let mut listed = ListedServices::default();
+    if let Some((status, revision)) = status {
+        listed.statuses.insert(service());
+        rollouts.apply_status(&service(), Some(status), revision, 20);
+    }
     if let Some((target, revision)) = item {
+        listed.orders.insert(service());
         let origin = if is_restored { OrderOrigin::RestoredList } else { OrderOrigin::List };
         rollouts.apply_order(order_of(target), revision, origin, 20);
     }
+    rollouts.note_listed(&listed, is_restored);
     rollouts.confirm_list();
 }
 
+fn status(target: &str, state: RolloutState) -> Option<RolloutStatus> {
+    let target = target.try_into().expect("the version is valid");
+    Some(RolloutStatus { service: service(), target, state })
+}
+
 fn target(rollouts: &Rollouts) -> Option<&str> {
     rollouts.state(&service()).map(|(target, _)| SoftwareVersion::as_str(target))
 }
@@ -91,12 +113,7 @@
 #[test]
 fn an_order_that_is_written_again_after_a_restoration_keeps_its_verdict() {
     let mut rollouts = daemon();
-    let status = rollout::RolloutStatus {
-        service: service(),
-        target: "v3".try_into().expect("the version is valid"),
-        state: rollout::RolloutState::RolledBack,
-    };
-    rollouts.apply_status(&service(), Some(status), 21, 20);
+    rollouts.apply_status(&service(), status("v3", RolloutState::RolledBack), 21, 20);
     list(&mut rollouts, None, true);
     assert_eq!(
         rollouts.apply_order(order_of("v3"), 12, OrderOrigin::Change, 5_000),
@@ -116,3 +133,61 @@
     list(&mut rollouts, Some(("v2", 5)), false);
     assert_eq!(target(&rollouts), Some("v3"));
 }
+
+/// Guards against a judge that writes a status again and again, as fast as the store replies, because the revisions of the
+/// restored store are lower than that of the order.
+#[test]
+fn a_judge_writes_a_status_once_after_a_restoration() {
+    for copied in [None, Some(("v2", 5))] {
+        let mut judge = daemon();
+        judge.tick(&[], None, 30);
+        let write = judge.due_write(30).expect("a status is due");
+        judge.note_written(write, 21, 30);
+        assert_eq!(judge.due_write(40), None);
+        let running = status("v2", RolloutState::Running);
+        list_with_status(&mut judge, copied, running.zip(Some(6)), true);
+        let write = judge.due_write(50).expect("the status was lost");
+        assert_eq!(write.expected_revision, 6);
+        judge.note_written(write, 9, 50);
+        assert_eq!(judge.due_write(60), None, "it was written a moment ago");
+    }
+}
+
+/// Guards against the same before the judge has read the list after the restoration.
+#[test]
+fn a_judge_writes_a_status_once_before_it_knows_of_a_restoration() {
+    let mut judge = daemon();
+    judge.tick(&[], None, 30);
+    judge.apply_status(&service(), status("v2", RolloutState::Running), 6, 50);
+    let write = judge.due_write(50).expect("a status is due");
+    judge.note_written(write, 9, 50);
+    assert_eq!(judge.due_write(60), None, "it was written a moment ago");
+}
+
+/// Guards against a daemon that does not recognize the status of its order after a restoration, and tells the judges the
+/// verdict without an end.
+#[test]
+fn a_daemon_recognizes_the_status_that_a_judge_writes_after_a_restoration() {
+    let mut rollouts = daemon();
+    rollouts.apply_status(&service(), status("v3", RolloutState::RolledBack), 21, 30);
+    list(&mut rollouts, None, true);
+    assert!(rollouts.is_active(), "the status was lost");
+    rollouts.apply_status(&service(), status("v3", RolloutState::RolledBack), 9, 50);
+    assert!(!rollouts.is_active());
+}
+
+/// Guards against a status of an earlier order for the same version that comes back with the copy: the later order has
+/// fresh evidence.
+#[test]
+fn a_status_of_an_earlier_order_does_not_come_back_with_the_copy() {
+    let mut rollouts = Rollouts::new(BOUNDS, 1);
+    list(&mut rollouts, Some(("v2", 5)), false);
+    rollouts.apply_status(&service(), status("v2", RolloutState::RolledBack), 9, 10);
+    let change = rollouts.apply_order(order_of("v2"), 20, OrderOrigin::Change, 20);
+    assert_eq!(change, OrderChange::Started);
+    let rolled_back = status("v2", RolloutState::RolledBack);
+    list_with_status(&mut rollouts, Some(("v2", 5)), rolled_back.zip(Some(9)), true);
+    assert_eq!(rollouts.state(&service()).map(|(_, phase)| phase), Some(Phase::Evaluating));
+    rollouts.apply_status(&service(), status("v2", RolloutState::RolledBack), 10, 40);
+    assert_eq!(rollouts.state(&service()).map(|(_, phase)| phase), Some(Phase::RolledBack));
+}
