Rollout: replies fit into a datagram whatever the number of routes

With more than 145 routes of a service, the replies of judges exceeded 1,400 bytes and were cut off when they were received: no daemon heard of shares or of the verdict, all stopped sending to the target version after 3 s, and a good version was rolled back.

Cause: a reply had the share of every route that any daemon had counted. A plan now has shares for the 128 routes with the most traffic, and one for the others, at most what a daemon uses without advice.

--- a/crates/rollout/src/allocation.rs
+++ b/crates/rollout/src/allocation.rs
@@ -1,6 +1,7 @@
 //! Division of the exposure among the routes of a service.
 
-use crate::{bounds::RolloutBounds, route_key::RouteKey, totals::Totals};
+use crate::{bounds::RolloutBounds, route_key::RouteKey, share_plan::SharePlan, totals::Totals};
+use base::HashMap;
 
 /// Part of `exposure_share` that new requests use. The rest is for retries, resumed streams and swings of the demand.
 const SHARE_MARGIN: f64 = 0.9;
@@ -32,6 +33,9 @@
 /// Number of answers before the order from which the usual answers of a route are known.
 const KNOWN_ANSWERS: u32 = 30;
 
+/// Largest number of routes with shares of their own, as many as fit into a datagram beside the longest names.
+const MAX_PLANNED_ROUTES: usize = 128;
+
 /// Times after the verdict *good* from which the share of the target version has the given value.
 const SHIFT_STEPS: [(u64, f64); 2] = [(0, 0.5), (400, 1.0)];
 
@@ -65,26 +69,42 @@
 }
 
 /// Divides a share of all requests among the routes, in equal parts as far as their traffic allows that, so that a route
-/// with little traffic yields as much evidence as the others. Returns the share of each route.
-pub fn allocate(share: f64, totals: &Totals) -> Vec<(RouteKey, f64)> {
+/// with little traffic yields as much evidence as the others. The routes beyond the largest ones are treated as one, which
+/// gets no more than the share that a daemon uses without advice, since routes that are not known yet get it as well.
+pub fn allocate(bounds: &RolloutBounds, share: f64, totals: &Totals) -> SharePlan {
     let traffic = |key: &RouteKey| f64::from(totals.routes[key].traffic());
     let mut routes: Vec<RouteKey> =
         totals.routes.keys().copied().filter(|key| traffic(key) > 0.0).collect();
     routes.sort_by(|a, b| traffic(a).total_cmp(&traffic(b)).then(a.cmp(b)));
     let all: f64 = routes.iter().map(&traffic).sum();
+    let largest = routes.split_off(routes.len().saturating_sub(MAX_PLANNED_ROUTES));
+    let mut parts: Vec<(Option<RouteKey>, f64, f64)> = largest
+        .into_iter()
+        .map(|key| {
+            let is_known = totals.routes[&key].before.answers >= KNOWN_ANSWERS;
+            let largest = if is_known { 1.0 } else { MAX_UNKNOWN_SHARE };
+            (Some(key), traffic(&key) / all, largest)
+        })
+        .collect();
+    if !routes.is_empty() {
+        let part = routes.iter().map(&traffic).sum::<f64>() / all;
+        parts.push((None, part, own_share(bounds)));
+    }
+    // The parts that can take the least come first, and leave the rest to the others.
+    parts.sort_by(|a, b| (a.1 * a.2).total_cmp(&(b.1 * b.2)).then(a.0.cmp(&b.0)));
     let mut left = share;
-    let mut count = routes.len();
-    let mut shares = Vec::with_capacity(count);
-    for key in routes {
-        let part = traffic(&key) / all;
-        let is_known = totals.routes[&key].before.answers >= KNOWN_ANSWERS;
-        let largest = if is_known { 1.0 } else { MAX_UNKNOWN_SHARE };
+    let mut count = parts.len();
+    let mut plan = SharePlan { routes: HashMap::default(), others: own_share(bounds) };
+    for (key, part, largest) in parts {
         let amount = (left / count as f64).min(part * largest);
-        shares.push((key, amount / part));
+        match key {
+            Some(key) => _ = plan.routes.insert(key, amount / part),
+            None => plan.others = amount / part,
+        }
         left -= amount;
         count -= 1;
     }
-    shares
+    plan
 }
 
 /// Share of the target version `since_ms` after the verdict *good*.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -37,6 +37,7 @@
 mod rollouts;
 mod route_counts;
 mod route_key;
+mod share_plan;
 mod snapshots;
 mod state;
 mod status;
@@ -68,6 +69,7 @@
     rollouts::Rollouts,
     route_counts::RouteCounts,
     route_key::RouteKey,
+    share_plan::SharePlan,
     state::RolloutState,
     status::RolloutStatus,
     status_write::StatusWrite,
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -553,7 +553,9 @@
         });
         let part = self.age_ms(now_ms) as f64 / self.order.duration_ms.max(1) as f64;
         let share = next_share(&self.bounds, totals, part, rate_per_s, HORIZON_MS);
-        self.shares = allocate(share, totals).into_iter().collect();
+        let plan = allocate(&self.bounds, share, totals);
+        self.shares = plan.routes;
+        self.default_share = plan.others;
         self.advised_ms = Some(now_ms);
     }
 
