Rollout: many bad answers of one instance are evidence

Cause: with two used instances, bad answers of one were no evidence, however many there were. 25 of them now suffice.

Test: many_bad_answers_are_evidence_although_they_come_from_one_instance (rollout/tests/verdicts.rs) failed before; its neighbour keeps the guard for a few.

--- a/crates/rollout/src/totals.rs
+++ b/crates/rollout/src/totals.rs
@@ -15,6 +15,10 @@
 /// Smallest number of bad answers by which a version is found bad.
 const MIN_BAD: u32 = 4;
 
+/// Smallest number of bad answers by which it is found bad if they come from one instance although others are used. The
+/// others may have been used for a moment only, and the limit on what a bad version gets counts from its fiftieth bad answer.
+const MIN_BAD_OF_ONE: u32 = 25;
+
 /// Evidence from which a version is bad, as a natural logarithm: odds of 2,000.
 const LOG_BAD: f64 = 7.6;
 
@@ -84,9 +88,6 @@
         earlier: impl Iterator<Item = &'a Totals>,
         extra_evidence: f64,
     ) -> Option<Finding> {
-        if self.bad.len() < 2 && self.used.len() >= 2 {
-            return None;
-        }
         let start = Totals::default();
         let whole = self.finding_since(&start, LOG_BAD + extra_evidence);
         whole.or_else(|| {
@@ -99,8 +100,10 @@
 
     fn finding_since(&self, earlier: &Totals, needed: f64) -> Option<Finding> {
         [Fault::Failures, Fault::Slowness].into_iter().find_map(|fault| {
+            let is_one = self.bad.len() < 2 && self.used.len() >= 2;
+            let min_bad = if is_one { MIN_BAD_OF_ONE } else { MIN_BAD };
             let is_bad = |sample: &Sample| {
-                sample.bad >= MIN_BAD
+                sample.bad >= min_bad
                     && log_evidence(sample.bad, sample.answers, sample.usual) >= needed
             };
             let finding = |route, sample: Sample| Finding {
