Rollout: good answers of the version under evaluation are reported as soon as bad ones

Good versions were found bad by their first answers, such as "5/5 failures on one routes, usual 0.132" and "7/8 failures": a daemon reported a bad answer within 50 ms and a good one up to 500 ms later, so that the judges knew mostly bad ones where ordinary errors are frequent and many requests go to the version at once.

Any answer of the version under evaluation now makes a report due after 50 ms. During the shift, in which all daemons have such answers all the time, only bad ones do.

Test: good_answers_are_reported_as_soon_as_bad_ones (rollout/tests/orders.rs) failed before.

--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -27,7 +27,7 @@
 use base::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// Shortest time between two reports after bad answers.
+/// Shortest time between two reports after answers of the target version.
 const URGENT_REPORT_MS: u64 = 50;
 
 /// Shortest age of an order whose target version can be found good.
@@ -120,7 +120,7 @@
     used: InstanceSet,
     bad: InstanceSet,
     reported_ms: Option<u64>,
-    has_bad_news: bool,
+    has_news: bool,
     /// Last report of each daemon lifetime, with the time at which it arrived.
     reports: HashMap<u64, (RolloutReport, u64)>,
     /// Counts of daemons before they began to count anew.
@@ -169,7 +169,7 @@
             used: InstanceSet::default(),
             bad: InstanceSet::default(),
             reported_ms: None,
-            has_bad_news: false,
+            has_news: false,
             reports: HashMap::default(),
             earlier: Totals::default(),
             snapshots,
@@ -386,8 +386,10 @@
         }
         if is_target && answer.is_bad() {
             self.bad.insert(&request.instance);
-            self.has_bad_news = true;
         }
+        // Good answers of the version under evaluation are as urgent as bad ones. Of the first answers, judges would otherwise
+        // know mostly the bad ones, and find a good version bad.
+        self.has_news |= is_target && (answer.is_bad() || self.phase == Phase::Evaluating);
     }
 
     /// Creates the report of this daemon with the given number. `overdue` are requests without an answer that are slow already.
@@ -425,14 +427,14 @@
 
     /// Whether a report is due.
     pub fn is_report_due(&self, now_ms: u64) -> bool {
-        let interval_ms = if self.has_bad_news { URGENT_REPORT_MS } else { self.timing.report_ms };
+        let interval_ms = if self.has_news { URGENT_REPORT_MS } else { self.timing.report_ms };
         self.reported_ms.is_none_or(|at_ms| now_ms >= at_ms + interval_ms)
     }
 
     /// Records that the due report was sent.
     pub fn mark_reported(&mut self, now_ms: u64) {
         self.reported_ms = Some(now_ms);
-        self.has_bad_news = false;
+        self.has_news = false;
     }
 
     /// Keeps the report of a daemon. Returns whether it is about this order.
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -151,6 +151,20 @@
     assert!(sends > 0 && text.contains(&format!(" sends={sends} ")), "{sends} before: {text}");
 }
 
+/// Guards against a good version that is found bad because judges hear of bad answers at once and of good ones up to half a
+/// second later: of the first answers they then know mostly the bad ones.
+#[test]
+fn good_answers_are_reported_as_soon_as_bad_ones() {
+    for has_failed in [true, false] {
+        let mut rollouts = daemon(1);
+        assert_eq!(rollouts.tick(&[], None, 0).len(), 1);
+        let number = rollouts.begin(request("i"), 10);
+        rollouts.answer(number, has_failed, 20);
+        assert_eq!(rollouts.tick(&[], None, 50).len(), 1, "has_failed={has_failed}");
+        assert_eq!(rollouts.tick(&[], None, 100).len(), 0, "nothing is new");
+    }
+}
+
 /// Guards against a daemon that goes on sending while it cannot be told that the version is bad.
 #[test]
 fn a_daemon_without_news_of_a_judge_stops_sending_within_the_time_for_a_rollback() {
