Rollout: instances that are slow after their start are not used and not counted

Entries state that time (cold_remaining_ms); daemons ignored it.

Daemons now send nothing for the target version to such instances until it is completed, as long as there are others of the old version, and count none of their answers. Not to count the answers alone would have exposed callers to a slow version without evidence. A bad version cannot hide behind the time: without warm instances it gets nothing and is rolled back at the time limit.

The time is kept beside the registry and the comparison of items by relays looks at its end only, so that it does not make each heartbeat a change.

--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -129,8 +129,11 @@
     /// Decodes the registry entry of an instance; `None` if the entry is malformed.
     fn decode_entry(&mut self, id: &str, value: &[u8]) -> Option<InstanceEntry> {
         match (self.decode_instance)(id, value) {
-            Ok(entry) => {
+            Ok(mut entry) => {
                 self.undecodable.remove(id);
+                self.core.rollouts.record_entry(&entry);
+                // A time that counts down does not make each heartbeat a changed entry.
+                entry.cold_remaining_ms = 0;
                 Some(entry)
             }
             Err(err) => {
--- a/crates/ingress/src/instance_entry.rs
+++ b/crates/ingress/src/instance_entry.rs
@@ -26,4 +26,6 @@
     pub is_draining: bool,
     /// Unix time at which the instance started, in milliseconds; `None` if the entry does not state it.
     pub started_unix_ms: Option<u64>,
+    /// How much longer the instance was slow after its start when the entry was written; 0 if it was not.
+    pub cold_remaining_ms: u64,
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod buffered_response;
 mod caller_error;
 mod choice;
+mod cold_instances;
 mod config;
 mod connection_pool;
 mod core;
@@ -67,6 +68,7 @@
 
 pub use crate::{
     caller_error::CallerError,
+    cold_instances::ColdInstances,
     config::{ClientAccount, ClientLimits, Config, EngineConfig, ServiceConfig},
     core::{Core, CoreOptions},
     crash_quarantine::ServiceEvidence,
--- a/crates/ingress/src/restarts.rs
+++ b/crates/ingress/src/restarts.rs
@@ -142,6 +142,7 @@
                 let entry = InstanceEntry {
                     id: (*restart.id).into(),
                     started_unix_ms: restart.started_unix_ms,
+                    cold_remaining_ms: 0,
                     ..lost.clone()
                 };
                 registry.upsert(entry.clone());
--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -1,8 +1,14 @@
 //! Rollouts of software versions: which requests may go to the target version, and what is observed of them.
 
 use crate::{
-    core::Core, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
-    observation::Observation, registry::Registry, version_rule::VersionRule,
+    cold_instances::ColdInstances,
+    core::Core,
+    inbound::Inbound,
+    instance::Instance,
+    instance_entry::{InstanceEntry, InstanceId},
+    observation::Observation,
+    registry::Registry,
+    version_rule::VersionRule,
 };
 use affinity::SoftwareVersion;
 use base::{Clock, HashMap, ServiceName, lock};
@@ -25,6 +31,10 @@
 /// usual load of the old ones. With 2, a version that is bad only under load was found at the time limit alone.
 const LOAD_MARGIN: f64 = 1.0;
 
+/// Part of those instances that must not be slow after their start any more, as a divisor. The load of each is at most so
+/// many times the intended one.
+const MIN_WARM_DIVISOR: usize = 2;
+
 /// Message with the daemons that get it.
 type Addressed<T> = (Vec<SocketAddr>, T);
 
@@ -35,6 +45,7 @@
     enabled: OnceLock<Enabled>,
     /// Whether the last list of items may lack orders that were written before it.
     is_unconfirmed: AtomicBool,
+    cold: Mutex<ColdInstances>,
     /// Peer addresses of all listed daemons, including this one.
     daemons: Mutex<Vec<SocketAddr>>,
     /// Wakes the exchange of reports.
@@ -54,6 +65,7 @@
             clock: Clock::start(),
             enabled: OnceLock::new(),
             is_unconfirmed: AtomicBool::new(false),
+            cold: Mutex::default(),
             daemons: Mutex::default(),
             started: Notify::new(),
         }
@@ -93,20 +105,27 @@
         excluded: &[InstanceId],
     ) -> VersionRule {
         let service = &inbound.service;
-        let Some(enabled) = self.enabled.get() else { return VersionRule::Any };
-        let state =
-            self.with(|rollouts, _| rollouts.state(service).map(|(target, _)| target.clone()));
-        let Some(target) = state.flatten() else {
+        if self.enabled.get().is_none() {
+            return VersionRule::Any;
+        }
+        let state = self.with(|rollouts, _| {
+            rollouts.state(service).map(|(target, phase)| (target.clone(), phase))
+        });
+        let Some((target, phase)) = state.flatten() else {
             return match self.is_unconfirmed.load(Ordering::Relaxed) && required.is_none() {
                 true => core.with_registry(|registry, _| most_common(registry, service)),
                 false => VersionRule::Any,
             };
         };
         let is_target = |instance: &&Arc<Instance>| instance.entry.software_version == target;
+        let is_final = phase.is_final();
         let (mut targets, old, slots_ratio) = core.with_registry(|registry, now_ms| {
             let instances = registry.of_service(service).iter();
             let serving = instances.filter(|instance| instance.accepts_requests());
-            let (targets, others): (Vec<_>, Vec<_>) = serving.partition(is_target);
+            let (mut targets, others): (Vec<_>, Vec<_>) = serving.partition(is_target);
+            if !is_final && !others.is_empty() {
+                self.retain_warm(&mut targets, self.concentration(others.len()));
+            }
             let slots = |instances: &[&Arc<Instance>]| -> f64 {
                 instances.iter().map(|instance| f64::from(instance.entry.slots)).sum()
             };
@@ -130,9 +149,8 @@
             Some(VersionChoice::Prefer { is_concentrated, .. }) if usable.target => {
                 targets.sort_by_cached_key(|id| (instance_hash(id), Arc::clone(id)));
                 if is_concentrated {
-                    let count = old as f64 * enabled.bounds.exposure_share * LOAD_MARGIN;
                     targets.retain(|id| !excluded.contains(id));
-                    targets.truncate((count.ceil() as usize).max(1));
+                    targets.truncate(self.concentration(old));
                 }
                 VersionRule::Among(targets)
             }
@@ -160,6 +178,35 @@
         permitted.unwrap_or(true)
     }
 
+    /// Takes note of the registry entry of an instance.
+    pub(crate) fn record_entry(&self, entry: &InstanceEntry) {
+        if self.enabled.get().is_some() {
+            lock(&self.cold).record(entry, self.clock.now_ms());
+        }
+    }
+
+    /// Number of instances that get the requests for a version under evaluation beside `old` instances of other versions.
+    fn concentration(&self, old: usize) -> usize {
+        let share = self.enabled.get().map_or(0.0, |enabled| enabled.bounds.exposure_share);
+        ((old as f64 * share * LOAD_MARGIN).ceil() as usize).max(1)
+    }
+
+    /// Removes the instances that are still slow after their start: they show nothing of their version, and would only cost
+    /// exposure. Removes all if too few are left of the `count` that are to get requests, which would have too much load.
+    fn retain_warm(&self, targets: &mut Vec<&Arc<Instance>>, count: usize) {
+        let (cold, now_ms) = (lock(&self.cold), self.clock.now_ms());
+        let all = targets.len();
+        targets.retain(|instance| !cold.is_cold(&instance.entry.id, now_ms));
+        if targets.len() < all && targets.len() < count.div_ceil(MIN_WARM_DIVISOR) {
+            targets.clear();
+        }
+    }
+
+    /// Whether an instance is still slow after its start.
+    fn is_cold(&self, instance: &Instance) -> bool {
+        lock(&self.cold).is_cold(&instance.entry.id, self.clock.now_ms())
+    }
+
     /// Whether `version` is the target of the service's order.
     fn is_target(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
         let is_target = self.with(|rollouts, _| {
@@ -183,6 +230,7 @@
             instance: Arc::clone(&instance.entry.id),
             is_stream,
             is_resumed,
+            is_cold: self.is_cold(instance),
             target_latency_ms: inbound.target_latency_ms,
         };
         let number = self.with(|rollouts, now_ms| rollouts.begin(request(), now_ms))?;
--- a/crates/ingress/tests/departures.rs
+++ b/crates/ingress/tests/departures.rs
@@ -14,6 +14,7 @@
         slots: 12,
         is_draining,
         started_unix_ms,
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/ingress/tests/registry.rs
+++ b/crates/ingress/tests/registry.rs
@@ -14,6 +14,7 @@
         slots: 12,
         is_draining: false,
         started_unix_ms: Some(1),
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/rollout/src/new_request.rs
+++ b/crates/rollout/src/new_request.rs
@@ -20,6 +20,8 @@
     pub is_stream: bool,
     /// Whether a stream goes on after earlier events, so that the time to its first event is not comparable.
     pub is_resumed: bool,
+    /// Whether the instance is still slow after its start, so that the answer shows nothing of its version.
+    pub is_cold: bool,
     /// Time in which the answer or the first event should arrive.
     pub target_latency_ms: u64,
 }
--- a/crates/rollout/src/open_request.rs
+++ b/crates/rollout/src/open_request.rs
@@ -11,7 +11,7 @@
     pub first_event_ms: Option<u64>,
     /// Number of events so far.
     pub events: u32,
-    /// Whether the answer was counted.
+    /// Whether the answer was counted, or is not to be counted.
     pub is_counted: bool,
     /// Whether the answer was counted as slow or failed.
     pub is_bad: bool,
@@ -19,12 +19,13 @@
 
 impl OpenRequest {
     pub fn new(request: NewRequest, now_ms: u64) -> Self {
+        let is_counted = request.is_cold;
         Self {
             request,
             started_ms: now_ms,
             first_event_ms: None,
             events: 0,
-            is_counted: false,
+            is_counted,
             is_bad: false,
         }
     }
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -285,7 +285,9 @@
     pub fn event(&mut self, number: u64, now_ms: u64) {
         let Some(mut open) = self.open.remove(&number) else { return };
         open.events += 1;
-        if open.is_counted {
+        if open.request.is_cold {
+            // Neither its gaps are compared nor do they change what is usual.
+        } else if open.is_counted {
             let is_usual = self.is_usual(&open.request);
             let is_long = self.meter(&open.request).has_long_gaps(&open, now_ms, is_usual);
             if is_long && !open.is_bad {
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -51,6 +51,7 @@
         instance: instance.into(),
         is_stream: true,
         is_resumed: false,
+        is_cold: false,
         target_latency_ms: 4_500,
     }
 }
--- a/crates/rollout/tests/plays.rs
+++ b/crates/rollout/tests/plays.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use crate::common::{Fault, Outcome, Scene, calls, play, scene, streams};
+use crate::common::{Fault, Outcome, Scene, SlowStart, calls, play, scene, streams};
 use quickcheck::{Gen, QuickCheck};
 use rollout::RolloutState;
 
@@ -114,6 +114,29 @@
     check(holds);
 }
 
+/// Guards against taking the slow answers of instances that have just started for those of the version.
+#[test]
+fn good_versions_are_not_blamed_for_slow_starts() {
+    fn holds(seed: u64) -> bool {
+        let slow_start = Some(SlowStart { duration_ms: 3_000, factor: 4.0, is_stated: true });
+        is_not_blamed(&Scene { slow_start, ..stream_scene(Fault::None, seed) })
+            && is_not_blamed(&Scene { slow_start, ..scene(calls(), Fault::None, seed) })
+    }
+    check(holds);
+}
+
+/// Guards against a bad version that hides behind the slow starts of its instances.
+#[test]
+fn bad_versions_with_slow_starts_are_rolled_back() {
+    fn holds(seed: u64) -> bool {
+        let slow_start = Some(SlowStart { duration_ms: 3_000, factor: 4.0, is_stated: true });
+        let fault = if seed.is_multiple_of(2) { Fault::Slow(8.0) } else { Fault::Errors(0.3) };
+        play(&Scene { slow_start, ..stream_scene(fault, seed) }).is_rolled_back()
+            && play(&Scene { slow_start, ..scene(calls(), fault, seed) }).is_rolled_back()
+    }
+    check(holds);
+}
+
 /// Guards against rollouts that wait for more evidence than a service yields in the time of an order.
 #[test]
 fn most_good_versions_are_completed_in_time() {
