Rollout: the version of a replaced order gets no requests without a limit

If an order was replaced by one for a third version before it was decided, or after its version was found bad, that version counted as an old one from then on and got half of the requests or more. After an order back to the version that had served before, the version that was to be left got nine tenths of them.

Cause: only the target of the present order was limited. An order now suspends the target of the one that it replaces unless that was found good. An order for a version that has served as the old one completes without an evaluation.

--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -109,9 +109,10 @@
             return VersionRule::Any;
         }
         let state = self.with(|rollouts, _| {
-            rollouts.state(service).map(|(target, phase)| (target.clone(), phase))
+            let (target, phase) = rollouts.state(service)?;
+            Some((target.clone(), phase, rollouts.suspended(service).to_vec()))
         });
-        let Some((target, phase)) = state.flatten() else {
+        let Some((target, phase, suspended)) = state.flatten() else {
             return match self.is_unconfirmed.load(Ordering::Relaxed) && required.is_none() {
                 true => core.with_registry(|registry, _| most_common(registry, service)),
                 false => VersionRule::Any,
@@ -119,23 +120,34 @@
         };
         let is_target = |instance: &&Arc<Instance>| instance.entry.software_version == target;
         let is_final = phase.is_final();
-        let (mut targets, old, slots_ratio) = core.with_registry(|registry, now_ms| {
-            let instances = registry.of_service(service).iter();
-            let serving = instances.filter(|instance| instance.accepts_requests());
-            let (mut targets, others): (Vec<_>, Vec<_>) = serving.partition(is_target);
-            if !is_final && !others.is_empty() {
-                self.retain_warm(&mut targets, self.concentration(others.len()));
-            }
-            let slots = |instances: &[&Arc<Instance>]| -> f64 {
-                instances.iter().map(|instance| f64::from(instance.entry.slots)).sum()
-            };
-            let slots_ratio = slots(&targets) / slots(&others).max(1.0);
-            let healthy = targets.iter().filter(|instance| !instance.has_failed_recently(now_ms));
-            let ids = healthy.map(|instance| Arc::clone(&instance.entry.id));
-            (ids.collect::<Vec<InstanceId>>(), others.len(), slots_ratio)
-        });
+        let (mut targets, old, has_suspended, slots_ratio) =
+            core.with_registry(|registry, now_ms| {
+                let instances = registry.of_service(service).iter();
+                let serving = instances.filter(|instance| instance.accepts_requests());
+                let (mut targets, mut others): (Vec<_>, Vec<_>) = serving.partition(is_target);
+                let state = |instance: &Arc<Instance>| {
+                    let version = &instance.entry.software_version;
+                    suspended.iter().find(|suspended| suspended.version == *version)
+                };
+                let is_usable =
+                    |instance: &&Arc<Instance>| state(instance).is_some_and(|s| !s.is_bad);
+                let has_suspended = others.iter().any(is_usable);
+                others.retain(|instance| state(instance).is_none());
+                if !is_final && !others.is_empty() {
+                    self.retain_warm(&mut targets, self.concentration(others.len()));
+                }
+                let slots = |instances: &[&Arc<Instance>]| -> f64 {
+                    instances.iter().map(|instance| f64::from(instance.entry.slots)).sum()
+                };
+                let slots_ratio = slots(&targets) / slots(&others).max(1.0);
+                let healthy =
+                    targets.iter().filter(|instance| !instance.has_failed_recently(now_ms));
+                let ids = healthy.map(|instance| Arc::clone(&instance.entry.id));
+                (ids.collect::<Vec<InstanceId>>(), others.len(), has_suspended, slots_ratio)
+            });
         let usable = UsableVersions {
             old: old > 0,
+            suspended: has_suspended,
             target: targets.iter().any(|id| !excluded.contains(id)),
             slots_ratio,
         };
@@ -145,7 +157,7 @@
             rollouts.choose(service, route, &mut pass, required, usable, now_ms)
         });
         match choice {
-            Some(VersionChoice::Without(version)) => VersionRule::Without(version),
+            Some(VersionChoice::Without(versions)) => VersionRule::Without(versions),
             Some(VersionChoice::Prefer { is_concentrated, .. }) if usable.target => {
                 targets.sort_by_cached_key(|id| (instance_hash(id), Arc::clone(id)));
                 if is_concentrated {
@@ -239,11 +251,11 @@
 
     /// Logs that a call finds no instance, if a rollout is the reason.
     pub(crate) fn log_refusal(&self, core: &Core, inbound: &Inbound, rule: &VersionRule) {
-        let VersionRule::Without(version) = rule else { return };
-        let has_excluded = core.with_registry(|registry, _| {
-            registry.serving_versions(&inbound.service).any(|serving| serving == version)
+        let excluded = core.with_registry(|registry, _| {
+            let mut serving = registry.serving_versions(&inbound.service);
+            serving.find(|version| rule.excludes(version)).cloned()
         });
-        if has_excluded {
+        if let Some(version) = excluded {
             let id = inbound.id_text();
             log::info!("call: id={id} refused, reason=rollout version={version}");
             metrics::counter!("rollout_refusals_total").increment(1);
--- a/crates/ingress/src/version_rule.rs
+++ b/crates/ingress/src/version_rule.rs
@@ -9,8 +9,8 @@
     /// All of them.
     #[default]
     Any,
-    /// Instances of any version but this one.
-    Without(SoftwareVersion),
+    /// Instances of any version but these.
+    Without(Vec<SoftwareVersion>),
     /// These instances.
     Among(Vec<InstanceId>),
 }
@@ -18,14 +18,14 @@
 impl VersionRule {
     /// Whether no request may be sent to instances of `version`.
     pub fn excludes(&self, version: &SoftwareVersion) -> bool {
-        matches!(self, Self::Without(excluded) if excluded == version)
+        matches!(self, Self::Without(excluded) if excluded.contains(version))
     }
 
     /// Whether a request may be sent to `instance`.
     pub fn allows(&self, instance: &Instance) -> bool {
         match self {
             Self::Any => true,
-            Self::Without(version) => instance.entry.software_version != *version,
+            Self::Without(excluded) => !excluded.contains(&instance.entry.software_version),
             Self::Among(ids) => ids.contains(&instance.entry.id),
         }
     }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -43,6 +43,7 @@
 mod status;
 mod status_write;
 mod stored_status;
+mod suspended_version;
 mod timing;
 mod totals;
 mod usable_versions;
@@ -73,6 +74,7 @@
     state::RolloutState,
     status::RolloutStatus,
     status_write::StatusWrite,
+    suspended_version::SuspendedVersion,
     totals::Totals,
     usable_versions::UsableVersions,
     version_choice::VersionChoice,
--- a/crates/rollout/src/pass.rs
+++ b/crates/rollout/src/pass.rs
@@ -9,4 +9,6 @@
     pub(crate) is_new: bool,
     /// Whether it was sent there.
     pub(crate) is_sent: bool,
+    /// Whether the request may be sent to suspended versions that were not found bad, because no other is left.
+    pub(crate) may_use_suspended: bool,
 }
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -18,6 +18,7 @@
     route_key::RouteKey,
     snapshots::Snapshots,
     state::RolloutState,
+    suspended_version::SuspendedVersion,
     timing::Timing,
     totals::Totals,
     usable_versions::UsableVersions,
@@ -73,6 +74,9 @@
 /// Largest number of revisions by which an order is known.
 const MAX_REVISIONS: usize = 16;
 
+/// Largest number of old and of suspended versions that are remembered.
+const MAX_VERSIONS: usize = 8;
+
 /// Slots of the target's instances, as a part of those of the old ones, that suffice for all traffic.
 const ENOUGH_SLOTS: f64 = 0.7;
 
@@ -100,6 +104,13 @@
     is_listed: bool,
     /// Age of the order when this daemon saw it.
     first_age_ms: u64,
+    /// Versions of replaced orders that are not among the old ones.
+    pub suspended: Vec<SuspendedVersion>,
+    /// Versions that have got requests as old ones.
+    old_versions: Vec<SoftwareVersion>,
+    /// Whether the target version is the one that served before the replaced order. Such an order is not evaluated: the
+    /// other version would get nine tenths of the requests in the meantime.
+    is_return: bool,
     pub phase: Phase,
     phase_ms: u64,
     /// Number of daemons among which the slack is divided.
@@ -140,7 +151,17 @@
 
 impl Rollout {
     pub fn new(order: RolloutOrder, start: RolloutStart) -> Self {
-        let RolloutStart { revision, is_listed, number, lifetime, bounds, before, now_ms } = start;
+        let RolloutStart {
+            revision,
+            is_listed,
+            number,
+            lifetime,
+            bounds,
+            before,
+            suspended,
+            is_return,
+            now_ms,
+        } = start;
         let counts = |before| RouteCounts { before, ..RouteCounts::default() };
         let snapshots = Snapshots::new(order.duration_ms);
         let routes = before.into_iter().take(MAX_ROUTES).map(|(key, before)| (key, counts(before)));
@@ -155,7 +176,10 @@
             seen_ms: now_ms,
             is_listed,
             first_age_ms: 0,
-            phase: Phase::Evaluating,
+            suspended,
+            old_versions: Vec::new(),
+            is_return,
+            phase: if is_return { Phase::Shifting } else { Phase::Evaluating },
             phase_ms: now_ms,
             daemons: 1,
             rank: None,
@@ -164,7 +188,7 @@
             advised_ms: None,
             shares: HashMap::default(),
             capacity: 1.0,
-            default_share: own_share(&bounds),
+            default_share: if is_return { 1.0 } else { own_share(&bounds) },
             routes: routes.collect(),
             used: InstanceSet::default(),
             bad: InstanceSet::default(),
@@ -231,6 +255,38 @@
         *target == self.order.target && revisions.iter().any(|at| self.revisions.contains(at))
     }
 
+    /// Whether the target version was found bad, or has not been found good yet.
+    fn is_undecided_or_bad(&self) -> bool {
+        matches!(self.phase, Phase::Evaluating | Phase::RolledBack)
+    }
+
+    /// Versions that are suspended once an order for `target` replaces this one.
+    pub fn suspended_after(&self, target: &SoftwareVersion) -> Vec<SuspendedVersion> {
+        let mut suspended = self.suspended.clone();
+        suspended.retain(|suspended| suspended.version != self.order.target);
+        if self.is_undecided_or_bad() {
+            let is_bad = self.phase == Phase::RolledBack;
+            suspended.push(SuspendedVersion { version: self.order.target.clone(), is_bad });
+        }
+        suspended.retain(|suspended| suspended.version != *target);
+        let excess = suspended.len().saturating_sub(MAX_VERSIONS);
+        suspended.drain(..excess);
+        suspended
+    }
+
+    /// Whether an order for `target` goes back to a version that served before this order.
+    pub fn is_left_for(&self, target: &SoftwareVersion) -> bool {
+        self.is_undecided_or_bad() && self.old_versions.contains(target)
+    }
+
+    /// Versions that get no requests: the target, and the suspended ones. Those that were not found bad serve if no other
+    /// is left.
+    fn excluded(&self, may_use_suspended: bool) -> VersionChoice {
+        let suspended = self.suspended.iter().filter(|one| one.is_bad || !may_use_suspended);
+        let versions = suspended.map(|suspended| suspended.version.clone());
+        VersionChoice::Without(versions.chain([self.order.target.clone()]).collect())
+    }
+
     /// Changes the phase. Returns whether it is another one than before.
     pub fn set_phase(&mut self, phase: Phase, now_ms: u64) -> bool {
         if self.phase == phase {
@@ -273,8 +329,14 @@
             version: self.order.target.clone(),
             is_concentrated,
         };
+        pass.may_use_suspended = !usable.old && usable.suspended;
+        let without = self.excluded(pass.may_use_suspended);
+        let has_old = usable.old || usable.suspended;
         match self.phase {
-            Phase::RolledBack => return VersionChoice::Without(target),
+            Phase::RolledBack => return without,
+            _ if required.is_some_and(|required| self.is_suspended_as_bad(required)) => {
+                return without;
+            }
             _ if required.is_some() => return VersionChoice::Any,
             Phase::Completed => return preferred(false),
             Phase::Evaluating | Phase::Shifting => {}
@@ -283,28 +345,32 @@
         self.capacity = if usable.slots_ratio >= ENOUGH_SLOTS { 1.0 } else { usable.slots_ratio };
         if pass.rollout != self.number {
             let is_new = self.draw(route, usable, now_ms);
-            *pass = Pass { rollout: self.number, is_new, is_sent: false };
+            *pass = Pass { rollout: self.number, is_new, is_sent: false, ..*pass };
         }
         let is_over = self.age_ms(now_ms) > self.order.duration_ms;
         if is_over && self.phase == Phase::Evaluating {
-            if usable.old {
-                return VersionChoice::Without(target);
+            if has_old {
+                return without;
             }
             // The rollout was completed, and this daemon has not been told.
             *pass = Pass { is_new: true, is_sent: false, ..*pass };
             return VersionChoice::Any;
         }
         let is_new = pass.is_new && !pass.is_sent || self.is_full(route);
-        let is_allowed = self.is_informed(now_ms) || self.phase == Phase::Shifting && !usable.old;
-        match is_new && is_allowed && usable.target {
+        let is_allowed = self.is_informed(now_ms) || self.phase == Phase::Shifting && !has_old;
+        match is_new && (is_allowed || self.is_return) && usable.target {
             true => VersionChoice::Prefer {
                 version: target,
                 is_concentrated: self.phase == Phase::Evaluating,
             },
-            false => VersionChoice::Without(target),
+            false => without,
         }
     }
 
+    fn is_suspended_as_bad(&self, version: &SoftwareVersion) -> bool {
+        self.suspended.iter().any(|suspended| suspended.is_bad && suspended.version == *version)
+    }
+
     /// Whether this daemon would know by now if the version had been found bad a short time ago.
     fn is_informed(&self, now_ms: u64) -> bool {
         let since_ms = match self.rank {
@@ -354,7 +420,7 @@
         required: Option<&SoftwareVersion>,
     ) -> bool {
         if *version != self.order.target {
-            return true;
+            return self.permit_other(pass, version, required);
         }
         match self.phase {
             Phase::RolledBack => return false,
@@ -375,6 +441,26 @@
         true
     }
 
+    /// Whether a request may be sent to an instance of another version than the target.
+    fn permit_other(
+        &mut self,
+        pass: &Pass,
+        version: &SoftwareVersion,
+        required: Option<&SoftwareVersion>,
+    ) -> bool {
+        match self.suspended.iter().find(|suspended| suspended.version == *version) {
+            Some(suspended) => {
+                !suspended.is_bad && (required == Some(version) || pass.may_use_suspended)
+            }
+            None => {
+                if self.old_versions.len() < MAX_VERSIONS && !self.old_versions.contains(version) {
+                    self.old_versions.push(version.clone());
+                }
+                true
+            }
+        }
+    }
+
     /// Counts an answer to a request.
     pub fn count(&mut self, request: &NewRequest, answer: Answer) {
         let route = self.counted(request.route);
@@ -505,6 +591,10 @@
             return false;
         }
         let totals = self.totals();
+        if self.is_return {
+            self.judge_return(&totals, now_ms);
+            return false;
+        }
         if rank.is_none() {
             self.finding = totals.finding(std::iter::empty(), OWN_EVIDENCE);
             self.is_own_verdict =
@@ -539,12 +629,26 @@
             return age_ms >= end_ms && self.set_phase(Phase::RolledBack, now_ms);
         }
         self.update_shift(now_ms);
+        self.note_quiet(&totals, is_heard, now_ms);
+        false
+    }
+
+    /// Judges the return to a version that served before, which is completed when the other one has no requests any more.
+    fn judge_return(&mut self, totals: &Totals, now_ms: u64) {
+        let is_heard = self.is_heard(now_ms);
+        if is_heard {
+            self.heard_ms = Some(now_ms);
+        }
+        self.note_quiet(totals, is_heard, now_ms);
+    }
+
+    /// Takes note of whether requests run at old versions.
+    fn note_quiet(&mut self, totals: &Totals, is_heard: bool, now_ms: u64) {
         let is_quiet = totals.old_running == 0 && self.default_share >= 1.0 && is_heard;
         match is_quiet {
             true => _ = self.quiet_since_ms.get_or_insert(now_ms),
             false => self.quiet_since_ms = None,
         }
-        false
     }
 
     /// Plans the shares of the next moments, by what was sent so far.
--- a/crates/rollout/src/rollout_start.rs
+++ b/crates/rollout/src/rollout_start.rs
@@ -1,6 +1,8 @@
 //! What a daemon that takes note of an order knows besides.
 
-use crate::{bounds::RolloutBounds, counts::Counts, route_key::RouteKey};
+use crate::{
+    bounds::RolloutBounds, counts::Counts, route_key::RouteKey, suspended_version::SuspendedVersion,
+};
 
 /// What a daemon that takes note of an order knows besides.
 #[derive(Debug)]
@@ -12,5 +14,9 @@
     pub lifetime: u64,
     pub bounds: RolloutBounds,
     pub before: Vec<(RouteKey, Counts)>,
+    /// Versions of replaced orders that are not among the old ones.
+    pub suspended: Vec<SuspendedVersion>,
+    /// Whether the target version is the one that served before the replaced order, so that it needs no evaluation.
+    pub is_return: bool,
     pub now_ms: u64,
 }
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -24,6 +24,7 @@
     status::RolloutStatus,
     status_write::StatusWrite,
     stored_status::StoredStatus,
+    suspended_version::SuspendedVersion,
     usable_versions::UsableVersions,
     version_choice::VersionChoice,
 };
@@ -123,7 +124,11 @@
         self.next_number += 1;
         let meters = self.meters.get(&service);
         let recent = meters.into_iter().flatten().map(|(key, meter)| (*key, meter.recent()));
+        let replaced = self.rollouts.get(&service);
+        let suspended = replaced.map(|replaced| replaced.suspended_after(&order.target));
         let start = RolloutStart {
+            suspended: suspended.unwrap_or_default(),
+            is_return: replaced.is_some_and(|replaced| replaced.is_left_for(&order.target)),
             revision,
             is_listed: origin != OrderOrigin::Change,
             number: self.next_number,
@@ -229,6 +234,11 @@
         Some((&rollout.order.target, rollout.phase))
     }
 
+    /// Versions whose orders were replaced before they were found good, and which get no requests as old ones.
+    pub fn suspended(&self, service: &ServiceName) -> &[SuspendedVersion] {
+        self.rollouts.get(service).map_or(&[], |rollout| &rollout.suspended)
+    }
+
     /// Whether a rollout runs, or has a verdict that is still to be sent.
     pub fn is_active(&self) -> bool {
         self.rollouts.values().any(|rollout| rollout.is_active(is_stored(&self.statuses, rollout)))
--- a/crates/rollout/src/usable_versions.rs
+++ b/crates/rollout/src/usable_versions.rs
@@ -3,8 +3,10 @@
 /// Which versions of a service have instances that take requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct UsableVersions {
-    /// Whether another version than the target has.
+    /// Whether another version than the target and the suspended ones has.
     pub old: bool,
+    /// Whether a suspended version has that was not found bad.
+    pub suspended: bool,
     /// Whether the target version has.
     pub target: bool,
     /// Slots of the target's instances divided by those of the others.
--- a/crates/rollout/src/version_choice.rs
+++ b/crates/rollout/src/version_choice.rs
@@ -7,8 +7,8 @@
 pub enum VersionChoice {
     /// Any version.
     Any,
-    /// Any version but this one.
-    Without(SoftwareVersion),
+    /// Any version but these.
+    Without(Vec<SoftwareVersion>),
     /// This version, or another one if it has no usable instance.
     Prefer {
         /// Version that is preferred.
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -277,6 +277,7 @@
                 let enough = (scene.old_instances as f64 * 0.1).ceil() as usize;
                 let usable = UsableVersions {
                     old: true,
+                    suspended: false,
                     target: since_ms > 400 && warm.len() >= enough.div_ceil(2),
                     slots_ratio: warm.len() as f64 / scene.old_instances as f64,
                 };
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -11,7 +11,8 @@
 };
 use std::net::SocketAddr;
 
-const USABLE: UsableVersions = UsableVersions { old: true, target: true, slots_ratio: 1.0 };
+const USABLE: UsableVersions =
+    UsableVersions { old: true, suspended: false, target: true, slots_ratio: 1.0 };
 
 fn version(text: &str) -> SoftwareVersion {
     text.try_into().expect("the version is valid")
--- a/crates/rollout/tests/restarted_judges.rs
+++ b/crates/rollout/tests/restarted_judges.rs
@@ -12,7 +12,8 @@
 /// Time between two steps.
 const STEP_MS: u64 = 50;
 
-const USABLE: UsableVersions = UsableVersions { old: true, target: true, slots_ratio: 1.0 };
+const USABLE: UsableVersions =
+    UsableVersions { old: true, suspended: false, target: true, slots_ratio: 1.0 };
 
 /// Daemons that exchange messages without losses.
 struct Fleet {
