Rollout: what was not sent to a version earlier is not sent at once

With instances that become usable some seconds after the order, up to 0.6 of all requests went to the few instances of the version under evaluation until the exposure was used up, several times their usual load.

The largest share is 0.3.

--- a/crates/rollout/src/allocation.rs
+++ b/crates/rollout/src/allocation.rs
@@ -23,8 +23,9 @@
 /// Parts of the order's duration between which the slack is spent beyond that, if there is no verdict by then.
 const LATE_PARTS: (f64, f64) = (0.6, 0.8);
 
-/// Largest share of all requests, also while slack is spent.
-const MAX_SHARE: f64 = 0.6;
+/// Largest share of all requests, also while slack is spent. With 0.6, what could not be sent before the instances were warm
+/// went to a few of them at once, and fewer good versions were completed.
+const MAX_SHARE: f64 = 0.3;
 
 /// Largest share of a route whose usual answers are not known from before the order, so that the old version can be
 /// compared.
