--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -95,20 +95,20 @@
         let is_in_force = self.orders.is_in_force(&service, revision);
         let was_void = self.orders.is_void(&service);
         if let Some(rollout) = self.rollouts.get_mut(&service) {
-            if rollout.order == order && rollout.has_revision(revision) && is_in_force {
+            if rollout.order == order && rollout.revisions.contains(revision) && is_in_force {
                 return OrderChange::None;
             }
             // An order that is repeated after its completion asks for what has been done. A new evaluation would limit the
             // only version that is left.
             let goes_on = !rollout.phase.is_final() || rollout.phase == Phase::Completed;
-            let is_rewritten = was_void && rollout.age_ms(now_ms) <= rollout.order.duration_ms;
+            let is_rewritten = was_void && !rollout.is_over(now_ms);
             let is_same = is_restored || is_in_force && (goes_on || is_rewritten);
             if rollout.order == order && is_same {
-                rollout.add_revision(revision);
+                rollout.revisions.add(revision);
                 if is_restored {
                     // The copy's status may be that of an earlier order for the same version.
                     let status = self.statuses.get(&service).map_or(0, |stored| stored.revision);
-                    rollout.lower_status_floor(revision.max(status));
+                    rollout.revisions.lower_status_floor(revision.max(status));
                 }
                 self.orders.record(&service, revision);
                 return OrderChange::Continued;
@@ -168,7 +168,7 @@
             for (service, rollout) in &mut self.rollouts {
                 if self.orders.is_void(service) {
                     let status = self.statuses.get(service).map_or(0, |stored| stored.revision);
-                    rollout.lower_status_floor(status);
+                    rollout.revisions.lower_status_floor(status);
                 }
             }
         } else {
@@ -205,7 +205,7 @@
         if let Some(rollout) = self.rollouts.get_mut(&service)
             && rollout.number == write.rollout
         {
-            rollout.lower_status_floor(revision.saturating_sub(1));
+            rollout.revisions.lower_status_floor(revision.saturating_sub(1));
         }
         self.apply_status(&service, Some(write.status), revision, now_ms);
     }
@@ -236,7 +236,7 @@
 
     /// Versions whose orders were replaced before they were found good, and which get no requests as old ones.
     pub fn suspended(&self, service: &ServiceName) -> &[SuspendedVersion] {
-        self.rollouts.get(service).map_or(&[], |rollout| &rollout.suspended)
+        self.rollouts.get(service).map_or(&[], |rollout| &rollout.others.suspended)
     }
 
     /// Whether a rollout runs, or has a verdict that is still to be sent.
@@ -367,8 +367,8 @@
             if rollout.is_reporting() {
                 self.report_number += 1;
                 let report = rollout.report(self.report_number, &overdue, old_running, now_ms);
-                if rollout.is_report_due(now_ms) {
-                    rollout.mark_reported(now_ms);
+                if rollout.schedule.is_due(now_ms) {
+                    rollout.schedule.mark_sent(now_ms);
                     let others = judges.into_iter().filter(|addr| Some(*addr) != own).collect();
                     due.push((others, report.clone()));
                 }
@@ -478,7 +478,8 @@
 ) -> Option<RolloutState> {
     let stored = statuses.get(&rollout.order.service)?;
     let status = stored.status.as_ref()?;
-    let is_same = status.target == rollout.order.target && rollout.precedes(stored.revision);
+    let is_same =
+        status.target == rollout.order.target && rollout.revisions.precede_status(stored.revision);
     is_same.then_some(status.state)
 }
 
