Rollout: a daemon that is cut off resumes no stream at the target version

A daemon that had heard of no judge for longer than allowed drew no new requests for the target version, but still sent those that it had drawn before and that had been held up since, and resumed streams that had begun there, so that a version that was found bad meanwhile got requests later than rollback_ms after its fiftieth bad answer.

Cause: only the choice asked whether the daemon is informed. The check before each send (permit) now asks as well.

Test: a_daemon_that_is_cut_off_sends_no_held_request_and_resumes_no_stream (rollout/tests/orders.rs) failed before.

--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -178,10 +178,10 @@
         required: Option<&SoftwareVersion>,
     ) -> bool {
         let version = &instance.entry.software_version;
-        let permitted = self.with(|rollouts, _| {
+        let permitted = self.with(|rollouts, now_ms| {
             let mut pass = lock(&inbound.rollout);
             let route = RouteKey::from(&*inbound.route);
-            rollouts.permit(&inbound.service, route, &mut pass, version, required)
+            rollouts.permit(&inbound.service, route, &mut pass, version, required, now_ms)
         });
         if self.is_target(&inbound.service, version) {
             let permitted = permitted.unwrap_or(true).to_string();
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -65,6 +65,8 @@
     sampler: Sampler,
     /// When a judge last advised the shares; `None` before the first time.
     advised_ms: Option<u64>,
+    /// Whether another version than the target had usable instances when a request was last decided on.
+    has_old: bool,
     /// Largest share that the slots of the target's instances can serve.
     capacity: f64,
     counts: OwnCounts,
@@ -110,6 +112,7 @@
             rank: None,
             sampler: Sampler::new(share, [lifetime, number]),
             advised_ms: None,
+            has_old: true,
             capacity: 1.0,
             counts: OwnCounts::new(before),
             schedule: ReportSchedule::new(timing.report_ms),
@@ -185,7 +188,7 @@
         pass.may_use_suspended = !usable.old && usable.suspended;
         let excluded = self.others.excluded(pass.may_use_suspended).cloned();
         let without = VersionChoice::Without(excluded.chain([target.clone()]).collect());
-        let has_old = usable.old || usable.suspended;
+        self.has_old = usable.old || usable.suspended;
         match self.phase {
             Phase::RolledBack => return without,
             _ if required.is_some_and(|required| self.others.is_bad(required)) => return without,
@@ -200,7 +203,7 @@
             *pass = Pass { rollout: self.number, is_new, is_sent: false, ..*pass };
         }
         if self.is_over(now_ms) && self.phase == Phase::Evaluating {
-            if has_old {
+            if self.has_old {
                 return without;
             }
             // The rollout was completed, and this daemon has not been told.
@@ -208,8 +211,7 @@
             return VersionChoice::Any;
         }
         let is_new = pass.is_new && !pass.is_sent || self.is_full(route);
-        let is_allowed = self.is_informed(now_ms) || self.phase == Phase::Shifting && !has_old;
-        match is_new && (is_allowed || self.is_return) && usable.target {
+        match is_new && self.may_send(now_ms) && usable.target {
             true => VersionChoice::Prefer {
                 version: target,
                 is_concentrated: self.phase == Phase::Evaluating,
@@ -218,6 +220,12 @@
         }
     }
 
+    /// Whether requests may be sent to the target version before the rollout has ended, if they are drawn or resumed.
+    fn may_send(&self, now_ms: u64) -> bool {
+        let is_probably_completed = self.phase == Phase::Shifting || self.is_over(now_ms);
+        self.is_return || self.is_informed(now_ms) || is_probably_completed && !self.has_old
+    }
+
     /// Whether this daemon would know by now if the version had been found bad a short time ago.
     fn is_informed(&self, now_ms: u64) -> bool {
         let since_ms = match self.rank {
@@ -252,6 +260,7 @@
         route: RouteKey,
         version: &SoftwareVersion,
         required: Option<&SoftwareVersion>,
+        now_ms: u64,
     ) -> bool {
         if *version != self.order.target {
             return self.others.permit(version, required, pass.may_use_suspended);
@@ -264,7 +273,9 @@
         let route = self.counts.key_of(route);
         let is_resumed = required == Some(version);
         let is_drawn = pass.rollout == self.number && pass.is_new && !pass.is_sent;
-        if !is_resumed && !is_drawn && !self.is_full(route) {
+        let is_chosen = is_resumed || is_drawn || self.is_full(route);
+        // The request may have been held up since the choice of its instance.
+        if !is_chosen || !self.may_send(now_ms) {
             return false;
         }
         pass.is_sent = true;
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -268,9 +268,10 @@
         pass: &mut Pass,
         version: &SoftwareVersion,
         required: Option<&SoftwareVersion>,
+        now_ms: u64,
     ) -> bool {
         let rollout = self.rollouts.get_mut(service);
-        rollout.is_none_or(|rollout| rollout.permit(pass, route, version, required))
+        rollout.is_none_or(|rollout| rollout.permit(pass, route, version, required, now_ms))
     }
 
     /// Takes note of a request that is sent to an instance. Returns its number, which `end` must get.
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -298,7 +298,7 @@
                 };
                 let version = if is_target(instance) { "v2" } else { "v1" };
                 let version = version.try_into().expect("valid");
-                if !daemons[daemon].permit(&service(), key, &mut pass, &version, None) {
+                if !daemons[daemon].permit(&service(), key, &mut pass, &version, None, now_ms) {
                     continue;
                 }
                 if is_target(instance) {
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -40,7 +40,7 @@
     let (service, route, mut pass) = (service(), RouteKey::from("r"), Pass::default());
     let choice = rollouts.choose(&service, route, &mut pass, required, USABLE, now_ms);
     let is_new = matches!(choice, VersionChoice::Prefer { .. }) || required.is_some();
-    is_new && rollouts.permit(&service, route, &mut pass, &version("v2"), required)
+    is_new && rollouts.permit(&service, route, &mut pass, &version("v2"), required, now_ms)
 }
 
 /// Request that is sent to an instance of the target version.
@@ -214,6 +214,36 @@
     }
 }
 
+/// Guards against requests that reach a version after the time for a rollback because they were held up after the choice of
+/// their instance, or because they take up a stream that began there, at a daemon that cannot be told the verdict.
+#[test]
+fn a_daemon_that_is_cut_off_sends_no_held_request_and_resumes_no_stream() {
+    let daemons: Vec<SocketAddr> =
+        (1..9).map(|port| SocketAddr::from(([10, 0, 0, 1], port))).collect();
+    let own = daemons.iter().find(|addr| !judges(&service(), "v2", &daemons).contains(addr));
+    let (service, route, target) = (service(), RouteKey::from("r"), version("v2"));
+    let mut rollouts = daemon(1);
+    rollouts.tick(&daemons, own.copied(), 10);
+    let mut drawn = Vec::new();
+    while drawn.len() < 2 {
+        let mut pass = Pass::default();
+        let choice = rollouts.choose(&service, route, &mut pass, None, USABLE, 10);
+        drawn.extend(matches!(choice, VersionChoice::Prefer { .. }).then_some(pass));
+    }
+    assert!(rollouts.permit(&service, route, &mut drawn[0], &target, None, 20));
+    let late_ms = BOUNDS.rollback_ms;
+    assert!(!rollouts.permit(&service, route, &mut drawn[1], &target, None, late_ms), "held");
+    let (mut pass, required) = (Pass::default(), Some(&target));
+    assert!(rollouts.permit(&service, route, &mut pass, &target, required, 20));
+    assert!(!rollouts.permit(&service, route, &mut pass, &target, required, late_ms), "resumed");
+    let mut alone = daemon(1);
+    let usable = UsableVersions { old: false, ..USABLE };
+    alone.choose(&service, route, &mut Pass::default(), None, usable, 20_000);
+    let mut pass = Pass::default();
+    alone.choose(&service, route, &mut pass, None, usable, 20_000);
+    assert!(alone.permit(&service, route, &mut pass, &target, None, 20_000), "no other is left");
+}
+
 /// Guards against three daemons that write one status at a time, and against none that does if the first is dead.
 #[test]
 fn the_judges_write_one_after_the_other() {
--- a/crates/rollout/tests/replaced_orders.rs
+++ b/crates/rollout/tests/replaced_orders.rs
@@ -48,7 +48,7 @@
     let (service, route, mut pass) = (service(), RouteKey::from("r"), Pass::default());
     let required = required.map(version);
     rollouts.choose(&service, route, &mut pass, required.as_ref(), usable, 100);
-    rollouts.permit(&service, route, &mut pass, &version(to), required.as_ref())
+    rollouts.permit(&service, route, &mut pass, &version(to), required.as_ref(), 100)
 }
 
 /// Guards against a version that gets half of the requests as an old one, because the order for it was replaced before
@@ -104,6 +104,6 @@
         assert!(
             matches!(choice, VersionChoice::Prefer { version, .. } if version.as_str() == "v1")
         );
-        assert!(rollouts.permit(&service, route, &mut pass, &version("v1"), None));
+        assert!(rollouts.permit(&service, route, &mut pass, &version("v1"), None, 100));
     }
 }
--- a/crates/rollout/tests/restarted_judges.rs
+++ b/crates/rollout/tests/restarted_judges.rs
@@ -86,7 +86,7 @@
         let choice = daemon.choose(&service, route, &mut pass, None, USABLE, self.now_ms);
         let target = "v2".try_into().expect("the version is valid");
         matches!(choice, VersionChoice::Prefer { .. })
-            && daemon.permit(&service, route, &mut pass, &target, None)
+            && daemon.permit(&service, route, &mut pass, &target, None, self.now_ms)
     }
 
     /// Makes the first judge find the version bad.
