Rollout: a version that was found good by chance is rolled back during the shift

A version with errors of 0.31 on a route with 7% of the streams gives 12 answers without an error, which suffice for *good*, in 1 of 100 rollouts. During the shift its errors were too few for the four that are needed for *bad*, and it got more requests than allowed, or was completed.

Bad answers during the shift now suffice if after them the answers since the order exclude a bad version by odds of less than 2 only.

Test: a_version_that_fails_during_the_shift_is_rolled_back_by_a_few_answers (rollout/tests/long_orders.rs) failed with the odds set to 1e-9, which is the state before.

--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -46,6 +46,8 @@
     is_heard: bool,
     /// When this judge last heard of enough daemons; `None` before the first time.
     pub heard_ms: Option<u64>,
+    /// Whether the counts that this judge has got have shown, during the shift, that the version is good.
+    has_seen_good: bool,
     /// Since when no request is reported at old versions.
     quiet_since_ms: Option<u64>,
 }
@@ -58,6 +60,7 @@
             snapshots: Snapshots::new(duration_ms),
             is_heard: false,
             heard_ms: None,
+            has_seen_good: false,
             quiet_since_ms: None,
         }
     }
@@ -74,6 +77,11 @@
     pub fn find_bad(&mut self, totals: &Totals, phase: Phase, now_ms: u64) -> Option<Finding> {
         let extra_evidence = if phase == Phase::Shifting { SHIFT_EVIDENCE } else { 0.0 };
         let finding = totals.finding(self.snapshots.tested(), extra_evidence);
+        if phase == Phase::Shifting {
+            self.has_seen_good |= totals.shows_good();
+        }
+        let relapse = || if self.has_seen_good { totals.relapse() } else { None };
+        let finding = finding.or_else(relapse);
         if finding.is_none() {
             self.snapshots.push(totals, now_ms);
         }
--- a/crates/rollout/src/totals.rs
+++ b/crates/rollout/src/totals.rs
@@ -28,6 +28,14 @@
 /// Odds against a bad version by which a route, or all routes in the last seconds, count as good.
 const GOOD_ODDS: f64 = 100.0;
 
+/// Odds against a bad version below which a version that was found good counts as bad again. A version with errors of 0.31 on
+/// a route gives the 12 answers without one that suffice for *good* in 1 of 100 rollouts. With odds of 10, 9 of 200 good
+/// versions were rolled back by it in simulation, with 2 only 1.
+const RELAPSE_ODDS: f64 = 2.0;
+
+/// Smallest number of answers for that, so that a route whose first request comes late does not count.
+const RELAPSE_ANSWERS: u32 = 12;
+
 /// Part of the traffic below which a route is judged together with the others only, because it cannot yield enough answers
 /// in the time of an order.
 const MIN_TRAFFIC_PART: f64 = 0.02;
@@ -126,18 +134,42 @@
     /// Whether the answers show that the target version is good: on each route with traffic since the order, and on all
     /// routes together since `recent`.
     pub fn is_good(&self, recent: &Totals) -> bool {
+        self.shows_good()
+            && [Fault::Failures, Fault::Slowness].into_iter().all(|fault| {
+                let sample = pooled(&self.samples(recent, fault));
+                excludes_bad(sample.bad, sample.answers, sample.usual, GOOD_ODDS)
+            })
+    }
+
+    /// Whether the answers since the order show that the target version is good.
+    pub fn shows_good(&self) -> bool {
+        self.doubt(GOOD_ODDS).is_none()
+    }
+
+    /// Bad answers by which the answers since the order do not show any more that the target version is good, once they did;
+    /// `None` if there are none.
+    pub fn relapse(&self) -> Option<Finding> {
+        let doubt = self.doubt(RELAPSE_ODDS);
+        doubt.filter(|finding| finding.bad > 0 && finding.answers >= RELAPSE_ANSWERS)
+    }
+
+    /// Answers since the order that exclude a bad version by lower odds than `odds`: those of one route with traffic, or of
+    /// all routes together.
+    fn doubt(&self, odds: f64) -> Option<Finding> {
         let all: u32 = self.routes.values().map(RouteCounts::traffic).sum();
         let is_small = |key: &RouteKey| {
             f64::from(self.routes[key].traffic()) < MIN_TRAFFIC_PART * f64::from(all)
         };
         let start = Totals::default();
-        [Fault::Failures, Fault::Slowness].into_iter().all(|fault| {
+        [Fault::Failures, Fault::Slowness].into_iter().find_map(|fault| {
             let routes = self.samples(&start, fault);
-            let excludes =
-                |sample: &Sample| excludes_bad(sample.bad, sample.answers, sample.usual, GOOD_ODDS);
-            routes.iter().all(|(key, sample)| is_small(key) || excludes(sample))
-                && excludes(&pooled(&routes))
-                && excludes(&pooled(&self.samples(recent, fault)))
+            let all = pooled(&routes);
+            let routes = routes.into_iter().filter(|(key, _)| !is_small(key));
+            let mut samples = routes.map(|(key, sample)| (Some(key), sample)).chain([(None, all)]);
+            let (route, Sample { bad, answers, usual }) = samples.find(|(_, sample)| {
+                !excludes_bad(sample.bad, sample.answers, sample.usual, odds)
+            })?;
+            Some(Finding { route, fault, bad, answers, usual })
         })
     }
 
--- a/crates/rollout/tests/long_orders.rs
+++ b/crates/rollout/tests/long_orders.rs
@@ -65,3 +65,21 @@
     assert_eq!(phase_at(99, |_| (10, 0)), Phase::Evaluating);
     assert_eq!(phase_at(101, |_| (10, 0)), Phase::Shifting);
 }
+
+/// Guards against a bad version that was found good by a few answers without a fault, and is completed although those after
+/// that show otherwise.
+#[test]
+fn a_version_that_fails_during_the_shift_is_rolled_back_by_a_few_answers() {
+    let failing: Answers = |second| match second {
+        ..101 => (u32::from(second.is_multiple_of(5)), 0),
+        _ => (1, 1),
+    };
+    assert_eq!(phase_at(100, failing), Phase::Shifting);
+    assert_eq!(phase_at(103, failing), Phase::RolledBack);
+    let one_error: Answers = |second| match second {
+        ..101 => (2, 0),
+        101 => (1, 1),
+        _ => (2, 0),
+    };
+    assert_eq!(phase_at(110, one_error), Phase::Shifting, "an ordinary error");
+}
