Rollout: an order that is written after a restoration counts whatever its revision is

After an order was removed and the store restored to a copy that lacks it, the next order of the operator was ignored until its revision exceeded that of the removal: the daemon took it for one of the copy, and its version got requests without a limit.

Cause: the memory of the removal outlived the era, and revisions were compared for changes as well. What a watch reports is always newer than what is known, and the first list of an era drops what the copy lacks.

Test: the_last_order_of_the_operator_is_in_force (rollout/tests/restored_store.rs, 3,000 drawn series of writes, removals, copies, restorations and outages against a model of one value) failed before ([Write(2), Remove, RestoreCopy, Write(0)]).

--- a/crates/rollout/src/order_log.rs
+++ b/crates/rollout/src/order_log.rs
@@ -58,10 +58,15 @@
         }
     }
 
+    /// Forgets the orders of the services that `is_kept` does not hold for.
+    pub fn retain(&mut self, is_kept: impl Fn(&ServiceName) -> bool) {
+        self.writes.retain(|service, _| is_kept(service));
+    }
+
     /// Forgets removed orders if there are too many. `has_rollout` tells which services have an order in force.
     pub fn trim(&mut self, has_rollout: impl Fn(&ServiceName) -> bool) {
         if self.writes.len() > MAX_WRITES {
-            self.writes.retain(|service, _| has_rollout(service));
+            self.retain(has_rollout);
         }
     }
 }
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -92,10 +92,13 @@
         let service = order.service.clone();
         let is_restored = origin == OrderOrigin::RestoredList;
         self.missing.remove(&service);
-        let is_in_force = self.orders.is_in_force(&service, revision);
+        // What a watch reports was written after all that is known.
+        let is_in_force =
+            origin == OrderOrigin::Change || self.orders.is_in_force(&service, revision);
         let was_void = self.orders.is_void(&service);
         if let Some(rollout) = self.rollouts.get_mut(&service) {
             if rollout.order == order && rollout.revisions.contains(revision) && is_in_force {
+                self.orders.record(&service, revision);
                 return OrderChange::None;
             }
             // An order that is repeated after its completion asks for what has been done. A new evaluation would limit the
@@ -164,6 +167,7 @@
         let unlisted: Vec<ServiceName> = known.cloned().collect();
         self.missing.clear();
         if is_restored {
+            self.orders.retain(|service| listed.orders.contains(service));
             unlisted.iter().for_each(|service| self.orders.record_void(service, 0));
             for (service, rollout) in &mut self.rollouts {
                 if self.orders.is_void(service) {
--- a/crates/rollout/tests/restored_store.rs
+++ b/crates/rollout/tests/restored_store.rs
@@ -4,6 +4,7 @@
 
 use crate::common::{BOUNDS, order, service};
 use affinity::SoftwareVersion;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rollout::{
     ListedServices, OrderChange, OrderOrigin, Phase, RolloutOrder, RolloutState, RolloutStatus,
     Rollouts,
@@ -191,3 +192,68 @@
     rollouts.apply_status(&service(), status("v2", RolloutState::RolledBack), 10, 40);
     assert_eq!(rollouts.state(&service()).map(|(_, phase)| phase), Some(Phase::RolledBack));
 }
+
+/// What happens to the order of a service, or to the store.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Write(u8),
+    Remove,
+    SaveCopy,
+    RestoreCopy,
+    Outage,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 7 {
+            0 | 1 => Self::Write(u8::arbitrary(g) % 3),
+            2 => Self::Remove,
+            3 => Self::SaveCopy,
+            4 => Self::RestoreCopy,
+            _ => Self::Outage,
+        }
+    }
+}
+
+/// Guards against an order in force that is not the last one that the operator wrote, or that was removed, in any order of
+/// writes, outages and restorations.
+#[test]
+fn the_last_order_of_the_operator_is_in_force() {
+    fn holds(steps: Vec<Step>) -> bool {
+        let mut rollouts = Rollouts::new(BOUNDS, 1);
+        // Content and revision of the store's item, its last revision, and the copy of both.
+        let (mut item, mut revision): (Option<(u8, u64)>, u64) = (None, 0);
+        let mut copy = (item, revision);
+        let mut expected: Option<u8> = None;
+        steps.into_iter().all(|step| {
+            match step {
+                Step::Write(content) => {
+                    revision += 1;
+                    item = Some((content, revision));
+                    expected = Some(content);
+                    let order = order_of(&format!("v{content}"));
+                    rollouts.apply_order(order, revision, OrderOrigin::Change, 20);
+                }
+                Step::Remove if item.is_some() => {
+                    revision += 1;
+                    (item, expected) = (None, None);
+                    rollouts.remove_order(&service(), revision);
+                }
+                Step::Remove => {}
+                Step::SaveCopy => copy = (item, revision),
+                Step::RestoreCopy | Step::Outage => {
+                    let is_restored = matches!(step, Step::RestoreCopy);
+                    if is_restored {
+                        (item, revision) = copy;
+                    }
+                    let listed = item.map(|(content, revision)| (format!("v{content}"), revision));
+                    let listed = listed.as_ref().map(|(target, at)| (target.as_str(), *at));
+                    list(&mut rollouts, listed, is_restored);
+                }
+            }
+            target(&rollouts) == expected.map(|content| format!("v{content}")).as_deref()
+        })
+    }
+    let rng = Gen::from_size_and_seed(60, 20_261_206);
+    QuickCheck::new().rng(rng).tests(3_000).quickcheck(holds as fn(Vec<Step>) -> bool);
+}
