--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -129,8 +129,11 @@
     /// Decodes the registry entry of an instance; `None` if the entry is malformed.
     fn decode_entry(&mut self, id: &str, value: &[u8]) -> Option<InstanceEntry> {
         match (self.decode_instance)(id, value) {
-            Ok(entry) => {
+            Ok(mut entry) => {
                 self.undecodable.remove(id);
+                self.core.rollouts.record_entry(&entry);
+                // A time that counts down does not make each heartbeat a changed entry.
+                entry.cold_remaining_ms = 0;
                 Some(entry)
             }
             Err(err) => {
@@ -212,19 +215,22 @@
 
 impl<E: Display> WatchHandler for PlatformFollower<E> {
     fn on_list(&mut self, items: Vec<Change>) {
-        // Orders are applied before instances, which must get no request without the limits of their order.
-        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
-        let entries = self.listed_entries(&items);
-        self.is_restored = false;
+        // The list of daemons comes first: a daemon that knows of no other takes itself for the judge of an order.
         self.daemons.clear();
         for item in &items {
-            if &*item.key == self.keys.config {
-                self.install(item);
-            } else if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
+            if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
                 self.update_daemon(name, item.value.as_deref());
             }
         }
         self.publish_daemons();
+        // Orders are applied before instances, which must get no request without the limits of their order.
+        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
+        let entries = self.listed_entries(&items);
+        self.is_restored = false;
+        let config = self.keys.config;
+        for item in items.iter().filter(|item| &*item.key == config) {
+            self.install(item);
+        }
         self.core.versions.replace(&items, self.keys);
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
         self.core.update_listed_versions();
@@ -237,7 +243,6 @@
     }
 
     fn on_caught_up(&mut self) {
-        self.core.rollouts.confirm_list();
         self.core.mark_caught_up();
     }
 
@@ -246,6 +251,9 @@
         for change in &changes {
             self.rollout_items.apply(&self.core.rollouts, change);
         }
+        // Changes come from watches only. A list of the latest state is not enough: it is read in pages, between which an
+        // order may be written.
+        self.core.rollouts.confirm_list();
         for change in &changes {
             if &*change.key == self.keys.config {
                 self.install(change);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,6 +16,7 @@
 mod caller_stall;
 mod cancel_reason;
 mod choice;
+mod cold_instances;
 mod config;
 mod connection_pool;
 mod core;
@@ -71,6 +72,7 @@
 
 pub use crate::{
     caller_error::CallerError,
+    cold_instances::ColdInstances,
     config::{ClientAccount, ClientLimits, Config, EngineConfig, ServiceConfig},
     core::{Core, CoreOptions},
     crash_quarantine::ServiceEvidence,
--- a/crates/ingress/src/rollout_control.rs
+++ b/crates/ingress/src/rollout_control.rs
@@ -1,14 +1,21 @@
 //! Rollouts of software versions: which requests may go to the target version, and what is observed of them.
 
 use crate::{
-    core::Core, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
-    observation::Observation, registry::Registry, version_rule::VersionRule,
+    cold_instances::ColdInstances,
+    core::Core,
+    inbound::Inbound,
+    instance::Instance,
+    instance_entry::{InstanceEntry, InstanceId},
+    observation::Observation,
+    registry::Registry,
+    version_rule::VersionRule,
 };
 use affinity::SoftwareVersion;
-use base::{Clock, HashMap, HashSet, ServiceName, lock};
+use base::{Clock, HashMap, ServiceName, lock};
 use rollout::{
-    NewRequest, OrderChange, RolloutBounds, RolloutOrder, RolloutReply, RolloutReport,
-    RolloutStatus, Rollouts, RouteKey, StatusWrite, UsableVersions, VersionChoice,
+    ListedServices, NewRequest, OrderChange, OrderOrigin, RolloutBounds, RolloutOrder,
+    RolloutReply, RolloutReport, RolloutStatus, Rollouts, RouteKey, StatusWrite, UsableVersions,
+    VersionChoice,
 };
 use std::{
     hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState},
@@ -24,6 +31,10 @@
 /// usual load of the old ones. With 2, a version that is bad only under load was found at the time limit alone.
 const LOAD_MARGIN: f64 = 1.0;
 
+/// Part of those instances that must not be slow after their start any more, as a divisor. The load of each is at most so
+/// many times the intended one.
+const MIN_WARM_DIVISOR: usize = 2;
+
 /// Message with the daemons that get it.
 type Addressed<T> = (Vec<SocketAddr>, T);
 
@@ -34,6 +45,7 @@
     enabled: OnceLock<Enabled>,
     /// Whether the last list of items may lack orders that were written before it.
     is_unconfirmed: AtomicBool,
+    cold: Mutex<ColdInstances>,
     /// Peer addresses of all listed daemons, including this one.
     daemons: Mutex<Vec<SocketAddr>>,
     /// Wakes the exchange of reports.
@@ -53,6 +65,7 @@
             clock: Clock::start(),
             enabled: OnceLock::new(),
             is_unconfirmed: AtomicBool::new(false),
+            cold: Mutex::default(),
             daemons: Mutex::default(),
             started: Notify::new(),
         }
@@ -92,30 +105,49 @@
         excluded: &[InstanceId],
     ) -> VersionRule {
         let service = &inbound.service;
-        let Some(enabled) = self.enabled.get() else { return VersionRule::Any };
-        let state =
-            self.with(|rollouts, _| rollouts.state(service).map(|(target, _)| target.clone()));
-        let Some(target) = state.flatten() else {
+        if self.enabled.get().is_none() {
+            return VersionRule::Any;
+        }
+        let state = self.with(|rollouts, _| {
+            let (target, phase) = rollouts.state(service)?;
+            Some((target.clone(), phase, rollouts.suspended(service).to_vec()))
+        });
+        let Some((target, phase, suspended)) = state.flatten() else {
             return match self.is_unconfirmed.load(Ordering::Relaxed) && required.is_none() {
                 true => core.with_registry(|registry, _| most_common(registry, service)),
                 false => VersionRule::Any,
             };
         };
         let is_target = |instance: &&Arc<Instance>| instance.entry.software_version == target;
-        let (mut targets, old, slots_ratio) = core.with_registry(|registry, now_ms| {
-            let instances = registry.of_service(service).iter();
-            let serving = instances.filter(|instance| instance.accepts_requests());
-            let (targets, others): (Vec<_>, Vec<_>) = serving.partition(is_target);
-            let slots = |instances: &[&Arc<Instance>]| -> f64 {
-                instances.iter().map(|instance| f64::from(instance.entry.slots)).sum()
-            };
-            let slots_ratio = slots(&targets) / slots(&others).max(1.0);
-            let healthy = targets.iter().filter(|instance| !instance.has_failed_recently(now_ms));
-            let ids = healthy.map(|instance| Arc::clone(&instance.entry.id));
-            (ids.collect::<Vec<InstanceId>>(), others.len(), slots_ratio)
-        });
+        let is_final = phase.is_final();
+        let (mut targets, old, has_suspended, slots_ratio) =
+            core.with_registry(|registry, now_ms| {
+                let instances = registry.of_service(service).iter();
+                let serving = instances.filter(|instance| instance.accepts_requests());
+                let (mut targets, mut others): (Vec<_>, Vec<_>) = serving.partition(is_target);
+                let state = |instance: &Arc<Instance>| {
+                    let version = &instance.entry.software_version;
+                    suspended.iter().find(|suspended| suspended.version == *version)
+                };
+                let is_usable =
+                    |instance: &&Arc<Instance>| state(instance).is_some_and(|s| !s.is_bad);
+                let has_suspended = others.iter().any(is_usable);
+                others.retain(|instance| state(instance).is_none());
+                if !is_final && !others.is_empty() {
+                    self.retain_warm(&mut targets, self.concentration(others.len()));
+                }
+                let slots = |instances: &[&Arc<Instance>]| -> f64 {
+                    instances.iter().map(|instance| f64::from(instance.entry.slots)).sum()
+                };
+                let slots_ratio = slots(&targets) / slots(&others).max(1.0);
+                let healthy =
+                    targets.iter().filter(|instance| !instance.has_failed_recently(now_ms));
+                let ids = healthy.map(|instance| Arc::clone(&instance.entry.id));
+                (ids.collect::<Vec<InstanceId>>(), others.len(), has_suspended, slots_ratio)
+            });
         let usable = UsableVersions {
             old: old > 0,
+            suspended: has_suspended,
             target: targets.iter().any(|id| !excluded.contains(id)),
             slots_ratio,
         };
@@ -125,13 +157,12 @@
             rollouts.choose(service, route, &mut pass, required, usable, now_ms)
         });
         match choice {
-            Some(VersionChoice::Without(version)) => VersionRule::Without(version),
+            Some(VersionChoice::Without(versions)) => VersionRule::Without(versions),
             Some(VersionChoice::Prefer { is_concentrated, .. }) if usable.target => {
                 targets.sort_by_cached_key(|id| (instance_hash(id), Arc::clone(id)));
                 if is_concentrated {
-                    let count = old as f64 * enabled.bounds.exposure_share * LOAD_MARGIN;
                     targets.retain(|id| !excluded.contains(id));
-                    targets.truncate((count.ceil() as usize).max(1));
+                    targets.truncate(self.concentration(old));
                 }
                 VersionRule::Among(targets)
             }
@@ -147,10 +178,10 @@
         required: Option<&SoftwareVersion>,
     ) -> bool {
         let version = &instance.entry.software_version;
-        let permitted = self.with(|rollouts, _| {
+        let permitted = self.with(|rollouts, now_ms| {
             let mut pass = lock(&inbound.rollout);
             let route = RouteKey::from(&*inbound.route);
-            rollouts.permit(&inbound.service, route, &mut pass, version, required)
+            rollouts.permit(&inbound.service, route, &mut pass, version, required, now_ms)
         });
         if self.is_target(&inbound.service, version) {
             let permitted = permitted.unwrap_or(true).to_string();
@@ -159,6 +190,35 @@
         permitted.unwrap_or(true)
     }
 
+    /// Takes note of the registry entry of an instance.
+    pub(crate) fn record_entry(&self, entry: &InstanceEntry) {
+        if self.enabled.get().is_some() {
+            lock(&self.cold).record(entry, self.clock.now_ms());
+        }
+    }
+
+    /// Number of instances that get the requests for a version under evaluation beside `old` instances of other versions.
+    fn concentration(&self, old: usize) -> usize {
+        let share = self.enabled.get().map_or(0.0, |enabled| enabled.bounds.exposure_share);
+        ((old as f64 * share * LOAD_MARGIN).ceil() as usize).max(1)
+    }
+
+    /// Removes the instances that are still slow after their start: they show nothing of their version, and would only cost
+    /// exposure. Removes all if too few are left of the `count` that are to get requests, which would have too much load.
+    fn retain_warm(&self, targets: &mut Vec<&Arc<Instance>>, count: usize) {
+        let (cold, now_ms) = (lock(&self.cold), self.clock.now_ms());
+        let all = targets.len();
+        targets.retain(|instance| !cold.is_cold(&instance.entry.id, now_ms));
+        if targets.len() < all && targets.len() < count.div_ceil(MIN_WARM_DIVISOR) {
+            targets.clear();
+        }
+    }
+
+    /// Whether an instance is still slow after its start.
+    fn is_cold(&self, instance: &Instance) -> bool {
+        lock(&self.cold).is_cold(&instance.entry.id, self.clock.now_ms())
+    }
+
     /// Whether `version` is the target of the service's order.
     fn is_target(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
         let is_target = self.with(|rollouts, _| {
@@ -182,6 +242,7 @@
             instance: Arc::clone(&instance.entry.id),
             is_stream,
             is_resumed,
+            is_cold: self.is_cold(instance),
             target_latency_ms: inbound.target_latency_ms,
         };
         let number = self.with(|rollouts, now_ms| rollouts.begin(request(), now_ms))?;
@@ -190,27 +251,28 @@
 
     /// Logs that a call finds no instance, if a rollout is the reason.
     pub(crate) fn log_refusal(&self, core: &Core, inbound: &Inbound, rule: &VersionRule) {
-        let VersionRule::Without(version) = rule else { return };
-        let has_excluded = core.with_registry(|registry, _| {
-            registry.serving_versions(&inbound.service).any(|serving| serving == version)
+        let excluded = core.with_registry(|registry, _| {
+            let mut serving = registry.serving_versions(&inbound.service);
+            serving.find(|version| rule.excludes(version)).cloned()
         });
-        if has_excluded {
+        if let Some(version) = excluded {
             let id = inbound.id_text();
             log::info!("call: id={id} refused, reason=rollout version={version}");
             metrics::counter!("rollout_refusals_total").increment(1);
         }
     }
 
-    /// Takes note of the services whose orders are in a list of all items, before they are applied.
-    pub(crate) fn begin_list(&self, listed: &HashSet<ServiceName>, is_restored: bool) {
+    /// Takes note that a list of all items is about to be applied, which may lack orders.
+    pub(crate) fn begin_list(&self) {
         self.is_unconfirmed.store(true, Ordering::Relaxed);
-        self.with(|rollouts, _| {
-            rollouts.clear_statuses();
-            rollouts.note_listed(listed, is_restored);
-        });
     }
 
-    /// Takes note that all changes up to now were applied.
+    /// Takes note of the services whose items are in a list, after these were applied.
+    pub(crate) fn end_list(&self, listed: &ListedServices, is_restored: bool) {
+        self.with(|rollouts, _| rollouts.note_listed(listed, is_restored));
+    }
+
+    /// Takes note that the watch after the last list has responded, and that its changes were applied.
     pub(crate) fn confirm_list(&self) {
         self.is_unconfirmed.store(false, Ordering::Relaxed);
         for service in self.with(|rollouts, _| rollouts.confirm_list()).unwrap_or_default() {
@@ -218,12 +280,11 @@
         }
     }
 
-    /// Applies an order that was written at `revision`. `is_restored` tells whether it is from the first list after a
-    /// restoration of the store.
-    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64, is_restored: bool) {
+    /// Applies an order that was written at `revision`.
+    pub(crate) fn apply_order(&self, order: RolloutOrder, revision: u64, origin: OrderOrigin) {
         let RolloutOrder { service, target, duration_ms } = order.clone();
-        let change = self
-            .with(|rollouts, now_ms| rollouts.apply_order(order, revision, is_restored, now_ms));
+        let change =
+            self.with(|rollouts, now_ms| rollouts.apply_order(order, revision, origin, now_ms));
         match change {
             Some(OrderChange::Started) => {
                 log::info!(
@@ -235,13 +296,19 @@
             Some(OrderChange::Continued) => {
                 log::info!("rollout: service={service} goes on, revision={revision}");
             }
+            Some(OrderChange::Outdated) => {
+                log::info!(
+                    "rollout: service={service} stays as it is, the store holds an older order, revision={revision}"
+                );
+            }
             Some(OrderChange::Removed | OrderChange::None) | None => {}
         }
     }
 
-    /// Removes the order of a service.
-    pub(crate) fn remove_order(&self, service: &ServiceName) {
-        if self.with(|rollouts, _| rollouts.remove_order(service)) == Some(OrderChange::Removed) {
+    /// Removes the order of a service at `revision`.
+    pub(crate) fn remove_order(&self, service: &ServiceName, revision: u64) {
+        let change = self.with(|rollouts, _| rollouts.remove_order(service, revision));
+        if change == Some(OrderChange::Removed) {
             log::info!("rollout: service={service} ends, its order was removed");
         }
     }
@@ -258,11 +325,21 @@
         });
     }
 
+    /// Takes note that this daemon has made a write at `revision`.
+    pub(crate) fn note_written(&self, write: StatusWrite, revision: u64) {
+        self.with(|rollouts, now_ms| rollouts.note_written(write, revision, now_ms));
+    }
+
     /// Replaces the list of daemons.
     pub(crate) fn set_daemons(&self, daemons: Vec<SocketAddr>) {
         *lock(&self.daemons) = daemons;
     }
 
+    /// Whether a service has an order.
+    pub fn has_order(&self, service: &ServiceName) -> bool {
+        self.with(|rollouts, _| rollouts.has_order(service)).unwrap_or(false)
+    }
+
     /// Whether a rollout runs, so that reports are exchanged.
     pub(crate) fn is_active(&self) -> bool {
         self.with(|rollouts, _| rollouts.is_active()).unwrap_or(false)
@@ -276,11 +353,9 @@
         let daemons = lock(&self.daemons).clone();
         let due = self.with(|rollouts, now_ms| {
             let reports = rollouts.tick(&daemons, own, now_ms);
-            (reports, rollouts.take_broadcasts(now_ms))
+            (reports, rollouts.take_verdicts(&daemons, own, now_ms))
         });
-        let (reports, verdicts) = due.unwrap_or_default();
-        let others = || daemons.iter().copied().filter(|addr| Some(*addr) != own).collect();
-        (reports, verdicts.into_iter().map(|verdict| (others(), verdict)).collect())
+        due.unwrap_or_default()
     }
 
     /// Keeps the report of another daemon. Returns the reply.
