Versions: take-ups wait for a read of the records that succeeds

Cause: a take-up without a record needs a read of the records that began after it came. If the reader's task had not run yet when the daemon caught up, or if the one read failed, the take-up was refused at once. The requests that wait for a starting daemon and the reader's task are woken in random order, so about half of these take-ups found no reader.

A take-up now waits up to 2 s, and no longer than its deadline, for a read that began after it came and succeeds; failed reads are repeated. The evidence is the same as before: the same read has to find one version in play and the item of the store's era. In an outage that has lasted longer than the wait, the first failed read decides.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -276,7 +276,7 @@
     /// Finds out at which software version the stream `id` of a service began. `None` stands for a stream without a
     /// record.
     pub async fn stream_origin(&self, service: &ServiceName, id: Option<&str>) -> Origin {
-        self.versions.find_origin(service, id).await
+        self.versions.find_origin(service, id, u64::MAX).await
     }
 
     /// Replaces the list of daemons. `daemons` holds their peer addresses, including that of this daemon.
@@ -558,7 +558,7 @@
     ///
     /// As `StreamVersion::take_up`.
     pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
-        let origin = self.versions.origin(inbound).await;
+        let origin = self.versions.origin(inbound, self.left_ms(inbound)).await;
         StreamVersion::take_up(origin, lock(&self.registry).serving_versions(&inbound.service))
     }
 
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -18,8 +18,9 @@
 };
 use tokio::sync::{Notify, watch};
 
-/// Longest wait for a read of the records. A caller is better refused than kept waiting.
-const ORIGIN_WAIT_MS: u64 = 1_000;
+/// Longest wait for a read of the records. Callers wait at least two seconds for the next event, and a refused take-up is
+/// often the last one of its stream. With 89 daemons, reads begin 678 ms apart if each takes its full time.
+const ORIGIN_WAIT_MS: u64 = 2_000;
 
 /// Shortest time between two log lines on items that cannot be read.
 const LOG_INTERVAL_MS: u64 = 10_000;
@@ -41,17 +42,18 @@
     logged_ms: AtomicU64,
 }
 
-/// Reads of the records at the store, of which there is at most one at a time.
+/// Reads of the records at the store, of which there is at most one at a time. The first one starts after the daemon has
+/// caught up.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reads {
-    /// Whether the records can be read.
-    has_reader: bool,
     started: u64,
     finished: u64,
     /// Number of the last read that has succeeded.
     succeeded: u64,
     /// Whether the last read that has succeeded found all versions at which unrecorded streams may have begun.
     is_complete: bool,
+    /// When the first of the reads ended that have failed since the last success; `None` if the last one has succeeded.
+    failing_since_ms: Option<u64>,
 }
 
 impl VersionAffinity {
@@ -96,9 +98,9 @@
     }
 
     /// Finds out at which version the stream began that `inbound` takes up. If the daemon has no record of the stream,
-    /// it reads the records of the others from the store; if that fails, the version is unknown.
-    pub async fn origin(&self, inbound: &Inbound) -> Origin {
-        self.find_origin(&inbound.service, inbound.resumes.as_deref()).await
+    /// it reads the records of the others from the store; if that fails for `left_ms`, the version is unknown.
+    pub async fn origin(&self, inbound: &Inbound, left_ms: u64) -> Origin {
+        self.find_origin(&inbound.service, inbound.resumes.as_deref(), left_ms).await
     }
 
     /// Those of `instances` at whose versions new streams may not begin yet, so that others are preferred.
@@ -119,13 +121,19 @@
         }
     }
 
-    /// Finds out at which version the stream `id` of a service began; `None` stands for a stream without a record.
-    pub(crate) async fn find_origin(&self, service: &ServiceName, id: Option<&str>) -> Origin {
+    /// Finds out within `left_ms` at which version the stream `id` of a service began; `None` stands for a stream without
+    /// a record.
+    pub(crate) async fn find_origin(
+        &self,
+        service: &ServiceName,
+        id: Option<&str>,
+        left_ms: u64,
+    ) -> Origin {
         let recorded = || id.and_then(|id| self.state().recorded_origin(id, service));
         if let Some(origin) = recorded() {
             return origin;
         }
-        let read = self.read_records().await;
+        let read = self.read_records(left_ms.min(ORIGIN_WAIT_MS)).await;
         let origin = match recorded() {
             Some(origin) => origin,
             None if read.is_some_and(|is_complete| is_complete) => {
@@ -146,24 +154,28 @@
     }
 
     /// Reads the records from the store. Returns whether the versions are complete, or `None` unless a read that began
-    /// after this call has succeeded: an earlier one may lack the version of a stream that has begun since.
-    async fn read_records(&self) -> Option<bool> {
+    /// after this call has succeeded within `wait_ms`: an earlier one may lack the version of a stream that has begun
+    /// since. A failed read is repeated, because the store may only turn away the reads of many daemons that start at once.
+    /// In an outage that has lasted for longer than the wait, the first failed read decides.
+    async fn read_records(&self, wait_ms: u64) -> Option<bool> {
         let mut reads = self.reads.subscribe();
-        let Reads { has_reader, started, .. } = *reads.borrow();
-        if !has_reader {
-            return None;
-        }
-        self.requested.notify_one();
-        let wait = Duration::from_millis(ORIGIN_WAIT_MS);
-        let finished = reads.wait_for(|reads| reads.finished > started);
-        let outcome = tokio::time::timeout(wait, finished).await;
-        let reads = outcome.ok()?.ok()?;
-        (reads.succeeded > started).then_some(reads.is_complete)
-    }
-
-    /// Enables reads of the records.
-    pub(crate) fn set_reader(&self) {
-        self.reads.send_modify(|reads| reads.has_reader = true);
+        let before = reads.borrow().started;
+        let mut seen = before;
+        let read = async {
+            loop {
+                self.requested.notify_one();
+                let last = *reads.wait_for(|reads| reads.finished > seen).await.ok()?;
+                if last.succeeded > before {
+                    return Some(last.is_complete);
+                }
+                let gives_up_ms = last.failing_since_ms.map(|since_ms| since_ms + ORIGIN_WAIT_MS);
+                if gives_up_ms.is_some_and(|at_ms| self.clock.now_ms() >= at_ms) {
+                    return None;
+                }
+                seen = last.finished;
+            }
+        };
+        tokio::time::timeout(Duration::from_millis(wait_ms), read).await.ok().flatten()
     }
 
     /// Records the start of a read.
@@ -173,11 +185,15 @@
 
     /// Records the end of a read: whether the versions are complete, or `None` if it has failed.
     pub(crate) fn finish_read(&self, outcome: Option<bool>) {
+        let now_ms = self.clock.now_ms();
         self.reads.send_modify(|reads| {
             reads.finished = reads.started;
             if let Some(is_complete) = outcome {
                 reads.succeeded = reads.started;
                 reads.is_complete = is_complete;
+                reads.failing_since_ms = None;
+            } else {
+                reads.failing_since_ms.get_or_insert(now_ms);
             }
         });
     }
--- a/crates/ingress/src/version_recorder.rs
+++ b/crates/ingress/src/version_recorder.rs
@@ -16,6 +16,9 @@
 /// Pause after a read, for each daemon of the fleet. After all daemons were killed, each of them has many take-ups.
 const READ_PAUSE_PER_DAEMON_MS: u64 = 2;
 
+/// Shortest pause after a failed read, which take-ups that wait repeat at once.
+const FAILED_READ_PAUSE_MS: u64 = 50;
+
 /// Decodes the registry entry of the instance with the given identifier.
 type DecodeInstance<E> = fn(&str, &[u8]) -> Result<InstanceEntry, E>;
 
@@ -41,25 +44,26 @@
     decode: DecodeInstance<E>,
 ) {
     let versions = &core.versions;
-    versions.set_reader();
     loop {
         versions.requested.notified().await;
         versions.start_read();
         metrics::counter!("stream_origin_reads_total").increment(1);
         let timeout = Duration::from_millis(READ_TIMEOUT_MS);
         let read = tokio::time::timeout(timeout, read_versions(core, &mut store, keys, decode));
-        match read.await {
-            Ok(Ok(is_complete)) => versions.finish_read(Some(is_complete)),
+        let is_complete = match read.await {
+            Ok(Ok(is_complete)) => Some(is_complete),
             Ok(Err(err)) => {
                 log::info!("versions: the records were not read: {err}");
-                versions.finish_read(None);
+                None
             }
             Err(_) => {
                 log::info!("versions: the records were not read in {READ_TIMEOUT_MS} ms");
-                versions.finish_read(None);
+                None
             }
-        }
-        let pause_ms = core.listed_daemons() as u64 * READ_PAUSE_PER_DAEMON_MS;
+        };
+        versions.finish_read(is_complete);
+        let least_ms = if is_complete.is_some() { 0 } else { FAILED_READ_PAUSE_MS };
+        let pause_ms = (core.listed_daemons() as u64 * READ_PAUSE_PER_DAEMON_MS).max(least_ms);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
