Ingress: daemons tell three others where the copy of a stream is

While one software version is in play the store holds no records of streams, so only the daemon of a stream knew where the copy of its KV cache was.

The daemon now tells three daemons, which the identifier of the stream determines, with the first event and for each new copy. A daemon that takes the stream up asks four, all at once, for at most 20 ms. Records of several versions in the store stay as they are.

The drawn fleets of affinity/tests tell records as well. A question is also forgotten when the request that asked it is dropped.

--- a/crates/affinity/src/begun_streams.rs
+++ b/crates/affinity/src/begun_streams.rs
@@ -5,6 +5,7 @@
     origin::Origin,
     record_item::{self, MAX_ID_BYTES, RecordedStream},
     replica_record::ReplicaRecord,
+    run_copy::RunCopy,
     service_version::ServiceVersion,
     version_records::STREAM_LIFE_MS,
 };
@@ -131,6 +132,26 @@
         Ok(())
     }
 
+    /// Adds the stream of a message of another daemon. One that is too large is ignored.
+    pub fn merge_copy(&mut self, copy: RunCopy, now_ms: u64) {
+        let RunCopy { stream_id: id, software, replica } = copy;
+        if id.len() <= MAX_ID_BYTES && replica.is_valid() {
+            let stream = RecordedStream { id, replica: Some(replica) };
+            self.insert_other(stream, &Arc::new(software), now_ms);
+        }
+    }
+
+    /// What other daemons are told of a stream; `None` if its version or its replica is not known, or if its identifier is
+    /// too long.
+    pub fn copy(&self, id: &str) -> Option<RunCopy> {
+        let software = match self.own.get(id) {
+            Some(own) => &own.software,
+            None => self.others.get(id)?.software.as_deref()?,
+        };
+        let replica = self.replica(id).filter(|_| id.len() <= MAX_ID_BYTES)?;
+        Some(RunCopy { stream_id: id.into(), software: software.clone(), replica: replica.clone() })
+    }
+
     /// Service at which a stream began; `None` if there is no record of the stream.
     pub fn service(&self, id: &str) -> Option<&ServiceName> {
         let software = match self.own.get(id) {
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -11,11 +11,13 @@
 
 mod begun_streams;
 mod complete_era;
+mod copy_holders;
 mod era_watch;
 mod item_error;
 mod origin;
 mod record_item;
 mod replica_record;
+mod run_copy;
 mod service_version;
 mod software_version;
 mod step;
@@ -28,10 +30,12 @@
 
 pub use crate::{
     complete_era::CompleteEra,
+    copy_holders::{ASKED_DAEMONS, TOLD_DAEMONS, copy_holders},
     item_error::ItemError,
     origin::Origin,
     record_item::{RecordBatch, RecordItem},
     replica_record::ReplicaRecord,
+    run_copy::RunCopy,
     service_version::ServiceVersion,
     software_version::SoftwareVersion,
     step::Step,
--- a/crates/affinity/src/version_records.rs
+++ b/crates/affinity/src/version_records.rs
@@ -9,6 +9,7 @@
     origin::Origin,
     record_item::{RecordBatch, RecordItem},
     replica_record::ReplicaRecord,
+    run_copy::RunCopy,
     service_version::ServiceVersion,
     software_version::SoftwareVersion,
     step::Step,
@@ -205,6 +206,17 @@
         self.streams.replica(id)
     }
 
+    /// Adds the stream of a message of another daemon, which has begun or resumed it.
+    pub fn merge_copy(&mut self, copy: RunCopy, now_ms: u64) {
+        self.streams.prune(now_ms);
+        self.streams.merge_copy(copy, now_ms);
+    }
+
+    /// What other daemons are told of the stream `id`; `None` if no replica of it is recorded.
+    pub fn copy(&self, id: &str) -> Option<RunCopy> {
+        self.streams.copy(id)
+    }
+
     /// Service at which the stream `id` began, by the records; `None` if there is no record of it.
     pub fn recorded_service(&self, id: &str) -> Option<&ServiceName> {
         self.streams.service(id)
--- a/crates/affinity/tests/common/mod.rs
+++ b/crates/affinity/tests/common/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code)]
 
 use affinity::{
-    CompleteEra, LEASE_MS, Origin, STREAM_LIFE_MS, ServiceVersion, SoftwareVersion, Step,
-    VersionRecords,
+    CompleteEra, LEASE_MS, Origin, ReplicaRecord, RunCopy, STREAM_LIFE_MS, ServiceVersion,
+    SoftwareVersion, Step, VersionRecords,
 };
 use base::{HashMap, HashSet, ServiceName};
 
@@ -288,6 +288,28 @@
         });
     }
 
+    /// Tells a daemon where the KV cache replica of one of the last streams is, as the daemon that has begun it does.
+    pub fn tell(&mut self, daemon: usize, choice: usize) {
+        let recent = self.streams.len().min(64);
+        if recent == 0 {
+            return;
+        }
+        let stream = &self.streams[self.streams.len() - 1 - choice % recent];
+        let replica = ReplicaRecord {
+            holder: "holder".into(),
+            fingerprint: "f".into(),
+            reference: stream.id.as_str().into(),
+            take_ups: 0,
+            last_event_id: 1,
+        };
+        let copy = RunCopy {
+            stream_id: stream.id.as_str().into(),
+            software: stream.software.clone(),
+            replica,
+        };
+        self.daemons[daemon].versions.merge_copy(copy, self.now_ms);
+    }
+
     /// Lets the recorder of a daemon make one step.
     pub fn step(&mut self, daemon: usize, outcome: CallOutcome) {
         let outcome = if self.is_down { CallOutcome::Refused } else { outcome };
--- a/crates/affinity/tests/replica_records.rs
+++ b/crates/affinity/tests/replica_records.rs
@@ -1,7 +1,8 @@
 //! Tests of the records of KV cache replicas.
 
 use affinity::{
-    Origin, RecordBatch, ReplicaRecord, ServiceVersion, SoftwareVersion, Step, VersionRecords,
+    Origin, RecordBatch, ReplicaRecord, RunCopy, ServiceVersion, SoftwareVersion, Step,
+    VersionRecords,
 };
 use base::HashSet;
 
@@ -138,3 +139,60 @@
     merge(&mut reader, &late);
     assert_eq!(reader.replica("a"), Some(&replica("h2", 1, 41)));
 }
+
+/// Guards against a replica that no other daemon knows while one version is in play, because the store holds no records.
+#[test]
+fn a_told_replica_is_known_with_its_version() {
+    let mut begun_at = VersionRecords::new("vm-1/1", 1);
+    begun_at.set_listed(HashSet::from_iter([version(1)]), 0);
+    begun_at.record_begun("a", version(1), 0);
+    assert_eq!(begun_at.copy("a"), None, "there is no replica yet");
+    let is_written = begun_at.record_replica("a", version(1), replica("h1", 0, 1), 0);
+    assert!(!is_written, "one version is in play");
+    let first = begun_at.copy("a").unwrap();
+    let mut told = VersionRecords::new("vm-2/1", 2);
+    told.merge_copy(first.clone(), 5);
+    assert_eq!(told.copy("a"), Some(first.clone()));
+    let origin = told.recorded_origin("a", &"engines".try_into().unwrap());
+    assert_eq!(origin, Some(Origin::Known(version(1).version)));
+    // A later run replaces the replica, and a message that comes late does not bring the used-up one back.
+    let later = RunCopy { replica: replica("h2", 1, 7), ..first.clone() };
+    told.merge_copy(later.clone(), 6);
+    told.merge_copy(first, 7);
+    assert_eq!(told.copy("a"), Some(later));
+}
+
+/// Guards against streams that are joined from two versions because two callers have chosen the same identifier.
+#[test]
+fn told_replicas_of_two_versions_make_the_version_unknown() {
+    let mut told = records("vm-2/1");
+    for number in [1, 2] {
+        let copy = RunCopy {
+            stream_id: "a".into(),
+            software: version(number),
+            replica: replica("h1", 0, 1),
+        };
+        told.merge_copy(copy, 0);
+    }
+    let origin = told.recorded_origin("a", &"engines".try_into().unwrap());
+    assert_eq!((origin, told.copy("a")), (Some(Origin::Unknown), None));
+}
+
+/// Guards against memory that is filled by long texts of a message, and by a burst of messages.
+#[test]
+fn told_replicas_are_bounded() {
+    let mut told = records("vm-2/1");
+    let long: Box<str> = "x".repeat(1_000).into();
+    let copy = |stream_id: Box<str>, reference: Box<str>| RunCopy {
+        stream_id,
+        software: version(1),
+        replica: ReplicaRecord { reference, ..replica("h1", 0, 1) },
+    };
+    told.merge_copy(copy(long.clone(), "r".into()), 0);
+    told.merge_copy(copy("a".into(), long), 0);
+    assert!(told.is_empty());
+    for number in 0..50_000 {
+        told.merge_copy(copy(format!("{number}").into(), "r".into()), 0);
+    }
+    assert_eq!(told.len(), (0, 16_384));
+}
--- a/crates/affinity/tests/version_records.rs
+++ b/crates/affinity/tests/version_records.rs
@@ -24,6 +24,7 @@
         25 => fleet.kill(daemon),
         26 if rest.is_multiple_of(4) => (0..DAEMONS).for_each(|daemon| fleet.kill(daemon)),
         26 if rest % 4 == 1 => fleet.lose_version((rest / 4 % 4) as u8),
+        26 => fleet.tell(daemon, rest / 4),
         27 => fleet.is_down = rest.is_multiple_of(3),
         28 => fleet.save_copy(),
         29 if rest.is_multiple_of(8) => fleet.restore(),
--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -10,7 +10,6 @@
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
     instance_limits::InstanceLimits,
-    kv_replica::{KvReplica, KvReplicaOrigin},
     peer_message::PeerMessage,
     peer_socket::PeerSocket,
     placement::Placement,
@@ -23,7 +22,7 @@
     stream_queues::StreamQueues,
     version_affinity::VersionAffinity,
 };
-use affinity::{Origin, ReplicaRecord, ServiceVersion, StreamVersion, TakeUpError};
+use affinity::{Origin, ServiceVersion};
 use base::{Clock, DomainName, HashMap, HashSet, ServiceName, lock};
 use hyper::{HeaderMap, StatusCode};
 use limit::{RetryBudgetLimits, RetryBudgets, Urgency};
@@ -298,7 +297,7 @@
     }
 
     /// Number of listed daemons; at least 1.
-    pub(crate) fn listed_daemons(&self) -> usize {
+    pub fn listed_daemons(&self) -> usize {
         lock(&self.daemons).len().max(1)
     }
 
@@ -552,37 +551,6 @@
             && !self.usable_instances(service, &any_version).is_empty()
     }
 
-    /// Decides at which version a stream goes on that a caller takes up.
-    ///
-    /// # Errors
-    ///
-    /// As `StreamVersion::take_up`.
-    pub(crate) async fn take_up(&self, inbound: &Inbound) -> Result<StreamVersion, TakeUpError> {
-        let origin = self.versions.origin(inbound, self.left_ms(inbound)).await;
-        StreamVersion::take_up(origin, lock(&self.registry).serving_versions(&inbound.service))
-    }
-
-    /// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if the record
-    /// belongs to another request, or if its holder takes no requests.
-    pub(crate) fn recorded_replica(
-        &self,
-        inbound: &Inbound,
-        record: ReplicaRecord,
-    ) -> Option<KvReplica> {
-        let ReplicaRecord { holder, fingerprint, reference, .. } = record;
-        if fingerprint != inbound.run_fingerprint(&self.dialect) {
-            return None;
-        }
-        let registry = lock(&self.registry);
-        let instances = registry.of_service(&inbound.service);
-        let instance = instances.iter().find(|instance| *instance.entry.id == *holder)?;
-        if !self.may_send(instance) {
-            return None;
-        }
-        let origin = KvReplicaOrigin::Recorded(reference);
-        Some(KvReplica::new(Arc::clone(instance), origin, self.clock.now_ms()))
-    }
-
     /// Chooses up to `count` engines of a service for a stream. A new stream, which requires no version, begins at a
     /// version that takes new streams if there is such an engine.
     pub(crate) fn choose_stream_candidates(
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -206,6 +206,7 @@
     fn publish_daemons(&self) {
         let daemons: Vec<SocketAddr> = self.daemons.values().copied().collect();
         self.core.rollouts.set_daemons(daemons.clone());
+        self.core.versions.copies.set_daemons(daemons.clone());
         self.core.set_daemons(daemons);
     }
 }
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons.
 
 use crate::{crash_quarantine::ServiceEvidence, restarts::Restart, shared_rates::SharedRates};
+use affinity::RunCopy;
 use base::ServiceName;
 use limit::Urgency;
 use rollout::{RolloutReply, RolloutReport};
@@ -49,6 +50,22 @@
     RolloutReply(RolloutReply),
     /// Tells the rates of engines of one service that differ in speed, the latest ones first.
     Rates(Vec<SharedRates>),
+    /// Tells where the KV cache replica of a stream is.
+    Copy(RunCopy),
+    /// Asks where the KV cache replica of a stream is.
+    AskCopy {
+        /// Number by which the answer refers to this question.
+        number: u64,
+        /// Identifier of the caller's attempt that began the stream.
+        stream_id: Box<str>,
+    },
+    /// Answers the question where the KV cache replica of a stream is.
+    CopyAnswer {
+        /// Number of the question that is answered.
+        number: u64,
+        /// The stream; `None` if the daemon does not know where its replica is.
+        copy: Option<RunCopy>,
+    },
 }
 
 impl PeerMessage {
@@ -63,7 +80,10 @@
             | Self::Restarts(_)
             | Self::AskRequest { .. }
             | Self::RolloutReport(_)
-            | Self::RolloutReply(_) => true,
+            | Self::RolloutReply(_)
+            | Self::Copy(_)
+            | Self::AskCopy { .. }
+            | Self::CopyAnswer { .. } => true,
         }
     }
 
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -1,4 +1,5 @@
-//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, and rates of engines.
+//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, rates of engines, and KV cache
+//! replicas.
 
 use crate::{
     core::Core,
@@ -7,6 +8,7 @@
     shared_rates::SharedRates,
 };
 use base::{HashMap, ServiceName, lock};
+use futures::future::join_all;
 use limit::Urgency;
 use std::{
     io::Result as IoResult,
@@ -96,6 +98,7 @@
             self.share_evidence(&core),
             self.share_rates(&core),
             self.share_rollouts(&core),
+            self.share_copies(&core),
         );
     }
 
@@ -168,6 +171,18 @@
         }
     }
 
+    /// Tells a few other daemons where the KV cache replicas of this daemon's streams are.
+    async fn share_copies(&self, core: &Core) {
+        let own = self.local_addr().ok();
+        loop {
+            let (message, daemons) = core.versions.copies.next(own).await;
+            for daemon in daemons {
+                self.send(&message, daemon).await;
+                metrics::counter!("stream_copies_sent_total").increment(1);
+            }
+        }
+    }
+
     /// Receives messages of other daemons and answers their questions.
     async fn receive(&self, core: &Core) {
         let mut buffer = [0; MESSAGE_SIZE_BYTES];
@@ -218,6 +233,18 @@
                 Some(PeerMessage::RolloutReply(reply)) if core.is_peer(from) => {
                     core.rollouts.merge_reply(&reply);
                 }
+                Some(PeerMessage::Copy(copy)) if core.is_peer(from) => {
+                    core.versions.merge_copy(copy);
+                }
+                Some(PeerMessage::AskCopy { number, stream_id }) if core.is_peer(from) => {
+                    let copy = core.versions.copy(&stream_id);
+                    self.send(&PeerMessage::CopyAnswer { number, copy }, from).await;
+                }
+                Some(PeerMessage::CopyAnswer { number, copy }) if core.is_peer(from) => {
+                    let is_known = copy.is_some();
+                    copy.into_iter().for_each(|copy| core.versions.merge_copy(copy));
+                    self.on_answer(number, is_known, from);
+                }
                 _ => log::info!(
                     "loan: ignored a message from {from}, invalid or from an unlisted daemon"
                 ),
@@ -265,6 +292,19 @@
         is_lent
     }
 
+    /// Asks the daemons that may know it where the last KV cache replica of the stream `id` is, all at once, and records
+    /// what they answer.
+    pub(crate) async fn ask_for_copy(&self, core: &Core, id: &str) {
+        let daemons = core.versions.copies.asked(id, self.local_addr().ok());
+        let questions = daemons.into_iter().map(|daemon| {
+            let ask = |number| PeerMessage::AskCopy { number, stream_id: id.into() };
+            self.ask_one(core, daemon, ask)
+        });
+        let answers = join_all(questions).await;
+        let is_known = answers.contains(&true).to_string();
+        metrics::counter!("stream_copies_asked_total", "known" => is_known).increment(1);
+    }
+
     /// Sends the question that `ask` creates for a number to `peers`, one after the other, until one grants it.
     async fn ask(
         &self,
@@ -273,20 +313,30 @@
         ask: impl Fn(u64) -> PeerMessage,
     ) -> bool {
         for peer in peers {
-            let number = core.random_number();
-            let (sender, receiver) = oneshot::channel();
-            self.pending().insert(number, Question { asked: peer, sender });
-            self.send(&ask(number), peer).await;
-            let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
-            let is_granted = matches!(tokio::time::timeout(timeout, receiver).await, Ok(Ok(true)));
-            self.pending().remove(&number);
-            if is_granted {
+            if self.ask_one(core, peer, &ask).await {
                 return true;
             }
         }
         false
     }
 
+    /// Sends the question that `ask` creates for a number to `peer`. Returns the answer, or `false` if there is none in
+    /// time.
+    async fn ask_one(
+        &self,
+        core: &Core,
+        peer: SocketAddr,
+        ask: impl Fn(u64) -> PeerMessage,
+    ) -> bool {
+        let number = core.random_number();
+        let (sender, receiver) = oneshot::channel();
+        self.pending().insert(number, Question { asked: peer, sender });
+        let _guard = QuestionGuard { socket: self, number };
+        self.send(&ask(number), peer).await;
+        let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        matches!(tokio::time::timeout(timeout, receiver).await, Ok(Ok(true)))
+    }
+
     /// Sends a message to the daemon with the peer address `to`.
     pub(crate) async fn send(&self, message: &PeerMessage, to: SocketAddr) {
         if let Err(err) = self.socket.send_to(&message.encode(), to).await {
@@ -299,6 +349,18 @@
     }
 }
 
+/// Guard that forgets a question when nobody waits for its answer any more, such as after the caller has disconnected.
+struct QuestionGuard<'a> {
+    socket: &'a PeerSocket,
+    number: u64,
+}
+
+impl Drop for QuestionGuard<'_> {
+    fn drop(&mut self) {
+        self.socket.pending().remove(&self.number);
+    }
+}
+
 /// Creates a message with as many of the rates, the latest ones first, as fit into a datagram.
 fn rates_message(mut rates: Vec<SharedRates>) -> PeerMessage {
     loop {
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -21,6 +21,7 @@
     response_head::forwarded_headers,
     route_kind::RouteKind,
     stream_schedule::StreamSchedule,
+    take_up::TakeUp,
     version_rule::VersionRule,
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
@@ -269,14 +270,10 @@
     /// `StreamVersionUnknown` or `StreamVersionGone` if it cannot go on; nothing was sent.
     async fn take_up(&mut self) -> Result<(), CallerError> {
         metrics::counter!("stream_takeups_total").increment(1);
-        match self.core.take_up(&self.inbound).await {
-            Ok(version) => {
+        match TakeUp::find(&self.core, &self.inbound).await {
+            Ok(TakeUp { version, take_ups, replica }) => {
                 self.version = version;
-                let resumes = self.inbound.resumes.as_deref();
-                let record = resumes.and_then(|id| self.core.versions.replica(id));
-                self.take_ups = record.as_ref().map_or(1, |record| record.take_ups + 1);
-                let replica =
-                    record.and_then(|record| self.core.recorded_replica(&self.inbound, record));
+                self.take_ups = take_ups;
                 let has_copy = replica.is_some().to_string();
                 metrics::counter!("stream_takeups_accepted_total", "copy" => has_copy).increment(1);
                 log::info!(
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     follow::PlatformKeys, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
+    run_copies::RunCopies,
 };
 use affinity::{
-    CompleteEra, ItemError, Origin, ReplicaRecord, ServiceVersion, VersionChange, VersionRecords,
+    CompleteEra, ItemError, Origin, ReplicaRecord, RunCopy, ServiceVersion, VersionChange,
+    VersionRecords,
 };
 use base::{Clock, HashSet, ServiceName, lock};
 use plat::{Change, Position};
@@ -30,6 +32,8 @@
 pub(crate) struct VersionAffinity {
     pub(crate) clock: Clock,
     versions: Mutex<VersionRecords>,
+    /// KV cache replicas that other daemons are told.
+    pub(crate) copies: RunCopies,
     /// Wakes the recorder.
     pub(crate) changed: Notify,
     /// Wakes the reader of the records.
@@ -64,6 +68,7 @@
         Self {
             clock: Clock::start(),
             versions: Mutex::new(VersionRecords::new(format!("{lifetime:016x}"), seed)),
+            copies: RunCopies::default(),
             changed: Notify::new(),
             requested: Notify::new(),
             position: Mutex::default(),
@@ -82,11 +87,26 @@
     /// Records the KV cache replica of the stream `id`, which runs at `instance`, so that each daemon can resume it.
     pub fn record_replica(&self, id: &str, instance: &Instance, replica: ReplicaRecord) {
         let now_ms = self.clock.now_ms();
-        if self.state().record_replica(id, software(instance), replica, now_ms) {
+        let mut state = self.state();
+        let is_written = state.record_replica(id, software(instance), replica.clone(), now_ms);
+        let copy = state.copy(id).filter(|copy| copy.replica == replica);
+        drop(state);
+        copy.into_iter().for_each(|copy| self.copies.push(copy));
+        if is_written {
             self.changed.notify_one();
         }
     }
 
+    /// Records what another daemon tells of a stream.
+    pub fn merge_copy(&self, copy: RunCopy) {
+        self.state().merge_copy(copy, self.clock.now_ms());
+    }
+
+    /// What another daemon is told of the stream `id`; `None` if no KV cache replica of it is recorded.
+    pub fn copy(&self, id: &str) -> Option<RunCopy> {
+        self.state().copy(id)
+    }
+
     /// Last recorded KV cache replica of the stream `id`; `None` if this daemon has no record of one.
     pub fn replica(&self, id: &str) -> Option<ReplicaRecord> {
         self.state().replica(id).cloned()
