Ingress: take-ups without a copy are spread and ordered by the time left

After the loss of all power the callers resume their streams at the same time, when the engines have dropped the copies of the KV caches.

Cause: each take-up probed three engines at random, all at the same time and in no order, so that some waited for the prefills of others beside free engines of their version.

Such take-ups now probe eight engines, and those of one version at one daemon look for engines one after the other, the one with the least time left first.

--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -21,7 +21,7 @@
     response_head::forwarded_headers,
     route_kind::RouteKind,
     stream_schedule::StreamSchedule,
-    take_up::TakeUp,
+    take_up::{TakeUp, probed_engines, version_key},
     version_rule::VersionRule,
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
@@ -39,9 +39,6 @@
 use tokio::{sync::watch, time::Instant};
 use web::AbortedBody;
 
-/// Number of engines that are probed for their load before one gets the request.
-const PROBED_ENGINES: usize = 3;
-
 /// Longest wait of an attempt for an engine that is not busy, counted from the last event, or from the arrival of the
 /// request if there was none. The engines of a lost failure domain are usually back by then.
 const MAX_BUSY_WAIT_MS: u64 = 1_500;
@@ -873,20 +870,21 @@
         let candidates = self.core.choose_stream_candidates(
             &self.inbound.service,
             &self.placement(),
-            PROBED_ENGINES,
+            probed_engines(&self.inbound, replica.is_some()),
         );
         let core = Arc::clone(&self.core);
         let now_ms = core.clock.now_ms();
         let is_new = self.sends == 0 && self.events == 0 && self.inbound.last_event_id.is_none();
         let ask = self.schedule.search(self.progress(now_ms), is_new, now_ms);
-        let is_unconstrained = self.excluded.is_empty()
-            && self.version == StreamVersion::Any
-            && self.version_rule == VersionRule::Any;
-        let turn = match &ask {
-            Some(ask) if replica.is_none() => {
-                Some(self.schedule.turn(&core, ask, is_unconstrained))
+        let is_free = self.excluded.is_empty() && self.version_rule == VersionRule::Any;
+        let is_unconstrained = is_free && self.version == StreamVersion::Any;
+        let version_key = self.version.required().filter(|_| is_free).map(version_key);
+        let progress = self.progress(now_ms);
+        let turn = match replica.is_none() {
+            true => {
+                self.schedule.turn(&core, ask.as_ref(), progress, is_unconstrained, version_key)
             }
-            _ => None,
+            false => None,
         };
         let requirements = EngineRequirements {
             ask,
--- a/crates/ingress/src/stream_schedule.rs
+++ b/crates/ingress/src/stream_schedule.rs
@@ -71,25 +71,41 @@
         })
     }
 
-    /// Enters the queue of the streams that look for an engine. Returns a future that waits for the stream's turn.
-    /// `is_unconstrained` tells whether any engine of the service will do.
+    /// Enters the queue of the streams that look for an engine. Returns a future that waits for the stream's turn; `None`
+    /// if the stream waits for none: of a service whose streams are not scheduled, only those wait that callers take up
+    /// and that need a prefill at the engines of one version. `is_unconstrained` tells whether any engine of the service
+    /// will do, `version_key` identifies the version if any of its engines will do.
     pub fn turn(
         &mut self,
         core: &Arc<Core>,
-        ask: &StreamAsk,
+        ask: Option<&StreamAsk>,
+        progress: StreamProgress,
         is_unconstrained: bool,
-    ) -> impl Future<Output = ()> + Send + 'static {
-        let service = &self.inbound.service;
-        let ticket = self.ticket.get_or_insert_with(|| core.stream_queues.ticket(service));
+        version_key: Option<u64>,
+    ) -> Option<impl Future<Output = ()> + Send + 'static> {
+        let inbound = &self.inbound;
+        let is_take_up = inbound.last_event_id.is_some();
+        if ask.is_none() && !(is_take_up && version_key.is_some()) {
+            return None;
+        }
+        // The callers of the streams that a lost daemon had come back at the same time. The one with the least time left
+        // for the rest of its stream comes first.
+        let target_ms = match ask {
+            Some(ask) if !is_take_up => ask.target_ms,
+            _ => inbound.deadline_ms,
+        };
+        let since_ms = *self.since_ms.get_or_insert(core.clock.now_ms());
+        let ticket = self.ticket.get_or_insert_with(|| core.stream_queues.ticket(&inbound.service));
         ticket.enter(WaitingStream {
             number: ticket.number(),
-            priority: self.inbound.priority,
-            progress: ask.progress,
-            latest_start_ms: ask.target_ms.saturating_sub(PREFILL_MS),
-            since_ms: ask.since_ms,
+            priority: inbound.priority,
+            progress,
+            latest_start_ms: target_ms.saturating_sub(PREFILL_MS),
+            since_ms,
             is_unconstrained,
+            version_key,
         });
-        ticket.turn(core)
+        Some(ticket.turn(core))
     }
 
     /// Records that a search has found no engine with room. `is_in_time` tells whether the stream would have been in time
--- a/crates/ingress/src/take_up.rs
+++ b/crates/ingress/src/take_up.rs
@@ -5,8 +5,18 @@
     inbound::Inbound,
     kv_replica::{KvReplica, KvReplicaOrigin},
 };
-use affinity::{ReplicaRecord, StreamVersion, TakeUpError};
-use std::sync::Arc;
+use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
+
+/// Number of engines that are probed for their load before one gets a request.
+const PROBED_ENGINES: usize = 3;
+
+/// Number of engines that are probed before one gets a take-up that needs a prefill. After the loss of all power, some 50
+/// of them come at once, and few engines of their version may be left; at a third one in a row the first event is late.
+const PROBED_FOR_TAKE_UP: usize = 8;
 
 /// How a stream goes on that a caller takes up.
 #[derive(Debug)]
@@ -57,3 +67,19 @@
     let origin = KvReplicaOrigin::Recorded(reference);
     Some(KvReplica::new(instance, origin, core.clock.now_ms()))
 }
+
+/// Number of engines that are probed before one gets `inbound`. `has_replica` tells whether a KV cache replica spares the
+/// prefill.
+pub(crate) fn probed_engines(inbound: &Inbound, has_replica: bool) -> usize {
+    match inbound.last_event_id.is_some() && !has_replica {
+        true => PROBED_FOR_TAKE_UP,
+        false => PROBED_ENGINES,
+    }
+}
+
+/// Identifies a version among the streams that wait for engines at this daemon.
+pub(crate) fn version_key(version: &SoftwareVersion) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    version.as_str().hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/limit/src/stream_queue.rs
+++ b/crates/limit/src/stream_queue.rs
@@ -18,6 +18,9 @@
     pub since_ms: u64,
     /// Whether the stream may use any engine of the service, so that less urgent streams would find none before it.
     pub is_unconstrained: bool,
+    /// Identifies the software version whose engines the stream may all use; `None` if it may use any engine, or if it has
+    /// further constraints. Streams of one version wait for each other.
+    pub version_key: Option<u64>,
 }
 
 impl WaitingStream {
@@ -32,6 +35,11 @@
         let is_new = self.progress != StreamProgress::Begun;
         (aged_class, is_new, self.latest_start_ms, self.number)
     }
+
+    /// Whether the stream may use all engines that `other` may use, so that `other` would find none before it.
+    fn competes_with(&self, other: &Self) -> bool {
+        self.is_unconstrained || self.version_key.is_some() && self.version_key == other.version_key
+    }
 }
 
 /// Streams of one service that wait at one daemon.
@@ -55,14 +63,14 @@
         position.map(|position| self.waiting.swap_remove(position)).is_some()
     }
 
-    /// Whether the stream may look for an engine now: no stream that could use any engine comes before it. One that is
-    /// not in the queue may always look.
+    /// Whether the stream may look for an engine now: no stream that could use all of its engines comes before it. One that
+    /// is not in the queue may always look.
     pub fn is_next(&self, number: u64, now_ms: u64) -> bool {
         let Some(own) = self.waiting.iter().find(|stream| stream.number == number) else {
             return true;
         };
         let own_rank = own.rank(now_ms);
-        let others = self.waiting.iter().filter(|stream| stream.is_unconstrained);
+        let others = self.waiting.iter().filter(|stream| stream.competes_with(own));
         !others.into_iter().any(|stream| stream.rank(now_ms) < own_rank)
     }
 
--- a/crates/limit/tests/burst/day.rs
+++ b/crates/limit/tests/burst/day.rs
@@ -213,6 +213,7 @@
                 latest_start_ms: stream.target_ms() - PREFILL_MS,
                 since_ms: stream.since_ms,
                 is_unconstrained: !stream.is_sent,
+                version_key: None,
             });
             if !queue.is_next(id as u64, now_ms)
                 && now_ms < stream.searched_ms.max(stream.since_ms) + TURN_MS
--- a/crates/limit/tests/stream_queue.rs
+++ b/crates/limit/tests/stream_queue.rs
@@ -17,6 +17,7 @@
             latest_start_ms: u64::arbitrary(g) % 10_000,
             since_ms: u64::arbitrary(g) % 4_000,
             is_unconstrained: *g.choose(&[true, true, false]).unwrap(),
+            version_key: None,
         })
     }
 }
@@ -54,6 +55,7 @@
         latest_start_ms: 5_000,
         since_ms: 0,
         is_unconstrained: true,
+        version_key: None,
     };
     let late = WaitingStream { progress: StreamProgress::Late, latest_start_ms: 0, ..new };
     let late_urgent = WaitingStream { priority: Priority::MOST_URGENT, ..late };
@@ -80,6 +82,7 @@
         latest_start_ms: 8_800,
         since_ms: 0,
         is_unconstrained: true,
+        version_key: None,
     };
     let mut queue = StreamQueue::default();
     queue.enter(standard);
@@ -89,3 +92,38 @@
     queue.enter(WaitingStream { since_ms: 10_000, latest_start_ms: 12_800, ..urgent });
     assert!(queue.is_next(0, 10_000));
 }
+
+/// Fails if streams that callers take up after the loss of all power all look for one of the few engines of their version at
+/// a time, if one looks before another that has less time left, or if they wait for those of another version.
+#[test]
+fn take_ups_of_one_version_look_in_the_order_of_the_time_left() {
+    fn holds(latest_starts: Vec<(u16, bool)>) -> bool {
+        let take_ups = latest_starts.iter().map(|(latest_start_ms, is_of_first)| {
+            AnyStream(WaitingStream {
+                number: 0,
+                priority: Priority::default(),
+                progress: StreamProgress::Begun,
+                latest_start_ms: u64::from(*latest_start_ms),
+                since_ms: 0,
+                is_unconstrained: false,
+                version_key: Some(u64::from(*is_of_first)),
+            })
+        });
+        let mut queue = queue_of(&take_ups.collect::<Vec<_>>());
+        [true, false].into_iter().all(|version| {
+            let of_version = (0..).zip(&latest_starts).filter(|(_, take_up)| take_up.1 == version);
+            let mut expected: Vec<(u16, u64)> =
+                of_version.map(|(number, take_up)| (take_up.0, number)).collect();
+            expected.sort_unstable();
+            let numbers: Vec<u64> = expected.iter().map(|(_, number)| *number).collect();
+            (0..numbers.len()).all(|position| {
+                let waiting = &numbers[position..];
+                let mut next = waiting.iter().filter(|&&number| queue.is_next(number, 10));
+                let is_in_order = next.next() == waiting.first() && next.next().is_none();
+                is_in_order && queue.leave(waiting[0])
+            })
+        })
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(50, 1)).tests(500);
+    checker.quickcheck(holds as fn(Vec<(u16, bool)>) -> bool);
+}
