Ingress: take-ups expect the model weights that began the stream

A stream that its caller resumed at another daemon could go on at an engine with other model weights: Expect-Version was sent within one answer only, and records of streams held the software version alone.

The record of a stream's copy, which other daemons are told and which the store holds while several software versions are in play, now names the version of the weights as well. A take-up of the same request sends it with each attempt, with or without the copy, and hands it on to the next record. A request that is not the one of the record is not bound by it.

--- a/crates/affinity/src/replica_record.rs
+++ b/crates/affinity/src/replica_record.rs
@@ -20,13 +20,16 @@
     /// Identifier of the last event that the daemon had released when the replica was recorded. The caller may have
     /// received fewer events.
     pub last_event_id: u64,
+    /// Version of the model weights that sent the events; `None` if the engine did not state it.
+    #[serde(default)]
+    pub weights_version: Option<Box<str>>,
 }
 
 impl ReplicaRecord {
     /// Whether the record is small enough to be kept.
     pub(crate) fn is_valid(&self) -> bool {
         let texts = [&self.holder, &self.fingerprint, &self.reference];
-        texts.iter().all(|text| text.len() <= MAX_TEXT_BYTES)
+        texts.into_iter().chain(&self.weights_version).all(|text| text.len() <= MAX_TEXT_BYTES)
     }
 
     /// Whether the record belongs to the same request as `other` and is not older.
--- a/crates/affinity/tests/common/mod.rs
+++ b/crates/affinity/tests/common/mod.rs
@@ -301,6 +301,7 @@
             reference: stream.id.as_str().into(),
             take_ups: 0,
             last_event_id: 1,
+            weights_version: None,
         };
         let copy = RunCopy {
             stream_id: stream.id.as_str().into(),
--- a/crates/affinity/tests/replica_records.rs
+++ b/crates/affinity/tests/replica_records.rs
@@ -18,6 +18,7 @@
         reference: format!("{holder}/run").into(),
         take_ups,
         last_event_id,
+        weights_version: None,
     }
 }
 
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -126,6 +126,8 @@
     recorded_replica_ms: Option<u64>,
     /// Number of times that the stream was taken up, including this one.
     take_ups: u32,
+    /// Version of the model weights that created the events before a take-up; `None` if it is not known.
+    recorded_weights: Option<HeaderValue>,
     /// Last attempt that was sent to the holder of a replica; `None` if none was.
     replica_attempt: Option<AttemptId>,
     /// Number of sends that were refused by the holder of a replica, which may have lost it.
@@ -183,6 +185,7 @@
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
             take_ups: 0,
+            recorded_weights: None,
             replica_attempt: None,
             refused_replicas: 0,
             wait_reason: None,
@@ -268,19 +271,12 @@
     async fn take_up(&mut self) -> Result<(), CallerError> {
         metrics::counter!("stream_takeups_total").increment(1);
         match TakeUp::find(&self.core, &self.inbound).await {
-            Ok(TakeUp { version, take_ups, replica }) => {
+            Ok(take_up) => {
+                take_up.log(&self.inbound);
+                let TakeUp { version, take_ups, replica, weights_version } = take_up;
                 self.version = version;
                 self.take_ups = take_ups;
-                let has_copy = replica.is_some().to_string();
-                metrics::counter!("stream_takeups_accepted_total", "copy" => has_copy).increment(1);
-                log::info!(
-                    "stream: id={} is taken up, resumes={} after={:?} version={} copy_at={}",
-                    self.inbound.id_text(),
-                    self.inbound.resumes.as_deref().unwrap_or("-"),
-                    self.last_event_id,
-                    self.version_text(),
-                    replica.as_ref().map_or("-", |replica| &*replica.instance.entry.id),
-                );
+                self.recorded_weights = weights_version;
                 self.replicator.set(replica);
                 Ok(())
             }
@@ -608,6 +604,7 @@
             reference: replica.reference(self.inbound.id_text()).into(),
             take_ups: self.take_ups,
             last_event_id,
+            weights_version: self.expected_weights().and_then(|v| v.to_str().ok()).map(Into::into),
         };
         // Only a request that was taken up goes on with the stream that it names.
         let stream_id = match self.inbound.last_event_id {
@@ -1105,6 +1102,12 @@
         self.input(Input::NoUpstream { attempt: id });
     }
 
+    /// Version of the model weights that created the events so far, which the next ones must have as well.
+    fn expected_weights(&self) -> Option<&HeaderValue> {
+        let stated = self.weights_version.as_ref().filter(|_| self.events > 0);
+        self.recorded_weights.as_ref().or(stated)
+    }
+
     /// Records the KV cache replica that the attempt is to create at `replica_target`, and returns the additional
     /// headers of its request: after which event the stream resumes, from which replica, and to which engine the KV
     /// cache is replicated.
@@ -1126,9 +1129,7 @@
         if let Some(Ok(value)) = reference.map(|text| HeaderValue::from_str(&text)) {
             headers.push((dialect.replica_from.clone(), value));
         }
-        if self.events > 0
-            && let Some(version) = &self.weights_version
-        {
+        if let Some(version) = self.expected_weights() {
             headers.push((dialect.expected_weights_version.clone(), version.clone()));
         }
         let replicates_kv =
--- a/crates/ingress/src/take_up.rs
+++ b/crates/ingress/src/take_up.rs
@@ -6,6 +6,7 @@
     kv_replica::{KvReplica, KvReplicaOrigin},
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
+use hyper::header::HeaderValue;
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
@@ -27,6 +28,8 @@
     pub take_ups: u32,
     /// KV cache replica from which the stream can be resumed; `None` if none is known.
     pub replica: Option<KvReplica>,
+    /// Version of the model weights that sent the events so far; `None` if it is not known.
+    pub weights_version: Option<HeaderValue>,
 }
 
 impl TakeUp {
@@ -45,18 +48,36 @@
         })?;
         let record = inbound.resumes.as_deref().and_then(|id| core.versions.replica(id));
         let take_ups = record.as_ref().map_or(1, |record| record.take_ups + 1);
+        // Callers choose the identifiers of streams, and the record may belong to another request.
+        let is_same =
+            |record: &ReplicaRecord| record.fingerprint == inbound.run_fingerprint(&core.dialect);
+        let record = record.filter(is_same);
+        let weights = record.as_ref().and_then(|record| record.weights_version.as_deref());
+        let weights_version = weights.and_then(|version| HeaderValue::from_str(version).ok());
         let replica = record.and_then(|record| recorded_replica(core, inbound, record));
-        Ok(Self { version, take_ups, replica })
+        Ok(Self { version, take_ups, replica, weights_version })
+    }
+
+    /// Logs and counts that `inbound` goes on.
+    pub fn log(&self, inbound: &Inbound) {
+        let has_copy = self.replica.is_some().to_string();
+        metrics::counter!("stream_takeups_accepted_total", "copy" => has_copy).increment(1);
+        log::info!(
+            "stream: id={} is taken up, resumes={} after={:?} version={} copy_at={} weights={}",
+            inbound.id_text(),
+            inbound.resumes.as_deref().unwrap_or("-"),
+            inbound.last_event_id,
+            self.version.required().map_or("-", SoftwareVersion::as_str),
+            self.replica.as_ref().map_or("-", |replica| &*replica.instance.entry.id),
+            self.weights_version.as_ref().and_then(|version| version.to_str().ok()).unwrap_or("-"),
+        );
     }
 }
 
-/// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if the record belongs to
-/// another request, or if its holder takes no requests.
+/// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if its holder takes no
+/// requests.
 fn recorded_replica(core: &Core, inbound: &Inbound, record: ReplicaRecord) -> Option<KvReplica> {
-    let ReplicaRecord { holder, fingerprint, reference, .. } = record;
-    if fingerprint != inbound.run_fingerprint(&core.dialect) {
-        return None;
-    }
+    let ReplicaRecord { holder, reference, .. } = record;
     let instance = core.with_registry(|registry, _| {
         let instances = registry.of_service(&inbound.service);
         instances.iter().find(|instance| *instance.entry.id == *holder).map(Arc::clone)
--- a/crates/ingress/tests/peer_messages.rs
+++ b/crates/ingress/tests/peer_messages.rs
@@ -18,6 +18,7 @@
             reference: reference.into(),
             take_ups: 1,
             last_event_id: 137,
+            weights_version: Some(text.into()),
         },
     }
 }
