Ingress: a daemon that starts asks others for a newer configuration

The daemons that live keep the newest version that they have seen, and nobody asked them.

A daemon now asks eight listed daemons before it is ready, for 20 ms at most, and reads a newer configuration from the one that has the newest, in parts that fit into datagrams. Only listed daemons are answered, because the configuration holds keys; a new VM asks three others each 500 ms for 5 s more.

--- a/crates/ingress/src/core.rs
+++ b/crates/ingress/src/core.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     config::{ClientLimits, Config, ServiceConfig},
+    config_share::ConfigShare,
     crash_quarantine::{CrashQuarantine, ServiceEvidence, Subject},
     dialect::Dialect,
     domain_losses::DomainLosses,
@@ -96,6 +97,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) options: CoreOptions,
     config: Mutex<Option<Arc<Config>>>,
+    pub(crate) config_share: ConfigShare,
     registry: Mutex<Registry>,
     /// Whether the configuration and the instances have been up to date since the daemon started.
     has_caught_up: watch::Sender<bool>,
@@ -153,6 +155,7 @@
             kept_bytes: Arc::new(ByteAccount::new(options.kept_bytes)),
             options,
             config: Mutex::default(),
+            config_share: ConfigShare::default(),
             registry: Mutex::default(),
             has_caught_up: watch::Sender::new(false),
             stopped_ms: watch::Sender::new(None),
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     config::Config,
+    config_share::catch_up,
     core::Core,
     departures::{Departures, Standing},
     instance_entry::InstanceEntry,
@@ -63,7 +64,7 @@
 /// Keeps `core` up to date with the platform, as long as the future is polled.
 ///
 /// One watch covers all keys, which takes half as many calls as one watch for each prefix.
-pub async fn follow_platform<E: Display>(
+pub async fn follow_platform<E: Display + 'static>(
     core: Arc<Core>,
     source: impl Source,
     keys: PlatformKeys,
@@ -74,6 +75,8 @@
         wait_ms: (bound_ms / WATCH_DIVISOR).clamp(WATCH_MS.0, WATCH_MS.1),
         batch_ms: (bound_ms / BATCH_DIVISOR).clamp(BATCH_MS.0, BATCH_MS.1),
     };
+    let decode = decoders.config;
+    core.config_share.set_decoder(move |text| decode(text).ok());
     let follower = PlatformFollower {
         core,
         keys,
@@ -116,7 +119,10 @@
             return;
         };
         match (self.decode_config)(value) {
-            Ok(config) => self.core.install(config),
+            Ok(config) => {
+                self.core.config_share.record(config.version, value.clone());
+                self.core.install(config);
+            }
             Err(err) => {
                 if self.undecodable_config.replace(change.revision) != Some(change.revision) {
                     let revision = change.revision;
@@ -239,7 +245,7 @@
 
     fn on_caught_up(&mut self) {
         self.core.rollouts.confirm_list();
-        self.core.mark_caught_up();
+        catch_up(&self.core);
     }
 
     fn on_changes(&mut self, changes: Vec<Change>) {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller_error;
 mod choice;
 mod config;
+mod config_share;
 mod connection_pool;
 mod core;
 mod crash_quarantine;
@@ -84,7 +85,7 @@
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
     instance_rates::InstanceRates,
-    peer_message::PeerMessage,
+    peer_message::{ConfigPart, PeerMessage},
     peer_socket::PeerSocket,
     registry::Registry,
     restarts::{Restart, find_restarts},
--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -66,6 +66,35 @@
         /// The stream; `None` if the daemon does not know where its replica is.
         copy: Option<RunCopy>,
     },
+    /// Asks for a part of the active configuration, after a start.
+    AskConfig {
+        /// Number by which the answer refers to this question.
+        number: u64,
+        /// Version that the asking daemon has; only a higher one is of use.
+        above: u64,
+        /// Position of the part in the text of the configuration.
+        offset: u32,
+    },
+    /// Answers the question for a part of the active configuration.
+    ConfigAnswer {
+        /// Number of the question that is answered.
+        number: u64,
+        /// The part; `None` if the daemon has no higher version.
+        part: Option<ConfigPart>,
+    },
+}
+
+/// Part of the text of a configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigPart {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Size of the whole text.
+    pub size_bytes: u32,
+    /// Position of the part in the text.
+    pub offset: u32,
+    /// Bytes of the part.
+    pub bytes: Vec<u8>,
 }
 
 impl PeerMessage {
@@ -83,7 +112,9 @@
             | Self::RolloutReply(_)
             | Self::Copy(_)
             | Self::AskCopy { .. }
-            | Self::CopyAnswer { .. } => true,
+            | Self::CopyAnswer { .. }
+            | Self::AskConfig { .. }
+            | Self::ConfigAnswer { .. } => true,
         }
     }
 
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -1,10 +1,10 @@
-//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, rates of engines, and KV cache
-//! replicas.
+//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, rates of engines, KV cache
+//! replicas and configurations.
 
 use crate::{
     core::Core,
     crash_quarantine::Subject,
-    peer_message::{MESSAGE_SIZE_BYTES, PeerMessage},
+    peer_message::{ConfigPart, MESSAGE_SIZE_BYTES, PeerMessage},
     shared_rates::SharedRates,
 };
 use base::{HashMap, ServiceName, lock};
@@ -69,7 +69,16 @@
     /// Daemon that was asked. An answer from any other address is ignored.
     asked: SocketAddr,
     /// Delivers the answer to the request that waits for it.
-    sender: oneshot::Sender<bool>,
+    sender: oneshot::Sender<Answer>,
+}
+
+/// Answer of another daemon.
+#[derive(Debug)]
+enum Answer {
+    /// Whether the daemon grants or knows what it was asked for.
+    Granted(bool),
+    /// Part of its configuration.
+    Config(Option<ConfigPart>),
 }
 
 impl PeerSocket {
@@ -206,7 +215,7 @@
                     self.send(&PeerMessage::Answer { number, is_granted }, from).await;
                 }
                 Some(PeerMessage::Answer { number, is_granted }) => {
-                    self.on_answer(number, is_granted, from);
+                    self.on_answer(number, Answer::Granted(is_granted), from);
                 }
                 Some(PeerMessage::Evidence(message)) if core.is_peer(from) => {
                     core.merge_evidence(Subject::Parts, message);
@@ -243,7 +252,15 @@
                 Some(PeerMessage::CopyAnswer { number, copy }) if core.is_peer(from) => {
                     let is_known = copy.is_some();
                     copy.into_iter().for_each(|copy| core.versions.merge_copy(copy));
-                    self.on_answer(number, is_known, from);
+                    self.on_answer(number, Answer::Granted(is_known), from);
+                }
+                // The configuration holds the keys of client accounts, which only listed daemons may learn.
+                Some(PeerMessage::AskConfig { number, above, offset }) if core.is_peer(from) => {
+                    let part = core.config_share.part(above, offset);
+                    self.send(&PeerMessage::ConfigAnswer { number, part }, from).await;
+                }
+                Some(PeerMessage::ConfigAnswer { number, part }) if core.is_peer(from) => {
+                    self.on_answer(number, Answer::Config(part), from);
                 }
                 _ => log::info!(
                     "loan: ignored a message from {from}, invalid or from an unlisted daemon"
@@ -253,7 +270,7 @@
     }
 
     /// Delivers an answer, unless it comes from another address than the daemon that was asked.
-    fn on_answer(&self, number: u64, is_granted: bool, from: SocketAddr) {
+    fn on_answer(&self, number: u64, answer: Answer, from: SocketAddr) {
         let mut pending = self.pending();
         if pending.get(&number).is_none_or(|question| question.asked != from) {
             log::debug!("loan: ignored an answer from {from} to no question");
@@ -261,7 +278,7 @@
         }
         if let Some(question) = pending.remove(&number) {
             // The request that asked may have stopped waiting.
-            let _ = question.sender.send(is_granted);
+            let _ = question.sender.send(answer);
         }
     }
 
@@ -300,8 +317,9 @@
             let ask = |number| PeerMessage::AskCopy { number, stream_id: id.into() };
             self.ask_one(core, daemon, ask)
         });
-        let answers = join_all(questions).await;
-        let is_known = answers.contains(&true).to_string();
+        let mut answers = join_all(questions).await.into_iter();
+        let is_known = answers.any(|answer| matches!(answer, Some(Answer::Granted(true))));
+        let is_known = is_known.to_string();
         metrics::counter!("stream_copies_asked_total", "known" => is_known).increment(1);
     }
 
@@ -313,28 +331,40 @@
         ask: impl Fn(u64) -> PeerMessage,
     ) -> bool {
         for peer in peers {
-            if self.ask_one(core, peer, &ask).await {
+            if let Some(Answer::Granted(true)) = self.ask_one(core, peer, &ask).await {
                 return true;
             }
         }
         false
     }
 
-    /// Sends the question that `ask` creates for a number to `peer`. Returns the answer, or `false` if there is none in
-    /// time.
+    /// Asks `peer` for a part of its configuration; `None` if it gives none in time.
+    pub(crate) async fn ask_for_config_part(
+        &self,
+        core: &Core,
+        peer: SocketAddr,
+        ask: impl Fn(u64) -> PeerMessage,
+    ) -> Option<ConfigPart> {
+        match self.ask_one(core, peer, ask).await? {
+            Answer::Config(part) => part,
+            Answer::Granted(_) => None,
+        }
+    }
+
+    /// Sends the question that `ask` creates for a number to `peer`. Returns the answer; `None` if there is none in time.
     async fn ask_one(
         &self,
         core: &Core,
         peer: SocketAddr,
         ask: impl Fn(u64) -> PeerMessage,
-    ) -> bool {
+    ) -> Option<Answer> {
         let number = core.random_number();
         let (sender, receiver) = oneshot::channel();
         self.pending().insert(number, Question { asked: peer, sender });
         let _guard = QuestionGuard { socket: self, number };
         self.send(&ask(number), peer).await;
         let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
-        matches!(tokio::time::timeout(timeout, receiver).await, Ok(Ok(true)))
+        tokio::time::timeout(timeout, receiver).await.ok()?.ok()
     }
 
     /// Sends a message to the daemon with the peer address `to`.
--- a/crates/ingress/tests/peer_messages.rs
+++ b/crates/ingress/tests/peer_messages.rs
@@ -1,7 +1,7 @@
 //! Tests of the sizes of messages between daemons.
 
 use affinity::{ReplicaRecord, RunCopy, ServiceVersion, SoftwareVersion};
-use ingress::PeerMessage;
+use ingress::{ConfigPart, PeerMessage};
 
 /// Size of the datagrams that daemons receive in full.
 const DATAGRAM_BYTES: usize = 1_400;
@@ -38,3 +38,19 @@
     let answer = PeerMessage::CopyAnswer { number: 7, copy: None };
     assert_eq!(PeerMessage::decode(&answer.encode()), Some(answer));
 }
+
+/// Guards against a configuration that a daemon does not get from others because its parts are cut off.
+#[test]
+fn parts_of_a_configuration_fit_into_a_datagram() {
+    let part = ConfigPart {
+        version: u64::MAX,
+        size_bytes: u32::MAX,
+        offset: u32::MAX,
+        bytes: vec![255; 1_200],
+    };
+    let message = PeerMessage::ConfigAnswer { number: u64::MAX, part: Some(part) };
+    let size_bytes = message.encode().len();
+    println!("{size_bytes} bytes");
+    assert!(size_bytes <= DATAGRAM_BYTES, "{size_bytes} bytes");
+    assert_eq!(PeerMessage::decode(&message.encode()), Some(message));
+}
