Platform: an era that cannot be read is asked for again

An answer of the store whose header Store-Era could not be read counted as one of era 0. A daemon then listed all items, found the next answer to be of another era, and listed them again; each was handled as a restoration of the store. Found by reading.

Such an answer is now an error, unless no answer has ever stated a readable era. A watch is repeated from the same revision, up to four times before the store counts as unavailable. The era is not guessed: the answer may be the first one after a restoration.

--- a/crates/plat/src/list_and_watch.rs
+++ b/crates/plat/src/list_and_watch.rs
@@ -18,6 +18,9 @@
 /// Maximum backoff after a failed call.
 const MAX_BACKOFF_MS: u64 = 400;
 
+/// Number of answers in a row without a readable era after which the service counts as unavailable.
+const MAX_UNREADABLE_ERAS: u32 = 4;
+
 /// Receives the items that `list_and_watch` reads, and their changes.
 pub trait WatchHandler {
     /// Replaces all items by `items`, which may be seconds old until `on_caught_up` is called.
@@ -119,6 +122,15 @@
                 revision = None;
                 freshness = Freshness::Latest;
             }
+            // The watch is repeated: from the same revision, it returns the same changes. A list of all items would cost
+            // much more, and the next answer will tell whether the service was restored.
+            Err(SourceError::UnreadableEra)
+                if revision.is_some() && failures < MAX_UNREADABLE_ERAS =>
+            {
+                log::info!("plat: the era of an answer cannot be read, the watch is repeated");
+                tokio::time::sleep(Duration::from_millis(BACKOFF_MS << failures)).await;
+                failures += 1;
+            }
             Err(err) => {
                 if outage_start_ms.is_none() {
                     outage_start_ms = Some(clock.now_ms());
--- a/crates/plat/src/relayed_source.rs
+++ b/crates/plat/src/relayed_source.rs
@@ -297,7 +297,11 @@
         metrics::counter!("store_reads_total").increment(1);
         self.is_relayed = false;
         let outcome = read.send(&mut self.service).await;
-        if matches!(&outcome, Err(err) if !matches!(err, SourceError::Compacted)) {
+        let has_failed = match &outcome {
+            Ok(_) | Err(SourceError::Compacted | SourceError::UnreadableEra) => false,
+            Err(_) => true,
+        };
+        if has_failed {
             self.direct_after_ms = self.clock.now_ms() + DIRECT_BACKOFF_MS;
         }
         outcome
@@ -330,7 +334,7 @@
                 self.cache.apply(read);
                 self.has_caught_up |= read.era == self.cache.era();
             }
-            Err(SourceError::Compacted) => {}
+            Err(SourceError::Compacted | SourceError::UnreadableEra) => {}
             Err(_) => self.cache.mark_outage(),
         }
         outcome
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -24,6 +24,10 @@
         Compacted {
             display("the history is no longer kept")
         }
+        /// The answer does not tell from which era of the service it is, although earlier ones did.
+        UnreadableEra {
+            display("the era of the answer cannot be read")
+        }
         /// A copy of the service's items is too old to be read.
         Outdated {
             display("the copy of the items is too old")
