Daemon: handlers of signals are installed before anything else

A SIGHUP in the first milliseconds of `geraniumroad serve` ended the process, because the handlers were installed after the servers; a SIGTERM then ended it without a planned stop. Found by reading.

The handlers are now installed before the settings are read. A signal that arrives before the daemon has started is handled then.

Test that failed before: a_hangup_during_the_start_does_not_end_the_daemon (ended by signal 1). It sends the signal while the daemon reads its settings from a FIFO, so that it does not depend on the speed of the machine.

--- a/crates/geraniumroad/src/lib.rs
+++ b/crates/geraniumroad/src/lib.rs
@@ -18,6 +18,7 @@
 mod run;
 mod run_error;
 mod serve;
+mod signals;
 mod supervisor;
 
 pub use crate::{
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -5,6 +5,7 @@
     memory_upkeep::return_freed_memory,
     metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
     run_error::RunError,
+    signals::{SignalRequest, Signals},
     supervisor::keep_running,
 };
 use ingress::{
@@ -24,11 +25,7 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-};
+use tokio::{runtime::Builder, sync::watch};
 use web::{ConnectionLimits, Connections, Handler, ResponseBody, Server};
 
 /// Time in milliseconds after SIGTERM or SIGINT in which new connections are still accepted, because the load balancer
@@ -56,14 +53,23 @@
 ///
 /// The settings are not valid, or the logger, the metrics recorder or a server cannot be started.
 pub fn serve(path: &Path) -> Result<(), RunError> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let signals = {
+        let _context = runtime.enter();
+        Signals::install()?
+    };
     let settings = Settings::read(path)?;
     line_log::install(&settings.vm_name)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(settings, path, metrics))
+    runtime.block_on(run(settings, path, metrics, signals))
 }
 
-async fn run(settings: Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
+async fn run(
+    settings: Settings,
+    path: &Path,
+    metrics: PrometheusHandle,
+    mut signals: Signals,
+) -> Result<(), RunError> {
     let limits = ConnectionLimits::for_vm(settings.memory_bytes, settings.file_descriptors);
     let core = Arc::new(Core::new(dialect(), options(&settings, limits)));
     if let Some(bounds) = settings.rollouts {
@@ -107,16 +113,11 @@
     let gateway = Arc::new(Gateway::new(Arc::clone(&core)));
     let serving = entry.run(gateway, stopped);
     tokio::pin!(serving);
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = interrupt.recv() => break,
-            _ = terminate.recv() => break,
-            _ = reload.recv() => match Settings::read(path) {
-                Ok(_) => log::info!("daemon: reload checked the settings, they apply at the next start"),
-                Err(err) => log::warn!("daemon: reload failed, keeping the current settings: {err}"),
+            request = signals.next() => match request {
+                SignalRequest::Stop => break,
+                SignalRequest::Reload => check_settings(path),
             },
             () = serving.as_mut() => return Ok(()),
         }
@@ -130,6 +131,14 @@
     Ok(())
 }
 
+/// Checks the settings file, which applies at the next start.
+fn check_settings(path: &Path) {
+    match Settings::read(path) {
+        Ok(_) => log::info!("daemon: reload checked the settings, they apply at the next start"),
+        Err(err) => log::warn!("daemon: reload failed, keeping the current settings: {err}"),
+    }
+}
+
 /// Starts the tasks that follow the store, announce this daemon and exchange messages with other daemons.
 fn spawn_background_tasks(
     settings: &Settings,
