Versions: an old failure of a read does not make a new one decisive

A take-up gives up at the first failed read of the records once reads have failed for 2 s. The start of a series of failures was kept until the next success, so a failure from a minute ago, with no read since, cut the wait of a later take-up short. A series now ends after 2 s without a read.

--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -56,8 +56,8 @@
     succeeded: u64,
     /// Whether the last read that has succeeded found all versions at which unrecorded streams may have begun.
     is_complete: bool,
-    /// When the first of the reads ended that have failed since the last success; `None` if the last one has succeeded.
-    failing_since_ms: Option<u64>,
+    /// When the first and the last one of a series of failed reads ended; `None` if the last read has succeeded.
+    failed_ms: Option<(u64, u64)>,
 }
 
 impl VersionAffinity {
@@ -188,8 +188,8 @@
                 if last.succeeded > before {
                     return Some(last.is_complete);
                 }
-                let gives_up_ms = last.failing_since_ms.map(|since_ms| since_ms + ORIGIN_WAIT_MS);
-                if gives_up_ms.is_some_and(|at_ms| self.clock.now_ms() >= at_ms) {
+                let is_outage = |(first_ms, last_ms)| last_ms >= first_ms + ORIGIN_WAIT_MS;
+                if last.failed_ms.is_some_and(is_outage) {
                     return None;
                 }
                 seen = last.finished;
@@ -211,9 +211,12 @@
             if let Some(is_complete) = outcome {
                 reads.succeeded = reads.started;
                 reads.is_complete = is_complete;
-                reads.failing_since_ms = None;
+                reads.failed_ms = None;
             } else {
-                reads.failing_since_ms.get_or_insert(now_ms);
+                // Without a take-up, there are no reads, and the store may have responded meanwhile.
+                let series =
+                    reads.failed_ms.filter(|(_, last_ms)| now_ms < last_ms + ORIGIN_WAIT_MS);
+                reads.failed_ms = Some((series.map_or(now_ms, |(first_ms, _)| first_ms), now_ms));
             }
         });
     }
