Ingress: the first questions for a newer configuration are repeated

A daemon that starts asked others once for a newer configuration before it was ready. It now asks up to three times if nobody answers.

--- a/crates/ingress/src/config_share.rs
+++ b/crates/ingress/src/config_share.rs
@@ -35,6 +35,9 @@
 /// one in 256 daemons asks only lost ones.
 const FIRST_ASKED: usize = 8;
 
+/// Number of times that these daemons are asked if none of them answers. A datagram may be lost, and a daemon may be busy.
+const FIRST_ATTEMPTS: usize = 3;
+
 /// Further rounds of questions. A new VM is answered once the others have read that it is listed.
 const LATER_ROUNDS: usize = 10;
 
@@ -115,28 +118,51 @@
     let (core, socket) = (Arc::clone(core), Arc::clone(socket));
     tokio::spawn(async move {
         let wait = Duration::from_millis(TRANSFER_WAIT_MS);
-        let mut has_newer =
-            tokio::time::timeout(wait, ask(&core, &socket, peers)).await == Ok(true);
+        let first = async {
+            let mut outcome = Outcome::Silent;
+            for _ in 0..FIRST_ATTEMPTS {
+                if outcome == Outcome::Silent && !peers.is_empty() {
+                    outcome = ask(&core, &socket, &peers).await;
+                }
+            }
+            outcome
+        };
+        let mut outcome = tokio::time::timeout(wait, first).await.unwrap_or(Outcome::Silent);
         core.mark_caught_up();
         for _ in 0..LATER_ROUNDS {
-            if has_newer {
+            if outcome == Outcome::Newer {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(ROUND_MS)).await;
-            has_newer = ask(&core, &socket, core.random_peers(LATER_ASKED)).await;
+            outcome = ask(&core, &socket, &core.random_peers(LATER_ASKED)).await;
         }
     });
 }
 
-/// Asks `peers` for a newer configuration, and installs the newest one that they have. Returns whether there was one.
-async fn ask(core: &Core, socket: &PeerSocket, peers: Vec<SocketAddr>) -> bool {
+/// What a round of questions has brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    /// A newer configuration is active.
+    Newer,
+    /// Daemons have answered, and none has a newer configuration that can be read.
+    None,
+    /// No daemon has answered.
+    Silent,
+}
+
+/// Asks `peers` for a newer configuration, and installs the newest one that they have.
+async fn ask(core: &Core, socket: &PeerSocket, peers: &[SocketAddr]) -> Outcome {
     let above = core.config_share.version();
     let questions = peers.iter().map(|peer| async move {
         let part = ask_for_part(core, socket, *peer, above, 0).await?;
-        Some((part, *peer))
+        Some(part.map(|part| (part, *peer)))
     });
-    let answers = join_all(questions).await.into_iter().flatten();
-    let Some((first, peer)) = answers.max_by_key(|(part, _)| part.version) else { return false };
+    let answers: Vec<_> = join_all(questions).await.into_iter().flatten().collect();
+    if answers.is_empty() {
+        return Outcome::Silent;
+    }
+    let newer = answers.into_iter().flatten().max_by_key(|(part, _)| part.version);
+    let Some((first, peer)) = newer else { return Outcome::None };
     let version = first.version;
     let text = transfer(core, socket, peer, above, first).await;
     let decoded = text.as_ref().and_then(|text| core.config_share.decode.get()?(text));
@@ -149,11 +175,11 @@
             metrics::counter!("config_transfers_total").increment(1);
             core.install(config);
             core.config_share.record(version, text.into());
-            true
+            Outcome::Newer
         }
         _ => {
             log::warn!("config: version={version} could not be read from the daemon at {peer}");
-            false
+            Outcome::None
         }
     }
 }
@@ -175,9 +201,9 @@
         let offsets = (text.len()..size_bytes).step_by(PART_BYTES).take(PARTS_AT_A_TIME);
         let parts = offsets.map(|offset| async move {
             for _ in 0..PART_ATTEMPTS {
-                let part = ask_for_part(core, socket, peer, above, offset as u32).await;
-                if part.is_some() {
-                    return part;
+                let answer = ask_for_part(core, socket, peer, above, offset as u32).await;
+                if answer.is_some() {
+                    return answer.flatten();
                 }
             }
             None
@@ -197,14 +223,14 @@
     (text.len() == size_bytes).then_some(text)
 }
 
-/// Asks a daemon once for a part of its configuration; `None` if it gives none in time.
+/// Asks a daemon once for a part of its configuration; `None` if it gives no answer in time.
 async fn ask_for_part(
     core: &Core,
     socket: &PeerSocket,
     peer: SocketAddr,
     above: u64,
     offset: u32,
-) -> Option<ConfigPart> {
+) -> Option<Option<ConfigPart>> {
     let ask = |number| PeerMessage::AskConfig { number, above, offset };
     socket.ask_for_config_part(core, peer, ask).await
 }
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -338,15 +338,15 @@
         false
     }
 
-    /// Asks `peer` for a part of its configuration; `None` if it gives none in time.
+    /// Asks `peer` for a part of its configuration; `None` if it gives no answer in time.
     pub(crate) async fn ask_for_config_part(
         &self,
         core: &Core,
         peer: SocketAddr,
         ask: impl Fn(u64) -> PeerMessage,
-    ) -> Option<ConfigPart> {
+    ) -> Option<Option<ConfigPart>> {
         match self.ask_one(core, peer, ask).await? {
-            Answer::Config(part) => part,
+            Answer::Config(part) => Some(part),
             Answer::Granted(_) => None,
         }
     }
