Ingress: a take-up that knows no copy waits longer for the answers

A take-up asked other daemons for the copy of its stream for 20 ms. On a VM with a tenth of a core, or on a busy machine, an answer takes longer, and the prompt was then read again for more than a second. While no copy is known, the take-up now waits up to 60 ms; as soon as one is known, 20 ms remain the bound.

--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -25,6 +25,10 @@
 /// soon is skipped.
 const ANSWER_TIMEOUT_MS: u64 = 20;
 
+/// Longest wait for an answer that tells where a KV cache replica is, while none is known. A new prefill takes more than a
+/// second, so that a busy daemon is worth the wait.
+const COPY_ANSWER_TIMEOUT_MS: u64 = 60;
+
 /// Number of daemons that are told new evidence on crashes. Each of them tells as many others, so that it spreads to a
 /// large fleet within a few messages.
 const EVIDENCE_FANOUT: usize = 4;
@@ -315,11 +319,15 @@
         let daemons = core.versions.copies.asked(id, self.local_addr().ok());
         let questions = daemons.into_iter().map(|daemon| {
             let ask = |number| PeerMessage::AskCopy { number, stream_id: id.into() };
-            self.ask_one(core, daemon, ask)
+            self.ask_one(core, daemon, COPY_ANSWER_TIMEOUT_MS, ask)
         });
-        let mut answers = join_all(questions).await.into_iter();
-        let is_known = answers.any(|answer| matches!(answer, Some(Answer::Granted(true))));
-        let is_known = is_known.to_string();
+        let mut answers = join_all(questions);
+        let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let is_complete = tokio::time::timeout(timeout, &mut answers).await.is_ok();
+        if !is_complete && core.versions.copy(id).is_none() {
+            answers.await;
+        }
+        let is_known = core.versions.copy(id).is_some().to_string();
         metrics::counter!("stream_copies_asked_total", "known" => is_known).increment(1);
     }
 
@@ -331,7 +339,8 @@
         ask: impl Fn(u64) -> PeerMessage,
     ) -> bool {
         for peer in peers {
-            if let Some(Answer::Granted(true)) = self.ask_one(core, peer, &ask).await {
+            let answer = self.ask_one(core, peer, ANSWER_TIMEOUT_MS, &ask).await;
+            if matches!(answer, Some(Answer::Granted(true))) {
                 return true;
             }
         }
@@ -345,17 +354,19 @@
         peer: SocketAddr,
         ask: impl Fn(u64) -> PeerMessage,
     ) -> Option<Option<ConfigPart>> {
-        match self.ask_one(core, peer, ask).await? {
+        match self.ask_one(core, peer, ANSWER_TIMEOUT_MS, ask).await? {
             Answer::Config(part) => Some(part),
             Answer::Granted(_) => None,
         }
     }
 
-    /// Sends the question that `ask` creates for a number to `peer`. Returns the answer; `None` if there is none in time.
+    /// Sends the question that `ask` creates for a number to `peer`. Returns the answer; `None` if there is none in
+    /// `timeout_ms`.
     async fn ask_one(
         &self,
         core: &Core,
         peer: SocketAddr,
+        timeout_ms: u64,
         ask: impl Fn(u64) -> PeerMessage,
     ) -> Option<Answer> {
         let number = core.random_number();
@@ -363,8 +374,7 @@
         self.pending().insert(number, Question { asked: peer, sender });
         let _guard = QuestionGuard { socket: self, number };
         self.send(&ask(number), peer).await;
-        let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
-        tokio::time::timeout(timeout, receiver).await.ok()?.ok()
+        tokio::time::timeout(Duration::from_millis(timeout_ms), receiver).await.ok()?.ok()
     }
 
     /// Sends a message to the daemon with the peer address `to`.
