Ingress: a take-up on a route with several services goes to the right one

A caller that resumed a stream at another daemon, on a route that sends requests to several services, was sent to a service that was picked at random before the daemon asked where the stream began. At the wrong one it was refused (503 stream_version_unknown), or without any record it went on there. Found by reading.

The daemon now asks before it picks the service, if it has no record itself and the route has several.

Test that failed before: a_take_up_goes_on_at_the_service_that_began_the_stream (503 for r5 of 8).

--- a/crates/ingress/src/gateway.rs
+++ b/crates/ingress/src/gateway.rs
@@ -9,6 +9,7 @@
     route_table::Route,
     short_call,
     stream_relay::{StreamRelay, StreamStart},
+    take_up::learn_service,
 };
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
@@ -59,6 +60,9 @@
         let account = self.account(&config, route, request.headers())?;
         let resumes = request.headers().get(&self.core.dialect.resumed_request_id);
         let resumes = resumes.and_then(|id| id.to_str().ok());
+        if let Some(id) = resumes.filter(|_| route.services.len() > 1) {
+            learn_service(&self.core, id).await;
+        }
         let service = self.core.pick_service(route, resumes).ok_or(CallerError::NoRoute)?;
         let head = InboundHead { dialect: &self.core.dialect, route, service, account, arrived_ms };
         let (parts, body) = request.into_parts();
--- a/crates/ingress/src/take_up.rs
+++ b/crates/ingress/src/take_up.rs
@@ -74,6 +74,14 @@
     }
 }
 
+/// Asks other daemons for the stream `id` unless this daemon has a record of it, so that the service is known at which the
+/// stream began.
+pub(crate) async fn learn_service(core: &Core, id: &str) {
+    if let (None, Some(socket)) = (core.versions.service(id), core.peer_socket.get()) {
+        socket.ask_for_copy(core, id).await;
+    }
+}
+
 /// Recorded KV cache replica from which the stream that `inbound` takes up can be resumed; `None` if its holder takes no
 /// requests.
 fn recorded_replica(core: &Core, inbound: &Inbound, record: ReplicaRecord) -> Option<KvReplica> {
