--- a/crates/ingress/src/peer_message.rs
+++ b/crates/ingress/src/peer_message.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons.
 
 use crate::{crash_quarantine::ServiceEvidence, restarts::Restart, shared_rates::SharedRates};
+use affinity::RunCopy;
 use base::ServiceName;
 use limit::Urgency;
 use rollout::{RolloutReply, RolloutReport};
@@ -49,6 +50,51 @@
     RolloutReply(RolloutReply),
     /// Tells the rates of engines of one service that differ in speed, the latest ones first.
     Rates(Vec<SharedRates>),
+    /// Tells where the KV cache replica of a stream is.
+    Copy(RunCopy),
+    /// Asks where the KV cache replica of a stream is.
+    AskCopy {
+        /// Number by which the answer refers to this question.
+        number: u64,
+        /// Identifier of the caller's attempt that began the stream.
+        stream_id: Box<str>,
+    },
+    /// Answers the question where the KV cache replica of a stream is.
+    CopyAnswer {
+        /// Number of the question that is answered.
+        number: u64,
+        /// The stream; `None` if the daemon does not know where its replica is.
+        copy: Option<RunCopy>,
+    },
+    /// Asks for a part of the active configuration, after a start.
+    AskConfig {
+        /// Number by which the answer refers to this question.
+        number: u64,
+        /// Version that the asking daemon has; only a higher one is of use.
+        above: u64,
+        /// Position of the part in the text of the configuration.
+        offset: u32,
+    },
+    /// Answers the question for a part of the active configuration.
+    ConfigAnswer {
+        /// Number of the question that is answered.
+        number: u64,
+        /// The part; `None` if the daemon has no higher version.
+        part: Option<ConfigPart>,
+    },
+}
+
+/// Part of the text of a configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigPart {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Size of the whole text.
+    pub size_bytes: u32,
+    /// Position of the part in the text.
+    pub offset: u32,
+    /// Bytes of the part.
+    pub bytes: Vec<u8>,
 }
 
 impl PeerMessage {
@@ -63,7 +109,12 @@
             | Self::Restarts(_)
             | Self::AskRequest { .. }
             | Self::RolloutReport(_)
-            | Self::RolloutReply(_) => true,
+            | Self::RolloutReply(_)
+            | Self::Copy(_)
+            | Self::AskCopy { .. }
+            | Self::CopyAnswer { .. }
+            | Self::AskConfig { .. }
+            | Self::ConfigAnswer { .. } => true,
         }
     }
 
--- a/crates/ingress/src/peer_socket.rs
+++ b/crates/ingress/src/peer_socket.rs
@@ -1,12 +1,14 @@
-//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, and rates of engines.
+//! Exchange of messages between daemons: loans of retries and requests, evidence on crashes, rates of engines, KV cache
+//! replicas and configurations.
 
 use crate::{
     core::Core,
     crash_quarantine::Subject,
-    peer_message::{MESSAGE_SIZE_BYTES, PeerMessage},
+    peer_message::{ConfigPart, MESSAGE_SIZE_BYTES, PeerMessage},
     shared_rates::SharedRates,
 };
 use base::{HashMap, ServiceName, lock};
+use futures::future::join_all;
 use limit::Urgency;
 use std::{
     io::Result as IoResult,
@@ -23,6 +25,10 @@
 /// soon is skipped.
 const ANSWER_TIMEOUT_MS: u64 = 20;
 
+/// Longest wait for an answer that tells where a KV cache replica is, while none is known. A new prefill takes more than a
+/// second, so that a busy daemon is worth the wait.
+const COPY_ANSWER_TIMEOUT_MS: u64 = 60;
+
 /// Number of daemons that are told new evidence on crashes. Each of them tells as many others, so that it spreads to a
 /// large fleet within a few messages.
 const EVIDENCE_FANOUT: usize = 4;
@@ -67,7 +73,16 @@
     /// Daemon that was asked. An answer from any other address is ignored.
     asked: SocketAddr,
     /// Delivers the answer to the request that waits for it.
-    sender: oneshot::Sender<bool>,
+    sender: oneshot::Sender<Answer>,
+}
+
+/// Answer of another daemon.
+#[derive(Debug)]
+enum Answer {
+    /// Whether the daemon grants or knows what it was asked for.
+    Granted(bool),
+    /// Part of its configuration.
+    Config(Option<ConfigPart>),
 }
 
 impl PeerSocket {
@@ -96,6 +111,7 @@
             self.share_evidence(&core),
             self.share_rates(&core),
             self.share_rollouts(&core),
+            self.share_copies(&core),
         );
     }
 
@@ -168,6 +184,18 @@
         }
     }
 
+    /// Tells a few other daemons where the KV cache replicas of this daemon's streams are.
+    async fn share_copies(&self, core: &Core) {
+        let own = self.local_addr().ok();
+        loop {
+            let (message, daemons) = core.versions.copies.next(own).await;
+            for daemon in daemons {
+                self.send(&message, daemon).await;
+                metrics::counter!("stream_copies_sent_total").increment(1);
+            }
+        }
+    }
+
     /// Receives messages of other daemons and answers their questions.
     async fn receive(&self, core: &Core) {
         let mut buffer = [0; MESSAGE_SIZE_BYTES];
@@ -191,7 +219,7 @@
                     self.send(&PeerMessage::Answer { number, is_granted }, from).await;
                 }
                 Some(PeerMessage::Answer { number, is_granted }) => {
-                    self.on_answer(number, is_granted, from);
+                    self.on_answer(number, Answer::Granted(is_granted), from);
                 }
                 Some(PeerMessage::Evidence(message)) if core.is_peer(from) => {
                     core.merge_evidence(Subject::Parts, message);
@@ -218,6 +246,26 @@
                 Some(PeerMessage::RolloutReply(reply)) if core.is_peer(from) => {
                     core.rollouts.merge_reply(&reply);
                 }
+                Some(PeerMessage::Copy(copy)) if core.is_peer(from) => {
+                    core.versions.merge_copy(copy);
+                }
+                Some(PeerMessage::AskCopy { number, stream_id }) if core.is_peer(from) => {
+                    let copy = core.versions.copy(&stream_id);
+                    self.send(&PeerMessage::CopyAnswer { number, copy }, from).await;
+                }
+                Some(PeerMessage::CopyAnswer { number, copy }) if core.is_peer(from) => {
+                    let is_known = copy.is_some();
+                    copy.into_iter().for_each(|copy| core.versions.merge_copy(copy));
+                    self.on_answer(number, Answer::Granted(is_known), from);
+                }
+                // The configuration holds the keys of client accounts, which only listed daemons may learn.
+                Some(PeerMessage::AskConfig { number, above, offset }) if core.is_peer(from) => {
+                    let part = core.config_share.part(above, offset);
+                    self.send(&PeerMessage::ConfigAnswer { number, part }, from).await;
+                }
+                Some(PeerMessage::ConfigAnswer { number, part }) if core.is_peer(from) => {
+                    self.on_answer(number, Answer::Config(part), from);
+                }
                 _ => log::info!(
                     "loan: ignored a message from {from}, invalid or from an unlisted daemon"
                 ),
@@ -226,7 +274,7 @@
     }
 
     /// Delivers an answer, unless it comes from another address than the daemon that was asked.
-    fn on_answer(&self, number: u64, is_granted: bool, from: SocketAddr) {
+    fn on_answer(&self, number: u64, answer: Answer, from: SocketAddr) {
         let mut pending = self.pending();
         if pending.get(&number).is_none_or(|question| question.asked != from) {
             log::debug!("loan: ignored an answer from {from} to no question");
@@ -234,7 +282,7 @@
         }
         if let Some(question) = pending.remove(&number) {
             // The request that asked may have stopped waiting.
-            let _ = question.sender.send(is_granted);
+            let _ = question.sender.send(answer);
         }
     }
 
@@ -265,6 +313,24 @@
         is_lent
     }
 
+    /// Asks the daemons that may know it where the last KV cache replica of the stream `id` is, all at once, and records
+    /// what they answer.
+    pub(crate) async fn ask_for_copy(&self, core: &Core, id: &str) {
+        let daemons = core.versions.copies.asked(id, self.local_addr().ok());
+        let questions = daemons.into_iter().map(|daemon| {
+            let ask = |number| PeerMessage::AskCopy { number, stream_id: id.into() };
+            self.ask_one(core, daemon, COPY_ANSWER_TIMEOUT_MS, ask)
+        });
+        let mut answers = join_all(questions);
+        let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let is_complete = tokio::time::timeout(timeout, &mut answers).await.is_ok();
+        if !is_complete && core.versions.copy(id).is_none() {
+            answers.await;
+        }
+        let is_known = core.versions.copy(id).is_some().to_string();
+        metrics::counter!("stream_copies_asked_total", "known" => is_known).increment(1);
+    }
+
     /// Sends the question that `ask` creates for a number to `peers`, one after the other, until one grants it.
     async fn ask(
         &self,
@@ -273,20 +339,44 @@
         ask: impl Fn(u64) -> PeerMessage,
     ) -> bool {
         for peer in peers {
-            let number = core.random_number();
-            let (sender, receiver) = oneshot::channel();
-            self.pending().insert(number, Question { asked: peer, sender });
-            self.send(&ask(number), peer).await;
-            let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
-            let is_granted = matches!(tokio::time::timeout(timeout, receiver).await, Ok(Ok(true)));
-            self.pending().remove(&number);
-            if is_granted {
+            let answer = self.ask_one(core, peer, ANSWER_TIMEOUT_MS, &ask).await;
+            if matches!(answer, Some(Answer::Granted(true))) {
                 return true;
             }
         }
         false
     }
 
+    /// Asks `peer` for a part of its configuration; `None` if it gives no answer in time.
+    pub(crate) async fn ask_for_config_part(
+        &self,
+        core: &Core,
+        peer: SocketAddr,
+        ask: impl Fn(u64) -> PeerMessage,
+    ) -> Option<Option<ConfigPart>> {
+        match self.ask_one(core, peer, ANSWER_TIMEOUT_MS, ask).await? {
+            Answer::Config(part) => Some(part),
+            Answer::Granted(_) => None,
+        }
+    }
+
+    /// Sends the question that `ask` creates for a number to `peer`. Returns the answer; `None` if there is none in
+    /// `timeout_ms`.
+    async fn ask_one(
+        &self,
+        core: &Core,
+        peer: SocketAddr,
+        timeout_ms: u64,
+        ask: impl Fn(u64) -> PeerMessage,
+    ) -> Option<Answer> {
+        let number = core.random_number();
+        let (sender, receiver) = oneshot::channel();
+        self.pending().insert(number, Question { asked: peer, sender });
+        let _guard = QuestionGuard { socket: self, number };
+        self.send(&ask(number), peer).await;
+        tokio::time::timeout(Duration::from_millis(timeout_ms), receiver).await.ok()?.ok()
+    }
+
     /// Sends a message to the daemon with the peer address `to`.
     pub(crate) async fn send(&self, message: &PeerMessage, to: SocketAddr) {
         if let Err(err) = self.socket.send_to(&message.encode(), to).await {
@@ -299,6 +389,18 @@
     }
 }
 
+/// Guard that forgets a question when nobody waits for its answer any more, such as after the caller has disconnected.
+struct QuestionGuard<'a> {
+    socket: &'a PeerSocket,
+    number: u64,
+}
+
+impl Drop for QuestionGuard<'_> {
+    fn drop(&mut self) {
+        self.socket.pending().remove(&self.number);
+    }
+}
+
 /// Creates a message with as many of the rates, the latest ones first, as fit into a datagram.
 fn rates_message(mut rates: Vec<SharedRates>) -> PeerMessage {
     loop {
--- a/crates/ingress/src/version_affinity.rs
+++ b/crates/ingress/src/version_affinity.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     follow::PlatformKeys, inbound::Inbound, instance::Instance, instance_entry::InstanceId,
+    run_copies::RunCopies,
 };
 use affinity::{
-    CompleteEra, ItemError, Origin, ReplicaRecord, ServiceVersion, VersionChange, VersionRecords,
+    CompleteEra, ItemError, Origin, ReplicaRecord, RunCopy, ServiceVersion, VersionChange,
+    VersionRecords,
 };
 use base::{Clock, HashSet, ServiceName, lock};
 use plat::{Change, Position};
@@ -18,8 +20,9 @@
 };
 use tokio::sync::{Notify, watch};
 
-/// Longest wait for a read of the records. A caller is better refused than kept waiting.
-const ORIGIN_WAIT_MS: u64 = 1_000;
+/// Longest wait for a read of the records. Callers wait at least two seconds for the next event, and a refused take-up is
+/// often the last one of its stream. With 89 daemons, reads begin 678 ms apart if each takes its full time.
+const ORIGIN_WAIT_MS: u64 = 2_000;
 
 /// Shortest time between two log lines on items that cannot be read.
 const LOG_INTERVAL_MS: u64 = 10_000;
@@ -29,6 +32,8 @@
 pub(crate) struct VersionAffinity {
     pub(crate) clock: Clock,
     versions: Mutex<VersionRecords>,
+    /// KV cache replicas that other daemons are told.
+    pub(crate) copies: RunCopies,
     /// Wakes the recorder.
     pub(crate) changed: Notify,
     /// Wakes the reader of the records.
@@ -41,17 +46,18 @@
     logged_ms: AtomicU64,
 }
 
-/// Reads of the records at the store, of which there is at most one at a time.
+/// Reads of the records at the store, of which there is at most one at a time. The first one starts after the daemon has
+/// caught up.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reads {
-    /// Whether the records can be read.
-    has_reader: bool,
     started: u64,
     finished: u64,
     /// Number of the last read that has succeeded.
     succeeded: u64,
     /// Whether the last read that has succeeded found all versions at which unrecorded streams may have begun.
     is_complete: bool,
+    /// When the first and the last one of a series of failed reads ended; `None` if the last read has succeeded.
+    failed_ms: Option<(u64, u64)>,
 }
 
 impl VersionAffinity {
@@ -62,6 +68,7 @@
         Self {
             clock: Clock::start(),
             versions: Mutex::new(VersionRecords::new(format!("{lifetime:016x}"), seed)),
+            copies: RunCopies::default(),
             changed: Notify::new(),
             requested: Notify::new(),
             position: Mutex::default(),
@@ -80,11 +87,26 @@
     /// Records the KV cache replica of the stream `id`, which runs at `instance`, so that each daemon can resume it.
     pub fn record_replica(&self, id: &str, instance: &Instance, replica: ReplicaRecord) {
         let now_ms = self.clock.now_ms();
-        if self.state().record_replica(id, software(instance), replica, now_ms) {
+        let mut state = self.state();
+        let is_written = state.record_replica(id, software(instance), replica.clone(), now_ms);
+        let copy = state.copy(id).filter(|copy| copy.replica == replica);
+        drop(state);
+        copy.into_iter().for_each(|copy| self.copies.push(copy));
+        if is_written {
             self.changed.notify_one();
         }
     }
 
+    /// Records what another daemon tells of a stream.
+    pub fn merge_copy(&self, copy: RunCopy) {
+        self.state().merge_copy(copy, self.clock.now_ms());
+    }
+
+    /// What another daemon is told of the stream `id`; `None` if no KV cache replica of it is recorded.
+    pub fn copy(&self, id: &str) -> Option<RunCopy> {
+        self.state().copy(id)
+    }
+
     /// Last recorded KV cache replica of the stream `id`; `None` if this daemon has no record of one.
     pub fn replica(&self, id: &str) -> Option<ReplicaRecord> {
         self.state().replica(id).cloned()
@@ -96,9 +118,9 @@
     }
 
     /// Finds out at which version the stream began that `inbound` takes up. If the daemon has no record of the stream,
-    /// it reads the records of the others from the store; if that fails, the version is unknown.
-    pub async fn origin(&self, inbound: &Inbound) -> Origin {
-        self.find_origin(&inbound.service, inbound.resumes.as_deref()).await
+    /// it reads the records of the others from the store; if that fails for `left_ms`, the version is unknown.
+    pub async fn origin(&self, inbound: &Inbound, left_ms: u64) -> Origin {
+        self.find_origin(&inbound.service, inbound.resumes.as_deref(), left_ms).await
     }
 
     /// Those of `instances` at whose versions new streams may not begin yet, so that others are preferred.
@@ -119,13 +141,19 @@
         }
     }
 
-    /// Finds out at which version the stream `id` of a service began; `None` stands for a stream without a record.
-    pub(crate) async fn find_origin(&self, service: &ServiceName, id: Option<&str>) -> Origin {
+    /// Finds out within `left_ms` at which version the stream `id` of a service began; `None` stands for a stream without
+    /// a record.
+    pub(crate) async fn find_origin(
+        &self,
+        service: &ServiceName,
+        id: Option<&str>,
+        left_ms: u64,
+    ) -> Origin {
         let recorded = || id.and_then(|id| self.state().recorded_origin(id, service));
         if let Some(origin) = recorded() {
             return origin;
         }
-        let read = self.read_records().await;
+        let read = self.read_records(left_ms.min(ORIGIN_WAIT_MS)).await;
         let origin = match recorded() {
             Some(origin) => origin,
             None if read.is_some_and(|is_complete| is_complete) => {
@@ -146,24 +174,28 @@
     }
 
     /// Reads the records from the store. Returns whether the versions are complete, or `None` unless a read that began
-    /// after this call has succeeded: an earlier one may lack the version of a stream that has begun since.
-    async fn read_records(&self) -> Option<bool> {
+    /// after this call has succeeded within `wait_ms`: an earlier one may lack the version of a stream that has begun
+    /// since. A failed read is repeated, because the store may only turn away the reads of many daemons that start at once.
+    /// In an outage that has lasted for longer than the wait, the first failed read decides.
+    async fn read_records(&self, wait_ms: u64) -> Option<bool> {
         let mut reads = self.reads.subscribe();
-        let Reads { has_reader, started, .. } = *reads.borrow();
-        if !has_reader {
-            return None;
-        }
-        self.requested.notify_one();
-        let wait = Duration::from_millis(ORIGIN_WAIT_MS);
-        let finished = reads.wait_for(|reads| reads.finished > started);
-        let outcome = tokio::time::timeout(wait, finished).await;
-        let reads = outcome.ok()?.ok()?;
-        (reads.succeeded > started).then_some(reads.is_complete)
-    }
-
-    /// Enables reads of the records.
-    pub(crate) fn set_reader(&self) {
-        self.reads.send_modify(|reads| reads.has_reader = true);
+        let before = reads.borrow().started;
+        let mut seen = before;
+        let read = async {
+            loop {
+                self.requested.notify_one();
+                let last = *reads.wait_for(|reads| reads.finished > seen).await.ok()?;
+                if last.succeeded > before {
+                    return Some(last.is_complete);
+                }
+                let is_outage = |(first_ms, last_ms)| last_ms >= first_ms + ORIGIN_WAIT_MS;
+                if last.failed_ms.is_some_and(is_outage) {
+                    return None;
+                }
+                seen = last.finished;
+            }
+        };
+        tokio::time::timeout(Duration::from_millis(wait_ms), read).await.ok().flatten()
     }
 
     /// Records the start of a read.
@@ -173,11 +205,18 @@
 
     /// Records the end of a read: whether the versions are complete, or `None` if it has failed.
     pub(crate) fn finish_read(&self, outcome: Option<bool>) {
+        let now_ms = self.clock.now_ms();
         self.reads.send_modify(|reads| {
             reads.finished = reads.started;
             if let Some(is_complete) = outcome {
                 reads.succeeded = reads.started;
                 reads.is_complete = is_complete;
+                reads.failed_ms = None;
+            } else {
+                // Without a take-up, there are no reads, and the store may have responded meanwhile.
+                let series =
+                    reads.failed_ms.filter(|(_, last_ms)| now_ms < last_ms + ORIGIN_WAIT_MS);
+                reads.failed_ms = Some((series.map_or(now_ms, |(first_ms, _)| first_ms), now_ms));
             }
         });
     }
