Daemon: large allocations are returned when they are freed

What was seen: large_answers_of_a_plain_service_that_nobody_reads (geraniumroad/tests/held_for_others.rs) failed in one run of the crate's tests: 67,619,880 bytes of 67,108,864 allowed, from 18 MB at the start, with an account of 33.5 MB. Four other runs had 53 to 57 MB.

Cause: the allocator raises the size from which an allocation has pages of its own to the largest one that was freed. Answers and bodies of some MiB then come from the heaps of the threads, which keep what is freed.

--- a/crates/geraniumroad/src/run.rs
+++ b/crates/geraniumroad/src/run.rs
@@ -3,7 +3,7 @@
 use crate::{
     admin_adapter::AdminAdapter,
     logging,
-    memory_upkeep::return_freed_memory,
+    memory_upkeep::{return_freed_memory, return_large_allocations},
     metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
     orders_adapter,
     run_error::RunError,
@@ -36,6 +36,7 @@
 ///
 /// The settings are not valid, or the entry, the orders component or the administration server cannot be started.
 pub fn run(path: &Path) -> Result<(), RunError> {
+    return_large_allocations();
     let settings = load(path)?;
     logging::install(&settings.log)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     line_log,
-    memory_upkeep::return_freed_memory,
+    memory_upkeep::{return_freed_memory, return_large_allocations},
     metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
     run_error::RunError,
     supervisor::keep_running,
@@ -56,6 +56,7 @@
 ///
 /// The settings are not valid, or the logger, the metrics recorder or a server cannot be started.
 pub fn serve(path: &Path) -> Result<(), RunError> {
+    return_large_allocations();
     let settings = Settings::read(path)?;
     line_log::install(&settings.vm_name)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
