--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -261,8 +261,8 @@
     }
 
     /// Shuts down the entry. Readiness fails at once, the listener closes after `shutdown_wait_ms` of the settings, and
-    /// requests in flight are completed. Callers together with their connections are waited for no longer than that: a
-    /// connection whose caller does not read is closed. Peers can reach the journals until the last request has ended.
+    /// requests in flight are completed. A connection that has waited for its caller to read for as long is closed. Peers
+    /// can reach the journals until the last request has ended.
     pub async fn close(self) {
         self.shared.is_draining.store(true, Ordering::Relaxed);
         self.stop.send_replace(true);
