--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     line_log,
-    memory_upkeep::return_freed_memory,
+    memory_upkeep::{return_freed_memory, return_large_allocations},
     metrics_upkeep::{UPKEEP_INTERVAL, maintain_metrics},
     run_error::RunError,
     signals::{SignalRequest, Signals},
@@ -58,6 +58,7 @@
         let _context = runtime.enter();
         Signals::install()?
     };
+    return_large_allocations();
     let settings = Settings::read(path)?;
     line_log::install(&settings.vm_name)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
