Test of abandoned claims: describe the failure

One run in some 120 fails with "the abandoned claim was not released", and the message does not tell why: the outcome of the last of 200 calls may follow from the claim, the list of VMs or the instance. It now holds all outcomes, and what the platform and the instances answer. The conditions of the test are as before.

--- a/crates/bench/tests/calls.rs
+++ b/crates/bench/tests/calls.rs
@@ -47,6 +47,21 @@
     tokio::spawn(async move { call.send(addr).await })
 }
 
+/// Describes the answers of the platform to a read of the key at `path` and of the list of VMs, and whether the instances
+/// of the service answer.
+async fn describe_platform(cluster: &Cluster, path: &str) -> String {
+    let client = web::Client::new(cluster.platform_addr().unwrap(), 2_000);
+    let claim = client.send(web::Method::GET, path).await;
+    let vms = client.send(web::Method::GET, "/vms").await;
+    let mut instances = Vec::new();
+    for position in 0..cluster.service_count() {
+        let client = web::Client::new(cluster.service_addr(position), 2_000);
+        instances
+            .push(client.send(web::Method::GET, "/control/runs").await.map(|reply| reply.status));
+    }
+    format!("claim: {claim:?}; VMs: {vms:?}; instances: {instances:?}")
+}
+
 /// Injects a fault into the next request of each instance.
 async fn set_fault_everywhere(cluster: &Cluster, kind: ServiceFaultKind, wait_ms: u64) {
     for position in 0..cluster.service_count() {
@@ -185,16 +200,23 @@
     // call must still not be executed.
     cluster.platform().thaw();
     let mut attempts = 0;
+    let mut outcomes = Vec::new();
     let run = loop {
         attempts += 1;
         let again = new_call(Some("outage"), &format!("outage-again-{attempts}"));
         match again.send(addr).await {
             outcome @ CallOutcome::Answer(..) => break run_of(&outcome),
-            CallOutcome::Unknown | CallOutcome::NotRun if attempts < 200 => {
+            outcome @ (CallOutcome::Unknown | CallOutcome::NotRun) if attempts < 200 => {
+                outcomes.push(outcome);
                 tokio::time::sleep(Duration::from_millis(100)).await;
             }
             other => {
-                panic!("the abandoned claim was not released, the call's outcome is {other:?}")
+                let platform = describe_platform(&cluster, "/kv/calls/bench/outage").await;
+                outcomes.dedup();
+                panic!(
+                    "the abandoned claim was not released, the call's outcome is {other:?} after \
+                     {outcomes:?}; {platform}"
+                )
             }
         }
     };
