Soak: rollouts of good and bad versions

A draw that is judged while nothing else fails starts instances of another version of the plain service and orders its rollout for 30 s. Judged: a bad version, which answers 500, gets at most exposure_share of the requests and exposure_slack, no request reaches it later than rollback_ms after the verdict, and the status is rolled_back or completed within the duration (and 5 s on a busy machine). The daemons' settings state the bounds, so rollouts are in force in the whole soak.

--- a/crates/soak/src/daemon_process.rs
+++ b/crates/soak/src/daemon_process.rs
@@ -1,6 +1,10 @@
 //! Starts, signals and kills the daemons of a soak.
 
-use crate::{loopback_net::LoopbackNet, soak_error::SoakError};
+use crate::{
+    loopback_net::LoopbackNet,
+    rollout_draws::{EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK},
+    soak_error::SoakError,
+};
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs::File,
@@ -67,9 +71,11 @@
             "listen":{{"front":"{entry_addr}","ready":"{ready_addr}"}},
             "internal_port_range":[{FIRST_INTERNAL_PORT},{}],
             "limits":{{"memory_mb":{MEMORY_MB}}},
-            "bounds":{{"grace_s":{GRACE_S},"retry_budget_ratio":0.8,"retry_budget_slack":150,"budget_window_s":10}},
+            "bounds":{{"grace_s":{GRACE_S},"retry_budget_ratio":0.8,"retry_budget_slack":150,"budget_window_s":10,
+            "exposure_share":{EXPOSURE_SHARE},"exposure_slack":{EXPOSURE_SLACK},"rollback_ms":{}}},
             "platform":{{"address":"{store}"}}}}"#,
-            FIRST_INTERNAL_PORT + 15
+            FIRST_INTERNAL_PORT + 15,
+            ROLLBACK.as_millis()
         );
         std::fs::write(&settings_path, text)?;
         let log_path = dir.join(format!("daemon-{number}.log"));
--- a/crates/soak/src/fault_class.rs
+++ b/crates/soak/src/fault_class.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, RngExt};
 
 /// Share of the draws, after each class has occurred once, that are judged while nothing else fails. Each of them takes
-/// about ten seconds, and other faults less than one.
+/// about ten to twenty seconds, and other faults less than one.
 const CALM_SHARE: f64 = 0.04;
 
 /// Class of faults or other events.
@@ -47,6 +47,10 @@
     WaitingInstance,
     /// A key is withdrawn while the connections to the store are silent.
     WithdrawnKey,
+    /// A rollout of a bad version of the plain service is ordered.
+    BadVersion,
+    /// A rollout of a good version of the plain service is ordered.
+    GoodVersion,
     /// Callers pipeline requests or announce large bodies, and read nothing.
     SilentCallers,
 }
@@ -54,7 +58,7 @@
 impl FaultClass {
     /// All classes in the order of their first occurrence. Those that are judged while nothing else fails follow one
     /// another, so that they share the time in which daemons find each other again.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::Release,
         Self::MassKill,
         Self::Episode,
@@ -62,6 +66,8 @@
         Self::WaitingInstance,
         Self::WithdrawnKey,
         Self::SilentCallers,
+        Self::BadVersion,
+        Self::GoodVersion,
         Self::ForeignEntries,
         Self::UpstreamFaults,
         Self::DomainCrash,
@@ -98,7 +104,12 @@
     pub(crate) fn is_calm(self) -> bool {
         matches!(
             self,
-            Self::LapsedEntry | Self::SilentCallers | Self::WaitingInstance | Self::WithdrawnKey
+            Self::BadVersion
+                | Self::GoodVersion
+                | Self::LapsedEntry
+                | Self::SilentCallers
+                | Self::WaitingInstance
+                | Self::WithdrawnKey
         )
     }
 }
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -116,6 +116,10 @@
                 self.wait_for_contact(environment, daemons).await?;
                 environment.withdraw_key(daemons).await;
             }
+            FaultClass::BadVersion | FaultClass::GoodVersion => {
+                self.wait_for_contact(environment, daemons).await?;
+                environment.roll_out(class == FaultClass::GoodVersion).await?;
+            }
             FaultClass::SilentCallers => {
                 self.wait_for_contact(environment, daemons).await?;
                 environment.crowd_daemon(&daemons[daemon]).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod fault_injector;
 mod foreign_entries;
 mod loopback_net;
+mod rollout_draws;
 mod run;
 mod soak_error;
 mod soak_report;
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -1,6 +1,6 @@
 //! Starts the store and the upstreams that the daemons use during a soak, and injects their faults.
 
-use crate::foreign_entries::ForeignEntries;
+use crate::{foreign_entries::ForeignEntries, rollout_draws::ORDER};
 use platform_stand::{Behaviour, FakeStore, FakeUpstream, ReceivedRequest, config};
 use rand::{Rng, RngExt};
 use stand::{Direction, Proxy, ProxyFault, ProxySettings};
@@ -45,7 +45,7 @@
     pub store: FakeStore,
     pub upstreams: Vec<ProxiedUpstream>,
     /// Crashed and draining upstreams, whose executed requests `count_executions` still includes.
-    removed_upstreams: Vec<ProxiedUpstream>,
+    pub removed_upstreams: Vec<ProxiedUpstream>,
     /// Proxies between the daemons and the store.
     store_proxies: Vec<Arc<Proxy>>,
     /// Proxies with active faults, each with the time at which its fault ends.
@@ -54,6 +54,10 @@
     pub config_version: u64,
     /// Software version of the engines that are started next, as a number.
     version: u64,
+    /// Software version of the instances of the desk that are started next.
+    pub desk_version: String,
+    /// Number of rollouts so far, part of the versions of the desk.
+    pub rollouts: u64,
     /// Number of upstreams started so far, part of their ids.
     started_upstreams: u64,
     /// Current episode; `None` if there is none.
@@ -106,6 +110,8 @@
             proxy_faults: Vec::new(),
             config_version: 0,
             version: 1,
+            desk_version: "v1".to_owned(),
+            rollouts: 0,
             started_upstreams: 0,
             episode: None,
             episodes: 0,
@@ -133,12 +139,29 @@
         Ok(addr)
     }
 
-    /// Starts an upstream and its proxy, and registers the address of the proxy in the store.
+    /// Starts an upstream of the current version and its proxy, and registers the address of the proxy in the store.
     async fn add_upstream(&mut self, service: &'static str, domain: &'static str) -> IoResult<()> {
+        let version = match service {
+            "desk" => self.desk_version.clone(),
+            _ => format!("v{}", self.version),
+        };
+        self.add_upstream_of(service, domain, &version, &[]).await
+    }
+
+    /// Starts an upstream of the version with the given behaviours for its first requests, and its proxy. Registers the
+    /// address of the proxy in the store.
+    pub async fn add_upstream_of(
+        &mut self,
+        service: &'static str,
+        domain: &'static str,
+        version: &str,
+        behaviours: &[Behaviour],
+    ) -> IoResult<()> {
         self.started_upstreams += 1;
         let upstream =
             FakeUpstream::start(&format!("{service}-{domain}-{}", self.started_upstreams)).await;
-        upstream.set_version(&format!("v{}", self.version));
+        upstream.set_version(version);
+        upstream.set_behaviours(behaviours);
         let proxy = Arc::new(Proxy::start(ProxySettings::new(upstream.addr)).await?);
         if let Some(episode) = &self.episode {
             crash_upstream_on(&upstream, service, &episode.part);
@@ -314,6 +337,7 @@
         for proxied in &self.removed_upstreams {
             self.store.remove(&proxied.key());
         }
+        self.store.remove(ORDER);
         self.store.save_copy();
         self.copied = Instant::now();
     }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -12,7 +12,7 @@
 /// Guards against lost, repeated or wrongly reported requests while daemons, engines and the store fail at random.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_short_soak_reports_no_violations() {
-    let cli = Cli { seed: 1, minutes: 1.5, daemons: 3, clients: 8, program: Some(program()) };
+    let cli = Cli { seed: 1, minutes: 2.0, daemons: 3, clients: 8, program: Some(program()) };
     let report = soak::run(&cli).await.unwrap();
     assert!(report.violations.is_empty(), "{}\n{}", report.summary(), report.violations.join("\n"));
     let missing = FaultClass::ALL.iter().filter(|class| !report.faults.contains_key(class));
