Soak: requests that clients give up

Clients close the connection of a tenth of the streams and of some calls before the answer is complete, while connections are cut, stalled and silent. The short soak asserts that some requests were given up.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -13,7 +13,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Largest number of attempts per stream, each at a randomly chosen daemon.
@@ -23,6 +23,9 @@
 /// reports a timeout first.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(14);
 
+/// Share of the streams, and of a part of the calls, whose client closes the connection before the answer is complete.
+const ABANDONED_SHARE: f64 = 0.1;
+
 /// Pause between two requests of a client.
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -59,17 +62,40 @@
                 0 if rng.random_bool(0.3) && lock(&self.crashing_part).is_some() => {
                     self.send_crashing_stream(&id, &mut rng).await;
                 }
+                0 if rng.random_bool(ABANDONED_SHARE) => {
+                    self.abandon(&id, "/long/x", rng.random_range(1..300)).await;
+                }
                 0 => self.read_stream(&id, &mut rng).await,
                 1 if rng.random_bool(0.1) && lock(&self.crashing_part).is_some() => {
                     self.send_crashing_call(&id, &mut rng).await;
                 }
                 1 => self.send_call(&id, "GET", "/read/x", &mut rng).await,
+                2 if rng.random_bool(ABANDONED_SHARE) => {
+                    self.abandon(&id, "/book/x", rng.random_range(1..20)).await;
+                }
                 _ => self.send_call(&id, "POST", "/book/x", &mut rng).await,
             }
             tokio::time::sleep(REQUEST_PAUSE).await;
         }
     }
 
+    /// Sends a `POST` to the daemon that its number selects, and closes the connection after `wait_ms` if the answer is not
+    /// complete by then.
+    async fn abandon(&self, id: &str, path: &str, wait_ms: u64) {
+        let addr = self.entry_addrs[self.number as usize % self.entry_addrs.len()];
+        let headers = [("Credential", "key-1"), ("Deadline-Remaining", "9000")];
+        let reply = call_with(addr, "POST", path, id, &headers);
+        if tokio::time::timeout(Duration::from_millis(wait_ms), reply).await.is_ok() {
+            return;
+        }
+        let mut findings = lock(&self.findings);
+        findings.report.abandoned += 1;
+        findings.checks.abandoned.push((id.to_owned(), Instant::now()));
+        if path == "/book/x" {
+            findings.checks.at_most_once.push(id.to_owned());
+        }
+    }
+
     /// Sends a request to a randomly chosen daemon, with `part` in its prompt. Returns `None` without a response within
     /// `RESPONSE_TIMEOUT`.
     async fn send(
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -94,6 +94,7 @@
     environment.check_foreign_entries();
     report.peak_memory_bytes = environment.peak_memory_bytes;
     report.violations.append(&mut environment.violations);
+    report.check_abandoned(&found.checks, &environment.last_arrivals());
     report.check_executions(&found.checks, &environment.count_executions());
     if !has_recovered {
         report.violations.push("requests are not served again after the last fault".to_owned());
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -453,6 +453,20 @@
         }
     }
 
+    /// Returns when each request id last reached an upstream, including crashed and draining ones.
+    pub fn last_arrivals(&self) -> base::HashMap<String, Instant> {
+        let upstreams =
+            self.upstreams.iter().chain(&self.removed_upstreams).map(|proxied| &proxied.upstream);
+        let mut arrivals = base::HashMap::<String, Instant>::default();
+        for request in upstreams.flat_map(FakeUpstream::received) {
+            if let Some(id) = request.header("request-attempt-id") {
+                let last = arrivals.entry(id.to_owned()).or_insert(request.at);
+                *last = request.at.max(*last);
+            }
+        }
+        arrivals
+    }
+
     /// Returns the number of executions per request id at all upstreams, including crashed and draining ones.
     pub fn count_executions(&self) -> base::HashMap<String, usize> {
         let upstreams =
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -21,5 +21,6 @@
         Vec::<&FaultClass>::new(),
         "classes that did not occur"
     );
+    assert!(report.abandoned > 0, "{}", report.summary());
     assert!(report.whole_streams > 0 && report.answered_calls > 0, "{}", report.summary());
 }
