Soak: responses without an end, and the memory of all daemons

Three upstreams respond to their next two requests with bytes that hold no event, until the daemon closes the connection.

--- a/crates/soak/src/calm_draws.rs
+++ b/crates/soak/src/calm_draws.rs
@@ -2,7 +2,7 @@
 //! upstreams.
 
 use crate::{
-    daemon_process::{DaemonProcess, MEMORY_MB},
+    daemon_process::DaemonProcess,
     test_environment::{CONTACT, DRAIN, TestEnvironment},
 };
 use platform_stand::{Behaviour, Reply, call_with, config};
@@ -133,18 +133,11 @@
             callers.push(tokio::spawn(call_silently(daemon.entry_addr, number)));
         }
         tokio::time::sleep(SILENT_TIME).await;
-        let peak_bytes = daemon.peak_memory_bytes();
+        self.check_memory(std::slice::from_ref(daemon));
         for caller in callers {
             caller.abort();
         }
         let addr = daemon.entry_addr;
-        match peak_bytes {
-            Some(bytes) if bytes > MEMORY_MB * 1024 * 1024 => {
-                self.violations.push(format!("the daemon at {addr} has used {bytes} bytes"));
-            }
-            Some(bytes) => self.peak_memory_bytes = self.peak_memory_bytes.max(bytes),
-            None => self.violations.push(format!("the daemon at {addr} has ended")),
-        }
         let began = Instant::now();
         let headers = [("Credential", "key-1"), ("Deadline-Remaining", "9000")];
         let call = || call_with(addr, "GET", "/read/x", "after-silent-callers", &headers);
--- a/crates/soak/src/fault_class.rs
+++ b/crates/soak/src/fault_class.rs
@@ -31,6 +31,8 @@
     ProxyFault,
     /// Upstreams respond with errors, wrong bytes or not at all.
     UpstreamFaults,
+    /// Upstreams send responses without an end.
+    EndlessResponses,
     /// Requests crash upstreams, and an upstream names a limit.
     Episode,
     /// The store is restored from an older copy.
@@ -58,7 +60,7 @@
 impl FaultClass {
     /// All classes in the order of their first occurrence. Those that are judged while nothing else fails follow one
     /// another, so that they share the time in which daemons find each other again.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Release,
         Self::MassKill,
         Self::Episode,
@@ -70,6 +72,7 @@
         Self::GoodVersion,
         Self::ForeignEntries,
         Self::UpstreamFaults,
+        Self::EndlessResponses,
         Self::DomainCrash,
         Self::DaemonPause,
         Self::StoreOutage,
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -103,6 +103,7 @@
             FaultClass::Release => environment.release_version(&mut self.rng).await?,
             FaultClass::MassKill => daemons.iter_mut().for_each(DaemonProcess::kill),
             FaultClass::UpstreamFaults => environment.inject_upstream_faults(&mut self.rng),
+            FaultClass::EndlessResponses => environment.send_endlessly(&mut self.rng),
             FaultClass::ForeignEntries => environment.write_foreign_entries(&mut self.rng),
             FaultClass::LapsedEntry => {
                 self.wait_for_contact(environment, daemons).await?;
@@ -128,6 +129,7 @@
         self.is_calm = class.is_calm();
         environment.copy_store();
         environment.update_registry();
+        environment.check_memory(daemons);
         let pause_ms = self.rng.random_range(FAULT_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         self.end_due_faults(environment, daemons)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -92,6 +92,7 @@
     report.faults = faults.counts.clone();
     environment.end_episode();
     environment.check_foreign_entries();
+    environment.check_memory(&daemons);
     report.peak_memory_bytes = environment.peak_memory_bytes;
     report.violations.append(&mut environment.violations);
     report.check_abandoned(&found.checks, &environment.last_arrivals());
--- a/crates/soak/src/soak_report.rs
+++ b/crates/soak/src/soak_report.rs
@@ -30,7 +30,7 @@
     pub abandoned: u64,
     /// Number of calls and streams that failed in another way, for example because of a cut connection.
     pub failed: u64,
-    /// Largest resident memory of a daemon beside silent callers, in bytes; 0 if there were none.
+    /// Largest resident memory of a daemon, in bytes, as far as it was read before the daemon was killed.
     pub peak_memory_bytes: u64,
     /// Number of injected faults by class.
     pub faults: BTreeMap<FaultClass, u64>,
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -1,6 +1,10 @@
 //! Starts the store and the upstreams that the daemons use during a soak, and injects their faults.
 
-use crate::{foreign_entries::ForeignEntries, rollout_draws::ORDER};
+use crate::{
+    daemon_process::{DaemonProcess, MEMORY_MB},
+    foreign_entries::ForeignEntries,
+    rollout_draws::ORDER,
+};
 use platform_stand::{Behaviour, FakeStore, FakeUpstream, ReceivedRequest, config};
 use rand::{Rng, RngExt};
 use stand::{Direction, Proxy, ProxyFault, ProxySettings};
@@ -68,7 +72,7 @@
     pub crashing_part: Arc<Mutex<Option<String>>>,
     /// When the copy was made from which the store is restored.
     copied: Instant,
-    /// Largest resident memory of a daemon beside silent callers, in bytes.
+    /// Largest resident memory of a daemon that was seen, in bytes.
     pub peak_memory_bytes: u64,
     /// Entries of another writer.
     foreign_entries: ForeignEntries,
@@ -453,6 +457,26 @@
         }
     }
 
+    /// Makes three randomly chosen upstreams respond without an end to their next two requests.
+    pub fn send_endlessly(&self, rng: &mut impl Rng) {
+        for _ in 0..3 {
+            let proxied = &self.upstreams[rng.random_range(0..self.upstreams.len())];
+            proxied.upstream.set_behaviours(&[Behaviour::Endless; 2]);
+        }
+    }
+
+    /// Records the largest resident memory of the daemons, and a violation for each that exceeds the memory of its VM.
+    pub fn check_memory(&mut self, daemons: &[DaemonProcess]) {
+        for daemon in daemons {
+            let bytes = daemon.peak_memory_bytes().unwrap_or(0);
+            if bytes > self.peak_memory_bytes.max(MEMORY_MB * 1024 * 1024) {
+                let addr = daemon.entry_addr;
+                self.violations.push(format!("the daemon at {addr} has used {bytes} bytes"));
+            }
+            self.peak_memory_bytes = self.peak_memory_bytes.max(bytes);
+        }
+    }
+
     /// Returns when each request id last reached an upstream, including crashed and draining ones.
     pub fn last_arrivals(&self) -> base::HashMap<String, Instant> {
         let upstreams =
