--- a/crates/geraniumroad/src/serve.rs
+++ b/crates/geraniumroad/src/serve.rs
@@ -53,12 +53,12 @@
 ///
 /// The settings are not valid, or the logger, the metrics recorder or a server cannot be started.
 pub fn serve(path: &Path) -> Result<(), RunError> {
+    return_large_allocations();
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let signals = {
         let _context = runtime.enter();
         Signals::install()?
     };
-    return_large_allocations();
     let settings = Settings::read(path)?;
     line_log::install(&settings.vm_name)?;
     let metrics = PrometheusBuilder::new().install_recorder().map_err(|_| RunError::Metrics)?;
