--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     config::Config,
+    config_share::catch_up,
     core::Core,
     departures::{Departures, Standing},
     instance_entry::InstanceEntry,
@@ -63,7 +64,7 @@
 /// Keeps `core` up to date with the platform, as long as the future is polled.
 ///
 /// One watch covers all keys, which takes half as many calls as one watch for each prefix.
-pub async fn follow_platform<E: Display>(
+pub async fn follow_platform<E: Display + 'static>(
     core: Arc<Core>,
     source: impl Source,
     keys: PlatformKeys,
@@ -74,6 +75,8 @@
         wait_ms: (bound_ms / WATCH_DIVISOR).clamp(WATCH_MS.0, WATCH_MS.1),
         batch_ms: (bound_ms / BATCH_DIVISOR).clamp(BATCH_MS.0, BATCH_MS.1),
     };
+    let decode = decoders.config;
+    core.config_share.set_decoder(move |text| decode(text).ok());
     let follower = PlatformFollower {
         core,
         keys,
@@ -116,7 +119,10 @@
             return;
         };
         match (self.decode_config)(value) {
-            Ok(config) => self.core.install(config),
+            Ok(config) => {
+                self.core.config_share.record(config.version, value.clone());
+                self.core.install(config);
+            }
             Err(err) => {
                 if self.undecodable_config.replace(change.revision) != Some(change.revision) {
                     let revision = change.revision;
@@ -129,8 +135,11 @@
     /// Decodes the registry entry of an instance; `None` if the entry is malformed.
     fn decode_entry(&mut self, id: &str, value: &[u8]) -> Option<InstanceEntry> {
         match (self.decode_instance)(id, value) {
-            Ok(entry) => {
+            Ok(mut entry) => {
                 self.undecodable.remove(id);
+                self.core.rollouts.record_entry(&entry);
+                // A time that counts down does not make each heartbeat a changed entry.
+                entry.cold_remaining_ms = 0;
                 Some(entry)
             }
             Err(err) => {
@@ -206,25 +215,29 @@
     fn publish_daemons(&self) {
         let daemons: Vec<SocketAddr> = self.daemons.values().copied().collect();
         self.core.rollouts.set_daemons(daemons.clone());
+        self.core.versions.copies.set_daemons(daemons.clone());
         self.core.set_daemons(daemons);
     }
 }
 
 impl<E: Display> WatchHandler for PlatformFollower<E> {
     fn on_list(&mut self, items: Vec<Change>) {
-        // Orders are applied before instances, which must get no request without the limits of their order.
-        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
-        let entries = self.listed_entries(&items);
-        self.is_restored = false;
+        // The list of daemons comes first: a daemon that knows of no other takes itself for the judge of an order.
         self.daemons.clear();
         for item in &items {
-            if &*item.key == self.keys.config {
-                self.install(item);
-            } else if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
+            if let Some(name) = item.key.strip_prefix(self.keys.daemons) {
                 self.update_daemon(name, item.value.as_deref());
             }
         }
         self.publish_daemons();
+        // Orders are applied before instances, which must get no request without the limits of their order.
+        self.rollout_items.apply_list(&self.core.rollouts, &items, self.is_restored);
+        let entries = self.listed_entries(&items);
+        self.is_restored = false;
+        let config = self.keys.config;
+        for item in items.iter().filter(|item| &*item.key == config) {
+            self.install(item);
+        }
         self.core.versions.replace(&items, self.keys);
         self.core.with_registry(|registry, now_ms| registry.replace(entries, now_ms));
         self.core.update_listed_versions();
@@ -237,8 +250,7 @@
     }
 
     fn on_caught_up(&mut self) {
-        self.core.rollouts.confirm_list();
-        self.core.mark_caught_up();
+        catch_up(&self.core);
     }
 
     fn on_changes(&mut self, changes: Vec<Change>) {
@@ -246,6 +258,9 @@
         for change in &changes {
             self.rollout_items.apply(&self.core.rollouts, change);
         }
+        // Changes come from watches only. A list of the latest state is not enough: it is read in pages, between which an
+        // order may be written.
+        self.core.rollouts.confirm_list();
         for change in &changes {
             if &*change.key == self.keys.config {
                 self.install(change);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -16,7 +16,9 @@
 mod caller_stall;
 mod cancel_reason;
 mod choice;
+mod cold_instances;
 mod config;
+mod config_share;
 mod connection_pool;
 mod core;
 mod crash_quarantine;
@@ -57,6 +59,7 @@
 mod room_wait;
 mod route_kind;
 mod route_table;
+mod run_copies;
 mod service_rates;
 mod shared_rates;
 mod short_call;
@@ -65,12 +68,14 @@
 mod stream_queues;
 mod stream_relay;
 mod stream_schedule;
+mod take_up;
 mod version_affinity;
 mod version_recorder;
 mod version_rule;
 
 pub use crate::{
     caller_error::CallerError,
+    cold_instances::ColdInstances,
     config::{ClientAccount, ClientLimits, Config, EngineConfig, ServiceConfig},
     core::{Core, CoreOptions},
     crash_quarantine::ServiceEvidence,
@@ -86,7 +91,7 @@
     instance::Instance,
     instance_entry::{InstanceEntry, InstanceId},
     instance_rates::InstanceRates,
-    peer_message::PeerMessage,
+    peer_message::{ConfigPart, PeerMessage},
     peer_socket::PeerSocket,
     registry::Registry,
     restarts::{Restart, find_restarts},
--- a/crates/ingress/src/stream_relay.rs
+++ b/crates/ingress/src/stream_relay.rs
@@ -24,6 +24,7 @@
     route_kind::RouteKind,
     stream_failure::Failure,
     stream_schedule::StreamSchedule,
+    take_up::{TakeUp, probed_engines, version_key},
     version_rule::VersionRule,
 };
 use affinity::{ReplicaRecord, SoftwareVersion, StreamVersion, TakeUpError};
@@ -41,9 +42,6 @@
 use tokio::{sync::watch, time::Instant};
 use web::AbortedBody;
 
-/// Number of engines that are probed for their load before one gets the request.
-const PROBED_ENGINES: usize = 3;
-
 /// Longest wait of an attempt for an engine that is not busy, counted from the last event, or from the arrival of the
 /// request if there was none. The engines of a lost failure domain are usually back by then.
 const MAX_BUSY_WAIT_MS: u64 = 1_500;
@@ -87,6 +85,8 @@
     recorded_replica_ms: Option<u64>,
     /// Number of times that the stream was taken up, including this one.
     take_ups: u32,
+    /// Version of the model weights that created the events before a take-up; `None` if it is not known.
+    recorded_weights: Option<HeaderValue>,
     /// Last attempt that was sent to the holder of a replica; `None` if none was.
     replica_attempt: Option<AttemptId>,
     /// Number of sends that were refused by the holder of a replica, which may have lost it.
@@ -145,6 +145,7 @@
             replicator: KvReplicator::default(),
             recorded_replica_ms: None,
             take_ups: 0,
+            recorded_weights: None,
             replica_attempt: None,
             refused_replicas: 0,
             caller_stall: CallerStall::default(),
@@ -234,24 +235,13 @@
     /// `StreamVersionUnknown` or `StreamVersionGone` if it cannot go on; nothing was sent.
     async fn take_up(&mut self) -> Result<(), CallerError> {
         metrics::counter!("stream_takeups_total").increment(1);
-        match self.core.take_up(&self.inbound).await {
-            Ok(version) => {
+        match TakeUp::find(&self.core, &self.inbound).await {
+            Ok(take_up) => {
+                take_up.log(&self.inbound);
+                let TakeUp { version, take_ups, replica, weights_version } = take_up;
                 self.version = version;
-                let resumes = self.inbound.resumes.as_deref();
-                let record = resumes.and_then(|id| self.core.versions.replica(id));
-                self.take_ups = record.as_ref().map_or(1, |record| record.take_ups + 1);
-                let replica =
-                    record.and_then(|record| self.core.recorded_replica(&self.inbound, record));
-                let has_copy = replica.is_some().to_string();
-                metrics::counter!("stream_takeups_accepted_total", "copy" => has_copy).increment(1);
-                log::info!(
-                    "stream: id={} is taken up, resumes={} after={:?} version={} copy_at={}",
-                    self.inbound.id_text(),
-                    self.inbound.resumes.as_deref().unwrap_or("-"),
-                    self.last_event_id,
-                    self.version_text(),
-                    replica.as_ref().map_or("-", |replica| &*replica.instance.entry.id),
-                );
+                self.take_ups = take_ups;
+                self.recorded_weights = weights_version;
                 self.replicator.set(replica);
                 Ok(())
             }
@@ -600,6 +590,7 @@
             reference: replica.reference(self.inbound.id_text()).into(),
             take_ups: self.take_ups,
             last_event_id,
+            weights_version: self.expected_weights().and_then(|v| v.to_str().ok()).map(Into::into),
         };
         // Only a request that was taken up goes on with the stream that it names.
         let stream_id = match self.inbound.last_event_id {
@@ -864,20 +855,21 @@
         let candidates = self.core.choose_stream_candidates(
             &self.inbound.service,
             &self.placement(),
-            PROBED_ENGINES,
+            probed_engines(&self.inbound, replica.is_some()),
         );
         let core = Arc::clone(&self.core);
         let now_ms = core.clock.now_ms();
         let is_new = self.sends == 0 && self.events == 0 && self.inbound.last_event_id.is_none();
         let ask = self.schedule.search(self.progress(now_ms), is_new, now_ms);
-        let is_unconstrained = self.excluded.is_empty()
-            && self.version == StreamVersion::Any
-            && self.version_rule == VersionRule::Any;
-        let turn = match &ask {
-            Some(ask) if replica.is_none() => {
-                Some(self.schedule.turn(&core, ask, is_unconstrained))
+        let is_free = self.excluded.is_empty() && self.version_rule == VersionRule::Any;
+        let is_unconstrained = is_free && self.version == StreamVersion::Any;
+        let version_key = self.version.required().filter(|_| is_free).map(version_key);
+        let progress = self.progress(now_ms);
+        let turn = match replica.is_none() {
+            true => {
+                self.schedule.turn(&core, ask.as_ref(), progress, is_unconstrained, version_key)
             }
-            _ => None,
+            false => None,
         };
         let requirements = EngineRequirements {
             ask,
@@ -1098,6 +1090,12 @@
         self.input(Input::NoUpstream { attempt: id });
     }
 
+    /// Version of the model weights that created the events so far, which the next ones must have as well.
+    fn expected_weights(&self) -> Option<&HeaderValue> {
+        let stated = self.weights_version.as_ref().filter(|_| self.events > 0);
+        self.recorded_weights.as_ref().or(stated)
+    }
+
     /// Records the KV cache replica that the attempt is to create at `replica_target`, and returns the additional
     /// headers of its request: after which event the stream resumes, from which replica, and to which engine the KV
     /// cache is replicated.
@@ -1119,9 +1117,7 @@
         if let Some(Ok(value)) = reference.map(|text| HeaderValue::from_str(&text)) {
             headers.push((dialect.replica_from.clone(), value));
         }
-        if self.events > 0
-            && let Some(version) = &self.weights_version
-        {
+        if let Some(version) = self.expected_weights() {
             headers.push((dialect.expected_weights_version.clone(), version.clone()));
         }
         let replicates_kv =
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -2,13 +2,17 @@
 
 use crate::{
     answer::Answer,
+    audience::Audience,
     bounds::RolloutBounds,
     judges::{judge_rank, judges},
+    listed_services::ListedServices,
     meter::Meter,
     new_request::NewRequest,
     open_request::OpenRequest,
     order::RolloutOrder,
     order_change::OrderChange,
+    order_log::OrderLog,
+    order_origin::OrderOrigin,
     pass::Pass,
     phase::Phase,
     reply::RolloutReply,
@@ -20,6 +24,7 @@
     status::RolloutStatus,
     status_write::StatusWrite,
     stored_status::StoredStatus,
+    suspended_version::SuspendedVersion,
     usable_versions::UsableVersions,
     version_choice::VersionChoice,
 };
@@ -40,6 +45,8 @@
     /// Number that tells the daemon's lifetimes apart.
     lifetime: u64,
     rollouts: HashMap<ServiceName, Rollout>,
+    /// Last known writes of the orders.
+    orders: OrderLog,
     /// Services whose orders were missing in the last list, which may be older than the orders.
     missing: HashSet<ServiceName>,
     statuses: HashMap<ServiceName, StoredStatus>,
@@ -47,6 +54,9 @@
     open: HashMap<u64, OpenRequest>,
     next_open: u64,
     next_number: u64,
+    /// Number of the last report. It grows over all orders: judges may regard an order as the same that this daemon regards
+    /// as a new one.
+    report_number: u64,
     /// Services whose phase has changed and has not been logged.
     changed: Vec<ServiceName>,
 }
@@ -58,44 +68,72 @@
             bounds,
             lifetime,
             rollouts: HashMap::default(),
+            orders: OrderLog::default(),
             missing: HashSet::default(),
             statuses: HashMap::default(),
             meters: HashMap::default(),
             open: HashMap::default(),
             next_open: 0,
             next_number: 0,
+            report_number: 0,
             changed: Vec::new(),
         }
     }
 
     /// Applies the order of a service that was written at `revision`. A write of the same content while the rollout runs
-    /// continues it. After a restoration of the store (`is_restored`), the same content is the same order in any case.
+    /// continues it. In the first list after a restoration of the store, the same content is the same order in any case, and so it is if an order that the restoration lost is written again before its time limit.
     pub fn apply_order(
         &mut self,
         order: RolloutOrder,
         revision: u64,
-        is_restored: bool,
+        origin: OrderOrigin,
         now_ms: u64,
     ) -> OrderChange {
         let service = order.service.clone();
+        let is_restored = origin == OrderOrigin::RestoredList;
         self.missing.remove(&service);
+        // What a watch reports was written after all that is known.
+        let is_in_force =
+            origin == OrderOrigin::Change || self.orders.is_in_force(&service, revision);
+        let was_void = self.orders.is_void(&service);
         if let Some(rollout) = self.rollouts.get_mut(&service) {
-            if rollout.order == order && rollout.has_revision(revision) {
+            if rollout.order == order && rollout.revisions.contains(revision) && is_in_force {
+                self.orders.record(&service, revision);
                 return OrderChange::None;
             }
             // An order that is repeated after its completion asks for what has been done. A new evaluation would limit the
             // only version that is left.
             let goes_on = !rollout.phase.is_final() || rollout.phase == Phase::Completed;
-            if rollout.order == order && (is_restored || goes_on) {
-                rollout.add_revision(revision);
+            let is_rewritten = was_void && !rollout.is_over(now_ms);
+            let is_same = is_restored || is_in_force && (goes_on || is_rewritten);
+            if rollout.order == order && is_same {
+                rollout.revisions.add(revision);
+                if is_restored {
+                    // The copy's status may be that of an earlier order for the same version.
+                    let status = self.statuses.get(&service).map_or(0, |stored| stored.revision);
+                    rollout.revisions.lower_status_floor(revision.max(status));
+                }
+                self.orders.record(&service, revision);
                 return OrderChange::Continued;
             }
         }
+        if !is_in_force {
+            if is_restored {
+                self.orders.record_void(&service, revision);
+            }
+            return OrderChange::Outdated;
+        }
+        self.orders.record(&service, revision);
         self.next_number += 1;
         let meters = self.meters.get(&service);
         let recent = meters.into_iter().flatten().map(|(key, meter)| (*key, meter.recent()));
+        let replaced = self.rollouts.get(&service);
+        let suspended = replaced.map(|replaced| replaced.suspended_after(&order.target));
         let start = RolloutStart {
+            suspended: suspended.unwrap_or_default(),
+            is_return: replaced.is_some_and(|replaced| replaced.is_left_for(&order.target)),
             revision,
+            is_listed: origin != OrderOrigin::Change,
             number: self.next_number,
             lifetime: self.lifetime,
             bounds: self.bounds,
@@ -107,28 +145,49 @@
         OrderChange::Started
     }
 
-    /// Removes the order of a service, which ends its rollout without a limit.
-    pub fn remove_order(&mut self, service: &ServiceName) -> OrderChange {
+    /// Removes the order of a service at `revision`, which ends its rollout without a limit.
+    pub fn remove_order(&mut self, service: &ServiceName, revision: u64) -> OrderChange {
         self.missing.remove(service);
+        self.orders.record_void(service, revision);
         match self.rollouts.remove(service) {
             Some(_) => OrderChange::Removed,
             None => OrderChange::None,
         }
     }
 
-    /// Takes note of the services whose orders are in a list of all items. The others are removed by `confirm_list`. After
-    /// a restoration of the store (`is_restored`) they stay, since the copy may be older than an order.
-    pub fn note_listed(&mut self, listed: &HashSet<ServiceName>, is_restored: bool) {
-        if !is_restored {
-            let known = self.rollouts.keys().filter(|service| !listed.contains(*service));
-            self.missing = known.cloned().collect();
+    /// Takes note of the services whose items are in a list of all items, after its statuses and then its orders were applied.
+    /// Other statuses are forgotten, and other orders are removed by `confirm_list`. After a restoration of the store
+    /// (`is_restored`) these stay, since the copy may be older than an order, and also in later lists, until they are
+    /// written or removed.
+    pub fn note_listed(&mut self, listed: &ListedServices, is_restored: bool) {
+        self.statuses.retain(|service, _| listed.statuses.contains(service));
+        let rollouts = &self.rollouts;
+        self.orders.trim(|service| rollouts.contains_key(service));
+        let known = rollouts.keys().filter(|service| !listed.orders.contains(*service));
+        let unlisted: Vec<ServiceName> = known.cloned().collect();
+        self.missing.clear();
+        if is_restored {
+            self.orders.retain(|service| listed.orders.contains(service));
+            unlisted.iter().for_each(|service| self.orders.record_void(service, 0));
+            for (service, rollout) in &mut self.rollouts {
+                if self.orders.is_void(service) {
+                    let status = self.statuses.get(service).map_or(0, |stored| stored.revision);
+                    rollout.revisions.lower_status_floor(status);
+                }
+            }
+        } else {
+            let unlisted = unlisted.into_iter().filter(|service| !self.orders.is_lost(service));
+            self.missing = unlisted.collect();
         }
     }
 
     /// Removes the orders that are missing in the list and were not written since. Returns their services.
     pub fn confirm_list(&mut self) -> Vec<ServiceName> {
         let missing: Vec<ServiceName> = self.missing.drain().collect();
-        missing.iter().for_each(|service| _ = self.rollouts.remove(service));
+        for service in &missing {
+            self.rollouts.remove(service);
+            self.orders.record_removal(service);
+        }
         missing
     }
 
@@ -144,6 +203,17 @@
         self.adopt_status(service, now_ms);
     }
 
+    /// Takes note that this daemon has made a write at `revision`. The status is about the order whatever the revision is.
+    pub fn note_written(&mut self, write: StatusWrite, revision: u64, now_ms: u64) {
+        let service = write.status.service.clone();
+        if let Some(rollout) = self.rollouts.get_mut(&service)
+            && rollout.number == write.rollout
+        {
+            rollout.revisions.lower_status_floor(revision.saturating_sub(1));
+        }
+        self.apply_status(&service, Some(write.status), revision, now_ms);
+    }
+
     /// Takes over the outcome of a rollout that the store holds.
     fn adopt_status(&mut self, service: &ServiceName, now_ms: u64) {
         let Some(rollout) = self.rollouts.get_mut(service) else { return };
@@ -168,14 +238,14 @@
         Some((&rollout.order.target, rollout.phase))
     }
 
-    /// Whether a rollout runs, or has a verdict that is still to be sent.
-    pub fn is_active(&self) -> bool {
-        self.rollouts.values().any(Rollout::is_active)
+    /// Versions whose orders were replaced before they were found good, and which get no requests as old ones.
+    pub fn suspended(&self, service: &ServiceName) -> &[SuspendedVersion] {
+        self.rollouts.get(service).map_or(&[], |rollout| &rollout.others.suspended)
     }
 
-    /// Forgets the statuses, before those of a complete list are applied.
-    pub fn clear_statuses(&mut self) {
-        self.statuses.clear();
+    /// Whether a rollout runs, or has a verdict that is still to be sent.
+    pub fn is_active(&self) -> bool {
+        self.rollouts.values().any(|rollout| rollout.is_active(is_stored(&self.statuses, rollout)))
     }
 
     /// Decides at which versions a request may run. `required` is the version at which a stream began.
@@ -202,9 +272,10 @@
         pass: &mut Pass,
         version: &SoftwareVersion,
         required: Option<&SoftwareVersion>,
+        now_ms: u64,
     ) -> bool {
         let rollout = self.rollouts.get_mut(service);
-        rollout.is_none_or(|rollout| rollout.permit(pass, route, version, required))
+        rollout.is_none_or(|rollout| rollout.permit(pass, route, version, required, now_ms))
     }
 
     /// Takes note of a request that is sent to an instance. Returns its number, which `end` must get.
@@ -229,7 +300,9 @@
     pub fn event(&mut self, number: u64, now_ms: u64) {
         let Some(mut open) = self.open.remove(&number) else { return };
         open.events += 1;
-        if open.is_counted {
+        if open.request.is_cold {
+            // Neither its gaps are compared nor do they change what is usual.
+        } else if open.is_counted {
             let is_usual = self.is_usual(&open.request);
             let is_long = self.meter(&open.request).has_long_gaps(&open, now_ms, is_usual);
             if is_long && !open.is_bad {
@@ -297,9 +370,10 @@
             let judges = judges(&service, rollout.order.target.as_str(), daemons);
             let rank = judge_rank(&judges, own);
             if rollout.is_reporting() {
-                let report = rollout.report(&overdue, old_running, now_ms);
-                if rollout.is_report_due(now_ms) {
-                    rollout.mark_reported(now_ms);
+                self.report_number += 1;
+                let report = rollout.report(self.report_number, &overdue, old_running, now_ms);
+                if rollout.schedule.is_due(now_ms) {
+                    rollout.schedule.mark_sent(now_ms);
                     let others = judges.into_iter().filter(|addr| Some(*addr) != own).collect();
                     due.push((others, report.clone()));
                 }
@@ -348,12 +422,25 @@
         }
     }
 
-    /// Verdicts that are due to be sent to all daemons.
-    pub fn take_broadcasts(&mut self, now_ms: u64) -> Vec<RolloutReply> {
-        let due = self
-            .rollouts
-            .values_mut()
-            .filter_map(|rollout| rollout.take_broadcast(now_ms).then(|| rollout.reply(now_ms)));
+    /// Verdicts that are due to be sent, with the daemons that get them. A judge tells all daemons, and these tell the judges
+    /// until the store holds the status, since judges that were restarted know nothing of the verdict.
+    pub fn take_verdicts(
+        &mut self,
+        daemons: &[SocketAddr],
+        own: Option<SocketAddr>,
+        now_ms: u64,
+    ) -> Vec<(Vec<SocketAddr>, RolloutReply)> {
+        let statuses = &self.statuses;
+        let due = self.rollouts.values_mut().filter_map(|rollout| {
+            let receivers = match rollout.take_verdict(is_stored(statuses, rollout), now_ms)? {
+                Audience::All => daemons.to_vec(),
+                Audience::Judges => {
+                    judges(&rollout.order.service, rollout.order.target.as_str(), daemons)
+                }
+            };
+            let others = receivers.into_iter().filter(|addr| Some(*addr) != own).collect();
+            Some((others, rollout.reply(now_ms)))
+        });
         due.collect()
     }
 
@@ -372,7 +459,7 @@
             let RolloutOrder { service, target, .. } = rollout.order.clone();
             let expected_revision = statuses.get(&service).map_or(0, |stored| stored.revision);
             let status = RolloutStatus { service, target, state };
-            Some(StatusWrite { status, expected_revision })
+            Some(StatusWrite { status, expected_revision, rollout: rollout.number })
         })
     }
 
@@ -396,6 +483,12 @@
 ) -> Option<RolloutState> {
     let stored = statuses.get(&rollout.order.service)?;
     let status = stored.status.as_ref()?;
-    let is_same = status.target == rollout.order.target && rollout.precedes(stored.revision);
+    let is_same =
+        status.target == rollout.order.target && rollout.revisions.precede_status(stored.revision);
     is_same.then_some(status.state)
 }
+
+/// Whether the store holds the outcome of a rollout.
+fn is_stored(statuses: &HashMap<ServiceName, StoredStatus>, rollout: &Rollout) -> bool {
+    stored_state(statuses, rollout).is_some_and(|state| state != RolloutState::Running)
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -92,8 +92,10 @@
     report.faults = faults.counts.clone();
     environment.end_episode();
     environment.check_foreign_entries();
+    environment.check_memory(&daemons);
     report.peak_memory_bytes = environment.peak_memory_bytes;
     report.violations.append(&mut environment.violations);
+    report.check_abandoned(&found.checks, &environment.last_arrivals());
     report.check_executions(&found.checks, &environment.count_executions());
     if !has_recovered {
         report.violations.push("requests are not served again after the last fault".to_owned());
--- a/crates/soak/src/test_environment.rs
+++ b/crates/soak/src/test_environment.rs
@@ -1,6 +1,10 @@
 //! Starts the store and the upstreams that the daemons use during a soak, and injects their faults.
 
-use crate::foreign_entries::ForeignEntries;
+use crate::{
+    daemon_process::{DaemonProcess, MEMORY_MB},
+    foreign_entries::ForeignEntries,
+    rollout_draws::ORDER,
+};
 use platform_stand::{Behaviour, FakeStore, FakeUpstream, ReceivedRequest, config};
 use rand::{Rng, RngExt};
 use stand::{Direction, Proxy, ProxyFault, ProxySettings};
@@ -45,7 +49,7 @@
     pub store: FakeStore,
     pub upstreams: Vec<ProxiedUpstream>,
     /// Crashed and draining upstreams, whose executed requests `count_executions` still includes.
-    removed_upstreams: Vec<ProxiedUpstream>,
+    pub removed_upstreams: Vec<ProxiedUpstream>,
     /// Proxies between the daemons and the store.
     store_proxies: Vec<Arc<Proxy>>,
     /// Proxies with active faults, each with the time at which its fault ends.
@@ -54,6 +58,10 @@
     pub config_version: u64,
     /// Software version of the engines that are started next, as a number.
     version: u64,
+    /// Software version of the instances of the desk that are started next.
+    pub desk_version: String,
+    /// Number of rollouts so far, part of the versions of the desk.
+    pub rollouts: u64,
     /// Number of upstreams started so far, part of their ids.
     started_upstreams: u64,
     /// Current episode; `None` if there is none.
@@ -64,7 +72,7 @@
     pub crashing_part: Arc<Mutex<Option<String>>>,
     /// When the copy was made from which the store is restored.
     copied: Instant,
-    /// Largest resident memory of a daemon beside silent callers, in bytes.
+    /// Largest resident memory of a daemon that was seen, in bytes.
     pub peak_memory_bytes: u64,
     /// Entries of another writer.
     foreign_entries: ForeignEntries,
@@ -106,6 +114,8 @@
             proxy_faults: Vec::new(),
             config_version: 0,
             version: 1,
+            desk_version: "v1".to_owned(),
+            rollouts: 0,
             started_upstreams: 0,
             episode: None,
             episodes: 0,
@@ -133,12 +143,29 @@
         Ok(addr)
     }
 
-    /// Starts an upstream and its proxy, and registers the address of the proxy in the store.
+    /// Starts an upstream of the current version and its proxy, and registers the address of the proxy in the store.
     async fn add_upstream(&mut self, service: &'static str, domain: &'static str) -> IoResult<()> {
+        let version = match service {
+            "desk" => self.desk_version.clone(),
+            _ => format!("v{}", self.version),
+        };
+        self.add_upstream_of(service, domain, &version, &[]).await
+    }
+
+    /// Starts an upstream of the version with the given behaviours for its first requests, and its proxy. Registers the
+    /// address of the proxy in the store.
+    pub async fn add_upstream_of(
+        &mut self,
+        service: &'static str,
+        domain: &'static str,
+        version: &str,
+        behaviours: &[Behaviour],
+    ) -> IoResult<()> {
         self.started_upstreams += 1;
         let upstream =
             FakeUpstream::start(&format!("{service}-{domain}-{}", self.started_upstreams)).await;
-        upstream.set_version(&format!("v{}", self.version));
+        upstream.set_version(version);
+        upstream.set_behaviours(behaviours);
         let proxy = Arc::new(Proxy::start(ProxySettings::new(upstream.addr)).await?);
         if let Some(episode) = &self.episode {
             crash_upstream_on(&upstream, service, &episode.part);
@@ -314,6 +341,7 @@
         for proxied in &self.removed_upstreams {
             self.store.remove(&proxied.key());
         }
+        self.store.remove(ORDER);
         self.store.save_copy();
         self.copied = Instant::now();
     }
@@ -429,6 +457,40 @@
         }
     }
 
+    /// Makes three randomly chosen upstreams respond without an end to their next two requests.
+    pub fn send_endlessly(&self, rng: &mut impl Rng) {
+        for _ in 0..3 {
+            let proxied = &self.upstreams[rng.random_range(0..self.upstreams.len())];
+            proxied.upstream.set_behaviours(&[Behaviour::Endless; 2]);
+        }
+    }
+
+    /// Records the largest resident memory of the daemons, and a violation for each that exceeds the memory of its VM.
+    pub fn check_memory(&mut self, daemons: &[DaemonProcess]) {
+        for daemon in daemons {
+            let bytes = daemon.peak_memory_bytes().unwrap_or(0);
+            if bytes > self.peak_memory_bytes.max(MEMORY_MB * 1024 * 1024) {
+                let addr = daemon.entry_addr;
+                self.violations.push(format!("the daemon at {addr} has used {bytes} bytes"));
+            }
+            self.peak_memory_bytes = self.peak_memory_bytes.max(bytes);
+        }
+    }
+
+    /// Returns when each request id last reached an upstream, including crashed and draining ones.
+    pub fn last_arrivals(&self) -> base::HashMap<String, Instant> {
+        let upstreams =
+            self.upstreams.iter().chain(&self.removed_upstreams).map(|proxied| &proxied.upstream);
+        let mut arrivals = base::HashMap::<String, Instant>::default();
+        for request in upstreams.flat_map(FakeUpstream::received) {
+            if let Some(id) = request.header("request-attempt-id") {
+                let last = arrivals.entry(id.to_owned()).or_insert(request.at);
+                *last = request.at.max(*last);
+            }
+        }
+        arrivals
+    }
+
     /// Returns the number of executions per request id at all upstreams, including crashed and draining ones.
     pub fn count_executions(&self) -> base::HashMap<String, usize> {
         let upstreams =
