--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in entry crash; do
+for program in entry takeup crash; do
   rustc --edition 2024 -O -o "target/review-2/$program" "review/stand-2/$program.rs"
 done
--- a/review/stand-2/crash.rs
+++ b/review/stand-2/crash.rs
@@ -177,6 +177,7 @@
     let crashes = trouble || scene == "restart";
     let options = RunnerOptions {
         service: "draft-models".to_owned(),
+        version: "v1".to_owned(),
         crashing_part: (crashes && scene != "again").then(|| BAD_PART.to_owned()),
         crashing_path: (crashes && scene == "again").then(|| BAD_PATH.to_owned()),
         down_ms: 3_000,
--- a/review/stand-2/entry.rs
+++ b/review/stand-2/entry.rs
@@ -23,6 +23,7 @@
     store.put("op/config", &config(&[stream_route("label", true), call_route("plate")]));
     let options = |service: &str, slots: u32| RunnerOptions {
         service: service.to_owned(),
+        version: "v1".to_owned(),
         crashing_part: None,
         crashing_path: None,
         down_ms: 3_000,
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -372,7 +372,7 @@
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let listener = listen();
         let addr = listener.local_addr().expect("the listener has an address");
         let store = Self { addr, state: Arc::default() };
         let server = store.clone();
@@ -705,6 +705,8 @@
 #[derive(Clone)]
 pub struct RunnerOptions {
     pub service: String,
+    /// Version of the software.
+    pub version: String,
     /// Part of a prompt that crashes a runner when it begins to write an answer on it; `None` if none does.
     pub crashing_part: Option<String>,
     /// Path of the request that crashes a runner when it begins to run it; `None` if none does.
@@ -763,7 +765,7 @@
         zone: &str,
         options: &RunnerOptions,
     ) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let listener = listen();
         let addr = listener.local_addr().expect("the listener has an address");
         let runner = Arc::new(Self {
             addr,
@@ -802,10 +804,11 @@
         }
         lifetime.sequence += 1;
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","cold_remaining_ms":0,"sequence":{},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":{},"state":"ready","cold_remaining_ms":0,"sequence":{},"born":{}}}"#,
             self.options.service,
             self.addr,
             self.zone,
+            self.options.version,
             self.options.slots,
             lifetime.sequence,
             lifetime.born
@@ -1075,8 +1078,8 @@
 impl Daemon {
     /// Starts a daemon with settings like those of the small site, but for its addresses.
     pub fn start(folder: &Folder, store: &Store, name: &str, zone: &str) -> Self {
-        let (front, ready) = (free_port(), free_port());
-        let [first, last] = free_range();
+        let first = free_ports(16);
+        let (last, front, ready) = (first + 11, first + 12, first + 13);
         let settings = folder.0.join(format!("{name}.json"));
         let zones = r#"{"hafnarfjordur":"is-sudvestur","kopavogur":"is-sudvestur","reykjanes":"is-sudvestur"}"#;
         let text = format!(
@@ -1145,30 +1148,33 @@
     }
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    listener.local_addr().expect("the listener has an address").port()
-}
+/// First port of the range from which a run takes its ports, the length of the range, and the number of such ranges. All of
+/// them are below the ports that the system gives to outgoing connections, so that a process gets its port back.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 200;
+const RANGES: u32 = 100;
 
-/// Finds 16 ports in a row that are free.
-fn free_range() -> [u16; 2] {
-    static LAST: AtomicU64 = AtomicU64::new(0);
+/// Finds `count` ports in a row that are free.
+fn free_ports(count: u16) -> u16 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let start = FIRST_PORT + std::process::id() % RANGES * PORTS;
     loop {
-        let first = match LAST.load(Ordering::SeqCst) {
-            0 => 12_000 + (std::process::id() as u16 % 1_000) * 16,
-            last => last as u16 + 16,
-        };
-        LAST.store(first.into(), Ordering::SeqCst);
+        let first = start as u16 + NEXT.fetch_add(count.into(), Ordering::SeqCst) as u16;
         let is_free = |port: u16| {
-            TcpListener::bind(("127.0.0.1", port)).is_ok()
-                && UdpSocket::bind(("127.0.0.1", port)).is_ok()
+            let addr = SocketAddr::from(([127, 0, 0, 1], port));
+            TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
         };
-        if (first..first + 16).all(is_free) {
-            return [first, first + 15];
+        if (first..first + count).all(is_free) {
+            return first;
         }
     }
 }
 
+/// Listens at a free port.
+fn listen() -> TcpListener {
+    TcpListener::bind(("127.0.0.1", free_ports(1))).expect("a free port can be used")
+}
+
 /// Waits until all daemons are ready, or ends the run: it could not be made.
 pub fn wait_until_ready(daemons: &[Daemon]) {
     let end = Instant::now() + Duration::from_secs(15);
@@ -1181,6 +1187,79 @@
     }
 }
 
+/// Machine of a daemon, seen by its clients: while it has no power it answers nothing, and connections from before hang for
+/// good.
+#[derive(Clone)]
+pub struct Machine {
+    pub front: SocketAddr,
+    target: SocketAddr,
+    /// Number of times that the power was lost.
+    losses: Arc<AtomicU64>,
+    is_dark: Arc<AtomicBool>,
+}
+
+impl Machine {
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = listen();
+        let front = listener.local_addr().expect("the listener has an address");
+        let machine = Self { front, target, losses: Arc::default(), is_dark: Arc::default() };
+        let serving = machine.clone();
+        spawn(move || {
+            for client in listener.incoming().flatten() {
+                let machine = serving.clone();
+                spawn(move || machine.serve(client));
+            }
+        });
+        machine
+    }
+
+    pub fn lose_power(&self) {
+        self.is_dark.store(true, Ordering::SeqCst);
+        self.losses.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub fn get_power(&self) {
+        self.is_dark.store(false, Ordering::SeqCst);
+    }
+
+    fn serve(&self, client: TcpStream) {
+        let losses = self.losses.load(Ordering::SeqCst);
+        if self.is_dark.load(Ordering::SeqCst) {
+            return hang(client);
+        }
+        let Ok(daemon) = TcpStream::connect(self.target) else { return };
+        let _ = (client.set_nodelay(true), daemon.set_nodelay(true));
+        let (Ok(client_copy), Ok(daemon_copy)) = (client.try_clone(), daemon.try_clone()) else {
+            return;
+        };
+        let machine = self.clone();
+        spawn(move || machine.pass_on(client_copy, daemon_copy, losses));
+        self.pass_on(daemon, client, losses);
+    }
+
+    /// Passes bytes on until the connection ends, or until the machine has lost its power since.
+    fn pass_on(&self, mut from: TcpStream, mut to: TcpStream, losses: u64) {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            let size = from.read(&mut buffer).unwrap_or(0);
+            if self.losses.load(Ordering::SeqCst) != losses {
+                hang(from);
+                return hang(to);
+            }
+            if size == 0 || to.write_all(&buffer[..size]).is_err() {
+                let _ = to.shutdown(Shutdown::Write);
+                return;
+            }
+        }
+    }
+}
+
+/// Keeps a connection open without a byte until the end of the run.
+fn hang(stream: TcpStream) {
+    static HANGING: Mutex<Vec<TcpStream>> = Mutex::new(Vec::new());
+    HANGING.lock().unwrap().push(stream);
+}
+
 // Clients.
 
 /// Answer that a client got.
@@ -1232,6 +1311,13 @@
         Self(unix_ms().wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
     }
 
+    /// Numbers of one client of many.
+    pub fn seeded(number: u64) -> Self {
+        let mut random = Self((unix_ms() ^ (number << 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        random.next();
+        random
+    }
+
     pub fn next(&mut self) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
