--- a/review/stand-2/crash.rs
+++ b/review/stand-2/crash.rs
@@ -22,6 +22,9 @@
 const FIRST_PART: &str = "51ab0001";
 const BAD_PART: &str = "bad0bad0";
 
+/// Time for which the store loses answers to writes, by the site file.
+const LOSING_MS: u64 = 4_500;
+
 /// Path of the request that crashes runners.
 const BAD_PATH: &str = "/label/bottle-77";
 
@@ -146,6 +149,18 @@
     }
 }
 
+/// The store has lost answers to writes while the daemons started. Prompts with the part come later, one
+/// after the other, to each of them.
+fn unlisted(fleet: &Fleet, store: &Store) {
+    sleep_ms(32_000);
+    let listed = store.count("geraniumroad/daemons/");
+    fleet.record.line(format!("{listed} of {DAEMONS} daemons are listed in the store"));
+    for number in 0..DAEMONS + 2 {
+        fleet.send(number % DAEMONS, &BAD);
+        sleep_ms(6_000);
+    }
+}
+
 /// A batch of prompts with the part comes now and then.
 fn batches(fleet: &Fleet) {
     for _ in 0..4 {
@@ -173,8 +188,14 @@
     let (record, seen, folder, store) =
         (Record::new(), Seen::default(), Folder::new(), Store::start());
     store.put("op/config", &config(&[stream_route("label", scene != "batches")]));
-    // Where the fleet's restart is the disruption, the part crashes runners without it as well.
-    let crashes = trouble || scene == "restart";
+    // Where something else is the disruption, the part crashes runners without it as well.
+    let crashes = trouble || scene == "restart" || scene == "unlisted";
+    if trouble && scene == "unlisted" {
+        record.line(format!(
+            "the store loses the answers to a third of all writes for {LOSING_MS} ms"
+        ));
+        store.lose_answers(LOSING_MS);
+    }
     let options = RunnerOptions {
         service: "draft-models".to_owned(),
         version: "v1".to_owned(),
@@ -209,6 +230,7 @@
     match &*scene {
         "restart" => restart(&fleet, trouble),
         "again" => again(&fleet),
+        "unlisted" => unlisted(&fleet, &store),
         "batches" => batches(&fleet),
         "alone" => alone(&fleet),
         _ => exit(2),
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -363,18 +363,23 @@
     }
 }
 
+/// Time after which the store does what a write asks for whose answer is lost, by the pages "seconds later".
+const LATE_MS: u64 = 4_000;
+
 /// The platform's store, which keeps its whole history and is never down.
 #[derive(Clone)]
 pub struct Store {
     pub addr: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    /// Until when the answers to some writes are lost, and the number of writes since it was set.
+    losing: Arc<Mutex<(Option<Instant>, u64)>>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let listener = listen();
         let addr = listener.local_addr().expect("the listener has an address");
-        let store = Self { addr, state: Arc::default() };
+        let store = Self { addr, state: Arc::default(), losing: Arc::default() };
         let server = store.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -392,6 +397,26 @@
         store
     }
 
+    /// Loses the answers to a third of all writes for this time, beginning with the first one, and does these writes late.
+    pub fn lose_answers(&self, for_ms: u64) {
+        let until = Instant::now() + Duration::from_millis(for_ms);
+        *self.losing.lock().unwrap() = (Some(until), 0);
+    }
+
+    /// Whether the answer to this write is lost.
+    fn loses_answer(&self) -> bool {
+        let mut losing = self.losing.lock().unwrap();
+        let is_losing = losing.0.is_some_and(|until| Instant::now() < until);
+        losing.1 += 1;
+        is_losing && losing.1 % 3 == 1
+    }
+
+    /// Number of items whose keys begin with `prefix`.
+    pub fn count(&self, prefix: &str) -> usize {
+        let state = self.state.0.lock().unwrap();
+        state.items.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     /// Writes an item as the operator does.
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.state;
@@ -458,6 +483,11 @@
                 return;
             }
             sleep_ms(4);
+            if head.line.starts_with("POST /v1/kv-txn") && self.loses_answer() {
+                sleep_ms(LATE_MS);
+                self.answer(&head, &String::from_utf8_lossy(&body));
+                return hang(writer);
+            }
             let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
             let answer = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n{text}",
